Add the design, common library, settings and build

The design page fixes modules, state, messages, failures and wire formats. The headers under include/ibisgate are the contract between modules that are built in parallel. The common library holds strings, errors, log, clock, metrics, event ring and supervisor; settings are checked with file and line.

Debian builds inih without line numbers in its handler, so the reader counts lines itself.

--- /dev/null
+++ b/common/event.c
@@ -0,0 +1,79 @@
+#include <inttypes.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+
+static struct event ring[EVENT_RING_SIZE];
+static uint64_t ring_next;
+static pthread_mutex_t ring_lock = PTHREAD_MUTEX_INITIALIZER;
+
+void event_record(const char *kind, const char *request, const char *endpoint,
+		  const char *organisation, const char *fmt, ...)
+{
+	struct event *ev;
+	va_list ap;
+
+	pthread_mutex_lock(&ring_lock);
+	ev = &ring[ring_next++ % EVENT_RING_SIZE];
+	ev->hlc = hlc_now();
+	ev->kind = kind;
+	snprintf(ev->request, sizeof(ev->request), "%s", request ? request : "");
+	snprintf(ev->endpoint, sizeof(ev->endpoint), "%s", endpoint ? endpoint : "");
+	snprintf(ev->organisation, sizeof(ev->organisation), "%s",
+		 organisation ? organisation : "");
+	va_start(ap, fmt);
+	vsnprintf(ev->detail, sizeof(ev->detail), fmt, ap);
+	va_end(ap);
+	pthread_mutex_unlock(&ring_lock);
+}
+
+/* Copies the entries after @after, oldest first, so that formatting runs without the lock. */
+static struct event *events_copy(uint64_t after, size_t *count)
+{
+	struct event *copy = NULL;
+	uint64_t first;
+	size_t n = 0;
+
+	pthread_mutex_lock(&ring_lock);
+	first = ring_next > EVENT_RING_SIZE ? ring_next - EVENT_RING_SIZE : 0;
+	while (first < ring_next && ring[first % EVENT_RING_SIZE].hlc <= after)
+		first++;
+	copy = mem_alloc((size_t)(ring_next - first) * sizeof(*copy));
+	for (; first < ring_next; first++)
+		copy[n++] = ring[first % EVENT_RING_SIZE];
+	pthread_mutex_unlock(&ring_lock);
+	*count = n;
+	return copy;
+}
+
+void events_format(struct buf *out, uint64_t after, const char *instance)
+{
+	size_t count;
+	struct event *copy = events_copy(after, &count);
+
+	buf_append(out, "[", 1);
+	for (size_t i = 0; i < count; i++) {
+		const struct event *ev = &copy[i];
+		json_t *o = json_pack("{s:I,s:I,s:s,s:s,s:s,s:s,s:s,s:s}", "hlc",
+				      (json_int_t)ev->hlc, "time_ms", (json_int_t)(ev->hlc >> 16),
+				      "instance", instance, "kind", ev->kind, "request",
+				      ev->request, "endpoint", ev->endpoint, "organisation",
+				      ev->organisation, "detail", ev->detail);
+		char *text = o ? json_dumps(o, JSON_COMPACT) : NULL;
+
+		if (text) {
+			if (out->data[out->len - 1] != '[')
+				buf_append(out, ",\n", 2);
+			buf_append_str(out, str_from(text));
+		}
+		free(text);
+		json_decref(o);
+	}
+	buf_append(out, "]", 1);
+	free(copy);
+}
--- /dev/null
+++ b/common/supervisor.c
@@ -0,0 +1,157 @@
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/common/str.h"
+#include "ibisgate/common/supervisor.h"
+
+#define CHILDREN_MAX 32
+#define RESTARTS_MAX 64
+#define RESTART_DELAY_MS 50
+#define SLEEP_STEP_MS 20
+
+struct child {
+	struct child_spec spec;
+	struct supervisor *sup;
+	pthread_t thread;
+	_Atomic bool stopping;
+	int64_t cpu_us;
+};
+
+struct supervisor {
+	struct child children[CHILDREN_MAX];
+	int count;
+	int max_restarts;
+	int window_ms;
+	void (*give_up)(void *ctx);
+	void *ctx;
+	pthread_mutex_t lock;
+	int64_t restarts[RESTARTS_MAX];
+	int restart_count;
+	bool gave_up;
+};
+
+static _Thread_local struct child *current;
+
+struct supervisor *supervisor_create(int max_restarts, int window_ms, void (*give_up)(void *ctx),
+				     void *ctx)
+{
+	struct supervisor *sup = mem_zalloc(sizeof(*sup));
+
+	sup->max_restarts = max_restarts < RESTARTS_MAX ? max_restarts : RESTARTS_MAX - 1;
+	sup->window_ms = window_ms;
+	sup->give_up = give_up;
+	sup->ctx = ctx;
+	pthread_mutex_init(&sup->lock, NULL);
+	return sup;
+}
+
+/* Counts a restart; true if the limit within the window is passed for the first time. */
+static bool restart_limit_passed(struct supervisor *sup)
+{
+	int64_t now = clock_boot_ms();
+	bool first;
+	int kept = 0;
+
+	pthread_mutex_lock(&sup->lock);
+	for (int i = 0; i < sup->restart_count; i++) {
+		if (now - sup->restarts[i] < sup->window_ms)
+			sup->restarts[kept++] = sup->restarts[i];
+	}
+	if (kept < RESTARTS_MAX)
+		sup->restarts[kept++] = now;
+	sup->restart_count = kept;
+	first = kept > sup->max_restarts && !sup->gave_up;
+	if (first)
+		sup->gave_up = true;
+	pthread_mutex_unlock(&sup->lock);
+	return first;
+}
+
+static void *child_main(void *arg)
+{
+	struct child *child = arg;
+	struct supervisor *sup = child->sup;
+
+	current = child;
+	pthread_setname_np(pthread_self(), child->spec.name);
+	while (!atomic_load(&child->stopping)) {
+		struct error err = { 0 };
+
+		if (child->spec.run(child->spec.ctx, &err) == 0)
+			break;
+		metric_add(METRIC_CHILD_RESTARTS, 1);
+		log_error("child-failed", "child=%s error=\"%s\"", child->spec.name, err.text);
+		event_record("child-restart", NULL, NULL, NULL, "child=%s", child->spec.name);
+		if (restart_limit_passed(sup))
+			sup->give_up(sup->ctx);
+		clock_sleep_ms(RESTART_DELAY_MS);
+	}
+	return NULL;
+}
+
+void supervisor_start(struct supervisor *sup, const struct child_spec *spec)
+{
+	struct child *child;
+
+	if (sup->count == CHILDREN_MAX)
+		abort();
+	child = &sup->children[sup->count++];
+	child->spec = *spec;
+	child->sup = sup;
+	if (pthread_create(&child->thread, NULL, child_main, child) != 0)
+		abort();
+}
+
+void supervisor_stop(struct supervisor *sup)
+{
+	for (int i = sup->count - 1; i >= 0; i--) {
+		atomic_store(&sup->children[i].stopping, true);
+		pthread_join(sup->children[i].thread, NULL);
+	}
+	sup->count = 0;
+}
+
+void supervisor_destroy(struct supervisor *sup)
+{
+	if (!sup)
+		return;
+	supervisor_stop(sup);
+	pthread_mutex_destroy(&sup->lock);
+	free(sup);
+}
+
+bool child_stopping(void)
+{
+	return current && atomic_load(&current->stopping);
+}
+
+bool child_sleep_ms(int ms)
+{
+	while (ms > 0 && !child_stopping()) {
+		int step = ms < SLEEP_STEP_MS ? ms : SLEEP_STEP_MS;
+
+		clock_sleep_ms(step);
+		ms -= step;
+	}
+	return child_stopping();
+}
+
+void child_account_cpu(void)
+{
+	struct timespec ts;
+	int64_t us;
+
+	if (!current || !current->spec.control)
+		return;
+	clock_gettime(CLOCK_THREAD_CPUTIME_ID, &ts);
+	us = (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+	metric_add(METRIC_CONTROL_CPU_US, us - current->cpu_us);
+	current->cpu_us = us;
+}
--- /dev/null
+++ b/daemon/settings.c
@@ -0,0 +1,359 @@
+#include <ini.h>
+#include <inttypes.h>
+#include <stddef.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/str.h"
+#include "ibisgate/daemon/settings.h"
+
+enum key_type {
+	KEY_NAME,
+	KEY_TEXT,
+	KEY_ADDRESS,
+	KEY_URL,
+	KEY_INT,
+	KEY_INT64,
+	KEY_LEVEL,
+};
+
+/**
+ * struct key_spec - one key of the settings file
+ * @min: least value, or least length of a text
+ * @max: greatest value; texts are limited by the field
+ */
+struct key_spec {
+	const char *section;
+	const char *key;
+	enum key_type type;
+	size_t offset;
+	size_t size;
+	int64_t min;
+	int64_t max;
+	bool required;
+};
+
+#define FIELD(member) offsetof(struct settings, member), sizeof(((struct settings *)0)->member)
+
+static const struct key_spec specs[] = {
+	{ "instance", "id", KEY_NAME, FIELD(instance.id), 1, 0, true },
+	{ "instance", "data-centre", KEY_NAME, FIELD(instance.dc), 1, 0, true },
+	{ "instance", "region", KEY_NAME, FIELD(instance.region), 1, 0, true },
+	{ "instance", "log-level", KEY_LEVEL, FIELD(instance.log_level), 0, 0, false },
+	{ "http", "listen", KEY_ADDRESS, FIELD(http.listen), 0, 0, true },
+	{ "http", "advertise", KEY_ADDRESS, FIELD(http.advertise), 0, 0, false },
+	{ "http", "threads", KEY_INT, FIELD(http.threads), 1, 4096, false },
+	{ "http", "body-max-bytes", KEY_INT64, FIELD(http.body_max_bytes), 1024, 1 << 30, false },
+	{ "http", "request-timeout-ms", KEY_INT64, FIELD(http.request_timeout_ms), 100, 600000,
+	  false },
+	{ "http", "tls-certificate", KEY_TEXT, FIELD(http.tls_certificate), 0, 0, false },
+	{ "admin", "listen", KEY_ADDRESS, FIELD(admin.listen), 0, 0, true },
+	{ "admin", "advertise", KEY_ADDRESS, FIELD(admin.advertise), 0, 0, false },
+	{ "admin", "token", KEY_TEXT, FIELD(admin.token), 16, 0, true },
+	{ "peer", "listen", KEY_ADDRESS, FIELD(peer.listen), 0, 0, true },
+	{ "peer", "advertise", KEY_ADDRESS, FIELD(peer.advertise), 0, 0, false },
+	{ "peer", "curve-public-key", KEY_TEXT, FIELD(peer.curve_public), 40, 40, false },
+	{ "peer", "curve-secret-key", KEY_TEXT, FIELD(peer.curve_secret), 40, 40, false },
+	{ "platform", "url", KEY_URL, FIELD(platform.url), 0, 0, true },
+	{ "platform", "timeout-ms", KEY_INT64, FIELD(platform.timeout_ms), 50, 60000, false },
+	{ "platform", "workers", KEY_INT, FIELD(platform.workers), 1, 64, false },
+	{ "platform", "list-poll-ms", KEY_INT64, FIELD(platform.list_poll_ms), 100, 600000, false },
+	{ "platform", "config-poll-ms", KEY_INT64, FIELD(platform.config_poll_ms), 100, 600000,
+	  false },
+	{ "links", "loops", KEY_INT, FIELD(links.loops), 1, 16, false },
+	{ "links", "connect-timeout-ms", KEY_INT64, FIELD(links.connect_timeout_ms), 10, 60000,
+	  false },
+	{ "links", "silence-ms", KEY_INT64, FIELD(links.silence_ms), 100, 600000, false },
+	{ "links", "load-poll-ms", KEY_INT64, FIELD(links.load_poll_ms), 50, 60000, false },
+};
+
+#define SPEC_COUNT (sizeof(specs) / sizeof(specs[0]))
+
+struct parse {
+	struct settings *settings;
+	FILE *file;
+	struct str text;
+	const char *name;
+	FILE *report;
+	int problems;
+	int line;
+	bool partial;
+	bool seen[SPEC_COUNT];
+};
+
+void settings_defaults(struct settings *s)
+{
+	*s = (struct settings){
+		.instance.log_level = LOG_INFO,
+		.http.threads = 600,
+		.http.body_max_bytes = 4 << 20,
+		.http.request_timeout_ms = 10000,
+		.platform.timeout_ms = 1000,
+		.platform.workers = 4,
+		.platform.list_poll_ms = 1000,
+		.platform.config_poll_ms = 1500,
+		.links.loops = 2,
+		.links.connect_timeout_ms = 500,
+		.links.silence_ms = 3000,
+		.links.load_poll_ms = 500,
+	};
+}
+
+static int report(struct parse *p, const char *section, const char *key, const char *expected)
+{
+	p->problems++;
+	if (p->report)
+		fprintf(p->report, "%s:%d: [%s] %s: %s\n", p->name, p->line, section, key,
+			expected);
+	return 1;
+}
+
+static bool name_valid(struct str s)
+{
+	for (size_t i = 0; i < s.len; i++) {
+		char c = s.data[i];
+
+		if (!((c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-'))
+			return false;
+	}
+	return s.len > 0;
+}
+
+static bool address_valid(struct str s)
+{
+	struct str host = str_split(&s, ':');
+	int64_t port;
+	int dots = 0;
+
+	for (size_t i = 0; i < host.len; i++) {
+		if (host.data[i] == '.')
+			dots++;
+		else if (host.data[i] < '0' || host.data[i] > '9')
+			return false;
+	}
+	return dots == 3 && str_to_i64(s, &port) && port >= 0 && port <= 65535;
+}
+
+static int parse_value(struct parse *p, const struct key_spec *spec, struct str value)
+{
+	char *field = (char *)p->settings + spec->offset;
+	char expected[160];
+	int64_t n;
+	int level;
+
+	switch (spec->type) {
+	case KEY_NAME:
+		if (!name_valid(value))
+			return report(p, spec->section, spec->key,
+				      "expected lower-case letters, digits and hyphens");
+		break;
+	case KEY_ADDRESS:
+		if (!address_valid(value))
+			return report(p, spec->section, spec->key, "expected IPv4-ADDRESS:PORT");
+		break;
+	case KEY_URL:
+		if (!str_starts_with(value, STR_LIT("http://")) &&
+		    !str_starts_with(value, STR_LIT("https://")))
+			return report(p, spec->section, spec->key,
+				      "expected a URL that begins with http:// or https://");
+		break;
+	case KEY_TEXT:
+		if ((int64_t)value.len < spec->min ||
+		    (spec->max && (int64_t)value.len > spec->max)) {
+			snprintf(expected, sizeof(expected), "expected %s%" PRId64 " characters",
+				 spec->max ? "" : "at least ", spec->min);
+			return report(p, spec->section, spec->key, expected);
+		}
+		break;
+	case KEY_INT:
+	case KEY_INT64:
+		if (!str_to_i64(value, &n) || n < spec->min || n > spec->max) {
+			snprintf(expected, sizeof(expected),
+				 "expected a whole number from %" PRId64 " to %" PRId64, spec->min,
+				 spec->max);
+			return report(p, spec->section, spec->key, expected);
+		}
+		if (spec->type == KEY_INT)
+			*(int *)(void *)field = (int)n;
+		else
+			*(int64_t *)(void *)field = n;
+		return 0;
+	case KEY_LEVEL:
+		level = log_level_parse(value.data);
+		if (level < 0)
+			return report(p, spec->section, spec->key,
+				      "expected debug, info, warn or error");
+		*(enum log_level *)(void *)field = (enum log_level)level;
+		return 0;
+	}
+	if (!str_copy(field, spec->size, value)) {
+		snprintf(expected, sizeof(expected), "expected at most %zu characters",
+			 spec->size - 1);
+		return report(p, spec->section, spec->key, expected);
+	}
+	return 0;
+}
+
+static int pair_add(struct parse *p, const char *section, struct settings_pair *pairs, int *count,
+		    int max, const char *key, const char *value)
+{
+	if (*count == max)
+		return report(p, section, key, "too many entries in this section");
+	if (!str_copy(pairs[*count].key, sizeof(pairs[0].key), str_from(key)) ||
+	    !str_copy(pairs[*count].value, sizeof(pairs[0].value), str_from(value)))
+		return report(p, section, key, "expected a shorter key or value");
+	(*count)++;
+	return 0;
+}
+
+static int on_key(void *user, const char *section, const char *key, const char *value)
+{
+	struct parse *p = user;
+	struct settings *s = p->settings;
+	int64_t us;
+
+	if (strcmp(section, "distance") == 0) {
+		if (!str_to_i64(str_from(value), &us) || us < 0 || us > 10000000)
+			return report(p, section, key, "expected microseconds from 0 to 10000000");
+		pair_add(p, section, s->distance, &s->distance_count, 32, key, value);
+		return 1;
+	}
+	if (strcmp(section, "routes") == 0 || strcmp(section, "seeds") == 0) {
+		if (!address_valid(str_from(value)))
+			return report(p, section, key, "expected IPv4-ADDRESS:PORT");
+		if (section[0] == 'r')
+			pair_add(p, section, s->routes, &s->route_count, SETTINGS_ROUTES_MAX, key,
+				 value);
+		else
+			pair_add(p, section, s->seeds, &s->seed_count, SETTINGS_SEEDS_MAX, key,
+				 value);
+		return 1;
+	}
+	if (strcmp(section, "curve-peers") == 0) {
+		if (strlen(value) != 40)
+			return report(p, section, key, "expected a public key of 40 characters");
+		pair_add(p, section, s->curve_peers, &s->curve_peer_count, SETTINGS_SEEDS_MAX, key,
+			 value);
+		return 1;
+	}
+	for (size_t i = 0; i < SPEC_COUNT; i++) {
+		if (strcmp(specs[i].section, section) != 0 || strcmp(specs[i].key, key) != 0)
+			continue;
+		if (p->seen[i])
+			return report(p, section, key, "given twice, expected once");
+		p->seen[i] = true;
+		parse_value(p, &specs[i], str_from(value));
+		return 1;
+	}
+	return report(p, section, key, "unknown key; see ibisgate(5)");
+}
+
+static void check_required(struct parse *p)
+{
+	p->line = 0;
+	for (size_t i = 0; i < SPEC_COUNT; i++) {
+		if (specs[i].required && !p->seen[i])
+			report(p, specs[i].section, specs[i].key, "required, but missing");
+	}
+	if (!p->settings->peer.curve_public[0] != !p->settings->peer.curve_secret[0])
+		report(p, "peer", "curve-public-key",
+		       "expected together with curve-secret-key, or neither");
+}
+
+static int parse_end(struct parse *p, int rc, struct error *err)
+{
+	if (rc > 0 && !p->problems) {
+		p->line = rc;
+		report(p, "", "", "expected a [section] or a key = value line");
+	}
+	check_required(p);
+	if (p->problems)
+		return error_set(err, ERROR_SETTINGS, SETTINGS_INVALID, "%s: %d problems", p->name,
+				 p->problems);
+	return 0;
+}
+
+/*
+ * Reader for ini_parse_stream(). Debian builds inih without line numbers and with a limit on the
+ * length of a line, so both are looked after here.
+ */
+static char *read_line(char *line, int size, void *stream)
+{
+	struct parse *p = stream;
+	size_t len = 0;
+
+	if (p->file) {
+		if (!fgets(line, size, p->file))
+			return NULL;
+		len = strlen(line);
+	} else {
+		while (len < p->text.len && len < (size_t)size - 1) {
+			line[len] = p->text.data[len];
+			if (line[len++] == '\n')
+				break;
+		}
+		if (!len)
+			return NULL;
+		line[len] = '\0';
+		p->text.data += len;
+		p->text.len -= len;
+	}
+	if (!p->partial)
+		p->line++;
+	p->partial = line[len ? len - 1 : 0] != '\n';
+	if (p->partial && len == (size_t)size - 1)
+		report(p, "", "", "expected a shorter line");
+	return line;
+}
+
+int settings_load(struct settings *s, const char *path, FILE *report_to, struct error *err)
+{
+	struct parse p = { .settings = s, .name = path, .report = report_to };
+	int rc;
+
+	settings_defaults(s);
+	p.file = fopen(path, "re");
+	if (!p.file) {
+		if (report_to)
+			fprintf(report_to, "%s: cannot be read\n", path);
+		return error_set(err, ERROR_SETTINGS, SETTINGS_UNREADABLE, "cannot read %s", path);
+	}
+	rc = ini_parse_stream(read_line, &p, on_key, &p);
+	fclose(p.file);
+	return parse_end(&p, rc, err);
+}
+
+int settings_parse(struct settings *s, const char *text, const char *name, FILE *report_to,
+		   struct error *err)
+{
+	struct parse p = { .settings = s, .name = name, .report = report_to };
+	int rc;
+
+	settings_defaults(s);
+	p.text = str_from(text);
+	rc = ini_parse_stream(read_line, &p, on_key, &p);
+	return parse_end(&p, rc, err);
+}
+
+const char *settings_route(const struct settings *s, const char *name)
+{
+	for (int i = 0; i < s->route_count; i++) {
+		if (strcmp(s->routes[i].key, name) == 0)
+			return s->routes[i].value;
+	}
+	return NULL;
+}
+
+int64_t settings_distance_us(const struct settings *s, const char *dc)
+{
+	int64_t us;
+
+	if (strcmp(dc, s->instance.dc) == 0)
+		return 0;
+	for (int i = 0; i < s->distance_count; i++) {
+		if (strcmp(s->distance[i].key, dc) == 0 &&
+		    str_to_i64(str_from(s->distance[i].value), &us))
+			return us;
+	}
+	return 1000;
+}
--- /dev/null
+++ b/include/ibisgate/common/hash.h
@@ -0,0 +1,25 @@
+#ifndef IBISGATE_COMMON_HASH_H
+#define IBISGATE_COMMON_HASH_H
+
+#include <stdint.h>
+
+#include "ibisgate/common/str.h"
+
+/** hash_str - XXH3 64-bit hash of @s with @seed; not for secrets */
+uint64_t hash_str(struct str s, uint64_t seed);
+
+/** hash_mix - combine two hash values (SplitMix64 finaliser) */
+uint64_t hash_mix(uint64_t a, uint64_t b);
+
+#define HASH_HEX_SIZE 65
+
+/** hash_secret_hex - BLAKE2b-256 of @s (libsodium) as 64 hex digits and a NUL; for API keys */
+void hash_secret_hex(struct str s, char out[HASH_HEX_SIZE]);
+
+/** hash_keyed_hex - the same with a key of up to 64 bytes; for fingerprints and cache salts */
+void hash_keyed_hex(struct str key, struct str s, char out[HASH_HEX_SIZE]);
+
+/** random_u64 - number from the system's random source (libsodium) */
+uint64_t random_u64(void);
+
+#endif
--- /dev/null
+++ b/include/ibisgate/common/metrics.h
@@ -0,0 +1,60 @@
+#ifndef IBISGATE_COMMON_METRICS_H
+#define IBISGATE_COMMON_METRICS_H
+
+#include <stdint.h>
+
+#include "ibisgate/common/str.h"
+
+/*
+ * Counters of the process. Each metric is a row of this table, so that a name can't be
+ * misspelt and reading needs no lock. Columns: identifier, exported name, type, help text.
+ */
+#define METRICS(X)                                                                                 \
+	X(REQUESTS, "requests_total", "counter", "Requests accepted from callers")                 \
+	X(REQUESTS_OK, "requests_ok_total", "counter", "Requests answered whole")                  \
+	X(REFUSED_NOT_RUN, "refused_not_run_total", "counter", "Refusals that say not run")        \
+	X(OUTCOME_UNKNOWN, "outcome_unknown_total", "counter", "Answers that say outcome unknown") \
+	X(BAD_REQUESTS, "bad_requests_total", "counter", "Requests refused as invalid")            \
+	X(STREAMS, "streams", "gauge", "Requests in progress")                                     \
+	X(QUEUED, "queued", "gauge", "Requests that wait for admission")                           \
+	X(ATTEMPTS, "attempts_total", "counter", "Attempts sent to endpoints")                     \
+	X(RETRIES, "retries_total", "counter", "Attempts after the first one")                     \
+	X(RETRIES_DENIED, "retries_denied_total", "counter", "Retries refused by a budget")        \
+	X(RESUMED, "resumed_total", "counter", "Generations continued on another endpoint")        \
+	X(STALE_DROPPED, "stale_dropped_total", "counter", "Events dropped for another attempt")   \
+	X(SILENT_CLOSED, "silent_closed_total", "counter", "Connections closed after silence")     \
+	X(TOKENS_OUT, "tokens_out_total", "counter", "Tokens delivered to callers")                \
+	X(CLAIMS, "claims_total", "counter", "Claim rows written")                                 \
+	X(CLAIM_REPLAYS, "claim_replays_total", "counter", "Answers replayed from a claim")        \
+	X(QUARANTINED, "quarantined_total", "counter", "Fingerprints put into quarantine")         \
+	X(ROLE_CHANGES, "role_changes_total", "counter", "Role changes finished by this holder")   \
+	X(LEASE_LOST, "lease_lost_total", "counter", "Leases that lapsed while held")              \
+	X(PLATFORM_READS, "platform_reads_total", "counter", "Reads sent to the table")            \
+	X(PLATFORM_WRITES, "platform_writes_total", "counter", "Writes sent to the table")         \
+	X(PLATFORM_ERRORS, "platform_errors_total", "counter",                                     \
+	  "Calls to the platform that failed")                                                     \
+	X(PEER_BYTES_IN, "peer_bytes_in_total", "counter", "Bytes received from peers")            \
+	X(PEER_BYTES_OUT, "peer_bytes_out_total", "counter", "Bytes sent to peers")                \
+	X(PEER_MESSAGES_IN, "peer_messages_in_total", "counter", "Messages received from peers")   \
+	X(PEER_MESSAGES_OUT, "peer_messages_out_total", "counter", "Messages sent to peers")       \
+	X(PEER_MALFORMED, "peer_malformed_total", "counter", "Messages dropped as malformed")      \
+	X(CONFIG_VERSION, "config_version", "gauge", "Configuration version in force")             \
+	X(CHILD_RESTARTS, "child_restarts_total", "counter", "Supervised threads restarted")       \
+	X(CONTROL_CPU_US, "control_cpu_us_total", "counter", "Processor time of control threads")
+
+enum metric {
+#define X(id, name, type, help) METRIC_##id,
+	METRICS(X)
+#undef X
+		METRIC_COUNT,
+};
+
+/** metric_add - add @n to a counter or gauge; any thread, no lock */
+void metric_add(enum metric m, int64_t n);
+void metric_set(enum metric m, int64_t value);
+int64_t metric_get(enum metric m);
+
+/** metrics_format - append all metrics to @out in the Prometheus text format 0.0.4 */
+void metrics_format(struct buf *out, const char *instance);
+
+#endif
--- /dev/null
+++ b/include/ibisgate/daemon/control.h
@@ -0,0 +1,86 @@
+#ifndef IBISGATE_DAEMON_CONTROL_H
+#define IBISGATE_DAEMON_CONTROL_H
+
+#include <jansson.h>
+
+#include "ibisgate/daemon/gate.h"
+#include "ibisgate/state/claim.h"
+
+/** control_create - control plane of @gate; starts its children under gate->supervisor */
+struct control *control_create(struct gate *gate, struct error *err);
+
+/** control_leave - announce that this instance is draining and release its leases; blocks < 2 s */
+void control_leave(struct control *c);
+void control_destroy(struct control *c);
+
+/** control_ready - configuration learned and fleet known */
+bool control_ready(struct control *c);
+
+/** control_live_instances - live instances of the region, this one included; >= 1 */
+int control_live_instances(struct control *c);
+
+/* Crashing requests. */
+enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint);
+enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
+						  bool alone);
+void control_quarantine_clear(struct control *c, uint64_t fingerprint);
+
+/**
+ * struct claim_ticket - one non-idempotent call with a key
+ * @verdict: CLAIM_DISPATCH, CLAIM_REPLAY, CLAIM_OTHER_BODY, CLAIM_SAY_UNKNOWN or CLAIM_SAY_NOT_RUN
+ * @status: HTTP status of the stored result, for CLAIM_REPLAY
+ * @result: body of the stored result, owned, for CLAIM_REPLAY
+ */
+struct claim_ticket {
+	enum claim_verdict verdict;
+	char key[256];
+	char token[24];
+	int64_t version;
+	char fingerprint[CLAIM_FINGERPRINT_MAX];
+	int status;
+	struct buf result;
+};
+
+/**
+ * claim_begin - claim a call before dispatch; blocks up to the deadline
+ * @deadline_ms: boot clock
+ *
+ * On CLAIM_DISPATCH the caller must end with exactly one of claim_finish(), claim_unknown() or
+ * claim_release().
+ */
+void claim_begin(struct control *c, const char *organisation, const char *service,
+		 struct str idempotency_key, struct str body, int64_t deadline_ms,
+		 struct claim_ticket *out);
+
+/**
+ * claim_dispatching - mark the call as about to be sent; from here on it is never "not dispatched"
+ *
+ * Return: false when the claim is no longer ours and the call must not be sent.
+ */
+bool claim_dispatching(struct control *c, struct claim_ticket *t);
+
+/** claim_finish - store the result; retried in the background while the table is down */
+void claim_finish(struct control *c, struct claim_ticket *t, int status, struct str body);
+void claim_unknown(struct control *c, struct claim_ticket *t);
+
+/** claim_release - provably not dispatched: delete the row */
+void claim_release(struct control *c, struct claim_ticket *t);
+void claim_ticket_clear(struct claim_ticket *t);
+
+/* Operator's side, used by the admin listener. */
+
+/** control_status - {"instance","state","config_version","members","endpoints","leases",...} */
+json_t *control_status(struct control *c);
+
+/**
+ * control_config_change - commit a change if the configuration is still at @if_version
+ * @if_version: version that the operator saw; -1 to take the current one
+ * @version: out: version of the accepted change, or the one that won the race
+ *
+ * Return: 0, or -1 with the layer ERROR_STATE (invalid, stale) or ERROR_PLATFORM (not run, or
+ * doubtful after the token could not be read back).
+ */
+int control_config_change(struct control *c, const char *key, json_t *value, const char *author,
+			  int64_t if_version, int64_t *version, struct error *err);
+
+#endif
--- /dev/null
+++ b/include/ibisgate/daemon/dispatch.h
@@ -0,0 +1,22 @@
+#ifndef IBISGATE_DAEMON_DISPATCH_H
+#define IBISGATE_DAEMON_DISPATCH_H
+
+#include <jansson.h>
+
+#include "ibisgate/daemon/gate.h"
+
+/** dispatch_create - data plane of @gate: admission queues, routing, links, load polling */
+struct dispatch *dispatch_create(struct gate *gate, struct error *err);
+void dispatch_destroy(struct dispatch *d);
+
+/** front_create - HTTP listener for callers */
+struct front *front_create(struct gate *gate, struct error *err);
+
+/** front_port - TCP port that the listener got */
+int front_port(const struct front *f);
+void front_destroy(struct front *f);
+
+/** dispatch_status - {"queued","admitted","organisations":[...]} for the operator; new reference */
+json_t *dispatch_status(struct dispatch *d);
+
+#endif
--- /dev/null
+++ b/include/ibisgate/daemon/settings.h
@@ -0,0 +1,104 @@
+#ifndef IBISGATE_DAEMON_SETTINGS_H
+#define IBISGATE_DAEMON_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+
+#include "ibisgate/common/error.h"
+#include "ibisgate/common/log.h"
+
+#define SETTINGS_ROUTES_MAX 512
+#define SETTINGS_SEEDS_MAX 64
+#define SETTINGS_TEXT_MAX 256
+
+/** struct settings_pair - one "key = value" of a free-form section */
+struct settings_pair {
+	char key[64];
+	char value[128];
+};
+
+/**
+ * struct settings - contents of the INI file of one instance; see ibisgate.5
+ */
+struct settings {
+	struct {
+		char id[48];
+		char dc[32];
+		char region[32];
+		enum log_level log_level;
+	} instance;
+	struct {
+		char listen[64];
+		char advertise[64];
+		int threads;
+		int64_t body_max_bytes;
+		int64_t request_timeout_ms;
+		char tls_certificate[SETTINGS_TEXT_MAX];
+	} http;
+	struct {
+		char listen[64];
+		char advertise[64];
+		char token[128];
+	} admin;
+	struct {
+		char listen[64];
+		char advertise[64];
+		char curve_public[48];
+		char curve_secret[48];
+	} peer;
+	struct {
+		char url[128];
+		int64_t timeout_ms;
+		int workers;
+		int64_t list_poll_ms;
+		int64_t config_poll_ms;
+	} platform;
+	struct {
+		int loops;
+		int64_t connect_timeout_ms;
+		int64_t silence_ms;
+		int64_t load_poll_ms;
+	} links;
+	/* [distance] data centre = microseconds one way */
+	struct settings_pair distance[32];
+	int distance_count;
+	/* [seeds] instance id = peer address, to start membership from */
+	struct settings_pair seeds[SETTINGS_SEEDS_MAX];
+	int seed_count;
+	/* [curve-peers] instance id = CURVE public key (Z85) that may connect */
+	struct settings_pair curve_peers[SETTINGS_SEEDS_MAX];
+	int curve_peer_count;
+	/* [routes] platform, instance id or endpoint name = ip:port to connect to instead */
+	struct settings_pair routes[SETTINGS_ROUTES_MAX];
+	int route_count;
+};
+
+enum settings_error {
+	SETTINGS_OK,
+	SETTINGS_UNREADABLE,
+	SETTINGS_INVALID,
+};
+
+/** settings_defaults - fill @s with the built-in values */
+void settings_defaults(struct settings *s);
+
+/**
+ * settings_load - read and check a file
+ * @report: every problem is printed there as "file:line: [section] key: what was expected"
+ *
+ * Return: 0; -1 with SETTINGS_UNREADABLE or SETTINGS_INVALID after all problems were reported.
+ */
+int settings_load(struct settings *s, const char *path, FILE *report, struct error *err);
+
+/** settings_parse - the same for text in memory; @name stands for the file in messages */
+int settings_parse(struct settings *s, const char *text, const char *name, FILE *report,
+		   struct error *err);
+
+/** settings_route - address override for @name, or NULL */
+const char *settings_route(const struct settings *s, const char *name);
+
+/** settings_distance_us - one-way latency to data centre @dc in microseconds; 0 for the own one */
+int64_t settings_distance_us(const struct settings *s, const char *dc);
+
+#endif
--- /dev/null
+++ b/include/ibisgate/policy/role.h
@@ -0,0 +1,101 @@
+#ifndef IBISGATE_POLICY_ROLE_H
+#define IBISGATE_POLICY_ROLE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisgate/common/str.h"
+#include "ibisgate/policy/route.h"
+
+#define ROLE_DCS_MAX 32
+
+enum role_kind {
+	ROLE_FIXED,
+	ROLE_GREEDY,
+	ROLE_HORIZON,
+};
+
+/**
+ * struct role_method - role change policy
+ * @horizon_ms: time over which a gain is counted
+ * @margin: the gain must exceed the loss by this factor
+ * @min_dwell_ms: least time between two changes in the region's view
+ * @hysteresis: relative imbalance below which nothing is done
+ * @smooth_ms: time constant of the demand average
+ */
+struct role_method {
+	enum role_kind kind;
+	union {
+		struct {
+			int64_t horizon_ms;
+			double margin;
+			int64_t min_dwell_ms;
+			double hysteresis;
+			int64_t smooth_ms;
+		} horizon;
+	} u;
+};
+
+struct role_dc {
+	char name[32];
+	int prefill;
+	int decode;
+	int changing;
+};
+
+/**
+ * struct role_view - one model's engines in the region at one moment
+ * @prefill_demand: prefill work that arrives, in engine seconds a second
+ * @decode_demand: decode work that arrives, in engine seconds a second at the target gap
+ * @change_ms: time that an engine is away for a change
+ */
+struct role_view {
+	double prefill_demand;
+	double decode_demand;
+	int dc_count;
+	struct role_dc dcs[ROLE_DCS_MAX];
+	int64_t change_ms;
+};
+
+/**
+ * struct role_state - what the policy remembers; zero-initialised at the start
+ */
+struct role_state {
+	double prefill_avg;
+	double decode_avg;
+	int64_t observed_ms;
+	int64_t last_change_ms;
+	int64_t imbalance_since_ms;
+	enum endpoint_role imbalance_to;
+};
+
+struct role_decision {
+	bool change;
+	enum endpoint_role from;
+	enum endpoint_role to;
+};
+
+/** role_observe - update the averages; called about each second */
+void role_observe(struct role_state *st, const struct role_method *m, const struct role_view *v,
+		  int64_t now_ms);
+
+/** role_changed - note that a change anywhere in the region has begun */
+void role_changed(struct role_state *st, int64_t now_ms);
+
+/**
+ * role_decide - whether data centre @dc should change one engine now
+ *
+ * Never takes the last engine of a role in the region. At most one data centre gets a change for
+ * the same view: the one with the largest count of the donor role that has none changing, ties
+ * by name.
+ */
+struct role_decision role_decide(const struct role_state *st, const struct role_method *m,
+				 const struct role_view *v, const char *dc, int64_t now_ms);
+
+/** role_goodput - share of the demand, 0 to 1, that @prefill and @decode engines can serve */
+double role_goodput(double prefill_demand, double decode_demand, int prefill, int decode);
+
+/** role_best_split - number of prefill engines out of @total that serves the largest share */
+int role_best_split(double prefill_demand, double decode_demand, int total);
+
+#endif
--- /dev/null
+++ b/include/ibisgate/policy/share.h
@@ -0,0 +1,86 @@
+#ifndef IBISGATE_POLICY_SHARE_H
+#define IBISGATE_POLICY_SHARE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisgate/common/str.h"
+
+enum share_class {
+	CLASS_URGENT,
+	CLASS_NORMAL,
+	CLASS_BACKGROUND,
+	CLASS_COUNT,
+};
+
+/**
+ * struct share_ticket - one request that waits for admission; owned by the caller
+ * @organisation: name; must outlive the ticket
+ * @weight: share of the organisation, > 0
+ * @class: priority inside the organisation's share
+ * @cost_us: estimated engine time, prefill and decode priced apart
+ * @deadline_ms: latest time of admission; the ticket expires after it
+ * @arrival_ms: filled by share_enqueue()
+ * @priv: intrusive state of the queue; zero before share_enqueue()
+ */
+struct share_ticket {
+	struct str organisation;
+	double weight;
+	enum share_class class;
+	int64_t cost_us;
+	int64_t deadline_ms;
+	int64_t arrival_ms;
+	struct {
+		double start_tag;
+		double finish_tag;
+		void *org;
+		struct share_ticket *next;
+		struct share_ticket *prev;
+		bool queued;
+	} priv;
+};
+
+/**
+ * struct share_queue - start-time fair queue over organisations
+ *
+ * Source: Goyal, Vin, Cheng, "Start-time Fair Queuing", 1996. Work conserving; inside an
+ * organisation higher classes go first, equal classes in order of arrival. Not thread-safe: the
+ * owner locks.
+ */
+struct share_queue;
+
+struct share_queue *share_create(void);
+void share_destroy(struct share_queue *q);
+void share_enqueue(struct share_queue *q, struct share_ticket *t, int64_t now_ms);
+
+/** share_peek - ticket that is to be admitted next; NULL when none waits */
+struct share_ticket *share_peek(struct share_queue *q);
+
+/** share_admit - take @t (any queued ticket) out and charge its cost to its organisation */
+void share_admit(struct share_queue *q, struct share_ticket *t, int64_t now_ms);
+
+/** share_cancel - take @t out without a charge */
+void share_cancel(struct share_queue *q, struct share_ticket *t);
+
+/** share_settle - correct the charge of an admitted request once its real cost is known */
+void share_settle(struct share_queue *q, struct str organisation, double weight, int64_t charged_us,
+		  int64_t actual_us);
+
+/** share_expired - a queued ticket whose deadline has passed; NULL when there is none */
+struct share_ticket *share_expired(struct share_queue *q, int64_t now_ms);
+
+/**
+ * share_wait_us - expected time until a new ticket like @t would be admitted
+ * @floor_rate: engine microseconds that this instance can admit per microsecond
+ *
+ * Used for refusal on arrival: an organisation within its share is not charged for the backlog
+ * of one that exceeds its share.
+ */
+int64_t share_wait_us(const struct share_queue *q, const struct share_ticket *t, double floor_rate);
+
+/** share_depth - tickets that wait */
+int share_depth(const struct share_queue *q);
+
+bool share_class_parse(struct str name, enum share_class *out);
+
+#endif
--- /dev/null
+++ b/tests/test_settings.cc
@@ -0,0 +1,71 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "ibisgate/daemon/settings.h"
+}
+
+static const char *const minimal = "[instance]\nid = a1\ndata-centre = abertawe\n"
+				   "region = de-cymru\n"
+				   "[http]\nlisten = 127.0.0.1:0\n"
+				   "[admin]\nlisten = 127.0.0.1:0\ntoken = 0123456789abcdef\n"
+				   "[peer]\nlisten = 127.0.0.1:0\n"
+				   "[platform]\nurl = http://127.0.0.1:9\n";
+
+static std::string problems_of(const std::string &text)
+{
+	static struct settings s;
+	struct error err = {};
+	char *out = nullptr;
+	size_t len = 0;
+	FILE *f = open_memstream(&out, &len);
+	int rc = settings_parse(&s, text.c_str(), "x.ini", f, &err);
+
+	fclose(f);
+	std::string got(out, len);
+	free(out);
+	EXPECT_EQ(rc != 0, !got.empty());
+	return got;
+}
+
+TEST(Settings, MinimalFileIsValid)
+{
+	EXPECT_EQ(problems_of(minimal), "");
+}
+
+/* Guards against a misspelt key that is silently ignored. */
+TEST(Settings, UnknownKeyIsAnErrorWithFileLineAndKey)
+{
+	std::string got = problems_of(std::string(minimal) + "[http]\nthread = 5\n");
+
+	EXPECT_NE(got.find("x.ini:15: [http] thread: unknown key"), std::string::npos) << got;
+}
+
+/* Guards against a check that stops at the first problem. */
+TEST(Settings, EveryProblemIsReported)
+{
+	std::string got = problems_of("[instance]\nid = A!\n[http]\nthreads = 0\n"
+				      "listen = localhost:80\n[routes]\np1 = nowhere\n");
+
+	EXPECT_NE(got.find("[instance] id: expected lower-case"), std::string::npos) << got;
+	EXPECT_NE(got.find("[http] threads: expected a whole number from 1 to 4096"),
+		  std::string::npos);
+	EXPECT_NE(got.find("[http] listen: expected IPv4-ADDRESS:PORT"), std::string::npos);
+	EXPECT_NE(got.find("[routes] p1: expected IPv4-ADDRESS:PORT"), std::string::npos);
+	EXPECT_NE(got.find("[platform] url: required, but missing"), std::string::npos);
+}
+
+TEST(Settings, RoutesAndDistances)
+{
+	static struct settings s;
+	struct error err = {};
+	std::string text = std::string(minimal) + "[distance]\ncaerdydd = 1500\n"
+						  "[routes]\nplatform = 127.0.0.1:99\n";
+
+	ASSERT_EQ(settings_parse(&s, text.c_str(), "x.ini", nullptr, &err), 0) << err.text;
+	EXPECT_EQ(settings_distance_us(&s, "abertawe"), 0);
+	EXPECT_EQ(settings_distance_us(&s, "caerdydd"), 1500);
+	EXPECT_STREQ(settings_route(&s, "platform"), "127.0.0.1:99");
+	EXPECT_EQ(settings_route(&s, "b1"), nullptr);
+}
