Add the stand-in engine

The engine simulates continuous batching with one scheduler thread whose time advances by absolute deadlines.

--- /dev/null
+++ b/include/ibisgate/standins/engine.h
@@ -0,0 +1,224 @@
+#ifndef IBISGATE_STANDINS_ENGINE_H
+#define IBISGATE_STANDINS_ENGINE_H
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "ibisgate/common/str.h"
+#include "ibisgate/standins/common.h"
+
+/* Exit status of an injected crash. */
+#define ENGINE_CRASH_STATUS 42
+#define ENGINE_PIECE_BYTES 8000
+#define ENGINE_PIECE_TOKENS 2000
+#define ENGINE_PIECES_MAX 64
+#define ENGINE_NAME_MAX 64
+#define ENGINE_EVENTS_MAX 4096
+#define ENGINE_ORDERS_MAX 256
+#define ENGINE_KV_MAX 1024
+#define ENGINE_SAMPLE_MS 50
+#define ENGINE_SAMPLES_MAX 1024
+
+struct engine_options {
+	int64_t port, prefill_rate, step_base_us, step_per_seq_us, slots, cache_pieces;
+	int64_t load_lag_ms, cache_event_lag_ms, role_change_ms, check_fencing, kv_token_us;
+	int64_t threads, tokens_per_chunk, leave_ms, drain_ms;
+	double cache_event_loss;
+	const char *name, *dc, *model, *role, *platform, *bind, *url;
+};
+
+enum seq_stage {
+	SEQ_PREFILL,
+	SEQ_WAIT_SLOT,
+	SEQ_RUNNING,
+	SEQ_FINISHED,
+};
+
+/**
+ * struct seq - one admitted request
+ * @next: list of the engine, guarded by its lock, like all fields up to @lock
+ * @prefill_left: tokens still to prefill; an estimate until @started
+ * @want: tokens to generate; 0 when the request only prefills
+ * @lock: guards the fields below; taken inside the engine's lock
+ * @ready: tokens generated
+ * @cut: ended by an order, a cancel or its own connection
+ */
+struct seq {
+	struct seq *next;
+	enum seq_stage stage;
+	bool started;
+	int64_t priority;
+	int64_t prompt_tokens;
+	int64_t prefill_left;
+	int64_t want;
+	char attempt[ENGINE_NAME_MAX];
+	const char *prompt;
+	const char *wanted_model; /* NULL: any */
+	bool remote_decode;
+	bool remote_prefill;
+	int piece_count;
+	uint64_t pieces[ENGINE_PIECES_MAX];
+
+	pthread_mutex_t lock;
+	pthread_cond_t changed;
+	int64_t ready;
+	bool finished;
+	bool cut;
+};
+
+struct cache_piece {
+	uint64_t hash;
+	int64_t used;
+};
+
+struct cache_event {
+	int64_t seq;
+	int64_t at_us;
+	uint64_t piece;
+	bool stored;
+};
+
+/** struct engine_cache - least recently used prefix pieces and their event ring */
+struct engine_cache {
+	struct cache_piece *pieces;
+	int count, capacity;
+	int64_t tick;
+	struct cache_event events[ENGINE_EVENTS_MAX];
+	int64_t event_count;
+	int64_t next_seq;
+};
+
+struct load_sample {
+	int64_t at_us;
+	int64_t prefill_backlog;
+	int decode_seqs;
+	int in_flight;
+	bool changing;
+	char role[ENGINE_NAME_MAX];
+	char model[ENGINE_NAME_MAX];
+};
+
+struct engine_order {
+	char id[128];
+	char holder[ENGINE_NAME_MAX];
+	char kind[16];
+	char value[ENGINE_NAME_MAX];
+	int64_t fencing;
+	int64_t at_ms;
+	bool accepted;
+};
+
+struct kv_entry {
+	uint64_t handle;
+	int64_t tokens;
+};
+
+struct engine_stats {
+	int64_t requests, tokens, prefill_tokens, cached_tokens, bad_resume, cut_requests;
+	int64_t cancelled;
+};
+
+struct engine_faults {
+	char crash_marker[128];
+	bool crash_in_change;
+	bool load_frozen;
+	int64_t stall_until_us;
+	double slow_factor;
+	/* Read and cleared by the stream that takes the fault; -1 when unset. */
+	_Atomic int64_t silent_after_tokens;
+};
+
+/**
+ * struct engine - state of the stand-in engine
+ * @lock: guards everything below except atomics
+ * @work: signalled when the scheduler has something to do
+ */
+struct engine {
+	struct engine_options opt;
+	char url[128];
+	char boot_id[17];
+	atomic_bool leaving;
+	atomic_bool stopping;
+
+	pthread_mutex_t lock;
+	pthread_cond_t work;
+	char role[ENGINE_NAME_MAX];
+	char model[ENGINE_NAME_MAX];
+	struct seq *seqs, **seqs_tail;
+	int in_flight;
+	int running;
+	struct engine_cache cache;
+	struct load_sample samples[ENGINE_SAMPLES_MAX];
+	int64_t sample_count;
+	int64_t frozen_at_us;
+	struct kv_entry kv[ENGINE_KV_MAX];
+	int64_t kv_count;
+
+	struct engine_order orders[ENGINE_ORDERS_MAX];
+	int order_count;
+	int current_order; /* index into orders, or -1 */
+	int64_t order_done_us;
+	char last_done[128];
+	int64_t fencing_seen;
+	int64_t fencing_accepted;
+	int64_t conflicts, refused_stale, refused_busy;
+
+	struct engine_faults faults;
+	struct engine_stats stats;
+};
+
+void engine_crash(const char *reason) __attribute__((noreturn));
+
+/* engine_cache.c: the caller holds the engine's lock. */
+int engine_pieces(struct str prompt, uint64_t salt, uint64_t out[ENGINE_PIECES_MAX]);
+int engine_cache_match(struct engine *e, const struct seq *s);
+void engine_cache_store(struct engine *e, const struct seq *s);
+void engine_cache_clear(struct engine *e);
+json_t *engine_cache_events(struct engine *e, int64_t after);
+
+/* engine_sched.c */
+void *engine_sched_run(void *engine);
+
+/** engine_refusal - code of the refusal that engine_admit() would give now, or NULL */
+const char *engine_refusal(struct engine *e, const struct seq *s);
+
+/** engine_admit - queue @s; NULL, or the code of the refusal */
+const char *engine_admit(struct engine *e, struct seq *s);
+
+/** engine_release - take @s out of the engine, whatever its stage */
+void engine_release(struct engine *e, struct seq *s);
+
+/** engine_cut - end matching requests (NULL: all); the caller holds the lock; Return: how many */
+int engine_cut(struct engine *e, const char *attempt);
+uint64_t engine_kv_store(struct engine *e, int64_t tokens);
+
+/** engine_kv_find - tokens of a handle; -1 when it has gone */
+int64_t engine_kv_find(struct engine *e, uint64_t handle);
+
+/* engine_order.c */
+int engine_order_post(struct engine *e, struct mg_connection *conn);
+int engine_order_list(struct engine *e, struct mg_connection *conn);
+
+/** engine_order_tick - finish the current order when its time has come; holds the lock itself */
+void engine_order_tick(struct engine *e);
+
+/* engine_load.c */
+void engine_load_sample(struct engine *e);
+json_t *engine_load(struct engine *e);
+
+/* engine_register.c */
+void engine_register_post(struct engine *e, bool leaving);
+void *engine_register_run(void *engine);
+
+/* engine_request.c */
+int engine_completions(struct engine *e, struct mg_connection *conn, bool chat);
+
+/* engine_kv.c */
+
+/** engine_kv_fetch - fetch a cache from another engine; Return: HTTP status, 0 without answer */
+int engine_kv_fetch(const char *url, const char *handle, int (*tick)(void *ctx), void *ctx);
+
+#endif
--- /dev/null
+++ b/standins/http.c
@@ -0,0 +1,185 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "ibisgate/common/json.h"
+#include "ibisgate/standins/common.h"
+
+struct mg_context *http_start(const char *bind, int *port, int threads, mg_request_handler handler,
+			      void *ctx)
+{
+	char address[64];
+	char count[16];
+	const char *options[] = {
+		"listening_ports",
+		address,
+		"num_threads",
+		count,
+		"enable_keep_alive",
+		"yes",
+		"decode_url",
+		"no",
+		"keep_alive_timeout_ms",
+		"120000",
+		"request_timeout_ms",
+		"120000",
+		"tcp_nodelay",
+		"1",
+		/* Connections above the threads wait in the queue instead of being refused. */
+		"connection_queue",
+		"256",
+		"listen_backlog",
+		"256",
+		NULL,
+	};
+	struct mg_callbacks callbacks = { 0 };
+	struct mg_server_port bound;
+	struct mg_context *http;
+
+	mg_init_library(0);
+	snprintf(address, sizeof(address), "%s:%d", bind, *port);
+	snprintf(count, sizeof(count), "%d", threads);
+	http = mg_start(&callbacks, ctx, options);
+	if (!http || mg_get_server_ports(http, 1, &bound) < 1) {
+		fprintf(stderr, "cannot listen on %s\n", address);
+		return NULL;
+	}
+	*port = bound.port;
+	mg_set_request_handler(http, "/", handler, ctx);
+	return http;
+}
+
+void http_announce(int port)
+{
+	printf("listening %d\n", port);
+	fflush(stdout);
+}
+
+struct str http_path(const struct mg_connection *conn)
+{
+	return str_from(mg_get_request_info(conn)->local_uri_raw);
+}
+
+bool http_is(const struct mg_connection *conn, const char *method, const char *path)
+{
+	const struct mg_request_info *info = mg_get_request_info(conn);
+
+	return strcmp(info->request_method, method) == 0 && strcmp(info->local_uri_raw, path) == 0;
+}
+
+static int hex_value(char c)
+{
+	if (c >= '0' && c <= '9')
+		return c - '0';
+	if (c >= 'a' && c <= 'f')
+		return c - 'a' + 10;
+	if (c >= 'A' && c <= 'F')
+		return c - 'A' + 10;
+	return -1;
+}
+
+bool http_decode(struct str s, char *out, size_t size)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < s.len; i++) {
+		char c = s.data[i];
+
+		if (n + 1 >= size)
+			return false;
+		if (c == '%') {
+			int high = i + 2 < s.len ? hex_value(s.data[i + 1]) : -1;
+			int low = i + 2 < s.len ? hex_value(s.data[i + 2]) : -1;
+
+			if (high < 0 || low < 0)
+				return false;
+			c = (char)(high * 16 + low);
+			i += 2;
+		}
+		out[n++] = c;
+	}
+	out[n] = '\0';
+	return true;
+}
+
+bool http_query(const struct mg_connection *conn, const char *name, char *out, size_t size)
+{
+	const char *query = mg_get_request_info(conn)->query_string;
+
+	return query && mg_get_var(query, strlen(query), name, out, size) >= 0;
+}
+
+int64_t http_query_i64(const struct mg_connection *conn, const char *name, int64_t fallback)
+{
+	char text[32];
+	int64_t v;
+
+	if (!http_query(conn, name, text, sizeof(text)) || !str_to_i64(str_from(text), &v))
+		return fallback;
+	return v;
+}
+
+bool http_body(struct mg_connection *conn, size_t max, struct buf *out)
+{
+	const char *expect = mg_get_header(conn, "Expect");
+	long long length = mg_get_request_info(conn)->content_length;
+	char part[16384];
+	int n;
+
+	/* CivetWeb leaves the interim answer to the handler; clients wait a second without it. */
+	if (expect && strcasecmp(expect, "100-continue") == 0)
+		mg_printf(conn, "HTTP/1.1 100 Continue\r\n\r\n");
+	while ((n = mg_read(conn, part, sizeof(part))) > 0) {
+		if (out->len + (size_t)n > max)
+			return false;
+		buf_append(out, part, (size_t)n);
+	}
+	return n == 0 && (length < 0 || out->len == (size_t)length);
+}
+
+json_t *http_body_json(struct mg_connection *conn, size_t max)
+{
+	struct buf body = { 0 };
+	json_t *value = NULL;
+
+	if (http_body(conn, max, &body))
+		value = json_parse(buf_str(&body));
+	buf_free(&body);
+	if (value && !json_is_object(value)) {
+		json_decref(value);
+		value = NULL;
+	}
+	return value;
+}
+
+int http_reply(struct mg_connection *conn, int status, json_t *value)
+{
+	struct buf body = { 0 };
+	struct buf out = { 0 };
+
+	json_append(&body, value);
+	json_decref(value);
+	buf_printf(
+		&out,
+		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+		status, mg_get_response_code_text(conn, status), body.len);
+	buf_append_str(&out, buf_str(&body));
+	mg_write(conn, out.data, out.len);
+	buf_free(&body);
+	buf_free(&out);
+	return status;
+}
+
+int http_reply_error(struct mg_connection *conn, int status, const char *type, const char *code)
+{
+	return http_reply(conn, status,
+			  json_pack("{s:{s:s,s:s,s:s}}", "error", "type", type, "code", code,
+				    "message", code));
+}
+
+int http_abort(struct mg_connection *conn)
+{
+	mg_disable_connection_keep_alive(conn);
+	return 200;
+}
