Add the load tool with checker and scenarios

The fault and mix runs need a client that verifies every byte of every streamed answer and counts goodput per organisation.

--- /dev/null
+++ b/load/check.c
@@ -0,0 +1,239 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/json.h"
+#include "ibisgate/load/check.h"
+#include "ibisgate/load/expect.h"
+
+/* Tokens around the expected one that are compared to tell a gap or a duplicate from wrong text. */
+#define NEAR_TOKENS 4096
+#define LINE_MAX_BYTES (1 << 20)
+
+void check_init(struct check *c, uint64_t seed, int64_t tokens)
+{
+	*c = (struct check){ .seed = seed, .tokens = tokens };
+}
+
+void check_free(struct check *c)
+{
+	buf_free(&c->line);
+	free(c->gaps_us);
+	c->gaps_us = NULL;
+}
+
+static void fault_set(struct check *c, enum check_fault fault)
+{
+	if (c->fault == CHECK_OK)
+		c->fault = fault;
+}
+
+static bool token_is(const struct check *c, int64_t index, const char *token)
+{
+	char want[EXPECT_TOKEN_LEN + 1];
+
+	expect_token(c->seed, (uint64_t)index, want);
+	return memcmp(want, token, EXPECT_TOKEN_LEN) == 0;
+}
+
+/* @rest begins at the start of token @index, whose text is not the expected one. */
+static enum check_fault fault_classify(struct check *c, int64_t index, struct str rest)
+{
+	if (rest.len < EXPECT_TOKEN_LEN)
+		return CHECK_WRONG_TEXT;
+	for (int64_t i = index - 1; i >= 0 && i > index - NEAR_TOKENS; i--) {
+		if (token_is(c, i, rest.data))
+			return CHECK_DUPLICATE;
+	}
+	for (int64_t i = index + 1; i < c->tokens && i < index + NEAR_TOKENS; i++) {
+		if (token_is(c, i, rest.data))
+			return CHECK_GAP;
+	}
+	if (c->foreign && c->foreign(c->foreign_user, (uint64_t)index, rest.data))
+		return CHECK_FOREIGN;
+	return CHECK_WRONG_TEXT;
+}
+
+static void text_check(struct check *c, struct str text)
+{
+	char want[EXPECT_TOKEN_LEN + 1];
+	struct str rest = text;
+
+	while (rest.len) {
+		int64_t index = c->pos / EXPECT_TOKEN_LEN;
+		size_t offset = (size_t)(c->pos % EXPECT_TOKEN_LEN);
+		size_t n = EXPECT_TOKEN_LEN - offset;
+
+		if (index >= c->tokens) {
+			/* A repeated piece at the very end is a duplicate as well. */
+			fault_set(c, fault_classify(c, index, rest) == CHECK_DUPLICATE
+					     ? CHECK_DUPLICATE
+					     : CHECK_TOO_LONG);
+			return;
+		}
+		if (n > rest.len)
+			n = rest.len;
+		expect_token(c->seed, (uint64_t)index, want);
+		if (memcmp(want + offset, rest.data, n) != 0) {
+			fault_set(c, offset ? CHECK_WRONG_TEXT : fault_classify(c, index, rest));
+			return;
+		}
+		c->pos += (int64_t)n;
+		rest.data += n;
+		rest.len -= n;
+	}
+}
+
+static void time_note(struct check *c, int64_t now_us)
+{
+	if (c->chunks == 0) {
+		c->first_us = now_us;
+	} else {
+		if (c->chunks > c->gap_cap) {
+			c->gap_cap = c->gap_cap ? 2 * c->gap_cap : 32;
+			c->gaps_us = mem_resize(c->gaps_us, c->gap_cap * sizeof(*c->gaps_us));
+		}
+		c->gaps_us[c->chunks - 1] = (uint32_t)(now_us - c->last_us);
+	}
+	c->last_us = now_us;
+	c->chunks++;
+}
+
+static void chunk_check(struct check *c, const json_t *chunk, int64_t now_us)
+{
+	const json_t *error = json_object_get(chunk, "error");
+	const json_t *choice = json_array_get(json_object_get(chunk, "choices"), 0);
+	const json_t *delta = json_object_get(choice, "delta");
+	struct str text;
+
+	if (error) {
+		str_copy(c->error_type, sizeof(c->error_type), json_get_str(error, "type"));
+		fault_set(c, CHECK_ERROR_EVENT);
+		return;
+	}
+	if (!choice) {
+		fault_set(c, CHECK_MALFORMED);
+		return;
+	}
+	text = delta ? json_get_str(delta, "content") : json_get_str(choice, "text");
+	if (!text.len)
+		return;
+	time_note(c, now_us);
+	text_check(c, text);
+}
+
+static void line_check(struct check *c, struct str line, int64_t now_us)
+{
+	json_t *chunk;
+
+	if (line.len && line.data[line.len - 1] == '\r')
+		line.len--;
+	if (!line.len || line.data[0] == ':')
+		return;
+	if (!str_starts_with(line, STR_LIT("data:"))) {
+		if (!str_starts_with(line, STR_LIT("event:")) &&
+		    !str_starts_with(line, STR_LIT("id:")) &&
+		    !str_starts_with(line, STR_LIT("retry:")))
+			fault_set(c, CHECK_MALFORMED);
+		return;
+	}
+	line.data += 5;
+	line.len -= 5;
+	line = str_trim(line);
+	if (c->done) {
+		fault_set(c, CHECK_AFTER_DONE);
+		return;
+	}
+	if (str_eq_cstr(line, "[DONE]")) {
+		c->done = true;
+		return;
+	}
+	chunk = json_parse(line);
+	if (chunk)
+		chunk_check(c, chunk, now_us);
+	else
+		fault_set(c, CHECK_MALFORMED);
+	json_decref(chunk);
+}
+
+enum check_fault check_feed(struct check *c, struct str bytes, int64_t now_us)
+{
+	while (bytes.len) {
+		const char *end = memchr(bytes.data, '\n', bytes.len);
+		size_t n = end ? (size_t)(end - bytes.data) : bytes.len;
+
+		if (!end || c->line.len)
+			buf_append(&c->line, bytes.data, n);
+		if (c->line.len > LINE_MAX_BYTES) {
+			fault_set(c, CHECK_MALFORMED);
+			buf_reset(&c->line);
+		}
+		if (!end)
+			break;
+		if (c->line.len)
+			line_check(c, buf_str(&c->line), now_us);
+		else
+			line_check(c, (struct str){ .data = bytes.data, .len = n }, now_us);
+		buf_reset(&c->line);
+		bytes.data += n + 1;
+		bytes.len -= n + 1;
+	}
+	return c->fault;
+}
+
+enum check_fault check_end(struct check *c)
+{
+	if (!c->done)
+		fault_set(c, CHECK_NO_DONE);
+	else if (c->pos < c->tokens * EXPECT_TOKEN_LEN)
+		fault_set(c, CHECK_SHORT);
+	return c->fault;
+}
+
+bool check_cut(enum check_fault fault)
+{
+	return fault == CHECK_SHORT || fault == CHECK_NO_DONE || fault == CHECK_ERROR_EVENT;
+}
+
+const char *check_fault_name(enum check_fault fault)
+{
+	static const char *const names[] = {
+		[CHECK_OK] = "ok",
+		[CHECK_WRONG_TEXT] = "wrong_text",
+		[CHECK_DUPLICATE] = "duplicate",
+		[CHECK_GAP] = "gap",
+		[CHECK_FOREIGN] = "foreign",
+		[CHECK_TOO_LONG] = "too_long",
+		[CHECK_MALFORMED] = "malformed",
+		[CHECK_AFTER_DONE] = "after_done",
+		[CHECK_SHORT] = "short",
+		[CHECK_NO_DONE] = "no_done",
+		[CHECK_ERROR_EVENT] = "error_event",
+	};
+
+	return names[fault];
+}
+
+static int u32_cmp(const void *a, const void *b)
+{
+	uint32_t x = *(const uint32_t *)a;
+	uint32_t y = *(const uint32_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+int64_t check_gap_p95_us(struct check *c)
+{
+	int64_t n = c->chunks - 1;
+
+	if (n < 1 || !c->gaps_us)
+		return 0;
+	qsort(c->gaps_us, (size_t)n, sizeof(*c->gaps_us), u32_cmp);
+	return c->gaps_us[(n - 1) * 95 / 100];
+}
+
+int64_t check_gap_mean_us(const struct check *c)
+{
+	int64_t tokens = c->pos / EXPECT_TOKEN_LEN;
+
+	return tokens > 1 ? (c->last_us - c->first_us) / (tokens - 1) : 0;
+}
--- /dev/null
+++ b/load/request.c
@@ -0,0 +1,212 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/load/expect.h"
+#include "internal.h"
+
+#define TOKEN_BYTES 4
+
+/* Appends @len bytes of reproducible text that needs no escaping in JSON. */
+static void text_append(struct buf *b, uint64_t seed, int64_t len)
+{
+	char word[17];
+
+	for (uint64_t i = 0; len > 0; i++) {
+		size_t n = len < 16 ? (size_t)len : 16;
+		uint64_t value = hash_mix(seed, i);
+
+		for (int j = 0; j < 16; j++)
+			word[j] = "abcdefghijklmnop"[(value >> (4 * j)) & 15];
+		word[15] = ' ';
+		buf_append(b, word, n);
+		len -= (int64_t)n;
+	}
+}
+
+static const struct scenario_organisation *organisation_of(const struct run *r,
+							   const struct transfer *t)
+{
+	if (!r->scenario->organisation_count)
+		return NULL;
+	return &r->scenario->organisations[t->record.organisation];
+}
+
+static void prompt_build(struct run *r, struct transfer *t, const struct scenario_phase *phase,
+			 struct buf *prompt)
+{
+	const struct scenario_organisation *o = organisation_of(r, t);
+	int64_t bytes = t->record.prompt_tokens * TOKEN_BYTES;
+	int64_t common = (int64_t)((double)bytes * phase->prefix_share);
+	uint64_t seed = hash_str(o ? str_from(o->name) : STR_LIT(""), r->scenario->seed);
+	int variant = (int)(scenario_uniform(&r->random) * r->scenario->prefixes);
+
+	text_append(prompt, hash_mix(seed, (uint64_t)variant), common);
+	text_append(prompt, hash_mix(r->text_seed, (uint64_t)t->record.number), bytes - common);
+}
+
+static int priority_number(const char *priority)
+{
+	if (strcmp(priority, "urgent") == 0)
+		return 0;
+	return strcmp(priority, "background") == 0 ? 2 : 1;
+}
+
+static bool foreign_token(void *user, uint64_t index, const char *token)
+{
+	const struct transfer *own = user;
+	char want[EXPECT_TOKEN_LEN + 1];
+
+	for (const struct transfer *t = own->run->active; t; t = t->next) {
+		if (t == own || t->kind != TRANSFER_GENERATION)
+			continue;
+		expect_token(t->check.seed, index, want);
+		if (memcmp(want, token, EXPECT_TOKEN_LEN) == 0)
+			return true;
+	}
+	return false;
+}
+
+void request_generation(struct run *r, struct transfer *t, const struct scenario_phase *phase)
+{
+	const struct scenario *s = r->scenario;
+	struct load_record *rec = &t->record;
+	const struct scenario_organisation *o;
+	struct buf prompt = { 0 };
+
+	rec->organisation = scenario_organisation_draw(s, &r->random);
+	rec->prompt_tokens = scenario_size(&r->random, phase->prompt_tokens, s->sigma);
+	rec->tokens = scenario_size(&r->random, phase->output_tokens, s->sigma);
+	t->chat = scenario_uniform(&r->random) < s->chat_share;
+	o = organisation_of(r, t);
+	prompt_build(r, t, phase, &prompt);
+	snprintf(rec->key, sizeof(rec->key), "%.40s-%lld", r->options->run_id,
+		 (long long)rec->number);
+	buf_printf(&t->body, "{\"model\":\"%s\",\"max_tokens\":%lld,\"stream\":true,", s->model,
+		   (long long)rec->tokens);
+	if (r->options->direct)
+		buf_printf(&t->body, "\"request_id\":\"%s\",\"priority\":%d,", rec->key,
+			   priority_number(o ? o->priority : ""));
+	buf_printf(&t->body,
+		   t->chat ? "\"messages\":[{\"role\":\"user\",\"content\":\"" : "\"prompt\":\"");
+	buf_append(&t->body, prompt.data, prompt.len);
+	buf_printf(&t->body, t->chat ? "\"}]}" : "\"}");
+	check_init(&t->check, expect_seed(buf_str(&prompt), str_from(s->model)), rec->tokens);
+	t->check.foreign = foreign_token;
+	t->check.foreign_user = t;
+	buf_free(&prompt);
+}
+
+void request_call(struct run *r, struct transfer *t, const struct scenario_call *call)
+{
+	struct load_record *rec = &t->record;
+	long long number = (long long)rec->number;
+
+	rec->call = true;
+	rec->organisation = scenario_organisation_draw(r->scenario, &r->random);
+	snprintf(rec->key, sizeof(rec->key), "%.40s-%lld", r->options->run_id, number);
+	buf_printf(&t->body, "{\"item\":\"%s\",\"quantity\":1}", rec->key);
+}
+
+void request_repeat(struct transfer *t, const struct transfer *first)
+{
+	t->record = (struct load_record){ .number = first->record.number,
+					  .call = true,
+					  .repeat = true,
+					  .organisation = first->record.organisation };
+	memcpy(t->record.key, first->record.key, sizeof(t->record.key));
+	buf_append(&t->body, first->body.data, first->body.len);
+}
+
+void request_headers(struct run *r, struct transfer *t)
+{
+	const struct scenario_organisation *o = organisation_of(r, t);
+	char line[256];
+
+	t->headers = curl_slist_append(t->headers, "Content-Type: application/json");
+	/* libcurl would wait up to a second for "100 Continue" before a large body. */
+	t->headers = curl_slist_append(t->headers, "Expect:");
+	if (o && o->key[0] && !r->options->direct) {
+		snprintf(line, sizeof(line), "Authorization: Bearer %s", o->key);
+		t->headers = curl_slist_append(t->headers, line);
+	}
+	if (o && o->priority[0] && !r->options->direct && !t->record.call) {
+		snprintf(line, sizeof(line), "Ibisgate-Priority: %s", o->priority);
+		t->headers = curl_slist_append(t->headers, line);
+	}
+	if (t->record.call) {
+		snprintf(line, sizeof(line), "Idempotency-Key: %s", t->record.key);
+		t->headers = curl_slist_append(t->headers, line);
+	}
+}
+
+static void refusal_parse(struct load_record *rec, const struct buf *answer)
+{
+	json_t *body = json_parse(buf_str(answer));
+	const json_t *error = json_object_get(body, "error");
+
+	str_copy(rec->type, sizeof(rec->type), json_get_str(error, "type"));
+	str_copy(rec->code, sizeof(rec->code), json_get_str(error, "code"));
+	rec->outcome = strcmp(rec->type, "outcome_unknown") == 0 ? LOAD_UNKNOWN : LOAD_REFUSED;
+	json_decref(body);
+}
+
+static void call_check(struct transfer *t)
+{
+	struct load_record *rec = &t->record;
+	json_t *body = json_parse(buf_str(&t->answer));
+	char want[20];
+
+	snprintf(want, sizeof(want), "%016llx", (unsigned long long)hash_str(buf_str(&t->body), 0));
+	rec->effect = json_get_i64(body, "effect", -1);
+	if (!body)
+		rec->outcome = LOAD_CUT;
+	else if (strcmp(json_get_cstr(body, "body_hash", ""), want) != 0)
+		rec->outcome = LOAD_WRONG;
+	json_decref(body);
+}
+
+static void generation_check(struct transfer *t)
+{
+	struct load_record *rec = &t->record;
+
+	rec->fault = check_end(&t->check);
+	if (rec->fault != CHECK_OK)
+		rec->outcome = check_cut(rec->fault) ? LOAD_CUT : LOAD_WRONG;
+	memcpy(rec->type, t->check.error_type, sizeof(rec->type) - 1);
+	if (t->check.chunks)
+		rec->ttft_us = t->check.first_us - rec->start_us;
+	rec->gap_mean_us = check_gap_mean_us(&t->check);
+	rec->gap_p95_us = check_gap_p95_us(&t->check);
+}
+
+void request_finish(struct run *r, struct transfer *t, CURLcode code)
+{
+	struct load_record *rec = &t->record;
+	struct load_result *res = r->result;
+	long status = 0;
+
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	rec->status = (int)status;
+	rec->end_us = run_now_us(r);
+	rec->ttft_us = -1;
+	rec->effect = -1;
+	if (code == CURLE_COULDNT_CONNECT)
+		rec->outcome = LOAD_UNREACHABLE;
+	else if (!status)
+		rec->outcome = LOAD_LOST;
+	else if (status != 200)
+		refusal_parse(rec, &t->answer);
+	else if (!rec->call)
+		generation_check(t);
+	else if (code != CURLE_OK)
+		rec->outcome = LOAD_CUT;
+	else
+		call_check(t);
+	if (res->count == res->cap) {
+		res->cap = res->cap ? 2 * res->cap : 1024;
+		res->records = mem_resize(res->records, res->cap * sizeof(*res->records));
+	}
+	res->records[res->count++] = *rec;
+}
