--- a/load/client.c
+++ b/load/client.c
@@ -405,9 +405,10 @@
 /* Requests still running at the end of the drain time count as cut or lost. */
 static void rest_abort(struct run *r)
 {
-	while (r->active) {
-		struct transfer *t = r->active;
+	struct transfer *next;
 
+	for (struct transfer *t = r->active; t; t = next) {
+		next = t->next;
 		curl_multi_remove_handle(r->multi, t->easy);
 		if (t->kind != TRANSFER_PROBE)
 			request_finish(r, t, CURLE_OPERATION_TIMEDOUT);
@@ -415,43 +416,6 @@
 	}
 }
 
-struct effect {
-	int64_t number;
-	int64_t effect;
-	size_t index;
-};
-
-static int effect_cmp(const void *a, const void *b)
-{
-	const struct effect *x = a;
-	const struct effect *y = b;
-
-	return (x->number > y->number) - (x->number < y->number);
-}
-
-/* Two answers to one key that name different effects mean that the call ran twice. */
-static void effects_compare(struct load_result *res)
-{
-	struct effect *effects = mem_alloc((res->count + 1) * sizeof(*effects));
-	size_t n = 0;
-
-	for (size_t i = 0; i < res->count; i++) {
-		const struct load_record *rec = &res->records[i];
-
-		if (rec->call && rec->outcome == LOAD_WHOLE)
-			effects[n++] = (struct effect){ rec->number, rec->effect, i };
-	}
-	qsort(effects, n, sizeof(*effects), effect_cmp);
-	for (size_t i = 1; i < n; i++) {
-		if (effects[i].number != effects[i - 1].number ||
-		    effects[i].effect == effects[i - 1].effect)
-			continue;
-		res->records[effects[i].index].outcome = LOAD_WRONG;
-		res->records[effects[i].index].fault = CHECK_DUPLICATE;
-	}
-	free(effects);
-}
-
 static void run_init(struct run *r)
 {
 	const struct scenario *s = r->scenario;
@@ -497,7 +461,7 @@
 	loop(r);
 	rest_abort(r);
 	result->elapsed_s = (double)run_now_us(r) / 1e6;
-	effects_compare(result);
+	request_effects_compare(result);
 	rc = 0;
 out:
 	if (r->multi)
--- a/load/internal.h
+++ b/load/internal.h
@@ -72,6 +72,7 @@
 void request_repeat(struct transfer *t, const struct transfer *first);
 void request_headers(struct run *r, struct transfer *t);
 void request_finish(struct run *r, struct transfer *t, CURLcode code);
+void request_effects_compare(struct load_result *res);
 
 /* client.c */
 int64_t run_now_us(const struct run *r);
--- a/load/request.c
+++ b/load/request.c
@@ -210,3 +210,40 @@
 	}
 	res->records[res->count++] = *rec;
 }
+
+struct effect {
+	int64_t number;
+	int64_t effect;
+	size_t index;
+};
+
+static int effect_cmp(const void *a, const void *b)
+{
+	const struct effect *x = a;
+	const struct effect *y = b;
+
+	return (x->number > y->number) - (x->number < y->number);
+}
+
+/* Two answers to one key that name different effects mean that the call ran twice. */
+void request_effects_compare(struct load_result *res)
+{
+	struct effect *effects = mem_alloc((res->count + 1) * sizeof(*effects));
+	size_t n = 0;
+
+	for (size_t i = 0; i < res->count; i++) {
+		const struct load_record *rec = &res->records[i];
+
+		if (rec->call && rec->outcome == LOAD_WHOLE)
+			effects[n++] = (struct effect){ rec->number, rec->effect, i };
+	}
+	qsort(effects, n, sizeof(*effects), effect_cmp);
+	for (size_t i = 1; i < n; i++) {
+		if (effects[i].number != effects[i - 1].number ||
+		    effects[i].effect == effects[i - 1].effect)
+			continue;
+		res->records[effects[i].index].outcome = LOAD_WRONG;
+		res->records[effects[i].index].fault = CHECK_DUPLICATE;
+	}
+	free(effects);
+}
--- a/load/scenario.c
+++ b/load/scenario.c
@@ -99,7 +99,7 @@
 		     const char *value)
 {
 	struct scenario *s = p->scenario;
-	struct scenario_phase *ph = &s->phases[0];
+	struct scenario_phase *ph;
 
 	if (!p->phases_given) {
 		p->phases_given = true;
