--- /dev/null
+++ b/bench/harness/admin.c
@@ -0,0 +1,145 @@
+#include <stdio.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/harness/harness.h"
+
+#define POLL_MS 50
+/* Retries of a change that raced with another or met an instance that starts up. */
+#define CONFIG_TRIES 20
+
+static bool instance_ready(const struct harness_instance *in)
+{
+	struct harness_reply reply;
+	char url[128];
+	bool ready;
+
+	snprintf(url, sizeof(url), "%s/readyz", in->http);
+	harness_http("GET", url, NULL, NULL, 1000, &reply, NULL);
+	ready = reply.status == 200;
+	harness_reply_free(&reply);
+	return ready;
+}
+
+int harness_ready(struct harness_fleet *f, int64_t timeout_ms, struct error *err)
+{
+	int64_t end = clock_boot_ms() + timeout_ms;
+
+	for (int i = 0; i < f->instance_count; i++) {
+		const struct harness_instance *in = &f->instances[i];
+
+		while (in->process && in->process->pid && !instance_ready(in)) {
+			if (clock_boot_ms() >= end)
+				return error_set(err, ERROR_TOOL, 1, "%s is not ready after %lld ms",
+						 in->id, (long long)timeout_ms);
+			clock_sleep_ms(POLL_MS);
+		}
+	}
+	return 0;
+}
+
+int harness_fault(struct harness_fleet *f, const char *route, const char *mode, bool existing_only)
+{
+	char url[128];
+
+	snprintf(url, sizeof(url), "%s/faults", f->proxy);
+	return harness_post(url, json_pack("{s:s, s:s, s:b}", "route", route, "mode", mode,
+					   "existing_only", (int)existing_only));
+}
+
+static json_t *admin_get(struct harness_fleet *f, int index, const char *path)
+{
+	char url[128];
+
+	snprintf(url, sizeof(url), "%s%s", f->instances[index].admin, path);
+	return harness_get(url);
+}
+
+json_t *harness_status(struct harness_fleet *f, int index)
+{
+	return admin_get(f, index, "/admin/status");
+}
+
+static int64_t version_at(struct harness_fleet *f, int index)
+{
+	json_t *config = admin_get(f, index, "/admin/config");
+	int64_t version = json_get_i64(config, "version", -1);
+
+	json_decref(config);
+	return version;
+}
+
+int harness_config(struct harness_fleet *f, int index, const char *key, json_t *value)
+{
+	char url[128];
+	int status = 0;
+
+	snprintf(url, sizeof(url), "%s/admin/config", f->instances[index].admin);
+	for (int i = 0; i < CONFIG_TRIES; i++) {
+		int64_t version = version_at(f, index);
+
+		status = harness_post(url, json_pack("{s:s, s:O, s:s, s:I}", "key", key, "value",
+						     value, "author", "harness", "if_version",
+						     (json_int_t)version));
+		if (status != 409 && status != 503)
+			break;
+		clock_sleep_ms(POLL_MS);
+	}
+	json_decref(value);
+	return status;
+}
+
+int harness_organisation(struct harness_fleet *f, const char *name, const char *api_key,
+			 double weight)
+{
+	char hash[HASH_HEX_SIZE];
+	char key[128];
+
+	hash_secret_hex(str_from(api_key), hash);
+	snprintf(key, sizeof(key), "organisation/%s", name);
+	return harness_config(f, 0, key,
+			      json_pack("{s:f, s:[s]}", "weight", weight, "keys", hash));
+}
+
+int harness_model(struct harness_fleet *f, const char *model)
+{
+	return harness_config(f, 0, "service/text",
+			      json_pack("{s:s, s:s, s:b, s:s, s:i, s:i, s:i}", "kind", "model",
+					"model", model, "idempotent", 1, "class", "normal",
+					"deadline_ms", 60000, "first_token_ms", 640, "gap_ms", 59));
+}
+
+int harness_service(struct harness_fleet *f, const char *name, bool idempotent)
+{
+	char key[128];
+
+	snprintf(key, sizeof(key), "service/%s", name);
+	return harness_config(f, 0, key,
+			      json_pack("{s:s, s:b, s:s, s:i}", "kind", "plain", "idempotent",
+					(int)idempotent, "class", "normal", "deadline_ms", 10000));
+}
+
+int harness_default(struct harness_fleet *f, const char *setting, json_t *value)
+{
+	char key[128];
+
+	snprintf(key, sizeof(key), "default/%s", setting);
+	return harness_config(f, 0, key, value);
+}
+
+int harness_config_wait(struct harness_fleet *f, int64_t version, int64_t timeout_ms)
+{
+	int64_t end = clock_boot_ms() + timeout_ms;
+
+	for (int i = 0; i < f->instance_count; i++) {
+		const struct harness_instance *in = &f->instances[i];
+
+		while (in->process && in->process->pid && version_at(f, i) < version) {
+			if (clock_boot_ms() >= end)
+				return -1;
+			clock_sleep_ms(POLL_MS);
+		}
+	}
+	return 0;
+}
--- /dev/null
+++ b/bench/harness/deploy.c
@@ -0,0 +1,332 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/json.h"
+#include "ibisgate/harness/harness.h"
+
+#define ARGS_MAX 60
+
+/** struct args - argument list under construction; owns the formatted texts */
+struct args {
+	const char *argv[ARGS_MAX + 1];
+	char *owned[ARGS_MAX];
+	int count;
+	int owned_count;
+};
+
+static void args_add(struct args *a, const char *arg)
+{
+	if (a->count < ARGS_MAX)
+		a->argv[a->count++] = arg;
+}
+
+static void args_pair(struct args *a, const char *name, const char *value)
+{
+	args_add(a, name);
+	args_add(a, value);
+}
+
+static void args_route(struct args *a, const char *instance, const char *target)
+{
+	struct buf text = { 0 };
+
+	/* Port 1 refuses connections until the target has started. */
+	buf_printf(&text, "%s-%s=127.0.0.1:1", instance, target);
+	if (a->owned_count == ARGS_MAX) {
+		buf_free(&text);
+		return;
+	}
+	a->owned[a->owned_count++] = text.data;
+	args_pair(a, "--route", text.data);
+}
+
+static void args_more(struct args *a, const char *const *more)
+{
+	for (int i = 0; more && more[i]; i++)
+		args_add(a, more[i]);
+}
+
+static void args_free(struct args *a)
+{
+	for (int i = 0; i < a->owned_count; i++)
+		free(a->owned[i]);
+}
+
+static const char *model_of(const struct harness_deployment *d)
+{
+	return d->model ? d->model : "M";
+}
+
+static int post_route(struct harness_fleet *f, const char *instance, const char *target,
+		      const char *address)
+{
+	char name[128];
+	char url[128];
+	struct harness_reply reply;
+	struct buf body = { 0 };
+	json_t *json;
+	int port;
+
+	snprintf(name, sizeof(name), "%s-%s", instance, target);
+	snprintf(url, sizeof(url), "%s/routes", f->proxy);
+	json = json_pack("{s:s, s:s}", "name", name, "target", address);
+	json_append(&body, json);
+	harness_http("POST", url, NULL, body.data, 2000, &reply, NULL);
+	port = (int)json_get_i64(reply.json, "port", 0);
+	harness_reply_free(&reply);
+	buf_free(&body);
+	json_decref(json);
+	return port;
+}
+
+/* Points the routes of all instances to @target at @address, which has just started. */
+static void routes_move(struct harness_fleet *f, const char *target, const char *address)
+{
+	if (!f->proxy_process)
+		return;
+	for (int i = 0; i < f->instance_count; i++) {
+		if (strcmp(f->instances[i].id, target) != 0)
+			post_route(f, f->instances[i].id, target, address);
+	}
+}
+
+static void settings_route_write(FILE *out, struct harness_fleet *f, const char *instance,
+				 const char *target, const char *address)
+{
+	fprintf(out, "%s = 127.0.0.1:%d\n", target, post_route(f, instance, target, address));
+}
+
+static void settings_routes(FILE *out, struct harness_fleet *f, const struct harness_instance *in)
+{
+	char address[64];
+
+	fprintf(out, "[routes]\n");
+	settings_route_write(out, f, in->id, "platform", f->platform + strlen("http://"));
+	for (int i = 0; i < f->instance_count; i++) {
+		const struct harness_instance *peer = &f->instances[i];
+
+		if (peer == in)
+			continue;
+		snprintf(address, sizeof(address), "127.0.0.1:%d",
+			 peer->peer_port ? peer->peer_port : 1);
+		settings_route_write(out, f, in->id, peer->id, address);
+	}
+	for (int i = 0; i < f->endpoint_count; i++)
+		settings_route_write(out, f, in->id, f->endpoints[i].name,
+				     f->endpoints[i].url + strlen("http://"));
+}
+
+static int settings_write(struct harness_fleet *f, const struct harness_instance *in,
+			  const char *path, struct error *err)
+{
+	const struct harness_deployment *d = f->deployment;
+	FILE *out = fopen(path, "we");
+
+	if (!out)
+		return error_set(err, ERROR_TOOL, 1, "cannot write %s", path);
+	fprintf(out,
+		"[instance]\nid = %s\ndata-centre = %s\nregion = %s\n"
+		"[http]\nlisten = 127.0.0.1:0\n[admin]\nlisten = 127.0.0.1:0\ntoken = %s\n"
+		"[peer]\nlisten = 127.0.0.1:0\n[platform]\nurl = %s\n",
+		in->id, in->dc, d->region, HARNESS_TOKEN, f->platform);
+	if (d->distance_us)
+		fprintf(out, "[distance]\n");
+	for (int i = 0; d->distance_us && d->dcs[i]; i++) {
+		if (strcmp(d->dcs[i], in->dc) != 0)
+			fprintf(out, "%s = %lld\n", d->dcs[i], (long long)d->distance_us);
+	}
+	if (f->proxy_process)
+		settings_routes(out, f, in);
+	if (d->settings)
+		fprintf(out, "%s\n", d->settings);
+	if (fclose(out) != 0)
+		return error_set(err, ERROR_TOOL, 1, "cannot write %s", path);
+	return 0;
+}
+
+static int list_post(struct harness_fleet *f, const char *what, json_t *entry, struct error *err)
+{
+	char url[128];
+	int status;
+
+	snprintf(url, sizeof(url), "%s/list/%s", f->platform, what);
+	status = harness_post(url, entry);
+	if (status / 100 != 2)
+		return error_set(err, ERROR_TOOL, status, "POST %s: status %d", url, status);
+	return 0;
+}
+
+int harness_instance_start(struct harness_fleet *f, int index, struct error *err)
+{
+	struct harness_instance *in = &f->instances[index];
+	const char *argv[3] = { "--settings", NULL, NULL };
+	char path[512];
+	char peer[64];
+
+	snprintf(path, sizeof(path), "%s/%s.ini", f->harness->dir, in->id);
+	argv[1] = path;
+	if (settings_write(f, in, path, err) < 0)
+		return -1;
+	in->process = harness_start(f->harness, in->id, "ibisgated", argv, err);
+	if (!in->process)
+		return -1;
+	in->peer_port = harness_port(in->process, "peer");
+	snprintf(in->http, sizeof(in->http), "http://127.0.0.1:%d",
+		 harness_port(in->process, "http"));
+	snprintf(in->admin, sizeof(in->admin), "http://127.0.0.1:%d",
+		 harness_port(in->process, "admin"));
+	snprintf(peer, sizeof(peer), "127.0.0.1:%d", in->peer_port);
+	routes_move(f, in->id, peer);
+	return list_post(f, "instances",
+			 json_pack("{s:s, s:s, s:s, s:s, s:s, s:s}", "id", in->id, "dc", in->dc,
+				   "peer", peer, "http", in->http + strlen("http://"), "admin",
+				   in->admin + strlen("http://"), "state", "live"),
+			 err);
+}
+
+static int service_list(struct harness_fleet *f, const struct harness_endpoint *e,
+			struct error *err)
+{
+	return list_post(f, "endpoints",
+			 json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "name", e->name, "dc",
+				   e->dc, "url", e->url, "kind", "service", "model", e->service,
+				   "role", "", "state", "live"),
+			 err);
+}
+
+int harness_endpoint_start(struct harness_fleet *f, int index, struct error *err)
+{
+	struct harness_endpoint *e = &f->endpoints[index];
+	const struct harness_deployment *d = f->deployment;
+	struct args a = { 0 };
+
+	args_pair(&a, "--port", "0");
+	if (!e->service) {
+		args_pair(&a, "--name", e->name);
+		args_pair(&a, "--dc", e->dc);
+		args_pair(&a, "--platform", f->platform);
+		args_pair(&a, "--model", model_of(d));
+		args_pair(&a, "--role", e->role);
+		args_pair(&a, "--check-fencing", e->fencing ? "1" : "0");
+	}
+	args_more(&a, e->service ? d->service_args : d->engine_args);
+	e->process = harness_start(f->harness, e->name,
+				   e->service ? "ibisgate-service" : "ibisgate-engine", a.argv,
+				   err);
+	if (!e->process)
+		return -1;
+	snprintf(e->url, sizeof(e->url), "http://127.0.0.1:%d", harness_port(e->process, ""));
+	routes_move(f, e->name, e->url + strlen("http://"));
+	/* Engines list themselves, since their role changes while they run. */
+	return e->service ? service_list(f, e, err) : 0;
+}
+
+static int platform_start(struct harness_fleet *f, struct error *err)
+{
+	struct args a = { 0 };
+
+	args_pair(&a, "--port", "0");
+	args_more(&a, f->deployment->platform_args);
+	f->platform_process =
+		harness_start(f->harness, "platform", "ibisgate-platform", a.argv, err);
+	if (!f->platform_process)
+		return -1;
+	snprintf(f->platform, sizeof(f->platform), "http://127.0.0.1:%d",
+		 harness_port(f->platform_process, ""));
+	return 0;
+}
+
+/* The proxy starts with one route; the others are added when settings are written. */
+static int proxy_start(struct harness_fleet *f, struct error *err)
+{
+	struct args a = { 0 };
+
+	args_pair(&a, "--control", "0");
+	args_route(&a, "spare", "route");
+	f->proxy_process =
+		harness_start(f->harness, "faultproxy", "ibisgate-faultproxy", a.argv, err);
+	args_free(&a);
+	if (!f->proxy_process)
+		return -1;
+	snprintf(f->proxy, sizeof(f->proxy), "http://127.0.0.1:%d",
+		 harness_port(f->proxy_process, ""));
+	return 0;
+}
+
+static int endpoint_add(struct harness_fleet *f, const char *dc, const char *role, bool fencing,
+			const char *service, int number, struct error *err)
+{
+	struct harness_endpoint *e = &f->endpoints[f->endpoint_count];
+
+	if (f->endpoint_count == HARNESS_ENDPOINTS_MAX)
+		return error_set(err, ERROR_TOOL, 1, "more than %d endpoints",
+				 HARNESS_ENDPOINTS_MAX);
+	*e = (struct harness_endpoint){ .role = role, .fencing = fencing, .service = service };
+	snprintf(e->name, sizeof(e->name), "%s%d", service ? "w" : "e", number);
+	str_copy(e->dc, sizeof(e->dc), str_from(dc));
+	return harness_endpoint_start(f, f->endpoint_count++, err);
+}
+
+static int endpoints_start(struct harness_fleet *f, struct error *err)
+{
+	const struct harness_deployment *d = f->deployment;
+	int engines = 0;
+	int workers = 0;
+
+	for (int dc = 0; d->dcs[dc]; dc++) {
+		for (int i = 0; d->engines && d->engines[i].role; i++) {
+			if (endpoint_add(f, d->dcs[dc], d->engines[i].role, d->engines[i].fencing,
+					 NULL, ++engines, err) < 0)
+				return -1;
+		}
+		for (int i = 0; d->services && d->services[i]; i++) {
+			if (endpoint_add(f, d->dcs[dc], NULL, false, d->services[i], ++workers,
+					 err) < 0)
+				return -1;
+		}
+	}
+	return 0;
+}
+
+static int instances_start(struct harness_fleet *f, struct error *err)
+{
+	const struct harness_deployment *d = f->deployment;
+
+	for (int dc = 0; d->dcs[dc]; dc++) {
+		for (int i = 0; i < d->instances; i++) {
+			struct harness_instance *in = &f->instances[f->instance_count];
+
+			if (f->instance_count == HARNESS_INSTANCES_MAX)
+				return error_set(err, ERROR_TOOL, 1, "more than %d instances",
+						 HARNESS_INSTANCES_MAX);
+			snprintf(in->id, sizeof(in->id), "i%d", ++f->instance_count);
+			str_copy(in->dc, sizeof(in->dc), str_from(d->dcs[dc]));
+		}
+	}
+	for (int i = 0; i < f->instance_count; i++) {
+		if (harness_instance_start(f, i, err) < 0)
+			return -1;
+	}
+	return 0;
+}
+
+struct harness_fleet *harness_fleet_create(struct harness *h, const struct harness_deployment *d,
+					   struct error *err)
+{
+	struct harness_fleet *f = mem_zalloc(sizeof(*f));
+
+	f->harness = h;
+	f->deployment = d;
+	if (platform_start(f, err) < 0 || (d->through_proxy && proxy_start(f, err) < 0) ||
+	    endpoints_start(f, err) < 0 || instances_start(f, err) < 0) {
+		harness_fleet_destroy(f);
+		return NULL;
+	}
+	return f;
+}
+
+void harness_fleet_destroy(struct harness_fleet *f)
+{
+	free(f);
+}
--- /dev/null
+++ b/bench/harness/process.c
@@ -0,0 +1,223 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <ftw.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/harness/harness.h"
+
+#define START_TIMEOUT_MS 10000
+#define POLL_MS 5
+#define ARGS_MAX 64
+
+struct harness *harness_create(struct error *err)
+{
+	const char *tmp = getenv("TMPDIR");
+	struct harness *h = mem_zalloc(sizeof(*h));
+
+	snprintf(h->dir, sizeof(h->dir), "%s/ibisgate-XXXXXX", tmp ? tmp : "/tmp");
+	if (!mkdtemp(h->dir)) {
+		error_set(err, ERROR_TOOL, 1, "cannot make %s: %s", h->dir, strerror(errno));
+		free(h);
+		return NULL;
+	}
+	return h;
+}
+
+static int remove_entry(const char *path, const struct stat *st, int type, struct FTW *ftw)
+{
+	return remove(path);
+}
+
+void harness_destroy(struct harness *h)
+{
+	if (!h)
+		return;
+	for (int i = 0; i < h->process_count; i++)
+		harness_signal(h->processes[i], SIGKILL);
+	for (int i = 0; i < h->process_count; i++) {
+		harness_wait(h->processes[i], START_TIMEOUT_MS);
+		free(h->processes[i]);
+	}
+	if (getenv("IBISGATE_HARNESS_KEEP"))
+		fprintf(stderr, "harness: output in %s\n", h->dir);
+	else
+		nftw(h->dir, remove_entry, 16, FTW_DEPTH | FTW_PHYS);
+	free(h);
+}
+
+static struct harness_process *process_entry(struct harness *h, const char *name, struct error *err)
+{
+	struct harness_process *p;
+
+	for (int i = 0; i < h->process_count; i++) {
+		if (strcmp(h->processes[i]->name, name) == 0) {
+			if (!h->processes[i]->pid)
+				return h->processes[i];
+			error_set(err, ERROR_TOOL, 1, "%s still runs", name);
+			return NULL;
+		}
+	}
+	if (h->process_count == HARNESS_PROCESSES_MAX) {
+		error_set(err, ERROR_TOOL, 1, "more than %d processes", HARNESS_PROCESSES_MAX);
+		return NULL;
+	}
+	p = mem_zalloc(sizeof(*p));
+	str_copy(p->name, sizeof(p->name), str_from(name));
+	h->processes[h->process_count++] = p;
+	return p;
+}
+
+/* Runs in the child: only async-signal-safe calls, since the parent may have threads. */
+static void child_exec(const char *path, char *const argv[], int out, int log, pid_t parent)
+{
+	sigset_t none;
+
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+	if (getppid() != parent)
+		_exit(127);
+	sigemptyset(&none);
+	sigprocmask(SIG_SETMASK, &none, NULL);
+	dup2(out, STDOUT_FILENO);
+	dup2(log, STDERR_FILENO);
+	execv(path, argv);
+	_exit(127);
+}
+
+static int output_open(const struct harness *h, const char *name, const char *suffix, bool truncate)
+{
+	char path[512];
+
+	snprintf(path, sizeof(path), "%s/%s.%s", h->dir, name, suffix);
+	return open(path,
+		    O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (truncate ? O_TRUNC : 0), 0600);
+}
+
+static int line_wait(struct harness *h, struct harness_process *p, struct error *err)
+{
+	int64_t end = clock_boot_ms() + START_TIMEOUT_MS;
+	char path[512];
+
+	snprintf(path, sizeof(path), "%s/%s.out", h->dir, p->name);
+	while (clock_boot_ms() < end) {
+		FILE *f = fopen(path, "re");
+		bool whole = f && fgets(p->line, sizeof(p->line), f) && strchr(p->line, '\n');
+
+		if (f)
+			fclose(f);
+		if (whole && strncmp(p->line, "listening ", 10) == 0)
+			return 0;
+		if (harness_wait(p, 0) == 0)
+			return error_set(err, ERROR_TOOL, 1, "%s ended with status %#x", p->name,
+					 p->status);
+		clock_sleep_ms(POLL_MS);
+	}
+	return error_set(err, ERROR_TOOL, 1, "%s printed no line \"listening ...\"", p->name);
+}
+
+struct harness_process *harness_start(struct harness *h, const char *name, const char *program,
+				      const char *const argv[], struct error *err)
+{
+	const char *bin = getenv("IBISGATE_BIN_DIR");
+	struct harness_process *p = process_entry(h, name, err);
+	char path[512];
+	char *args[ARGS_MAX] = { path };
+	pid_t parent = getpid();
+	int out = -1;
+	int log = -1;
+
+	if (!p)
+		return NULL;
+	if (bin)
+		snprintf(path, sizeof(path), "%s/%s", bin, program);
+	else
+		snprintf(path, sizeof(path), HARNESS_BUILD_DIR "/%s/%s",
+			 strcmp(program, "ibisgated") == 0 ? "ibisgated" : "standins", program);
+	for (int i = 0; argv[i] && i < ARGS_MAX - 2; i++)
+		args[i + 1] = (char *)argv[i];
+	out = output_open(h, name, "out", true);
+	log = output_open(h, name, "log", false);
+	if (out < 0 || log < 0) {
+		error_set(err, ERROR_TOOL, 1, "cannot write to %s", h->dir);
+		goto fail;
+	}
+	p->status = 0;
+	p->pid = fork();
+	if (p->pid == 0)
+		child_exec(path, args, out, log, parent);
+	if (p->pid < 0) {
+		p->pid = 0;
+		error_set(err, ERROR_TOOL, 1, "cannot fork: %s", strerror(errno));
+		goto fail;
+	}
+	if (line_wait(h, p, err) < 0)
+		goto fail;
+	close(out);
+	close(log);
+	return p;
+fail:
+	if (out >= 0)
+		close(out);
+	if (log >= 0)
+		close(log);
+	return NULL;
+}
+
+int harness_port(const struct harness_process *p, const char *key)
+{
+	struct str rest = str_trim(str_from(p->line));
+	size_t len = strlen(key);
+	int64_t port;
+
+	str_split(&rest, ' ');
+	while (rest.len) {
+		struct str word = str_split(&rest, ' ');
+
+		if (len) {
+			if (word.len <= len || memcmp(word.data, key, len) != 0 ||
+			    word.data[len] != '=')
+				continue;
+			word.data += len + 1;
+			word.len -= len + 1;
+		}
+		if (str_to_i64(word, &port))
+			return (int)port;
+	}
+	return 0;
+}
+
+int harness_signal(struct harness_process *p, int sig)
+{
+	return p->pid > 0 ? kill(p->pid, sig) : -1;
+}
+
+int harness_wait(struct harness_process *p, int64_t timeout_ms)
+{
+	int64_t end = clock_boot_ms() + timeout_ms;
+
+	if (p->pid <= 0)
+		return 0;
+	for (;;) {
+		if (waitpid(p->pid, &p->status, WNOHANG) == p->pid) {
+			p->pid = 0;
+			return 0;
+		}
+		if (clock_boot_ms() >= end)
+			return -1;
+		clock_sleep_ms(POLL_MS);
+	}
+}
+
+int harness_stop(struct harness_process *p, int64_t timeout_ms)
+{
+	if (harness_signal(p, SIGTERM) < 0 || harness_wait(p, timeout_ms) < 0)
+		return -1;
+	return WIFEXITED(p->status) ? WEXITSTATUS(p->status) : -1;
+}
