--- a/bench/harness/admin.c
+++ b/bench/harness/admin.c
@@ -31,8 +31,9 @@
 
 		while (in->process && in->process->pid && !instance_ready(in)) {
 			if (clock_boot_ms() >= end)
-				return error_set(err, ERROR_TOOL, 1, "%s is not ready after %lld ms",
-						 in->id, (long long)timeout_ms);
+				return error_set(err, ERROR_TOOL, 1,
+						 "%s is not ready after %lld ms", in->id,
+						 (long long)timeout_ms);
 			clock_sleep_ms(POLL_MS);
 		}
 	}
@@ -98,8 +99,7 @@
 
 	hash_secret_hex(str_from(api_key), hash);
 	snprintf(key, sizeof(key), "organisation/%s", name);
-	return harness_config(f, 0, key,
-			      json_pack("{s:f, s:[s]}", "weight", weight, "keys", hash));
+	return harness_config(f, 0, key, json_pack("{s:f, s:[s]}", "weight", weight, "keys", hash));
 }
 
 int harness_model(struct harness_fleet *f, const char *model)
--- a/bench/harness/deploy.c
+++ b/bench/harness/deploy.c
@@ -211,9 +211,9 @@
 		args_pair(&a, "--check-fencing", e->fencing ? "1" : "0");
 	}
 	args_more(&a, e->service ? d->service_args : d->engine_args);
-	e->process = harness_start(f->harness, e->name,
-				   e->service ? "ibisgate-service" : "ibisgate-engine", a.argv,
-				   err);
+	e->process =
+		harness_start(f->harness, e->name,
+			      e->service ? "ibisgate-service" : "ibisgate-engine", a.argv, err);
 	if (!e->process)
 		return -1;
 	snprintf(e->url, sizeof(e->url), "http://127.0.0.1:%d", harness_port(e->process, ""));
--- a/bench/harness/process.c
+++ b/bench/harness/process.c
@@ -96,8 +96,8 @@
 	char path[512];
 
 	snprintf(path, sizeof(path), "%s/%s.%s", h->dir, name, suffix);
-	return open(path,
-		    O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (truncate ? O_TRUNC : 0), 0600);
+	return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC | (truncate ? O_TRUNC : 0),
+		    0600);
 }
 
 static int line_wait(struct harness *h, struct harness_process *p, struct error *err)
--- /dev/null
+++ b/bench/path.c
@@ -0,0 +1,361 @@
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/harness/harness.h"
+#include "ibisgate/load/report.h"
+
+/*
+ * Cost of the path through one instance, beside a direct connection to the same stand-in engine.
+ * Slices of both alternate in one run, since figures of different runs differ with the machine.
+ */
+
+#define API_KEY "bench-path-key"
+#define READY_MS 20000
+#define MEMORY_STREAMS 500
+#define SAMPLE_MS 100
+
+enum way {
+	WAY_DIRECT,
+	WAY_GATEWAY,
+	WAYS,
+};
+
+/** struct samples - first token times and totals of one way over all slices */
+struct samples {
+	double *ttft_us;
+	size_t count;
+	size_t cap;
+	double rate;
+	double tokens_per_s;
+	int64_t failures;
+};
+
+struct path {
+	struct harness_fleet *fleet;
+	struct scenario scenario;
+	struct load_options options;
+	double slice_s;
+	int rounds;
+	int streams;
+	int64_t run;
+	int64_t requests;
+};
+
+static void scenario_set(struct path *p, double rate, double prompt, double output)
+{
+	struct scenario *s = &p->scenario;
+
+	scenario_defaults(s);
+	s->seed = (uint64_t)++p->run;
+	s->phases[0].rate = rate;
+	s->phases[0].prompt_tokens = prompt;
+	s->phases[0].output_tokens = output;
+	s->organisations[s->organisation_count++] = (struct scenario_organisation){
+		.name = "bench", .key = API_KEY, .weight = 1, .factor = 1
+	};
+}
+
+/* Runs one slice and adds what it measured to @out. */
+static int slice_run(struct path *p, enum way way, int concurrency, struct samples *out,
+		     struct error *err)
+{
+	struct load_result result;
+	char run_id[48];
+	int64_t tokens = 0;
+	int64_t whole = 0;
+
+	snprintf(run_id, sizeof(run_id), "path-%d-%lld", (int)getpid(), (long long)++p->run);
+	load_options_defaults(&p->options);
+	p->options.run_id = run_id;
+	p->options.duration_s = p->slice_s;
+	p->options.concurrency = concurrency;
+	p->options.direct = way == WAY_DIRECT;
+	p->options.url_count = 1;
+	p->options.urls[0] =
+		way == WAY_DIRECT ? p->fleet->endpoints[0].url : p->fleet->instances[0].http;
+	if (load_run(&p->scenario, &p->options, &result, err) < 0)
+		return -1;
+	for (size_t i = 0; i < result.count; i++) {
+		const struct load_record *r = &result.records[i];
+
+		if (r->outcome != LOAD_WHOLE) {
+			out->failures++;
+			continue;
+		}
+		if (out->count == out->cap) {
+			out->cap = out->cap ? 2 * out->cap : 4096;
+			out->ttft_us = mem_resize(out->ttft_us, out->cap * sizeof(double));
+		}
+		out->ttft_us[out->count++] = (double)r->ttft_us;
+		tokens += r->tokens;
+		whole++;
+	}
+	p->requests = whole;
+	out->rate += (double)whole / result.elapsed_s / p->rounds;
+	out->tokens_per_s += (double)tokens / result.elapsed_s / p->rounds;
+	load_result_free(&result);
+	return 0;
+}
+
+static int ways_run(struct path *p, int concurrency, struct samples out[WAYS], struct error *err)
+{
+	memset(out, 0, sizeof(struct samples) * WAYS);
+	for (int round = 0; round < p->rounds; round++) {
+		for (int i = 0; i < WAYS; i++) {
+			/* The order changes from round to round against drift of the machine. */
+			enum way way = (enum way)((round + i) % WAYS);
+
+			if (slice_run(p, way, concurrency, &out[way], err) < 0)
+				return -1;
+		}
+	}
+	return 0;
+}
+
+static int double_cmp(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double percentile_us(struct samples *s, double part)
+{
+	if (s->count)
+		qsort(s->ttft_us, s->count, sizeof(double), double_cmp);
+	return report_percentile(s->ttft_us, s->count, part);
+}
+
+static void samples_free(struct samples s[WAYS])
+{
+	for (int i = 0; i < WAYS; i++)
+		free(s[i].ttft_us);
+}
+
+/* Processor time of a process in seconds: fields 14 and 15 of /proc/PID/stat. */
+static double cpu_s(pid_t pid)
+{
+	char path[64];
+	char line[1024];
+	unsigned long user = 0;
+	unsigned long system = 0;
+	const char *rest;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
+	f = fopen(path, "re");
+	if (!f)
+		return 0;
+	rest = fgets(line, sizeof(line), f) ? strrchr(line, ')') : NULL;
+	if (rest)
+		sscanf(rest + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+		       &system);
+	fclose(f);
+	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+}
+
+static int64_t rss_kb(pid_t pid)
+{
+	char path[64];
+	char line[256];
+	long kb = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "re");
+	while (f && fgets(line, sizeof(line), f)) {
+		if (sscanf(line, "VmRSS: %ld", &kb) == 1)
+			break;
+	}
+	if (f)
+		fclose(f);
+	return kb;
+}
+
+struct sampler {
+	pid_t pid;
+	int64_t most_kb;
+	atomic_bool stop;
+};
+
+static void *sampler_run(void *arg)
+{
+	struct sampler *s = arg;
+
+	while (!s->stop) {
+		int64_t kb = rss_kb(s->pid);
+
+		if (kb > s->most_kb)
+			s->most_kb = kb;
+		clock_sleep_ms(SAMPLE_MS);
+	}
+	return NULL;
+}
+
+static int measure_throughput(struct path *p, double *rate, double *per_core, struct error *err)
+{
+	struct samples s[WAYS];
+	pid_t pid = p->fleet->instances[0].process->pid;
+	double before = cpu_s(pid);
+	double used;
+
+	scenario_set(p, 0, 50, 8);
+	if (ways_run(p, 64, s, err) < 0)
+		return -1;
+	used = cpu_s(pid) - before;
+	*rate = s[WAY_GATEWAY].rate;
+	*per_core = used > 0 ? (double)s[WAY_GATEWAY].count / used : 0;
+	printf("throughput: direct %.0f/s, through the instance %.0f/s, not whole %lld and %lld\n",
+	       s[WAY_DIRECT].rate, s[WAY_GATEWAY].rate, (long long)s[WAY_DIRECT].failures,
+	       (long long)s[WAY_GATEWAY].failures);
+	samples_free(s);
+	return 0;
+}
+
+static int measure_latency(struct path *p, double rate, double added[2], struct error *err)
+{
+	struct samples s[WAYS];
+
+	scenario_set(p, rate, 50, 8);
+	if (ways_run(p, 0, s, err) < 0)
+		return -1;
+	for (int i = 0; i < 2; i++)
+		added[i] = percentile_us(&s[WAY_GATEWAY], i ? 0.99 : 0.5) -
+			   percentile_us(&s[WAY_DIRECT], i ? 0.99 : 0.5);
+	printf("first token at %.0f/s: direct p50 %.0f p99 %.0f us, through the instance p50 %.0f "
+	       "p99 %.0f us, not whole %lld and %lld\n",
+	       rate, percentile_us(&s[WAY_DIRECT], 0.5), percentile_us(&s[WAY_DIRECT], 0.99),
+	       percentile_us(&s[WAY_GATEWAY], 0.5), percentile_us(&s[WAY_GATEWAY], 0.99),
+	       (long long)s[WAY_DIRECT].failures, (long long)s[WAY_GATEWAY].failures);
+	samples_free(s);
+	return 0;
+}
+
+static int measure_streams(struct path *p, double *ratio, struct error *err)
+{
+	struct samples s[WAYS];
+
+	scenario_set(p, 0, 50, 200);
+	if (ways_run(p, p->streams, s, err) < 0)
+		return -1;
+	*ratio = s[WAY_DIRECT].tokens_per_s > 0
+			 ? s[WAY_GATEWAY].tokens_per_s / s[WAY_DIRECT].tokens_per_s
+			 : 0;
+	printf("%d streams: direct %.0f tokens/s, through the instance %.0f tokens/s, not whole "
+	       "%lld and %lld\n",
+	       p->streams, s[WAY_DIRECT].tokens_per_s, s[WAY_GATEWAY].tokens_per_s,
+	       (long long)s[WAY_DIRECT].failures, (long long)s[WAY_GATEWAY].failures);
+	samples_free(s);
+	return 0;
+}
+
+static int measure_memory(struct path *p, struct error *err)
+{
+	struct sampler sampler = { .pid = p->fleet->instances[0].process->pid };
+	struct samples s = { 0 };
+	int64_t before = rss_kb(sampler.pid);
+	pthread_t thread;
+	int rc;
+
+	scenario_set(p, 0, 50, 400);
+	pthread_create(&thread, NULL, sampler_run, &sampler);
+	rc = slice_run(p, WAY_GATEWAY, MEMORY_STREAMS, &s, err);
+	sampler.stop = true;
+	pthread_join(thread, NULL);
+	printf("%d streams: resident %lld KiB before, %lld KiB at most, not whole %lld\n",
+	       MEMORY_STREAMS, (long long)before, (long long)sampler.most_kb,
+	       (long long)s.failures);
+	free(s.ttft_us);
+	return rc;
+}
+
+static int fleet_prepare(struct path *p, struct error *err)
+{
+	if (harness_ready(p->fleet, READY_MS, err) < 0)
+		return -1;
+	if (harness_organisation(p->fleet, "bench", API_KEY, 1) != 200 ||
+	    harness_model(p->fleet, "M") != 200)
+		return error_set(err, ERROR_TOOL, 1, "the configuration was refused");
+	return harness_ready(p->fleet, READY_MS, err);
+}
+
+static int measure(struct path *p, struct error *err)
+{
+	double rate = 0;
+	double per_core = 0;
+	double added[2] = { 0 };
+	double ratio = 0;
+
+	if (fleet_prepare(p, err) < 0 || measure_throughput(p, &rate, &per_core, err) < 0 ||
+	    measure_latency(p, rate / 2, added, err) < 0 || measure_streams(p, &ratio, err) < 0 ||
+	    measure_memory(p, err) < 0)
+		return -1;
+	printf("added_p50_us=%.0f added_p99_us=%.0f stream_ratio=%.3f requests_per_core=%.0f\n",
+	       added[0], added[1], ratio, per_core);
+	return 0;
+}
+
+static int run(struct path *p)
+{
+	static const struct harness_engine_spec engines[] = { { "mixed", true }, { NULL } };
+	static const char *const engine_args[] = {
+		"--step-base-us", "1000", "--step-per-seq-us", "0", "--slots", "1024",
+		"--threads",	  "1100", "--prefill-rate",    "0", NULL
+	};
+	const struct harness_deployment d = { .region = "de-cymru",
+					      .dcs = { "abertawe" },
+					      .instances = 1,
+					      .engines = engines,
+					      .engine_args = engine_args };
+	struct error err = { 0 };
+	struct harness *h = harness_create(&err);
+	int rc = 1;
+
+	if (!h)
+		goto out;
+	p->fleet = harness_fleet_create(h, &d, &err);
+	if (p->fleet && measure(p, &err) == 0)
+		rc = 0;
+out:
+	if (rc)
+		fprintf(stderr, "bench-path: %s\n", err.text);
+	harness_fleet_destroy(p->fleet);
+	harness_destroy(h);
+	return rc;
+}
+
+int main(int argc, char **argv)
+{
+	static struct path path = { .slice_s = 3, .rounds = 4, .streams = 300 };
+	struct arg_dbl *slice = arg_dbl0(NULL, "slice-s", "S", "length of a slice (3)");
+	struct arg_int *rounds = arg_int0(NULL, "rounds", "N", "slices of each way (4)");
+	struct arg_int *streams = arg_int0(NULL, "streams", "N", "streams at once (300)");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { slice, rounds, streams, end };
+	int rc = 2;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "bench-path");
+		goto out;
+	}
+	if (slice->count)
+		path.slice_s = slice->dval[0];
+	if (rounds->count)
+		path.rounds = rounds->ival[0];
+	if (streams->count)
+		path.streams = streams->ival[0];
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	rc = run(&path);
+	curl_global_cleanup();
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return rc;
+}
--- a/include/ibisgate/load/check.h
+++ b/include/ibisgate/load/check.h
@@ -35,13 +35,13 @@
 
 /**
  * check_foreign_fn - whether @token is token @index of a request other than the checked one
- * @token: EXPECT_TOKEN_LEN bytes
+ * @token: TEXT_TOKEN_BYTES bytes
  */
-typedef bool (*check_foreign_fn)(void *user, uint64_t index, const char *token);
+typedef bool (*check_foreign_fn)(void *user, int64_t index, const char *token);
 
 /**
  * struct check - incremental check of one streamed answer
- * @seed: expect_seed() of the prompt and model
+ * @seed: text_seed() of the prompt and model
  * @tokens: tokens that the whole answer has
  * @foreign: names foreign text; may be NULL
  * @pos: bytes of text that were received and right
--- a/load/check.c
+++ b/load/check.c
@@ -3,7 +3,7 @@
 
 #include "ibisgate/common/json.h"
 #include "ibisgate/load/check.h"
-#include "ibisgate/load/expect.h"
+#include "ibisgate/standins/text.h"
 
 /* Tokens around the expected one that are compared to tell a gap or a duplicate from wrong text. */
 #define NEAR_TOKENS 4096
@@ -29,16 +29,16 @@
 
 static bool token_is(const struct check *c, int64_t index, const char *token)
 {
-	char want[EXPECT_TOKEN_LEN + 1];
+	char want[TEXT_TOKEN_BYTES + 1];
 
-	expect_token(c->seed, (uint64_t)index, want);
-	return memcmp(want, token, EXPECT_TOKEN_LEN) == 0;
+	text_token(c->seed, index, want);
+	return memcmp(want, token, TEXT_TOKEN_BYTES) == 0;
 }
 
 /* @rest begins at the start of token @index, whose text is not the expected one. */
 static enum check_fault fault_classify(struct check *c, int64_t index, struct str rest)
 {
-	if (rest.len < EXPECT_TOKEN_LEN)
+	if (rest.len < TEXT_TOKEN_BYTES)
 		return CHECK_WRONG_TEXT;
 	for (int64_t i = index - 1; i >= 0 && i > index - NEAR_TOKENS; i--) {
 		if (token_is(c, i, rest.data))
@@ -48,20 +48,20 @@
 		if (token_is(c, i, rest.data))
 			return CHECK_GAP;
 	}
-	if (c->foreign && c->foreign(c->foreign_user, (uint64_t)index, rest.data))
+	if (c->foreign && c->foreign(c->foreign_user, index, rest.data))
 		return CHECK_FOREIGN;
 	return CHECK_WRONG_TEXT;
 }
 
 static void text_check(struct check *c, struct str text)
 {
-	char want[EXPECT_TOKEN_LEN + 1];
+	char want[TEXT_TOKEN_BYTES + 1];
 	struct str rest = text;
 
 	while (rest.len) {
-		int64_t index = c->pos / EXPECT_TOKEN_LEN;
-		size_t offset = (size_t)(c->pos % EXPECT_TOKEN_LEN);
-		size_t n = EXPECT_TOKEN_LEN - offset;
+		int64_t index = c->pos / TEXT_TOKEN_BYTES;
+		size_t offset = (size_t)(c->pos % TEXT_TOKEN_BYTES);
+		size_t n = TEXT_TOKEN_BYTES - offset;
 
 		if (index >= c->tokens) {
 			/* A repeated piece at the very end is a duplicate as well. */
@@ -72,7 +72,7 @@
 		}
 		if (n > rest.len)
 			n = rest.len;
-		expect_token(c->seed, (uint64_t)index, want);
+		text_token(c->seed, index, want);
 		if (memcmp(want + offset, rest.data, n) != 0) {
 			fault_set(c, offset ? CHECK_WRONG_TEXT : fault_classify(c, index, rest));
 			return;
@@ -184,7 +184,7 @@
 {
 	if (!c->done)
 		fault_set(c, CHECK_NO_DONE);
-	else if (c->pos < c->tokens * EXPECT_TOKEN_LEN)
+	else if (c->pos < c->tokens * TEXT_TOKEN_BYTES)
 		fault_set(c, CHECK_SHORT);
 	return c->fault;
 }
@@ -233,7 +233,7 @@
 
 int64_t check_gap_mean_us(const struct check *c)
 {
-	int64_t tokens = c->pos / EXPECT_TOKEN_LEN;
+	int64_t tokens = c->pos / TEXT_TOKEN_BYTES;
 
 	return tokens > 1 ? (c->last_us - c->first_us) / (tokens - 1) : 0;
 }
--- a/load/request.c
+++ b/load/request.c
@@ -3,7 +3,7 @@
 
 #include "ibisgate/common/hash.h"
 #include "ibisgate/common/json.h"
-#include "ibisgate/load/expect.h"
+#include "ibisgate/standins/text.h"
 #include "internal.h"
 
 #define TOKEN_BYTES 4
@@ -53,16 +53,16 @@
 	return strcmp(priority, "background") == 0 ? 2 : 1;
 }
 
-static bool foreign_token(void *user, uint64_t index, const char *token)
+static bool foreign_token(void *user, int64_t index, const char *token)
 {
 	const struct transfer *own = user;
-	char want[EXPECT_TOKEN_LEN + 1];
+	char want[TEXT_TOKEN_BYTES + 1];
 
 	for (const struct transfer *t = own->run->active; t; t = t->next) {
 		if (t == own || t->kind != TRANSFER_GENERATION)
 			continue;
-		expect_token(t->check.seed, index, want);
-		if (memcmp(want, token, EXPECT_TOKEN_LEN) == 0)
+		text_token(t->check.seed, index, want);
+		if (memcmp(want, token, TEXT_TOKEN_BYTES) == 0)
 			return true;
 	}
 	return false;
@@ -92,7 +92,7 @@
 		   t->chat ? "\"messages\":[{\"role\":\"user\",\"content\":\"" : "\"prompt\":\"");
 	buf_append(&t->body, prompt.data, prompt.len);
 	buf_printf(&t->body, t->chat ? "\"}]}" : "\"}");
-	check_init(&t->check, expect_seed(buf_str(&prompt), str_from(s->model)), rec->tokens);
+	check_init(&t->check, text_seed(buf_str(&prompt), str_from(s->model)), rec->tokens);
 	t->check.foreign = foreign_token;
 	t->check.foreign_user = t;
 	buf_free(&prompt);
--- /dev/null
+++ b/tests/test_harness.cc
@@ -0,0 +1,92 @@
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <string>
+#include <unistd.h>
+
+extern "C" {
+#include "ibisgate/harness/harness.h"
+}
+
+class HarnessTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		h = harness_create(&err);
+		ASSERT_NE(h, nullptr) << err.text;
+	}
+	void TearDown() override
+	{
+		harness_destroy(h);
+	}
+	struct harness_process *engine(const char *name)
+	{
+		const char *const argv[] = { "--port", "0", "--model", "M", nullptr };
+
+		return harness_start(h, name, "ibisgate-engine", argv, &err);
+	}
+
+	struct harness *h = nullptr;
+	struct error err = {};
+};
+
+/* Guards against processes that outlive a test, and against exit codes that get lost. */
+TEST_F(HarnessTest, StopsAndKillsByPid)
+{
+	struct harness_process *a = engine("a");
+	struct harness_process *b = engine("b");
+	pid_t pid;
+
+	ASSERT_TRUE(a && b) << err.text;
+	pid = b->pid;
+	EXPECT_GT(harness_port(a, ""), 0);
+	EXPECT_EQ(harness_stop(a, 20000), 0);
+	EXPECT_EQ(harness_signal(a, SIGKILL), -1);
+	harness_destroy(h);
+	h = nullptr;
+	EXPECT_EQ(kill(pid, 0), -1);
+}
+
+/* Guards against a start that hangs when the program cannot run. */
+TEST_F(HarnessTest, FailedStartIsAnError)
+{
+	const char *const argv[] = { "--no-such-option", nullptr };
+
+	EXPECT_EQ(harness_start(h, "a", "ibisgate-engine", argv, &err), nullptr);
+	EXPECT_NE(std::string(err.text).find("ended with status"), std::string::npos) << err.text;
+}
+
+/* Guards against endpoints that the platform's list does not name after a start or restart. */
+TEST_F(HarnessTest, EndpointsAreListed)
+{
+	static const struct harness_engine_spec engines[] = { { "prefill", true },
+							      { "decode", false },
+							      {} };
+	static const char *const services[] = { "orders", nullptr };
+	struct harness_deployment d = {};
+	struct harness_fleet *f;
+	json_t *list = nullptr;
+	size_t count = 0;
+
+	d.region = "de-cymru";
+	d.dcs[0] = "abertawe";
+	d.dcs[1] = "caerdydd";
+	d.engines = engines;
+	d.services = services;
+	f = harness_fleet_create(h, &d, &err);
+	ASSERT_NE(f, nullptr) << err.text;
+	ASSERT_EQ(f->endpoint_count, 6);
+	for (int i = 0; i < 100 && count < 6; i++) {
+		usleep(50000);
+		json_decref(list);
+		list = harness_get((std::string(f->platform) + "/list").c_str());
+		count = json_array_size(json_object_get(list, "endpoints"));
+	}
+	EXPECT_EQ(count, 6u);
+	json_decref(list);
+	harness_signal(f->endpoints[0].process, SIGKILL);
+	ASSERT_EQ(harness_wait(f->endpoints[0].process, 5000), 0);
+	EXPECT_EQ(harness_endpoint_start(f, 0, &err), 0) << err.text;
+	harness_fleet_destroy(f);
+}
--- a/tests/test_load.cc
+++ b/tests/test_load.cc
@@ -4,8 +4,8 @@
 
 extern "C" {
 #include "ibisgate/load/check.h"
-#include "ibisgate/load/expect.h"
 #include "ibisgate/load/scenario.h"
+#include "ibisgate/standins/text.h"
 }
 
 static struct str str_of(const std::string &s)
@@ -15,9 +15,9 @@
 
 static std::string token(uint64_t seed, int i)
 {
-	char out[EXPECT_TOKEN_LEN + 1];
+	char out[TEXT_TOKEN_BYTES + 1];
 
-	expect_token(seed, (uint64_t)i, out);
+	text_token(seed, i, out);
 	return out;
 }
 
@@ -29,9 +29,9 @@
 static const std::string done = "data: [DONE]\n\n";
 static const uint64_t other_seed = 99;
 
-static bool foreign(void *user, uint64_t index, const char *text)
+static bool foreign(void *user, int64_t index, const char *text)
 {
-	return token(other_seed, (int)index) == std::string(text, EXPECT_TOKEN_LEN);
+	return token(other_seed, (int)index) == std::string(text, TEXT_TOKEN_BYTES);
 }
 
 /* Feeds @stream in pieces of @step bytes to the check of an answer of 3 tokens with seed 7. */
