--- a/bench/harness/http.c
+++ b/bench/harness/http.c
@@ -29,6 +29,7 @@
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, method);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, list);
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, (long)timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_bytes);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &out->body);
--- a/bench/path.c
+++ b/bench/path.c
@@ -39,13 +39,12 @@
 
 struct path {
 	struct harness_fleet *fleet;
+	pid_t pid;
 	struct scenario scenario;
-	struct load_options options;
 	double slice_s;
 	int rounds;
 	int streams;
 	int64_t run;
-	int64_t requests;
 };
 
 static void scenario_set(struct path *p, double rate, double prompt, double output)
@@ -66,21 +65,22 @@
 static int slice_run(struct path *p, enum way way, int concurrency, struct samples *out,
 		     struct error *err)
 {
+	struct load_options options;
 	struct load_result result;
 	char run_id[48];
 	int64_t tokens = 0;
 	int64_t whole = 0;
 
 	snprintf(run_id, sizeof(run_id), "path-%d-%lld", (int)getpid(), (long long)++p->run);
-	load_options_defaults(&p->options);
-	p->options.run_id = run_id;
-	p->options.duration_s = p->slice_s;
-	p->options.concurrency = concurrency;
-	p->options.direct = way == WAY_DIRECT;
-	p->options.url_count = 1;
-	p->options.urls[0] =
+	load_options_defaults(&options);
+	options.run_id = run_id;
+	options.duration_s = p->slice_s;
+	options.concurrency = concurrency;
+	options.direct = way == WAY_DIRECT;
+	options.url_count = 1;
+	options.urls[0] =
 		way == WAY_DIRECT ? p->fleet->endpoints[0].url : p->fleet->instances[0].http;
-	if (load_run(&p->scenario, &p->options, &result, err) < 0)
+	if (load_run(&p->scenario, &options, &result, err) < 0)
 		return -1;
 	for (size_t i = 0; i < result.count; i++) {
 		const struct load_record *r = &result.records[i];
@@ -97,7 +97,6 @@
 		tokens += r->tokens;
 		whole++;
 	}
-	p->requests = whole;
 	out->rate += (double)whole / result.elapsed_s / p->rounds;
 	out->tokens_per_s += (double)tokens / result.elapsed_s / p->rounds;
 	load_result_free(&result);
@@ -203,14 +202,13 @@
 static int measure_throughput(struct path *p, double *rate, double *per_core, struct error *err)
 {
 	struct samples s[WAYS];
-	pid_t pid = p->fleet->instances[0].process->pid;
-	double before = cpu_s(pid);
+	double before = cpu_s(p->pid);
 	double used;
 
 	scenario_set(p, 0, 50, 8);
 	if (ways_run(p, 64, s, err) < 0)
 		return -1;
-	used = cpu_s(pid) - before;
+	used = cpu_s(p->pid) - before;
 	*rate = s[WAY_GATEWAY].rate;
 	*per_core = used > 0 ? (double)s[WAY_GATEWAY].count / used : 0;
 	printf("throughput: direct %.0f/s, through the instance %.0f/s, not whole %lld and %lld\n",
@@ -259,7 +257,7 @@
 
 static int measure_memory(struct path *p, struct error *err)
 {
-	struct sampler sampler = { .pid = p->fleet->instances[0].process->pid };
+	struct sampler sampler = { .pid = p->pid };
 	struct samples s = { 0 };
 	int64_t before = rss_kb(sampler.pid);
 	pthread_t thread;
@@ -322,7 +320,10 @@
 	if (!h)
 		goto out;
 	p->fleet = harness_fleet_create(h, &d, &err);
-	if (p->fleet && measure(p, &err) == 0)
+	if (!p->fleet)
+		goto out;
+	p->pid = p->fleet->instances[0].process->pid;
+	if (measure(p, &err) == 0)
 		rc = 0;
 out:
 	if (rc)
--- a/load/client.c
+++ b/load/client.c
@@ -133,17 +133,27 @@
 	free(t);
 }
 
-/* Next target in turn that is not known to be down; any when all are. */
-static int target_pick(struct run *r)
+/* First target from @from on that is not known to be down; @from when all are. */
+static int target_from(const struct run *r, int from)
 {
 	int count = r->options->url_count;
-	int pick = r->next_target;
 
 	for (int i = 0; i < count; i++) {
-		pick = (r->next_target + i) % count;
-		if (!r->targets[pick].down)
-			break;
+		if (!r->targets[(from + i) % count].down)
+			return (from + i) % count;
 	}
+	return from;
+}
+
+/* A refused transfer goes on to its own next target, so that it tries each one once. */
+static int target_pick(struct run *r, const struct transfer *t)
+{
+	int count = r->options->url_count;
+	int pick;
+
+	if (t->tried)
+		return target_from(r, (t->target + 1) % count);
+	pick = target_from(r, r->next_target);
 	r->next_target = (pick + 1) % count;
 	return pick;
 }
@@ -152,7 +162,8 @@
 {
 	char url[512];
 
-	t->target = t->kind == TRANSFER_PROBE ? t->target : target_pick(r);
+	if (t->kind != TRANSFER_PROBE)
+		t->target = target_pick(r, t);
 	snprintf(url, sizeof(url), "%s%s", r->targets[t->target].url, path);
 	curl_easy_setopt(t->easy, CURLOPT_URL, url);
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
@@ -161,6 +172,7 @@
 	curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(t->easy, CURLOPT_HEADERDATA, t);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(t->easy, CURLOPT_TCP_NODELAY, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS,
 			 t->kind == TRANSFER_PROBE ? PROBE_TIMEOUT_MS
