--- a/include/ibisgate/policy/share.h
+++ b/include/ibisgate/policy/share.h
@@ -31,11 +31,10 @@
 	int64_t deadline_ms;
 	int64_t arrival_ms;
 	struct {
-		double start_tag;
-		double finish_tag;
 		void *org;
 		struct share_ticket *next;
 		struct share_ticket *prev;
+		int deadline_pos;
 		bool queued;
 	} priv;
 };
--- /dev/null
+++ b/policy/retry.c
@@ -0,0 +1,150 @@
+#include <stddef.h>
+
+#include "ibisgate/policy/retry.h"
+
+/* A failover to another endpoint should not wait long, so the first delay is at most 10 ms. */
+#define BACKOFF_BASE_MS 10
+#define BACKOFF_MAX_MS 1000
+
+static double min_double(double a, double b)
+{
+	return a < b ? a : b;
+}
+
+static int64_t min_i64(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+static void budget_refill(struct retry_budget *b, const struct retry_limits *l, int64_t now_ms)
+{
+	if (!b->updated_ms) {
+		b->tokens = l->burst;
+		/* 0 marks a bucket that was never used. */
+		b->updated_ms = now_ms ? now_ms : 1;
+		return;
+	}
+	if (now_ms <= b->updated_ms)
+		return;
+	b->tokens += l->min_per_s * (double)(now_ms - b->updated_ms) / 1000.0;
+	b->tokens = min_double(b->tokens, l->burst);
+	b->updated_ms = now_ms;
+}
+
+void retry_budget_first_try(struct retry_budget *b, const struct retry_limits *l, int64_t now_ms)
+{
+	budget_refill(b, l, now_ms);
+	b->tokens = min_double(b->tokens + l->ratio, l->burst);
+}
+
+bool retry_budget_take(struct retry_budget *b, const struct retry_limits *l, int64_t now_ms)
+{
+	budget_refill(b, l, now_ms);
+	if (b->tokens < 1.0)
+		return false;
+	b->tokens -= 1.0;
+	return true;
+}
+
+static bool budgets_take(struct retry_budget *a, struct retry_budget *b,
+			 const struct retry_limits *l, int64_t now_ms)
+{
+	budget_refill(b, l, now_ms);
+	if (b->tokens < 1.0)
+		return false;
+	if (!retry_budget_take(a, l, now_ms))
+		return false;
+	b->tokens -= 1.0;
+	return true;
+}
+
+/* Half of the delay is jittered, so that callers that failed together spread out. */
+static int64_t backoff_ms(int attempt, uint64_t random)
+{
+	int64_t full = BACKOFF_MAX_MS;
+
+	if (attempt < 1)
+		attempt = 1;
+	if (attempt < 16)
+		full = min_i64(full, (int64_t)BACKOFF_BASE_MS << (attempt - 1));
+	return full / 2 + (int64_t)(random % (uint64_t)(full / 2 + 1));
+}
+
+enum retry_verdict retry_decide(const struct retry_query *q, struct retry_budget *organisation,
+				struct retry_budget *endpoint, const struct retry_limits *l,
+				int64_t *delay_ms)
+{
+	int64_t slack;
+
+	*delay_ms = 0;
+	if (q->kind == CALL_NON_IDEMPOTENT && q->sent != SENT_NO)
+		return RETRY_NOT_ALLOWED;
+	if (q->attempt >= q->max_attempts)
+		return RETRY_LIMIT;
+	if (q->deadline_ms <= q->now_ms || q->deadline_ms - q->now_ms < q->min_work_ms)
+		return RETRY_DEADLINE;
+	if (!budgets_take(organisation, endpoint, l, q->now_ms))
+		return RETRY_BUDGET;
+	slack = q->deadline_ms - q->now_ms - q->min_work_ms;
+	*delay_ms = min_i64(backoff_ms(q->attempt, q->random), slack);
+	return RETRY_AGAIN;
+}
+
+bool circuit_allows(const struct circuit *c, int64_t now_ms)
+{
+	switch (c->state) {
+	case CIRCUIT_CLOSED:
+		return true;
+	case CIRCUIT_OPEN:
+		return now_ms - c->opened_ms >= c->open_for_ms;
+	case CIRCUIT_HALF_OPEN:
+		/* A probe whose result never arrives must not keep the endpoint out for good. */
+		return !c->probing || now_ms - c->opened_ms >= CIRCUIT_OPEN_MAX_MS;
+	}
+	return false;
+}
+
+void circuit_sent(struct circuit *c, int64_t now_ms)
+{
+	if (c->state == CIRCUIT_CLOSED || !circuit_allows(c, now_ms))
+		return;
+	c->state = CIRCUIT_HALF_OPEN;
+	c->probing = true;
+	c->opened_ms = now_ms;
+}
+
+void circuit_success(struct circuit *c)
+{
+	/* While open, this is the late answer of a request from before the failures. */
+	if (c->state == CIRCUIT_OPEN)
+		return;
+	*c = (struct circuit){ .state = CIRCUIT_CLOSED };
+}
+
+static void circuit_open(struct circuit *c, int64_t now_ms)
+{
+	int64_t next = c->open_for_ms ? 2 * c->open_for_ms : CIRCUIT_OPEN_MS;
+
+	c->open_for_ms = min_i64(next, CIRCUIT_OPEN_MAX_MS);
+	c->state = CIRCUIT_OPEN;
+	c->opened_ms = now_ms;
+	c->probing = false;
+	c->failures = 0;
+}
+
+void circuit_failure(struct circuit *c, bool hard, int64_t now_ms)
+{
+	switch (c->state) {
+	case CIRCUIT_CLOSED:
+		c->failures++;
+		if (hard || c->failures >= CIRCUIT_FAILURES)
+			circuit_open(c, now_ms);
+		return;
+	case CIRCUIT_OPEN:
+		/* Requests from before the opening don't prolong it. */
+		return;
+	case CIRCUIT_HALF_OPEN:
+		circuit_open(c, now_ms);
+		return;
+	}
+}
--- /dev/null
+++ b/policy/role.c
@@ -0,0 +1,242 @@
+#include <math.h>
+#include <string.h>
+
+#include "ibisgate/policy/role.h"
+
+/* A change that takes this many times its usual duration no longer blocks others. */
+#define STUCK_CHANGES 10
+
+struct role_counts {
+	int prefill;
+	int decode;
+	int changing;
+};
+
+static struct role_counts counts_of(const struct role_view *v)
+{
+	struct role_counts n = { 0 };
+
+	for (int i = 0; i < v->dc_count; i++) {
+		n.prefill += v->dcs[i].prefill;
+		n.decode += v->dcs[i].decode;
+		n.changing += v->dcs[i].changing;
+	}
+	return n;
+}
+
+/* Served multiple of the demand; above 1 it is headroom. */
+static double headroom(double prefill_demand, double decode_demand, int prefill, int decode)
+{
+	double p = prefill_demand > 0 ? prefill / prefill_demand : INFINITY;
+	double d = decode_demand > 0 ? decode / decode_demand : INFINITY;
+
+	return fmin(p, d);
+}
+
+double role_goodput(double prefill_demand, double decode_demand, int prefill, int decode)
+{
+	return fmin(1.0, headroom(prefill_demand, decode_demand, prefill, decode));
+}
+
+int role_best_split(double prefill_demand, double decode_demand, int total)
+{
+	double sum = prefill_demand + decode_demand;
+	int low;
+
+	if (total < 2)
+		return total == 1 && prefill_demand > decode_demand;
+	if (sum <= 0)
+		return total / 2;
+	/* The headroom rises up to the proportional split and falls after it. */
+	low = (int)floor(total * prefill_demand / sum);
+	if (low < 1)
+		return 1;
+	if (low >= total - 1)
+		return total - 1;
+	if (headroom(prefill_demand, decode_demand, low + 1, total - low - 1) >
+	    headroom(prefill_demand, decode_demand, low, total - low))
+		return low + 1;
+	return low;
+}
+
+static enum endpoint_role other_role(enum endpoint_role role)
+{
+	return role == ROLE_PREFILL ? ROLE_DECODE : ROLE_PREFILL;
+}
+
+/* Role that is short by more than the hysteresis, ROLE_SERVICE when none is. */
+static enum endpoint_role role_short(const struct role_state *st, const struct role_method *m,
+				     const struct role_counts *n)
+{
+	double p = n->prefill ? st->prefill_avg / n->prefill : INFINITY;
+	double d = n->decode ? st->decode_avg / n->decode : INFINITY;
+	double high = fmax(p, d);
+
+	if (high <= 0 || isinf(high))
+		return ROLE_SERVICE;
+	if ((high - fmin(p, d)) / high <= m->u.horizon.hysteresis)
+		return ROLE_SERVICE;
+	return p > d ? ROLE_PREFILL : ROLE_DECODE;
+}
+
+/*
+ * Engine seconds won by one change within the horizon against those lost by it. The engine
+ * itself is charged as lost for the whole change, and so is the demand that the remaining donors
+ * cannot serve meanwhile.
+ */
+static bool change_pays(const struct role_state *st, const struct role_method *m,
+			const struct role_view *v, const struct role_counts *n,
+			enum endpoint_role to)
+{
+	int p = to == ROLE_PREFILL ? 1 : -1;
+	int p_away = to == ROLE_PREFILL ? 0 : 1;
+	double demand = st->prefill_avg + st->decode_avg;
+	double away_s = (double)v->change_ms / 1000.0;
+	double after_s = (double)m->u.horizon.horizon_ms / 1000.0 - away_s;
+	double now = role_goodput(st->prefill_avg, st->decode_avg, n->prefill, n->decode);
+	double then = role_goodput(st->prefill_avg, st->decode_avg, n->prefill + p, n->decode - p);
+	double away = role_goodput(st->prefill_avg, st->decode_avg, n->prefill - p_away,
+				   n->decode - !p_away);
+	double gain = (then - now) * demand * after_s;
+	double loss = away_s + (now - away) * demand * away_s;
+
+	return after_s > 0 && gain > 0 && gain > loss * m->u.horizon.margin;
+}
+
+static bool donor_left(const struct role_counts *n, enum endpoint_role from)
+{
+	return (from == ROLE_PREFILL ? n->prefill : n->decode) >= 2;
+}
+
+/* Role to which a change pays off on the averages, ROLE_SERVICE when none does. */
+static enum endpoint_role role_wanted(const struct role_state *st, const struct role_method *m,
+				      const struct role_view *v)
+{
+	struct role_counts n = counts_of(v);
+	enum endpoint_role to = role_short(st, m, &n);
+
+	if (to == ROLE_SERVICE || !donor_left(&n, other_role(to)))
+		return ROLE_SERVICE;
+	return change_pays(st, m, v, &n, to) ? to : ROLE_SERVICE;
+}
+
+static void average(double *avg, double value, double weight)
+{
+	*avg += (value - *avg) * weight;
+}
+
+void role_observe(struct role_state *st, const struct role_method *m, const struct role_view *v,
+		  int64_t now_ms)
+{
+	double weight = 1;
+	enum endpoint_role to;
+
+	if (m->kind == ROLE_HORIZON && st->observed_ms && m->u.horizon.smooth_ms > 0)
+		weight = -expm1(-fmax(0, (double)(now_ms - st->observed_ms)) /
+				(double)m->u.horizon.smooth_ms);
+	average(&st->prefill_avg, v->prefill_demand, weight);
+	average(&st->decode_avg, v->decode_demand, weight);
+	st->observed_ms = now_ms;
+	if (m->kind != ROLE_HORIZON)
+		return;
+	to = role_wanted(st, m, v);
+	if (to != st->imbalance_to) {
+		st->imbalance_to = to;
+		st->imbalance_since_ms = now_ms;
+	}
+}
+
+void role_changed(struct role_state *st, int64_t now_ms)
+{
+	/* The imbalance keeps its age, so that a large swing isn't confirmed anew for each engine.
+	 */
+	st->last_change_ms = now_ms;
+}
+
+static int donor_count(const struct role_dc *dc, enum endpoint_role from)
+{
+	return from == ROLE_PREFILL ? dc->prefill : dc->decode;
+}
+
+static bool donor_better(const struct role_dc *a, const struct role_dc *b, enum endpoint_role from)
+{
+	int na = donor_count(a, from);
+	int nb = donor_count(b, from);
+
+	return na != nb ? na > nb : strcmp(a->name, b->name) < 0;
+}
+
+static const struct role_dc *donor_dc(const struct role_view *v, enum endpoint_role from)
+{
+	const struct role_dc *best = NULL;
+
+	for (int i = 0; i < v->dc_count; i++) {
+		const struct role_dc *dc = &v->dcs[i];
+
+		if (dc->changing || donor_count(dc, from) < 1)
+			continue;
+		if (!best || donor_better(dc, best, from))
+			best = dc;
+	}
+	return best;
+}
+
+static enum endpoint_role greedy_wanted(const struct role_view *v)
+{
+	struct role_counts n = counts_of(v);
+	int best;
+
+	if (v->prefill_demand + v->decode_demand <= 0)
+		return ROLE_SERVICE;
+	best = role_best_split(v->prefill_demand, v->decode_demand, n.prefill + n.decode);
+	if (best > n.prefill && donor_left(&n, ROLE_DECODE))
+		return ROLE_PREFILL;
+	if (best < n.prefill && donor_left(&n, ROLE_PREFILL))
+		return ROLE_DECODE;
+	return ROLE_SERVICE;
+}
+
+static enum endpoint_role horizon_wanted(const struct role_state *st, const struct role_method *m,
+					 const struct role_view *v, int64_t now_ms)
+{
+	struct role_counts n = counts_of(v);
+	int64_t since_change = now_ms - st->last_change_ms;
+	enum endpoint_role to = role_wanted(st, m, v);
+
+	if (to == ROLE_SERVICE || to != st->imbalance_to)
+		return ROLE_SERVICE;
+	/* An imbalance has to last as long as the average looks back, or it may be flutter. */
+	if (now_ms - st->imbalance_since_ms < m->u.horizon.smooth_ms)
+		return ROLE_SERVICE;
+	if (st->last_change_ms && since_change < m->u.horizon.min_dwell_ms)
+		return ROLE_SERVICE;
+	/* The target of a running change is not in the counts yet, so its effect is awaited. */
+	if (n.changing && since_change < STUCK_CHANGES * v->change_ms)
+		return ROLE_SERVICE;
+	return to;
+}
+
+struct role_decision role_decide(const struct role_state *st, const struct role_method *m,
+				 const struct role_view *v, const char *dc, int64_t now_ms)
+{
+	struct role_decision none = { 0 };
+	enum endpoint_role to = ROLE_SERVICE;
+	const struct role_dc *donor;
+
+	switch (m->kind) {
+	case ROLE_FIXED:
+		return none;
+	case ROLE_GREEDY:
+		to = greedy_wanted(v);
+		break;
+	case ROLE_HORIZON:
+		to = horizon_wanted(st, m, v, now_ms);
+		break;
+	}
+	if (to == ROLE_SERVICE)
+		return none;
+	donor = donor_dc(v, other_role(to));
+	if (!donor || strcmp(donor->name, dc))
+		return none;
+	return (struct role_decision){ .change = true, .from = other_role(to), .to = to };
+}
--- /dev/null
+++ b/policy/route.c
@@ -0,0 +1,416 @@
+#include <math.h>
+#include <string.h>
+
+#include "ibisgate/common/hash.h"
+#include "ibisgate/policy/route.h"
+
+/* A limit missed by 1 us weighs as much as this many microseconds of a later finish. */
+#define MISS_WEIGHT 8.0
+
+/*
+ * Candidates whose cost exceeds the best by less than this share count as equal; the spread value
+ * chooses among them, so that instances with the same lagging view don't all pick one engine.
+ */
+#define NEAR_SHARE 0.02
+
+/* Prefill engines that are combined with every decode engine; bounds the pairs looked at. */
+#define PREFILL_SHORTLIST 4
+
+struct estimate {
+	double first_us;
+	double gap_us;
+	double finish_us;
+	double cost;
+	bool fits;
+};
+
+struct shortlist {
+	int count;
+	int pos[PREFILL_SHORTLIST];
+	double key[PREFILL_SHORTLIST];
+	uint64_t tie[PREFILL_SHORTLIST];
+};
+
+/* One pass over all placements; the second pass looks only at those with cost <= limit. */
+struct scan {
+	const struct route_candidate *cands;
+	const struct route_request *req;
+	bool second;
+	bool found;
+	double limit;
+	uint64_t tie;
+	int prefill;
+	int decode;
+	struct estimate best;
+};
+
+static bool can_prefill(const struct route_candidate *c)
+{
+	return c->usable && c->role == ROLE_PREFILL;
+}
+
+static bool can_decode(const struct route_candidate *c)
+{
+	return c->usable && c->role == ROLE_DECODE;
+}
+
+static bool is_mixed(const struct route_candidate *c)
+{
+	return c->usable && c->role == ROLE_MIXED;
+}
+
+static double tokens_us(const struct route_candidate *c, int64_t tokens)
+{
+	if (tokens <= 0)
+		return 0;
+	return (double)tokens * 1e6 / fmax(c->cost.prefill_tokens_per_s, 1.0);
+}
+
+static double backlog_us(const struct route_candidate *c)
+{
+	return tokens_us(c, c->prefill_backlog);
+}
+
+/* Time from the gateway's call until the prompt is in the KV cache and the gateway knows. */
+static double prefill_us(const struct route_candidate *c, const struct route_request *req)
+{
+	return 2.0 * (double)c->distance_us + backlog_us(c) +
+	       tokens_us(c, req->prompt_tokens - c->cached_tokens);
+}
+
+static double step_us(const struct route_candidate *c)
+{
+	return c->cost.step_base_us + c->cost.step_per_seq_us * (double)(c->decode_seqs + 1);
+}
+
+static double output_tokens(const struct route_request *req)
+{
+	return req->output_tokens > 0 ? (double)req->output_tokens : 1.0;
+}
+
+/* Wait for a slot, if sequences end evenly and are as long as this request. */
+static double slot_wait_us(const struct route_candidate *c, const struct route_request *req)
+{
+	int over = c->decode_seqs + 1 - c->decode_slots;
+	int slots = c->decode_slots > 0 ? c->decode_slots : 1;
+
+	if (over <= 0)
+		return 0;
+	return (double)over * output_tokens(req) * step_us(c) / (double)slots;
+}
+
+/*
+ * The decode engine fetches the cache from the prefill engine. Only distances from here are known:
+ * the larger of the two stands for the distance between them.
+ */
+static double transfer_us(const struct route_candidate *p, const struct route_candidate *d,
+			  const struct route_request *req)
+{
+	double distance = fmax((double)p->distance_us, (double)d->distance_us);
+	double token = fmax(p->cost.kv_token_us, d->cost.kv_token_us);
+
+	return 2.0 * distance + (double)req->prompt_tokens * token;
+}
+
+static struct estimate estimate_of(double first_us, double gap_us, bool slot_free,
+				   const struct route_request *req)
+{
+	double tokens = output_tokens(req);
+	double late = fmax(0, first_us - (double)req->first_token_us);
+	double slow = fmax(0, gap_us - (double)req->gap_us) * (tokens - 1);
+	struct estimate e = {
+		.first_us = first_us,
+		.gap_us = gap_us,
+		.finish_us = first_us + gap_us * (tokens - 1),
+		.fits = slot_free && first_us <= (double)req->first_token_us &&
+			gap_us <= (double)req->gap_us,
+	};
+
+	e.cost = e.finish_us + MISS_WEIGHT * (late + slow);
+	return e;
+}
+
+static struct estimate estimate_mixed(const struct route_candidate *c,
+				      const struct route_request *req)
+{
+	double first = prefill_us(c, req) + slot_wait_us(c, req) + step_us(c);
+	/* The present backlog stands for the prefill work that interrupts the decode steps. */
+	double gap = step_us(c) + backlog_us(c) / output_tokens(req);
+
+	return estimate_of(first, gap, c->decode_seqs < c->decode_slots, req);
+}
+
+static struct estimate estimate_pair(const struct route_candidate *p,
+				     const struct route_candidate *d,
+				     const struct route_request *req)
+{
+	double first = prefill_us(p, req) + transfer_us(p, d, req) + 2.0 * (double)d->distance_us +
+		       slot_wait_us(d, req) + step_us(d);
+
+	return estimate_of(first, step_us(d), d->decode_seqs < d->decode_slots, req);
+}
+
+static uint64_t tie_value(const struct scan *s, int prefill, int decode)
+{
+	uint64_t pair = (uint64_t)(uint32_t)s->cands[prefill].index << 32 |
+			(uint32_t)s->cands[decode].index;
+
+	return hash_mix(s->req->spread, pair);
+}
+
+static void scan_take(struct scan *s, int prefill, int decode, const struct estimate *e)
+{
+	s->found = true;
+	s->prefill = prefill;
+	s->decode = decode;
+	s->best = *e;
+}
+
+static void scan_consider(struct scan *s, int prefill, int decode, struct estimate e)
+{
+	uint64_t tie;
+
+	if (!s->second) {
+		if (!s->found || e.cost < s->best.cost)
+			scan_take(s, prefill, decode, &e);
+		return;
+	}
+	if (e.cost > s->limit)
+		return;
+	tie = tie_value(s, prefill, decode);
+	if (s->found && tie <= s->tie)
+		return;
+	s->tie = tie;
+	scan_take(s, prefill, decode, &e);
+}
+
+static void shortlist_add(struct shortlist *l, int pos, double key, uint64_t tie)
+{
+	int i = l->count < PREFILL_SHORTLIST ? l->count++ : PREFILL_SHORTLIST;
+
+	while (i > 0 && (key < l->key[i - 1] || (key == l->key[i - 1] && tie > l->tie[i - 1]))) {
+		i--;
+		if (i + 1 < PREFILL_SHORTLIST) {
+			l->pos[i + 1] = l->pos[i];
+			l->key[i + 1] = l->key[i];
+			l->tie[i + 1] = l->tie[i];
+		}
+	}
+	if (i >= PREFILL_SHORTLIST)
+		return;
+	l->pos[i] = pos;
+	l->key[i] = key;
+	l->tie[i] = tie;
+}
+
+/*
+ * Prefill time plus the least transfer from there. Given the prefill engine, all decode engines
+ * are looked at, so the cost exceeds the best of all pairs at most by the range of the transfer
+ * time and the width of a tie, each weighted with 1 + MISS_WEIGHT.
+ */
+static double prefill_key(const struct route_candidate *c, const struct route_request *req)
+{
+	return prefill_us(c, req) + transfer_us(c, c, req);
+}
+
+static void shortlist_fill(struct shortlist *l, const struct route_candidate *cands, int count,
+			   const struct route_request *req)
+{
+	double best = INFINITY;
+
+	for (int i = 0; i < count; i++) {
+		if (can_prefill(&cands[i]))
+			best = fmin(best, prefill_key(&cands[i], req));
+	}
+	for (int i = 0; i < count; i++) {
+		double key;
+		uint64_t tie;
+
+		if (!can_prefill(&cands[i]))
+			continue;
+		key = fmax(prefill_key(&cands[i], req), best * (1 + NEAR_SHARE));
+		if (l->count == PREFILL_SHORTLIST && key > l->key[PREFILL_SHORTLIST - 1])
+			continue;
+		tie = hash_mix(req->spread, (uint64_t)(uint32_t)cands[i].index);
+		shortlist_add(l, i, key, tie);
+	}
+}
+
+static void scan_run(struct scan *s, const struct shortlist *l, int count)
+{
+	const struct route_candidate *cands = s->cands;
+
+	for (int i = 0; i < count; i++) {
+		if (is_mixed(&cands[i]))
+			scan_consider(s, i, i, estimate_mixed(&cands[i], s->req));
+		if (!can_decode(&cands[i]))
+			continue;
+		for (int k = 0; k < l->count; k++)
+			scan_consider(s, l->pos[k], i,
+				      estimate_pair(&cands[l->pos[k]], &cands[i], s->req));
+	}
+}
+
+static int64_t to_us(double us)
+{
+	return us >= (double)INT64_MAX ? INT64_MAX : (int64_t)us;
+}
+
+static void choice_fill(struct route_choice *out, int prefill, int decode, struct estimate e)
+{
+	*out = (struct route_choice){
+		.prefill = prefill,
+		.decode = decode,
+		.first_token_us = to_us(e.first_us),
+		.gap_us = to_us(e.gap_us),
+		.finish_us = to_us(e.finish_us),
+		.fits = e.fits,
+	};
+}
+
+static void choice_set(struct route_choice *out, const struct route_candidate *cands, int prefill,
+		       int decode, const struct route_request *req)
+{
+	struct estimate e = prefill == decode ? estimate_mixed(&cands[decode], req)
+					      : estimate_pair(&cands[prefill], &cands[decode], req);
+
+	choice_fill(out, prefill, decode, e);
+}
+
+static bool pick_expected_finish(const struct route_candidate *cands, int count,
+				 const struct route_request *req, struct route_choice *out)
+{
+	struct shortlist l = { 0 };
+	struct scan s = { .cands = cands, .req = req };
+
+	shortlist_fill(&l, cands, count, req);
+	scan_run(&s, &l, count);
+	if (!s.found)
+		return false;
+	s.limit = s.best.cost + s.best.finish_us * NEAR_SHARE;
+	s.second = true;
+	s.found = false;
+	scan_run(&s, &l, count);
+	choice_fill(out, s.prefill, s.decode, s.best);
+	return true;
+}
+
+static int role_nth(const struct route_candidate *cands, int count, enum endpoint_role role,
+		    uint64_t n)
+{
+	for (int i = 0; i < count; i++) {
+		if (cands[i].usable && cands[i].role == role && n-- == 0)
+			return i;
+	}
+	return -1;
+}
+
+static uint64_t role_count(const struct route_candidate *cands, int count, enum endpoint_role role)
+{
+	uint64_t n = 0;
+
+	for (int i = 0; i < count; i++)
+		n += cands[i].usable && cands[i].role == role;
+	return n;
+}
+
+static bool pick_round_robin(uint64_t *next, const struct route_candidate *cands, int count,
+			     const struct route_request *req, struct route_choice *out)
+{
+	uint64_t mixed = role_count(cands, count, ROLE_MIXED);
+	uint64_t prefill = role_count(cands, count, ROLE_PREFILL);
+	uint64_t decode = prefill ? role_count(cands, count, ROLE_DECODE) : 0;
+	uint64_t turn;
+	uint64_t round;
+	int p;
+	int d;
+
+	if (!mixed && !decode)
+		return false;
+	turn = *next % (mixed + decode);
+	round = *next / (mixed + decode);
+	++*next;
+	if (turn < mixed) {
+		d = role_nth(cands, count, ROLE_MIXED, turn);
+		p = d;
+	} else {
+		/* Prefill engines take turns over all pairs, not over the positions in a round. */
+		d = role_nth(cands, count, ROLE_DECODE, turn - mixed);
+		p = role_nth(cands, count, ROLE_PREFILL, (round * decode + turn - mixed) % prefill);
+	}
+	choice_set(out, cands, p, d, req);
+	return true;
+}
+
+static bool less_in_flight(const struct route_candidate *a, const struct route_candidate *b)
+{
+	if (a->role == ROLE_PREFILL || a->decode_seqs == b->decode_seqs)
+		return a->prefill_backlog < b->prefill_backlog;
+	return a->decode_seqs < b->decode_seqs;
+}
+
+/* Starts at a position given by the spread value, where equal candidates keep the first seen. */
+static int least_of(const struct route_candidate *cands, int count, enum endpoint_role role,
+		    uint64_t spread)
+{
+	int best = -1;
+
+	for (int i = 0; i < count; i++) {
+		int pos = (int)((spread % (uint64_t)count + (uint64_t)i) % (uint64_t)count);
+
+		if (!cands[pos].usable || cands[pos].role != role)
+			continue;
+		if (best < 0 || less_in_flight(&cands[pos], &cands[best]))
+			best = pos;
+	}
+	return best;
+}
+
+static bool pick_least_inflight(const struct route_candidate *cands, int count,
+				const struct route_request *req, struct route_choice *out)
+{
+	int m = least_of(cands, count, ROLE_MIXED, req->spread);
+	int p = least_of(cands, count, ROLE_PREFILL, req->spread);
+	int d = least_of(cands, count, ROLE_DECODE, req->spread);
+	bool pair = p >= 0 && d >= 0;
+
+	if (m < 0 && !pair)
+		return false;
+	if (m >= 0 && (!pair || cands[m].decode_seqs <= cands[d].decode_seqs)) {
+		p = m;
+		d = m;
+	}
+	choice_set(out, cands, p, d, req);
+	return true;
+}
+
+bool route_pick(struct route_method *method, const struct route_candidate *cands, int count,
+		const struct route_request *req, struct route_choice *out)
+{
+	switch (method->kind) {
+	case ROUTE_EXPECTED_FINISH:
+		return pick_expected_finish(cands, count, req, out);
+	case ROUTE_ROUND_ROBIN:
+		return pick_round_robin(&method->u.round_robin.next, cands, count, req, out);
+	case ROUTE_LEAST_INFLIGHT:
+		return pick_least_inflight(cands, count, req, out);
+	}
+	return false;
+}
+
+bool route_method_parse(const char *name, struct route_method *out)
+{
+	static const char *const names[] = {
+		[ROUTE_EXPECTED_FINISH] = "expected-finish",
+		[ROUTE_ROUND_ROBIN] = "round-robin",
+		[ROUTE_LEAST_INFLIGHT] = "least-inflight",
+	};
+
+	for (int i = 0; i < (int)(sizeof(names) / sizeof(names[0])); i++) {
+		if (strcmp(name, names[i]))
+			continue;
+		*out = (struct route_method){ .kind = (enum route_kind)i };
+		return true;
+	}
+	return false;
+}
