Add fair shares between organisations

Start-time fair queueing with one tag per organisation. The private part of a ticket holds its place in the heap of deadlines instead of two tags.

--- a/policy/share.c
+++ b/policy/share.c
@@ -0,0 +1,488 @@
+#include <stdlib.h>
+
+#include "ibisgate/common/hash.h"
+#include "ibisgate/policy/share.h"
+
+#define BUCKETS_MIN 64
+
+/**
+ * struct org - an organisation with waiting tickets or with a charge that is not made up yet
+ * @tag: start tag of its next ticket while tickets wait, finish tag of its last one otherwise
+ * @seq: order of becoming backlogged, breaks ties
+ * @pos: place in the heap of backlogged or of idle organisations
+ * @cost: waiting cost of each class in microseconds
+ */
+struct org {
+	struct str name;
+	uint64_t hash;
+	struct org *next;
+	double weight;
+	double tag;
+	uint64_t seq;
+	int pos;
+	int depth;
+	int64_t cost[CLASS_COUNT];
+	struct share_ticket *head[CLASS_COUNT];
+	struct share_ticket *tail[CLASS_COUNT];
+};
+
+struct org_heap {
+	struct org **items;
+	int count;
+	int cap;
+};
+
+struct ticket_heap {
+	struct share_ticket **items;
+	int count;
+	int cap;
+};
+
+struct share_queue {
+	double vtime;
+	uint64_t seq;
+	struct org **buckets;
+	size_t bucket_count;
+	size_t org_count;
+	struct org_heap backlogged;
+	struct org_heap idle;
+	struct ticket_heap deadlines;
+};
+
+/* Heap of organisations by tag. */
+
+static bool org_before(const struct org *a, const struct org *b)
+{
+	return a->tag != b->tag ? a->tag < b->tag : a->seq < b->seq;
+}
+
+static void org_place(struct org_heap *h, int pos, struct org *o)
+{
+	h->items[pos] = o;
+	o->pos = pos;
+}
+
+static void org_heap_up(struct org_heap *h, int pos)
+{
+	struct org *o = h->items[pos];
+
+	while (pos > 0 && org_before(o, h->items[(pos - 1) / 2])) {
+		org_place(h, pos, h->items[(pos - 1) / 2]);
+		pos = (pos - 1) / 2;
+	}
+	org_place(h, pos, o);
+}
+
+static void org_heap_down(struct org_heap *h, int pos)
+{
+	struct org *o = h->items[pos];
+
+	for (;;) {
+		int child = 2 * pos + 1;
+
+		if (child >= h->count)
+			break;
+		if (child + 1 < h->count && org_before(h->items[child + 1], h->items[child]))
+			child++;
+		if (!org_before(h->items[child], o))
+			break;
+		org_place(h, pos, h->items[child]);
+		pos = child;
+	}
+	org_place(h, pos, o);
+}
+
+static void org_heap_fix(struct org_heap *h, int pos)
+{
+	struct org *o = h->items[pos];
+
+	org_heap_up(h, pos);
+	org_heap_down(h, o->pos);
+}
+
+static void org_heap_add(struct org_heap *h, struct org *o)
+{
+	if (h->count == h->cap) {
+		h->cap = h->cap ? 2 * h->cap : BUCKETS_MIN;
+		h->items = mem_resize(h->items, (size_t)h->cap * sizeof(*h->items));
+	}
+	h->items[h->count] = o;
+	org_heap_up(h, h->count++);
+}
+
+static void org_heap_remove(struct org_heap *h, struct org *o)
+{
+	int pos = o->pos;
+
+	h->count--;
+	if (pos == h->count)
+		return;
+	org_place(h, pos, h->items[h->count]);
+	org_heap_fix(h, pos);
+}
+
+/* Heap of tickets by deadline. */
+
+static void deadline_place(struct ticket_heap *h, int pos, struct share_ticket *t)
+{
+	h->items[pos] = t;
+	t->priv.deadline_pos = pos;
+}
+
+static void deadline_up(struct ticket_heap *h, int pos)
+{
+	struct share_ticket *t = h->items[pos];
+
+	while (pos > 0 && t->deadline_ms < h->items[(pos - 1) / 2]->deadline_ms) {
+		deadline_place(h, pos, h->items[(pos - 1) / 2]);
+		pos = (pos - 1) / 2;
+	}
+	deadline_place(h, pos, t);
+}
+
+static void deadline_down(struct ticket_heap *h, int pos)
+{
+	struct share_ticket *t = h->items[pos];
+
+	for (;;) {
+		int child = 2 * pos + 1;
+
+		if (child >= h->count)
+			break;
+		if (child + 1 < h->count &&
+		    h->items[child + 1]->deadline_ms < h->items[child]->deadline_ms)
+			child++;
+		if (h->items[child]->deadline_ms >= t->deadline_ms)
+			break;
+		deadline_place(h, pos, h->items[child]);
+		pos = child;
+	}
+	deadline_place(h, pos, t);
+}
+
+static void deadline_add(struct ticket_heap *h, struct share_ticket *t)
+{
+	if (h->count == h->cap) {
+		h->cap = h->cap ? 2 * h->cap : BUCKETS_MIN;
+		h->items = mem_resize(h->items, (size_t)h->cap * sizeof(struct share_ticket *));
+	}
+	h->items[h->count] = t;
+	deadline_up(h, h->count++);
+}
+
+static void deadline_remove(struct ticket_heap *h, struct share_ticket *t)
+{
+	struct share_ticket *last = h->items[--h->count];
+
+	if (last == t)
+		return;
+	deadline_place(h, t->priv.deadline_pos, last);
+	deadline_up(h, last->priv.deadline_pos);
+	deadline_down(h, last->priv.deadline_pos);
+}
+
+/* Table of organisations by name. */
+
+static struct org **org_link(const struct share_queue *q, struct str name, uint64_t hash)
+{
+	struct org **link = &q->buckets[hash & (q->bucket_count - 1)];
+
+	while (*link && ((*link)->hash != hash || !str_eq((*link)->name, name)))
+		link = &(*link)->next;
+	return link;
+}
+
+static struct org *org_find(const struct share_queue *q, struct str name)
+{
+	return *org_link(q, name, hash_str(name, 0));
+}
+
+static void buckets_resize(struct share_queue *q, size_t count)
+{
+	struct org **old = q->buckets;
+	size_t old_count = q->bucket_count;
+
+	q->buckets = mem_zalloc(count * sizeof(struct org *));
+	q->bucket_count = count;
+	for (size_t i = 0; i < old_count; i++) {
+		while (old[i]) {
+			struct org *o = old[i];
+			struct org **head = &q->buckets[o->hash & (count - 1)];
+
+			old[i] = o->next;
+			o->next = *head;
+			*head = o;
+		}
+	}
+	free(old);
+}
+
+/* A new organisation starts at the virtual time: idle time gives no credit. */
+static struct org *org_create(struct share_queue *q, struct str name)
+{
+	struct org *o = mem_zalloc(sizeof(*o));
+	struct org **head;
+
+	if (q->org_count >= q->bucket_count)
+		buckets_resize(q, 2 * q->bucket_count);
+	o->name = (struct str){ str_dup(name), name.len };
+	o->hash = hash_str(name, 0);
+	o->tag = q->vtime;
+	head = &q->buckets[o->hash & (q->bucket_count - 1)];
+	o->next = *head;
+	*head = o;
+	q->org_count++;
+	org_heap_add(&q->idle, o);
+	return o;
+}
+
+static void org_destroy(struct share_queue *q, struct org *o)
+{
+	*org_link(q, o->name, o->hash) = o->next;
+	q->org_count--;
+	org_heap_remove(&q->idle, o);
+	free((char *)o->name.data);
+	free(o);
+	if (q->bucket_count > BUCKETS_MIN && q->org_count < q->bucket_count / 8)
+		buckets_resize(q, q->bucket_count / 2);
+}
+
+/*
+ * Releases idle organisations that would start at the virtual time again. When nothing waits, the
+ * busy period is over: all of them go, and the tags start from 0, which keeps them exact.
+ */
+static void orgs_release(struct share_queue *q)
+{
+	struct org_heap *idle = &q->idle;
+
+	while (idle->count && (!q->deadlines.count || idle->items[0]->tag <= q->vtime))
+		org_destroy(q, idle->items[0]);
+	if (!q->deadlines.count)
+		q->vtime = 0;
+}
+
+static void org_set_weight(struct org *o, double weight)
+{
+	/* A weight of 0 would stop the organisation for good. */
+	o->weight = weight > 0 ? weight : 1e-6;
+}
+
+static struct share_ticket *org_first(const struct org *o)
+{
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		if (o->head[i])
+			return o->head[i];
+	}
+	return NULL;
+}
+
+static void org_link_ticket(struct org *o, struct share_ticket *t)
+{
+	struct share_ticket *tail = o->tail[t->class];
+
+	t->priv.org = o;
+	t->priv.next = NULL;
+	t->priv.prev = tail;
+	t->priv.queued = true;
+	if (tail)
+		tail->priv.next = t;
+	else
+		o->head[t->class] = t;
+	o->tail[t->class] = t;
+	o->cost[t->class] += t->cost_us;
+	o->depth++;
+}
+
+static void org_unlink_ticket(struct org *o, struct share_ticket *t)
+{
+	if (t->priv.prev)
+		t->priv.prev->priv.next = t->priv.next;
+	else
+		o->head[t->class] = t->priv.next;
+	if (t->priv.next)
+		t->priv.next->priv.prev = t->priv.prev;
+	else
+		o->tail[t->class] = t->priv.prev;
+	o->cost[t->class] -= t->cost_us;
+	o->depth--;
+	t->priv.org = NULL;
+	t->priv.next = NULL;
+	t->priv.prev = NULL;
+	t->priv.queued = false;
+}
+
+struct share_queue *share_create(void)
+{
+	struct share_queue *q = mem_zalloc(sizeof(*q));
+
+	buckets_resize(q, BUCKETS_MIN);
+	return q;
+}
+
+void share_destroy(struct share_queue *q)
+{
+	if (!q)
+		return;
+	while (q->deadlines.count)
+		share_cancel(q, q->deadlines.items[0]);
+	orgs_release(q);
+	free(q->backlogged.items);
+	free(q->idle.items);
+	free(q->deadlines.items);
+	free(q->buckets);
+	free(q);
+}
+
+void share_enqueue(struct share_queue *q, struct share_ticket *t, int64_t now_ms)
+{
+	struct org *o = org_find(q, t->organisation);
+
+	if (!o)
+		o = org_create(q, t->organisation);
+	org_set_weight(o, t->weight);
+	t->arrival_ms = now_ms;
+	if (!o->depth) {
+		org_heap_remove(&q->idle, o);
+		if (o->tag < q->vtime)
+			o->tag = q->vtime;
+		o->seq = q->seq++;
+		org_heap_add(&q->backlogged, o);
+	}
+	org_link_ticket(o, t);
+	deadline_add(&q->deadlines, t);
+}
+
+struct share_ticket *share_peek(struct share_queue *q)
+{
+	if (!q->backlogged.count)
+		return NULL;
+	return org_first(q->backlogged.items[0]);
+}
+
+/* Takes @t out and adds @charge_us to its organisation. */
+static void ticket_remove(struct share_queue *q, struct share_ticket *t, int64_t charge_us)
+{
+	struct org *o = t->priv.org;
+
+	deadline_remove(&q->deadlines, t);
+	org_unlink_ticket(o, t);
+	o->tag += (double)charge_us / o->weight;
+	if (o->depth) {
+		org_heap_fix(&q->backlogged, o->pos);
+	} else {
+		org_heap_remove(&q->backlogged, o);
+		org_heap_add(&q->idle, o);
+	}
+	orgs_release(q);
+}
+
+void share_admit(struct share_queue *q, struct share_ticket *t, int64_t now_ms)
+{
+	double start;
+
+	if (!t->priv.queued)
+		return;
+	/*
+	 * The smallest start tag, also when @t is not the next ticket: a jump to a later tag would
+	 * put back organisations that arrive now.
+	 */
+	start = q->backlogged.items[0]->tag;
+	if (start > q->vtime)
+		q->vtime = start;
+	ticket_remove(q, t, t->cost_us);
+}
+
+void share_cancel(struct share_queue *q, struct share_ticket *t)
+{
+	if (t->priv.queued)
+		ticket_remove(q, t, 0);
+}
+
+void share_settle(struct share_queue *q, struct str organisation, double weight, int64_t charged_us,
+		  int64_t actual_us)
+{
+	struct org *o = org_find(q, organisation);
+
+	/* A refund to an organisation that made up its charge would be credit for idle time. */
+	if (charged_us == actual_us || (!o && actual_us < charged_us))
+		return;
+	if (!o)
+		o = org_create(q, organisation);
+	org_set_weight(o, weight);
+	if (!o->depth && o->tag < q->vtime)
+		o->tag = q->vtime;
+	o->tag += (double)(actual_us - charged_us) / o->weight;
+	org_heap_fix(o->depth ? &q->backlogged : &q->idle, o->pos);
+	orgs_release(q);
+}
+
+struct share_ticket *share_expired(struct share_queue *q, int64_t now_ms)
+{
+	if (!q->deadlines.count || q->deadlines.items[0]->deadline_ms >= now_ms)
+		return NULL;
+	return q->deadlines.items[0];
+}
+
+static double org_cost(const struct org *o, enum share_class lowest)
+{
+	double cost = 0;
+
+	for (int i = 0; i <= (int)lowest; i++)
+		cost += (double)o->cost[i];
+	return cost;
+}
+
+/*
+ * Work that goes before a new ticket: that of its own organisation which is not of a lower class,
+ * and of each other organisation what it gets until its tag reaches that of the new ticket.
+ */
+int64_t share_wait_us(const struct share_queue *q, const struct share_ticket *t, double floor_rate)
+{
+	struct org *own = org_find(q, t->organisation);
+	double weight = t->weight > 0 ? t->weight : 1e-6;
+	double tag = own && own->tag > q->vtime ? own->tag : q->vtime;
+	double work = 0;
+
+	if (own && own->depth) {
+		tag = own->tag;
+		work = org_cost(own, t->class);
+		tag += work / weight;
+	}
+	for (int i = 0; i < q->backlogged.count; i++) {
+		const struct org *o = q->backlogged.items[i];
+		double share = (tag - o->tag) * o->weight;
+		double cost;
+
+		if (o == own || share <= 0)
+			continue;
+		cost = org_cost(o, CLASS_BACKGROUND);
+		work += share < cost ? share : cost;
+	}
+	if (work <= 0)
+		return 0;
+	if (floor_rate <= 0 || work / floor_rate >= (double)INT64_MAX)
+		return INT64_MAX;
+	return (int64_t)(work / floor_rate);
+}
+
+int share_depth(const struct share_queue *q)
+{
+	return q->deadlines.count;
+}
+
+bool share_class_parse(struct str name, enum share_class *out)
+{
+	static const char *const names[] = {
+		[CLASS_URGENT] = "urgent",
+		[CLASS_NORMAL] = "normal",
+		[CLASS_BACKGROUND] = "background",
+	};
+
+	for (int i = 0; i < CLASS_COUNT; i++) {
+		if (!str_eq_cstr(name, names[i]))
+			continue;
+		*out = (enum share_class)i;
+		return true;
+	}
+	return false;
+}
