--- a/policy/role.c
+++ b/policy/role.c
@@ -64,43 +64,64 @@
 	return role == ROLE_PREFILL ? ROLE_DECODE : ROLE_PREFILL;
 }
 
+/* Relative difference in load between the roles; 0 without demand or without a role. */
+static double imbalance(const struct role_state *st, const struct role_counts *n)
+{
+	double p;
+	double d;
+
+	if (!n->prefill || !n->decode)
+		return 0;
+	p = st->prefill_avg / n->prefill;
+	d = st->decode_avg / n->decode;
+	return fmax(p, d) > 0 ? fabs(p - d) / fmax(p, d) : 0;
+}
+
 /* Role that is short by more than the hysteresis, ROLE_SERVICE when none is. */
 static enum endpoint_role role_short(const struct role_state *st, const struct role_method *m,
 				     const struct role_counts *n)
 {
-	double p = n->prefill ? st->prefill_avg / n->prefill : INFINITY;
-	double d = n->decode ? st->decode_avg / n->decode : INFINITY;
-	double high = fmax(p, d);
-
-	if (high <= 0 || isinf(high))
-		return ROLE_SERVICE;
-	if ((high - fmin(p, d)) / high <= m->u.horizon.hysteresis)
+	if (imbalance(st, n) <= m->u.horizon.hysteresis)
 		return ROLE_SERVICE;
-	return p > d ? ROLE_PREFILL : ROLE_DECODE;
+	return st->prefill_avg * n->decode > st->decode_avg * n->prefill ? ROLE_PREFILL
+									 : ROLE_DECODE;
 }
 
+/* Engine seconds won a second by one change, and lost by making it. */
+struct change_value {
+	double gain_rate;
+	double loss;
+};
+
 /*
- * Engine seconds won by one change within the horizon against those lost by it. The engine
- * itself is charged as lost for the whole change, and so is the demand that the remaining donors
- * cannot serve meanwhile.
+ * The engine itself is charged as lost for the whole change, and so is the demand that the
+ * remaining donors cannot serve meanwhile.
  */
-static bool change_pays(const struct role_state *st, const struct role_method *m,
-			const struct role_view *v, const struct role_counts *n,
-			enum endpoint_role to)
+static struct change_value change_value(const struct role_state *st, const struct role_view *v,
+					const struct role_counts *n, enum endpoint_role to)
 {
 	int p = to == ROLE_PREFILL ? 1 : -1;
 	int p_away = to == ROLE_PREFILL ? 0 : 1;
 	double demand = st->prefill_avg + st->decode_avg;
 	double away_s = (double)v->change_ms / 1000.0;
-	double after_s = (double)m->u.horizon.horizon_ms / 1000.0 - away_s;
 	double now = role_goodput(st->prefill_avg, st->decode_avg, n->prefill, n->decode);
 	double then = role_goodput(st->prefill_avg, st->decode_avg, n->prefill + p, n->decode - p);
 	double away = role_goodput(st->prefill_avg, st->decode_avg, n->prefill - p_away,
 				   n->decode - !p_away);
-	double gain = (then - now) * demand * after_s;
-	double loss = away_s + (now - away) * demand * away_s;
 
-	return after_s > 0 && gain > 0 && gain > loss * m->u.horizon.margin;
+	return (struct change_value){
+		.gain_rate = (then - now) * demand,
+		.loss = away_s + (now - away) * demand * away_s,
+	};
+}
+
+static bool change_pays(const struct change_value *c, const struct role_method *m,
+			const struct role_view *v)
+{
+	double after_s = (double)(m->u.horizon.horizon_ms - v->change_ms) / 1000.0;
+	double gain = c->gain_rate * after_s;
+
+	return after_s > 0 && gain > 0 && gain > c->loss * m->u.horizon.margin;
 }
 
 static bool donor_left(const struct role_counts *n, enum endpoint_role from)
@@ -114,10 +135,12 @@
 {
 	struct role_counts n = counts_of(v);
 	enum endpoint_role to = role_short(st, m, &n);
+	struct change_value c;
 
 	if (to == ROLE_SERVICE || !donor_left(&n, other_role(to)))
 		return ROLE_SERVICE;
-	return change_pays(st, m, v, &n, to) ? to : ROLE_SERVICE;
+	c = change_value(st, v, &n, to);
+	return change_pays(&c, m, v) ? to : ROLE_SERVICE;
 }
 
 static void average(double *avg, double value, double weight)
@@ -196,6 +219,23 @@
 	return ROLE_SERVICE;
 }
 
+/*
+ * An imbalance has to last as long as the average looks back, and longer the closer it is to the
+ * hysteresis, or it may be flutter. It also has to last until not changing has cost as much as
+ * the change, so that a small gain needs longer proof.
+ */
+static bool imbalance_lasts(const struct role_state *st, const struct role_method *m,
+			    const struct role_view *v, const struct role_counts *n, int64_t now_ms)
+{
+	double age_ms = (double)(now_ms - st->imbalance_since_ms);
+	double excess = imbalance(st, n) - m->u.horizon.hysteresis;
+	struct change_value c = change_value(st, v, n, st->imbalance_to);
+
+	if (age_ms * excess < (double)m->u.horizon.smooth_ms * (excess + m->u.horizon.hysteresis))
+		return false;
+	return c.gain_rate * age_ms / 1000.0 >= c.loss * m->u.horizon.margin;
+}
+
 static enum endpoint_role horizon_wanted(const struct role_state *st, const struct role_method *m,
 					 const struct role_view *v, int64_t now_ms)
 {
@@ -205,8 +245,7 @@
 
 	if (to == ROLE_SERVICE || to != st->imbalance_to)
 		return ROLE_SERVICE;
-	/* An imbalance has to last as long as the average looks back, or it may be flutter. */
-	if (now_ms - st->imbalance_since_ms < m->u.horizon.smooth_ms)
+	if (!imbalance_lasts(st, m, v, &n, now_ms))
 		return ROLE_SERVICE;
 	if (st->last_change_ms && since_change < m->u.horizon.min_dwell_ms)
 		return ROLE_SERVICE;
