Skip placements that cannot be the best

Engines whose decode steps alone cost more than the best so far are left out before the full estimate.

--- a/policy/route.c
+++ b/policy/route.c
@@ -32,7 +32,10 @@
 	uint64_t tie[PREFILL_SHORTLIST];
 };
 
-/* One pass over all placements; the second pass looks only at those with cost <= limit. */
+/*
+ * One pass over all placements that skips those with cost > limit. In the first pass the limit is
+ * the least cost so far, in the second it includes what counts as equal to the best.
+ */
 struct scan {
 	const struct route_candidate *cands;
 	const struct route_request *req;
@@ -180,13 +183,13 @@
 {
 	uint64_t tie;
 
+	if (e.cost > s->limit)
+		return;
 	if (!s->second) {
-		if (!s->found || e.cost < s->best.cost)
-			scan_take(s, prefill, decode, &e);
+		s->limit = e.cost;
+		scan_take(s, prefill, decode, &e);
 		return;
 	}
-	if (e.cost > s->limit)
-		return;
 	tie = tie_value(s, prefill, decode);
 	if (s->found && tie <= s->tie)
 		return;
@@ -248,11 +251,23 @@
 		l->prefill_us[i] = prefill_us(&cands[l->pos[i]], req);
 }
 
+static void scan_mixed(struct scan *s, int pos)
+{
+	const struct route_candidate *c = &s->cands[pos];
+
+	/* Most engines are out by their steps alone, which need no division. */
+	if (step_us(c) * output_tokens(s->req) <= s->limit)
+		scan_consider(s, pos, pos, estimate_mixed(c, s->req));
+}
+
 static void scan_pairs(struct scan *s, const struct shortlist *l, int decode)
 {
 	const struct route_candidate *d = &s->cands[decode];
 	struct decode_part part = decode_part(d, s->req);
+	double least = part.first_us + part.gap_us * (output_tokens(s->req) - 1);
 
+	if (least > s->limit)
+		return;
 	for (int i = 0; i < l->count; i++) {
 		double first = l->prefill_us[i] + part.first_us +
 			       transfer_us(&s->cands[l->pos[i]], d, s->req);
@@ -268,7 +283,7 @@
 
 	for (int i = 0; i < count; i++) {
 		if (is_mixed(&cands[i]))
-			scan_consider(s, i, i, estimate_mixed(&cands[i], s->req));
+			scan_mixed(s, i);
 		else if (can_decode(&cands[i]))
 			scan_pairs(s, l, i);
 	}
@@ -309,7 +324,7 @@
 				 const struct route_request *req, struct route_choice *out)
 {
 	struct shortlist l = { 0 };
-	struct scan s = { .cands = cands, .req = req };
+	struct scan s = { .cands = cands, .req = req, .limit = INFINITY };
 
 	shortlist_fill(&l, cands, count, req);
 	scan_run(&s, &l, count);
