--- /dev/null
+++ b/daemon/fleet.c
@@ -0,0 +1,276 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet_impl.h"
+#include "ibisgate/common/clock.h"
+
+/* A role reported sooner than this after a change may still describe the time before it. */
+#define ROLE_SETTLE_MS 5000
+
+struct fleet *fleet_create(void)
+{
+	struct fleet *f = mem_zalloc(sizeof(*f));
+
+	pthread_mutex_init(&f->lock, NULL);
+	f->endpoints = mem_zalloc(FLEET_ENDPOINTS_MAX * sizeof(*f->endpoints));
+	f->index = prefix_index_create(FLEET_PREFIX_CAPACITY);
+	f->load_lag_ms = 2000;
+	return f;
+}
+
+void fleet_destroy(struct fleet *f)
+{
+	if (!f)
+		return;
+	prefix_index_destroy(f->index);
+	pthread_mutex_destroy(&f->lock);
+	free(f->endpoints);
+	free(f);
+}
+
+struct endpoint *fleet_find(struct fleet *f, const char *name)
+{
+	for (int i = 0; i < f->count; i++) {
+		if (f->endpoints[i].used && strcmp(f->endpoints[i].info.name, name) == 0)
+			return &f->endpoints[i];
+	}
+	return NULL;
+}
+
+static bool endpoint_forgettable(const struct endpoint *ep)
+{
+	return !ep->used || (!ep->listed && !ep->in_flight && !ep->stop_count && !ep->reserved);
+}
+
+/* Entry for a new name; entries of endpoints that went away are reused. NULL when full. */
+static struct endpoint *endpoint_add(struct fleet *f, const char *name)
+{
+	struct endpoint *ep = NULL;
+
+	for (int i = 0; i < f->count && !ep; i++) {
+		if (endpoint_forgettable(&f->endpoints[i]))
+			ep = &f->endpoints[i];
+	}
+	if (!ep && f->count < FLEET_ENDPOINTS_MAX)
+		ep = &f->endpoints[f->count++];
+	if (!ep)
+		return NULL;
+	prefix_index_forget(f->index, (int)(ep - f->endpoints));
+	memset(ep, 0, sizeof(*ep));
+	ep->used = true;
+	str_copy(ep->info.name, sizeof(ep->info.name), str_from(name));
+	return ep;
+}
+
+static void endpoint_apply(struct endpoint *ep, const struct endpoint_info *info)
+{
+	enum endpoint_role role = ep->info.role;
+	bool was_listed = ep->listed;
+
+	ep->info = *info;
+	ep->listed = true;
+	/* The list lags: once known, the role follows orders and load reports. */
+	if (was_listed || ep->role_set_ms)
+		ep->info.role = role;
+}
+
+void fleet_update(struct fleet *f, const struct endpoint_info *infos, int count)
+{
+	bool seen[FLEET_ENDPOINTS_MAX] = { false };
+
+	pthread_mutex_lock(&f->lock);
+	for (int i = 0; i < count; i++) {
+		struct endpoint *ep = fleet_find(f, infos[i].name);
+
+		if (ep)
+			seen[ep - f->endpoints] = true;
+	}
+	for (int i = 0; i < f->count; i++) {
+		if (!seen[i])
+			f->endpoints[i].listed = false;
+	}
+	for (int i = 0; i < count; i++) {
+		struct endpoint *ep = fleet_find(f, infos[i].name);
+
+		if (!ep)
+			ep = endpoint_add(f, infos[i].name);
+		if (ep)
+			endpoint_apply(ep, &infos[i]);
+	}
+	pthread_mutex_unlock(&f->lock);
+}
+
+static int stop_find(const struct endpoint *ep, const char *order)
+{
+	for (int i = 0; i < ep->stop_count; i++) {
+		if (strcmp(ep->stops[i], order) == 0)
+			return i;
+	}
+	return -1;
+}
+
+bool fleet_stop(struct fleet *f, const char *name, const char *order)
+{
+	struct endpoint *ep;
+	bool ok = true;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	/* A list that arrives later must not bring work to an endpoint stopped before. */
+	if (!ep)
+		ep = endpoint_add(f, name);
+	if (!ep)
+		ok = false;
+	else if (stop_find(ep, order) < 0) {
+		ok = ep->stop_count < FLEET_STOPS_MAX &&
+		     str_copy(ep->stops[ep->stop_count], sizeof(ep->stops[0]), str_from(order));
+		if (ok)
+			ep->stop_count++;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return ok;
+}
+
+bool fleet_return(struct fleet *f, const char *name, const char *order, enum endpoint_role role)
+{
+	struct endpoint *ep;
+	int i = -1;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	if (ep)
+		i = stop_find(ep, order);
+	if (i >= 0) {
+		ep->stop_count--;
+		memmove(ep->stops[i], ep->stops[i + 1],
+			(size_t)(ep->stop_count - i) * sizeof(ep->stops[0]));
+		ep->info.role = role;
+		ep->role_set_ms = clock_boot_ms();
+		ep->load.changing = false;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return i >= 0;
+}
+
+int fleet_in_flight(struct fleet *f, const char *name)
+{
+	struct endpoint *ep;
+	int n;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	n = ep ? ep->in_flight : 0;
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
+
+/* Own work at @at_ms: the newest history entry that is not later. */
+static struct own_work own_work_at(const struct endpoint *ep, int64_t at_ms)
+{
+	struct own_work none = { 0 };
+	uint64_t oldest =
+		ep->history_next > FLEET_HISTORY ? ep->history_next - FLEET_HISTORY : 0;
+
+	for (uint64_t i = ep->history_next; i > oldest; i--) {
+		const struct own_work *w = &ep->history[(i - 1) % FLEET_HISTORY];
+
+		if (w->at_ms <= at_ms)
+			return *w;
+	}
+	return none;
+}
+
+void endpoint_note_work(struct endpoint *ep, int64_t now_ms)
+{
+	struct own_work *last = &ep->history[(ep->history_next - 1) % FLEET_HISTORY];
+
+	if (!ep->history_next || now_ms - last->at_ms >= FLEET_HISTORY_STEP_MS)
+		last = &ep->history[ep->history_next++ % FLEET_HISTORY], last->at_ms = now_ms;
+	last->prefill = ep->own_prefill;
+	last->seqs = ep->own_seqs;
+}
+
+void fleet_load(struct fleet *f, const char *name, const struct endpoint_load *load)
+{
+	struct endpoint *ep;
+	struct own_work own;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	if (!ep)
+		goto out;
+	if (ep->load.boot_id[0] && strcmp(ep->load.boot_id, load->boot_id) != 0)
+		prefix_index_forget(f->index, (int)(ep - f->endpoints));
+	own = own_work_at(ep, load->at_ms - f->load_lag_ms);
+	ep->load = *load;
+	ep->foreign_prefill = load->prefill_backlog > own.prefill ?
+				      load->prefill_backlog - own.prefill :
+				      0;
+	ep->foreign_seqs = load->decode_seqs > own.seqs ? load->decode_seqs - own.seqs : 0;
+	if (ep->info.engine && !load->changing && load->role != ROLE_SERVICE &&
+	    load->at_ms - ep->role_set_ms > ROLE_SETTLE_MS + f->load_lag_ms)
+		ep->info.role = load->role;
+out:
+	pthread_mutex_unlock(&f->lock);
+}
+
+struct endpoint_status *fleet_statuses(struct fleet *f, int *count)
+{
+	struct endpoint_status *out;
+	int n = 0;
+
+	pthread_mutex_lock(&f->lock);
+	out = mem_zalloc((size_t)(f->count + 1) * sizeof(*out));
+	for (int i = 0; i < f->count; i++) {
+		const struct endpoint *ep = &f->endpoints[i];
+		struct endpoint_status *st = &out[n];
+
+		if (endpoint_forgettable(ep))
+			continue;
+		n++;
+		st->info = ep->info;
+		st->load = ep->load;
+		st->id = i;
+		st->stopped = ep->stop_count > 0 || !ep->listed;
+		if (ep->stop_count)
+			str_copy(st->stop_order, sizeof(st->stop_order),
+				 str_from(ep->stops[ep->stop_count - 1]));
+		st->in_flight = ep->in_flight;
+		st->in_flight_prefill = ep->own_prefill;
+		st->circuit = ep->circuit.state;
+	}
+	pthread_mutex_unlock(&f->lock);
+	*count = n;
+	return out;
+}
+
+void fleet_demand_add(struct fleet *f, const char *model, int64_t prefill_us, int64_t decode_us)
+{
+	struct fleet_demand *d = NULL;
+
+	pthread_mutex_lock(&f->lock);
+	for (int i = 0; i < f->demand_count && !d; i++) {
+		if (strcmp(f->demands[i].model, model) == 0)
+			d = &f->demands[i];
+	}
+	if (!d && f->demand_count < FLEET_MODELS_MAX) {
+		d = &f->demands[f->demand_count++];
+		str_copy(d->model, sizeof(d->model), str_from(model));
+	}
+	if (d) {
+		d->prefill_us += prefill_us;
+		d->decode_us += decode_us;
+	}
+	pthread_mutex_unlock(&f->lock);
+}
+
+int fleet_demands(struct fleet *f, struct fleet_demand out[FLEET_MODELS_MAX])
+{
+	int n;
+
+	pthread_mutex_lock(&f->lock);
+	n = f->demand_count;
+	memcpy(out, f->demands, (size_t)n * sizeof(*out));
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
--- /dev/null
+++ b/daemon/fleet_impl.h
@@ -0,0 +1,61 @@
+#ifndef DAEMON_FLEET_IMPL_H
+#define DAEMON_FLEET_IMPL_H
+
+#include <pthread.h>
+
+#include "ibisgate/daemon/fleet_use.h"
+
+#define FLEET_STOPS_MAX 4
+#define FLEET_HISTORY 128
+/* One history entry covers at least this time, so that the ring spans more than the load lag. */
+#define FLEET_HISTORY_STEP_MS 50
+#define FLEET_PREFIX_CAPACITY 65536
+
+struct own_work {
+	int64_t at_ms;
+	int64_t prefill;
+	int seqs;
+};
+
+/**
+ * struct endpoint - one entry; the array index is the endpoint id
+ * @listed: named by the platform's list
+ * @stops: order ids that keep new work away
+ * @foreign_prefill: part of the last report that own attempts did not explain, likewise
+ *	@foreign_seqs
+ */
+struct endpoint {
+	struct endpoint_info info;
+	struct endpoint_load load;
+	bool used;
+	bool listed;
+	char stops[FLEET_STOPS_MAX][48];
+	int stop_count;
+	int in_flight;
+	int64_t own_prefill;
+	int own_seqs;
+	int64_t foreign_prefill;
+	int foreign_seqs;
+	int64_t role_set_ms;
+	bool reserved;
+	struct circuit circuit;
+	struct retry_budget budget;
+	struct own_work history[FLEET_HISTORY];
+	uint64_t history_next;
+};
+
+struct fleet {
+	pthread_mutex_t lock;
+	struct endpoint *endpoints;
+	int count;
+	int64_t load_lag_ms;
+	struct prefix_index *index;
+	struct fleet_demand demands[FLEET_MODELS_MAX];
+	int demand_count;
+};
+
+/* The caller holds the lock. */
+struct endpoint *fleet_find(struct fleet *f, const char *name);
+void endpoint_note_work(struct endpoint *ep, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/daemon/fleet_use.c
@@ -0,0 +1,299 @@
+#include <string.h>
+
+#include "fleet_impl.h"
+#include "ibisgate/common/clock.h"
+
+/* Speeds assumed until the first load report of an engine. */
+static const struct engine_cost cost_unknown = {
+	.prefill_tokens_per_s = 10000,
+	.step_base_us = 10000,
+	.step_per_seq_us = 200,
+	.kv_token_us = 2,
+};
+#define SLOTS_UNKNOWN 32
+
+static bool endpoint_usable(const struct endpoint *ep, int64_t now_ms)
+{
+	return ep->used && ep->listed && !ep->stop_count && !ep->info.leaving &&
+	       !ep->load.changing && circuit_allows(&ep->circuit, now_ms);
+}
+
+static bool endpoint_serves(const struct endpoint *ep, const struct fleet_query *q)
+{
+	return ep->used && ep->info.engine == q->engine && strcmp(ep->info.model, q->model) == 0;
+}
+
+static bool avoided(const struct fleet_query *q, int id)
+{
+	for (int i = 0; i < q->avoid_count; i++) {
+		if (q->avoid[i] == id)
+			return true;
+	}
+	return false;
+}
+
+static void candidate_fill(struct fleet *f, int id, const struct fleet_query *q,
+			   struct route_candidate *c)
+{
+	const struct endpoint *ep = &f->endpoints[id];
+	int64_t cached = 0;
+
+	if (q->prefix)
+		cached = (int64_t)prefix_index_match(f->index, q->prefix, id) * PREFIX_PIECE_TOKENS;
+	*c = (struct route_candidate){
+		.index = id,
+		.role = ep->info.engine ? ep->info.role : ROLE_SERVICE,
+		.prefill_backlog = ep->own_prefill + ep->foreign_prefill,
+		.decode_seqs = ep->own_seqs + ep->foreign_seqs,
+		.decode_slots = ep->load.at_ms ? ep->load.decode_slots : SLOTS_UNKNOWN,
+		.cached_tokens = cached < q->prompt_tokens ? cached : q->prompt_tokens,
+		.cost = ep->load.at_ms ? ep->load.cost : cost_unknown,
+	};
+	if (q->settings)
+		c->distance_us = settings_distance_us(q->settings, ep->info.dc);
+}
+
+/* Without any cache event the rendezvous home of the first piece is the place to look. */
+static void home_assume(struct fleet *f, const struct fleet_query *q, struct route_candidate *out,
+			int n)
+{
+	struct route_candidate *home = NULL;
+	uint64_t best = 0;
+
+	if (!q->prefix || !q->prefix->count)
+		return;
+	for (int i = 0; i < n; i++) {
+		const char *name = f->endpoints[out[i].index].info.name;
+		uint64_t score = prefix_home(q->prefix, str_from(name));
+
+		if (out[i].cached_tokens)
+			return;
+		if (out[i].usable && out[i].role != ROLE_DECODE && (!home || score > best)) {
+			home = &out[i];
+			best = score;
+		}
+	}
+	if (home)
+		home->cached_tokens = 1;
+}
+
+int fleet_candidates(struct fleet *f, const struct fleet_query *q, struct route_candidate *out)
+{
+	int64_t now = clock_boot_ms();
+	int n = 0;
+
+	pthread_mutex_lock(&f->lock);
+	for (int i = 0; i < f->count; i++) {
+		const struct endpoint *ep = &f->endpoints[i];
+
+		if (!endpoint_serves(ep, q))
+			continue;
+		candidate_fill(f, i, q, &out[n]);
+		out[n].usable = endpoint_usable(ep, now) && !ep->reserved && !avoided(q, i);
+		n++;
+	}
+	home_assume(f, q, out, n);
+	pthread_mutex_unlock(&f->lock);
+	return n;
+}
+
+static void slot_take(struct fleet *f, int id, int64_t prefill_tokens, int seqs,
+		      struct fleet_slot *out)
+{
+	struct endpoint *ep = &f->endpoints[id];
+	int64_t now = clock_boot_ms();
+
+	*out = (struct fleet_slot){
+		.held = true,
+		.id = id,
+		.prefill_tokens = prefill_tokens,
+		.seqs = seqs,
+	};
+	memcpy(out->name, ep->info.name, sizeof(out->name));
+	memcpy(out->url, ep->info.url, sizeof(out->url));
+	memcpy(out->boot_id, ep->load.boot_id, sizeof(out->boot_id));
+	ep->in_flight++;
+	ep->own_prefill += prefill_tokens;
+	ep->own_seqs += seqs;
+	circuit_sent(&ep->circuit, now);
+	endpoint_note_work(ep, now);
+}
+
+bool fleet_acquire(struct fleet *f, int id, int64_t prefill_tokens, int seqs,
+		   struct fleet_slot *out)
+{
+	bool ok;
+
+	pthread_mutex_lock(&f->lock);
+	ok = id >= 0 && id < f->count && endpoint_usable(&f->endpoints[id], clock_boot_ms()) &&
+	     !f->endpoints[id].reserved;
+	if (ok)
+		slot_take(f, id, prefill_tokens, seqs, out);
+	pthread_mutex_unlock(&f->lock);
+	return ok;
+}
+
+/* Engine with the fewest own attempts that can run a whole request; -1 when there is none. */
+static int reserve_pick(struct fleet *f, const struct fleet_query *q, int64_t now)
+{
+	int best = -1;
+
+	for (int i = 0; i < f->count; i++) {
+		const struct endpoint *ep = &f->endpoints[i];
+
+		if (!endpoint_serves(ep, q) || !endpoint_usable(ep, now) || ep->reserved)
+			continue;
+		if (q->engine && ep->info.role == ROLE_PREFILL)
+			continue;
+		if (best < 0 || ep->in_flight < f->endpoints[best].in_flight)
+			best = i;
+	}
+	if (best >= 0)
+		f->endpoints[best].reserved = true;
+	return best;
+}
+
+bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, int64_t prefill_tokens,
+			 int *reserved, struct fleet_slot *out)
+{
+	int64_t now = clock_boot_ms();
+	bool ok = false;
+
+	pthread_mutex_lock(&f->lock);
+	if (*reserved >= 0 && !endpoint_usable(&f->endpoints[*reserved], now)) {
+		f->endpoints[*reserved].reserved = false;
+		*reserved = -1;
+	}
+	if (*reserved < 0)
+		*reserved = reserve_pick(f, q, now);
+	if (*reserved >= 0 && !f->endpoints[*reserved].in_flight) {
+		slot_take(f, *reserved, prefill_tokens, 1, out);
+		out->alone = true;
+		*reserved = -1;
+		ok = true;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return ok;
+}
+
+void fleet_unreserve(struct fleet *f, int reserved)
+{
+	if (reserved < 0)
+		return;
+	pthread_mutex_lock(&f->lock);
+	f->endpoints[reserved].reserved = false;
+	pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_prefilled(struct fleet *f, struct fleet_slot *slot)
+{
+	struct endpoint *ep;
+
+	if (!slot->held || !slot->prefill_tokens)
+		return;
+	pthread_mutex_lock(&f->lock);
+	ep = &f->endpoints[slot->id];
+	ep->own_prefill -= slot->prefill_tokens;
+	slot->prefill_tokens = 0;
+	endpoint_note_work(ep, clock_boot_ms());
+	pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_release(struct fleet *f, struct fleet_slot *slot)
+{
+	struct endpoint *ep;
+
+	if (!slot->held)
+		return;
+	pthread_mutex_lock(&f->lock);
+	ep = &f->endpoints[slot->id];
+	ep->in_flight--;
+	ep->own_prefill -= slot->prefill_tokens;
+	ep->own_seqs -= slot->seqs;
+	if (slot->alone)
+		ep->reserved = false;
+	/* A probe that ended without a verdict, e.g. by a cancel, lets the next request probe. */
+	if (!ep->in_flight)
+		ep->circuit.probing = false;
+	endpoint_note_work(ep, clock_boot_ms());
+	pthread_mutex_unlock(&f->lock);
+	slot->held = false;
+}
+
+void fleet_result(struct fleet *f, const char *name, enum fleet_outcome outcome)
+{
+	struct endpoint *ep;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	if (ep && outcome == FLEET_SUCCESS)
+		circuit_success(&ep->circuit);
+	else if (ep)
+		circuit_failure(&ep->circuit, outcome == FLEET_HARD_FAILURE, clock_boot_ms());
+	pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_cached(struct fleet *f, const struct fleet_slot *slot, const struct prefix *p)
+{
+	pthread_mutex_lock(&f->lock);
+	for (int i = 0; i < p->count; i++)
+		prefix_index_insert(f->index, p->hashes[i], slot->id);
+	pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_cache_event(struct fleet *f, const char *name, uint64_t piece, bool stored)
+{
+	struct endpoint *ep;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	if (ep && stored)
+		prefix_index_insert(f->index, piece, (int)(ep - f->endpoints));
+	else if (ep)
+		prefix_index_remove(f->index, piece, (int)(ep - f->endpoints));
+	pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_cache_forget(struct fleet *f, const char *name)
+{
+	struct endpoint *ep;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	if (ep)
+		prefix_index_forget(f->index, (int)(ep - f->endpoints));
+	pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_set_load_lag(struct fleet *f, int64_t lag_ms)
+{
+	pthread_mutex_lock(&f->lock);
+	f->load_lag_ms = lag_ms;
+	pthread_mutex_unlock(&f->lock);
+}
+
+void fleet_first_try(struct fleet *f, const char *name, const struct retry_limits *l)
+{
+	struct endpoint *ep;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	if (ep)
+		retry_budget_first_try(&ep->budget, l, clock_boot_ms());
+	pthread_mutex_unlock(&f->lock);
+}
+
+enum retry_verdict fleet_retry(struct fleet *f, const char *name, const struct retry_query *q,
+			       struct retry_budget *organisation, const struct retry_limits *l,
+			       int64_t *delay_ms)
+{
+	struct retry_budget gone = { 0 };
+	enum retry_verdict v;
+	struct endpoint *ep;
+
+	pthread_mutex_lock(&f->lock);
+	ep = fleet_find(f, name);
+	v = retry_decide(q, organisation, ep ? &ep->budget : &gone, l, delay_ms);
+	pthread_mutex_unlock(&f->lock);
+	return v;
+}
--- /dev/null
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -0,0 +1,110 @@
+#ifndef IBISGATE_DAEMON_FLEET_USE_H
+#define IBISGATE_DAEMON_FLEET_USE_H
+
+#include "ibisgate/daemon/fleet.h"
+#include "ibisgate/daemon/settings.h"
+#include "ibisgate/policy/prefix.h"
+
+/* Calls of the data plane on the fleet. */
+
+#define FLEET_ENDPOINTS_MAX 512
+
+/**
+ * struct fleet_query - what a request needs from an endpoint
+ * @model: model of an engine or name of a plain service
+ * @engine: engines, otherwise plain services
+ * @prefix: pieces of the prompt; NULL for plain services
+ * @prompt_tokens: upper limit of the cached tokens
+ * @avoid: endpoint ids that failed this request; used again when nothing else is left
+ * @settings: source of the distances; NULL for none
+ */
+struct fleet_query {
+	const char *model;
+	bool engine;
+	const struct prefix *prefix;
+	int64_t prompt_tokens;
+	const int *avoid;
+	int avoid_count;
+	const struct settings *settings;
+};
+
+/**
+ * fleet_candidates - endpoints for @q as input of route_pick(); @index is the endpoint id
+ *
+ * Return: number of entries written to @out, at most FLEET_ENDPOINTS_MAX.
+ */
+int fleet_candidates(struct fleet *f, const struct fleet_query *q, struct route_candidate *out);
+
+/**
+ * struct fleet_slot - one attempt counted on an endpoint
+ * @id: endpoint id; valid while @held
+ * @prefill_tokens: prompt tokens counted until fleet_prefilled()
+ * @seqs: sequences counted until the release
+ * @alone: no other attempt of this instance may run there
+ * @boot_id: of the endpoint when the slot was taken; "" when unknown
+ */
+struct fleet_slot {
+	bool held;
+	int id;
+	int64_t prefill_tokens;
+	int seqs;
+	bool alone;
+	char name[ENDPOINT_NAME_MAX];
+	char url[128];
+	char boot_id[24];
+};
+
+/**
+ * fleet_acquire - count an attempt on endpoint @id before it is sent
+ *
+ * Return: false when the endpoint is stopped, unusable or reserved. A slot that was taken before
+ * fleet_stop() is part of fleet_in_flight() until fleet_release().
+ */
+bool fleet_acquire(struct fleet *f, int id, int64_t prefill_tokens, int seqs,
+		   struct fleet_slot *out);
+
+/**
+ * fleet_acquire_alone - take an engine for one suspect request
+ * @reserved: in/out: endpoint id that is reserved while its other attempts end, -1 for none
+ *
+ * Return: true with the slot taken; false when the caller has to try again later. The caller gives
+ * up with fleet_unreserve().
+ */
+bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, int64_t prefill_tokens,
+			 int *reserved, struct fleet_slot *out);
+void fleet_unreserve(struct fleet *f, int reserved);
+
+/** fleet_prefilled - the prompt of the attempt has been processed */
+void fleet_prefilled(struct fleet *f, struct fleet_slot *slot);
+void fleet_release(struct fleet *f, struct fleet_slot *slot);
+
+enum fleet_outcome {
+	FLEET_SUCCESS,
+	FLEET_FAILURE,
+	FLEET_HARD_FAILURE,
+};
+
+/** fleet_result - feed the circuit breaker of endpoint @name */
+void fleet_result(struct fleet *f, const char *name, enum fleet_outcome outcome);
+
+/** fleet_cached - the engine of @slot now holds the pieces of @p */
+void fleet_cached(struct fleet *f, const struct fleet_slot *slot, const struct prefix *p);
+
+/** fleet_cache_event - piece reported by an engine; @stored false: evicted */
+void fleet_cache_event(struct fleet *f, const char *name, uint64_t piece, bool stored);
+
+/** fleet_cache_forget - the cache events of @name have a gap */
+void fleet_cache_forget(struct fleet *f, const char *name);
+
+/** fleet_set_load_lag - age of the state that a load report shows when it arrives */
+void fleet_set_load_lag(struct fleet *f, int64_t lag_ms);
+
+/** fleet_first_try - feed the endpoint's retry budget */
+void fleet_first_try(struct fleet *f, const char *name, const struct retry_limits *l);
+
+/** fleet_retry - retry_decide() with the budget of endpoint @name */
+enum retry_verdict fleet_retry(struct fleet *f, const char *name, const struct retry_query *q,
+			       struct retry_budget *organisation, const struct retry_limits *l,
+			       int64_t *delay_ms);
+
+#endif
