--- /dev/null
+++ b/daemon/dispatch_attempt.c
@@ -0,0 +1,354 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/net/sse.h"
+
+#define BODY_MAX 65536
+#define PROBE_MS 400
+
+/**
+ * struct stream - response of one engine
+ * @id: attempt id as sent to the engine
+ * @json: the answer is one JSON object and no stream
+ * @body: body of a JSON answer or of an error
+ * @finish: finish reason seen; the answer is whole only after [DONE]
+ */
+struct stream {
+	struct dispatch *d;
+	struct work *w;
+	char id[64];
+	struct sse sse;
+	struct buf body;
+	bool json;
+	int status;
+	bool done;
+	bool caller_gone;
+	bool invalid;
+	bool prefilled;
+};
+
+bool body_says_not_run(struct str body)
+{
+	json_t *o = json_parse(body);
+	struct str type = json_get_str(json_object_get(o, "error"), "type");
+	bool yes = str_eq_cstr(type, "not_run");
+
+	json_decref(o);
+	return yes;
+}
+
+static void first_token(struct stream *s)
+{
+	struct work *w = s->w;
+
+	if (s->prefilled)
+		return;
+	s->prefilled = true;
+	fleet_prefilled(s->d->gate->fleet, &w->place.run);
+	fleet_cached(s->d->gate->fleet, &w->place.run, &w->prefix);
+	dispatch_pump(s->d, w->g->model);
+}
+
+/* Passes one chunk on. False when the chunk is not one of this attempt. */
+static bool chunk_apply(struct stream *s, const json_t *chunk)
+{
+	struct generation *g = s->w->g;
+	const json_t *choice = json_array_get(json_object_get(chunk, "choices"), 0);
+	struct str id = json_get_str(chunk, "id");
+	struct str text = g->chat ? json_get_str(json_object_get(choice, "delta"), "content")
+				  : json_get_str(choice, "text");
+	const char *finish = json_get_cstr(choice, "finish_reason", NULL);
+	int tokens = (int)json_get_i64(chunk, "tokens", text.len ? 1 : 0);
+
+	if (!json_is_object(choice) || tokens < 0)
+		return false;
+	if (id.len && !str_eq_cstr(id, s->id) && !str_eq_cstr(id, g->call.id)) {
+		metric_add(METRIC_STALE_DROPPED, 1);
+		return false;
+	}
+	if (!text.len && !finish)
+		return true;
+	first_token(s);
+	buf_append_str(&g->text, text);
+	g->tokens += tokens;
+	metric_add(METRIC_TOKENS_OUT, tokens);
+	s->caller_gone = !g->on_piece(g->ctx, text, tokens, finish);
+	return true;
+}
+
+static void data_apply(struct stream *s, struct str bytes)
+{
+	struct str data;
+	int rc = 0;
+
+	if (s->json || s->status != 200) {
+		if (s->body.len < BODY_MAX)
+			buf_append_str(&s->body, bytes);
+		return;
+	}
+	sse_feed(&s->sse, bytes);
+	while (!s->done && !s->invalid && !s->caller_gone && (rc = sse_next(&s->sse, &data)) == 1) {
+		json_t *chunk;
+
+		if (str_eq_cstr(data, "[DONE]")) {
+			s->done = true;
+			return;
+		}
+		chunk = json_parse(data);
+		s->invalid = !chunk || !chunk_apply(s, chunk);
+		json_decref(chunk);
+	}
+	if (rc < 0)
+		s->invalid = true;
+}
+
+static char *body_build(struct work *w, const char *attempt, const json_t *kv, bool stream)
+{
+	struct generation *g = w->g;
+	json_t *o = json_copy(g->body);
+	char salt[17];
+	char *text;
+
+	snprintf(salt, sizeof(salt), "%016" PRIx64, w->salt);
+	json_object_set_new(o, "stream", json_boolean(stream));
+	json_object_set_new(o, "request_id", json_string(g->call.id));
+	json_object_set_new(o, "attempt", json_string(attempt));
+	json_object_set_new(o, "priority", json_integer(g->call.class));
+	json_object_set_new(o, "cache_salt", json_string(salt));
+	json_object_del(o, "resume_from");
+	json_object_del(o, "resume_text");
+	json_object_del(o, "kv_transfer_params");
+	if (g->tokens) {
+		json_object_set_new(o, "resume_from", json_integer(g->tokens));
+		json_object_set_new(o, "resume_text", json_stringn(g->text.data, g->text.len));
+	}
+	if (kv)
+		json_object_set(o, "kv_transfer_params", (json_t *)kv);
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	return text;
+}
+
+static void attempt_at(struct attempt *a, const struct fleet_slot *slot)
+{
+	memcpy(a->endpoint, slot->name, sizeof(a->endpoint));
+	a->endpoint_id = slot->id;
+	a->alone = slot->alone;
+}
+
+/*
+ * A connection that breaks may be the network or the engine. The engine has died when it refuses
+ * connections or has started anew since; a timeout proves nothing.
+ */
+static bool engine_died(struct dispatch *d, const struct fleet_slot *slot)
+{
+	struct buf body = { 0 };
+	struct link_event failed;
+	struct link_request req = {
+		.address = settings_route(&d->gate->settings, slot->name),
+		.silence_ms = PROBE_MS,
+		.fresh = true,
+	};
+	char url[160];
+	int status;
+	bool died;
+
+	snprintf(url, sizeof(url), "%s/load", slot->url);
+	req.url = url;
+	if (link_fetch(d->link, &req, PROBE_MS, &status, &body, &failed) != 0) {
+		died = failed.refused;
+	} else {
+		json_t *o = json_parse(buf_str(&body));
+		struct str boot = json_get_str(o, "boot_id");
+
+		died = boot.len && slot->boot_id[0] && !str_eq_cstr(boot, slot->boot_id);
+		json_decref(o);
+	}
+	buf_free(&body);
+	return died;
+}
+
+static void failure_note(struct dispatch *d, struct attempt *a, const struct link_event *ev,
+			 const struct fleet_slot *slot)
+{
+	static const char *const reasons[] = {
+		[LINK_CONNECT] = "connect",	[LINK_RESET] = "reset",
+		[LINK_SILENT] = "silent",	[LINK_PROTOCOL] = "protocol",
+		[LINK_CANCELLED] = "cancelled",
+	};
+
+	a->result = ATTEMPT_FAILED;
+	a->sent = ev->sent;
+	a->reason = reasons[ev->failure];
+	a->crash = ev->failure == LINK_RESET && engine_died(d, slot);
+	fleet_result(d->gate->fleet, slot->name,
+		     a->crash || ev->failure == LINK_CONNECT ? FLEET_HARD_FAILURE : FLEET_FAILURE);
+}
+
+/* What the whole answer of an engine means. */
+static void answer_judge(struct dispatch *d, struct attempt *a, const struct stream *s,
+			 const struct fleet_slot *slot)
+{
+	a->result = ATTEMPT_FAILED;
+	a->sent = SENT_MAYBE;
+	a->status = s->status;
+	if (s->done || (s->json && s->status == 200)) {
+		a->result = ATTEMPT_DONE;
+		fleet_result(d->gate->fleet, slot->name, FLEET_SUCCESS);
+		return;
+	}
+	if (s->status == 503 && body_says_not_run(buf_str(&s->body))) {
+		a->sent = SENT_NO;
+		a->refused_work = true;
+		a->reason = "refused";
+		fleet_result(d->gate->fleet, slot->name, FLEET_SUCCESS);
+		return;
+	}
+	if (s->status == 400 || s->status == 413 || s->status == 422) {
+		a->result = ATTEMPT_REJECTED;
+		a->reason = "rejected";
+		fleet_result(d->gate->fleet, slot->name, FLEET_SUCCESS);
+		return;
+	}
+	a->reason = s->invalid ? "invalid" : "incomplete";
+	fleet_result(d->gate->fleet, slot->name, FLEET_FAILURE);
+}
+
+static void request_send(struct dispatch *d, struct work *w, const struct fleet_slot *slot,
+			 struct link_queue *q, const char *body, int64_t silence_ms, uint64_t *id)
+{
+	struct link_request req = {
+		.address = settings_route(&d->gate->settings, slot->name),
+		.body = str_from(body),
+		.silence_ms = silence_ms,
+	};
+	char url[192];
+
+	snprintf(url, sizeof(url), "%s/v1/%s", slot->url,
+		 w->g->chat ? "chat/completions" : "completions");
+	req.url = url;
+	metric_add(METRIC_ATTEMPTS, 1);
+	event_record("attempt-sent", w->g->call.id, slot->name, w->g->call.organisation,
+		     "n=%d resume_from=%" PRId64, w->g->call.attempts, w->g->tokens);
+	str_copy(w->g->call.endpoint, sizeof(w->g->call.endpoint), str_from(slot->name));
+	*id = link_start(d->link, q, &req);
+}
+
+/* Runs one transfer to its end. */
+static void stream_run(struct stream *s, struct attempt *a, const struct fleet_slot *slot,
+		       const char *body, int64_t silence_ms)
+{
+	struct dispatch *d = s->d;
+	struct link_queue *q = link_queue_create();
+	struct link_event ev;
+	bool ended = false;
+	uint64_t id;
+
+	attempt_at(a, slot);
+	request_send(d, s->w, slot, q, body, silence_ms, &id);
+	while (!ended && !s->done && !s->invalid && !s->caller_gone) {
+		if (!link_wait(q, &ev, s->w->g->call.deadline_ms)) {
+			a->result = ATTEMPT_DEADLINE;
+			break;
+		}
+		switch (ev.kind) {
+		case LINK_RESPONSE:
+			s->status = ev.status;
+			break;
+		case LINK_DATA:
+			data_apply(s, buf_str(&ev.data));
+			break;
+		case LINK_END:
+			ended = true;
+			answer_judge(d, a, s, slot);
+			break;
+		case LINK_FAILED:
+			ended = true;
+			failure_note(d, a, &ev, slot);
+			break;
+		}
+		link_event_clear(&ev);
+	}
+	if (s->caller_gone)
+		a->result = ATTEMPT_CALLER_GONE;
+	else if (!ended && a->result != ATTEMPT_DEADLINE)
+		answer_judge(d, a, s, slot);
+	/* After [DONE] only the end of the response is missing; it is left to the loop. */
+	if (s->done)
+		link_detach(q);
+	else if (!ended)
+		link_cancel(d->link, q, id);
+	link_queue_destroy(q);
+}
+
+/* Silence limit of a leg without heartbeats: the prefill may take long in a queue. */
+static int64_t prefill_silence_ms(const struct dispatch *d, const struct work *w)
+{
+	int64_t expected = w->place.choice.first_token_us / 1000;
+	int64_t least = d->gate->settings.links.silence_ms;
+
+	return least + 3 * expected;
+}
+
+/* First leg of a split placement: the prefill engine's handle, or NULL with @a filled. */
+static json_t *prefill_run(struct dispatch *d, struct work *w, struct attempt *a, const char *id)
+{
+	struct stream s = { .d = d, .w = w, .json = true };
+	json_t *ask = json_pack("{s:b}", "do_remote_decode", 1);
+	char *body = body_build(w, id, ask, false);
+	json_t *answer = NULL;
+	json_t *kv = NULL;
+
+	stream_run(&s, a, &w->place.prefill, body, prefill_silence_ms(d, w));
+	if (a->result == ATTEMPT_DONE) {
+		answer = json_parse(buf_str(&s.body));
+		kv = json_copy(json_object_get(answer, "kv_transfer_params"));
+		fleet_cached(d->gate->fleet, &w->place.prefill, &w->prefix);
+	}
+	if (a->result == ATTEMPT_DONE && !json_is_object(kv)) {
+		a->result = ATTEMPT_FAILED;
+		a->reason = "invalid";
+		fleet_result(d->gate->fleet, w->place.prefill.name, FLEET_FAILURE);
+	}
+	if (kv)
+		json_object_set_new(kv, "do_remote_prefill", json_true());
+	fleet_release(d->gate->fleet, &w->place.prefill);
+	dispatch_pump(d, w->g->model);
+	json_decref(answer);
+	json_decref(ask);
+	free(body);
+	sse_free(&s.sse);
+	buf_free(&s.body);
+	return kv;
+}
+
+void attempt_run(struct dispatch *d, struct work *w, struct attempt *a)
+{
+	struct stream s = { .d = d, .w = w };
+	json_t *kv = NULL;
+	char *body;
+
+	*a = (struct attempt){ .result = ATTEMPT_FAILED, .reason = "none", .endpoint_id = -1 };
+	w->g->call.attempts++;
+	snprintf(s.id, sizeof(s.id), "%s.%d", w->g->call.id, w->g->call.attempts);
+	if (w->place.split) {
+		kv = prefill_run(d, w, a, s.id);
+		if (!kv)
+			goto out;
+	}
+	body = body_build(w, s.id, kv, true);
+	stream_run(&s, a, &w->place.run, body, d->gate->settings.links.silence_ms);
+	free(body);
+out:
+	place_release(d, w);
+	json_decref(kv);
+	sse_free(&s.sse);
+	buf_free(&s.body);
+}
--- /dev/null
+++ b/daemon/dispatch_generate.c
@@ -0,0 +1,210 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "dispatch_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/metrics.h"
+
+#define BYTES_PER_TOKEN 4
+/* The engines' default when a request names no limit. */
+#define DEFAULT_MAX_TOKENS 16
+/* A continuation that the retry budget denies is asked again for this long. */
+#define BUDGET_WAIT_MS 5000
+#define BUDGET_STEP_MS 100
+
+/*
+ * All instances must derive the same values, so these keys only separate the uses from each other.
+ * Callers can't name a salt: the front replaces it.
+ */
+#define SALT_KEY STR_LIT("ibisgate cache salt")
+#define FINGERPRINT_KEY STR_LIT("ibisgate request fingerprint")
+
+static uint64_t keyed_u64(struct str key, struct str s)
+{
+	char hex[HASH_HEX_SIZE];
+
+	hash_keyed_hex(key, s, hex);
+	hex[16] = '\0';
+	return strtoull(hex, NULL, 16);
+}
+
+static uint64_t fingerprint_of(const struct generation *g)
+{
+	char *body = json_dumps(g->body, JSON_COMPACT | JSON_SORT_KEYS);
+	struct buf text = { 0 };
+	uint64_t f;
+
+	buf_printf(&text, "%s\n%s\n%s", g->call.organisation, g->model, body ? body : "");
+	f = keyed_u64(FINGERPRINT_KEY, buf_str(&text));
+	buf_free(&text);
+	free(body);
+	return f;
+}
+
+static void work_init(struct dispatch *d, struct work *w, struct generation *g)
+{
+	struct call *call = &g->call;
+	int64_t total;
+
+	*w = (struct work){ .g = g };
+	limits_load(d, call->organisation, g->model, &w->limits);
+	total = w->limits.total_ms;
+	if (call->asked_ms > 0 && call->asked_ms < total)
+		total = call->asked_ms;
+	call->deadline_ms = call->arrived_ms + total;
+	w->salt = keyed_u64(SALT_KEY, str_from(call->organisation));
+	w->prefix = prefix_of(g->prompt, w->salt, PREFIX_PIECE_TOKENS * BYTES_PER_TOKEN);
+	w->prompt_tokens = (int64_t)(g->prompt.len + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
+	w->output_tokens = g->max_tokens ? g->max_tokens : w->limits.output_tokens;
+	w->fingerprint = fingerprint_of(g);
+	pthread_mutex_lock(&d->lock);
+	w->org = organisation_get(d, call->organisation);
+	retry_budget_first_try(&w->org->budget, &w->limits.retry, clock_boot_ms());
+	pthread_mutex_unlock(&d->lock);
+}
+
+static void avoid_add(struct work *w, int id)
+{
+	if (id >= 0 && w->avoid_count < AVOID_MAX)
+		w->avoid[w->avoid_count++] = id;
+}
+
+static bool quarantined(struct outcome *out)
+{
+	outcome_set(out, 422, "not_run", "quarantined",
+		    "requests like this one have crashed engines and are refused for some minutes");
+	return true;
+}
+
+/* Charges a crash to the request. True when it may not run again. */
+static bool crash_charge(struct dispatch *d, struct work *w, const struct attempt *a,
+			 struct outcome *out)
+{
+	if (!a->crash)
+		return false;
+	switch (control_quarantine_charge(d->gate->control, w->fingerprint, a->alone)) {
+	case QUARANTINE_REFUSE:
+		return quarantined(out);
+	case QUARANTINE_SUSPECT:
+		w->alone = true;
+		break;
+	case QUARANTINE_CLEAR:
+		break;
+	}
+	return false;
+}
+
+/* Waits out the back-off before another attempt. False when there is none. */
+static bool retry_wait(struct dispatch *d, struct work *w, const struct attempt *a)
+{
+	int64_t give_up = clock_boot_ms() + BUDGET_WAIT_MS;
+	int64_t delay = 0;
+	enum retry_verdict v;
+
+	for (;;) {
+		v = retry_ask(d, &w->g->call, w->org, &w->limits, a->endpoint, CALL_GENERATION,
+			      a->sent, &delay);
+		if (v != RETRY_BUDGET || clock_boot_ms() >= give_up)
+			break;
+		clock_sleep_ms(BUDGET_STEP_MS);
+	}
+	if (v != RETRY_AGAIN)
+		return false;
+	clock_sleep_ms(delay);
+	return true;
+}
+
+static void failed_outcome(const struct work *w, const struct attempt *a, bool maybe_ran,
+			   struct outcome *out)
+{
+	if (a->result == ATTEMPT_DEADLINE)
+		outcome_set(out, 504, "outcome_unknown", "deadline",
+			    "the answer was not complete by the deadline");
+	else if (!maybe_ran)
+		outcome_set(out, 503, "not_run", "no_endpoint", "no endpoint ran the request");
+	else
+		outcome_set(out, 504, "outcome_unknown", a->reason,
+			    "the generation failed after %d attempts", w->g->call.attempts);
+}
+
+static void failed_record(const struct work *w, const struct attempt *a)
+{
+	event_record("attempt-failed", w->g->call.id, a->endpoint, w->g->call.organisation,
+		     "n=%d reason=%s sent=%s crash=%d tokens=%" PRId64, w->g->call.attempts,
+		     a->reason, a->sent == SENT_NO ? "no" : "maybe", a->crash, w->g->tokens);
+}
+
+/* Runs attempts until one ends the generation. */
+static void attempts_run(struct dispatch *d, struct work *w, struct outcome *out)
+{
+	struct generation *g = w->g;
+	bool maybe_ran = false;
+	struct attempt a;
+
+	for (;;) {
+		attempt_run(d, w, &a);
+		switch (a.result) {
+		case ATTEMPT_DONE:
+			*out = (struct outcome){ .status = 200 };
+			if (w->alone)
+				control_quarantine_clear(d->gate->control, w->fingerprint);
+			return;
+		case ATTEMPT_CALLER_GONE:
+			*out = (struct outcome){ .status = 0, .code = "caller_gone" };
+			return;
+		case ATTEMPT_REJECTED:
+			outcome_set(out, a.status, "invalid_request", "rejected",
+				    "the engine rejected the request");
+			return;
+		case ATTEMPT_DEADLINE:
+			failed_outcome(w, &a, true, out);
+			return;
+		case ATTEMPT_FAILED:
+			break;
+		}
+		failed_record(w, &a);
+		maybe_ran |= a.sent == SENT_MAYBE;
+		if (crash_charge(d, w, &a, out))
+			return;
+		avoid_add(w, a.endpoint_id);
+		if (!retry_wait(d, w, &a) || !place_again(d, w)) {
+			failed_outcome(w, &a, maybe_ran, out);
+			return;
+		}
+		fleet_first_try(d->gate->fleet, w->place.run.name, &w->limits.retry);
+		if (g->tokens) {
+			g->resumed++;
+			metric_add(METRIC_RESUMED, 1);
+			event_record("resumed", g->call.id, w->place.run.name, g->call.organisation,
+				     "from=%" PRId64, g->tokens);
+		}
+	}
+}
+
+void dispatch_generate(struct dispatch *d, struct generation *g, struct outcome *out)
+{
+	struct work w;
+
+	if (!g->max_tokens)
+		json_object_set_new(g->body, "max_tokens", json_integer(DEFAULT_MAX_TOKENS));
+	work_init(d, &w, g);
+	switch (control_quarantine_check(d->gate->control, w.fingerprint)) {
+	case QUARANTINE_REFUSE:
+		quarantined(out);
+		return;
+	case QUARANTINE_SUSPECT:
+		w.alone = true;
+		break;
+	case QUARANTINE_CLEAR:
+		break;
+	}
+	if (!admit(d, &w, out))
+		return;
+	fleet_first_try(d->gate->fleet, w.place.run.name, &w.limits.retry);
+	attempts_run(d, &w, out);
+	work_settle(d, &w);
+}
--- /dev/null
+++ b/daemon/dispatch_impl.h
@@ -0,0 +1,167 @@
+#ifndef DAEMON_DISPATCH_IMPL_H
+#define DAEMON_DISPATCH_IMPL_H
+
+#include <pthread.h>
+
+#include "ibisgate/daemon/control.h"
+#include "ibisgate/daemon/dispatch_use.h"
+#include "ibisgate/daemon/fleet_use.h"
+#include "ibisgate/net/link.h"
+
+#define DISPATCH_MODELS_MAX FLEET_MODELS_MAX
+#define DISPATCH_ORGANISATION_BUCKETS 1024
+/* All requests of an engine that dies have to continue at once; a smaller burst delays them. */
+#define RETRY_BURST 64
+#define AVOID_MAX 8
+
+/**
+ * struct call_limits - settings that apply to one call
+ */
+struct call_limits {
+	struct route_method method;
+	int64_t first_token_ms;
+	int64_t gap_ms;
+	int64_t total_ms;
+	struct retry_limits retry;
+	int max_attempts;
+	bool admission;
+	int queue_max;
+	int64_t output_tokens;
+};
+
+struct organisation {
+	struct organisation *next;
+	char name[ORGANISATION_NAME_MAX];
+	struct retry_budget budget;
+	int64_t admitted;
+	int64_t refused;
+	int64_t tokens;
+};
+
+struct model_queue {
+	char name[48];
+	struct share_queue *shares;
+	struct route_method method;
+	int64_t admitted;
+};
+
+/**
+ * struct placement - endpoints taken for one try of a generation
+ * @split: prefill and decode run on two engines
+ * @prefill: held only when @split
+ * @run: engine that generates
+ */
+struct placement {
+	bool split;
+	struct fleet_slot prefill;
+	struct fleet_slot run;
+	struct route_choice choice;
+};
+
+/**
+ * struct work - a generation with what the data plane keeps about it
+ * @fingerprint: for crash charges
+ * @alone: suspect request; runs alone on an engine
+ * @prefill_us: price of the prompt in engine time, likewise @decode_us of the expected output
+ * @queued: was admitted, and charged, by the share queue
+ */
+struct work {
+	struct generation *g;
+	struct call_limits limits;
+	struct organisation *org;
+	struct prefix prefix;
+	uint64_t salt;
+	uint64_t fingerprint;
+	bool alone;
+	int64_t prompt_tokens;
+	int64_t output_tokens;
+	int64_t first_token_by_ms;
+	int avoid[AVOID_MAX];
+	int avoid_count;
+	struct placement place;
+	int64_t prefill_us;
+	int64_t decode_us;
+	bool queued;
+};
+
+/**
+ * struct dispatch - data plane
+ * @lock: protects everything below it; taken before the fleet's lock
+ * @cands: scratch for route_pick(); front threads have small stacks
+ */
+struct dispatch {
+	struct gate *gate;
+	struct link *link;
+	pthread_mutex_t lock;
+	struct model_queue models[DISPATCH_MODELS_MAX];
+	int model_count;
+	struct organisation *organisations[DISPATCH_ORGANISATION_BUCKETS];
+	struct route_candidate cands[FLEET_ENDPOINTS_MAX];
+};
+
+/* dispatch.c */
+void limits_load(struct dispatch *d, const char *organisation, const char *service,
+		 struct call_limits *out);
+struct organisation *organisation_get(struct dispatch *d, const char *name);
+void outcome_set(struct outcome *out, int status, const char *type, const char *code,
+		 const char *fmt, ...) __attribute__((format(printf, 5, 6)));
+
+/** retry_ask - retry_decide() with the budgets of organisation and endpoint */
+enum retry_verdict retry_ask(struct dispatch *d, const struct call *call, struct organisation *org,
+			     const struct call_limits *limits, const char *endpoint,
+			     enum call_kind kind, enum sent_state sent, int64_t *delay_ms);
+
+/* dispatch_admit.c */
+
+/** admit - wait for admission; true with w->place taken, false with @out filled */
+bool admit(struct dispatch *d, struct work *w, struct outcome *out);
+
+/** place_again - endpoints for another attempt of an admitted request; blocks up to its deadline */
+bool place_again(struct dispatch *d, struct work *w);
+
+/** dispatch_pump - admit what fits now; called when capacity may have become free */
+void dispatch_pump(struct dispatch *d, const char *model);
+void dispatch_pump_all(struct dispatch *d);
+void place_release(struct dispatch *d, struct work *w);
+
+/** work_settle - correct the charge of the share once the request has ended */
+void work_settle(struct dispatch *d, struct work *w);
+
+/* dispatch_attempt.c */
+enum attempt_result {
+	ATTEMPT_DONE,
+	ATTEMPT_FAILED,
+	ATTEMPT_CALLER_GONE,
+	ATTEMPT_DEADLINE,
+	ATTEMPT_REJECTED,
+};
+
+/**
+ * struct attempt - result of one try
+ * @sent: for ATTEMPT_FAILED
+ * @crash: the engine died
+ * @refused_work: the engine said that it did not run the request
+ * @status: HTTP status for ATTEMPT_REJECTED
+ * @slot: which endpoint it was
+ */
+struct attempt {
+	enum attempt_result result;
+	enum sent_state sent;
+	bool crash;
+	bool refused_work;
+	int status;
+	const char *reason;
+	char endpoint[ENDPOINT_NAME_MAX];
+	int endpoint_id;
+	bool alone;
+};
+
+void attempt_run(struct dispatch *d, struct work *w, struct attempt *a);
+
+/** body_says_not_run - error body of an endpoint with the type not_run */
+bool body_says_not_run(struct str body);
+
+/* dispatch_poll.c */
+int poll_run(void *ctx, struct error *err);
+
+#endif
--- /dev/null
+++ b/daemon/dispatch_poll.c
@@ -0,0 +1,276 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "dispatch_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/supervisor.h"
+
+#define EVENTS_POLL_MS 1000
+#define POLL_TIMEOUT_MS 2000
+#define POLL_STEP_MS 20
+
+/**
+ * struct polled - polling state of one endpoint
+ * @next_event: argument of the next GET /cache_events
+ * @load: transfer in progress, 0 for none; likewise @events
+ */
+struct polled {
+	char name[ENDPOINT_NAME_MAX];
+	char boot_id[24];
+	int64_t next_event;
+	int64_t load_due_ms;
+	int64_t events_due_ms;
+	struct link_queue *load_queue;
+	struct link_queue *events_queue;
+	uint64_t load;
+	uint64_t events;
+	struct buf load_body;
+	struct buf events_body;
+	bool seen;
+};
+
+struct poller {
+	struct dispatch *d;
+	struct polled *entries[FLEET_ENDPOINTS_MAX];
+	int count;
+};
+
+static enum endpoint_role role_parse(struct str s)
+{
+	if (str_eq_cstr(s, "prefill"))
+		return ROLE_PREFILL;
+	if (str_eq_cstr(s, "decode"))
+		return ROLE_DECODE;
+	if (str_eq_cstr(s, "mixed"))
+		return ROLE_MIXED;
+	return ROLE_SERVICE;
+}
+
+static void load_apply(struct dispatch *d, struct polled *p, const json_t *o)
+{
+	struct endpoint_load load = {
+		.at_ms = clock_boot_ms(),
+		.prefill_backlog = json_get_i64(o, "prefill_backlog", 0),
+		.decode_seqs = (int)json_get_i64(o, "decode_seqs", 0),
+		.decode_slots = (int)json_get_i64(o, "decode_slots", 32),
+		.role = role_parse(json_get_str(o, "role")),
+		.changing = json_get_bool(o, "changing", false),
+		.cost = {
+			.prefill_tokens_per_s = json_get_double(o, "prefill_tokens_per_s", 10000),
+			.step_base_us = json_get_double(o, "step_base_us", 10000),
+			.step_per_seq_us = json_get_double(o, "step_per_seq_us", 200),
+			.kv_token_us = json_get_double(o, "kv_token_us", 2),
+		},
+	};
+
+	if (!json_is_object(o))
+		return;
+	str_copy(load.boot_id, sizeof(load.boot_id), json_get_str(o, "boot_id"));
+	fleet_load(d->gate->fleet, p->name, &load);
+}
+
+static void events_apply(struct dispatch *d, struct polled *p, const json_t *o)
+{
+	const json_t *events = json_object_get(o, "events");
+	struct str boot = json_get_str(o, "boot_id");
+	int64_t expected = p->next_event;
+	size_t i;
+	json_t *ev;
+
+	if (!json_is_object(o))
+		return;
+	if (!str_eq_cstr(boot, p->boot_id)) {
+		fleet_cache_forget(d->gate->fleet, p->name);
+		str_copy(p->boot_id, sizeof(p->boot_id), boot);
+		p->next_event = 0;
+		return;
+	}
+	json_array_foreach(events, i, ev) {
+		int64_t seq = json_get_i64(ev, "seq", 0);
+		struct str op = json_get_str(ev, "op");
+		uint64_t piece = strtoull(json_get_cstr(ev, "piece", "0"), NULL, 16);
+
+		/* A lost eviction would leave a wrong entry for good; a rebuilt index is only
+		 * colder. */
+		if (expected && seq > expected + 1)
+			fleet_cache_forget(d->gate->fleet, p->name);
+		expected = seq;
+		fleet_cache_event(d->gate->fleet, p->name, piece, str_eq_cstr(op, "stored"));
+	}
+	p->next_event = json_get_i64(o, "next", expected);
+}
+
+static uint64_t poll_send(struct dispatch *d, struct link_queue *q, const char *name,
+			  const char *url, const char *path)
+{
+	char full[192];
+	struct link_request req = {
+		.url = full,
+		.address = settings_route(&d->gate->settings, name),
+		.silence_ms = POLL_TIMEOUT_MS,
+	};
+
+	snprintf(full, sizeof(full), "%s%s", url, path);
+	return link_start(d->link, q, &req);
+}
+
+/* Collects a finished answer. True when @transfer is over; @o is NULL when it failed. */
+static bool poll_collect(struct link_queue *q, uint64_t *transfer, struct buf *body, json_t **o)
+{
+	struct link_event ev;
+	bool over = false;
+	int status = 0;
+
+	*o = NULL;
+	while (!over && link_wait(q, &ev, 0)) {
+		if (ev.kind == LINK_DATA)
+			buf_append_str(body, buf_str(&ev.data));
+		if (ev.kind == LINK_END || ev.kind == LINK_FAILED)
+			over = true;
+		status = ev.kind == LINK_END ? ev.status : 0;
+		link_event_clear(&ev);
+	}
+	if (!over)
+		return false;
+	if (status == 200)
+		*o = json_parse(buf_str(body));
+	buf_reset(body);
+	*transfer = 0;
+	return true;
+}
+
+static void load_step(struct poller *po, struct polled *p, const struct endpoint_status *st,
+		      int64_t now)
+{
+	struct dispatch *d = po->d;
+	json_t *o;
+
+	if (p->load && poll_collect(p->load_queue, &p->load, &p->load_body, &o)) {
+		if (o)
+			load_apply(d, p, o);
+		json_decref(o);
+	}
+	if (p->load || now < p->load_due_ms)
+		return;
+	p->load_due_ms = now + d->gate->settings.links.load_poll_ms;
+	p->load = poll_send(d, p->load_queue, p->name, st->info.url, "/load");
+}
+
+static void events_step(struct poller *po, struct polled *p, const struct endpoint_status *st,
+			int64_t now)
+{
+	struct dispatch *d = po->d;
+	char path[64];
+	json_t *o;
+
+	if (p->events && poll_collect(p->events_queue, &p->events, &p->events_body, &o)) {
+		if (o)
+			events_apply(d, p, o);
+		json_decref(o);
+	}
+	if (p->events || now < p->events_due_ms)
+		return;
+	p->events_due_ms = now + EVENTS_POLL_MS;
+	snprintf(path, sizeof(path), "/cache_events?after=%" PRId64, p->next_event);
+	p->events = poll_send(d, p->events_queue, p->name, st->info.url, path);
+}
+
+static struct polled *polled_get(struct poller *po, const char *name)
+{
+	struct polled *p;
+
+	for (int i = 0; i < po->count; i++) {
+		if (strcmp(po->entries[i]->name, name) == 0)
+			return po->entries[i];
+	}
+	if (po->count == FLEET_ENDPOINTS_MAX)
+		return NULL;
+	p = mem_zalloc(sizeof(*p));
+	str_copy(p->name, sizeof(p->name), str_from(name));
+	p->load_queue = link_queue_create();
+	p->events_queue = link_queue_create();
+	po->entries[po->count++] = p;
+	return p;
+}
+
+static void polled_destroy(struct poller *po, struct polled *p)
+{
+	if (p->load)
+		link_cancel(po->d->link, p->load_queue, p->load);
+	if (p->events)
+		link_cancel(po->d->link, p->events_queue, p->events);
+	link_queue_destroy(p->load_queue);
+	link_queue_destroy(p->events_queue);
+	buf_free(&p->load_body);
+	buf_free(&p->events_body);
+	free(p);
+}
+
+static void polled_drop_unseen(struct poller *po, bool all)
+{
+	int kept = 0;
+
+	for (int i = 0; i < po->count; i++) {
+		if (po->entries[i]->seen && !all)
+			po->entries[kept++] = po->entries[i];
+		else
+			polled_destroy(po, po->entries[i]);
+	}
+	po->count = kept;
+}
+
+static void poll_all(struct poller *po)
+{
+	int64_t now = clock_boot_ms();
+	struct endpoint_status *st;
+	int count;
+
+	st = fleet_statuses(po->d->gate->fleet, &count);
+	for (int i = 0; i < po->count; i++)
+		po->entries[i]->seen = false;
+	for (int i = 0; i < count; i++) {
+		struct polled *p;
+
+		if (!st[i].info.engine || !st[i].info.url[0])
+			continue;
+		p = polled_get(po, st[i].info.name);
+		if (!p)
+			continue;
+		p->seen = true;
+		load_step(po, p, &st[i], now);
+		events_step(po, p, &st[i], now);
+	}
+	free(st);
+	polled_drop_unseen(po, false);
+}
+
+static void load_lag_apply(struct dispatch *d)
+{
+	struct config_scope scope = { .dc = d->gate->settings.instance.dc,
+				      .wall_ms = clock_wall_ms() };
+	const struct config *c;
+	int64_t lag = 2000;
+
+	rcu_read_lock();
+	c = rcu_dereference(d->gate->config);
+	if (c && config_setting(c, SETTING_LOAD_LAG_MS, &scope))
+		lag = config_i64(c, SETTING_LOAD_LAG_MS, &scope);
+	rcu_read_unlock();
+	fleet_set_load_lag(d->gate->fleet, lag);
+}
+
+int poll_run(void *ctx, struct error *err)
+{
+	struct poller po = { .d = ctx };
+
+	while (!child_sleep_ms(POLL_STEP_MS)) {
+		load_lag_apply(po.d);
+		poll_all(&po);
+		child_account_cpu();
+	}
+	polled_drop_unseen(&po, true);
+	return 0;
+}
--- /dev/null
+++ b/daemon/dispatch_service.c
@@ -0,0 +1,301 @@
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "dispatch_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/metrics.h"
+
+#define ANSWER_MAX (4 << 20)
+
+/**
+ * enum call_result - what is known about a call after its tries
+ * @CALL_ANSWERED: the service answered
+ * @CALL_NOT_RUN: provably no try reached the service
+ * @CALL_MAYBE: a try may have taken effect
+ */
+enum call_result {
+	CALL_ANSWERED,
+	CALL_NOT_RUN,
+	CALL_MAYBE,
+};
+
+struct service_work {
+	struct service_call *s;
+	struct call_limits limits;
+	struct organisation *org;
+	enum call_kind kind;
+	int avoid[AVOID_MAX];
+	int avoid_count;
+};
+
+/* Takes the usable endpoint with the fewest attempts. */
+static bool service_place(struct dispatch *d, struct service_work *w, struct fleet_slot *slot)
+{
+	struct fleet_query q = {
+		.model = w->s->service,
+		.avoid = w->avoid,
+		.avoid_count = w->avoid_count,
+		.settings = &d->gate->settings,
+	};
+	const struct route_candidate *best = NULL;
+	bool ok = false;
+	int n;
+
+	pthread_mutex_lock(&d->lock);
+	n = fleet_candidates(d->gate->fleet, &q, d->cands);
+	for (int i = 0; i < n; i++) {
+		const struct route_candidate *c = &d->cands[i];
+
+		if (!c->usable)
+			continue;
+		if (!best || c->decode_seqs < best->decode_seqs ||
+		    (c->decode_seqs == best->decode_seqs && c->distance_us < best->distance_us))
+			best = c;
+	}
+	if (best)
+		ok = fleet_acquire(d->gate->fleet, best->index, 0, 1, slot);
+	pthread_mutex_unlock(&d->lock);
+	return ok;
+}
+
+static int service_send(struct dispatch *d, struct service_work *w, const struct fleet_slot *slot,
+			struct link_event *failed)
+{
+	struct service_call *s = w->s;
+	struct call *call = &s->call;
+	struct buf headers[3] = { 0 };
+	const char *list[4] = { NULL };
+	int n = 0;
+	char url[192];
+	struct link_request req = {
+		.url = url,
+		.address = settings_route(&d->gate->settings, slot->name),
+		.headers = list,
+		.body = s->body,
+		/* A dead pooled connection would leave the outcome of the call unknown. */
+		.fresh = w->kind == CALL_NON_IDEMPOTENT,
+	};
+	int64_t left = call->deadline_ms - clock_boot_ms();
+	int rc;
+
+	snprintf(url, sizeof(url), "%s/call/%s", slot->url, s->service);
+	buf_printf(&headers[n++], "Ibisgate-Organisation: %s", call->organisation);
+	buf_printf(&headers[n++], "Ibisgate-Request-Id: %s", call->id);
+	if (s->key.len)
+		buf_printf(&headers[n++], "Idempotency-Key: " STR_FMT, STR_ARG(s->key));
+	for (int i = 0; i < n; i++)
+		list[i] = headers[i].data;
+	call->attempts++;
+	metric_add(METRIC_ATTEMPTS, 1);
+	event_record("attempt-sent", call->id, slot->name, call->organisation, "n=%d",
+		     call->attempts);
+	str_copy(call->endpoint, sizeof(call->endpoint), str_from(slot->name));
+	buf_reset(&s->answer);
+	rc = link_fetch(d->link, &req, left > 0 ? left : 1, &s->answer_status, &s->answer, failed);
+	for (int i = 0; i < n; i++)
+		buf_free(&headers[i]);
+	return rc;
+}
+
+/* One try. @sent tells whether it may have had an effect when there is no answer. */
+static bool service_try(struct dispatch *d, struct service_work *w, const struct fleet_slot *slot,
+			enum sent_state *sent)
+{
+	struct service_call *s = w->s;
+	struct link_event failed;
+	const char *reason = "status";
+
+	if (service_send(d, w, slot, &failed) != 0) {
+		*sent = failed.sent;
+		reason = failed.failure == LINK_CONNECT ? "connect" : "no_answer";
+		fleet_result(d->gate->fleet, slot->name,
+			     failed.failure == LINK_CONNECT ? FLEET_HARD_FAILURE : FLEET_FAILURE);
+	} else if (s->answer_status == 503 && body_says_not_run(buf_str(&s->answer))) {
+		*sent = SENT_NO;
+		reason = "refused";
+	} else if (s->answer_status >= 500) {
+		*sent = SENT_MAYBE;
+		fleet_result(d->gate->fleet, slot->name, FLEET_FAILURE);
+	} else {
+		fleet_result(d->gate->fleet, slot->name, FLEET_SUCCESS);
+		return true;
+	}
+	event_record("attempt-failed", s->call.id, slot->name, s->call.organisation,
+		     "n=%d reason=%s sent=%s", s->call.attempts, reason,
+		     *sent == SENT_NO ? "no" : "maybe");
+	return false;
+}
+
+static void service_avoid(struct service_work *w, int id)
+{
+	if (w->avoid_count < AVOID_MAX)
+		w->avoid[w->avoid_count++] = id;
+}
+
+/* Tries until there is an answer or no further try is allowed. */
+static enum call_result service_run(struct dispatch *d, struct service_work *w)
+{
+	struct call *call = &w->s->call;
+	bool maybe = false;
+
+	while (clock_boot_ms() < call->deadline_ms) {
+		struct fleet_slot slot = { 0 };
+		enum sent_state sent = SENT_NO;
+		int64_t delay = 0;
+		bool answered;
+
+		if (!service_place(d, w, &slot)) {
+			if (!w->avoid_count)
+				break;
+			w->avoid_count = 0;
+			continue;
+		}
+		if (call->attempts == 0)
+			fleet_first_try(d->gate->fleet, slot.name, &w->limits.retry);
+		answered = service_try(d, w, &slot, &sent);
+		fleet_release(d->gate->fleet, &slot);
+		if (answered)
+			return CALL_ANSWERED;
+		maybe |= sent == SENT_MAYBE;
+		service_avoid(w, slot.id);
+		if (retry_ask(d, call, w->org, &w->limits, slot.name, w->kind, sent, &delay) !=
+		    RETRY_AGAIN)
+			break;
+		clock_sleep_ms(delay);
+	}
+	return maybe ? CALL_MAYBE : CALL_NOT_RUN;
+}
+
+static void result_outcome(enum call_result r, struct outcome *out)
+{
+	switch (r) {
+	case CALL_ANSWERED:
+		*out = (struct outcome){ .status = 200 };
+		return;
+	case CALL_NOT_RUN:
+		outcome_set(out, 503, "not_run", "no_endpoint", "no endpoint took the call");
+		out->retry_after_s = 1;
+		return;
+	case CALL_MAYBE:
+		outcome_set(out, 504, "outcome_unknown", "no_answer",
+			    "the call may have taken effect, but no answer arrived");
+		return;
+	}
+}
+
+static void unknown_outcome(struct outcome *out)
+{
+	outcome_set(out, 504, "outcome_unknown", "claim",
+		    "an earlier call with this key may have taken effect");
+}
+
+static void not_run_outcome(struct outcome *out)
+{
+	outcome_set(out, 503, "not_run", "claim", "the call could not be claimed");
+	out->retry_after_s = 1;
+}
+
+static void claimed_run(struct dispatch *d, struct service_work *w, struct claim_ticket *t,
+			struct outcome *out)
+{
+	struct control *c = d->gate->control;
+	enum call_result r;
+
+	if (!claim_dispatching(c, t)) {
+		claim_release(c, t);
+		not_run_outcome(out);
+		return;
+	}
+	r = service_run(d, w);
+	result_outcome(r, out);
+	switch (r) {
+	case CALL_ANSWERED:
+		claim_finish(c, t, w->s->answer_status, buf_str(&w->s->answer));
+		break;
+	case CALL_NOT_RUN:
+		claim_release(c, t);
+		break;
+	case CALL_MAYBE:
+		claim_unknown(c, t);
+		break;
+	}
+}
+
+static void claimed_call(struct dispatch *d, struct service_work *w, struct outcome *out)
+{
+	struct service_call *s = w->s;
+	struct claim_ticket t = { 0 };
+
+	claim_begin(d->gate->control, s->call.organisation, s->service, s->key, s->body,
+		    s->call.deadline_ms, &t);
+	switch (t.verdict) {
+	case CLAIM_DISPATCH:
+		claimed_run(d, w, &t, out);
+		break;
+	case CLAIM_REPLAY:
+		s->answer_status = t.status;
+		buf_append_str(&s->answer, buf_str(&t.result));
+		s->replayed = true;
+		metric_add(METRIC_CLAIM_REPLAYS, 1);
+		*out = (struct outcome){ .status = 200 };
+		break;
+	case CLAIM_OTHER_BODY:
+		outcome_set(out, 422, "not_run", "key_reused",
+			    "the key was used with another request body");
+		break;
+	case CLAIM_SAY_UNKNOWN:
+	case CLAIM_WAIT:
+	case CLAIM_READ_AGAIN:
+		unknown_outcome(out);
+		break;
+	case CLAIM_SAY_NOT_RUN:
+		not_run_outcome(out);
+		break;
+	}
+	claim_ticket_clear(&t);
+}
+
+/* The kind of the service; false when the configuration has no plain service of that name. */
+static bool service_lookup(struct dispatch *d, struct service_work *w)
+{
+	struct config_service cs;
+	const struct config *c;
+	bool ok;
+
+	rcu_read_lock();
+	c = rcu_dereference(d->gate->config);
+	ok = c && config_service(c, w->s->service, &cs) && cs.kind == SERVICE_PLAIN;
+	if (ok)
+		w->kind = cs.idempotent ? CALL_IDEMPOTENT : CALL_NON_IDEMPOTENT;
+	rcu_read_unlock();
+	return ok;
+}
+
+void dispatch_service(struct dispatch *d, struct service_call *s, struct outcome *out)
+{
+	struct service_work w = { .s = s };
+	struct call *call = &s->call;
+	int64_t total;
+
+	if (!service_lookup(d, &w)) {
+		outcome_set(out, 404, "invalid_request", "unknown_service", "no service %s",
+			    s->service);
+		return;
+	}
+	limits_load(d, call->organisation, s->service, &w.limits);
+	total = w.limits.total_ms;
+	if (call->asked_ms > 0 && call->asked_ms < total)
+		total = call->asked_ms;
+	call->deadline_ms = call->arrived_ms + total;
+	pthread_mutex_lock(&d->lock);
+	w.org = organisation_get(d, call->organisation);
+	retry_budget_first_try(&w.org->budget, &w.limits.retry, clock_boot_ms());
+	pthread_mutex_unlock(&d->lock);
+	s->single_try = w.kind == CALL_NON_IDEMPOTENT && !s->key.len;
+	if (w.kind == CALL_NON_IDEMPOTENT && s->key.len)
+		claimed_call(d, &w, out);
+	else
+		result_outcome(service_run(d, &w), out);
+}
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -6,6 +6,8 @@
 
 /* A role reported sooner than this after a change may still describe the time before it. */
 #define ROLE_SETTLE_MS 5000
+/* An id chosen by route_pick() must not name another endpoint by the time it is acquired. */
+#define ENTRY_REUSE_MS 60000
 
 struct fleet *fleet_create(void)
 {
@@ -37,18 +39,20 @@
 	return NULL;
 }
 
-static bool endpoint_forgettable(const struct endpoint *ep)
+static bool endpoint_gone(const struct endpoint *ep)
 {
-	return !ep->used || (!ep->listed && !ep->in_flight && !ep->stop_count && !ep->reserved);
+	return !ep->listed && !ep->in_flight && !ep->stop_count && !ep->reserved;
 }
 
 /* Entry for a new name; entries of endpoints that went away are reused. NULL when full. */
 static struct endpoint *endpoint_add(struct fleet *f, const char *name)
 {
 	struct endpoint *ep = NULL;
+	int64_t now = clock_boot_ms();
 
 	for (int i = 0; i < f->count && !ep; i++) {
-		if (endpoint_forgettable(&f->endpoints[i]))
+		if (endpoint_gone(&f->endpoints[i]) &&
+		    now - f->endpoints[i].unlisted_ms > ENTRY_REUSE_MS)
 			ep = &f->endpoints[i];
 	}
 	if (!ep && f->count < FLEET_ENDPOINTS_MAX)
@@ -58,6 +62,7 @@
 	prefix_index_forget(f->index, (int)(ep - f->endpoints));
 	memset(ep, 0, sizeof(*ep));
 	ep->used = true;
+	ep->unlisted_ms = now;
 	str_copy(ep->info.name, sizeof(ep->info.name), str_from(name));
 	return ep;
 }
@@ -86,8 +91,10 @@
 			seen[ep - f->endpoints] = true;
 	}
 	for (int i = 0; i < f->count; i++) {
-		if (!seen[i])
-			f->endpoints[i].listed = false;
+		if (seen[i] || !f->endpoints[i].listed)
+			continue;
+		f->endpoints[i].listed = false;
+		f->endpoints[i].unlisted_ms = clock_boot_ms();
 	}
 	for (int i = 0; i < count; i++) {
 		struct endpoint *ep = fleet_find(f, infos[i].name);
@@ -168,8 +175,7 @@
 static struct own_work own_work_at(const struct endpoint *ep, int64_t at_ms)
 {
 	struct own_work none = { 0 };
-	uint64_t oldest =
-		ep->history_next > FLEET_HISTORY ? ep->history_next - FLEET_HISTORY : 0;
+	uint64_t oldest = ep->history_next > FLEET_HISTORY ? ep->history_next - FLEET_HISTORY : 0;
 
 	for (uint64_t i = ep->history_next; i > oldest; i--) {
 		const struct own_work *w = &ep->history[(i - 1) % FLEET_HISTORY];
@@ -203,9 +209,8 @@
 		prefix_index_forget(f->index, (int)(ep - f->endpoints));
 	own = own_work_at(ep, load->at_ms - f->load_lag_ms);
 	ep->load = *load;
-	ep->foreign_prefill = load->prefill_backlog > own.prefill ?
-				      load->prefill_backlog - own.prefill :
-				      0;
+	ep->foreign_prefill =
+		load->prefill_backlog > own.prefill ? load->prefill_backlog - own.prefill : 0;
 	ep->foreign_seqs = load->decode_seqs > own.seqs ? load->decode_seqs - own.seqs : 0;
 	if (ep->info.engine && !load->changing && load->role != ROLE_SERVICE &&
 	    load->at_ms - ep->role_set_ms > ROLE_SETTLE_MS + f->load_lag_ms)
@@ -225,7 +230,7 @@
 		const struct endpoint *ep = &f->endpoints[i];
 		struct endpoint_status *st = &out[n];
 
-		if (endpoint_forgettable(ep))
+		if (endpoint_gone(ep))
 			continue;
 		n++;
 		st->info = ep->info;
--- a/daemon/fleet_impl.h
+++ b/daemon/fleet_impl.h
@@ -20,6 +20,7 @@
 /**
  * struct endpoint - one entry; the array index is the endpoint id
  * @listed: named by the platform's list
+ * @unlisted_ms: since when it is not, boot clock
  * @stops: order ids that keep new work away
  * @foreign_prefill: part of the last report that own attempts did not explain, likewise
  *	@foreign_seqs
@@ -29,6 +30,7 @@
 	struct endpoint_load load;
 	bool used;
 	bool listed;
+	int64_t unlisted_ms;
 	char stops[FLEET_STOPS_MAX][48];
 	int stop_count;
 	int in_flight;
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -11,6 +11,8 @@
 	.kv_token_us = 2,
 };
 #define SLOTS_UNKNOWN 32
+/* Share of the prompt's pieces credited to the home engine while no cache event is known. */
+#define HOME_SHARE 8
 
 static bool endpoint_usable(const struct endpoint *ep, int64_t now_ms)
 {
@@ -74,7 +76,7 @@
 		}
 	}
 	if (home)
-		home->cached_tokens = 1;
+		home->cached_tokens = (int64_t)q->prefix->count * PREFIX_PIECE_TOKENS / HOME_SHARE;
 }
 
 int fleet_candidates(struct fleet *f, const struct fleet_query *q, struct route_candidate *out)
@@ -133,8 +135,9 @@
 	return ok;
 }
 
-/* Engine with the fewest own attempts that can run a whole request; -1 when there is none. */
-static int reserve_pick(struct fleet *f, const struct fleet_query *q, int64_t now)
+/* Reserves the engine of @role with the fewest own attempts; -1 when there is none. */
+static int reserve_pick(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
+			int64_t now)
 {
 	int best = -1;
 
@@ -143,7 +146,7 @@
 
 		if (!endpoint_serves(ep, q) || !endpoint_usable(ep, now) || ep->reserved)
 			continue;
-		if (q->engine && ep->info.role == ROLE_PREFILL)
+		if (ep->info.role != role)
 			continue;
 		if (best < 0 || ep->in_flight < f->endpoints[best].in_flight)
 			best = i;
@@ -153,8 +156,8 @@
 	return best;
 }
 
-bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, int64_t prefill_tokens,
-			 int *reserved, struct fleet_slot *out)
+bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
+			 int64_t prefill_tokens, int *reserved, struct fleet_slot *out)
 {
 	int64_t now = clock_boot_ms();
 	bool ok = false;
@@ -165,9 +168,9 @@
 		*reserved = -1;
 	}
 	if (*reserved < 0)
-		*reserved = reserve_pick(f, q, now);
+		*reserved = reserve_pick(f, q, role, now);
 	if (*reserved >= 0 && !f->endpoints[*reserved].in_flight) {
-		slot_take(f, *reserved, prefill_tokens, 1, out);
+		slot_take(f, *reserved, prefill_tokens, role == ROLE_PREFILL ? 0 : 1, out);
 		out->alone = true;
 		*reserved = -1;
 		ok = true;
--- a/include/ibisgate/daemon/fleet_use.h
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -65,13 +65,14 @@
 
 /**
  * fleet_acquire_alone - take an engine for one suspect request
+ * @role: role of the engine
  * @reserved: in/out: endpoint id that is reserved while its other attempts end, -1 for none
  *
  * Return: true with the slot taken; false when the caller has to try again later. The caller gives
  * up with fleet_unreserve().
  */
-bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, int64_t prefill_tokens,
-			 int *reserved, struct fleet_slot *out);
+bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
+			 int64_t prefill_tokens, int *reserved, struct fleet_slot *out);
 void fleet_unreserve(struct fleet *f, int reserved);
 
 /** fleet_prefilled - the prompt of the attempt has been processed */
--- /dev/null
+++ b/net/link_transfer.c
@@ -0,0 +1,192 @@
+#include <errno.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/metrics.h"
+#include "link_impl.h"
+
+/* Pooled connections older than this while idle are not used again. */
+#define LINK_IDLE_MAX_S 15L
+
+static void response_deliver(struct transfer *t)
+{
+	struct link_event ev = { .kind = LINK_RESPONSE, .attempt = t->attempt };
+	long status = 0;
+
+	if (t->responded)
+		return;
+	t->responded = true;
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	ev.status = (int)status;
+	link_queue_push(t->queue, ev);
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *ctx)
+{
+	struct transfer *t = ctx;
+	size_t len = size * n;
+	long status = 0;
+
+	t->active_ms = clock_boot_ms();
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	/* The empty line ends the headers; 1xx answers are followed by another block. */
+	if (len <= 2 && (data[0] == '\r' || data[0] == '\n') && status >= 200)
+		response_deliver(t);
+	return len;
+}
+
+static size_t on_data(char *data, size_t size, size_t n, void *ctx)
+{
+	struct transfer *t = ctx;
+	struct link_event ev = { .kind = LINK_DATA, .attempt = t->attempt };
+	size_t len = size * n;
+
+	t->active_ms = clock_boot_ms();
+	if (t->cancelled)
+		return len;
+	buf_append(&ev.data, data, len);
+	link_queue_push(t->queue, ev);
+	return len;
+}
+
+/*
+ * Called when a connection is ready and before the first byte is written. libcurl repeats a request
+ * by itself when a reused connection turns out to be dead; that would run a call twice, so the
+ * second time is an abort.
+ */
+static int on_ready(void *ctx, char *remote, char *local, int remote_port, int local_port)
+{
+	struct transfer *t = ctx;
+
+	if (t->written) {
+		t->resent = true;
+		return CURL_PREREQFUNC_ABORT;
+	}
+	t->written = true;
+	t->active_ms = clock_boot_ms();
+	return CURL_PREREQFUNC_OK;
+}
+
+static void headers_set(struct transfer *t, const struct link_request *req)
+{
+	t->headers = curl_slist_append(t->headers, "Expect:");
+	if (req->body.data)
+		t->headers = curl_slist_append(t->headers, "Content-Type: application/json");
+	for (int i = 0; req->headers && req->headers[i]; i++)
+		t->headers = curl_slist_append(t->headers, req->headers[i]);
+	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
+}
+
+static void connection_set(struct transfer *t, struct link *l, const struct link_request *req)
+{
+	char target[96];
+	bool fresh = req->fresh ||
+		     clock_boot_ms() < atomic_load(&l->fresh_until_ms[t->host % LINK_HOSTS]);
+
+	if (req->address) {
+		snprintf(target, sizeof(target), "::%s", req->address);
+		t->connect_to = curl_slist_append(NULL, target);
+		curl_easy_setopt(t->easy, CURLOPT_CONNECT_TO, t->connect_to);
+	}
+	curl_easy_setopt(t->easy, CURLOPT_CONNECTTIMEOUT_MS, (long)l->options.connect_timeout_ms);
+	curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+	curl_easy_setopt(t->easy, CURLOPT_MAXAGE_CONN, LINK_IDLE_MAX_S);
+	curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+}
+
+/* Host part of a URL, so that all paths of an endpoint share an entry. */
+static uint32_t host_hash(const char *url, const char *address)
+{
+	struct str rest = str_from(url);
+	const char *scheme = strstr(url, "://");
+
+	if (address)
+		return (uint32_t)hash_str(str_from(address), 0);
+	if (scheme)
+		rest = str_from(scheme + 3);
+	return (uint32_t)hash_str(str_split(&rest, '/'), 0);
+}
+
+struct transfer *transfer_create(struct link *l, const struct link_request *req)
+{
+	struct transfer *t = mem_zalloc(sizeof(*t));
+
+	t->easy = curl_easy_init();
+	if (!t->easy)
+		abort();
+	t->silence_ms = req->silence_ms;
+	t->host = host_hash(req->url, req->address);
+	curl_easy_setopt(t->easy, CURLOPT_URL, req->url);
+	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
+	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(t->easy, CURLOPT_PROTOCOLS_STR, "http,https");
+	curl_easy_setopt(t->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(t->easy, CURLOPT_HEADERDATA, t);
+	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(t->easy, CURLOPT_PREREQFUNCTION, on_ready);
+	curl_easy_setopt(t->easy, CURLOPT_PREREQDATA, t);
+	if (req->body.data) {
+		buf_append_str(&t->body, req->body);
+		curl_easy_setopt(t->easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)req->body.len);
+		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDS, t->body.data ? t->body.data : "");
+	}
+	headers_set(t, req);
+	connection_set(t, l, req);
+	return t;
+}
+
+void transfer_destroy(struct transfer *t)
+{
+	curl_easy_cleanup(t->easy);
+	curl_slist_free_all(t->headers);
+	curl_slist_free_all(t->connect_to);
+	buf_free(&t->body);
+	link_queue_unref(t->queue);
+	free(t);
+}
+
+static enum link_failure failure_of(const struct transfer *t, CURLcode code)
+{
+	if (t->silent)
+		return LINK_SILENT;
+	if (!t->written)
+		return LINK_CONNECT;
+	switch (code) {
+	case CURLE_WEIRD_SERVER_REPLY:
+	case CURLE_UNSUPPORTED_PROTOCOL:
+	case CURLE_BAD_CONTENT_ENCODING:
+		return LINK_PROTOCOL;
+	default:
+		return LINK_RESET;
+	}
+}
+
+void transfer_finish(struct transfer *t, CURLcode code)
+{
+	struct link_event ev = { .attempt = t->attempt };
+	long status = 0;
+	long os_error = 0;
+
+	if (t->cancelled)
+		return;
+	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &os_error);
+	ev.status = (int)status;
+	if (code == CURLE_OK && !t->silent) {
+		response_deliver(t);
+		ev.kind = LINK_END;
+	} else {
+		ev.kind = LINK_FAILED;
+		ev.failure = failure_of(t, code);
+		ev.sent = t->written ? SENT_MAYBE : SENT_NO;
+		ev.refused = ev.failure == LINK_CONNECT && os_error == ECONNREFUSED;
+	}
+	link_queue_push(t->queue, ev);
+}
--- /dev/null
+++ b/net/sse.c
@@ -0,0 +1,80 @@
+#include <string.h>
+
+#include "ibisgate/net/sse.h"
+
+void sse_feed(struct sse *s, struct str bytes)
+{
+	if (s->pos) {
+		buf_consume(&s->buf, s->pos);
+		s->pos = 0;
+	}
+	if (s->buf.len + s->data.len + bytes.len > SSE_EVENT_MAX) {
+		s->overflow = true;
+		return;
+	}
+	buf_append_str(&s->buf, bytes);
+}
+
+/* Takes one line without its end; a CR at the end of the buffer waits for a possible LF. */
+static bool line_take(struct sse *s, struct str *line)
+{
+	const char *start = s->buf.data + s->pos;
+	size_t len = s->buf.len - s->pos;
+	size_t end = 0;
+
+	if (!s->buf.data)
+		return false;
+	while (end < len && start[end] != '\n' && start[end] != '\r')
+		end++;
+	if (end == len || (start[end] == '\r' && end + 1 == len))
+		return false;
+	*line = (struct str){ .data = start, .len = end };
+	s->pos += end + 1;
+	if (start[end] == '\r' && start[end + 1] == '\n')
+		s->pos++;
+	return true;
+}
+
+static void line_apply(struct sse *s, struct str line)
+{
+	if (!str_starts_with(line, STR_LIT("data:")))
+		return;
+	line.data += 5;
+	line.len -= 5;
+	if (line.len && line.data[0] == ' ') {
+		line.data++;
+		line.len--;
+	}
+	if (s->has_data)
+		buf_append(&s->data, "\n", 1);
+	buf_append_str(&s->data, line);
+	s->has_data = true;
+}
+
+int sse_next(struct sse *s, struct str *data)
+{
+	struct str line;
+
+	if (s->overflow)
+		return -1;
+	if (!s->has_data)
+		buf_reset(&s->data);
+	while (line_take(s, &line)) {
+		if (line.len) {
+			line_apply(s, line);
+			continue;
+		}
+		if (!s->has_data)
+			continue;
+		s->has_data = false;
+		*data = buf_str(&s->data);
+		return 1;
+	}
+	return 0;
+}
+
+void sse_free(struct sse *s)
+{
+	buf_free(&s->buf);
+	buf_free(&s->data);
+}
