--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -18,7 +18,7 @@
  * @id: attempt id as sent to the engine
  * @json: the answer is one JSON object and no stream
  * @body: body of a JSON answer or of an error
- * @finish: finish reason seen; the answer is whole only after [DONE]
+ * @finished: the chunk with the finish reason arrived; only [DONE] may be missing
  */
 struct stream {
 	struct dispatch *d;
@@ -29,6 +29,7 @@
 	bool json;
 	int status;
 	bool done;
+	bool finished;
 	bool caller_gone;
 	bool invalid;
 	bool prefilled;
@@ -79,6 +80,7 @@
 	buf_append_str(&g->text, text);
 	g->tokens += tokens;
 	metric_add(METRIC_TOKENS_OUT, tokens);
+	s->finished = finish != NULL;
 	s->caller_gone = !g->on_piece(g->ctx, text, tokens, finish);
 	return true;
 }
@@ -278,6 +280,8 @@
 	}
 	if (s->caller_gone)
 		a->result = ATTEMPT_CALLER_GONE;
+	else if (s->finished)
+		a->result = ATTEMPT_DONE;
 	else if (!ended && a->result != ATTEMPT_DEADLINE)
 		answer_judge(d, a, s, slot);
 	/* After [DONE] only the end of the response is missing; it is left to the loop. */
@@ -346,6 +350,9 @@
 	body = body_build(w, s.id, kv, true);
 	stream_run(&s, a, &w->place.run, body, d->gate->settings.links.silence_ms);
 	free(body);
+	/* The prefill engine has worked for it, so "not run" would be untrue from here on. */
+	if (kv)
+		a->sent = SENT_MAYBE;
 out:
 	place_release(d, w);
 	json_decref(kv);
--- a/daemon/dispatch_generate.c
+++ b/daemon/dispatch_generate.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
+#include <urcu-bp.h>
 
 #include "dispatch_impl.h"
 #include "ibisgate/common/clock.h"
@@ -45,13 +46,36 @@
 	return f;
 }
 
-static void work_init(struct dispatch *d, struct work *w, struct generation *g)
+/*
+ * Name of the service that offers the model; the model's own name when none is configured. False
+ * when neither the configuration nor the fleet knows the model.
+ */
+static bool service_find(struct dispatch *d, struct generation *g, char *name, size_t size)
+{
+	struct config_service cs;
+	const struct config *c;
+	bool found;
+
+	str_copy(name, size, str_from(g->model));
+	rcu_read_lock();
+	c = rcu_dereference(d->gate->config);
+	found = c && config_service_by_model(c, g->model, &cs);
+	if (found) {
+		str_copy(name, size, str_from(cs.name));
+		if (!g->call.class_given)
+			g->call.class = cs.class;
+	}
+	rcu_read_unlock();
+	return found || fleet_has_model(d->gate->fleet, g->model);
+}
+
+static void work_init(struct dispatch *d, struct work *w, struct generation *g, const char *service)
 {
 	struct call *call = &g->call;
 	int64_t total;
 
 	*w = (struct work){ .g = g };
-	limits_load(d, call->organisation, g->model, &w->limits);
+	limits_load(d, call->organisation, service, &w->limits);
 	total = w->limits.total_ms;
 	if (call->asked_ms > 0 && call->asked_ms < total)
 		total = call->asked_ms;
@@ -187,11 +211,17 @@
 
 void dispatch_generate(struct dispatch *d, struct generation *g, struct outcome *out)
 {
+	char service[64];
 	struct work w;
 
+	if (!service_find(d, g, service, sizeof(service))) {
+		outcome_set(out, 404, "invalid_request", "model_not_found", "no model %s",
+			    g->model);
+		return;
+	}
 	if (!g->max_tokens)
 		json_object_set_new(g->body, "max_tokens", json_integer(DEFAULT_MAX_TOKENS));
-	work_init(d, &w, g);
+	work_init(d, &w, g, service);
 	switch (control_quarantine_check(d->gate->control, w.fingerprint)) {
 	case QUARANTINE_REFUSE:
 		quarantined(out);
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -25,6 +25,18 @@
 	return ep->used && ep->info.engine == q->engine && strcmp(ep->info.model, q->model) == 0;
 }
 
+bool fleet_has_model(struct fleet *f, const char *model)
+{
+	const struct fleet_query q = { .model = model, .engine = true };
+	bool found = false;
+
+	pthread_mutex_lock(&f->lock);
+	for (int i = 0; i < f->count && !found; i++)
+		found = f->endpoints[i].listed && endpoint_serves(&f->endpoints[i], &q);
+	pthread_mutex_unlock(&f->lock);
+	return found;
+}
+
 static bool avoided(const struct fleet_query *q, int id)
 {
 	for (int i = 0; i < q->avoid_count; i++) {
--- /dev/null
+++ b/daemon/front.c
@@ -0,0 +1,423 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <urcu-bp.h>
+
+#include "front_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/metrics.h"
+
+enum front_error {
+	FRONT_OK,
+	FRONT_LISTEN,
+};
+
+#define KEY_MAX 256
+#define IDEMPOTENCY_KEY_MAX 255
+#define HEADERS_MAX_BYTES "16384"
+#define KEEP_ALIVE_MS "30000"
+
+enum authentication {
+	AUTH_OK,
+	AUTH_BAD,
+	AUTH_NO_CONFIG,
+};
+
+static enum authentication organisation_read(struct exchange *x, const char *key_hash)
+{
+	struct config_organisation org;
+	const struct config *c;
+	enum authentication result = AUTH_NO_CONFIG;
+
+	rcu_read_lock();
+	c = rcu_dereference(x->front->gate->config);
+	if (c) {
+		result = AUTH_BAD;
+		if (config_organisation_by_key(c, key_hash, &org)) {
+			result = AUTH_OK;
+			x->call.weight = org.weight;
+			str_copy(x->call.organisation, sizeof(x->call.organisation),
+				 str_from(org.name));
+		}
+	}
+	rcu_read_unlock();
+	return result;
+}
+
+static bool authenticate(struct exchange *x)
+{
+	const char *header = mg_get_header(x->conn, "Authorization");
+	char hash[HASH_HEX_SIZE] = "";
+	struct outcome o = { .status = 503,
+			     .type = "not_run",
+			     .code = "starting",
+			     .message = "the configuration is not known yet",
+			     .retry_after_s = 1 };
+
+	if (header && strncasecmp(header, "Bearer ", 7) == 0 && strlen(header) < KEY_MAX)
+		hash_secret_hex(str_trim(str_from(header + 7)), hash);
+	switch (organisation_read(x, hash)) {
+	case AUTH_OK:
+		return true;
+	case AUTH_BAD:
+		buf_append_str(&x->headers, STR_LIT("WWW-Authenticate: Bearer\r\n"));
+		reply_invalid(x, 401, "invalid_api_key", NULL, "the API key is missing or unknown");
+		return false;
+	case AUTH_NO_CONFIG:
+		break;
+	}
+	reply_outcome(x, &o);
+	return false;
+}
+
+static bool options_read(struct exchange *x)
+{
+	const char *priority = mg_get_header(x->conn, "Ibisgate-Priority");
+	const char *deadline = mg_get_header(x->conn, "Ibisgate-Deadline-Ms");
+
+	x->call.class = CLASS_NORMAL;
+	if (priority && !share_class_parse(str_from(priority), &x->call.class)) {
+		reply_invalid(x, 400, "invalid_value", "Ibisgate-Priority",
+			      "expected urgent, normal or background");
+		return false;
+	}
+	x->call.class_given = priority != NULL;
+	if (deadline &&
+	    (!str_to_i64(str_from(deadline), &x->call.asked_ms) || x->call.asked_ms < 1)) {
+		reply_invalid(x, 400, "invalid_value", "Ibisgate-Deadline-Ms",
+			      "expected milliseconds");
+		return false;
+	}
+	return true;
+}
+
+static void health_handle(struct exchange *x)
+{
+	reply_body(x, 200, "text/plain", STR_LIT("ok\n"));
+}
+
+static void ready_handle(struct exchange *x)
+{
+	struct gate *gate = x->front->gate;
+	bool ready = atomic_load(&gate->state) == GATE_READY && !atomic_load(&gate->failed) &&
+		     control_ready(gate->control);
+
+	if (ready)
+		reply_body(x, 200, "text/plain", STR_LIT("ready\n"));
+	else
+		reply_body(x, 503, "text/plain", STR_LIT("not ready\n"));
+}
+
+static void metrics_handle(struct exchange *x)
+{
+	struct buf out = { 0 };
+
+	metrics_format(&out, x->front->gate->settings.instance.id);
+	reply_body(x, 200, "text/plain; version=0.0.4", buf_str(&out));
+	buf_free(&out);
+}
+
+static void models_handle(struct exchange *x)
+{
+	json_t *seen = json_object();
+	json_t *data = json_array();
+	struct endpoint_status *st;
+	int count;
+
+	st = fleet_statuses(x->front->gate->fleet, &count);
+	for (int i = 0; i < count; i++) {
+		const char *model = st[i].info.model;
+
+		if (!st[i].info.engine || !model[0] || json_object_get(seen, model))
+			continue;
+		json_object_set_new(seen, model, json_true());
+		json_array_append_new(data, json_pack("{s:s,s:s,s:s}", "id", model, "object",
+						      "model", "owned_by", "ibisgate"));
+	}
+	free(st);
+	json_decref(seen);
+	reply_json(x, 200, json_pack("{s:s,s:o}", "object", "list", "data", data));
+}
+
+static void service_run(struct exchange *x, const char *name, struct str key)
+{
+	struct service_call s = { .call = x->call, .key = key, .body = buf_str(&x->body) };
+	struct outcome o = { 0 };
+
+	str_copy(s.service, sizeof(s.service), str_from(name));
+	dispatch_service(x->front->gate->dispatch, &s, &o);
+	x->call = s.call;
+	if (s.single_try)
+		buf_append_str(&x->headers, STR_LIT("Ibisgate-Outcome: single-try\r\n"));
+	if (s.replayed)
+		buf_append_str(&x->headers, STR_LIT("Ibisgate-Outcome: replayed\r\n"));
+	if (o.status == 200) {
+		metric_add(METRIC_REQUESTS_OK, 1);
+		reply_body(x, s.answer_status, "application/json", buf_str(&s.answer));
+	} else {
+		reply_outcome(x, &o);
+	}
+	buf_free(&s.answer);
+}
+
+static bool key_valid(struct str key)
+{
+	for (size_t i = 0; i < key.len; i++) {
+		if (key.data[i] < 0x21 || key.data[i] > 0x7e)
+			return false;
+	}
+	return key.len > 0 && key.len <= IDEMPOTENCY_KEY_MAX;
+}
+
+static bool name_valid(const char *name)
+{
+	size_t len = strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789-");
+
+	return len > 0 && len < 48 && !name[len];
+}
+
+static void service_handle(struct exchange *x, const char *name)
+{
+	const char *header = mg_get_header(x->conn, "Idempotency-Key");
+	struct str key = header ? str_trim(str_from(header)) : (struct str){ 0 };
+	json_t *body;
+
+	if (!name_valid(name)) {
+		reply_invalid(x, 404, "unknown_service", NULL, "no such service");
+		return;
+	}
+	if (header && !key_valid(key)) {
+		reply_invalid(x, 400, "invalid_value", "Idempotency-Key",
+			      "expected 1 to 255 visible ASCII characters");
+		return;
+	}
+	if (!body_read(x))
+		return;
+	body = body_json(x);
+	if (!body)
+		return;
+	json_decref(body);
+	service_run(x, name, key);
+}
+
+/**
+ * struct path - one resource
+ * @prefix: the rest of the path is an argument
+ * @open: needs no API key
+ */
+struct path {
+	const char *path;
+	const char *method;
+	bool prefix;
+	bool open;
+	enum {
+		PATH_HEALTH,
+		PATH_READY,
+		PATH_METRICS,
+		PATH_MODELS,
+		PATH_COMPLETIONS,
+		PATH_CHAT,
+		PATH_SERVICE
+	} kind;
+};
+
+static const struct path paths[] = {
+	{ "/healthz", "GET", false, true, PATH_HEALTH },
+	{ "/readyz", "GET", false, true, PATH_READY },
+	{ "/metrics", "GET", false, true, PATH_METRICS },
+	{ "/v1/models", "GET", false, false, PATH_MODELS },
+	{ "/v1/completions", "POST", false, false, PATH_COMPLETIONS },
+	{ "/v1/chat/completions", "POST", false, false, PATH_CHAT },
+	{ "/v1/services/", "POST", true, false, PATH_SERVICE },
+};
+
+static const struct path *path_find(const char *uri)
+{
+	for (size_t i = 0; i < sizeof(paths) / sizeof(paths[0]); i++) {
+		size_t len = strlen(paths[i].path);
+
+		if (paths[i].prefix ? strncmp(uri, paths[i].path, len) == 0
+				    : strcmp(uri, paths[i].path) == 0)
+			return &paths[i];
+	}
+	return NULL;
+}
+
+static void request_run(struct exchange *x, const struct path *p, const char *uri)
+{
+	metric_add(METRIC_REQUESTS, 1);
+	event_record("request-received", x->call.id, NULL, x->call.organisation, "path=%s",
+		     p->path);
+	switch (p->kind) {
+	case PATH_COMPLETIONS:
+		generate_handle(x, false);
+		break;
+	case PATH_CHAT:
+		generate_handle(x, true);
+		break;
+	case PATH_SERVICE:
+		service_handle(x, uri + strlen(p->path));
+		break;
+	default:
+		break;
+	}
+	event_record("finished", x->call.id, x->call.endpoint, x->call.organisation,
+		     "ms=%" PRId64 " attempts=%d", clock_boot_ms() - x->call.arrived_ms,
+		     x->call.attempts);
+}
+
+static void exchange_run(struct exchange *x)
+{
+	const char *uri = x->info->local_uri ? x->info->local_uri : "";
+	const char *method = x->info->request_method;
+	const struct path *p = path_find(uri);
+
+	if (!p) {
+		reply_invalid(x, 404, "unknown_path", NULL, "no such resource");
+		return;
+	}
+	if (strcmp(method, p->method) != 0 &&
+	    !(strcmp(method, "HEAD") == 0 && strcmp(p->method, "GET") == 0)) {
+		buf_printf(&x->headers, "Allow: %s\r\n", p->method);
+		reply_invalid(x, 405, "wrong_method", NULL, "method not allowed");
+		return;
+	}
+	if (!p->open && (!authenticate(x) || !options_read(x)))
+		return;
+	switch (p->kind) {
+	case PATH_HEALTH:
+		health_handle(x);
+		break;
+	case PATH_READY:
+		ready_handle(x);
+		break;
+	case PATH_METRICS:
+		metrics_handle(x);
+		break;
+	case PATH_MODELS:
+		models_handle(x);
+		break;
+	default:
+		request_run(x, p, uri);
+	}
+}
+
+static void exchange_init(struct exchange *x, struct front *f, struct mg_connection *conn)
+{
+	*x = (struct exchange){ .front = f, .conn = conn, .info = mg_get_request_info(conn) };
+	snprintf(x->call.id, sizeof(x->call.id), "r%016" PRIx64, random_u64());
+	x->call.arrived_ms = clock_boot_ms();
+	/* Without a body nothing is left on the connection that could be taken for a request. */
+	x->body_read = x->info->content_length <= 0 && !mg_get_header(conn, "Transfer-Encoding");
+}
+
+static void exchange_clear(struct exchange *x)
+{
+	buf_free(&x->body);
+	buf_free(&x->headers);
+}
+
+static int on_request(struct mg_connection *conn)
+{
+	struct front *f = mg_get_user_data(mg_get_context(conn));
+	struct exchange x;
+
+	atomic_fetch_add(&f->gate->requests, 1);
+	metric_add(METRIC_STREAMS, 1);
+	exchange_init(&x, f, conn);
+	exchange_run(&x);
+	exchange_clear(&x);
+	metric_add(METRIC_STREAMS, -1);
+	atomic_fetch_sub(&f->gate->requests, 1);
+	return 200;
+}
+
+/* Errors that CivetWeb finds before a handler runs, e.g. a malformed request line. */
+static int on_error(struct mg_connection *conn, int status, const char *message)
+{
+	struct front *f = mg_get_user_data(mg_get_context(conn));
+	struct exchange x;
+
+	exchange_init(&x, f, conn);
+	x.body_read = false;
+	/* The only large thing that CivetWeb refuses by itself is the block of headers. */
+	if (status == 413)
+		status = 431;
+	reply_invalid(&x, status, "bad_request", NULL, "the request can not be understood");
+	exchange_clear(&x);
+	return 0;
+}
+
+static int on_log(const struct mg_connection *conn, const char *message)
+{
+	return 1;
+}
+
+struct front *front_create(struct gate *gate, struct error *err)
+{
+	const struct settings *s = &gate->settings;
+	struct front *f = mem_zalloc(sizeof(*f));
+	struct mg_callbacks callbacks = { .begin_request = on_request,
+					  .http_error = on_error,
+					  .log_message = on_log };
+	struct mg_server_port port;
+	char listen[80];
+	char threads[16];
+	char timeout[24];
+	bool tls = s->http.tls_certificate[0];
+	const char *options[] = {
+		"listening_ports",
+		listen,
+		"num_threads",
+		threads,
+		"request_timeout_ms",
+		timeout,
+		"enable_keep_alive",
+		"yes",
+		"keep_alive_timeout_ms",
+		KEEP_ALIVE_MS,
+		"max_request_size",
+		HEADERS_MAX_BYTES,
+		"tcp_nodelay",
+		"1",
+		"decode_url",
+		"yes",
+		tls ? "ssl_certificate" : NULL,
+		s->http.tls_certificate,
+		NULL,
+	};
+
+	f->gate = gate;
+	snprintf(listen, sizeof(listen), "%s%s", s->http.listen, tls ? "s" : "");
+	snprintf(threads, sizeof(threads), "%d", s->http.threads);
+	snprintf(timeout, sizeof(timeout), "%" PRId64, s->http.request_timeout_ms);
+	mg_init_library(tls ? MG_FEATURES_TLS : MG_FEATURES_DEFAULT);
+	f->context = mg_start(&callbacks, f, options);
+	if (!f->context || mg_get_server_ports(f->context, 1, &port) != 1) {
+		front_destroy(f);
+		error_set(err, ERROR_FRONT, FRONT_LISTEN, "cannot listen on %s", s->http.listen);
+		return NULL;
+	}
+	f->port = port.port;
+	gate->front = f;
+	return f;
+}
+
+int front_port(const struct front *f)
+{
+	return f->port;
+}
+
+void front_destroy(struct front *f)
+{
+	if (!f)
+		return;
+	if (f->context)
+		mg_stop(f->context);
+	mg_exit_library();
+	free(f);
+}
--- /dev/null
+++ b/daemon/front_generate.c
@@ -0,0 +1,236 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "front_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/metrics.h"
+
+#define MAX_TOKENS_MAX 1000000
+
+/**
+ * struct answer - answer of a generation under way
+ * @model: model name as a JSON string
+ * @begun: the headers of the stream are out
+ * @finish: finish reason, "" before the end
+ */
+struct answer {
+	struct exchange *x;
+	struct generation g;
+	bool stream;
+	char *model;
+	int64_t created;
+	bool begun;
+	bool broken;
+	char finish[32];
+	struct buf prompt;
+};
+
+static void chunk_format(struct answer *a, struct buf *out, struct str text, int tokens,
+			 const char *finish)
+{
+	json_t *value = json_stringn(text.data ? text.data : "", text.len);
+	char *quoted = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
+
+	buf_printf(out,
+		   "data: {\"id\":\"%s\",\"object\":\"%s\",\"created\":%" PRId64 ",\"model\":%s,"
+		   "\"choices\":[{\"index\":0,",
+		   a->x->call.id, a->g.chat ? "chat.completion.chunk" : "text_completion",
+		   a->created, a->model);
+	if (a->g.chat)
+		buf_printf(out, "\"delta\":{\"content\":%s}", quoted ? quoted : "\"\"");
+	else
+		buf_printf(out, "\"text\":%s", quoted ? quoted : "\"\"");
+	if (finish)
+		buf_printf(out, ",\"finish_reason\":\"%s\"}],\"tokens\":%d}\n\n", finish, tokens);
+	else
+		buf_printf(out, ",\"finish_reason\":null}],\"tokens\":%d}\n\n", tokens);
+	free(quoted);
+	json_decref(value);
+}
+
+/* Finish reasons go out unquoted, so anything but a plain word is replaced. */
+static void finish_keep(struct answer *a, const char *finish)
+{
+	bool plain = strspn(finish, "abcdefghijklmnopqrstuvwxyz_") == strlen(finish);
+
+	str_copy(a->finish, sizeof(a->finish), str_from(plain ? finish : "stop"));
+}
+
+static bool on_piece(void *ctx, struct str text, int tokens, const char *finish)
+{
+	struct answer *a = ctx;
+	struct buf out = { 0 };
+
+	if (finish)
+		finish_keep(a, finish);
+	if (!a->stream)
+		return true;
+	if (!a->begun) {
+		a->begun = true;
+		str_copy(a->x->call.endpoint, sizeof(a->x->call.endpoint),
+			 str_from(a->g.call.endpoint));
+		a->broken = !reply_stream_begin(a->x);
+	}
+	chunk_format(a, &out, text, tokens, finish ? a->finish : NULL);
+	if (!a->broken)
+		a->broken = !reply_stream(a->x, buf_str(&out));
+	buf_free(&out);
+	return !a->broken;
+}
+
+static void stream_end(struct answer *a, const struct outcome *o)
+{
+	struct buf out = { 0 };
+
+	if (o->status == 200) {
+		buf_append_str(&out, STR_LIT("data: [DONE]\n\n"));
+	} else {
+		json_t *error = error_json(o->message, o->type, o->code, NULL);
+
+		buf_append_str(&out, STR_LIT("data: "));
+		json_append(&out, error);
+		buf_append_str(&out, STR_LIT("\n\n"));
+		json_decref(error);
+		metric_add(METRIC_OUTCOME_UNKNOWN, 1);
+	}
+	if (reply_stream(a->x, buf_str(&out)))
+		reply_stream(a->x, (struct str){ 0 });
+	buf_free(&out);
+}
+
+static void json_answer(struct answer *a)
+{
+	struct generation *g = &a->g;
+	int64_t prompt = (int64_t)(g->prompt.len + 3) / 4;
+	json_t *text = json_stringn(g->text.data ? g->text.data : "", g->text.len);
+	json_t *choice;
+
+	if (g->chat)
+		choice = json_pack("{s:i,s:{s:s,s:o},s:s}", "index", 0, "message", "role",
+				   "assistant", "content", text, "finish_reason", a->finish);
+	else
+		choice = json_pack("{s:i,s:o,s:s}", "index", 0, "text", text, "finish_reason",
+				   a->finish);
+	reply_json(a->x, 200,
+		   json_pack("{s:s,s:s,s:I,s:s,s:[o],s:{s:I,s:I,s:I}}", "id", a->x->call.id,
+			     "object", g->chat ? "chat.completion" : "text_completion", "created",
+			     (json_int_t)a->created, "model", g->model, "choices", choice, "usage",
+			     "prompt_tokens", (json_int_t)prompt, "completion_tokens",
+			     (json_int_t)g->tokens, "total_tokens",
+			     (json_int_t)(prompt + g->tokens)));
+}
+
+static void answer_end(struct answer *a, const struct outcome *o)
+{
+	str_copy(a->x->call.endpoint, sizeof(a->x->call.endpoint), str_from(a->g.call.endpoint));
+	if (o->status == 0) {
+		mg_disable_connection_keep_alive(a->x->conn);
+		return;
+	}
+	if (o->status == 200)
+		metric_add(METRIC_REQUESTS_OK, 1);
+	if (a->begun)
+		stream_end(a, o);
+	else if (o->status != 200)
+		reply_outcome(a->x, o);
+	else if (a->stream && reply_stream_begin(a->x))
+		stream_end(a, o);
+	else if (!a->stream)
+		json_answer(a);
+}
+
+static const char *prompt_read(struct answer *a, const json_t *body)
+{
+	struct str prompt = json_get_str(body, "prompt");
+
+	if (!prompt.data)
+		return "prompt";
+	buf_append_str(&a->prompt, prompt);
+	return NULL;
+}
+
+static const char *messages_read(struct answer *a, const json_t *body)
+{
+	const json_t *messages = json_object_get(body, "messages");
+	json_t *m;
+	size_t i;
+
+	if (!json_array_size(messages))
+		return "messages";
+	json_array_foreach(messages, i, m) {
+		struct str content = json_get_str(m, "content");
+
+		if (!content.data || !json_get_str(m, "role").data)
+			return "messages";
+		if (i)
+			buf_append(&a->prompt, "\n", 1);
+		buf_append_str(&a->prompt, content);
+	}
+	return NULL;
+}
+
+/* Checks types and fills @a. Return: NULL, or the name of the bad field. */
+static const char *request_read(struct answer *a, json_t *body)
+{
+	struct generation *g = &a->g;
+	const json_t *stream = json_object_get(body, "stream");
+	const json_t *max_tokens = json_object_get(body, "max_tokens");
+	const json_t *n = json_object_get(body, "n");
+	struct str model = json_get_str(body, "model");
+
+	if (!model.len || !str_copy(g->model, sizeof(g->model), model))
+		return "model";
+	if (stream && !json_is_boolean(stream) && !json_is_null(stream))
+		return "stream";
+	if (n && !json_is_null(n) && json_integer_value(n) != 1)
+		return "n";
+	if (max_tokens && !json_is_null(max_tokens)) {
+		g->max_tokens = json_integer_value(max_tokens);
+		if (!json_is_integer(max_tokens) || g->max_tokens < 1 ||
+		    g->max_tokens > MAX_TOKENS_MAX)
+			return "max_tokens";
+	}
+	a->stream = json_is_true(stream);
+	g->body = body;
+	return g->chat ? messages_read(a, body) : prompt_read(a, body);
+}
+
+static void generation_run(struct answer *a)
+{
+	struct outcome o = { 0 };
+
+	a->g.call = a->x->call;
+	a->g.prompt = buf_str(&a->prompt);
+	a->g.on_piece = on_piece;
+	a->g.ctx = a;
+	a->created = clock_wall_ms() / 1000;
+	a->model = json_dumps(json_object_get(a->g.body, "model"), JSON_ENCODE_ANY | JSON_COMPACT);
+	dispatch_generate(a->x->front->gate->dispatch, &a->g, &o);
+	answer_end(a, &o);
+	a->x->call = a->g.call;
+	free(a->model);
+	buf_free(&a->g.text);
+}
+
+void generate_handle(struct exchange *x, bool chat)
+{
+	struct answer a = { .x = x, .g.chat = chat, .finish = "stop" };
+	const char *bad;
+	json_t *body;
+
+	if (!body_read(x))
+		return;
+	body = body_json(x);
+	if (!body)
+		return;
+	bad = json_is_object(body) ? request_read(&a, body) : "body";
+	if (bad)
+		reply_invalid(x, 400, "invalid_value", bad,
+			      "a field is missing or has a wrong type");
+	else
+		generation_run(&a);
+	buf_free(&a.prompt);
+	json_decref(body);
+}
--- a/include/ibisgate/daemon/fleet_use.h
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -35,6 +35,9 @@
  */
 int fleet_candidates(struct fleet *f, const struct fleet_query *q, struct route_candidate *out);
 
+/** fleet_has_model - an engine of @model is listed, in whatever state */
+bool fleet_has_model(struct fleet *f, const char *model);
+
 /**
  * struct fleet_slot - one attempt counted on an endpoint
  * @id: endpoint id; valid while @held
