--- /dev/null
+++ b/state/claim.c
@@ -0,0 +1,57 @@
+#include <string.h>
+
+#include "ibisgate/state/claim.h"
+
+enum claim_verdict claim_after_write(enum claim_write w)
+{
+	switch (w) {
+	case CLAIM_WRITE_OK:
+		return CLAIM_DISPATCH;
+	case CLAIM_WRITE_EXISTS:
+	case CLAIM_WRITE_DOUBTFUL:
+		return CLAIM_READ_AGAIN;
+	case CLAIM_WRITE_FAILED:
+		break;
+	}
+	return CLAIM_SAY_NOT_RUN;
+}
+
+static enum claim_verdict after_running(const struct claim_row *row, const char *self,
+					uint64_t incarnation, enum claim_owner owner, bool late)
+{
+	if (strcmp(row->owner, self) == 0 && row->incarnation != incarnation)
+		return CLAIM_SAY_UNKNOWN;
+	switch (owner) {
+	case OWNER_GONE:
+		return CLAIM_SAY_UNKNOWN;
+	case OWNER_NEVER_DISPATCHED:
+		return late ? CLAIM_SAY_NOT_RUN : CLAIM_READ_AGAIN;
+	case OWNER_LIVE:
+	case OWNER_SILENT:
+		break;
+	}
+	return late ? CLAIM_SAY_UNKNOWN : CLAIM_WAIT;
+}
+
+enum claim_verdict claim_after_read(const struct claim_row *row, const char *sent_token,
+				    const char *fingerprint, const char *self, uint64_t incarnation,
+				    enum claim_owner owner, int64_t now_ms, int64_t deadline_ms)
+{
+	bool late = now_ms >= deadline_ms;
+
+	if (!row)
+		return late ? CLAIM_SAY_NOT_RUN : CLAIM_READ_AGAIN;
+	if (sent_token && strcmp(row->token, sent_token) == 0 && row->phase == CLAIM_RUNNING)
+		return CLAIM_DISPATCH;
+	if (strcmp(row->fingerprint, fingerprint) != 0)
+		return CLAIM_OTHER_BODY;
+	switch (row->phase) {
+	case CLAIM_DONE:
+		return CLAIM_REPLAY;
+	case CLAIM_UNKNOWN:
+		return CLAIM_SAY_UNKNOWN;
+	case CLAIM_RUNNING:
+		break;
+	}
+	return after_running(row, self, incarnation, owner, late);
+}
--- /dev/null
+++ b/state/config.c
@@ -0,0 +1,374 @@
+#include <inttypes.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/json.h"
+#include "ibisgate/state/config.h"
+
+/**
+ * struct config - @items maps keys to values
+ * @by_key: hash of an API key to the name of its organisation
+ * @by_setting: setting to an object of its exceptions by key
+ * @by_model: model name to the key of its service row
+ *
+ * Versions share unchanged values and indices by reference.
+ */
+struct config {
+	int64_t version;
+	json_t *items;
+	json_t *by_key;
+	json_t *by_setting;
+	json_t *by_model;
+};
+
+static json_t *builtins;
+static pthread_once_t builtins_once = PTHREAD_ONCE_INIT;
+
+static void builtins_init(void)
+{
+	int count;
+	const struct setting_info *infos = setting_infos(&count);
+
+	builtins = json_object();
+	for (int i = 0; i < count; i++)
+		json_object_set_new(builtins, infos[i].name,
+				    json_loads(infos[i].builtin, JSON_DECODE_ANY, NULL));
+}
+
+struct config *config_create(void)
+{
+	struct config *c = mem_zalloc(sizeof(*c));
+
+	pthread_once(&builtins_once, builtins_init);
+	c->items = json_object();
+	c->by_key = json_object();
+	c->by_setting = json_object();
+	c->by_model = json_object();
+	return c;
+}
+
+void config_destroy(struct config *c)
+{
+	if (!c)
+		return;
+	json_decref(c->items);
+	json_decref(c->by_key);
+	json_decref(c->by_setting);
+	json_decref(c->by_model);
+	free(c);
+}
+
+static bool key_has(const char *key, const char *prefix)
+{
+	return strncmp(key, prefix, strlen(prefix)) == 0;
+}
+
+static void index_organisations(struct config *c)
+{
+	const char *key;
+	json_t *v;
+	json_t *hash;
+	size_t i;
+
+	json_decref(c->by_key);
+	c->by_key = json_object();
+	json_object_foreach(c->items, key, v) {
+		if (!key_has(key, "organisation/"))
+			continue;
+		json_array_foreach(json_object_get(v, "keys"), i, hash)
+			json_object_set_new(c->by_key, json_string_value(hash), json_string(key));
+	}
+}
+
+static void index_exceptions(struct config *c)
+{
+	const char *key;
+	json_t *v;
+
+	json_decref(c->by_setting);
+	c->by_setting = json_object();
+	json_object_foreach(c->items, key, v) {
+		const char *setting = json_get_cstr(v, "setting", "");
+		json_t *list = json_object_get(c->by_setting, setting);
+
+		if (!key_has(key, "exception/"))
+			continue;
+		if (!list) {
+			list = json_object();
+			json_object_set_new(c->by_setting, setting, list);
+		}
+		json_object_set(list, key, v);
+	}
+}
+
+/* Of two services with one model the one with the lower name is found, whatever came first. */
+static void index_services(struct config *c)
+{
+	const char *key;
+	json_t *v;
+
+	json_decref(c->by_model);
+	c->by_model = json_object();
+	json_object_foreach(c->items, key, v) {
+		const char *model = json_get_cstr(v, "model", "");
+		const char *known = json_get_cstr(c->by_model, model, NULL);
+
+		if (!key_has(key, "service/") || !model[0])
+			continue;
+		if (!known || strcmp(key, known) < 0)
+			json_object_set_new(c->by_model, model, json_string(key));
+	}
+}
+
+static void index_for(struct config *c, const char *key)
+{
+	if (key_has(key, "organisation/"))
+		index_organisations(c);
+	else if (key_has(key, "exception/"))
+		index_exceptions(c);
+	else if (key_has(key, "service/"))
+		index_services(c);
+}
+
+static int check_key_owner(const struct config *c, const struct config_change *change,
+			   struct error *err)
+{
+	json_t *hash;
+	size_t i;
+
+	if (!key_has(change->key, "organisation/"))
+		return 0;
+	json_array_foreach(json_object_get(change->value, "keys"), i, hash) {
+		const char *owner = json_get_cstr(c->by_key, json_string_value(hash), NULL);
+
+		if (owner && strcmp(owner, change->key) != 0)
+			return error_set(err, ERROR_STATE, CONFIG_BAD_VALUE,
+					 "%s: a key belongs to %s already", change->key, owner);
+	}
+	return 0;
+}
+
+struct config *config_apply(const struct config *c, const struct config_change *change,
+			    struct error *err)
+{
+	struct config *next;
+
+	if (change->version <= c->version) {
+		error_set(err, ERROR_STATE, CONFIG_STALE,
+			  "version %" PRId64 " is in force already, at %" PRId64, change->version,
+			  c->version);
+		return NULL;
+	}
+	if (change->version != c->version + 1) {
+		error_set(err, ERROR_STATE, CONFIG_GAP,
+			  "change %" PRId64 " does not follow version %" PRId64, change->version,
+			  c->version);
+		return NULL;
+	}
+	if (config_check(change->key, change->value, err) || check_key_owner(c, change, err))
+		return NULL;
+	next = mem_zalloc(sizeof(*next));
+	next->version = change->version;
+	next->items = json_copy(c->items);
+	next->by_key = json_incref(c->by_key);
+	next->by_setting = json_incref(c->by_setting);
+	next->by_model = json_incref(c->by_model);
+	if (change->value && !json_is_null(change->value))
+		json_object_set(next->items, change->key, change->value);
+	else
+		json_object_del(next->items, change->key);
+	index_for(next, change->key);
+	return next;
+}
+
+int64_t config_version(const struct config *c)
+{
+	return c->version;
+}
+
+json_t *config_to_json(const struct config *c)
+{
+	return json_pack("{s:I,s:O}", "version", (json_int_t)c->version, "items", c->items);
+}
+
+struct config *config_from_json(const json_t *snapshot, struct error *err)
+{
+	json_t *items = json_object_get(snapshot, "items");
+	int64_t version = json_get_i64(snapshot, "version", -1);
+	struct config *c;
+	const char *key;
+	json_t *v;
+
+	if (version < 0 || !json_is_object(items)) {
+		error_set(err, ERROR_STATE, CONFIG_BAD_VALUE, "expected version and items");
+		return NULL;
+	}
+	json_object_foreach(items, key, v) {
+		if (config_check(key, v, err))
+			return NULL;
+	}
+	c = config_create();
+	c->version = version;
+	json_object_update(c->items, items);
+	index_organisations(c);
+	index_exceptions(c);
+	index_services(c);
+	return c;
+}
+
+/* Narrower scopes rank higher; 0 means that the exception does not apply. */
+static int scope_rank(const char *text, const struct config_scope *scope)
+{
+	struct str name = str_from(text);
+	struct str kind = str_split(&name, '/');
+
+	if (!scope)
+		return 0;
+	if (str_eq_cstr(kind, "endpoint"))
+		return scope->endpoint && str_eq_cstr(name, scope->endpoint) ? 4 : 0;
+	if (str_eq_cstr(kind, "organisation"))
+		return scope->organisation && str_eq_cstr(name, scope->organisation) ? 3 : 0;
+	if (str_eq_cstr(kind, "service"))
+		return scope->service && str_eq_cstr(name, scope->service) ? 2 : 0;
+	return scope->dc && str_eq_cstr(name, scope->dc) ? 1 : 0;
+}
+
+/* Of two exceptions with one scope the one with the lower key wins, so that all agree. */
+static const json_t *exception_value(const struct config *c, const char *setting,
+				     const struct config_scope *scope)
+{
+	json_t *list = json_object_get(c->by_setting, setting);
+	const char *best_key = NULL;
+	const json_t *best = NULL;
+	int best_rank = 0;
+	const char *key;
+	json_t *v;
+
+	json_object_foreach(list, key, v) {
+		int rank = scope_rank(json_get_cstr(v, "scope", ""), scope);
+
+		if (!rank || scope->wall_ms >= json_get_i64(v, "expiry", 0) || rank < best_rank)
+			continue;
+		if (rank == best_rank && strcmp(key, best_key) > 0)
+			continue;
+		best = json_object_get(v, "value");
+		best_rank = rank;
+		best_key = key;
+	}
+	return best;
+}
+
+const json_t *config_setting(const struct config *c, const char *setting,
+			     const struct config_scope *scope)
+{
+	const json_t *v = exception_value(c, setting, scope);
+	char key[128];
+
+	if (v)
+		return v;
+	snprintf(key, sizeof(key), "default/%s", setting);
+	v = json_object_get(c->items, key);
+	return v ? v : json_object_get(builtins, setting);
+}
+
+int64_t config_i64(const struct config *c, const char *setting, const struct config_scope *scope)
+{
+	return (int64_t)json_number_value(config_setting(c, setting, scope));
+}
+
+double config_double(const struct config *c, const char *setting, const struct config_scope *scope)
+{
+	return json_number_value(config_setting(c, setting, scope));
+}
+
+const char *config_cstr(const struct config *c, const char *setting,
+			const struct config_scope *scope)
+{
+	const char *s = json_string_value(config_setting(c, setting, scope));
+
+	return s ? s : "";
+}
+
+bool config_organisation_by_key(const struct config *c, const char *key_hash,
+				struct config_organisation *out)
+{
+	const char *key = json_get_cstr(c->by_key, key_hash, NULL);
+	const char *stored;
+	void *iter;
+
+	if (!key)
+		return false;
+	iter = json_object_iter_at(c->items, key);
+	if (!iter)
+		return false;
+	stored = json_object_iter_key(iter);
+	out->name = stored + strlen("organisation/");
+	out->weight = json_get_double(json_object_iter_value(iter), "weight", 1.0);
+	return true;
+}
+
+static enum share_class class_of(const char *name)
+{
+	if (strcmp(name, "urgent") == 0)
+		return CLASS_URGENT;
+	return strcmp(name, "background") == 0 ? CLASS_BACKGROUND : CLASS_NORMAL;
+}
+
+static bool service_at(const struct config *c, const char *key, struct config_service *out)
+{
+	void *iter = json_object_iter_at(c->items, key);
+	const json_t *v = iter ? json_object_iter_value(iter) : NULL;
+
+	if (!v)
+		return false;
+	*out = (struct config_service){
+		.name = json_object_iter_key(iter) + strlen("service/"),
+		.kind = strcmp(json_get_cstr(v, "kind", ""), "plain") == 0 ? SERVICE_PLAIN
+									   : SERVICE_MODEL,
+		.model = json_get_cstr(v, "model", ""),
+		.class = class_of(json_get_cstr(v, "class", "normal")),
+		.deadline_ms = json_get_i64(v, "deadline_ms", 0),
+		.first_token_ms = json_get_i64(v, "first_token_ms", 0),
+		.gap_ms = json_get_i64(v, "gap_ms", 0),
+	};
+	/* A plain service may have side effects, so repeating it has to be allowed explicitly. */
+	out->idempotent = json_get_bool(v, "idempotent", out->kind == SERVICE_MODEL);
+	return true;
+}
+
+static const json_t *item(const struct config *c, const char *kind, const char *name, char *key,
+			  size_t size)
+{
+	snprintf(key, size, "%s/%s", kind, name);
+	return json_object_get(c->items, key);
+}
+
+bool config_service(const struct config *c, const char *name, struct config_service *out)
+{
+	char key[256];
+
+	return item(c, "service", name, key, sizeof(key)) && service_at(c, key, out);
+}
+
+bool config_service_by_model(const struct config *c, const char *model, struct config_service *out)
+{
+	const char *key = json_get_cstr(c->by_model, model, NULL);
+
+	return key && service_at(c, key, out);
+}
+
+const json_t *config_drain(const struct config *c, const char *endpoint)
+{
+	char key[256];
+
+	return item(c, "drain", endpoint, key, sizeof(key));
+}
+
+const json_t *config_drain_instance(const struct config *c, const char *instance)
+{
+	char key[256];
+
+	return item(c, "drain-instance", instance, key, sizeof(key));
+}
--- /dev/null
+++ b/state/lease.c
@@ -0,0 +1,161 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "ibisgate/state/lease.h"
+
+void lease_init(struct lease *l, const char *self, uint64_t incarnation)
+{
+	*l = (struct lease){ .phase = LEASE_FOLLOWING, .incarnation = incarnation };
+	snprintf(l->self, sizeof(l->self), "%s", self);
+}
+
+static bool row_is_ours(const struct lease *l, const struct lease_row *row)
+{
+	return strcmp(row->holder, l->self) == 0 && row->incarnation == l->incarnation;
+}
+
+static void lose(struct lease *l)
+{
+	l->phase = LEASE_FOLLOWING;
+	l->fencing = 0;
+	l->valid_until_ms = 0;
+}
+
+static struct lease_action begin_write(struct lease *l, const char *holder, const char *token,
+				       int64_t now_ms)
+{
+	struct lease_action a = {
+		.kind = LEASE_DO_WRITE,
+		.if_version = l->seen.version,
+		.row.incarnation = l->incarnation,
+	};
+
+	snprintf(a.row.holder, sizeof(a.row.holder), "%s", holder);
+	snprintf(a.row.token, sizeof(a.row.token), "%s", token);
+	snprintf(l->sent_token, sizeof(l->sent_token), "%s", token);
+	l->sent_ms = now_ms;
+	l->phase = LEASE_WRITING;
+	return a;
+}
+
+/* A row of this very process can't be held by another one, so it needs no wait. */
+static bool may_acquire(const struct lease *l, int64_t now_ms)
+{
+	return !l->seen.holder[0] || row_is_ours(l, &l->seen) ||
+	       now_ms - l->seen_ms >= LEASE_TERM_MS;
+}
+
+struct lease_action lease_next(struct lease *l, bool eligible, const char *token, int64_t now_ms)
+{
+	if (l->phase == LEASE_HELD && now_ms >= l->valid_until_ms)
+		lose(l);
+	switch (l->phase) {
+	case LEASE_WRITING:
+		break;
+	case LEASE_DOUBTFUL:
+		return (struct lease_action){ .kind = LEASE_DO_READ };
+	case LEASE_HELD:
+		if (eligible && now_ms >= l->valid_until_ms - LEASE_TERM_MS + LEASE_RENEW_MS)
+			return begin_write(l, l->self, token, now_ms);
+		break;
+	case LEASE_FOLLOWING:
+		if (eligible && l->seen_any && may_acquire(l, now_ms))
+			return begin_write(l, l->self, token, now_ms);
+		return (struct lease_action){ .kind = LEASE_DO_READ };
+	}
+	return (struct lease_action){ .kind = LEASE_DO_NOTHING };
+}
+
+static void see(struct lease *l, const struct lease_row *row, int64_t now_ms)
+{
+	if (!l->seen_any || l->seen.version != row->version)
+		l->seen_ms = now_ms;
+	l->seen = *row;
+	l->seen_any = true;
+}
+
+static void see_none(struct lease *l, int64_t now_ms)
+{
+	if (!l->seen_any || l->seen.version != 0)
+		l->seen_ms = now_ms;
+	/* The last holder is kept: a row that vanished still has to be waited for. */
+	l->seen.version = 0;
+	l->seen_any = true;
+}
+
+static void written(struct lease *l, const struct lease_row *row, int64_t now_ms)
+{
+	see(l, row, now_ms);
+	if (!row_is_ours(l, row)) {
+		lose(l);
+		return;
+	}
+	if (!l->fencing)
+		l->fencing = row->version;
+	l->valid_until_ms = l->sent_ms + LEASE_TERM_MS;
+	l->phase = LEASE_HELD;
+}
+
+/* The write did not take effect or is overtaken; an unexpired holding goes on. */
+static void settle(struct lease *l)
+{
+	if (l->fencing && row_is_ours(l, &l->seen))
+		l->phase = LEASE_HELD;
+	else
+		lose(l);
+}
+
+void lease_report(struct lease *l, enum lease_result result, const struct lease_row *row,
+		  int64_t now_ms)
+{
+	switch (result) {
+	case LEASE_WRITE_OK:
+		written(l, row, now_ms);
+		break;
+	case LEASE_WRITE_CONFLICT:
+		if (row)
+			see(l, row, now_ms);
+		else
+			l->seen_any = false;
+		settle(l);
+		break;
+	case LEASE_WRITE_DOUBTFUL:
+		l->phase = LEASE_DOUBTFUL;
+		break;
+	case LEASE_WRITE_NOT_SENT:
+		settle(l);
+		break;
+	case LEASE_READ_OK:
+		if (l->phase == LEASE_DOUBTFUL && strcmp(row->token, l->sent_token) == 0) {
+			written(l, row, now_ms);
+			break;
+		}
+		see(l, row, now_ms);
+		if (l->phase != LEASE_FOLLOWING)
+			settle(l);
+		break;
+	case LEASE_READ_NONE:
+		see_none(l, now_ms);
+		if (l->phase != LEASE_FOLLOWING)
+			lose(l);
+		break;
+	case LEASE_READ_FAILED:
+		break;
+	}
+}
+
+bool lease_held(const struct lease *l, int64_t now_ms)
+{
+	return l->fencing && now_ms < l->valid_until_ms;
+}
+
+bool lease_release(struct lease *l, const char *token, int64_t now_ms, struct lease_action *out)
+{
+	bool held = l->phase == LEASE_HELD && lease_held(l, now_ms);
+
+	l->fencing = 0;
+	l->valid_until_ms = 0;
+	if (held)
+		*out = begin_write(l, "", token, now_ms);
+	return held;
+}
--- /dev/null
+++ b/state/member.c
@@ -0,0 +1,213 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/str.h"
+#include "ibisgate/state/member.h"
+
+#define MEMBERS_MAX 1024
+/* A summary passes two hops, each with its own period, before it vouches for a member. */
+#define INDIRECT_SLACK_MS (MEMBER_SUMMARY_MS + MEMBER_HEARTBEAT_MS)
+
+/* Entry 0 is this instance. */
+struct member_table {
+	int count;
+	struct member *members[MEMBERS_MAX];
+};
+
+static struct member *add(struct member_table *t, const struct member *m)
+{
+	struct member *copy;
+
+	for (int i = 1; t->count == MEMBERS_MAX && i < t->count; i++) {
+		if (t->members[i]->state != MEMBER_GONE)
+			continue;
+		*t->members[i] = *m;
+		return t->members[i];
+	}
+	if (t->count == MEMBERS_MAX)
+		return NULL;
+	copy = mem_alloc(sizeof(*copy));
+	*copy = *m;
+	t->members[t->count++] = copy;
+	return copy;
+}
+
+struct member_table *member_table_create(const struct member *self)
+{
+	struct member_table *t = mem_zalloc(sizeof(*t));
+	struct member *m = add(t, self);
+
+	m->direct = true;
+	m->hears_us = true;
+	return t;
+}
+
+void member_table_destroy(struct member_table *t)
+{
+	if (!t)
+		return;
+	for (int i = 0; i < t->count; i++)
+		free(t->members[i]);
+	free(t);
+}
+
+static struct member *find(const struct member_table *t, const char *id)
+{
+	for (int i = 0; i < t->count; i++) {
+		if (strcmp(t->members[i]->id, id) == 0)
+			return t->members[i];
+	}
+	return NULL;
+}
+
+const struct member *member_find(const struct member_table *t, const char *id)
+{
+	return find(t, id);
+}
+
+static bool state_heard(enum member_state s)
+{
+	return s == MEMBER_JOINING || s == MEMBER_LIVE || s == MEMBER_DRAINING;
+}
+
+static bool differs(const struct member *a, const struct member *b)
+{
+	return a->incarnation != b->incarnation || a->state != b->state ||
+	       strcmp(a->dc, b->dc) != 0 || strcmp(a->peer, b->peer) != 0 ||
+	       strcmp(a->http, b->http) != 0 || strcmp(a->admin, b->admin) != 0;
+}
+
+static int64_t vouched_ms(const struct member *m, bool direct, int64_t now_ms)
+{
+	if (direct || m->heard_ms <= 0 || m->heard_ms > now_ms)
+		return now_ms;
+	return m->heard_ms;
+}
+
+bool member_heard(struct member_table *t, const struct member *m, bool direct, int64_t now_ms)
+{
+	int64_t at = vouched_ms(m, direct, now_ms);
+	struct member *known = find(t, m->id);
+	struct member next = *m;
+	bool changed;
+
+	next.direct = direct;
+	next.heard_ms = at;
+	if (!known) {
+		if (!state_heard(m->state))
+			return false;
+		return add(t, &next) != NULL;
+	}
+	if (known == t->members[0] && !direct)
+		return false;
+	if (m->incarnation < known->incarnation)
+		return false;
+	if (m->incarnation == known->incarnation && !direct) {
+		/* What is heard directly and lately outweighs what others say. */
+		if (known->direct && now_ms - known->heard_ms < MEMBER_SUSPECT_MS)
+			return false;
+		if (at <= known->heard_ms && state_heard(known->state))
+			return false;
+		if (!state_heard(m->state) && at <= known->heard_ms)
+			return false;
+	}
+	if (!direct)
+		next.hears_us = m->incarnation == known->incarnation && known->hears_us;
+	changed = differs(known, &next);
+	*known = next;
+	return changed;
+}
+
+void member_listed(struct member_table *t, const char *id, const char *dc, const char *peer,
+		   int64_t now_ms)
+{
+	struct member *known = find(t, id);
+	struct member m = { .state = MEMBER_JOINING };
+
+	if (known) {
+		if (known != t->members[0] && !known->incarnation && peer[0])
+			str_copy(known->peer, sizeof(known->peer), str_from(peer));
+		if (!known->dc[0])
+			str_copy(known->dc, sizeof(known->dc), str_from(dc));
+		return;
+	}
+	str_copy(m.id, sizeof(m.id), str_from(id));
+	str_copy(m.dc, sizeof(m.dc), str_from(dc));
+	str_copy(m.peer, sizeof(m.peer), str_from(peer));
+	add(t, &m);
+}
+
+int member_tick(struct member_table *t, int64_t now_ms)
+{
+	int changed = 0;
+
+	for (int i = 1; i < t->count; i++) {
+		struct member *m = t->members[i];
+		int64_t age = now_ms - m->heard_ms - (m->direct ? 0 : INDIRECT_SLACK_MS);
+		enum member_state state = m->state;
+
+		if (!m->incarnation)
+			continue;
+		if (age >= MEMBER_GONE_MS)
+			state = MEMBER_GONE;
+		else if (age >= MEMBER_SUSPECT_MS && state_heard(state))
+			state = MEMBER_SUSPECT;
+		changed += state != m->state;
+		m->state = state;
+		if (state == MEMBER_GONE)
+			m->hears_us = false;
+	}
+	return changed;
+}
+
+int member_count(const struct member_table *t)
+{
+	return t->count;
+}
+
+const struct member *member_at(const struct member_table *t, int i)
+{
+	return i >= 0 && i < t->count ? t->members[i] : NULL;
+}
+
+static bool serves(const struct member *m)
+{
+	return m->state == MEMBER_LIVE || m->state == MEMBER_DRAINING;
+}
+
+int member_live(const struct member_table *t, const char *dc)
+{
+	int n = 0;
+
+	for (int i = 0; i < t->count; i++)
+		n += serves(t->members[i]) && (!dc || strcmp(t->members[i]->dc, dc) == 0);
+	return n;
+}
+
+const struct member *member_delegate(const struct member_table *t, const char *dc)
+{
+	const struct member *best = NULL;
+
+	for (int i = 0; i < t->count; i++) {
+		const struct member *m = t->members[i];
+
+		if (serves(m) && strcmp(m->dc, dc) == 0 && (!best || strcmp(m->id, best->id) < 0))
+			best = m;
+	}
+	return best;
+}
+
+bool member_sends_to(const struct member_table *t, const struct member *m)
+{
+	const struct member *self = t->members[0];
+
+	if (strcmp(m->id, self->id) == 0 || !m->peer[0])
+		return false;
+	if (strcmp(m->dc, self->dc) == 0 || !m->incarnation)
+		return true;
+	if (member_delegate(t, self->dc) != self)
+		return false;
+	return m->state == MEMBER_GONE || m->state == MEMBER_SUSPECT ||
+	       member_delegate(t, m->dc) == m;
+}
