--- /dev/null
+++ b/net/codec.c
@@ -0,0 +1,210 @@
+#include <cbor.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/hash.h"
+#include "ibisgate/net/codec.h"
+
+uint32_t peer_tag(const char *id, uint64_t incarnation)
+{
+	return (uint32_t)hash_mix(hash_str(str_from(id), 0), incarnation);
+}
+
+struct peer_message *peer_message_create(enum peer_message_kind kind)
+{
+	struct peer_message *m = mem_zalloc(sizeof(*m));
+
+	m->kind = kind;
+	return m;
+}
+
+void peer_message_destroy(struct peer_message *m)
+{
+	if (!m)
+		return;
+	if (m->kind == PEER_CONFIG_CHANGE)
+		free(m->u.change.value);
+	if (m->kind == PEER_CONFIG_BATCH) {
+		free(m->u.batch.snapshot);
+		for (int i = 0; i < m->u.batch.change_count; i++)
+			free(m->u.batch.changes[i].value);
+	}
+	free(m);
+}
+
+static void put_uint(struct buf *b, uint64_t v)
+{
+	unsigned char tmp[9];
+
+	buf_append(b, tmp, cbor_encode_uint(v, tmp, sizeof(tmp)));
+}
+
+static void put_array(struct buf *b, int count)
+{
+	unsigned char tmp[9];
+
+	buf_append(b, tmp, cbor_encode_array_start((size_t)count, tmp, sizeof(tmp)));
+}
+
+static void put_text(struct buf *b, const char *s)
+{
+	size_t len = strlen(s);
+	unsigned char tmp[9];
+
+	buf_append(b, tmp, cbor_encode_string_start(len, tmp, sizeof(tmp)));
+	buf_append(b, s, len);
+}
+
+static void put_optional(struct buf *b, const char *s)
+{
+	unsigned char tmp[1];
+
+	if (s)
+		put_text(b, s);
+	else
+		buf_append(b, tmp, cbor_encode_null(tmp, sizeof(tmp)));
+}
+
+static void put_member(struct buf *b, const struct peer_member *m)
+{
+	put_array(b, 9);
+	put_text(b, m->id);
+	put_uint(b, m->incarnation);
+	put_text(b, m->dc);
+	put_text(b, m->peer);
+	put_text(b, m->http);
+	put_text(b, m->admin);
+	put_uint(b, m->state);
+	put_uint(b, m->age_ms);
+	put_uint(b, (uint64_t)m->config_version);
+}
+
+static void put_order(struct buf *b, const struct peer_order *o)
+{
+	put_array(b, 5);
+	put_text(b, o->endpoint);
+	put_text(b, o->order);
+	put_uint(b, o->kind);
+	put_uint(b, o->role);
+	put_uint(b, (uint64_t)o->fencing);
+}
+
+static void put_demand(struct buf *b, const struct peer_demand *d)
+{
+	put_array(b, 4);
+	put_text(b, d->dc);
+	put_text(b, d->model);
+	put_uint(b, (uint64_t)d->prefill_us);
+	put_uint(b, (uint64_t)d->decode_us);
+}
+
+/* One number keeps an entry at nine bytes: 29 bits of age, 3 of state, 32 of the tag. */
+static void put_vouch(struct buf *b, const struct peer_vouch *v)
+{
+	uint64_t age = v->age_ms < 1u << 29 ? v->age_ms : (1u << 29) - 1;
+
+	put_uint(b, (age << 3 | v->state) << 32 | v->tag);
+}
+
+static void put_heartbeat(struct buf *b, const struct peer_heartbeat *h)
+{
+	put_array(b, 11);
+	put_text(b, h->dc);
+	put_text(b, h->peer);
+	put_text(b, h->http);
+	put_text(b, h->admin);
+	put_uint(b, h->state);
+	put_uint(b, (uint64_t)h->config_version);
+	put_array(b, h->heard_count);
+	for (int i = 0; i < h->heard_count; i++)
+		put_uint(b, h->heard[i]);
+	put_array(b, h->vouched_count);
+	for (int i = 0; i < h->vouched_count; i++)
+		put_vouch(b, &h->vouched[i]);
+	put_array(b, h->member_count);
+	for (int i = 0; i < h->member_count; i++)
+		put_member(b, &h->members[i]);
+	put_array(b, h->leaving_count);
+	for (int i = 0; i < h->leaving_count; i++)
+		put_order(b, &h->leaving[i]);
+	put_array(b, h->demand_count);
+	for (int i = 0; i < h->demand_count; i++)
+		put_demand(b, &h->demands[i]);
+}
+
+static void put_change(struct buf *b, const struct peer_change *c)
+{
+	put_array(b, 4);
+	put_uint(b, (uint64_t)c->version);
+	put_text(b, c->key);
+	put_text(b, c->author);
+	put_optional(b, c->value);
+}
+
+static void put_batch(struct buf *b, const struct peer_batch *batch)
+{
+	put_array(b, 2);
+	put_optional(b, batch->snapshot);
+	put_array(b, batch->change_count);
+	for (int i = 0; i < batch->change_count; i++)
+		put_change(b, &batch->changes[i]);
+}
+
+static void put_body(struct buf *b, const struct peer_message *m)
+{
+	switch (m->kind) {
+	case PEER_HEARTBEAT:
+		put_heartbeat(b, &m->u.heartbeat);
+		break;
+	case PEER_CONFIG_CHANGE:
+		put_change(b, &m->u.change);
+		break;
+	case PEER_CONFIG_FETCH:
+		put_uint(b, (uint64_t)m->u.fetch_after);
+		break;
+	case PEER_CONFIG_BATCH:
+		put_batch(b, &m->u.batch);
+		break;
+	case PEER_LEAVE:
+	case PEER_RETURN:
+		put_order(b, &m->u.order);
+		break;
+	case PEER_LEAVE_ACK:
+		put_array(b, 3);
+		put_text(b, m->u.ack.endpoint);
+		put_text(b, m->u.ack.order);
+		put_uint(b, (uint64_t)m->u.ack.in_flight);
+		break;
+	case PEER_QUARANTINE:
+		put_array(b, 4);
+		put_uint(b, m->u.quarantine.fingerprint);
+		put_uint(b, (uint64_t)m->u.quarantine.crashes);
+		put_uint(b, m->u.quarantine.refuse);
+		put_uint(b, (uint64_t)m->u.quarantine.left_ms);
+		break;
+	case PEER_CLAIM_QUERY:
+	case PEER_CLAIM_STATE:
+		put_array(b, 3);
+		put_text(b, m->u.claim.key);
+		put_text(b, m->u.claim.token);
+		put_uint(b, m->u.claim.answer);
+		break;
+	}
+}
+
+int peer_message_encode(const struct peer_message *m, struct buf *out, struct error *err)
+{
+	size_t before = out->len;
+
+	put_array(out, 5);
+	put_uint(out, m->kind);
+	put_text(out, m->sender);
+	put_uint(out, m->incarnation);
+	put_uint(out, m->hlc);
+	put_body(out, m);
+	if (out->len - before <= PEER_MESSAGE_MAX)
+		return 0;
+	out->len = before;
+	return error_set(err, ERROR_CODEC, CODEC_TOO_LARGE, "message above %d bytes",
+			 PEER_MESSAGE_MAX);
+}
--- /dev/null
+++ b/net/codec_read.c
@@ -0,0 +1,318 @@
+#include <cbor.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/net/codec.h"
+
+enum item_type {
+	ITEM_OTHER,
+	ITEM_UINT,
+	ITEM_TEXT,
+	ITEM_ARRAY,
+	ITEM_NULL,
+};
+
+struct item {
+	enum item_type type;
+	uint64_t number;
+	struct str text;
+};
+
+/* Reads item by item and keeps no stack, so that nesting and declared lengths cost nothing. */
+struct reader {
+	struct str rest;
+	bool failed;
+};
+
+static void on_uint8(void *ctx, uint8_t v)
+{
+	*(struct item *)ctx = (struct item){ .type = ITEM_UINT, .number = v };
+}
+
+static void on_uint16(void *ctx, uint16_t v)
+{
+	*(struct item *)ctx = (struct item){ .type = ITEM_UINT, .number = v };
+}
+
+static void on_uint32(void *ctx, uint32_t v)
+{
+	*(struct item *)ctx = (struct item){ .type = ITEM_UINT, .number = v };
+}
+
+static void on_uint64(void *ctx, uint64_t v)
+{
+	*(struct item *)ctx = (struct item){ .type = ITEM_UINT, .number = v };
+}
+
+static void on_text(void *ctx, cbor_data data, size_t len)
+{
+	*(struct item *)ctx = (struct item){
+		.type = ITEM_TEXT,
+		.text = { .data = (const char *)data, .len = len },
+	};
+}
+
+static void on_array(void *ctx, size_t count)
+{
+	*(struct item *)ctx = (struct item){ .type = ITEM_ARRAY, .number = count };
+}
+
+static void on_null(void *ctx)
+{
+	*(struct item *)ctx = (struct item){ .type = ITEM_NULL };
+}
+
+static struct item next_item(struct reader *r)
+{
+	struct cbor_callbacks callbacks = cbor_empty_callbacks;
+	struct cbor_decoder_result result;
+	struct item item = { 0 };
+
+	callbacks.uint8 = on_uint8;
+	callbacks.uint16 = on_uint16;
+	callbacks.uint32 = on_uint32;
+	callbacks.uint64 = on_uint64;
+	callbacks.string = on_text;
+	callbacks.array_start = on_array;
+	callbacks.null = on_null;
+	if (r->failed || !r->rest.len) {
+		r->failed = true;
+		return item;
+	}
+	result = cbor_stream_decode((cbor_data)r->rest.data, r->rest.len, &callbacks, &item);
+	if (result.status != CBOR_DECODER_FINISHED || !result.read || result.read > r->rest.len) {
+		r->failed = true;
+		return (struct item){ 0 };
+	}
+	r->rest.data += result.read;
+	r->rest.len -= result.read;
+	return item;
+}
+
+static uint64_t get_uint(struct reader *r, uint64_t max)
+{
+	struct item item = next_item(r);
+
+	if (item.type != ITEM_UINT || item.number > max) {
+		r->failed = true;
+		return 0;
+	}
+	return item.number;
+}
+
+static int64_t get_i64(struct reader *r)
+{
+	return (int64_t)get_uint(r, INT64_MAX);
+}
+
+static int get_count(struct reader *r, int max)
+{
+	struct item item = next_item(r);
+
+	if (item.type != ITEM_ARRAY || item.number > (uint64_t)max) {
+		r->failed = true;
+		return 0;
+	}
+	return (int)item.number;
+}
+
+static void get_tuple(struct reader *r, int size)
+{
+	if (get_count(r, size) != size)
+		r->failed = true;
+}
+
+static bool text_valid(struct str s)
+{
+	return !memchr(s.data ? s.data : "", '\0', s.len) && str_is_utf8(s);
+}
+
+static void get_text(struct reader *r, char *dst, size_t size)
+{
+	struct item item = next_item(r);
+
+	if (item.type != ITEM_TEXT || item.text.len >= size || !text_valid(item.text)) {
+		r->failed = true;
+		return;
+	}
+	str_copy(dst, size, item.text);
+}
+
+static char *get_optional(struct reader *r)
+{
+	struct item item = next_item(r);
+
+	if (item.type == ITEM_TEXT && text_valid(item.text))
+		return str_dup(item.text);
+	if (item.type != ITEM_NULL)
+		r->failed = true;
+	return NULL;
+}
+
+static void get_member(struct reader *r, struct peer_member *m)
+{
+	get_tuple(r, 9);
+	get_text(r, m->id, sizeof(m->id));
+	m->incarnation = get_uint(r, UINT64_MAX);
+	get_text(r, m->dc, sizeof(m->dc));
+	get_text(r, m->peer, sizeof(m->peer));
+	get_text(r, m->http, sizeof(m->http));
+	get_text(r, m->admin, sizeof(m->admin));
+	m->state = (enum member_state)get_uint(r, MEMBER_GONE);
+	m->age_ms = (uint32_t)get_uint(r, UINT32_MAX);
+	m->config_version = get_i64(r);
+}
+
+static void get_order(struct reader *r, struct peer_order *o)
+{
+	get_tuple(r, 5);
+	get_text(r, o->endpoint, sizeof(o->endpoint));
+	get_text(r, o->order, sizeof(o->order));
+	o->kind = (enum order_kind)get_uint(r, ORDER_WITHDRAW);
+	o->role = (enum endpoint_role)get_uint(r, ROLE_DECODE);
+	o->fencing = get_i64(r);
+}
+
+static void get_demand(struct reader *r, struct peer_demand *d)
+{
+	get_tuple(r, 4);
+	get_text(r, d->dc, sizeof(d->dc));
+	get_text(r, d->model, sizeof(d->model));
+	d->prefill_us = get_i64(r);
+	d->decode_us = get_i64(r);
+}
+
+static void get_lists(struct reader *r, struct peer_heartbeat *h)
+{
+	h->heard_count = get_count(r, PEER_HEARD_MAX);
+	for (int i = 0; i < h->heard_count && !r->failed; i++)
+		h->heard[i] = (uint32_t)get_uint(r, UINT32_MAX);
+	h->vouched_count = get_count(r, PEER_VOUCHED_MAX);
+	for (int i = 0; i < h->vouched_count && !r->failed; i++) {
+		uint64_t v = get_uint(r, UINT64_MAX);
+
+		h->vouched[i].tag = (uint32_t)v;
+		h->vouched[i].state = (enum member_state)(v >> 32 & 7);
+		h->vouched[i].age_ms = (uint32_t)(v >> 35);
+		if (h->vouched[i].state > MEMBER_GONE)
+			r->failed = true;
+	}
+	h->member_count = get_count(r, PEER_MEMBERS_MAX);
+	for (int i = 0; i < h->member_count && !r->failed; i++)
+		get_member(r, &h->members[i]);
+	h->leaving_count = get_count(r, PEER_LEAVING_MAX);
+	for (int i = 0; i < h->leaving_count && !r->failed; i++)
+		get_order(r, &h->leaving[i]);
+	h->demand_count = get_count(r, PEER_DEMANDS_MAX);
+	for (int i = 0; i < h->demand_count && !r->failed; i++)
+		get_demand(r, &h->demands[i]);
+}
+
+static void get_heartbeat(struct reader *r, struct peer_heartbeat *h)
+{
+	get_tuple(r, 11);
+	get_text(r, h->dc, sizeof(h->dc));
+	get_text(r, h->peer, sizeof(h->peer));
+	get_text(r, h->http, sizeof(h->http));
+	get_text(r, h->admin, sizeof(h->admin));
+	h->state = (enum member_state)get_uint(r, MEMBER_GONE);
+	h->config_version = get_i64(r);
+	get_lists(r, h);
+}
+
+static void get_change(struct reader *r, struct peer_change *c)
+{
+	get_tuple(r, 4);
+	c->version = get_i64(r);
+	get_text(r, c->key, sizeof(c->key));
+	get_text(r, c->author, sizeof(c->author));
+	c->value = get_optional(r);
+}
+
+static void get_batch(struct reader *r, struct peer_batch *b)
+{
+	int count;
+
+	get_tuple(r, 2);
+	b->snapshot = get_optional(r);
+	count = get_count(r, PEER_CHANGES_MAX);
+	for (int i = 0; i < count && !r->failed; i++) {
+		get_change(r, &b->changes[i]);
+		b->change_count = i + 1;
+	}
+}
+
+static void get_body(struct reader *r, struct peer_message *m)
+{
+	switch (m->kind) {
+	case PEER_HEARTBEAT:
+		get_heartbeat(r, &m->u.heartbeat);
+		break;
+	case PEER_CONFIG_CHANGE:
+		get_change(r, &m->u.change);
+		break;
+	case PEER_CONFIG_FETCH:
+		m->u.fetch_after = get_i64(r);
+		break;
+	case PEER_CONFIG_BATCH:
+		get_batch(r, &m->u.batch);
+		break;
+	case PEER_LEAVE:
+	case PEER_RETURN:
+		get_order(r, &m->u.order);
+		break;
+	case PEER_LEAVE_ACK:
+		get_tuple(r, 3);
+		get_text(r, m->u.ack.endpoint, sizeof(m->u.ack.endpoint));
+		get_text(r, m->u.ack.order, sizeof(m->u.ack.order));
+		m->u.ack.in_flight = (int)get_uint(r, INT32_MAX);
+		break;
+	case PEER_QUARANTINE:
+		get_tuple(r, 4);
+		m->u.quarantine.fingerprint = get_uint(r, UINT64_MAX);
+		m->u.quarantine.crashes = (int)get_uint(r, INT32_MAX);
+		m->u.quarantine.refuse = get_uint(r, 1);
+		m->u.quarantine.left_ms = get_i64(r);
+		break;
+	case PEER_CLAIM_QUERY:
+	case PEER_CLAIM_STATE:
+		get_tuple(r, 3);
+		get_text(r, m->u.claim.key, sizeof(m->u.claim.key));
+		get_text(r, m->u.claim.token, sizeof(m->u.claim.token));
+		m->u.claim.answer = (enum claim_answer)get_uint(r, CLAIM_ANSWER_UNKNOWN);
+		break;
+	}
+}
+
+struct peer_message *peer_message_decode(struct str data, struct error *err)
+{
+	struct reader r = { .rest = data };
+	struct peer_message *m;
+	uint64_t kind;
+
+	if (data.len > PEER_MESSAGE_MAX) {
+		error_set(err, ERROR_CODEC, CODEC_TOO_LARGE, "message above %d bytes",
+			  PEER_MESSAGE_MAX);
+		return NULL;
+	}
+	get_tuple(&r, 5);
+	kind = get_uint(&r, UINT64_MAX);
+	if (!r.failed && (kind < PEER_HEARTBEAT || kind > PEER_CLAIM_STATE)) {
+		error_set(err, ERROR_CODEC, CODEC_UNKNOWN_TYPE, "unknown message type");
+		return NULL;
+	}
+	if (r.failed) {
+		error_set(err, ERROR_CODEC, CODEC_MALFORMED, "malformed message");
+		return NULL;
+	}
+	m = peer_message_create((enum peer_message_kind)kind);
+	get_text(&r, m->sender, sizeof(m->sender));
+	m->incarnation = get_uint(&r, UINT64_MAX);
+	m->hlc = get_uint(&r, UINT64_MAX);
+	get_body(&r, m);
+	if (!r.failed && !r.rest.len && m->sender[0])
+		return m;
+	peer_message_destroy(m);
+	error_set(err, ERROR_CODEC, CODEC_MALFORMED, "malformed message");
+	return NULL;
+}
