--- /dev/null
+++ b/tests/test_fleet.cc
@@ -0,0 +1,170 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <thread>
+#include <vector>
+
+extern "C" {
+#include "ibisgate/common/clock.h"
+#include "ibisgate/daemon/fleet_use.h"
+}
+
+namespace
+{
+
+endpoint_info engine(const char *name, endpoint_role role = ROLE_MIXED)
+{
+	endpoint_info e = {};
+
+	snprintf(e.name, sizeof(e.name), "%s", name);
+	snprintf(e.model, sizeof(e.model), "m");
+	snprintf(e.url, sizeof(e.url), "http://127.0.0.1:1");
+	e.engine = true;
+	e.role = role;
+	return e;
+}
+
+struct Fleet : testing::Test {
+	fleet *f = fleet_create();
+	fleet_query q = {};
+
+	Fleet()
+	{
+		endpoint_info infos[] = { engine("a"), engine("b") };
+
+		fleet_update(f, infos, 2);
+		q.model = "m";
+		q.engine = true;
+	}
+	~Fleet() override
+	{
+		fleet_destroy(f);
+	}
+	std::vector<route_candidate> candidates()
+	{
+		std::vector<route_candidate> out(FLEET_ENDPOINTS_MAX);
+
+		out.resize(static_cast<size_t>(fleet_candidates(f, &q, out.data())));
+		return out;
+	}
+};
+
+/* Guards against an attempt that is sent after the count of the confirmed stop was read. */
+TEST_F(Fleet, NoAttemptStartsAfterStopReturned)
+{
+	for (int round = 0; round < 200; round++) {
+		std::atomic<bool> stopped{ false };
+		std::atomic<bool> done{ false };
+		std::atomic<int> late{ 0 };
+		std::vector<std::thread> senders;
+
+		for (int i = 0; i < 4; i++) {
+			senders.emplace_back([&] {
+				while (!done) {
+					fleet_slot s = {};
+					bool before = stopped;
+
+					if (!fleet_acquire(f, 0, 10, 1, &s))
+						continue;
+					if (before || fleet_in_flight(f, "a") < 1)
+						late++;
+					fleet_release(f, &s);
+				}
+			});
+		}
+		usleep(100);
+		ASSERT_TRUE(fleet_stop(f, "a", "o1"));
+		stopped = true;
+		usleep(100);
+		done = true;
+		for (auto &t : senders)
+			t.join();
+		EXPECT_EQ(late, 0);
+		EXPECT_EQ(fleet_in_flight(f, "a"), 0);
+		ASSERT_TRUE(fleet_return(f, "a", "o1", ROLE_MIXED));
+	}
+}
+
+/* Guards against one order's return that lifts the stop of another order. */
+TEST_F(Fleet, EveryStopNeedsItsOwnReturn)
+{
+	fleet_slot s = {};
+
+	ASSERT_TRUE(fleet_stop(f, "a", "o1"));
+	ASSERT_TRUE(fleet_stop(f, "a", "o2"));
+	EXPECT_FALSE(fleet_return(f, "a", "o3", ROLE_MIXED));
+	EXPECT_TRUE(fleet_return(f, "a", "o2", ROLE_DECODE));
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &s));
+	EXPECT_TRUE(fleet_return(f, "a", "o1", ROLE_DECODE));
+	EXPECT_TRUE(fleet_acquire(f, 0, 1, 1, &s));
+	fleet_release(f, &s);
+}
+
+/* Guards against a lagging list that brings work to an endpoint stopped before it was known. */
+TEST_F(Fleet, StopOfUnknownEndpointHolds)
+{
+	endpoint_info infos[] = { engine("a"), engine("b"), engine("late") };
+
+	ASSERT_TRUE(fleet_stop(f, "late", "o1"));
+	fleet_update(f, infos, 3);
+	for (auto &c : candidates())
+		EXPECT_EQ(c.usable, c.index != 2);
+}
+
+/* Guards against new work to an endpoint that the platform's list dropped or marks as leaving. */
+TEST_F(Fleet, ListTakesEndpointsOut)
+{
+	endpoint_info b = engine("b");
+	fleet_slot s = {};
+
+	b.leaving = true;
+	fleet_update(f, &b, 1);
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &s));
+	EXPECT_FALSE(fleet_acquire(f, 1, 1, 1, &s));
+}
+
+/* Guards against counting own work twice: once by own counters, once in the late report. */
+TEST_F(Fleet, ReportIsCorrectedByOwnWorkAtItsTime)
+{
+	fleet_slot s = {};
+	endpoint_load load = {};
+
+	fleet_set_load_lag(f, 100);
+	ASSERT_TRUE(fleet_acquire(f, 0, 1000, 1, &s));
+	clock_sleep_ms(150);
+	load.at_ms = clock_boot_ms();
+	load.role = ROLE_MIXED;
+	load.decode_slots = 8;
+	load.prefill_backlog = 1300;
+	load.decode_seqs = 3;
+	fleet_load(f, "a", &load);
+	EXPECT_EQ(candidates()[0].prefill_backlog, 1300);
+	EXPECT_EQ(candidates()[0].decode_seqs, 3);
+	fleet_release(f, &s);
+	EXPECT_EQ(candidates()[0].prefill_backlog, 300);
+	EXPECT_EQ(candidates()[0].decode_seqs, 2);
+}
+
+/* Guards against neighbours beside a suspect request, which its crash would take along. */
+TEST_F(Fleet, SuspectWaitsUntilItIsAlone)
+{
+	fleet_slot busy[2] = {};
+	fleet_slot s = {};
+	fleet_slot other = {};
+	int reserved = -1;
+
+	ASSERT_TRUE(fleet_acquire(f, 0, 1, 1, &busy[0]));
+	ASSERT_TRUE(fleet_acquire(f, 1, 1, 1, &busy[1]));
+	EXPECT_FALSE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+	ASSERT_EQ(reserved, 0);
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &other));
+	fleet_release(f, &busy[0]);
+	EXPECT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &other));
+	fleet_release(f, &s);
+	EXPECT_TRUE(fleet_acquire(f, 0, 1, 1, &other));
+	fleet_release(f, &other);
+	fleet_release(f, &busy[1]);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/test_link.cc
@@ -0,0 +1,246 @@
+#include <gtest/gtest.h>
+
+#include <random>
+
+#include "tiny_server.h"
+
+extern "C" {
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/net/link.h"
+#include "ibisgate/net/sse.h"
+}
+
+namespace
+{
+
+struct Result {
+	bool ok = false;
+	int status = 0;
+	std::string body;
+	link_event failed = {};
+};
+
+struct Link : testing::Test {
+	link_options options = { 2, 300 };
+	struct link *l = link_create(&options, nullptr);
+
+	~Link() override
+	{
+		link_destroy(l);
+	}
+	Result fetch(const std::string &url, int64_t silence_ms = 500, bool fresh = false,
+		     const char *address = nullptr)
+	{
+		link_request r = {};
+		buf body = {};
+		Result out;
+
+		r.url = url.c_str();
+		r.address = address;
+		r.body = str_from("{}");
+		r.silence_ms = silence_ms;
+		r.fresh = fresh;
+		out.ok = link_fetch(l, &r, 5000, &out.status, &body, &out.failed) == 0;
+		out.body.assign(body.data ? body.data : "", body.len);
+		buf_free(&body);
+		return out;
+	}
+};
+
+bool ok_handler(int fd, const std::string &)
+{
+	TinyServer::answer(fd, 200, "yes");
+	return true;
+}
+
+/* Guards against a retry that is denied although the endpoint never saw the request. */
+TEST_F(Link, RefusedConnectionIsProvablyNotSent)
+{
+	TinyServer s(ok_handler);
+	std::string url = s.url();
+
+	s.stop();
+	Result r = fetch(url);
+	EXPECT_FALSE(r.ok);
+	EXPECT_EQ(r.failed.failure, LINK_CONNECT);
+	EXPECT_EQ(r.failed.sent, SENT_NO);
+	EXPECT_TRUE(r.failed.refused);
+}
+
+/* Guards against "not run" for a request that the endpoint read before it closed. */
+TEST_F(Link, ResetAfterTheRequestMayHaveRun)
+{
+	TinyServer s([](int fd, const std::string &) {
+		TinyServer::reset(fd);
+		return false;
+	});
+	Result r = fetch(s.url());
+
+	EXPECT_FALSE(r.ok);
+	EXPECT_EQ(r.failed.failure, LINK_RESET);
+	EXPECT_EQ(r.failed.sent, SENT_MAYBE);
+}
+
+/* Guards against libcurl's own repeat of a request on a reused connection that has died. */
+TEST_F(Link, DeadPooledConnectionIsNotRetriedSilently)
+{
+	std::atomic<int> seen{ 0 };
+	TinyServer s([&](int fd, const std::string &) {
+		if (++seen == 1) {
+			TinyServer::answer(fd, 200, "yes");
+			return true;
+		}
+		TinyServer::reset(fd);
+		return false;
+	});
+
+	ASSERT_TRUE(fetch(s.url()).ok);
+	Result r = fetch(s.url());
+	EXPECT_FALSE(r.ok);
+	EXPECT_EQ(r.failed.sent, SENT_MAYBE);
+	clock_sleep_ms(50);
+	EXPECT_EQ(seen, 2);
+}
+
+/* Guards against a connection for each request, and against reuse where it was ruled out. */
+TEST_F(Link, ConnectionsAreReusedUnlessFresh)
+{
+	TinyServer s(ok_handler);
+
+	for (int i = 0; i < 5; i++)
+		ASSERT_TRUE(fetch(s.url()).ok);
+	EXPECT_EQ(s.connections, 1);
+	ASSERT_TRUE(fetch(s.url(), 500, true).ok);
+	EXPECT_EQ(s.connections, 2);
+}
+
+/* Guards against waiting on, or reusing, a connection that went silent. */
+TEST_F(Link, SilentConnectionIsClosedAndNotReused)
+{
+	std::atomic<int> n{ 0 };
+	TinyServer s([&](int fd, const std::string &) {
+		if (++n == 2)
+			TinyServer::say(fd, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nabc");
+		else
+			TinyServer::answer(fd, 200, "yes");
+		return true;
+	});
+	int64_t start = clock_boot_ms();
+
+	ASSERT_TRUE(fetch(s.url(), 200).ok);
+	Result r = fetch(s.url(), 200);
+	EXPECT_FALSE(r.ok);
+	EXPECT_EQ(r.failed.failure, LINK_SILENT);
+	EXPECT_LT(clock_boot_ms() - start, 1500);
+	ASSERT_TRUE(fetch(s.url(), 200).ok);
+	EXPECT_EQ(s.connections, 2);
+}
+
+/* Guards against closing a slow stream whose heartbeats show that it lives. */
+TEST_F(Link, HeartbeatsCountAsLife)
+{
+	TinyServer s([](int fd, const std::string &) {
+		TinyServer::say(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+		for (int i = 0; i < 8; i++) {
+			usleep(100000);
+			TinyServer::say(fd, ": hb\n\n");
+		}
+		TinyServer::say(fd, "data: x\n\n");
+		return false;
+	});
+	Result r = fetch(s.url(), 300);
+
+	EXPECT_TRUE(r.ok);
+	EXPECT_NE(r.body.find("data: x"), std::string::npos);
+}
+
+/* Guards against late events of an abandoned attempt that reach the next one's reader. */
+TEST_F(Link, EventsOfAnEarlierAttemptAreDropped)
+{
+	TinyServer s([](int fd, const std::string &request) {
+		if (request.find("GET /slow") == 0)
+			usleep(150000);
+		TinyServer::answer(fd, 200, request.substr(4, 5));
+		return true;
+	});
+	link_queue *q = link_queue_create();
+	link_request r = {};
+	std::string slow = s.url() + "/slow";
+	std::string fast = s.url() + "/fast";
+	int64_t dropped = metric_get(METRIC_STALE_DROPPED);
+	link_event ev = {};
+	std::string body;
+	uint64_t id;
+
+	r.silence_ms = 2000;
+	r.url = slow.c_str();
+	link_start(l, q, &r);
+	r.url = fast.c_str();
+	id = link_start(l, q, &r);
+	while (link_wait(q, &ev, clock_boot_ms() + 500)) {
+		EXPECT_EQ(ev.attempt, id);
+		body.append(ev.data.data ? ev.data.data : "", ev.data.len);
+		link_event_clear(&ev);
+	}
+	EXPECT_EQ(body, "/fast");
+	EXPECT_GT(metric_get(METRIC_STALE_DROPPED), dropped);
+	link_queue_destroy(q);
+}
+
+/* Guards against a connect that ignores the address override of the settings. */
+TEST_F(Link, AddressOverrideIsUsed)
+{
+	TinyServer s(ok_handler);
+	std::string address = "127.0.0.1:" + std::to_string(s.port);
+
+	EXPECT_TRUE(fetch("http://127.0.0.1:1/x", 500, false, address.c_str()).ok);
+}
+
+/* Guards against events that are split, merged or lost when chunks cut the stream anywhere. */
+TEST(Sse, AnyChunkingGivesTheSameEvents)
+{
+	const std::string wire =
+		": hb\n\ndata: one\n\ndata: two\r\ndata: more\r\n\r\nevent: x\nid: 3\n"
+		"data:three\r\r: c\n\n\n\ndata\ndata: [DONE]\n\n";
+	const std::vector<std::string> expected = { "one", "two\nmore", "three", "[DONE]" };
+	unsigned seed = std::random_device{}();
+	std::mt19937 rng(seed);
+
+	for (int round = 0; round < 500; round++) {
+		std::vector<std::string> got;
+		sse p = {};
+		str data;
+
+		for (size_t at = 0; at < wire.size();) {
+			size_t n = std::min<size_t>(1 + rng() % 7, wire.size() - at);
+
+			/* A copy of the exact size lets a sanitizer see reads past it. */
+			std::string part = wire.substr(at, n);
+			sse_feed(&p, { part.data(), part.size() });
+			at += n;
+			while (sse_next(&p, &data) == 1)
+				got.emplace_back(data.data, data.len);
+		}
+		ASSERT_EQ(got, expected) << "seed " << seed;
+		sse_free(&p);
+	}
+}
+
+/* Guards against memory that grows without end for a stream without line ends. */
+TEST(Sse, EndlessEventIsAnError)
+{
+	std::string part(65536, 'x');
+	sse p = {};
+	str data;
+	int rc = 0;
+
+	for (int i = 0; i < 40 && rc == 0; i++) {
+		sse_feed(&p, { part.data(), part.size() });
+		rc = sse_next(&p, &data);
+	}
+	EXPECT_EQ(rc, -1);
+	sse_free(&p);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/tiny_server.h
@@ -0,0 +1,174 @@
+#ifndef TESTS_TINY_SERVER_H
+#define TESTS_TINY_SERVER_H
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <cstring>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+/* HTTP server of a test: the handler gets each request as text and writes the raw answer. */
+class TinyServer
+{
+      public:
+	/* Returns false to close the connection. */
+	using Handler = std::function<bool(int fd, const std::string &request)>;
+
+	explicit TinyServer(Handler handler) : handler_(std::move(handler))
+	{
+		sockaddr_in a = {};
+		socklen_t len = sizeof(a);
+
+		listen_fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		bind(listen_fd_, reinterpret_cast<sockaddr *>(&a), sizeof(a));
+		listen(listen_fd_, 64);
+		getsockname(listen_fd_, reinterpret_cast<sockaddr *>(&a), &len);
+		port = ntohs(a.sin_port);
+		acceptor_ = std::thread([this] { accept_loop(); });
+	}
+
+	~TinyServer()
+	{
+		stop();
+	}
+
+	/* Closes the listener and all connections: later connections are refused. */
+	void stop()
+	{
+		if (stopping_.exchange(true))
+			return;
+		acceptor_.join();
+		close(listen_fd_);
+		{
+			std::lock_guard<std::mutex> g(lock_);
+			for (int fd : fds_)
+				shutdown(fd, SHUT_RDWR);
+		}
+		for (auto &t : threads_)
+			t.join();
+	}
+
+	/* The same from a handler, which can't wait for itself. */
+	void refuse_from_now_on()
+	{
+		refusing_ = true;
+		while (!refused_)
+			usleep(1000);
+	}
+
+	std::string url() const
+	{
+		return "http://127.0.0.1:" + std::to_string(port);
+	}
+
+	static void say(int fd, const std::string &s)
+	{
+		send(fd, s.data(), s.size(), MSG_NOSIGNAL);
+	}
+
+	static void answer(int fd, int status, const std::string &body)
+	{
+		say(fd, "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Length: " +
+				std::to_string(body.size()) + "\r\n\r\n" + body);
+	}
+
+	/* Closes with a reset instead of an orderly end. */
+	static void reset(int fd)
+	{
+		struct linger l = { 1, 0 };
+
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+	}
+
+	int port = 0;
+	std::atomic<int> connections{ 0 };
+	std::atomic<int> requests{ 0 };
+
+      private:
+	void accept_loop()
+	{
+		while (!stopping_) {
+			pollfd p = { listen_fd_, POLLIN, 0 };
+
+			if (refusing_ && !refused_) {
+				close(listen_fd_);
+				listen_fd_ = -1;
+				refused_ = true;
+			}
+			if (refused_) {
+				usleep(1000);
+				continue;
+			}
+			if (poll(&p, 1, 5) != 1)
+				continue;
+			int fd = accept(listen_fd_, nullptr, nullptr);
+			int one = 1;
+
+			setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
+			connections++;
+			std::lock_guard<std::mutex> g(lock_);
+			fds_.push_back(fd);
+			threads_.emplace_back([this, fd] { serve(fd); });
+		}
+	}
+
+	void serve(int fd)
+	{
+		std::string in;
+		char part[4096];
+
+		for (;;) {
+			size_t head = in.find("\r\n\r\n");
+			size_t body = 0;
+
+			if (head != std::string::npos) {
+				size_t at = in.find("Content-Length: ");
+
+				if (at < head)
+					body = strtoul(in.c_str() + at + 16, nullptr, 10);
+			}
+			if (head != std::string::npos && in.size() >= head + 4 + body) {
+				std::string request = in.substr(0, head + 4 + body);
+
+				in.erase(0, head + 4 + body);
+				requests++;
+				if (!handler_(fd, request))
+					break;
+				continue;
+			}
+			ssize_t n = recv(fd, part, sizeof(part), 0);
+			if (n <= 0)
+				break;
+			in.append(part, static_cast<size_t>(n));
+		}
+		std::lock_guard<std::mutex> g(lock_);
+		for (auto &f : fds_) {
+			if (f == fd)
+				f = -1;
+		}
+		close(fd);
+	}
+
+	Handler handler_;
+	int listen_fd_;
+	std::atomic<bool> stopping_{ false };
+	std::atomic<bool> refusing_{ false };
+	std::atomic<bool> refused_{ false };
+	std::thread acceptor_;
+	std::mutex lock_;
+	std::vector<int> fds_;
+	std::vector<std::thread> threads_;
+};
+
+#endif
