--- /dev/null
+++ b/daemon/control.c
@@ -0,0 +1,218 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/supervisor.h"
+
+#define QUARANTINE_CAPACITY 4096
+
+void control_token(char out[24])
+{
+	snprintf(out, 24, "%016" PRIx64, random_u64());
+}
+
+bool control_address_of(struct control *c, const char *id, char out[MEMBER_ADDR_MAX])
+{
+	const struct member *m;
+	const char *route = settings_route(c->settings, id);
+
+	out[0] = '\0';
+	pthread_mutex_lock(&c->lock);
+	m = member_find(c->members, id);
+	if (m && m->peer[0])
+		str_copy(out, MEMBER_ADDR_MAX, str_from(route ? route : m->peer));
+	pthread_mutex_unlock(&c->lock);
+	return out[0] != '\0';
+}
+
+void control_send(struct control *c, const char *id, struct peer_message *m)
+{
+	char address[MEMBER_ADDR_MAX];
+
+	if (control_address_of(c, id, address))
+		peer_bus_send(c->bus, id, address, m);
+}
+
+void control_send_all(struct control *c, struct peer_message *m)
+{
+	char(*ids)[MEMBER_ID_MAX];
+	int n = 0;
+
+	pthread_mutex_lock(&c->lock);
+	ids = mem_alloc((size_t)member_count(c->members) * sizeof(*ids));
+	for (int i = 1; i < member_count(c->members); i++) {
+		const struct member *to = member_at(c->members, i);
+
+		if (to->state != MEMBER_GONE && to->incarnation)
+			str_copy(ids[n++], sizeof(*ids), str_from(to->id));
+	}
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < n; i++)
+		control_send(c, ids[i], m);
+	free(ids);
+}
+
+static void on_message(void *ctx, const struct peer_message *m)
+{
+	struct control *c = ctx;
+
+	switch (m->kind) {
+	case PEER_HEARTBEAT:
+		control_on_heartbeat(c, m);
+		break;
+	case PEER_CONFIG_CHANGE:
+	case PEER_CONFIG_FETCH:
+	case PEER_CONFIG_BATCH:
+		control_on_config(c, m);
+		break;
+	case PEER_LEAVE:
+		control_on_leave(c, m);
+		break;
+	case PEER_LEAVE_ACK:
+		control_on_ack(c, m);
+		break;
+	case PEER_RETURN:
+		control_on_return(c, m);
+		break;
+	case PEER_QUARANTINE:
+		control_on_quarantine(c, m);
+		break;
+	case PEER_CLAIM_QUERY:
+	case PEER_CLAIM_STATE:
+		control_on_claim(c, m);
+		break;
+	}
+}
+
+static int bus_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+
+	return peer_bus_run(c->bus, err);
+}
+
+static struct peer_bus *bus_create(struct control *c, struct error *err)
+{
+	const struct settings *s = c->settings;
+	struct peer_key keys[SETTINGS_SEEDS_MAX];
+	struct peer_options options = {
+		.id = s->instance.id,
+		.incarnation = c->gate->incarnation,
+		.listen = s->peer.listen,
+		.curve_public = s->peer.curve_public,
+		.curve_secret = s->peer.curve_secret,
+		.keys = keys,
+		.key_count = s->curve_peer_count,
+		.suspect_ms = MEMBER_SUSPECT_MS,
+		.receive = on_message,
+		.ctx = c,
+	};
+
+	for (int i = 0; i < s->curve_peer_count; i++)
+		keys[i] = (struct peer_key){ s->curve_peers[i].key, s->curve_peers[i].value };
+	return peer_bus_create(&options, err);
+}
+
+static void advertise(struct control *c)
+{
+	struct str listen = str_from(c->settings->peer.listen);
+	struct str host = str_split(&listen, ':');
+
+	if (c->gate->settings.peer.advertise[0])
+		return;
+	snprintf(c->gate->settings.peer.advertise, sizeof(c->gate->settings.peer.advertise),
+		 STR_FMT ":%d", STR_ARG(host), peer_bus_port(c->bus));
+}
+
+static void start_children(struct control *c)
+{
+	const struct child_spec children[] = {
+		{ "peer", bus_run, c, true },
+		{ "members", control_members_run, c, true },
+		{ "config", control_config_run, c, true },
+		{ "list", control_list_run, c, true },
+		{ "lease", control_lease_run, c, true },
+		{ "drain", control_drain_run, c, true },
+		{ "roles", control_roles_run, c, true },
+		{ "claims", control_claims_run, c, true },
+	};
+
+	for (size_t i = 0; i < sizeof(children) / sizeof(children[0]); i++)
+		supervisor_start(c->gate->supervisor, &children[i]);
+}
+
+struct control *control_create(struct gate *gate, struct error *err)
+{
+	struct control *c = mem_zalloc(sizeof(*c));
+
+	c->gate = gate;
+	c->settings = &gate->settings;
+	c->fleet = gate->fleet;
+	pthread_mutex_init(&c->lock, NULL);
+	pthread_mutex_init(&c->config_lock, NULL);
+	if (!gate->config)
+		rcu_assign_pointer(gate->config, config_create());
+	c->http = http_pool_create();
+	c->quarantine = quarantine_create(QUARANTINE_CAPACITY);
+	c->bus = bus_create(c, err);
+	if (!c->bus)
+		goto fail;
+	advertise(c);
+	control_members_init(c);
+	gate->control = c;
+	start_children(c);
+	return c;
+fail:
+	control_destroy(c);
+	return NULL;
+}
+
+void control_leave(struct control *c)
+{
+	atomic_store(&c->left, true);
+	/* Peers learn the new state at once rather than with the next heartbeat. */
+	control_beat(c, clock_boot_ms());
+	control_lease_release_all(c);
+}
+
+/* The supervisor has ended the children before. */
+void control_destroy(struct control *c)
+{
+	if (!c)
+		return;
+	control_config_clear(c);
+	control_claims_clear(c);
+	peer_bus_destroy(c->bus);
+	http_pool_destroy(c->http);
+	quarantine_destroy(c->quarantine);
+	member_table_destroy(c->members);
+	pthread_mutex_destroy(&c->lock);
+	pthread_mutex_destroy(&c->config_lock);
+	free(c);
+}
+
+bool control_ready(struct control *c)
+{
+	return atomic_load(&c->config_known) && atomic_load(&c->fleet_known) &&
+	       atomic_load(&c->intents_known);
+}
+
+int control_live_instances(struct control *c)
+{
+	int n;
+
+	pthread_mutex_lock(&c->lock);
+	n = member_live(c->members, NULL);
+	pthread_mutex_unlock(&c->lock);
+	return n > 0 ? n : 1;
+}
+
+int control_peer_port(const struct control *c)
+{
+	return peer_bus_port(c->bus);
+}
--- /dev/null
+++ b/daemon/control_claims.c
@@ -0,0 +1,485 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/common/supervisor.h"
+
+#define LOOP_MS 10
+#define RETRY_MS 200
+#define WAIT_FIRST_MS 10
+#define WAIT_MAX_MS 250
+
+static const char *const phase_names[] = { "running", "done", "unknown" };
+
+/* Own claims: from before the row is written until the table holds its outcome. */
+
+static struct own_claim **own_find(struct control *c, const char *token)
+{
+	struct own_claim **at = &c->own_claims;
+
+	while (*at && strcmp((*at)->token, token) != 0)
+		at = &(*at)->next;
+	return at;
+}
+
+static bool own_add(struct control *c, const char *token)
+{
+	struct own_claim *o;
+	bool room;
+
+	pthread_mutex_lock(&c->lock);
+	room = c->own_claim_count < CONTROL_CLAIMS_MAX;
+	if (room) {
+		o = mem_zalloc(sizeof(*o));
+		str_copy(o->token, sizeof(o->token), str_from(token));
+		o->next = c->own_claims;
+		c->own_claims = o;
+		c->own_claim_count++;
+	}
+	pthread_mutex_unlock(&c->lock);
+	return room;
+}
+
+static void own_drop(struct control *c, const char *token)
+{
+	struct own_claim **at;
+	struct own_claim *o;
+
+	pthread_mutex_lock(&c->lock);
+	at = own_find(c, token);
+	o = *at;
+	if (o) {
+		*at = o->next;
+		c->own_claim_count--;
+	}
+	pthread_mutex_unlock(&c->lock);
+	free(o);
+}
+
+static bool own_move(struct control *c, const char *token, enum own_phase from, enum own_phase to)
+{
+	struct own_claim *o;
+	bool moved;
+
+	pthread_mutex_lock(&c->lock);
+	o = *own_find(c, token);
+	moved = o && o->phase == from;
+	if (moved)
+		o->phase = to;
+	pthread_mutex_unlock(&c->lock);
+	return moved;
+}
+
+static bool own_known(struct control *c, const char *token)
+{
+	bool known;
+
+	pthread_mutex_lock(&c->lock);
+	known = *own_find(c, token) != NULL;
+	pthread_mutex_unlock(&c->lock);
+	return known;
+}
+
+static json_t *row_json(const struct control *c, const struct claim_ticket *t,
+			enum claim_phase phase)
+{
+	json_t *o = json_object();
+
+	json_object_set_new(o, "phase", json_string(phase_names[phase]));
+	json_object_set_new(o, "owner", json_string(c->settings->instance.id));
+	json_object_set_new(o, "incarnation", json_integer((json_int_t)c->gate->incarnation));
+	json_object_set_new(o, "fingerprint", json_string(t->fingerprint));
+	json_object_set_new(o, "token", json_string(t->token));
+	json_object_set_new(o, "at_ms", json_integer(clock_wall_ms()));
+	return o;
+}
+
+static bool row_parse(const struct table_row *in, struct claim_row *out)
+{
+	const char *phase = json_get_cstr(in->value, "phase", "");
+
+	*out = (struct claim_row){
+		.version = in->version,
+		.incarnation = (uint64_t)json_get_i64(in->value, "incarnation", 0),
+		.status = (int)json_get_i64(in->value, "status", 0),
+		.result = json_get_str(in->value, "result"),
+		.phase = CLAIM_UNKNOWN,
+	};
+	for (int i = 0; i < 3; i++) {
+		if (strcmp(phase, phase_names[i]) == 0)
+			out->phase = (enum claim_phase)i;
+	}
+	return str_copy(out->owner, sizeof(out->owner), json_get_str(in->value, "owner")) &&
+	       str_copy(out->token, sizeof(out->token), json_get_str(in->value, "token")) &&
+	       str_copy(out->fingerprint, sizeof(out->fingerprint),
+			json_get_str(in->value, "fingerprint"));
+}
+
+/* Background writes. */
+
+static void task_add(struct control *c, const char *key, const char *token, int64_t version,
+		     json_t *value)
+{
+	struct claim_task *t = mem_zalloc(sizeof(*t));
+
+	str_copy(t->key, sizeof(t->key), str_from(key));
+	str_copy(t->token, sizeof(t->token), str_from(token));
+	t->version = version;
+	t->value = value;
+	pthread_mutex_lock(&c->lock);
+	t->next = c->tasks;
+	c->tasks = t;
+	pthread_mutex_unlock(&c->lock);
+}
+
+/* Deletes the row of a claim that was never dispatched; a delayed write of ours may have made it.
+ */
+static bool delete_row(struct control *c, const struct claim_task *t)
+{
+	struct table_row row;
+	struct claim_row claim;
+	struct error err = { 0 };
+	bool ours;
+	int rc;
+
+	if (platform_get(c->gate->platform, t->key, &row, &err))
+		return err.code == PLATFORM_NOT_FOUND;
+	ours = row_parse(&row, &claim) && claim.phase == CLAIM_RUNNING &&
+	       strcmp(claim.token, t->token) == 0;
+	rc = ours ? platform_delete(c->gate->platform, t->key, row.version, &err) : 0;
+	table_row_clear(&row);
+	return !rc || err.code == PLATFORM_NOT_FOUND || err.code == PLATFORM_CONFLICT;
+}
+
+/* A conflict can only come from an earlier try of this write: nobody else changes the row. */
+static bool task_run(struct control *c, const struct claim_task *t)
+{
+	struct error err = { 0 };
+
+	if (!t->value)
+		return delete_row(c, t);
+	return platform_put(c->gate->platform, t->key, t->value, t->version, NULL, NULL, &err) ==
+		       0 ||
+	       err.code == PLATFORM_CONFLICT;
+}
+
+static struct claim_task *task_take(struct control *c, int64_t now)
+{
+	struct claim_task **at = &c->tasks;
+	struct claim_task *t;
+
+	pthread_mutex_lock(&c->lock);
+	while (*at && (*at)->next_ms > now)
+		at = &(*at)->next;
+	t = *at;
+	if (t)
+		*at = t->next;
+	pthread_mutex_unlock(&c->lock);
+	return t;
+}
+
+static void task_destroy(struct claim_task *t)
+{
+	json_decref(t->value);
+	free(t);
+}
+
+int control_claims_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+	struct claim_task *t;
+
+	while (!child_sleep_ms(LOOP_MS)) {
+		while (!child_stopping() && (t = task_take(c, clock_boot_ms()))) {
+			if (task_run(c, t)) {
+				own_drop(c, t->token);
+				task_destroy(t);
+				continue;
+			}
+			t->next_ms = clock_boot_ms() + RETRY_MS;
+			pthread_mutex_lock(&c->lock);
+			t->next = c->tasks;
+			c->tasks = t;
+			pthread_mutex_unlock(&c->lock);
+		}
+		child_account_cpu();
+	}
+	return 0;
+}
+
+void control_claims_clear(struct control *c)
+{
+	while (c->tasks) {
+		struct claim_task *t = c->tasks;
+
+		c->tasks = t->next;
+		task_destroy(t);
+	}
+	while (c->own_claims)
+		own_drop(c, c->own_claims->token);
+}
+
+/* Questions between instances. */
+
+static enum claim_answer answer_for(struct control *c, const char *key, const char *token)
+{
+	if (own_known(c, token))
+		return CLAIM_ANSWER_RUNNING;
+	/*
+	 * The write of the row was in doubt and its call was given up, or the outcome is in the
+	 * table already; the deletion looks at the row again and only takes the former.
+	 */
+	task_add(c, key, token, 0, NULL);
+	return CLAIM_ANSWER_NEVER_DISPATCHED;
+}
+
+void control_on_claim(struct control *c, const struct peer_message *m)
+{
+	struct peer_message *reply;
+	struct claim_note *note;
+
+	if (m->kind == PEER_CLAIM_STATE) {
+		pthread_mutex_lock(&c->lock);
+		note = &c->answers[c->answer_next++ % CONTROL_ANSWERS_MAX];
+		str_copy(note->token, sizeof(note->token), str_from(m->u.claim.token));
+		note->answer = m->u.claim.answer;
+		pthread_mutex_unlock(&c->lock);
+		return;
+	}
+	reply = peer_message_create(PEER_CLAIM_STATE);
+	reply->u.claim = m->u.claim;
+	reply->u.claim.answer = answer_for(c, m->u.claim.key, m->u.claim.token);
+	control_send(c, m->sender, reply);
+	peer_message_destroy(reply);
+}
+
+static bool answered_never(struct control *c, const char *token)
+{
+	bool never = false;
+
+	for (int i = 0; i < CONTROL_ANSWERS_MAX; i++) {
+		const struct claim_note *n = &c->answers[i];
+
+		if (n->token[0] && strcmp(n->token, token) == 0)
+			never = n->answer == CLAIM_ANSWER_NEVER_DISPATCHED;
+	}
+	return never;
+}
+
+static enum claim_owner member_owner(struct control *c, const struct claim_row *row)
+{
+	const struct member *m = member_find(c->members, row->owner);
+
+	if (answered_never(c, row->token))
+		return OWNER_NEVER_DISPATCHED;
+	if (!m || !m->incarnation)
+		return c->listed_ms && !control_listed(c, row->owner) ? OWNER_GONE : OWNER_SILENT;
+	if (m->incarnation > row->incarnation || m->state == MEMBER_GONE)
+		return OWNER_GONE;
+	return m->state == MEMBER_SUSPECT ? OWNER_SILENT : OWNER_LIVE;
+}
+
+static void ask_owner(struct control *c, const char *key, const struct claim_row *row)
+{
+	struct peer_message *m = peer_message_create(PEER_CLAIM_QUERY);
+
+	str_copy(m->u.claim.key, sizeof(m->u.claim.key), str_from(key));
+	str_copy(m->u.claim.token, sizeof(m->u.claim.token), str_from(row->token));
+	control_send(c, row->owner, m);
+	peer_message_destroy(m);
+}
+
+static enum claim_owner owner_of(struct control *c, const char *key, const struct claim_row *row)
+{
+	enum claim_owner owner;
+
+	if (row->phase != CLAIM_RUNNING)
+		return OWNER_LIVE;
+	if (strcmp(row->owner, c->settings->instance.id) == 0) {
+		if (row->incarnation != c->gate->incarnation)
+			return OWNER_GONE;
+		return answer_for(c, key, row->token) == CLAIM_ANSWER_RUNNING
+			       ? OWNER_LIVE
+			       : OWNER_NEVER_DISPATCHED;
+	}
+	pthread_mutex_lock(&c->lock);
+	owner = member_owner(c, row);
+	pthread_mutex_unlock(&c->lock);
+	if (owner == OWNER_LIVE)
+		ask_owner(c, key, row);
+	return owner;
+}
+
+/* The call. */
+
+static enum claim_verdict write_row(struct control *c, struct claim_ticket *t, bool *sent)
+{
+	json_t *value = row_json(c, t, CLAIM_RUNNING);
+	struct error err = { 0 };
+	enum claim_write w = CLAIM_WRITE_OK;
+
+	metric_add(METRIC_CLAIMS, 1);
+	if (platform_put(c->gate->platform, t->key, value, TABLE_MUST_NOT_EXIST, &t->version, NULL,
+			 &err)) {
+		w = CLAIM_WRITE_DOUBTFUL;
+		if (err.code == PLATFORM_UNAVAILABLE)
+			w = CLAIM_WRITE_FAILED;
+		else if (err.code == PLATFORM_CONFLICT)
+			w = CLAIM_WRITE_EXISTS;
+	}
+	json_decref(value);
+	*sent = *sent || w == CLAIM_WRITE_DOUBTFUL;
+	/* An earlier write in doubt may still have made the row. */
+	if (w == CLAIM_WRITE_FAILED && *sent)
+		return CLAIM_READ_AGAIN;
+	return claim_after_write(w);
+}
+
+static void take_result(struct claim_ticket *t, const struct claim_row *row)
+{
+	metric_add(METRIC_CLAIM_REPLAYS, 1);
+	t->status = row->status;
+	buf_append_str(&t->result, row->result);
+}
+
+/* @found: a row is there. Return: what the row, or its absence, means. */
+static enum claim_verdict read_row(struct control *c, struct claim_ticket *t, bool sent,
+				   int64_t deadline_ms, bool *found)
+{
+	int64_t now = clock_boot_ms();
+	struct table_row row;
+	struct claim_row claim;
+	struct error err = { 0 };
+	enum claim_verdict v;
+
+	*found = false;
+	if (platform_get(c->gate->platform, t->key, &row, &err)) {
+		if (err.code == PLATFORM_NOT_FOUND)
+			return claim_after_read(NULL, NULL, t->fingerprint,
+						c->settings->instance.id, c->gate->incarnation,
+						OWNER_GONE, now, deadline_ms);
+		*found = true;
+		return now < deadline_ms ? CLAIM_WAIT : CLAIM_SAY_NOT_RUN;
+	}
+	*found = true;
+	if (!row_parse(&row, &claim)) {
+		table_row_clear(&row);
+		return CLAIM_SAY_UNKNOWN;
+	}
+	v = claim_after_read(&claim, sent ? t->token : NULL, t->fingerprint,
+			     c->settings->instance.id, c->gate->incarnation,
+			     owner_of(c, t->key, &claim), now, deadline_ms);
+	if (v == CLAIM_DISPATCH)
+		t->version = row.version;
+	else if (v == CLAIM_REPLAY)
+		take_result(t, &claim);
+	table_row_clear(&row);
+	return v;
+}
+
+static void make_ticket(struct claim_ticket *t, const char *organisation, const char *service,
+			struct str idempotency_key, struct str body)
+{
+	char hash[HASH_HEX_SIZE];
+	int len;
+
+	*t = (struct claim_ticket){ .verdict = CLAIM_SAY_NOT_RUN };
+	hash_secret_hex(idempotency_key, hash);
+	hash_secret_hex(body, t->fingerprint);
+	len = snprintf(t->key, sizeof(t->key), "claim/%s/%s/%s", organisation, service, hash);
+	/* A key that was cut would stand for other calls too. */
+	if (len < 0 || (size_t)len >= sizeof(t->key))
+		t->key[0] = '\0';
+	control_token(t->token);
+}
+
+static enum claim_verdict settle(struct control *c, struct claim_ticket *t, int64_t deadline_ms)
+{
+	int wait_ms = WAIT_FIRST_MS;
+	bool sent = false;
+	bool found;
+	enum claim_verdict v = write_row(c, t, &sent);
+
+	while (v == CLAIM_READ_AGAIN || v == CLAIM_WAIT) {
+		v = read_row(c, t, sent, deadline_ms, &found);
+		if (v == CLAIM_READ_AGAIN && !found) {
+			v = write_row(c, t, &sent);
+			if (v != CLAIM_READ_AGAIN)
+				break;
+		}
+		if (v != CLAIM_READ_AGAIN && v != CLAIM_WAIT)
+			break;
+		clock_sleep_ms(wait_ms);
+		wait_ms = wait_ms * 2 < WAIT_MAX_MS ? wait_ms * 2 : WAIT_MAX_MS;
+	}
+	return v;
+}
+
+void claim_begin(struct control *c, const char *organisation, const char *service,
+		 struct str idempotency_key, struct str body, int64_t deadline_ms,
+		 struct claim_ticket *out)
+{
+	make_ticket(out, organisation, service, idempotency_key, body);
+	if (!out->key[0] || !own_add(c, out->token))
+		return;
+	out->verdict = settle(c, out, deadline_ms);
+	if (out->verdict == CLAIM_DISPATCH && clock_boot_ms() >= deadline_ms) {
+		claim_release(c, out);
+		out->verdict = CLAIM_SAY_NOT_RUN;
+	} else if (out->verdict != CLAIM_DISPATCH) {
+		own_drop(c, out->token);
+	}
+	event_record("claim", NULL, NULL, organisation, "service=%s verdict=%d token=%s", service,
+		     out->verdict, out->token);
+}
+
+bool claim_dispatching(struct control *c, struct claim_ticket *t)
+{
+	return t->verdict == CLAIM_DISPATCH && own_move(c, t->token, OWN_CLAIMED, OWN_DISPATCHED);
+}
+
+static void store(struct control *c, struct claim_ticket *t, json_t *value)
+{
+	own_move(c, t->token, OWN_CLAIMED, OWN_STORING);
+	own_move(c, t->token, OWN_DISPATCHED, OWN_STORING);
+	task_add(c, t->key, t->token, t->version, value);
+}
+
+void claim_finish(struct control *c, struct claim_ticket *t, int status, struct str body)
+{
+	json_t *value;
+
+	/* What can't be kept whole can't be replayed. */
+	if (body.len > CLAIM_RESULT_MAX || !str_is_utf8(body)) {
+		claim_unknown(c, t);
+		return;
+	}
+	value = row_json(c, t, CLAIM_DONE);
+	json_object_set_new(value, "status", json_integer(status));
+	json_object_set_new(value, "result", json_stringn(body.data ? body.data : "", body.len));
+	store(c, t, value);
+}
+
+void claim_unknown(struct control *c, struct claim_ticket *t)
+{
+	store(c, t, row_json(c, t, CLAIM_UNKNOWN));
+}
+
+void claim_release(struct control *c, struct claim_ticket *t)
+{
+	own_move(c, t->token, OWN_CLAIMED, OWN_STORING);
+	own_move(c, t->token, OWN_DISPATCHED, OWN_STORING);
+	task_add(c, t->key, t->token, t->version, NULL);
+}
+
+void claim_ticket_clear(struct claim_ticket *t)
+{
+	buf_free(&t->result);
+}
--- /dev/null
+++ b/daemon/control_config.c
@@ -0,0 +1,303 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/common/supervisor.h"
+
+#define LOOP_MS 20
+#define FETCH_RETRY_MS 500
+
+int64_t control_config_version(struct control *c)
+{
+	int64_t version;
+
+	rcu_read_lock();
+	version = config_version(rcu_dereference(c->gate->config));
+	rcu_read_unlock();
+	return version;
+}
+
+/* Called with config_lock held; the old version is freed when no reader is left. */
+void control_config_publish(struct control *c, struct config *next)
+{
+	struct config *old = c->gate->config;
+
+	if (config_version(next) < config_version(old)) {
+		config_destroy(next);
+		return;
+	}
+	rcu_assign_pointer(c->gate->config, next);
+	metric_set(METRIC_CONFIG_VERSION, config_version(next));
+	synchronize_rcu();
+	config_destroy(old);
+}
+
+static char *value_text(const json_t *value)
+{
+	return value && !json_is_null(value) ? json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY)
+					     : NULL;
+}
+
+static void keep(struct control *c, const struct config_change *change)
+{
+	struct peer_change *k = &c->kept[change->version % CONTROL_CHANGES_KEPT];
+
+	pthread_mutex_lock(&c->lock);
+	free(k->value);
+	*k = (struct peer_change){ .version = change->version };
+	str_copy(k->key, sizeof(k->key), str_from(change->key));
+	str_copy(k->author, sizeof(k->author), str_from(change->author));
+	k->value = value_text(change->value);
+	pthread_mutex_unlock(&c->lock);
+}
+
+int control_config_apply(struct control *c, const struct config_change *change, struct error *err)
+{
+	struct config *next;
+
+	pthread_mutex_lock(&c->config_lock);
+	next = config_apply(c->gate->config, change, err);
+	if (next)
+		control_config_publish(c, next);
+	pthread_mutex_unlock(&c->config_lock);
+	if (!next)
+		return -1;
+	keep(c, change);
+	log_info("config-change", "version=%" PRId64 " key=%s author=%s", change->version,
+		 change->key, change->author);
+	event_record("config-change", NULL, NULL, NULL, "version=%" PRId64 " key=%.48s",
+		     change->version, change->key);
+	return 0;
+}
+
+/* Messages wait for the config child: publishing waits for readers, which the bus must not. */
+void control_on_config(struct control *c, const struct peer_message *m)
+{
+	struct peer_message *copy = mem_alloc(sizeof(*copy));
+
+	*copy = *m;
+	if (m->kind == PEER_CONFIG_CHANGE && m->u.change.value)
+		copy->u.change.value = mem_strdup(m->u.change.value);
+	if (m->kind == PEER_CONFIG_BATCH) {
+		struct peer_batch *b = &copy->u.batch;
+
+		if (b->snapshot)
+			b->snapshot = mem_strdup(b->snapshot);
+		for (int i = 0; i < b->change_count; i++) {
+			if (b->changes[i].value)
+				b->changes[i].value = mem_strdup(b->changes[i].value);
+		}
+	}
+	pthread_mutex_lock(&c->lock);
+	if (c->inbox_count < CONTROL_INBOX_MAX) {
+		c->inbox[c->inbox_count++] = copy;
+		copy = NULL;
+	}
+	pthread_mutex_unlock(&c->lock);
+	peer_message_destroy(copy);
+}
+
+static void note_version(struct control *c, int64_t version, const char *from)
+{
+	pthread_mutex_lock(&c->lock);
+	if (version > c->version_heard) {
+		c->version_heard = version;
+		str_copy(c->version_from, sizeof(c->version_from), str_from(from));
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+static void apply_peer_change(struct control *c, const struct peer_change *p, const char *from)
+{
+	struct config_change change = { .version = p->version, .key = p->key, .author = p->author };
+	struct error err = { 0 };
+
+	if (p->value) {
+		change.value = json_loads(p->value, JSON_DECODE_ANY, NULL);
+		if (!change.value)
+			return;
+	}
+	if (control_config_apply(c, &change, &err) && err.code == CONFIG_GAP)
+		note_version(c, p->version, from);
+	json_decref(change.value);
+}
+
+static void apply_snapshot(struct control *c, const char *text)
+{
+	json_t *o = json_loads(text, 0, NULL);
+	struct error err = { 0 };
+	struct config *next = o ? config_from_json(o, &err) : NULL;
+
+	json_decref(o);
+	if (!next)
+		return;
+	pthread_mutex_lock(&c->config_lock);
+	control_config_publish(c, next);
+	pthread_mutex_unlock(&c->config_lock);
+}
+
+static bool copy_kept(struct control *c, int64_t after, int64_t version, struct peer_batch *b)
+{
+	bool whole = true;
+
+	pthread_mutex_lock(&c->lock);
+	for (int64_t v = after + 1; v <= version && b->change_count < PEER_CHANGES_MAX; v++) {
+		const struct peer_change *k = &c->kept[v % CONTROL_CHANGES_KEPT];
+
+		if (k->version != v) {
+			whole = false;
+			break;
+		}
+		b->changes[b->change_count] = *k;
+		b->changes[b->change_count++].value = k->value ? mem_strdup(k->value) : NULL;
+	}
+	pthread_mutex_unlock(&c->lock);
+	return whole;
+}
+
+static char *own_snapshot(struct control *c)
+{
+	json_t *o;
+	char *text;
+
+	rcu_read_lock();
+	o = config_to_json(rcu_dereference(c->gate->config));
+	text = json_dumps(o, JSON_COMPACT);
+	json_decref(o);
+	rcu_read_unlock();
+	return text;
+}
+
+/* Answers with the changes that are kept, otherwise with everything if that fits a message. */
+static void answer_fetch(struct control *c, const char *to, int64_t after)
+{
+	int64_t version = control_config_version(c);
+	struct peer_message *m;
+	bool whole;
+
+	if (after >= version)
+		return;
+	m = peer_message_create(PEER_CONFIG_BATCH);
+	whole = copy_kept(c, after, version, &m->u.batch);
+	if (!whole && m->u.batch.change_count == 0)
+		m->u.batch.snapshot = own_snapshot(c);
+	control_send(c, to, m);
+	peer_message_destroy(m);
+}
+
+static void handle(struct control *c, const struct peer_message *m)
+{
+	switch (m->kind) {
+	case PEER_CONFIG_CHANGE:
+		apply_peer_change(c, &m->u.change, m->sender);
+		break;
+	case PEER_CONFIG_FETCH:
+		answer_fetch(c, m->sender, m->u.fetch_after);
+		break;
+	case PEER_CONFIG_BATCH:
+		if (m->u.batch.snapshot)
+			apply_snapshot(c, m->u.batch.snapshot);
+		for (int i = 0; i < m->u.batch.change_count; i++)
+			apply_peer_change(c, &m->u.batch.changes[i], m->sender);
+		break;
+	default:
+		break;
+	}
+}
+
+static void handle_inbox(struct control *c)
+{
+	struct peer_message *list[64];
+	int n;
+
+	pthread_mutex_lock(&c->lock);
+	n = c->inbox_count < 64 ? c->inbox_count : 64;
+	memcpy(list, c->inbox, (size_t)n * sizeof(list[0]));
+	c->inbox_count -= n;
+	memmove(c->inbox, c->inbox + n, (size_t)c->inbox_count * sizeof(list[0]));
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < n; i++) {
+		handle(c, list[i]);
+		peer_message_destroy(list[i]);
+	}
+}
+
+static void fetch(struct control *c, int64_t version)
+{
+	char from[MEMBER_ID_MAX];
+	struct peer_message *m;
+	bool behind;
+
+	pthread_mutex_lock(&c->lock);
+	behind = c->version_heard > version;
+	memcpy(from, c->version_from, sizeof(from));
+	pthread_mutex_unlock(&c->lock);
+	if (!behind || !from[0])
+		return;
+	m = peer_message_create(PEER_CONFIG_FETCH);
+	m->u.fetch_after = version;
+	control_send(c, from, m);
+	peer_message_destroy(m);
+}
+
+/*
+ * While the platform is down a live peer stands in for the table: with its version in force the
+ * instance knows as much as the ones that serve.
+ */
+static void check_peers(struct control *c, int64_t version)
+{
+	pthread_mutex_lock(&c->lock);
+	for (int i = 1; i < member_count(c->members); i++) {
+		const struct member *m = member_at(c->members, i);
+
+		if (m->state == MEMBER_LIVE && m->config_version <= version)
+			atomic_store(&c->config_known, true);
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+int control_config_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+	struct error quiet = { 0 };
+	bool started = false;
+	int64_t fetch_ms = 0;
+	int64_t poll_ms = 0;
+
+	while (!child_sleep_ms(LOOP_MS)) {
+		int64_t now = clock_boot_ms();
+
+		handle_inbox(c);
+		if (now >= fetch_ms) {
+			fetch(c, control_config_version(c));
+			fetch_ms = now + FETCH_RETRY_MS;
+		}
+		if (now >= poll_ms) {
+			started = started || control_log_start(c, &quiet) == 0;
+			if (started && control_log_read(c, &quiet) == 0)
+				atomic_store(&c->config_known, true);
+			poll_ms = clock_boot_ms() + c->settings->platform.config_poll_ms;
+		}
+		if (!atomic_load(&c->config_known))
+			check_peers(c, control_config_version(c));
+		child_account_cpu();
+	}
+	return 0;
+}
+
+void control_config_clear(struct control *c)
+{
+	for (int i = 0; i < c->inbox_count; i++)
+		peer_message_destroy(c->inbox[i]);
+	c->inbox_count = 0;
+	for (int i = 0; i < CONTROL_CHANGES_KEPT; i++)
+		free(c->kept[i].value);
+}
--- /dev/null
+++ b/daemon/control_drain.c
@@ -0,0 +1,439 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/common/supervisor.h"
+
+#define LOOP_MS 50
+#define TICK_MS 200
+#define SCAN_LIMIT 200
+/* A row of a doubtful write may appear after the first look. */
+#define RESCAN_MS 10000
+/* Above the total deadline of a request: what runs longer does not end by itself. */
+#define GIVE_UP_MS 180000
+
+/* Only the drain child adds, steps and frees jobs; confirmations come from the bus thread. */
+
+static enum drain_action feed(struct control *c, struct drain_job *j, enum drain_event_kind kind)
+{
+	struct drain_event ev = { .kind = kind };
+	enum drain_action a;
+
+	pthread_mutex_lock(&c->lock);
+	a = drain_step(&j->drain, &ev, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+	return a;
+}
+
+void control_on_ack(struct control *c, const struct peer_message *m)
+{
+	struct drain_event ev = {
+		.kind = DRAIN_EV_ACK,
+		.member = m->sender,
+		.incarnation = m->incarnation,
+		.in_flight = m->u.ack.in_flight,
+	};
+
+	pthread_mutex_lock(&c->lock);
+	for (int i = 0; i < CONTROL_JOBS_MAX; i++) {
+		struct drain_job *j = &c->jobs[i];
+
+		if (!j->used || strcmp(j->drain.order.id, m->u.ack.order) != 0)
+			continue;
+		drain_step(&j->drain, &ev, clock_boot_ms());
+		j->next_ms = 0;
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+static bool must_confirm(const struct control *c, const struct member *m)
+{
+	if (m->incarnation && m->state != MEMBER_GONE)
+		return true;
+	return control_listed_live(c, m->id);
+}
+
+/* Members change while a drain runs; every one that may send to the endpoint is asked. */
+static void update_members(struct control *c, struct drain_job *j)
+{
+	int64_t now = clock_boot_ms();
+
+	for (int i = 0; i < member_count(c->members); i++) {
+		const struct member *m = member_at(c->members, i);
+		struct drain_event ev = {
+			.kind = DRAIN_EV_MEMBER_GONE,
+			.member = m->id,
+			.incarnation = m->incarnation,
+		};
+
+		if (must_confirm(c, m))
+			drain_add_member(&j->drain, m->id, m->incarnation);
+		else
+			drain_step(&j->drain, &ev, now);
+	}
+}
+
+static struct drain_job *job_for(struct control *c, const char *endpoint, bool *known)
+{
+	struct drain_job *spare = NULL;
+
+	*known = false;
+	for (int i = 0; i < CONTROL_JOBS_MAX; i++) {
+		struct drain_job *j = &c->jobs[i];
+
+		if (!j->used)
+			spare = j;
+		else if (strcmp(j->drain.order.endpoint, endpoint) == 0)
+			*known = true;
+	}
+	return *known ? NULL : spare;
+}
+
+static void job_begin(struct control *c, struct drain_job *j, const struct order *order,
+		      const char *dc)
+{
+	int64_t now = clock_boot_ms();
+
+	*j = (struct drain_job){ .used = true, .begun_ms = now };
+	str_copy(j->dc, sizeof(j->dc), str_from(dc));
+	drain_begin(&j->drain, order, NULL, 0, now);
+	update_members(c, j);
+	log_info("drain-begin", "endpoint=%s order=%s fencing=%" PRId64, order->endpoint, order->id,
+		 order->fencing);
+	event_record("drain-begin", NULL, order->endpoint, NULL, "order=%s", order->id);
+}
+
+bool control_drain_start(struct control *c, const char *dc, const char *endpoint,
+			 enum endpoint_role from, enum endpoint_role to)
+{
+	struct order order = { .kind = ORDER_ROLE, .u.role = to };
+	struct drain_job *j;
+	char token[24];
+	bool known;
+
+	if (!control_lease_held(c, dc, &order.fencing))
+		return false;
+	control_token(token);
+	snprintf(order.id, sizeof(order.id), "o-%s", token);
+	str_copy(order.endpoint, sizeof(order.endpoint), str_from(endpoint));
+	pthread_mutex_lock(&c->lock);
+	j = job_for(c, endpoint, &known);
+	if (j) {
+		job_begin(c, j, &order, dc);
+		j->role_before = from;
+	}
+	pthread_mutex_unlock(&c->lock);
+	return j != NULL;
+}
+
+static void resume(struct control *c, const struct table_row *row, const char *dc, int64_t fencing)
+{
+	struct drain_event ev = { .kind = DRAIN_EV_INTENT_WRITTEN };
+	struct order order = { .fencing = fencing };
+	char row_dc[MEMBER_DC_MAX];
+	struct peer_order p;
+	struct drain_job *j;
+	bool known;
+
+	if (!control_intent_parse(row, &p, row_dc, sizeof(row_dc)) || strcmp(row_dc, dc) != 0)
+		return;
+	order.kind = p.kind;
+	order.u.role = p.role;
+	str_copy(order.id, sizeof(order.id), str_from(p.order));
+	str_copy(order.endpoint, sizeof(order.endpoint), str_from(p.endpoint));
+	pthread_mutex_lock(&c->lock);
+	j = job_for(c, p.endpoint, &known);
+	if (j) {
+		job_begin(c, j, &order, dc);
+		j->version = row->version;
+		j->resumed = true;
+		j->sent = true;
+		j->role_before = p.role;
+		drain_step(&j->drain, &ev, clock_boot_ms());
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+static bool load_intents(struct control *c, const char *dc, int64_t fencing)
+{
+	struct table_row *rows;
+	struct error err = { 0 };
+	bool more;
+	int count;
+	int rc = platform_scan(c->gate->platform, "intent/", "", SCAN_LIMIT, &rows, &count, &more,
+			       &err);
+
+	for (int i = 0; i < count; i++) {
+		resume(c, &rows[i], dc, fencing);
+		table_row_clear(&rows[i]);
+	}
+	free(rows);
+	return rc == 0;
+}
+
+static void check_leases(struct control *c, bool rescan)
+{
+	for (int i = 0; i < c->lease_count; i++) {
+		struct lease_slot *s = &c->leases[i];
+		int64_t fencing;
+
+		if (!control_lease_held(c, s->dc, &fencing))
+			continue;
+		if ((s->load_intents || rescan) && load_intents(c, s->dc, fencing)) {
+			pthread_mutex_lock(&c->lock);
+			s->load_intents = false;
+			pthread_mutex_unlock(&c->lock);
+		}
+	}
+}
+
+static void intent_key(char *out, size_t size, const struct drain_job *j)
+{
+	snprintf(out, size, "intent/%s", j->drain.order.endpoint);
+}
+
+static enum drain_action write_intent(struct control *c, struct drain_job *j)
+{
+	json_t *value = control_intent_json(&j->drain.order, j->dc, c->settings->instance.id);
+	struct table_row current = { 0 };
+	struct error err = { 0 };
+	enum drain_action a = DRAIN_DO_NOTHING;
+	char key[96];
+	int rc;
+
+	intent_key(key, sizeof(key), j);
+	rc = platform_put(c->gate->platform, key, value, TABLE_MUST_NOT_EXIST, &j->version,
+			  &current, &err);
+	if (rc && err.code == PLATFORM_CONFLICT &&
+	    strcmp(json_get_cstr(current.value, "order", ""), j->drain.order.id) == 0) {
+		j->version = current.version;
+		rc = 0;
+	}
+	if (!rc)
+		a = feed(c, j, DRAIN_EV_INTENT_WRITTEN);
+	else if (err.code == PLATFORM_CONFLICT)
+		a = feed(c, j, DRAIN_EV_INTENT_REFUSED);
+	json_decref(value);
+	table_row_clear(&current);
+	return a;
+}
+
+static struct peer_order peer_order_of(const struct drain_job *j)
+{
+	const struct order *o = &j->drain.order;
+	struct peer_order p = { .kind = o->kind, .fencing = o->fencing };
+
+	p.role = o->kind == ORDER_ROLE ? o->u.role : j->role_before;
+	if (j->given_up)
+		p.role = j->role_before;
+	str_copy(p.endpoint, sizeof(p.endpoint), str_from(o->endpoint));
+	str_copy(p.order, sizeof(p.order), str_from(o->id));
+	return p;
+}
+
+static void confirm_self(struct control *c, struct drain_job *j)
+{
+	struct drain_event ev = {
+		.kind = DRAIN_EV_ACK,
+		.member = c->settings->instance.id,
+		.incarnation = c->gate->incarnation,
+		.in_flight = fleet_in_flight(c->fleet, j->drain.order.endpoint),
+	};
+
+	pthread_mutex_lock(&c->lock);
+	drain_step(&j->drain, &ev, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+}
+
+static void send_leave(struct control *c, struct drain_job *j)
+{
+	struct peer_message *m = peer_message_create(PEER_LEAVE);
+	char ids[DRAIN_MEMBERS_MAX][MEMBER_ID_MAX];
+	int n = 0;
+
+	m->u.order = peer_order_of(j);
+	control_stop_apply(c, &m->u.order, "");
+	confirm_self(c, j);
+	pthread_mutex_lock(&c->lock);
+	for (int i = 0; i < j->drain.ack_count; i++) {
+		if (j->drain.acks[i].in_flight != 0)
+			memcpy(ids[n++], j->drain.acks[i].id, MEMBER_ID_MAX);
+	}
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < n; i++)
+		control_send(c, ids[i], m);
+	peer_message_destroy(m);
+}
+
+static enum drain_action send_order(struct control *c, struct drain_job *j)
+{
+	struct endpoint_info ep;
+
+	if (!control_endpoint(c, j->drain.order.endpoint, &ep))
+		return DRAIN_DO_NOTHING;
+	j->sent = true;
+	switch (control_order_send(c, &ep, &j->drain.order)) {
+	case ORDER_REPLY_ACCEPTED:
+		return feed(c, j, DRAIN_EV_ORDER_ACCEPTED);
+	case ORDER_REPLY_STALE:
+		return feed(c, j, DRAIN_EV_LEASE_LOST);
+	default:
+		return feed(c, j, DRAIN_EV_ORDER_REFUSED);
+	}
+}
+
+static bool endpoint_gone(struct control *c, const char *name)
+{
+	struct endpoint_info ep;
+
+	return atomic_load(&c->fleet_known) && !platform_down_since_ms(c->gate->platform) &&
+	       (!control_endpoint(c, name, &ep) || ep.leaving);
+}
+
+static enum drain_action poll_endpoint(struct control *c, struct drain_job *j)
+{
+	struct endpoint_info ep;
+
+	if (endpoint_gone(c, j->drain.order.endpoint))
+		return feed(c, j, DRAIN_EV_ORDER_FINISHED);
+	if (!control_endpoint(c, j->drain.order.endpoint, &ep))
+		return DRAIN_DO_NOTHING;
+	switch (control_order_poll(c, &ep, j->drain.order.id)) {
+	case ORDER_REPLY_DONE:
+		return feed(c, j, DRAIN_EV_ORDER_FINISHED);
+	case ORDER_REPLY_LOST:
+		/* The engine was started again and forgot the order, which is sent once more. */
+		pthread_mutex_lock(&c->lock);
+		j->drain.phase = DRAIN_ORDERING;
+		pthread_mutex_unlock(&c->lock);
+		return DRAIN_DO_NOTHING;
+	default:
+		return DRAIN_DO_NOTHING;
+	}
+}
+
+static enum drain_action clear_intent(struct control *c, struct drain_job *j)
+{
+	struct error err = { 0 };
+	char key[96];
+
+	intent_key(key, sizeof(key), j);
+	if (platform_delete(c->gate->platform, key, j->version, &err) == 0 ||
+	    err.code == PLATFORM_NOT_FOUND)
+		return feed(c, j, DRAIN_EV_INTENT_CLEARED);
+	if (err.code == PLATFORM_CONFLICT)
+		return feed(c, j, DRAIN_EV_LEASE_LOST);
+	return DRAIN_DO_NOTHING;
+}
+
+static void send_return(struct control *c, struct drain_job *j)
+{
+	struct peer_message *m = peer_message_create(PEER_RETURN);
+
+	m->u.order = peer_order_of(j);
+	control_stop_return(c, &m->u.order);
+	control_send_all(c, m);
+	peer_message_destroy(m);
+	if (j->given_up)
+		return;
+	atomic_fetch_add(&c->role_changes, 1);
+	metric_add(METRIC_ROLE_CHANGES, 1);
+	log_info("role-changed", "endpoint=%s order=%s ms=%" PRId64, j->drain.order.endpoint,
+		 j->drain.order.id, clock_boot_ms() - j->begun_ms);
+	event_record("role-changed", NULL, j->drain.order.endpoint, NULL, "order=%s",
+		     j->drain.order.id);
+}
+
+static enum drain_action act(struct control *c, struct drain_job *j, enum drain_action a)
+{
+	switch (a) {
+	case DRAIN_DO_NOTHING:
+		break;
+	case DRAIN_DO_WRITE_INTENT:
+		return write_intent(c, j);
+	case DRAIN_DO_SEND_LEAVE:
+		send_leave(c, j);
+		break;
+	case DRAIN_DO_SEND_ORDER:
+		return send_order(c, j);
+	case DRAIN_DO_POLL_ENDPOINT:
+		return poll_endpoint(c, j);
+	case DRAIN_DO_CLEAR_INTENT:
+		return clear_intent(c, j);
+	case DRAIN_DO_SEND_RETURN:
+		send_return(c, j);
+		break;
+	}
+	return DRAIN_DO_NOTHING;
+}
+
+/* A drain whose order was never sent may be taken back; what runs there goes on undisturbed. */
+static void check_give_up(struct control *c, struct drain_job *j, int64_t now)
+{
+	bool gone = endpoint_gone(c, j->drain.order.endpoint);
+
+	pthread_mutex_lock(&c->lock);
+	if (j->drain.phase == DRAIN_STOPPING && (gone || !j->sent) &&
+	    (gone || now - j->begun_ms > GIVE_UP_MS)) {
+		j->given_up = true;
+		j->drain.phase = DRAIN_CLEARING;
+		log_warn("drain-given-up", "endpoint=%s order=%s", j->drain.order.endpoint,
+			 j->drain.order.id);
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+static void step(struct control *c, struct drain_job *j, int64_t now)
+{
+	enum drain_action a;
+	bool over;
+
+	if (!control_lease_held(c, j->dc, NULL))
+		feed(c, j, DRAIN_EV_LEASE_LOST);
+	pthread_mutex_lock(&c->lock);
+	update_members(c, j);
+	pthread_mutex_unlock(&c->lock);
+	check_give_up(c, j, now);
+	a = feed(c, j, DRAIN_EV_TICK);
+	while (a != DRAIN_DO_NOTHING)
+		a = act(c, j, a);
+	pthread_mutex_lock(&c->lock);
+	over = j->drain.phase == DRAIN_DONE || j->drain.phase == DRAIN_ABORTED;
+	if (over) {
+		event_record(j->drain.phase == DRAIN_DONE ? "drain-done" : "drain-aborted", NULL,
+			     j->drain.order.endpoint, NULL, "order=%s", j->drain.order.id);
+		j->used = false;
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+int control_drain_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+	int64_t rescan_ms = 0;
+
+	while (!child_sleep_ms(LOOP_MS)) {
+		int64_t now = clock_boot_ms();
+
+		check_leases(c, now >= rescan_ms);
+		if (now >= rescan_ms)
+			rescan_ms = now + RESCAN_MS;
+		for (int i = 0; i < CONTROL_JOBS_MAX && !child_stopping(); i++) {
+			struct drain_job *j = &c->jobs[i];
+
+			if (!j->used || now < j->next_ms)
+				continue;
+			j->next_ms = now + TICK_MS;
+			step(c, j, now);
+		}
+		child_account_cpu();
+	}
+	return 0;
+}
--- /dev/null
+++ b/daemon/control_list.c
@@ -0,0 +1,196 @@
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/supervisor.h"
+
+#define LOOP_MS 200
+#define RECONCILE_MS 3000
+
+bool control_listed(const struct control *c, const char *id)
+{
+	for (int i = 0; i < c->listed_count; i++) {
+		if (strcmp(c->listed[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+bool control_listed_live(const struct control *c, const char *id)
+{
+	for (int i = 0; i < c->listed_count; i++) {
+		if (c->listed[i].live && strcmp(c->listed[i].id, id) == 0)
+			return true;
+	}
+	return false;
+}
+
+static enum endpoint_role role_of(const json_t *o, bool engine)
+{
+	const char *name = json_get_cstr(o, "role", "");
+
+	if (!engine)
+		return ROLE_SERVICE;
+	if (strcmp(name, "prefill") == 0)
+		return ROLE_PREFILL;
+	return strcmp(name, "decode") == 0 ? ROLE_DECODE : ROLE_MIXED;
+}
+
+static bool endpoint_from(const json_t *o, struct endpoint_info *out)
+{
+	*out = (struct endpoint_info){
+		.engine = strcmp(json_get_cstr(o, "kind", "engine"), "service") != 0,
+		.checks_fencing = json_get_bool(o, "checks_fencing", false),
+		.leaving = strcmp(json_get_cstr(o, "state", "live"), "leaving") == 0,
+	};
+	out->role = role_of(o, out->engine);
+	return str_copy(out->name, sizeof(out->name), json_get_str(o, "name")) &&
+	       str_copy(out->dc, sizeof(out->dc), json_get_str(o, "dc")) &&
+	       str_copy(out->url, sizeof(out->url), json_get_str(o, "url")) &&
+	       str_copy(out->model, sizeof(out->model), json_get_str(o, "model")) && out->name[0];
+}
+
+static void learn_endpoints(struct control *c, const json_t *list)
+{
+	size_t n = json_array_size(list);
+	struct endpoint_info *infos = mem_zalloc(n * sizeof(*infos));
+	int count = 0;
+
+	for (size_t i = 0; i < n; i++) {
+		if (endpoint_from(json_array_get(list, i), &infos[count]))
+			count++;
+	}
+	fleet_update(c->fleet, infos, count);
+	free(infos);
+}
+
+static void learn_instances(struct control *c, const json_t *list)
+{
+	int64_t now = clock_boot_ms();
+	const json_t *o;
+	size_t i;
+
+	pthread_mutex_lock(&c->lock);
+	c->listed_count = 0;
+	json_array_foreach(list, i, o) {
+		bool live = strcmp(json_get_cstr(o, "state", "live"), "live") == 0;
+		const char *id = json_get_cstr(o, "id", "");
+		struct listed *l;
+
+		if (!id[0] || strlen(id) >= MEMBER_ID_MAX || c->listed_count == CONTROL_LISTED_MAX)
+			continue;
+		l = &c->listed[c->listed_count++];
+		str_copy(l->id, sizeof(l->id), str_from(id));
+		l->live = live;
+		if (live)
+			member_listed(c->members, id, json_get_cstr(o, "dc", ""),
+				      json_get_cstr(o, "peer", ""), now);
+	}
+	c->listed_ms = now;
+	pthread_mutex_unlock(&c->lock);
+}
+
+static void poll_list(struct control *c)
+{
+	struct error err = { 0 };
+	json_t *list;
+
+	if (platform_list(c->gate->platform, &list, &err)) {
+		log_debug("list-failed", "error=\"%s\"", err.text);
+		return;
+	}
+	if (json_is_array(json_object_get(list, "endpoints")) &&
+	    json_is_array(json_object_get(list, "instances"))) {
+		learn_instances(c, json_object_get(list, "instances"));
+		learn_endpoints(c, json_object_get(list, "endpoints"));
+		atomic_store(&c->fleet_known, true);
+	}
+	json_decref(list);
+}
+
+static bool drained_by_config(struct control *c, const char *endpoint)
+{
+	bool drained;
+
+	rcu_read_lock();
+	drained = config_drain(rcu_dereference(c->gate->config), endpoint) != NULL;
+	rcu_read_unlock();
+	return drained;
+}
+
+/* Stopping twice with one order is one stop, and a return of what is not stopped does nothing. */
+static void apply_operator_drains(struct control *c)
+{
+	int n;
+	struct endpoint_status *all = fleet_statuses(c->fleet, &n);
+
+	for (int i = 0; i < n; i++) {
+		const char *name = all[i].info.name;
+
+		if (drained_by_config(c, name))
+			fleet_stop(c->fleet, name, CONTROL_OPERATOR_ORDER);
+		else if (all[i].stopped)
+			fleet_return(c->fleet, name, CONTROL_OPERATOR_ORDER, all[i].info.role);
+	}
+	free(all);
+}
+
+/* The row drains this instance for as long as it exists; a stop by signal is never taken back. */
+static void apply_instance_drain(struct control *c, bool *drained)
+{
+	int expected;
+	bool drain;
+
+	rcu_read_lock();
+	drain = config_drain_instance(rcu_dereference(c->gate->config), c->settings->instance.id) !=
+		NULL;
+	rcu_read_unlock();
+	expected = drain ? GATE_READY : GATE_DRAINING;
+	if (drain && !*drained)
+		*drained =
+			atomic_compare_exchange_strong(&c->gate->state, &expected, GATE_DRAINING);
+	else if (!drain && *drained && !atomic_load(&c->left)) {
+		atomic_compare_exchange_strong(&c->gate->state, &expected, GATE_READY);
+		*drained = false;
+	}
+}
+
+static bool stops_known(struct control *c)
+{
+	bool any;
+
+	pthread_mutex_lock(&c->lock);
+	any = c->stop_count > 0;
+	pthread_mutex_unlock(&c->lock);
+	return any;
+}
+
+int control_list_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+	bool drained = false;
+	int64_t reconcile_ms = 0;
+	int64_t poll_ms = 0;
+
+	while (!child_sleep_ms(LOOP_MS)) {
+		int64_t now = clock_boot_ms();
+
+		if (now >= poll_ms) {
+			poll_list(c);
+			poll_ms = clock_boot_ms() + c->settings->platform.list_poll_ms;
+		}
+		apply_operator_drains(c);
+		apply_instance_drain(c, &drained);
+		if (now >= reconcile_ms && (!atomic_load(&c->intents_known) || stops_known(c))) {
+			control_stops_reconcile(c);
+			reconcile_ms =
+				now + (atomic_load(&c->intents_known) ? RECONCILE_MS : LOOP_MS);
+		}
+		child_account_cpu();
+	}
+	return 0;
+}
--- /dev/null
+++ b/daemon/control_members.c
@@ -0,0 +1,335 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/supervisor.h"
+
+#define LOOP_MS 100
+/*
+ * Full entries are sent in turn, the short vouchers of all members each time: at 18 instances in a
+ * data centre and 53 in a region that keeps heartbeats within 22 KB a second.
+ */
+#define ENTRIES_DELEGATE 3
+#define ENTRIES_OTHER 1
+
+static enum member_state own_state(const struct control *c)
+{
+	int state = atomic_load(&c->gate->state);
+
+	if (atomic_load(&c->left) || state == GATE_DRAINING)
+		return MEMBER_DRAINING;
+	if (state == GATE_STOPPED)
+		return MEMBER_GONE;
+	return state == GATE_READY ? MEMBER_LIVE : MEMBER_JOINING;
+}
+
+static struct member own_member(const struct control *c)
+{
+	const struct settings *s = c->settings;
+	struct member m = { .incarnation = c->gate->incarnation, .hears_us = true };
+
+	str_copy(m.id, sizeof(m.id), str_from(s->instance.id));
+	str_copy(m.dc, sizeof(m.dc), str_from(s->instance.dc));
+	str_copy(m.peer, sizeof(m.peer), str_from(s->peer.advertise));
+	str_copy(m.http, sizeof(m.http), str_from(s->http.advertise));
+	str_copy(m.admin, sizeof(m.admin), str_from(s->admin.advertise));
+	m.state = own_state(c);
+	return m;
+}
+
+void control_members_init(struct control *c)
+{
+	const struct settings *s = c->settings;
+	struct member self = own_member(c);
+
+	c->members = member_table_create(&self);
+	/* The data centre of a seed is learned from its first heartbeat. */
+	for (int i = 0; i < s->seed_count; i++)
+		member_listed(c->members, s->seeds[i].key, "", s->seeds[i].value, 0);
+}
+
+static struct peer_member entry_of(const struct member *m, int64_t now)
+{
+	struct peer_member e = {
+		.incarnation = m->incarnation,
+		.state = m->state,
+		.config_version = m->config_version,
+		.age_ms = m->heard_ms && m->heard_ms < now ? (uint32_t)(now - m->heard_ms) : 0,
+	};
+
+	str_copy(e.id, sizeof(e.id), str_from(m->id));
+	str_copy(e.dc, sizeof(e.dc), str_from(m->dc));
+	str_copy(e.peer, sizeof(e.peer), str_from(m->peer));
+	str_copy(e.http, sizeof(e.http), str_from(m->http));
+	str_copy(e.admin, sizeof(e.admin), str_from(m->admin));
+	return e;
+}
+
+static bool alive(const struct member *m)
+{
+	return m->incarnation && m->state != MEMBER_SUSPECT && m->state != MEMBER_GONE;
+}
+
+/*
+ * A delegate tells other data centres about its own, and its own about the others, so that news of
+ * a member never comes back to where it started.
+ */
+static bool passes_on(const struct control *c, const struct member *m, bool to_own_dc)
+{
+	bool own = strcmp(m->dc, c->settings->instance.dc) == 0;
+
+	return alive(m) && own != to_own_dc && (!own || m->direct);
+}
+
+static void fill_members(struct control *c, struct peer_heartbeat *h, bool delegate, bool to_own_dc,
+			 int64_t now)
+{
+	int n = member_count(c->members);
+	int max = delegate ? ENTRIES_DELEGATE : ENTRIES_OTHER;
+
+	for (int i = 0; i < n; i++) {
+		const struct member *m = member_at(c->members, i);
+		struct peer_vouch v = { .state = m->state };
+
+		if (i && m->direct && alive(m) && h->heard_count < PEER_HEARD_MAX)
+			h->heard[h->heard_count++] = peer_tag(m->id, m->incarnation);
+		if (!delegate || !passes_on(c, m, to_own_dc) ||
+		    h->vouched_count == PEER_VOUCHED_MAX)
+			continue;
+		v.tag = peer_tag(m->id, m->incarnation);
+		v.age_ms = i ? entry_of(m, now).age_ms : 0;
+		h->vouched[h->vouched_count++] = v;
+	}
+	for (int i = 0; i < n && h->member_count < max; i++) {
+		const struct member *m = member_at(c->members, (c->rotate + i) % n);
+		bool own = strcmp(m->dc, c->settings->instance.dc) == 0;
+
+		if (alive(m) && ((delegate && passes_on(c, m, to_own_dc)) || (own && to_own_dc)))
+			h->members[h->member_count++] = entry_of(m, now);
+	}
+}
+
+static struct peer_message *heartbeat_create(struct control *c, bool delegate, bool to_own_dc,
+					     int64_t now)
+{
+	const struct member *self = member_at(c->members, 0);
+	struct peer_message *m = peer_message_create(PEER_HEARTBEAT);
+	struct peer_heartbeat *h = &m->u.heartbeat;
+
+	str_copy(h->dc, sizeof(h->dc), str_from(self->dc));
+	str_copy(h->peer, sizeof(h->peer), str_from(self->peer));
+	str_copy(h->http, sizeof(h->http), str_from(self->http));
+	str_copy(h->admin, sizeof(h->admin), str_from(self->admin));
+	h->state = self->state;
+	h->config_version = self->config_version;
+	fill_members(c, h, delegate, to_own_dc, now);
+	for (int i = 0; i < c->stop_count; i++)
+		h->leaving[h->leaving_count++] = c->stops[i].order;
+	h->demand_count =
+		control_demand_fill(c, h->demands, PEER_DEMANDS_MAX, to_own_dc, delegate, now);
+	return m;
+}
+
+struct target {
+	char id[MEMBER_ID_MAX];
+	char address[MEMBER_ADDR_MAX];
+	bool own_dc;
+};
+
+static int targets_fill(struct control *c, struct target *out, bool others)
+{
+	int n = 0;
+
+	for (int i = 1; i < member_count(c->members); i++) {
+		const struct member *m = member_at(c->members, i);
+		const char *route = settings_route(c->settings, m->id);
+		bool own = strcmp(m->dc, c->settings->instance.dc) == 0;
+
+		if (!member_sends_to(c->members, m) || (!own && !others))
+			continue;
+		out[n].own_dc = own;
+		str_copy(out[n].id, sizeof(out[n].id), str_from(m->id));
+		str_copy(out[n].address, sizeof(out[n].address), str_from(route ? route : m->peer));
+		n++;
+	}
+	return n;
+}
+
+void control_beat(struct control *c, int64_t now)
+{
+	const struct member *delegate;
+	struct peer_message *inside;
+	struct peer_message *outside;
+	struct target *targets;
+	struct member self;
+	bool is_delegate;
+	int n;
+
+	self = own_member(c);
+	self.config_version = control_config_version(c);
+	pthread_mutex_lock(&c->lock);
+	member_heard(c->members, &self, true, now);
+	delegate = member_delegate(c->members, self.dc);
+	is_delegate = delegate && strcmp(delegate->id, self.id) == 0;
+	control_demand_own(c, now);
+	targets = mem_alloc((size_t)member_count(c->members) * sizeof(*targets));
+	n = targets_fill(c, targets,
+			 c->beats++ % (MEMBER_SUMMARY_MS / MEMBER_HEARTBEAT_MS) == 0 ||
+				 self.state == MEMBER_DRAINING);
+	inside = heartbeat_create(c, is_delegate, true, now);
+	outside = heartbeat_create(c, is_delegate, false, now);
+	c->rotate = (c->rotate + (is_delegate ? ENTRIES_DELEGATE : ENTRIES_OTHER)) %
+		    member_count(c->members);
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < n; i++)
+		peer_bus_send(c->bus, targets[i].id, targets[i].address,
+			      targets[i].own_dc ? inside : outside);
+	peer_message_destroy(inside);
+	peer_message_destroy(outside);
+	free(targets);
+}
+
+static void log_member(const struct member *m)
+{
+	static const char *const names[] = { "joining", "live", "draining", "suspect", "gone" };
+
+	log_info("member", "id=%s dc=%s state=%s", m->id, m->dc, names[m->state]);
+	event_record("member-state", NULL, NULL, NULL, "id=%s state=%s", m->id, names[m->state]);
+}
+
+int control_members_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+	int64_t next = 0;
+
+	while (!child_sleep_ms(LOOP_MS)) {
+		int64_t now = clock_boot_ms();
+
+		pthread_mutex_lock(&c->lock);
+		if (member_tick(c->members, now)) {
+			for (int i = 1; i < member_count(c->members); i++) {
+				const struct member *m = member_at(c->members, i);
+
+				if (m->state == MEMBER_SUSPECT || m->state == MEMBER_GONE)
+					log_debug("member", "id=%s state=%d", m->id, m->state);
+			}
+		}
+		pthread_mutex_unlock(&c->lock);
+		control_stops_confirm(c);
+		if (now >= next) {
+			control_beat(c, now);
+			next = now + MEMBER_HEARTBEAT_MS;
+		}
+		child_account_cpu();
+	}
+	return 0;
+}
+
+static void learn_vouched(struct control *c, const struct peer_heartbeat *h, int64_t now)
+{
+	int n = h->vouched_count ? member_count(c->members) : 0;
+
+	for (int i = 1; i < n; i++) {
+		const struct member *known = member_at(c->members, i);
+		uint32_t tag = peer_tag(known->id, known->incarnation);
+		struct member m = *known;
+
+		if (strcmp(known->dc, c->settings->instance.dc) == 0)
+			continue;
+		for (int k = 0; k < h->vouched_count; k++) {
+			if (h->vouched[k].tag != tag)
+				continue;
+			m.state = h->vouched[k].state;
+			m.heard_ms = now - (int64_t)h->vouched[k].age_ms;
+			member_heard(c->members, &m, false, now);
+			break;
+		}
+	}
+}
+
+static void learn_entry(struct control *c, const struct peer_member *e, int64_t now)
+{
+	struct member m = {
+		.incarnation = e->incarnation,
+		.state = e->state,
+		.config_version = e->config_version,
+		.heard_ms = now - (int64_t)e->age_ms,
+	};
+
+	if (!e->id[0] || strcmp(e->id, c->settings->instance.id) == 0)
+		return;
+	/* Members of the own data centre are heard directly; others only tell their address. */
+	if (strcmp(e->dc, c->settings->instance.dc) == 0) {
+		member_listed(c->members, e->id, e->dc, e->peer, now);
+		return;
+	}
+	str_copy(m.id, sizeof(m.id), str_from(e->id));
+	str_copy(m.dc, sizeof(m.dc), str_from(e->dc));
+	str_copy(m.peer, sizeof(m.peer), str_from(e->peer));
+	str_copy(m.http, sizeof(m.http), str_from(e->http));
+	str_copy(m.admin, sizeof(m.admin), str_from(e->admin));
+	member_heard(c->members, &m, false, now);
+}
+
+static bool hears_us(const struct control *c, const struct peer_heartbeat *h)
+{
+	uint32_t tag = peer_tag(c->settings->instance.id, c->gate->incarnation);
+
+	for (int i = 0; i < h->heard_count; i++) {
+		if (h->heard[i] == tag)
+			return true;
+	}
+	return false;
+}
+
+static struct member sender_member(const struct peer_message *msg)
+{
+	const struct peer_heartbeat *h = &msg->u.heartbeat;
+	struct member m = {
+		.incarnation = msg->incarnation,
+		.state = h->state,
+		.config_version = h->config_version,
+	};
+
+	str_copy(m.id, sizeof(m.id), str_from(msg->sender));
+	str_copy(m.dc, sizeof(m.dc), str_from(h->dc));
+	str_copy(m.peer, sizeof(m.peer), str_from(h->peer));
+	str_copy(m.http, sizeof(m.http), str_from(h->http));
+	str_copy(m.admin, sizeof(m.admin), str_from(h->admin));
+	return m;
+}
+
+void control_on_heartbeat(struct control *c, const struct peer_message *msg)
+{
+	const struct peer_heartbeat *h = &msg->u.heartbeat;
+	struct member m = sender_member(msg);
+	int64_t now = clock_boot_ms();
+	const struct member *known;
+
+	m.hears_us = hears_us(c, h);
+	pthread_mutex_lock(&c->lock);
+	known = member_find(c->members, m.id);
+	if (known && known->incarnation > m.incarnation) {
+		pthread_mutex_unlock(&c->lock);
+		return;
+	}
+	if (member_heard(c->members, &m, true, now))
+		log_member(&m);
+	learn_vouched(c, h, now);
+	for (int i = 0; i < h->member_count; i++)
+		learn_entry(c, &h->members[i], now);
+	control_demand_heard(c, msg, now);
+	if (h->config_version > c->version_heard) {
+		c->version_heard = h->config_version;
+		str_copy(c->version_from, sizeof(c->version_from), str_from(m.id));
+	}
+	pthread_mutex_unlock(&c->lock);
+	if (m.hears_us)
+		peer_bus_confirm(c->bus, m.id);
+	/* Later on leave messages and the intents in the table decide. */
+	for (int i = 0; i < h->leaving_count && atomic_load(&c->gate->state) == GATE_STARTING; i++)
+		control_stop_apply(c, &h->leaving[i], "");
+}
--- /dev/null
+++ b/daemon/control_order.c
@@ -0,0 +1,113 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
+#include "ibisgate/common/json.h"
+
+#define ORDER_TIMEOUT_MS 1000
+
+bool control_endpoint(struct control *c, const char *name, struct endpoint_info *out)
+{
+	int n;
+	struct endpoint_status *all = fleet_statuses(c->fleet, &n);
+	bool found = false;
+
+	for (int i = 0; i < n && !found; i++) {
+		/* An endpoint that only a stop has named has no address yet. */
+		found = strcmp(all[i].info.name, name) == 0 && all[i].info.url[0];
+		if (found)
+			*out = all[i].info;
+	}
+	free(all);
+	return found;
+}
+
+static json_t *order_json(const struct control *c, const struct order *order)
+{
+	static const char *const roles[] = { "service", "mixed", "prefill", "decode" };
+	bool role = order->kind == ORDER_ROLE;
+
+	return json_pack("{s:s,s:I,s:s,s:s,s:s}", "order_id", order->id, "fencing",
+			 (json_int_t)order->fencing, "holder", c->settings->instance.id, "kind",
+			 role ? "role" : "model", "value",
+			 role ? roles[order->u.role] : order->u.model);
+}
+
+static enum order_reply reply_of(const struct http_call *call)
+{
+	json_t *o;
+	const json_t *e;
+	bool stale;
+
+	if (call->status == 200)
+		return ORDER_REPLY_ACCEPTED;
+	if (call->status != 409)
+		return ORDER_REPLY_NONE;
+	o = json_parse(buf_str(&call->reply));
+	e = json_object_get(o, "error");
+	stale = strcmp(json_get_cstr(e ? e : o, "code", ""), "stale_fencing") == 0;
+	json_decref(o);
+	return stale ? ORDER_REPLY_STALE : ORDER_REPLY_BUSY;
+}
+
+static void set_target(struct control *c, struct http_call *call, char *url, size_t size,
+		       const struct endpoint_info *ep)
+{
+	snprintf(url, size, "%s/orders", ep->url);
+	call->url = url;
+	call->connect_to = settings_route(c->settings, ep->name);
+	call->timeout_ms = ORDER_TIMEOUT_MS;
+}
+
+enum order_reply control_order_send(struct control *c, const struct endpoint_info *ep,
+				    const struct order *order)
+{
+	struct http_call call = { .method = "POST" };
+	enum order_reply reply = ORDER_REPLY_NONE;
+	json_t *o = order_json(c, order);
+	struct buf body = { 0 };
+	char url[160];
+
+	json_append(&body, o);
+	json_decref(o);
+	call.body = buf_str(&body);
+	set_target(c, &call, url, sizeof(url), ep);
+	event_record("order-sent", NULL, ep->name, NULL, "order=%s fencing=%" PRId64, order->id,
+		     order->fencing);
+	/* The authority is looked at again as late as possible. */
+	if (!control_lease_held(c, ep->dc, NULL))
+		reply = ORDER_REPLY_STALE;
+	else if (http_call(c->http, &call) == HTTP_REPLIED)
+		reply = reply_of(&call);
+	buf_free(&body);
+	buf_free(&call.reply);
+	return reply;
+}
+
+enum order_reply control_order_poll(struct control *c, const struct endpoint_info *ep,
+				    const char *order_id)
+{
+	struct http_call call = { .method = "GET" };
+	enum order_reply reply = ORDER_REPLY_NONE;
+	json_t *o = NULL;
+	char url[160];
+
+	set_target(c, &call, url, sizeof(url), ep);
+	if (http_call(c->http, &call) == HTTP_REPLIED && call.status == 200)
+		o = json_parse(buf_str(&call.reply));
+	if (o) {
+		if (strcmp(json_get_cstr(o, "last_done", ""), order_id) == 0)
+			reply = ORDER_REPLY_DONE;
+		else if (strcmp(json_get_cstr(o, "current", ""), order_id) == 0)
+			reply = ORDER_REPLY_RUNNING;
+		else
+			reply = ORDER_REPLY_LOST;
+	}
+	json_decref(o);
+	buf_free(&call.reply);
+	return reply;
+}
--- /dev/null
+++ b/daemon/control_roles.c
@@ -0,0 +1,188 @@
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/supervisor.h"
+
+#define LOOP_MS 1000
+
+struct model_roles {
+	char model[48];
+	struct role_state state;
+	int changing;
+};
+
+struct roles {
+	int count;
+	struct model_roles models[FLEET_MODELS_MAX];
+};
+
+static struct role_method read_method(struct control *c, int64_t *change_ms)
+{
+	struct config_scope scope = { .dc = c->settings->instance.dc, .wall_ms = clock_wall_ms() };
+	struct role_method m = { .kind = ROLE_HORIZON };
+	const struct config *config;
+	const char *policy;
+
+	rcu_read_lock();
+	config = rcu_dereference(c->gate->config);
+	policy = config_cstr(config, "role.policy", &scope);
+	if (strcmp(policy, "fixed") == 0)
+		m.kind = ROLE_FIXED;
+	else if (strcmp(policy, "greedy") == 0)
+		m.kind = ROLE_GREEDY;
+	m.u.horizon.horizon_ms = config_i64(config, "role.horizon-ms", &scope);
+	m.u.horizon.margin = config_double(config, "role.margin", &scope);
+	m.u.horizon.min_dwell_ms = config_i64(config, "role.min-dwell-ms", &scope);
+	m.u.horizon.hysteresis = config_double(config, "role.hysteresis", &scope);
+	m.u.horizon.smooth_ms = config_i64(config, "role.smooth-ms", &scope);
+	*change_ms = config_i64(config, "role.change-ms", &scope);
+	rcu_read_unlock();
+	return m;
+}
+
+static struct model_roles *model_find(struct roles *r, const char *model)
+{
+	for (int i = 0; i < r->count; i++) {
+		if (strcmp(r->models[i].model, model) == 0)
+			return &r->models[i];
+	}
+	if (r->count == FLEET_MODELS_MAX)
+		return NULL;
+	str_copy(r->models[r->count].model, sizeof(r->models[0].model), str_from(model));
+	return &r->models[r->count++];
+}
+
+static struct role_dc *dc_find(struct role_view *v, const char *dc)
+{
+	for (int i = 0; i < v->dc_count; i++) {
+		if (strcmp(v->dcs[i].name, dc) == 0)
+			return &v->dcs[i];
+	}
+	if (v->dc_count == ROLE_DCS_MAX)
+		return NULL;
+	str_copy(v->dcs[v->dc_count].name, sizeof(v->dcs[0].name), str_from(dc));
+	return &v->dcs[v->dc_count++];
+}
+
+static bool changing(const struct endpoint_status *s)
+{
+	return s->load.changing || (s->stopped && s->stop_order[0] &&
+				    strcmp(s->stop_order, CONTROL_OPERATOR_ORDER) != 0);
+}
+
+static bool takes_part(const struct endpoint_status *s, const char *model)
+{
+	return s->info.engine && !s->info.leaving && strcmp(s->info.model, model) == 0 &&
+	       (!s->stopped || changing(s));
+}
+
+static struct role_view make_view(struct control *c, const struct endpoint_status *all, int n,
+				  const char *model, int64_t change_ms)
+{
+	struct role_view v = { .change_ms = change_ms };
+
+	for (int i = 0; i < n; i++) {
+		struct role_dc *dc;
+
+		if (!takes_part(&all[i], model))
+			continue;
+		dc = dc_find(&v, all[i].info.dc);
+		if (!dc)
+			continue;
+		if (changing(&all[i]))
+			dc->changing++;
+		dc->prefill += all[i].info.role == ROLE_PREFILL;
+		dc->decode += all[i].info.role == ROLE_DECODE;
+	}
+	pthread_mutex_lock(&c->lock);
+	control_demand_of(c, model, &v.prefill_demand, &v.decode_demand);
+	pthread_mutex_unlock(&c->lock);
+	return v;
+}
+
+/* The engine with the least own work drains soonest. */
+static const struct endpoint_status *pick(struct control *c, const struct endpoint_status *all,
+					  int n, const char *model, enum endpoint_role from)
+{
+	bool settled = control_lease_settled(c, c->settings->instance.dc);
+	const struct endpoint_status *best = NULL;
+
+	for (int i = 0; i < n; i++) {
+		const struct endpoint_status *s = &all[i];
+
+		if (!takes_part(s, model) || s->stopped || s->load.changing ||
+		    s->info.role != from || strcmp(s->info.dc, c->settings->instance.dc) != 0)
+			continue;
+		/* An earlier holder may still send its order to an engine that can't refuse it. */
+		if (!s->info.checks_fencing && !settled)
+			continue;
+		if (!best || s->in_flight < best->in_flight)
+			best = s;
+	}
+	return best;
+}
+
+static int total_changing(const struct role_view *v)
+{
+	int n = 0;
+
+	for (int i = 0; i < v->dc_count; i++)
+		n += v->dcs[i].changing;
+	return n;
+}
+
+static void step_model(struct control *c, struct model_roles *mr, const struct endpoint_status *all,
+		       int n)
+{
+	const char *own_dc = c->settings->instance.dc;
+	const struct endpoint_status *target;
+	int64_t now = clock_boot_ms();
+	struct role_decision d;
+	struct role_method m;
+	struct role_view v;
+	int64_t change_ms;
+	int away;
+
+	m = read_method(c, &change_ms);
+	v = make_view(c, all, n, mr->model, change_ms);
+	away = total_changing(&v);
+	if (away > mr->changing)
+		role_changed(&mr->state, now);
+	mr->changing = away;
+	role_observe(&mr->state, &m, &v, now);
+	if (!control_lease_held(c, own_dc, NULL) || platform_down_since_ms(c->gate->platform))
+		return;
+	d = role_decide(&mr->state, &m, &v, own_dc, now);
+	target = d.change ? pick(c, all, n, mr->model, d.from) : NULL;
+	if (!target || !control_drain_start(c, own_dc, target->info.name, d.from, d.to))
+		return;
+	role_changed(&mr->state, now);
+	log_info("role-decision", "model=%s endpoint=%s from=%d to=%d prefill=%.3f decode=%.3f",
+		 mr->model, target->info.name, d.from, d.to, v.prefill_demand, v.decode_demand);
+}
+
+int control_roles_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+	struct roles *r = mem_zalloc(sizeof(*r));
+
+	while (!child_sleep_ms(LOOP_MS)) {
+		int n;
+		struct endpoint_status *all = fleet_statuses(c->fleet, &n);
+
+		for (int i = 0; i < n; i++) {
+			if (all[i].info.engine && all[i].info.model[0])
+				model_find(r, all[i].info.model);
+		}
+		for (int i = 0; i < r->count; i++)
+			step_model(c, &r->models[i], all, n);
+		free(all);
+		child_account_cpu();
+	}
+	free(r);
+	return 0;
+}
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -13,6 +13,9 @@
 void control_leave(struct control *c);
 void control_destroy(struct control *c);
 
+/** control_peer_port - TCP port of the peer listener */
+int control_peer_port(const struct control *c);
+
 /** control_ready - configuration learned and fleet known */
 bool control_ready(struct control *c);
 
