--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -3,6 +3,7 @@
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
+#include <urcu-bp.h>
 
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
@@ -114,10 +115,11 @@
 
 static int get_config(struct admin *a, struct mg_connection *conn)
 {
-	json_t *snapshot = control_config_snapshot(a->gate->control);
+	json_t *snapshot;
 
-	if (!snapshot)
-		return reply_error(conn, 503, "not_run", "no configuration has been learned yet");
+	rcu_read_lock();
+	snapshot = config_to_json(rcu_dereference(a->gate->config));
+	rcu_read_unlock();
 	return reply_json(conn, 200, snapshot);
 }
 
--- a/daemon/gate.c
+++ b/daemon/gate.c
@@ -74,7 +74,11 @@
 	if (!gate->dispatch)
 		return -1;
 	gate->control = control_create(gate, err);
-	return gate->control ? 0 : -1;
+	if (!gate->control)
+		return -1;
+	fill_advertise(s->peer.advertise, sizeof(s->peer.advertise), s->peer.listen,
+		       control_peer_port(gate->control));
+	return 0;
 }
 
 struct gate *gate_create(const struct settings *settings, struct error *err)
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -75,9 +75,6 @@
 /** control_status - {"instance","state","config_version","members","endpoints","leases",...} */
 json_t *control_status(struct control *c);
 
-/** control_config_snapshot - {"version","items"}; new reference, NULL before it was learned */
-json_t *control_config_snapshot(struct control *c);
-
 /**
  * control_config_change - commit a change if the configuration is still at @if_version
  * @if_version: version that the operator saw; -1 to take the current one
