Stop the stand-ins within milliseconds

CivetWeb looks at its stop flag every 2 s, which made each stopped stand-in cost 2 s of a test. A connection to the own listener wakes it. The engine now joins its threads, which ThreadSanitizer reported as leaked.

--- a/include/ibisgate/standins/common.h
+++ b/include/ibisgate/standins/common.h
@@ -62,6 +62,9 @@
 struct mg_context *http_start(const char *bind, int *port, int threads, mg_request_handler handler,
 			      void *ctx);
 
+/** http_stop - finish the running requests and stop the listener on @bind:@port */
+void http_stop(struct mg_context *http, const char *bind, int port);
+
 /** http_announce - print "listening PORT" */
 void http_announce(int port);
 
--- a/include/ibisgate/standins/engine.h
+++ b/include/ibisgate/standins/engine.h
@@ -135,6 +135,7 @@
  * struct engine - state of the stand-in engine
  * @lock: guards everything below except atomics
  * @work: signalled when the scheduler has something to do
+ * @stop: signalled when the process stops, to end a wait for the end of a step
  */
 struct engine {
 	struct engine_options opt;
@@ -144,7 +145,7 @@
 	atomic_bool stopping;
 
 	pthread_mutex_t lock;
-	pthread_cond_t work;
+	pthread_cond_t work, stop;
 	char role[ENGINE_NAME_MAX];
 	char model[ENGINE_NAME_MAX];
 	struct seq *seqs, **seqs_tail;
--- a/standins/engine_main.c
+++ b/standins/engine_main.c
@@ -204,6 +204,7 @@
 	str_copy(e->model, sizeof(e->model), str_from(o->model));
 	pthread_mutex_init(&e->lock, NULL);
 	cond_init_mono(&e->work);
+	cond_init_mono(&e->stop);
 	e->seqs_tail = &e->seqs;
 	e->cache.capacity = (int)o->cache_pieces;
 	e->cache.pieces = mem_zalloc(sizeof(*e->cache.pieces) * (size_t)(o->cache_pieces + 1));
@@ -213,6 +214,15 @@
 	return e;
 }
 
+static void engine_destroy(struct engine *e)
+{
+	free(e->cache.pieces);
+	pthread_cond_destroy(&e->stop);
+	pthread_cond_destroy(&e->work);
+	pthread_mutex_destroy(&e->lock);
+	free(e);
+}
+
 static bool engine_idle(struct engine *e)
 {
 	bool idle;
@@ -235,8 +245,10 @@
 	end = mono_us() + e->opt.drain_ms * 1000;
 	while (!engine_idle(e) && mono_us() < end)
 		mono_sleep_until(mono_us() + DRAIN_POLL_US);
-	e->stopping = true;
 	pthread_mutex_lock(&e->lock);
+	e->stopping = true;
+	pthread_cond_broadcast(&e->work);
+	pthread_cond_broadcast(&e->stop);
 	e->stats.cut_requests += engine_cut(e, NULL);
 	pthread_mutex_unlock(&e->lock);
 }
@@ -265,7 +277,7 @@
 	};
 	struct mg_context *http;
 	struct engine *e;
-	pthread_t thread;
+	pthread_t sched, timer, registrar;
 	int port;
 
 	if (engine_options_read(&opt, argc, argv) != 0)
@@ -283,14 +295,18 @@
 		str_copy(e->url, sizeof(e->url), str_from(opt.url));
 	else
 		snprintf(e->url, sizeof(e->url), "http://%s:%d", opt.bind, port);
-	pthread_create(&thread, NULL, engine_sched_run, e);
-	pthread_create(&thread, NULL, engine_timer_run, e);
+	pthread_create(&sched, NULL, engine_sched_run, e);
+	pthread_create(&timer, NULL, engine_timer_run, e);
 	if (opt.platform)
-		pthread_create(&thread, NULL, engine_register_run, e);
+		pthread_create(&registrar, NULL, engine_register_run, e);
 	http_announce(port);
 	signals_wait();
 	engine_leave(e);
-	mg_stop(http);
-	/* The threads still use the engine; the exit releases it. */
+	http_stop(http, opt.bind, port);
+	pthread_join(sched, NULL);
+	pthread_join(timer, NULL);
+	if (opt.platform)
+		pthread_join(registrar, NULL);
+	engine_destroy(e);
 	return 0;
 }
--- a/standins/engine_sched.c
+++ b/standins/engine_sched.c
@@ -159,10 +159,10 @@
 static void wait_until(struct engine *e, int64_t deadline_us)
 {
 	struct timespec ts = mono_timespec(deadline_us);
+	int rc = 0;
 
-	pthread_mutex_unlock(&e->lock);
-	clock_nanosleep(CLOCK_MONOTONIC, TIMER_ABSTIME, &ts, NULL);
-	pthread_mutex_lock(&e->lock);
+	while (!e->stopping && rc == 0)
+		rc = pthread_cond_timedwait(&e->stop, &e->lock, &ts);
 }
 
 void *engine_sched_run(void *engine)
--- a/standins/http.c
+++ b/standins/http.c
@@ -1,11 +1,17 @@
+#include <arpa/inet.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "ibisgate/common/json.h"
 #include "ibisgate/standins/common.h"
 
+#define STOP_POKE_US 20000
+
 struct mg_context *http_start(const char *bind, int *port, int threads, mg_request_handler handler,
 			      void *ctx)
 {
@@ -50,6 +56,42 @@
 	return http;
 }
 
+struct stop_poke {
+	struct sockaddr_in addr;
+	atomic_bool done;
+};
+
+static void *stop_poke_run(void *ctx)
+{
+	struct stop_poke *poke = ctx;
+
+	while (!poke->done) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		mono_sleep_until(mono_us() + STOP_POKE_US);
+		if (fd < 0)
+			continue;
+		/* A refusal means that the listener has closed already. */
+		(void)connect(fd, (struct sockaddr *)&poke->addr, sizeof(poke->addr));
+		close(fd);
+	}
+	return NULL;
+}
+
+void http_stop(struct mg_context *http, const char *bind, int port)
+{
+	struct stop_poke poke = { .addr.sin_family = AF_INET };
+	pthread_t thread;
+
+	/* The listener looks at the stop flag every 2 s, or when a connection comes in. */
+	poke.addr.sin_port = htons((uint16_t)port);
+	inet_pton(AF_INET, bind, &poke.addr.sin_addr);
+	pthread_create(&thread, NULL, stop_poke_run, &poke);
+	mg_stop(http);
+	poke.done = true;
+	pthread_join(thread, NULL);
+}
+
 void http_announce(int port)
 {
 	printf("listening %d\n", port);
--- a/standins/platform_main.c
+++ b/standins/platform_main.c
@@ -206,7 +206,7 @@
 	http_announce(bound);
 	signals_wait();
 	p.stopping = true;
-	mg_stop(http);
+	http_stop(http, bind, bound);
 	pthread_join(thread, NULL);
 	return 0;
 }
--- a/standins/proxy_main.c
+++ b/standins/proxy_main.c
@@ -142,7 +142,7 @@
 	signals_wait();
 	p->stopping = true;
 	proxy_wake(p);
-	mg_stop(http);
+	http_stop(http, "127.0.0.1", port);
 	pthread_join(loop, NULL);
 	return 0;
 }
--- a/standins/service_main.c
+++ b/standins/service_main.c
@@ -193,7 +193,7 @@
 		return 1;
 	http_announce(bound);
 	signals_wait();
-	mg_stop(http);
+	http_stop(http, bind, bound);
 	json_decref(s.effects);
 	return 0;
 }
