--- a/include/ibisgate/load/check.h
+++ b/include/ibisgate/load/check.h
@@ -49,6 +49,7 @@
  * @first_us: time of the first text, 0 before it
  * @last_us: time of the latest text
  * @gaps_us: time between successive chunks with text; @chunks - 1 values
+ * @frame: bytes before (@frame_head of them) and after the text of the last chunk that was parsed
  * @error_type: "type" of an error event
  */
 struct check {
@@ -57,6 +58,8 @@
 	check_foreign_fn foreign;
 	void *foreign_user;
 	struct buf line;
+	struct buf frame;
+	size_t frame_head;
 	int64_t pos;
 	int64_t chunks;
 	int64_t first_us;
--- a/load/check.c
+++ b/load/check.c
@@ -17,6 +17,7 @@
 void check_free(struct check *c)
 {
 	buf_free(&c->line);
+	buf_free(&c->frame);
 	free(c->gaps_us);
 	c->gaps_us = NULL;
 }
@@ -98,7 +99,37 @@
 	c->chunks++;
 }
 
-static void chunk_check(struct check *c, const json_t *chunk, int64_t now_us)
+/* Keeps the bytes around @text in @line, if it stands there without escapes. */
+static void frame_keep(struct check *c, struct str line, struct str text)
+{
+	const char *at = memmem(line.data, line.len, text.data, text.len);
+	const char *end = line.data + line.len;
+
+	buf_reset(&c->frame);
+	if (!at || at == line.data || at[-1] != '"' || at + text.len >= end || at[text.len] != '"')
+		return;
+	c->frame_head = (size_t)(at - line.data);
+	buf_append(&c->frame, line.data, c->frame_head);
+	buf_append(&c->frame, at + text.len, (size_t)(end - at) - text.len);
+}
+
+/*
+ * Text of a chunk that differs from the last parsed one in nothing but its text. Parsing every
+ * chunk as JSON took most of the tool's time at 100,000 tokens a second.
+ */
+static bool frame_text(const struct check *c, struct str line, struct str *text)
+{
+	size_t tail = c->frame.len - c->frame_head;
+
+	if (!c->frame.len || line.len <= c->frame.len ||
+	    memcmp(line.data, c->frame.data, c->frame_head) != 0 ||
+	    memcmp(line.data + line.len - tail, c->frame.data + c->frame_head, tail) != 0)
+		return false;
+	*text = (struct str){ .data = line.data + c->frame_head, .len = line.len - c->frame.len };
+	return !memchr(text->data, '"', text->len) && !memchr(text->data, '\\', text->len);
+}
+
+static void chunk_check(struct check *c, struct str line, const json_t *chunk, int64_t now_us)
 {
 	const json_t *error = json_object_get(chunk, "error");
 	const json_t *choice = json_array_get(json_object_get(chunk, "choices"), 0);
@@ -117,12 +148,14 @@
 	text = delta ? json_get_str(delta, "content") : json_get_str(choice, "text");
 	if (!text.len)
 		return;
+	frame_keep(c, line, text);
 	time_note(c, now_us);
 	text_check(c, text);
 }
 
 static void line_check(struct check *c, struct str line, int64_t now_us)
 {
+	struct str text;
 	json_t *chunk;
 
 	if (line.len && line.data[line.len - 1] == '\r')
@@ -147,9 +180,14 @@
 		c->done = true;
 		return;
 	}
+	if (frame_text(c, line, &text)) {
+		time_note(c, now_us);
+		text_check(c, text);
+		return;
+	}
 	chunk = json_parse(line);
 	if (chunk)
-		chunk_check(c, chunk, now_us);
+		chunk_check(c, line, chunk, now_us);
 	else
 		fault_set(c, CHECK_MALFORMED);
 	json_decref(chunk);
