--- a/bench/harness/admin.c
+++ b/bench/harness/admin.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/hash.h"
@@ -22,6 +23,35 @@
 	return ready;
 }
 
+static bool endpoint_known(const json_t *endpoints, const char *name)
+{
+	const json_t *entry;
+	size_t i;
+
+	json_array_foreach(endpoints, i, entry) {
+		if (strcmp(json_get_cstr(entry, "name", ""), name) == 0)
+			return true;
+	}
+	return false;
+}
+
+/* The platform's list lags, so an instance can be ready before it knows all endpoints. */
+static bool endpoints_known(struct harness_fleet *f, int index)
+{
+	json_t *status = harness_status(f, index);
+	const json_t *endpoints = json_object_get(status, "endpoints");
+	bool known = true;
+
+	for (int i = 0; i < f->endpoint_count; i++) {
+		const struct harness_endpoint *e = &f->endpoints[i];
+
+		if (e->process->pid && !endpoint_known(endpoints, e->name))
+			known = false;
+	}
+	json_decref(status);
+	return known;
+}
+
 int harness_ready(struct harness_fleet *f, int64_t timeout_ms, struct error *err)
 {
 	int64_t end = clock_boot_ms() + timeout_ms;
@@ -29,7 +59,8 @@
 	for (int i = 0; i < f->instance_count; i++) {
 		const struct harness_instance *in = &f->instances[i];
 
-		while (in->process && in->process->pid && !instance_ready(in)) {
+		while (in->process && in->process->pid &&
+		       (!instance_ready(in) || !endpoints_known(f, i))) {
 			if (clock_boot_ms() >= end)
 				return error_set(err, ERROR_TOOL, 1,
 						 "%s is not ready after %lld ms", in->id,
--- a/bench/harness/deploy.c
+++ b/bench/harness/deploy.c
@@ -7,12 +7,10 @@
 
 #define ARGS_MAX 60
 
-/** struct args - argument list under construction; owns the formatted texts */
+/** struct args - argument list under construction */
 struct args {
 	const char *argv[ARGS_MAX + 1];
-	char *owned[ARGS_MAX];
 	int count;
-	int owned_count;
 };
 
 static void args_add(struct args *a, const char *arg)
@@ -27,32 +25,12 @@
 	args_add(a, value);
 }
 
-static void args_route(struct args *a, const char *instance, const char *target)
-{
-	struct buf text = { 0 };
-
-	/* Port 1 refuses connections until the target has started. */
-	buf_printf(&text, "%s-%s=127.0.0.1:1", instance, target);
-	if (a->owned_count == ARGS_MAX) {
-		buf_free(&text);
-		return;
-	}
-	a->owned[a->owned_count++] = text.data;
-	args_pair(a, "--route", text.data);
-}
-
 static void args_more(struct args *a, const char *const *more)
 {
 	for (int i = 0; more && more[i]; i++)
 		args_add(a, more[i]);
 }
 
-static void args_free(struct args *a)
-{
-	for (int i = 0; i < a->owned_count; i++)
-		free(a->owned[i]);
-}
-
 static const char *model_of(const struct harness_deployment *d)
 {
 	return d->model ? d->model : "M";
@@ -237,16 +215,14 @@
 	return 0;
 }
 
-/* The proxy starts with one route; the others are added when settings are written. */
+/* The proxy starts without routes; they are added when settings are written. */
 static int proxy_start(struct harness_fleet *f, struct error *err)
 {
 	struct args a = { 0 };
 
 	args_pair(&a, "--control", "0");
-	args_route(&a, "spare", "route");
 	f->proxy_process =
 		harness_start(f->harness, "faultproxy", "ibisgate-faultproxy", a.argv, err);
-	args_free(&a);
 	if (!f->proxy_process)
 		return -1;
 	snprintf(f->proxy, sizeof(f->proxy), "http://127.0.0.1:%d",
--- a/include/ibisgate/harness/harness.h
+++ b/include/ibisgate/harness/harness.h
@@ -208,7 +208,7 @@
  */
 int harness_endpoint_start(struct harness_fleet *f, int index, struct error *err);
 
-/** harness_ready - wait until /readyz of every running instance answers 200 */
+/** harness_ready - wait until every running instance is ready and knows all running endpoints */
 int harness_ready(struct harness_fleet *f, int64_t timeout_ms, struct error *err);
 
 /** harness_fault - POST /faults of the proxy for one route; 200 on success */
--- a/tests/test_harness.cc
+++ b/tests/test_harness.cc
@@ -90,3 +90,42 @@
 	EXPECT_EQ(harness_endpoint_start(f, 0, &err), 0) << err.text;
 	harness_fleet_destroy(f);
 }
+
+/* Guards against routes that bypass the fault proxy, so that a fault run tests nothing. */
+TEST_F(HarnessTest, InstanceReachesEndpointThroughProxy)
+{
+	static const struct harness_engine_spec engines[] = { { "mixed", true }, {} };
+	const char *bin = getenv("IBISGATE_BIN_DIR");
+	const char *const headers[] = { "Authorization: Bearer k", nullptr };
+	const char *body = "{\"model\":\"M\",\"prompt\":\"p\",\"max_tokens\":2,\"stream\":true}";
+	struct harness_deployment d = {};
+	struct harness_reply reply;
+	struct harness_fleet *f;
+	std::string url;
+
+	if (access(bin ? (std::string(bin) + "/ibisgated").c_str()
+		       : HARNESS_BUILD_DIR "/ibisgated/ibisgated",
+		   X_OK) != 0)
+		GTEST_SKIP() << "ibisgated is not built";
+	d.region = "de-cymru";
+	d.dcs[0] = "abertawe";
+	d.instances = 2;
+	d.engines = engines;
+	d.through_proxy = true;
+	f = harness_fleet_create(h, &d, &err);
+	ASSERT_NE(f, nullptr) << err.text;
+	ASSERT_EQ(harness_ready(f, 20000, &err), 0) << err.text;
+	EXPECT_EQ(harness_organisation(f, "o", "k", 1), 200);
+	EXPECT_EQ(harness_model(f, "M"), 200);
+	EXPECT_EQ(harness_config_wait(f, 2, 10000), 0);
+	url = std::string(f->instances[1].http) + "/v1/completions";
+	EXPECT_EQ(harness_http("POST", url.c_str(), headers, body, 20000, &reply, &err), 0);
+	EXPECT_EQ(reply.status, 200) << (reply.body.len ? reply.body.data : "");
+	EXPECT_NE(std::string(reply.body.data, reply.body.len).find("[DONE]"), std::string::npos);
+	harness_reply_free(&reply);
+	EXPECT_EQ(harness_fault(f, "i2-e1", "cut", false), 200);
+	harness_http("POST", url.c_str(), headers, body, 20000, &reply, &err);
+	EXPECT_NE(reply.status, 200);
+	harness_reply_free(&reply);
+	harness_fleet_destroy(f);
+}
