Test the front with hostile input, broken engines and a fake control plane

Header lines past CivetWeb's table of 64 are refused with 431; CivetWeb drops them, and a dropped Content-Length would turn the body into a request.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -175,7 +175,7 @@
 
 static bool name_valid(const char *name)
 {
-	size_t len = strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789-");
+	size_t len = strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789-._");
 
 	return len > 0 && len < 48 && !name[len];
 }
@@ -276,6 +276,12 @@
 	const char *method = x->info->request_method;
 	const struct path *p = path_find(uri);
 
+	/* CivetWeb drops further headers; without Content-Length the body looks like a request. */
+	if (x->info->num_headers >= MG_MAX_HEADERS) {
+		x->body_read = false;
+		reply_invalid(x, 431, "too_many_headers", NULL, "too many header lines");
+		return;
+	}
 	if (!p) {
 		reply_invalid(x, 404, "unknown_path", NULL, "no such resource");
 		return;
@@ -336,7 +342,7 @@
 	return 200;
 }
 
-/* Errors that CivetWeb finds before a handler runs, e.g. a malformed request line. */
+/* Errors found before a handler runs; CivetWeb calls an oversized header block malformed too. */
 static int on_error(struct mg_connection *conn, int status, const char *message)
 {
 	struct front *f = mg_get_user_data(mg_get_context(conn));
@@ -344,9 +350,6 @@
 
 	exchange_init(&x, f, conn);
 	x.body_read = false;
-	/* The only large thing that CivetWeb refuses by itself is the block of headers. */
-	if (status == 413)
-		status = 431;
 	reply_invalid(&x, status, "bad_request", NULL, "the request can not be understood");
 	exchange_clear(&x);
 	return 0;
--- a/daemon/front_generate.c
+++ b/daemon/front_generate.c
@@ -103,7 +103,8 @@
 static void json_answer(struct answer *a)
 {
 	struct generation *g = &a->g;
-	int64_t prompt = (int64_t)(g->prompt.len + 3) / 4;
+	json_int_t prompt = ((json_int_t)g->prompt.len + 3) / 4;
+	json_int_t tokens = g->tokens;
 	json_t *text = json_stringn(g->text.data ? g->text.data : "", g->text.len);
 	json_t *choice;
 
@@ -117,9 +118,8 @@
 		   json_pack("{s:s,s:s,s:I,s:s,s:[o],s:{s:I,s:I,s:I}}", "id", a->x->call.id,
 			     "object", g->chat ? "chat.completion" : "text_completion", "created",
 			     (json_int_t)a->created, "model", g->model, "choices", choice, "usage",
-			     "prompt_tokens", (json_int_t)prompt, "completion_tokens",
-			     (json_int_t)g->tokens, "total_tokens",
-			     (json_int_t)(prompt + g->tokens)));
+			     "prompt_tokens", prompt, "completion_tokens", tokens, "total_tokens",
+			     prompt + tokens));
 }
 
 static void answer_end(struct answer *a, const struct outcome *o)
@@ -131,14 +131,12 @@
 	}
 	if (o->status == 200)
 		metric_add(METRIC_REQUESTS_OK, 1);
-	if (a->begun)
-		stream_end(a, o);
-	else if (o->status != 200)
+	if (!a->begun && o->status != 200)
 		reply_outcome(a->x, o);
-	else if (a->stream && reply_stream_begin(a->x))
-		stream_end(a, o);
 	else if (!a->stream)
 		json_answer(a);
+	else if (a->begun || reply_stream_begin(a->x))
+		stream_end(a, o);
 }
 
 static const char *prompt_read(struct answer *a, const json_t *body)
--- /dev/null
+++ b/tests/fake_control.c
@@ -0,0 +1,217 @@
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "fake_control.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/supervisor.h"
+#include "ibisgate/daemon/control.h"
+#include "ibisgate/daemon/dispatch.h"
+
+#define ENDPOINTS_MAX 8
+
+struct control {
+	pthread_mutex_t lock;
+	struct quarantine *quarantine;
+	enum fake_claim verdict;
+	struct fake_counts counts;
+};
+
+struct fake_gate {
+	struct gate gate;
+	struct control control;
+	struct endpoint_info endpoints[ENDPOINTS_MAX];
+	int endpoint_count;
+};
+
+static void give_up(void *ctx)
+{
+}
+
+static json_t *config_text(const char *setting, int value)
+{
+	char hash[HASH_HEX_SIZE];
+	char key[80];
+	json_t *items;
+
+	hash_secret_hex(STR_LIT("key-a"), hash);
+	items = json_pack("{s:{s:f,s:[s]},s:{s:s,s:b},s:{s:s,s:b}}", "organisation/org-a", "weight",
+			  1.0, "keys", hash, "service/order", "kind", "plain", "idempotent", 0,
+			  "service/stock", "kind", "plain", "idempotent", 1);
+	if (setting) {
+		snprintf(key, sizeof(key), "default/%s", setting);
+		json_object_set_new(items, key, json_integer(value));
+	}
+	return json_pack("{s:i,s:o}", "version", 1, "items", items);
+}
+
+struct fake_gate *fake_gate_create(const char *default_setting, int default_value)
+{
+	struct fake_gate *g = mem_zalloc(sizeof(*g));
+	json_t *config = config_text(default_setting, default_value);
+	struct settings *s = &g->gate.settings;
+	struct error err = { 0 };
+
+	settings_defaults(s);
+	strcpy(s->instance.id, "i1");
+	strcpy(s->instance.dc, "dc1");
+	strcpy(s->http.listen, "127.0.0.1:0");
+	s->http.threads = 24;
+	s->http.body_max_bytes = 65536;
+	s->http.request_timeout_ms = 600;
+	s->links.silence_ms = 400;
+	pthread_mutex_init(&g->control.lock, NULL);
+	g->control.quarantine = quarantine_create(64);
+	g->gate.control = &g->control;
+	g->gate.fleet = fleet_create();
+	g->gate.config = config_from_json(config, &err);
+	json_decref(config);
+	g->gate.state = GATE_READY;
+	g->gate.supervisor = supervisor_create(5, 60000, give_up, NULL);
+	if (!g->gate.config || !dispatch_create(&g->gate, &err) || !front_create(&g->gate, &err)) {
+		fprintf(stderr, "%s\n", err.text);
+		abort();
+	}
+	return g;
+}
+
+void fake_gate_endpoint(struct fake_gate *g, const char *name, const char *url, bool engine,
+			const char *model)
+{
+	struct endpoint_info *e = &g->endpoints[g->endpoint_count++];
+
+	str_copy(e->name, sizeof(e->name), str_from(name));
+	str_copy(e->url, sizeof(e->url), str_from(url));
+	str_copy(e->model, sizeof(e->model), str_from(model));
+	str_copy(e->dc, sizeof(e->dc), STR_LIT("dc1"));
+	e->engine = engine;
+	e->role = engine ? ROLE_MIXED : ROLE_SERVICE;
+	fleet_update(g->gate.fleet, g->endpoints, g->endpoint_count);
+}
+
+void fake_gate_drain(struct fake_gate *g)
+{
+	atomic_store(&g->gate.state, GATE_DRAINING);
+}
+
+void fake_gate_claim(struct fake_gate *g, enum fake_claim verdict)
+{
+	g->control.verdict = verdict;
+}
+
+struct fake_counts fake_gate_counts(struct fake_gate *g)
+{
+	struct fake_counts counts;
+
+	pthread_mutex_lock(&g->control.lock);
+	counts = g->control.counts;
+	pthread_mutex_unlock(&g->control.lock);
+	return counts;
+}
+
+int fake_gate_port(struct fake_gate *g)
+{
+	return front_port(g->gate.front);
+}
+
+void fake_gate_destroy(struct fake_gate *g)
+{
+	front_destroy(g->gate.front);
+	supervisor_destroy(g->gate.supervisor);
+	dispatch_destroy(g->gate.dispatch);
+	fleet_destroy(g->gate.fleet);
+	config_destroy(g->gate.config);
+	quarantine_destroy(g->control.quarantine);
+	pthread_mutex_destroy(&g->control.lock);
+	free(g);
+}
+
+bool control_ready(struct control *c)
+{
+	return true;
+}
+
+int control_live_instances(struct control *c)
+{
+	return 1;
+}
+
+enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint)
+{
+	enum quarantine_verdict v;
+
+	pthread_mutex_lock(&c->lock);
+	v = quarantine_check(c->quarantine, fingerprint, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+	return v;
+}
+
+enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
+						  bool alone)
+{
+	enum quarantine_verdict v;
+
+	pthread_mutex_lock(&c->lock);
+	c->counts.charges++;
+	v = quarantine_charge(c->quarantine, fingerprint, alone, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+	return v;
+}
+
+void control_quarantine_clear(struct control *c, uint64_t fingerprint)
+{
+	pthread_mutex_lock(&c->lock);
+	quarantine_clear(c->quarantine, fingerprint);
+	pthread_mutex_unlock(&c->lock);
+}
+
+static void count(struct control *c, int *counter)
+{
+	pthread_mutex_lock(&c->lock);
+	(*counter)++;
+	pthread_mutex_unlock(&c->lock);
+}
+
+void claim_begin(struct control *c, const char *organisation, const char *service,
+		 struct str idempotency_key, struct str body, int64_t deadline_ms,
+		 struct claim_ticket *out)
+{
+	static const enum claim_verdict verdicts[] = {
+		[FAKE_DISPATCH] = CLAIM_DISPATCH,     [FAKE_REPLAY] = CLAIM_REPLAY,
+		[FAKE_OTHER_BODY] = CLAIM_OTHER_BODY, [FAKE_UNKNOWN] = CLAIM_SAY_UNKNOWN,
+		[FAKE_NOT_RUN] = CLAIM_SAY_NOT_RUN,
+	};
+
+	out->verdict = verdicts[c->verdict];
+	out->status = 200;
+	if (c->verdict == FAKE_REPLAY)
+		buf_append_str(&out->result, STR_LIT("{\"stored\":true}"));
+}
+
+bool claim_dispatching(struct control *c, struct claim_ticket *t)
+{
+	count(c, &c->counts.dispatching);
+	return true;
+}
+
+void claim_finish(struct control *c, struct claim_ticket *t, int status, struct str body)
+{
+	count(c, &c->counts.finished);
+}
+
+void claim_unknown(struct control *c, struct claim_ticket *t)
+{
+	count(c, &c->counts.unknown);
+}
+
+void claim_release(struct control *c, struct claim_ticket *t)
+{
+	count(c, &c->counts.released);
+}
+
+void claim_ticket_clear(struct claim_ticket *t)
+{
+	buf_free(&t->result);
+}
--- /dev/null
+++ b/tests/fake_control.h
@@ -0,0 +1,37 @@
+#ifndef TESTS_FAKE_CONTROL_H
+#define TESTS_FAKE_CONTROL_H
+
+#include <stdbool.h>
+
+/* An instance without platform and peers. The C headers of the daemon do not compile as C++. */
+
+enum fake_claim {
+	FAKE_DISPATCH,
+	FAKE_REPLAY,
+	FAKE_OTHER_BODY,
+	FAKE_UNKNOWN,
+	FAKE_NOT_RUN,
+};
+
+/** struct fake_counts - calls of the control plane's functions */
+struct fake_counts {
+	int dispatching;
+	int finished;
+	int unknown;
+	int released;
+	int charges;
+};
+
+struct fake_gate;
+
+/** fake_gate_create - instance with the API key "key-a" and the plain services order and stock */
+struct fake_gate *fake_gate_create(const char *default_setting, int default_value);
+void fake_gate_endpoint(struct fake_gate *g, const char *name, const char *url, bool engine,
+			const char *model);
+void fake_gate_drain(struct fake_gate *g);
+void fake_gate_claim(struct fake_gate *g, enum fake_claim verdict);
+struct fake_counts fake_gate_counts(struct fake_gate *g);
+int fake_gate_port(struct fake_gate *g);
+void fake_gate_destroy(struct fake_gate *g);
+
+#endif
--- /dev/null
+++ b/tests/test_front.cc
@@ -0,0 +1,421 @@
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "tiny_server.h"
+
+extern "C" {
+#include "fake_control.h"
+}
+
+namespace
+{
+
+using Engine = std::unique_ptr<TinyServer>;
+
+std::string reply_until_close(int fd, int timeout_ms)
+{
+	std::string out;
+	char part[4096];
+	pollfd p = { fd, POLLIN, 0 };
+
+	while (poll(&p, 1, timeout_ms) == 1) {
+		ssize_t n = recv(fd, part, sizeof(part), 0);
+
+		if (n <= 0)
+			break;
+		out.append(part, static_cast<size_t>(n));
+	}
+	return out;
+}
+
+long number_after(const std::string &s, const std::string &key, long fallback)
+{
+	size_t at = s.find(key);
+
+	return at == std::string::npos ? fallback
+				       : strtol(s.c_str() + at + key.size(), nullptr, 10);
+}
+
+std::string token(long i)
+{
+	return " t" + std::to_string(i);
+}
+
+std::string tokens(long from, long to)
+{
+	std::string s;
+
+	for (long i = from; i < to; i++)
+		s += token(i);
+	return s;
+}
+
+/* Streams the tokens that were asked for; ends early after @cut of them. True when complete. */
+bool generate(int fd, const std::string &r, long cut)
+{
+	long from = number_after(r, "\"resume_from\":", 0);
+	long max = number_after(r, "\"max_tokens\":", 16);
+
+	TinyServer::say(fd, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n: hb\n\n");
+	for (long i = from; i < max; i++) {
+		if (cut-- == 0)
+			return false;
+		TinyServer::say(fd, "data: {\"choices\":[{\"index\":0,\"text\":\"" + token(i) +
+					    "\",\"finish_reason\":" +
+					    (i + 1 == max ? "\"length\"" : "null") +
+					    "}],\"tokens\":1}\n\n");
+	}
+	TinyServer::say(fd, "data: [DONE]\n\n");
+	return true;
+}
+
+bool is_load(int fd, const std::string &r, const char *boot = "b1")
+{
+	if (r.find("GET /") != 0)
+		return false;
+	TinyServer::answer(fd, 200,
+			   std::string("{\"boot_id\":\"") + boot +
+				   "\",\"role\":\"mixed\",\"decode_slots\":8,"
+				   "\"prefill_tokens_per_s\":100000,\"step_base_us\":1000,"
+				   "\"step_per_seq_us\":10,\"next\":0,\"events\":[]}");
+	return true;
+}
+
+Engine good_engine()
+{
+	return std::make_unique<TinyServer>([](int fd, const std::string &r) {
+		if (is_load(fd, r))
+			return true;
+		generate(fd, r, -1);
+		return false;
+	});
+}
+
+struct Front : testing::Test {
+	fake_gate *g = nullptr;
+	std::vector<Engine> engines;
+
+	void start(std::vector<Engine> list = {}, const char *setting = nullptr, int value = 0,
+		   bool engine = true, const char *model = "m")
+	{
+		g = fake_gate_create(setting, value);
+		engines = std::move(list);
+		for (size_t i = 0; i < engines.size(); i++)
+			fake_gate_endpoint(g, ("e" + std::to_string(i)).c_str(),
+					   engines[i]->url().c_str(), engine, model);
+		usleep(100000);
+	}
+	~Front() override
+	{
+		if (g)
+			fake_gate_destroy(g);
+	}
+	int dial()
+	{
+		sockaddr_in a = {};
+		int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		a.sin_port = htons(static_cast<uint16_t>(fake_gate_port(g)));
+		EXPECT_EQ(connect(fd, reinterpret_cast<sockaddr *>(&a), sizeof(a)), 0);
+		return fd;
+	}
+	std::string raw(const std::string &bytes, bool half_close = false)
+	{
+		int fd = dial();
+
+		TinyServer::say(fd, bytes);
+		if (half_close)
+			shutdown(fd, SHUT_WR);
+		std::string out = reply_until_close(fd, 8000);
+		close(fd);
+		return out;
+	}
+	static std::string request(const std::string &path, const std::string &body,
+				   const std::string &headers = "")
+	{
+		return "POST " + path +
+		       " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer key-a\r\n"
+		       "Connection: close\r\nContent-Length: " +
+		       std::to_string(body.size()) + "\r\n" + headers + "\r\n" + body;
+	}
+	std::string post(const std::string &path, const std::string &body,
+			 const std::string &headers = "")
+	{
+		return raw(request(path, body, headers));
+	}
+	static int status(const std::string &reply)
+	{
+		return reply.size() > 12 ? atoi(reply.c_str() + 9) : 0;
+	}
+	/* Text of all pieces of a stream, in order. */
+	static std::string text_of(const std::string &reply)
+	{
+		const std::string key = "\"text\":\"";
+		std::string out;
+
+		for (size_t at = 0; (at = reply.find(key, at)) != std::string::npos;) {
+			at += key.size();
+			out += reply.substr(at, reply.find('"', at) - at);
+		}
+		return out;
+	}
+};
+
+const char *const stream_body =
+	"{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":8,\"stream\":true}";
+const char *const json_body = "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":8}";
+
+/* Guards against hostile input that crashes the front or gets an answer of another shape. */
+TEST_F(Front, HostileInputGetsTheProperError)
+{
+	const std::string deep(5000, '[');
+	const std::string long_name(60, 'm');
+	const struct {
+		const char *what;
+		std::string bytes;
+		int status;
+		const char *code;
+	} cases[] = {
+		{ "unknown path", request("/v2/x", "{}"), 404, "unknown_path" },
+		{ "method", "GET /v1/completions HTTP/1.1\r\nConnection: close\r\n\r\n", 405,
+		  "wrong_method" },
+		{ "no key", "GET /v1/models HTTP/1.1\r\nConnection: close\r\n\r\n", 401,
+		  "invalid_api_key" },
+		{ "json", request("/v1/completions", "{\"model\":"), 400, "invalid_json" },
+		{ "empty", request("/v1/completions", ""), 400, "invalid_json" },
+		{ "nesting", request("/v1/completions", deep), 400, "invalid_json" },
+		{ "utf8", request("/v1/completions", "{\"model\":\"\xff\"}"), 400, "invalid_utf8" },
+		{ "not an object", request("/v1/completions", "[1]"), 400, "invalid_value" },
+		{ "max_tokens",
+		  request("/v1/completions",
+			  "{\"model\":\"m\",\"prompt\":\"p\",\"max_tokens\":-1}"),
+		  400, "invalid_value" },
+		{ "prompt type", request("/v1/completions", "{\"model\":\"m\",\"prompt\":[\"p\"]}"),
+		  400, "invalid_value" },
+		{ "model name",
+		  request("/v1/completions", "{\"prompt\":\"p\",\"model\":\"" + long_name + "\"}"),
+		  400, "invalid_value" },
+		{ "messages", request("/v1/chat/completions", "{\"model\":\"m\",\"messages\":[3]}"),
+		  400, "invalid_value" },
+		{ "unknown model",
+		  request("/v1/completions", "{\"model\":\"zz\",\"prompt\":\"p\"}"), 404,
+		  "model_not_found" },
+		{ "priority", request("/v1/completions", json_body, "Ibisgate-Priority: now\r\n"),
+		  400, "invalid_value" },
+		{ "too large", request("/v1/completions", std::string(70000, ' ')), 413,
+		  "body_too_large" },
+		{ "service", request("/v1/services/nope", "{}"), 404, "unknown_service" },
+	};
+	std::vector<Engine> list;
+
+	list.push_back(good_engine());
+	start(std::move(list));
+	for (auto &c : cases) {
+		std::string r = raw(c.bytes);
+
+		EXPECT_EQ(status(r), c.status) << c.what << "\n" << r;
+		EXPECT_NE(r.find(std::string("\"code\":\"") + c.code), std::string::npos) << c.what;
+		EXPECT_NE(r.find("\"type\":\"invalid_request\""), std::string::npos) << c.what;
+		EXPECT_NE(r.find("Ibisgate-Request-Id: "), std::string::npos) << c.what;
+	}
+	EXPECT_EQ(status(post("/v1/completions", json_body)), 200);
+}
+
+/* Guards against a truncated body that runs, a slow sender that holds a thread, header floods. */
+TEST_F(Front, BrokenSendersAreAnswered)
+{
+	std::string flood = "GET /healthz HTTP/1.1\r\n";
+	std::string many = flood;
+	std::string r;
+	std::string head = "POST /v1/completions HTTP/1.1\r\nAuthorization: Bearer key-a\r\n"
+			   "Content-Length: 100\r\n\r\n{";
+
+	start();
+	EXPECT_EQ(status(raw(head, true)), 400);
+	EXPECT_EQ(status(raw(head)), 408);
+	for (int i = 0; i < 3000; i++)
+		flood += "X-H: 0123456789\r\n";
+	for (int i = 0; i < 200; i++)
+		many += "X" + std::to_string(i) + ": 1\r\n";
+	r = raw(flood + "\r\n");
+	EXPECT_EQ(status(r), 400);
+	EXPECT_NE(r.find("\"type\":\"invalid_request\""), std::string::npos);
+	EXPECT_EQ(status(raw(many + "\r\n")), 431);
+	int fd = dial();
+	TinyServer::say(fd, head);
+	std::thread trickle([fd] {
+		for (int i = 0; i < 30; i++) {
+			TinyServer::say(fd, " ");
+			usleep(100000);
+		}
+	});
+	r = reply_until_close(fd, 4000);
+	EXPECT_EQ(status(r), 408);
+	trickle.join();
+	close(fd);
+}
+
+/* Guards against answers that are incomplete, doubled or without the promised headers. */
+TEST_F(Front, GenerationsArriveWhole)
+{
+	std::vector<Engine> list;
+
+	list.push_back(good_engine());
+	start(std::move(list));
+	std::string r = post("/v1/completions", stream_body);
+	EXPECT_EQ(status(r), 200) << r;
+	EXPECT_EQ(text_of(r), tokens(0, 8));
+	EXPECT_NE(r.find("data: [DONE]\n\n"), std::string::npos);
+	EXPECT_NE(r.find("Ibisgate-Endpoint: e0\r\n"), std::string::npos);
+	EXPECT_NE(r.find("Ibisgate-Instance: i1\r\n"), std::string::npos);
+	r = post("/v1/completions", json_body);
+	EXPECT_EQ(text_of(r), tokens(0, 8));
+	EXPECT_NE(r.find("\"completion_tokens\":8"), std::string::npos);
+}
+
+/* Guards against lost or repeated tokens when an engine's stream ends in the middle. */
+TEST_F(Front, BrokenStreamContinuesElsewhere)
+{
+	std::atomic<int> streams{ 0 };
+	auto flaky = [&](int fd, const std::string &r) {
+		if (is_load(fd, r))
+			return true;
+		if (!generate(fd, r, ++streams == 1 ? 3 : -1))
+			TinyServer::reset(fd);
+		return false;
+	};
+	std::vector<Engine> list;
+
+	list.push_back(std::make_unique<TinyServer>(flaky));
+	list.push_back(std::make_unique<TinyServer>(flaky));
+	start(std::move(list));
+	std::string r = post("/v1/completions", stream_body);
+	EXPECT_EQ(text_of(r), tokens(0, 8)) << r;
+	EXPECT_NE(r.find("data: [DONE]"), std::string::npos);
+	EXPECT_EQ(streams, 2);
+	EXPECT_EQ(fake_gate_counts(g).charges, 0);
+}
+
+/* Guards against a silent stream that holds its request for good, and against charging it. */
+TEST_F(Front, SilentStreamContinuesElsewhere)
+{
+	std::atomic<int> streams{ 0 };
+	auto flaky = [&](int fd, const std::string &r) {
+		return is_load(fd, r) || !generate(fd, r, ++streams == 1 ? 3 : -1);
+	};
+	std::vector<Engine> list;
+
+	list.push_back(std::make_unique<TinyServer>(flaky));
+	list.push_back(std::make_unique<TinyServer>(flaky));
+	start(std::move(list));
+	std::string r = post("/v1/completions", stream_body);
+	EXPECT_EQ(text_of(r), tokens(0, 8)) << r;
+	EXPECT_EQ(fake_gate_counts(g).charges, 0);
+	r = raw("GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n");
+	EXPECT_EQ(number_after(r, "silent_closed_total{instance=\"i1\"} ", 0), 1) << r;
+}
+
+/* Guards against a request that kills one engine after the other. */
+TEST_F(Front, CrashingRequestTakesAtMostTwoEngines)
+{
+	std::atomic<int> crashes{ 0 };
+	std::vector<Engine> list;
+
+	for (int i = 0; i < 4; i++) {
+		auto crash = std::make_shared<std::atomic<TinyServer *>>(nullptr);
+
+		list.push_back(
+			std::make_unique<TinyServer>([&, crash](int fd, const std::string &r) {
+				if (is_load(fd, r))
+					return true;
+				crashes++;
+				crash->load()->refuse_from_now_on();
+				TinyServer::reset(fd);
+				return false;
+			}));
+		crash->store(list.back().get());
+	}
+	start(std::move(list));
+	std::string r = post("/v1/completions", json_body);
+	EXPECT_EQ(status(r), 422) << r;
+	EXPECT_EQ(crashes, 2);
+	r = post("/v1/completions", json_body);
+	EXPECT_EQ(status(r), 422) << r;
+	EXPECT_NE(r.find("\"type\":\"not_run\""), std::string::npos);
+	EXPECT_EQ(crashes, 2);
+}
+
+/* Guards against "not run" after a call that may have had its effect, and the other way round. */
+TEST_F(Front, CallsSayWhatIsKnown)
+{
+	std::atomic<int> mode{ 0 };
+	std::atomic<int> effects{ 0 };
+	std::vector<Engine> list;
+	const std::string key = "Idempotency-Key: k1\r\n";
+
+	list.push_back(std::make_unique<TinyServer>([&](int fd, const std::string &) {
+		if (mode == 1) {
+			TinyServer::answer(fd, 503, "{\"error\":{\"type\":\"not_run\"}}");
+			return true;
+		}
+		effects++;
+		if (mode == 2)
+			return false;
+		TinyServer::answer(fd, 200, "{\"effect\":1}");
+		return true;
+	}));
+	start(std::move(list), nullptr, 0, false, "order");
+	std::string r = post("/v1/services/order", "{}", key);
+	EXPECT_EQ(status(r), 200) << r;
+	EXPECT_EQ(fake_gate_counts(g).finished, 1);
+	r = post("/v1/services/order", "{}");
+	EXPECT_NE(r.find("Ibisgate-Outcome: single-try"), std::string::npos);
+	mode = 2;
+	effects = 0;
+	r = post("/v1/services/order", "{}", key);
+	EXPECT_EQ(status(r), 504) << r;
+	EXPECT_NE(r.find("outcome_unknown"), std::string::npos);
+	EXPECT_EQ(effects, 1);
+	EXPECT_EQ(fake_gate_counts(g).unknown, 1);
+	mode = 1;
+	r = post("/v1/services/order", "{}", key);
+	EXPECT_EQ(status(r), 503) << r;
+	EXPECT_NE(r.find("not_run"), std::string::npos);
+	EXPECT_EQ(fake_gate_counts(g).released, 1);
+	EXPECT_EQ(effects, 1);
+	fake_gate_claim(g, FAKE_REPLAY);
+	EXPECT_NE(post("/v1/services/order", "{}", key).find("stored"), std::string::npos);
+	fake_gate_claim(g, FAKE_OTHER_BODY);
+	EXPECT_EQ(status(post("/v1/services/order", "{}", key)), 422);
+	fake_gate_claim(g, FAKE_UNKNOWN);
+	EXPECT_EQ(status(post("/v1/services/order", "{}", key)), 504);
+	fake_gate_claim(g, FAKE_NOT_RUN);
+	EXPECT_EQ(status(post("/v1/services/order", "{}", key)), 503);
+	EXPECT_EQ(effects, 1);
+}
+
+/* Guards against new connections' traffic that keeps a draining instance from ending. */
+TEST_F(Front, DrainingClosesConnections)
+{
+	start();
+	std::string get = "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n";
+	int fd = dial();
+
+	TinyServer::say(fd, get);
+	EXPECT_EQ(status(reply_until_close(fd, 200)), 200);
+	fake_gate_drain(g);
+	TinyServer::say(fd, get);
+	std::string r = reply_until_close(fd, 3000);
+	EXPECT_EQ(status(r), 503);
+	EXPECT_NE(r.find("Connection: close"), std::string::npos);
+	close(fd);
+}
+
+} // namespace
