--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -77,7 +77,16 @@
 	return g;
 }
 
-void fake_gate_endpoint(struct fake_gate *g, const char *name, const char *url, bool engine,
+static enum endpoint_role role_of(const char *role)
+{
+	if (strcmp(role, "prefill") == 0)
+		return ROLE_PREFILL;
+	if (strcmp(role, "decode") == 0)
+		return ROLE_DECODE;
+	return strcmp(role, "mixed") == 0 ? ROLE_MIXED : ROLE_SERVICE;
+}
+
+void fake_gate_endpoint(struct fake_gate *g, const char *name, const char *url, const char *role,
 			const char *model)
 {
 	struct endpoint_info *e = &g->endpoints[g->endpoint_count++];
@@ -86,8 +95,8 @@
 	str_copy(e->url, sizeof(e->url), str_from(url));
 	str_copy(e->model, sizeof(e->model), str_from(model));
 	str_copy(e->dc, sizeof(e->dc), STR_LIT("dc1"));
-	e->engine = engine;
-	e->role = engine ? ROLE_MIXED : ROLE_SERVICE;
+	e->engine = strcmp(role, "service") != 0;
+	e->role = role_of(role);
 	fleet_update(g->gate.fleet, g->endpoints, g->endpoint_count);
 }
 
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -26,7 +26,8 @@
 
 /** fake_gate_create - instance with the API key "key-a" and the plain services order and stock */
 struct fake_gate *fake_gate_create(const char *default_setting, int default_value);
-void fake_gate_endpoint(struct fake_gate *g, const char *name, const char *url, bool engine,
+/** fake_gate_endpoint - @role is mixed, prefill, decode or service */
+void fake_gate_endpoint(struct fake_gate *g, const char *name, const char *url, const char *role,
 			const char *model);
 void fake_gate_drain(struct fake_gate *g);
 void fake_gate_claim(struct fake_gate *g, enum fake_claim verdict);
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -101,13 +101,13 @@
 	std::vector<Engine> engines;
 
 	void start(std::vector<Engine> list = {}, const char *setting = nullptr, int value = 0,
-		   bool engine = true, const char *model = "m")
+		   const char *role = "mixed", const char *model = "m")
 	{
 		g = fake_gate_create(setting, value);
 		engines = std::move(list);
 		for (size_t i = 0; i < engines.size(); i++)
 			fake_gate_endpoint(g, ("e" + std::to_string(i)).c_str(),
-					   engines[i]->url().c_str(), engine, model);
+					   engines[i]->url().c_str(), role, model);
 		usleep(100000);
 	}
 	~Front() override
@@ -303,6 +303,39 @@
 	EXPECT_EQ(fake_gate_counts(g).charges, 0);
 }
 
+/* Guards against a decode engine that never gets the handle of the prefilled cache. */
+TEST_F(Front, SplitPlacementHandsTheCacheOver)
+{
+	std::string handed;
+	TinyServer prefill([](int fd, const std::string &r) {
+		if (r.find("GET /") == 0 ||
+		    r.find("\"do_remote_decode\":true") == std::string::npos)
+			TinyServer::answer(fd, 500, "{}");
+		else
+			TinyServer::answer(fd, 200,
+					   "{\"kv_transfer_params\":{\"remote_url\":\"u\","
+					   "\"remote_handle\":\"h7\",\"tokens\":1}}");
+		return true;
+	});
+	TinyServer decode([&](int fd, const std::string &r) {
+		if (r.find("GET /") == 0) {
+			TinyServer::answer(fd, 500, "{}");
+			return true;
+		}
+		handed = r;
+		generate(fd, r, -1);
+		return false;
+	});
+
+	start();
+	fake_gate_endpoint(g, "p", prefill.url().c_str(), "prefill", "m");
+	fake_gate_endpoint(g, "d", decode.url().c_str(), "decode", "m");
+	std::string r = post("/v1/completions", stream_body);
+	EXPECT_EQ(text_of(r), tokens(0, 8)) << r;
+	EXPECT_NE(handed.find("\"remote_handle\":\"h7\""), std::string::npos);
+	EXPECT_NE(handed.find("\"do_remote_prefill\":true"), std::string::npos);
+}
+
 /* Guards against a silent stream that holds its request for good, and against charging it. */
 TEST_F(Front, SilentStreamContinuesElsewhere)
 {
@@ -371,7 +404,7 @@
 		TinyServer::answer(fd, 200, "{\"effect\":1}");
 		return true;
 	}));
-	start(std::move(list), nullptr, 0, false, "order");
+	start(std::move(list), nullptr, 0, "service", "order");
 	std::string r = post("/v1/services/order", "{}", key);
 	EXPECT_EQ(status(r), 200) << r;
 	EXPECT_EQ(fake_gate_counts(g).finished, 1);
