--- a/daemon/control_config.c
+++ b/daemon/control_config.c
@@ -220,9 +220,11 @@
 
 	pthread_mutex_lock(&c->lock);
 	n = c->inbox_count < 64 ? c->inbox_count : 64;
-	memcpy(list, c->inbox, (size_t)n * sizeof(list[0]));
+	for (int i = 0; i < n; i++)
+		list[i] = c->inbox[i];
 	c->inbox_count -= n;
-	memmove(c->inbox, c->inbox + n, (size_t)c->inbox_count * sizeof(list[0]));
+	for (int i = 0; i < c->inbox_count; i++)
+		c->inbox[i] = c->inbox[i + n];
 	pthread_mutex_unlock(&c->lock);
 	for (int i = 0; i < n; i++) {
 		handle(c, list[i]);
--- a/daemon/control_quarantine.c
+++ b/daemon/control_quarantine.c
@@ -24,7 +24,9 @@
 	m->u.quarantine.fingerprint = fingerprint;
 	m->u.quarantine.crashes = refuse ? QUARANTINE_CRASHES : 1;
 	m->u.quarantine.refuse = refuse;
-	m->u.quarantine.left_ms = refuse ? QUARANTINE_MS : QUARANTINE_SUSPECT_MS;
+	m->u.quarantine.left_ms = QUARANTINE_SUSPECT_MS;
+	if (refuse)
+		m->u.quarantine.left_ms = QUARANTINE_MS;
 	control_send_all(c, m);
 	peer_message_destroy(m);
 }
--- a/state/quarantine.c
+++ b/state/quarantine.c
@@ -100,7 +100,9 @@
 	e->alone += alone;
 	if (e->crashes >= QUARANTINE_CRASHES && e->alone)
 		e->refuse = true;
-	e->until_ms = now_ms + (e->refuse ? QUARANTINE_MS : QUARANTINE_SUSPECT_MS);
+	e->until_ms = now_ms + QUARANTINE_SUSPECT_MS;
+	if (e->refuse)
+		e->until_ms = now_ms + QUARANTINE_MS;
 	return verdict(e);
 }
 
--- /dev/null
+++ b/tests/standin_process.h
@@ -0,0 +1,104 @@
+#ifndef IBISGATE_TESTS_STANDIN_PROCESS_H
+#define IBISGATE_TESTS_STANDIN_PROCESS_H
+
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/net/http_call.h"
+}
+
+/* A stand-in process, stopped by its id. */
+class Standin
+{
+      public:
+	Standin(const std::string &name, const std::vector<std::string> &args)
+	{
+		std::string path = std::string(STANDIN_DIR) + "/" + name;
+		std::vector<char *> argv = { const_cast<char *>(path.c_str()) };
+		posix_spawn_file_actions_t actions;
+		int out[2];
+		char c;
+
+		for (auto &a : args)
+			argv.push_back(const_cast<char *>(a.c_str()));
+		argv.push_back(nullptr);
+		EXPECT_EQ(pipe(out), 0);
+		posix_spawn_file_actions_init(&actions);
+		posix_spawn_file_actions_adddup2(&actions, out[1], 1);
+		posix_spawn_file_actions_addclose(&actions, out[0]);
+		EXPECT_EQ(posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ),
+			  0);
+		posix_spawn_file_actions_destroy(&actions);
+		close(out[1]);
+		while (read(out[0], &c, 1) == 1 && c != '\n')
+			line += c;
+		close(out[0]);
+		port = atoi(line.substr(line.find(' ') + 1).c_str());
+		pool = http_pool_create();
+	}
+	~Standin()
+	{
+		kill(pid, SIGTERM);
+		waitpid(pid, nullptr, 0);
+		http_pool_destroy(pool);
+	}
+	std::string address() const
+	{
+		return "127.0.0.1:" + std::to_string(port);
+	}
+	std::string url() const
+	{
+		return "http://" + address();
+	}
+	/* Port of a route of the fault proxy. */
+	int route(const std::string &name) const
+	{
+		return atoi(line.substr(line.find(name + "=") + name.size() + 1).c_str());
+	}
+	json_t *send(const char *method, const std::string &path, const std::string &body = "")
+	{
+		std::string target = url() + path;
+		struct http_call c = {};
+
+		c.method = method;
+		c.url = target.c_str();
+		c.body = { body.data(), body.size() };
+		c.timeout_ms = 3000;
+		EXPECT_EQ(http_call(pool, &c), HTTP_REPLIED) << path;
+		EXPECT_LT(c.status, 300) << path << " " << (c.reply.data ? c.reply.data : "");
+		json_t *o = json_parse(buf_str(&c.reply));
+		buf_free(&c.reply);
+		return o;
+	}
+	void tell(const std::string &path, const std::string &body)
+	{
+		json_decref(send("POST", path, body));
+	}
+	pid_t pid = -1;
+	int port = 0;
+	std::string line;
+	struct http_pool *pool;
+};
+
+template <typename F> bool eventually(F f, int64_t limit_ms)
+{
+	int64_t end = clock_boot_ms() + limit_ms;
+
+	while (!f()) {
+		if (clock_boot_ms() > end)
+			return false;
+		clock_sleep_ms(20);
+	}
+	return true;
+}
+
+#endif
--- /dev/null
+++ b/tests/test_control.cc
@@ -0,0 +1,358 @@
+#include "standin_process.h"
+
+#include <map>
+#include <memory>
+
+/* "class" is a member of a C header. */
+#define class class_
+extern "C" {
+#include "control_rig.h"
+}
+#undef class
+
+using std::string;
+
+static const char *const POOL = "model-a";
+
+/* A region: platform, engines and instances, all behind one fault proxy where a test needs it. */
+class Region
+{
+      public:
+	Region() : table("ibisgate-platform", { "--port", "0" })
+	{
+	}
+	~Region()
+	{
+		for (auto &r : rigs)
+			rig_kill(r.second);
+	}
+	void start(const string &id, const string &dc, const string &extra = "")
+	{
+		string text = "[instance]\nid = " + id + "\ndata-centre = " + dc +
+			      "\nregion = r\n[http]\nlisten = 127.0.0.1:0\n[admin]\n"
+			      "listen = 127.0.0.1:0\ntoken = 0123456789abcdef\n[peer]\n"
+			      "listen = 127.0.0.1:0\n" +
+			      peer_extra + "[platform]\nurl = " + table.url() +
+			      "\ntimeout-ms = 500\nlist-poll-ms = 200\nconfig-poll-ms = 1000\n" +
+			      extra;
+		struct rig *r = rig_create(text.c_str());
+
+		rigs[id] = r;
+		table.tell("/list/instances",
+			   "{\"id\":\"" + id + "\",\"dc\":\"" + dc +
+				   "\",\"peer\":\"127.0.0.1:" + std::to_string(rig_peer_port(r)) +
+				   "\",\"http\":\"\",\"admin\":\"\",\"state\":\"live\"}");
+	}
+	void kill(const string &id, bool listed)
+	{
+		rig_kill(rigs[id]);
+		rigs.erase(id);
+		if (!listed)
+			json_decref(table.send("DELETE", "/list/instances/" + id));
+	}
+	Standin &engine(const string &name, const string &dc, const string &role, bool fencing)
+	{
+		engines[name].reset(new Standin(
+			"ibisgate-engine", { "--port", "0", "--name", name, "--dc", dc, "--model",
+					     POOL, "--role", role, "--check-fencing",
+					     fencing ? "1" : "0", "--role-change-ms", "300" }));
+		table.tell("/list/endpoints",
+			   "{\"name\":\"" + name + "\",\"dc\":\"" + dc + "\",\"url\":\"" +
+				   engines[name]->url() + "\",\"kind\":\"engine\",\"model\":\"" +
+				   POOL + "\",\"role\":\"" + role + "\",\"checks_fencing\":" +
+				   (fencing ? "true" : "false") + ",\"state\":\"live\"}");
+		return *engines[name];
+	}
+	bool ready()
+	{
+		return eventually(
+			[&] {
+				bool all = true;
+
+				for (auto &r : rigs)
+					all = rig_ready(r.second) && all;
+				return all;
+			},
+			8000);
+	}
+	bool see_each_other(int64_t limit_ms)
+	{
+		return eventually(
+			[&] {
+				for (auto &r : rigs) {
+					if (live(r.second) != (int)rigs.size())
+						return false;
+				}
+				return true;
+			},
+			limit_ms);
+	}
+	static int live(struct rig *r)
+	{
+		json_t *o = rig_status(r);
+		const json_t *list = json_object_get(o, "members");
+		int n = 0;
+
+		for (size_t i = 0; i < json_array_size(list); i++)
+			n += strcmp(json_get_cstr(json_array_get(list, i), "state", ""), "live") ==
+			     0;
+		json_decref(o);
+		return n;
+	}
+	/* Instances that hold the lease of @dc, and the fencing number. */
+	int holders(const string &dc, string *who = nullptr, int64_t *fencing = nullptr)
+	{
+		int n = 0;
+
+		for (auto &r : rigs) {
+			json_t *o = rig_status(r.second);
+			const json_t *list = json_object_get(o, "leases");
+
+			for (size_t i = 0; i < json_array_size(list); i++) {
+				const json_t *l = json_array_get(list, i);
+
+				if (dc != json_get_cstr(l, "dc", "") ||
+				    !json_get_bool(l, "held", false))
+					continue;
+				n++;
+				if (who)
+					*who = r.first;
+				if (fencing)
+					*fencing = json_get_i64(l, "fencing", 0);
+			}
+			json_decref(o);
+		}
+		return n;
+	}
+	int64_t version(const string &id)
+	{
+		json_t *o = rig_status(rigs[id]);
+		int64_t v = json_get_i64(o, "config_version", -1);
+
+		json_decref(o);
+		return v;
+	}
+	bool version_everywhere(int64_t v, int64_t limit_ms)
+	{
+		return eventually(
+			[&] {
+				for (auto &r : rigs) {
+					if (version(r.first) != v)
+						return false;
+				}
+				return true;
+			},
+			limit_ms);
+	}
+	bool stopped(const string &id, const string &endpoint)
+	{
+		int n;
+		struct endpoint_status *all = fleet_statuses(rig_fleet(rigs[id]), &n);
+		bool stopped = false;
+
+		for (int i = 0; i < n; i++)
+			stopped = stopped || (endpoint == all[i].info.name && all[i].stopped);
+		free(all);
+		return stopped;
+	}
+	Standin table;
+	string peer_extra;
+	std::map<string, struct rig *> rigs;
+	std::map<string, std::unique_ptr<Standin>> engines;
+};
+
+static bool done_with_role(Standin &engine, const string &role)
+{
+	json_t *o = engine.send("GET", "/orders");
+	bool done = role == json_get_cstr(o, "role", "") && !*json_get_cstr(o, "current", "x") &&
+		    json_get_i64(o, "conflicts", -1) == 0;
+
+	json_decref(o);
+	return done;
+}
+
+/* Guards against members that are not found, two lease holders, and a lease nobody takes over. */
+TEST(Control, MembersAndLeasesSurviveAKill)
+{
+	Region g;
+	string first;
+	string second;
+	int64_t f1 = 0;
+	int64_t f2 = 0;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	g.start("c1", "caerdydd");
+	g.start("c2", "caerdydd");
+	ASSERT_TRUE(g.ready());
+	EXPECT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &first, &f1) == 1; }, 5000));
+	g.kill(first, true);
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &second, &f2) == 1; }, 15000));
+	EXPECT_NE(first, second);
+	EXPECT_GT(f2, f1);
+}
+
+/* Guards against a lost or doubled change, two winners of a race, and an instance left behind. */
+TEST(Control, ConfigurationChangesRaceAndSpread)
+{
+	Region g;
+	struct error err = {};
+	int64_t v1 = 0;
+	int64_t v2 = 0;
+
+	g.start("a1", "abertawe");
+	g.start("c1", "caerdydd");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	EXPECT_EQ(rig_change(g.rigs["a1"], "default/no.such", "1", -1, &v1, &err), -1);
+	ASSERT_EQ(rig_change(g.rigs["a1"], "default/deadline.gap-ms", "70", 0, &v1, &err), 0)
+		<< err.text;
+	EXPECT_EQ(v1, 1);
+	EXPECT_EQ(rig_change(g.rigs["c1"], "default/deadline.gap-ms", "80", 0, &v2, &err), -1);
+	EXPECT_EQ(err.layer, ERROR_STATE);
+	EXPECT_EQ(err.code, CONFIG_STALE);
+	EXPECT_EQ(v2, 1) << "the version that won";
+	EXPECT_TRUE(g.version_everywhere(1, 4000));
+	g.table.tell("/faults", "{\"drop_next_writes\":1}");
+	ASSERT_EQ(rig_change(g.rigs["c1"], "default/deadline.gap-ms", "80", 1, &v2, &err), 0)
+		<< "the reply was lost after the change took effect: " << err.text;
+	EXPECT_EQ(v2, 2);
+	EXPECT_TRUE(g.version_everywhere(2, 4000));
+	g.table.tell("/faults", "{\"down\":true}");
+	EXPECT_EQ(rig_change(g.rigs["a1"], "default/deadline.gap-ms", "90", 2, &v1, &err), -1);
+	EXPECT_EQ(err.layer, ERROR_PLATFORM);
+	g.table.tell("/faults", "{\"down\":false}");
+	for (int i = 3; i < 103; i++)
+		ASSERT_EQ(rig_change(g.rigs["a1"], "default/retry.min-per-s", "4", -1, &v1, &err),
+			  0)
+			<< err.text;
+	g.start("b1", "casnewydd");
+	ASSERT_TRUE(g.ready());
+	EXPECT_TRUE(g.version_everywhere(v1, 4000));
+}
+
+/* Guards against an order while work runs, a member that is not asked, and an endpoint that stays
+ * stopped. */
+TEST(Control, RoleChangeStopsOrdersAndReturns)
+{
+	Region g;
+	string holder;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	g.start("c1", "caerdydd");
+	Standin &e = g.engine("e1", "abertawe", "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	ASSERT_TRUE(eventually([&] { return g.holders("caerdydd") == 1; }, 5000));
+	EXPECT_FALSE(rig_drain(g.rigs["c1"], "abertawe", "e1", ROLE_PREFILL, ROLE_DECODE));
+	ASSERT_TRUE(rig_drain(g.rigs[holder], "abertawe", "e1", ROLE_PREFILL, ROLE_DECODE));
+	EXPECT_TRUE(eventually([&] { return g.stopped("c1", "e1"); }, 2000));
+	EXPECT_TRUE(eventually([&] { return done_with_role(e, "decode"); }, 5000));
+	EXPECT_TRUE(eventually(
+		[&] {
+			return !g.stopped("a1", "e1") && !g.stopped("a2", "e1") &&
+			       !g.stopped("c1", "e1");
+		},
+		5000));
+}
+
+/* Guards against an intent that dies with its holder, and a different order from a successor. */
+TEST(Control, SuccessorFinishesTheSameIntent)
+{
+	Region g;
+	string holder;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	Standin &e = g.engine("e1", "abertawe", "prefill", false);
+	e.tell("/faults", "{\"stall_ms\":0}");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	ASSERT_TRUE(rig_drain(g.rigs[holder], "abertawe", "e1", ROLE_PREFILL, ROLE_DECODE));
+	string other = holder == "a1" ? "a2" : "a1";
+	ASSERT_TRUE(eventually([&] { return g.stopped(other, "e1"); }, 3000));
+	g.kill(holder, false);
+	EXPECT_TRUE(eventually([&] { return done_with_role(e, "decode"); }, 20000));
+	EXPECT_TRUE(eventually([&] { return !g.stopped(other, "e1"); }, 5000));
+	json_t *o = e.send("GET", "/orders");
+	string id;
+	for (size_t i = 0; i < json_array_size(json_object_get(o, "log")); i++) {
+		const json_t *l = json_array_get(json_object_get(o, "log"), i);
+
+		EXPECT_TRUE(id.empty() || id == json_get_cstr(l, "order_id", ""));
+		id = json_get_cstr(l, "order_id", "");
+	}
+	json_decref(o);
+}
+
+/* Guards against a call with side effects that runs twice, a result that is lost with the reply of
+ * the table, and a repeat that waits for a dead owner. */
+TEST(Control, ClaimsRunAtMostOnce)
+{
+	Region g;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	struct rig *a = g.rigs["a1"];
+	struct rig *b = g.rigs["a2"];
+
+	ASSERT_EQ(rig_claim(a, 0, "k1", "body", 2000), CLAIM_DISPATCH);
+	ASSERT_TRUE(rig_claim_dispatch(a, 0));
+	EXPECT_FALSE(rig_claim_dispatch(a, 0)) << "once only";
+	EXPECT_EQ(rig_claim(b, 0, "k1", "body", 300), CLAIM_SAY_UNKNOWN) << "still runs";
+	EXPECT_EQ(rig_claim(b, 0, "k1", "else", 300), CLAIM_OTHER_BODY);
+	g.table.tell("/faults", "{\"drop_next_writes\":1}");
+	rig_claim_finish(a, 0, "{\"ok\":1}");
+	EXPECT_EQ(rig_claim(b, 0, "k1", "body", 4000), CLAIM_REPLAY);
+	EXPECT_STREQ(rig_result(b, 0), "{\"ok\":1}");
+
+	g.table.tell("/faults", "{\"drop_next_writes\":1}");
+	ASSERT_EQ(rig_claim(a, 1, "k2", "body", 2000), CLAIM_DISPATCH) << "settled by its token";
+	rig_claim_release(a, 1);
+	ASSERT_EQ(rig_claim(b, 1, "k2", "body", 3000), CLAIM_DISPATCH) << "released unsent";
+	ASSERT_TRUE(rig_claim_dispatch(b, 1));
+	g.table.tell("/faults", "{\"down\":true}");
+	EXPECT_EQ(rig_claim(a, 2, "k3", "body", 400), CLAIM_SAY_NOT_RUN);
+	g.table.tell("/faults", "{\"down\":false}");
+	EXPECT_EQ(rig_claim(b, 3, "k3", "body", 3000), CLAIM_DISPATCH);
+	g.kill("a2", false);
+	EXPECT_EQ(rig_claim(a, 3, "k2", "body", 15000), CLAIM_SAY_UNKNOWN) << "owner is gone";
+}
+
+/* Guards against a crashing request that is refused on one instance only. */
+TEST(Control, QuarantineSpreads)
+{
+	Region g;
+
+	g.start("a1", "abertawe");
+	g.start("c1", "caerdydd");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	rig_quarantine(g.rigs["a1"], 7, true);
+	EXPECT_TRUE(eventually([&] { return rig_quarantine(g.rigs["c1"], 7, false) == 1; }, 2000));
+	rig_quarantine(g.rigs["c1"], 7, true);
+	EXPECT_TRUE(eventually([&] { return rig_quarantine(g.rigs["a1"], 7, false) == 2; }, 2000));
+}
+
+/* Guards against a peer whose silent connection is used for ever. */
+TEST(Control, SilentPeerConnectionIsReplaced)
+{
+	Region g;
+
+	g.start("a1", "abertawe");
+	string to_a1 = "127.0.0.1:" + std::to_string(rig_peer_port(g.rigs["a1"]));
+	Standin proxy("ibisgate-faultproxy", { "--control", "0", "--route", "a1=" + to_a1 });
+	g.start("a2", "abertawe",
+		"[routes]\na1 = 127.0.0.1:" + std::to_string(proxy.route("a1")) + "\n");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	proxy.tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent\",\"existing_only\":true}");
+	EXPECT_TRUE(eventually([&] { return Region::live(g.rigs["a1"]) == 1; }, 5000));
+	EXPECT_TRUE(g.see_each_other(6000));
+}
--- /dev/null
+++ b/tests/test_platform.cc
@@ -0,0 +1,114 @@
+#include "standin_process.h"
+
+extern "C" {
+#include "ibisgate/net/platform.h"
+}
+
+static int code_of_put(struct platform *p, const char *key, int64_t if_version,
+		       int64_t *version = nullptr, struct table_row *current = nullptr)
+{
+	json_t *v = json_string("x");
+	struct error err = {};
+	int rc = platform_put(p, key, v, if_version, version, current, &err);
+
+	json_decref(v);
+	EXPECT_EQ(rc, err.code ? -1 : 0);
+	return err.code;
+}
+
+static int code_of_get(struct platform *p, const char *key)
+{
+	struct table_row row = {};
+	struct error err = {};
+
+	platform_get(p, key, &row, &err);
+	table_row_clear(&row);
+	return err.code;
+}
+
+/* Guards against a conflict, a missing row or a scan that is taken for something else. */
+TEST(Platform, RowsTransactionsAndObjects)
+{
+	Standin table("ibisgate-platform", { "--port", "0" });
+	struct platform *p = platform_create(table.url().c_str(), 1000);
+	struct table_row row = {};
+	struct error err = {};
+	int64_t version = 0;
+
+	EXPECT_EQ(code_of_get(p, "a/b c"), PLATFORM_NOT_FOUND);
+	EXPECT_EQ(code_of_put(p, "a/b c", TABLE_MUST_NOT_EXIST, &version), 0);
+	EXPECT_EQ(code_of_put(p, "a/b c", TABLE_MUST_NOT_EXIST, nullptr, &row), PLATFORM_CONFLICT);
+	EXPECT_EQ(row.version, version);
+	EXPECT_STREQ(json_string_value(row.value), "x");
+	table_row_clear(&row);
+	EXPECT_EQ(code_of_put(p, "a/b c", version, &version), 0);
+
+	json_t *v = json_string("y");
+	struct table_op ops[] = { { TABLE_OP_PUT, "a/c", v, TABLE_MUST_NOT_EXIST },
+				  { TABLE_OP_PUT, "a/d", v, TABLE_MUST_NOT_EXIST } };
+	EXPECT_EQ(platform_txn(p, ops, 2, nullptr, &err), 0) << err.text;
+	EXPECT_EQ(platform_txn(p, ops, 2, nullptr, &err), -1);
+	EXPECT_EQ(err.code, PLATFORM_CONFLICT);
+	json_decref(v);
+
+	struct table_row *rows;
+	int count;
+	bool more;
+	ASSERT_EQ(platform_scan(p, "a/", "a/b c", 1, &rows, &count, &more, &err), 0) << err.text;
+	ASSERT_EQ(count, 1);
+	EXPECT_STREQ(rows[0].key, "a/c");
+	EXPECT_TRUE(more);
+	table_row_clear(&rows[0]);
+	free(rows);
+
+	struct buf data = {};
+	EXPECT_EQ(platform_object_put(p, "o", STR_LIT("bytes"), &err), 0) << err.text;
+	EXPECT_EQ(platform_object_get(p, "o", &data, &err), 0) << err.text;
+	EXPECT_STREQ(data.data, "bytes");
+	buf_free(&data);
+	platform_destroy(p);
+}
+
+/* Guards against a write in doubt that is reported as not sent or as a conflict, and the reverse.
+ */
+TEST(Platform, TellsDoubtfulFromUnavailable)
+{
+	Standin table("ibisgate-platform", { "--port", "0", "--writes-per-s", "50" });
+	Standin proxy("ibisgate-faultproxy",
+		      { "--control", "0", "--route", "p=" + table.address() });
+	std::string url = "http://127.0.0.1:" + std::to_string(proxy.route("p"));
+	struct platform *p = platform_create(url.c_str(), 400);
+	struct platform *closed = platform_create("http://127.0.0.1:1", 400);
+
+	EXPECT_EQ(code_of_put(closed, "k", TABLE_ANY_VERSION), PLATFORM_UNAVAILABLE);
+	EXPECT_GT(platform_down_since_ms(closed), 0);
+	EXPECT_EQ(code_of_put(p, "k", TABLE_MUST_NOT_EXIST), 0);
+	for (int i = 0; i < 3; i++) {
+		std::string key = "lost" + std::to_string(i);
+
+		/* Reads first, so that an open connection could be used again. */
+		EXPECT_EQ(code_of_get(p, "k"), 0);
+		table.tell("/faults", "{\"drop_next_writes\":1}");
+		EXPECT_EQ(code_of_put(p, key.c_str(), TABLE_MUST_NOT_EXIST), PLATFORM_DOUBTFUL);
+		EXPECT_EQ(code_of_get(p, key.c_str()), 0) << "applied once";
+	}
+	proxy.tell("/faults", "{\"route\":\"p\",\"mode\":\"drop_replies\"}");
+	EXPECT_EQ(code_of_put(p, "k2", TABLE_MUST_NOT_EXIST), PLATFORM_DOUBTFUL);
+	proxy.tell("/faults", "{\"route\":\"p\",\"mode\":\"silent\"}");
+	EXPECT_EQ(code_of_put(p, "k3", TABLE_MUST_NOT_EXIST), PLATFORM_DOUBTFUL);
+	EXPECT_GT(platform_down_since_ms(p), 0);
+	proxy.tell("/faults", "{\"route\":\"p\",\"mode\":\"cut\"}");
+	int cut = code_of_put(p, "k4", TABLE_MUST_NOT_EXIST);
+	EXPECT_TRUE(cut == PLATFORM_UNAVAILABLE || cut == PLATFORM_DOUBTFUL) << cut;
+	proxy.tell("/faults", "{\"route\":\"p\",\"mode\":\"pass\"}");
+	EXPECT_EQ(code_of_get(p, "k2"), 0);
+	EXPECT_EQ(platform_down_since_ms(p), 0);
+	int limited = 0;
+	for (int i = 0; i < 200 && !limited; i++)
+		limited = code_of_put(p, "k", TABLE_ANY_VERSION);
+	EXPECT_EQ(limited, PLATFORM_UNAVAILABLE) << "429 has no effect";
+	table.tell("/faults", "{\"down\":true}");
+	EXPECT_EQ(code_of_put(p, "k5", TABLE_MUST_NOT_EXIST), PLATFORM_DOUBTFUL);
+	platform_destroy(p);
+	platform_destroy(closed);
+}
