Close idle connections of the stand-ins after 20 s

CivetWeb gives each connection a thread, so the idle pools of several clients could occupy all of them for two minutes. The test passes, also with four copies at once.

--- a/standins/http.c
+++ b/standins/http.c
@@ -26,8 +26,9 @@
 		"yes",
 		"decode_url",
 		"no",
+		/* An idle connection occupies a thread, so idle pools of clients are closed. */
 		"keep_alive_timeout_ms",
-		"120000",
+		"20000",
 		"request_timeout_ms",
 		"120000",
 		"tcp_nodelay",
