--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -207,6 +207,7 @@
 		goto out;
 	if (ep->load.boot_id[0] && strcmp(ep->load.boot_id, load->boot_id) != 0)
 		prefix_index_forget(f->index, (int)(ep - f->endpoints));
+	ep->down = false;
 	own = own_work_at(ep, load->at_ms - f->load_lag_ms);
 	ep->load = *load;
 	ep->foreign_prefill =
--- a/daemon/fleet_impl.h
+++ b/daemon/fleet_impl.h
@@ -22,6 +22,8 @@
  * @listed: named by the platform's list
  * @unlisted_ms: since when it is not, boot clock
  * @stops: order ids that keep new work away
+ * @reserved: kept for one suspect request
+ * @down: engine that died or refused a connection and has not answered a load poll since
  * @foreign_prefill: part of the last report that own attempts did not explain, likewise
  *	@foreign_seqs
  */
@@ -40,6 +42,7 @@
 	int foreign_seqs;
 	int64_t role_set_ms;
 	bool reserved;
+	bool down;
 	struct circuit circuit;
 	struct retry_budget budget;
 	struct own_work history[FLEET_HISTORY];
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -13,10 +13,15 @@
 #define SLOTS_UNKNOWN 32
 /* Share of the prompt's pieces credited to the home engine while no cache event is known. */
 #define HOME_SHARE 8
+/*
+ * One engine in so many may be reserved at a time. The death of a busy engine makes all its
+ * requests suspect; without a limit they would take every other engine from ordinary work.
+ */
+#define RESERVE_SHARE 4
 
 static bool endpoint_usable(const struct endpoint *ep, int64_t now_ms)
 {
-	return ep->used && ep->listed && !ep->stop_count && !ep->info.leaving &&
+	return ep->used && ep->listed && !ep->stop_count && !ep->info.leaving && !ep->down &&
 	       !ep->load.changing && circuit_allows(&ep->circuit, now_ms);
 }
 
@@ -152,19 +157,24 @@
 			int64_t now)
 {
 	int best = -1;
+	int reserved = 0;
+	int total = 0;
 
 	for (int i = 0; i < f->count; i++) {
 		const struct endpoint *ep = &f->endpoints[i];
 
-		if (!endpoint_serves(ep, q) || !endpoint_usable(ep, now) || ep->reserved)
+		if (!endpoint_serves(ep, q) || ep->info.role != role || !endpoint_usable(ep, now))
 			continue;
-		if (ep->info.role != role)
+		total++;
+		reserved += ep->reserved;
+		if (ep->reserved || ep->circuit.state != CIRCUIT_CLOSED)
 			continue;
 		if (best < 0 || ep->in_flight < f->endpoints[best].in_flight)
 			best = i;
 	}
-	if (best >= 0)
-		f->endpoints[best].reserved = true;
+	if (best < 0 || reserved >= (total < RESERVE_SHARE ? 1 : total / RESERVE_SHARE))
+		return -1;
+	f->endpoints[best].reserved = true;
 	return best;
 }
 
@@ -245,6 +255,10 @@
 		circuit_success(&ep->circuit);
 	else if (ep)
 		circuit_failure(&ep->circuit, outcome == FLEET_HARD_FAILURE, clock_boot_ms());
+	/* Load polls find out when a dead engine is back; a caller's request need not be the probe.
+	 */
+	if (ep && outcome == FLEET_HARD_FAILURE && ep->info.engine)
+		ep->down = true;
 	pthread_mutex_unlock(&f->lock);
 }
 
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -167,4 +167,41 @@
 	fleet_release(f, &busy[1]);
 }
 
+/* Guards against a dead engine that draws requests, as the one with the least in flight. */
+TEST_F(Fleet, DeadEngineWaitsForItsLoadReport)
+{
+	endpoint_load load = {};
+	fleet_slot s = {};
+	int reserved = -1;
+
+	fleet_result(f, "a", FLEET_HARD_FAILURE);
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &s));
+	ASSERT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+	EXPECT_EQ(s.id, 1);
+	fleet_release(f, &s);
+	fleet_result(f, "a", FLEET_SUCCESS);
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &s));
+	load.at_ms = clock_boot_ms();
+	load.decode_slots = 8;
+	fleet_load(f, "a", &load);
+	EXPECT_TRUE(fleet_acquire(f, 0, 1, 1, &s));
+	fleet_release(f, &s);
+}
+
+/* Guards against suspects that reserve every engine and leave none for ordinary work. */
+TEST_F(Fleet, SuspectsLeaveEnginesToOthers)
+{
+	fleet_slot first = {};
+	fleet_slot second = {};
+	fleet_slot other = {};
+	int reserved[2] = { -1, -1 };
+
+	ASSERT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved[0], &first));
+	EXPECT_FALSE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved[1], &second));
+	EXPECT_EQ(reserved[1], -1);
+	EXPECT_TRUE(fleet_acquire(f, 1, 1, 1, &other));
+	fleet_release(f, &other);
+	fleet_release(f, &first);
+}
+
 } // namespace
