Wait out the open circuit in the test of a dead engine

The test expected the engine back at once; the circuit stays open for CIRCUIT_OPEN_MS after a hard failure, so the load report alone does not bring it back.

--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -179,7 +179,7 @@
 	ASSERT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
 	EXPECT_EQ(s.id, 1);
 	fleet_release(f, &s);
-	fleet_result(f, "a", FLEET_SUCCESS);
+	clock_sleep_ms(CIRCUIT_OPEN_MS + 20);
 	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &s));
 	load.at_ms = clock_boot_ms();
 	load.decode_slots = 8;
