--- a/load/client.c
+++ b/load/client.c
@@ -9,6 +9,8 @@
 #include "internal.h"
 
 #define PROBE_US 500000
+/* A closed loop that meets refusals at once would otherwise send tens of thousands a second. */
+#define PAUSE_US 10000
 #define PROBE_TIMEOUT_MS 1000L
 #define ANSWER_MAX_BYTES (1 << 20)
 #define EVENTS_MAX 256
@@ -290,6 +292,8 @@
 		r->generations--;
 	else if (t->repeat_after)
 		repeat_start(r, t);
+	if (t->kind == TRANSFER_GENERATION && t->record.outcome != LOAD_WHOLE)
+		r->pause_us = run_now_us(r) + PAUSE_US;
 out:
 	transfer_destroy(t);
 }
@@ -322,7 +326,7 @@
 	const struct scenario *s = r->scenario;
 	double now_s = (double)now_us / 1e6;
 
-	while (r->generations < r->options->concurrency)
+	while (r->generations < r->options->concurrency && now_us >= r->pause_us)
 		generation_start(r, now_us);
 	while (!r->options->concurrency && r->next_generation_s >= 0 &&
 	       r->next_generation_s <= now_s) {
@@ -346,6 +350,8 @@
 		next = r->next_probe_us;
 	if (!arriving)
 		return next;
+	if (r->generations < r->options->concurrency && r->pause_us < next)
+		next = r->pause_us;
 	if (!r->options->concurrency && r->next_generation_s >= 0 &&
 	    (int64_t)(r->next_generation_s * 1e6) < next)
 		next = (int64_t)(r->next_generation_s * 1e6);
--- a/load/internal.h
+++ b/load/internal.h
@@ -43,7 +43,7 @@
 	const char *service;
 };
 
-/** struct run - state of load_run() */
+/** struct run - state of load_run(); the closed loop starts nothing before @pause_us */
 struct run {
 	const struct scenario *scenario;
 	const struct load_options *options;
@@ -57,6 +57,7 @@
 	struct transfer *active;
 	int in_flight;
 	int generations;
+	int64_t pause_us;
 	int64_t numbers;
 	struct scenario_random random;
 	uint64_t text_seed;
