--- a/bench/path.c
+++ b/bench/path.c
@@ -280,7 +280,9 @@
 	if (harness_ready(p->fleet, READY_MS, err) < 0)
 		return -1;
 	if (harness_organisation(p->fleet, "bench", API_KEY, 1) != 200 ||
-	    harness_model(p->fleet, "M") != 200)
+	    harness_model(p->fleet, "M") != 200 ||
+	    /* The cost of the path is measured, so no request may be refused as too late. */
+	    harness_default(p->fleet, "admission.enabled", json_integer(0)) != 200)
 		return error_set(err, ERROR_TOOL, 1, "the configuration was refused");
 	return harness_ready(p->fleet, READY_MS, err);
 }
