--- a/daemon/front.c
+++ b/daemon/front.c
@@ -10,6 +10,7 @@
 #include "ibisgate/common/hash.h"
 #include "ibisgate/common/json.h"
 #include "ibisgate/common/metrics.h"
+#include "ibisgate/daemon/request.h"
 
 enum front_error {
 	FRONT_OK,
@@ -184,6 +185,7 @@
 {
 	const char *header = mg_get_header(x->conn, "Idempotency-Key");
 	struct str key = header ? str_trim(str_from(header)) : (struct str){ 0 };
+	struct error err = { 0 };
 	json_t *body;
 
 	if (!name_valid(name)) {
@@ -197,9 +199,11 @@
 	}
 	if (!body_read(x))
 		return;
-	body = body_json(x);
-	if (!body)
+	body = request_json(buf_str(&x->body), &err);
+	if (!body) {
+		reply_body_error(x, &err, NULL);
 		return;
+	}
 	json_decref(body);
 	service_run(x, name, key);
 }
--- a/daemon/front_body.c
+++ b/daemon/front_body.c
@@ -3,14 +3,12 @@
 
 #include "front_impl.h"
 #include "ibisgate/common/clock.h"
-#include "ibisgate/common/json.h"
+#include "ibisgate/daemon/request.h"
 
 /* mg_read() waits until a part is full, so slow senders are read in small parts. */
 #define PART_MIN 16
 #define PART_MAX 4096
 #define PART_SLOW_MS 20
-/* Parsing is recursive and CivetWeb's threads have small stacks. */
-#define JSON_DEPTH_MAX 64
 
 static bool body_failed(struct exchange *x, bool timed_out)
 {
@@ -66,38 +64,18 @@
 	return true;
 }
 
-static bool depth_ok(struct str s)
+void reply_body_error(struct exchange *x, const struct error *err, const char *param)
 {
-	bool quoted = false;
-	int depth = 0;
-
-	for (size_t i = 0; i < s.len; i++) {
-		char c = s.data[i];
-
-		if (quoted && c == '\\')
-			i++;
-		else if (c == '"')
-			quoted = !quoted;
-		else if (!quoted && (c == '[' || c == '{') && ++depth > JSON_DEPTH_MAX)
-			return false;
-		else if (!quoted && (c == ']' || c == '}'))
-			depth--;
-	}
-	return true;
-}
-
-json_t *body_json(struct exchange *x)
-{
-	struct str text = buf_str(&x->body);
-	json_t *value = NULL;
-
-	if (!str_is_utf8(text)) {
-		reply_invalid(x, 400, "invalid_utf8", NULL, "the request body is not UTF-8");
-		return NULL;
+	switch ((enum request_error)err->code) {
+	case REQUEST_UTF8:
+		reply_invalid(x, 400, "invalid_utf8", NULL, err->text);
+		break;
+	case REQUEST_JSON:
+		reply_invalid(x, 400, "invalid_json", NULL, err->text);
+		break;
+	case REQUEST_FIELD:
+	case REQUEST_OK:
+		reply_invalid(x, 400, "invalid_value", param, err->text);
+		break;
 	}
-	if (depth_ok(text))
-		value = json_parse(text);
-	if (!value)
-		reply_invalid(x, 400, "invalid_json", NULL, "the request body is not valid JSON");
-	return value;
 }
--- a/daemon/front_generate.c
+++ b/daemon/front_generate.c
@@ -6,8 +6,7 @@
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
 #include "ibisgate/common/metrics.h"
-
-#define MAX_TOKENS_MAX 1000000
+#include "ibisgate/daemon/request.h"
 
 /**
  * struct answer - answer of a generation under way
@@ -24,7 +23,6 @@
 	bool begun;
 	bool broken;
 	char finish[32];
-	struct buf prompt;
 };
 
 static void chunk_format(struct answer *a, struct buf *out, struct str text, int tokens,
@@ -139,72 +137,20 @@
 		stream_end(a, o);
 }
 
-static const char *prompt_read(struct answer *a, const json_t *body)
-{
-	struct str prompt = json_get_str(body, "prompt");
-
-	if (!prompt.data)
-		return "prompt";
-	buf_append_str(&a->prompt, prompt);
-	return NULL;
-}
-
-static const char *messages_read(struct answer *a, const json_t *body)
-{
-	const json_t *messages = json_object_get(body, "messages");
-	json_t *m;
-	size_t i;
-
-	if (!json_array_size(messages))
-		return "messages";
-	json_array_foreach(messages, i, m) {
-		struct str content = json_get_str(m, "content");
-
-		if (!content.data || !json_get_str(m, "role").data)
-			return "messages";
-		if (i)
-			buf_append(&a->prompt, "\n", 1);
-		buf_append_str(&a->prompt, content);
-	}
-	return NULL;
-}
-
-/* Checks types and fills @a. Return: NULL, or the name of the bad field. */
-static const char *request_read(struct answer *a, json_t *body)
-{
-	struct generation *g = &a->g;
-	const json_t *stream = json_object_get(body, "stream");
-	const json_t *max_tokens = json_object_get(body, "max_tokens");
-	const json_t *n = json_object_get(body, "n");
-	struct str model = json_get_str(body, "model");
-
-	if (!model.len || !str_copy(g->model, sizeof(g->model), model))
-		return "model";
-	if (stream && !json_is_boolean(stream) && !json_is_null(stream))
-		return "stream";
-	if (n && !json_is_null(n) && json_integer_value(n) != 1)
-		return "n";
-	if (max_tokens && !json_is_null(max_tokens)) {
-		g->max_tokens = json_integer_value(max_tokens);
-		if (!json_is_integer(max_tokens) || g->max_tokens < 1 ||
-		    g->max_tokens > MAX_TOKENS_MAX)
-			return "max_tokens";
-	}
-	a->stream = json_is_true(stream);
-	g->body = body;
-	return g->chat ? messages_read(a, body) : prompt_read(a, body);
-}
-
-static void generation_run(struct answer *a)
+static void generation_run(struct answer *a, struct request *req)
 {
 	struct outcome o = { 0 };
 
+	a->stream = req->stream;
 	a->g.call = a->x->call;
-	a->g.prompt = buf_str(&a->prompt);
+	a->g.body = req->body;
+	a->g.max_tokens = req->max_tokens;
+	a->g.prompt = buf_str(&req->prompt);
 	a->g.on_piece = on_piece;
 	a->g.ctx = a;
+	str_copy(a->g.model, sizeof(a->g.model), str_from(req->model));
 	a->created = clock_wall_ms() / 1000;
-	a->model = json_dumps(json_object_get(a->g.body, "model"), JSON_ENCODE_ANY | JSON_COMPACT);
+	a->model = json_dumps(json_object_get(req->body, "model"), JSON_ENCODE_ANY | JSON_COMPACT);
 	dispatch_generate(a->x->front->gate->dispatch, &a->g, &o);
 	answer_end(a, &o);
 	a->x->call = a->g.call;
@@ -215,20 +161,14 @@
 void generate_handle(struct exchange *x, bool chat)
 {
 	struct answer a = { .x = x, .g.chat = chat, .finish = "stop" };
-	const char *bad;
-	json_t *body;
+	struct error err = { 0 };
+	struct request req;
 
 	if (!body_read(x))
 		return;
-	body = body_json(x);
-	if (!body)
-		return;
-	bad = json_is_object(body) ? request_read(&a, body) : "body";
-	if (bad)
-		reply_invalid(x, 400, "invalid_value", bad,
-			      "a field is missing or has a wrong type");
+	if (request_parse(buf_str(&x->body), chat, &req, &err) < 0)
+		reply_body_error(x, &err, req.bad_field);
 	else
-		generation_run(&a);
-	buf_free(&a.prompt);
-	json_decref(body);
+		generation_run(&a, &req);
+	request_clear(&req);
 }
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -52,8 +52,8 @@
 /** body_read - read the request body; false after an error has been answered */
 bool body_read(struct exchange *x);
 
-/** body_json - body as JSON; NULL after an error has been answered; new reference */
-json_t *body_json(struct exchange *x);
+/** reply_body_error - answer for an error of request_parse() or request_json() */
+void reply_body_error(struct exchange *x, const struct error *err, const char *param);
 
 /* front_generate.c */
 void generate_handle(struct exchange *x, bool chat);
--- /dev/null
+++ b/fuzz/fuzz_sse.c
@@ -0,0 +1,36 @@
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+
+#include "ibisgate/net/sse.h"
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static uint64_t parse(struct str text, size_t step)
+{
+	struct sse sse = { 0 };
+	uint64_t sum = 0;
+	struct str event;
+
+	while (text.len) {
+		size_t n = step < text.len ? step : text.len;
+
+		sse_feed(&sse, (struct str){ .data = text.data, .len = n });
+		text.data += n;
+		text.len -= n;
+		while (sse_next(&sse, &event) > 0)
+			sum = sum * 31 + event.len + 1;
+	}
+	sse_free(&sse);
+	return sum;
+}
+
+/* Streams of endpoints; the events must not depend on how the bytes are cut into parts. */
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct str text = { .data = (const char *)data, .len = size };
+
+	if (parse(text, 1) != parse(text, size ? size : 1) || parse(text, 7) != parse(text, 1))
+		abort();
+	return 0;
+}
