--- a/daemon/dispatch_service.c
+++ b/daemon/dispatch_service.c
@@ -7,7 +7,8 @@
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/metrics.h"
 
-#define ANSWER_MAX (4 << 20)
+/* While the table has not answered for this long, calls that need a claim are refused at once. */
+#define PLATFORM_DOWN_MS 2000
 
 /**
  * enum call_result - what is known about a call after its tries
@@ -223,11 +224,25 @@
 	}
 }
 
+static bool platform_is_down(const struct dispatch *d)
+{
+	int64_t since;
+
+	if (!d->gate->platform)
+		return false;
+	since = platform_down_since_ms(d->gate->platform);
+	return since && clock_boot_ms() - since >= PLATFORM_DOWN_MS;
+}
+
 static void claimed_call(struct dispatch *d, struct service_work *w, struct outcome *out)
 {
 	struct service_call *s = w->s;
 	struct claim_ticket t = { 0 };
 
+	if (platform_is_down(d)) {
+		not_run_outcome(out);
+		return;
+	}
 	claim_begin(d->gate->control, s->call.organisation, s->service, s->key, s->body,
 		    s->call.deadline_ms, &t);
 	switch (t.verdict) {
