--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -12,9 +12,16 @@
 
 #define BODY_MAX 65536
 #define PROBE_MS 400
+/*
+ * A suspect request that is this many tokens past the point of the crash has not caused it, and
+ * shares its engine again. Running all suspects of a dead engine alone to their end takes one
+ * answer time for each of them.
+ */
+#define SUSPECT_TOKENS 16
 
 /**
  * struct stream - response of one engine
+ * @started_at: tokens delivered before this attempt
  * @id: attempt id as sent to the engine
  * @json: the answer is one JSON object and no stream
  * @body: body of a JSON answer or of an error
@@ -23,6 +30,7 @@
 struct stream {
 	struct dispatch *d;
 	struct work *w;
+	int64_t started_at;
 	char id[64];
 	struct sse sse;
 	struct buf body;
@@ -79,6 +87,8 @@
 	first_token(s);
 	buf_append_str(&g->text, text);
 	g->tokens += tokens;
+	if (g->tokens - s->started_at >= SUSPECT_TOKENS)
+		fleet_share(s->d->gate->fleet, &s->w->place.run);
 	metric_add(METRIC_TOKENS_OUT, tokens);
 	s->finished = finish != NULL;
 	s->caller_gone = !g->on_piece(g->ctx, text, tokens, finish);
@@ -188,6 +198,7 @@
 
 	a->result = ATTEMPT_FAILED;
 	a->sent = ev->sent;
+	a->alone = slot->alone;
 	a->reason = reasons[ev->failure];
 	a->crash = ev->failure == LINK_RESET && engine_died(d, slot);
 	fleet_result(d->gate->fleet, slot->name,
@@ -335,7 +346,7 @@
 
 void attempt_run(struct dispatch *d, struct work *w, struct attempt *a)
 {
-	struct stream s = { .d = d, .w = w };
+	struct stream s = { .d = d, .w = w, .started_at = w->g->tokens };
 	json_t *kv = NULL;
 	char *body;
 
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -210,6 +210,16 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+void fleet_share(struct fleet *f, struct fleet_slot *slot)
+{
+	if (!slot->held || !slot->alone)
+		return;
+	pthread_mutex_lock(&f->lock);
+	f->endpoints[slot->id].reserved = false;
+	pthread_mutex_unlock(&f->lock);
+	slot->alone = false;
+}
+
 void fleet_prefilled(struct fleet *f, struct fleet_slot *slot)
 {
 	struct endpoint *ep;
--- a/include/ibisgate/daemon/fleet_use.h
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -78,6 +78,9 @@
 			 int64_t prefill_tokens, int *reserved, struct fleet_slot *out);
 void fleet_unreserve(struct fleet *f, int reserved);
 
+/** fleet_share - other attempts may run beside @slot from now on */
+void fleet_share(struct fleet *f, struct fleet_slot *slot);
+
 /** fleet_prefilled - the prompt of the attempt has been processed */
 void fleet_prefilled(struct fleet *f, struct fleet_slot *slot);
 void fleet_release(struct fleet *f, struct fleet_slot *slot);
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -201,6 +201,10 @@
 	EXPECT_EQ(reserved[1], -1);
 	EXPECT_TRUE(fleet_acquire(f, 1, 1, 1, &other));
 	fleet_release(f, &other);
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &other));
+	fleet_share(f, &first);
+	EXPECT_TRUE(fleet_acquire(f, 0, 1, 1, &other));
+	fleet_release(f, &other);
 	fleet_release(f, &first);
 }
 
