Add withdrawals without an order, a bounded release and tests of roles and CURVE

An operator's drain completes once every instance confirmed that nothing is in flight. A release waits for a renewal that is under way.

--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -14,12 +14,16 @@
 #define LOOP_MS 50
 #define TICK_MS 200
 #define SCAN_LIMIT 200
+#define WITHDRAW_MS 500
 /* A row of a doubtful write may appear after the first look. */
 #define RESCAN_MS 10000
 /* Above the total deadline of a request: what runs longer does not end by itself. */
 #define GIVE_UP_MS 180000
 
-/* Only the drain child adds, steps and frees jobs; confirmations come from the bus thread. */
+/*
+ * Only the drain child steps and frees jobs. The roles child adds some, and confirmations come from
+ * the bus thread, both under the lock.
+ */
 
 static enum drain_action feed(struct control *c, struct drain_job *j, enum drain_event_kind kind)
 {
@@ -110,27 +114,38 @@
 	event_record("drain-begin", NULL, order->endpoint, NULL, "order=%s", order->id);
 }
 
+bool control_job_start(struct control *c, const struct order *order, const char *dc,
+		       enum endpoint_role role_before)
+{
+	struct drain_job *j;
+	bool known;
+
+	pthread_mutex_lock(&c->lock);
+	j = job_for(c, order->endpoint, &known);
+	if (j) {
+		job_begin(c, j, order, dc);
+		j->role_before = role_before;
+	}
+	pthread_mutex_unlock(&c->lock);
+	return j != NULL;
+}
+
 bool control_drain_start(struct control *c, const char *dc, const char *endpoint,
 			 enum endpoint_role from, enum endpoint_role to)
 {
 	struct order order = { .kind = ORDER_ROLE, .u.role = to };
-	struct drain_job *j;
+	struct endpoint_info ep;
 	char token[24];
-	bool known;
 
-	if (!control_lease_held(c, dc, &order.fencing))
+	if (!control_lease_held(c, dc, &order.fencing) || !control_endpoint(c, endpoint, &ep))
+		return false;
+	/* An earlier holder may still send its order to an engine that can't refuse it. */
+	if (!ep.checks_fencing && !control_lease_settled(c, dc))
 		return false;
 	control_token(token);
 	snprintf(order.id, sizeof(order.id), "o-%s", token);
 	str_copy(order.endpoint, sizeof(order.endpoint), str_from(endpoint));
-	pthread_mutex_lock(&c->lock);
-	j = job_for(c, endpoint, &known);
-	if (j) {
-		job_begin(c, j, &order, dc);
-		j->role_before = from;
-	}
-	pthread_mutex_unlock(&c->lock);
-	return j != NULL;
+	return control_job_start(c, &order, dc, from);
 }
 
 static void resume(struct control *c, const struct table_row *row, const char *dc, int64_t fencing)
@@ -178,19 +193,32 @@
 	return rc == 0;
 }
 
+static bool to_load(struct control *c, int i, bool rescan, char dc[MEMBER_DC_MAX])
+{
+	bool due = false;
+
+	pthread_mutex_lock(&c->lock);
+	if (i < c->lease_count) {
+		due = rescan || c->leases[i].load_intents;
+		memcpy(dc, c->leases[i].dc, MEMBER_DC_MAX);
+	}
+	pthread_mutex_unlock(&c->lock);
+	return due;
+}
+
 static void check_leases(struct control *c, bool rescan)
 {
-	for (int i = 0; i < c->lease_count; i++) {
-		struct lease_slot *s = &c->leases[i];
+	char dc[MEMBER_DC_MAX];
+
+	for (int i = 0; i < CONTROL_LEASES_MAX; i++) {
 		int64_t fencing;
 
-		if (!control_lease_held(c, s->dc, &fencing))
+		if (!to_load(c, i, rescan, dc) || !control_lease_held(c, dc, &fencing) ||
+		    !load_intents(c, dc, fencing))
 			continue;
-		if ((s->load_intents || rescan) && load_intents(c, s->dc, fencing)) {
-			pthread_mutex_lock(&c->lock);
-			s->load_intents = false;
-			pthread_mutex_unlock(&c->lock);
-		}
+		pthread_mutex_lock(&c->lock);
+		c->leases[i].load_intents = false;
+		pthread_mutex_unlock(&c->lock);
 	}
 }
 
@@ -379,6 +407,8 @@
 {
 	bool gone = endpoint_gone(c, j->drain.order.endpoint);
 
+	if (j->drain.order.kind == ORDER_WITHDRAW)
+		return;
 	pthread_mutex_lock(&c->lock);
 	if (j->drain.phase == DRAIN_STOPPING && (gone || !j->sent) &&
 	    (gone || now - j->begun_ms > GIVE_UP_MS)) {
@@ -409,29 +439,47 @@
 	if (over) {
 		event_record(j->drain.phase == DRAIN_DONE ? "drain-done" : "drain-aborted", NULL,
 			     j->drain.order.endpoint, NULL, "order=%s", j->drain.order.id);
+		if (j->drain.phase == DRAIN_DONE && j->drain.order.kind == ORDER_WITHDRAW)
+			control_withdraw_done(c, j->drain.order.endpoint);
 		j->used = false;
 	}
 	pthread_mutex_unlock(&c->lock);
 }
 
+static bool job_due(struct control *c, struct drain_job *j, int64_t now)
+{
+	bool due;
+
+	pthread_mutex_lock(&c->lock);
+	due = j->used && now >= j->next_ms;
+	if (due)
+		j->next_ms = now + TICK_MS;
+	pthread_mutex_unlock(&c->lock);
+	return due;
+}
+
 int control_drain_run(void *ctx, struct error *err)
 {
 	struct control *c = ctx;
+	int64_t withdraw_ms = 0;
 	int64_t rescan_ms = 0;
 
 	while (!child_sleep_ms(LOOP_MS)) {
 		int64_t now = clock_boot_ms();
 
+		if (now >= withdraw_ms) {
+			control_withdraw_check(c);
+			withdraw_ms = now + WITHDRAW_MS;
+		}
+
 		check_leases(c, now >= rescan_ms);
 		if (now >= rescan_ms)
 			rescan_ms = now + RESCAN_MS;
 		for (int i = 0; i < CONTROL_JOBS_MAX && !child_stopping(); i++) {
 			struct drain_job *j = &c->jobs[i];
 
-			if (!j->used || now < j->next_ms)
-				continue;
-			j->next_ms = now + TICK_MS;
-			step(c, j, now);
+			if (job_due(c, j, now))
+				step(c, j, now);
 		}
 		child_account_cpu();
 	}
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -21,6 +21,7 @@
 #define CONTROL_INBOX_MAX 1024
 #define CONTROL_CLAIMS_MAX 8192
 #define CONTROL_ANSWERS_MAX 256
+#define CONTROL_WITHDRAWN_MAX 512
 #define CONTROL_OPERATOR_ORDER "operator"
 
 /** struct listed - instance in the platform's list */
@@ -164,6 +165,8 @@
 	struct lease_slot leases[CONTROL_LEASES_MAX];
 	int lease_count;
 	struct drain_job jobs[CONTROL_JOBS_MAX];
+	char withdrawn[CONTROL_WITHDRAWN_MAX][MEMBER_ID_MAX];
+	int withdrawn_count;
 
 	struct demand_source sources[CONTROL_SOURCES_MAX];
 	int source_count;
@@ -244,6 +247,13 @@
 bool control_drain_start(struct control *c, const char *dc, const char *endpoint,
 			 enum endpoint_role from, enum endpoint_role to);
 
+bool control_job_start(struct control *c, const struct order *order, const char *dc,
+		       enum endpoint_role role_before);
+
+/* control_withdraw.c */
+void control_withdraw_check(struct control *c);
+void control_withdraw_done(struct control *c, const char *endpoint);
+
 /* control_order.c */
 enum order_reply {
 	ORDER_REPLY_ACCEPTED,
--- a/daemon/control_lease.c
+++ b/daemon/control_lease.c
@@ -13,6 +13,8 @@
 
 #define LOOP_MS 100
 #define READ_MS 1000
+/* What is not released by then lapses with its term. */
+#define RELEASE_LIMIT_MS 1000
 /* Instances that are not next in line only watch, which keeps reads low at the target. */
 #define WATCH_MS 3000
 /* After this time without a change the row is open to any instance: its delegate can't write. */
@@ -347,19 +349,23 @@
 	return 0;
 }
 
-static void release(struct control *c, int i)
+/* Return: true when there is nothing left to do, false while a call of the lease child runs. */
+static bool release(struct control *c, int i)
 {
 	struct lease_slot *s = &c->leases[i];
 	struct lease_action a;
 	json_t *value = NULL;
 	char token[24];
 	char key[64];
+	bool pending;
 
 	control_token(token);
 	lease_key(key, sizeof(key), s->dc);
 	pthread_mutex_lock(&c->lock);
+	pending = s->lease.phase == LEASE_WRITING || s->lease.phase == LEASE_DOUBTFUL;
 	/* With a drain under way an order may be on its way, so the term has to run out. */
-	if (!jobs_in(c, s->dc) && lease_release(&s->lease, token, clock_boot_ms(), &a)) {
+	if (!pending && !jobs_in(c, s->dc) &&
+	    lease_release(&s->lease, token, clock_boot_ms(), &a)) {
 		value = row_json(s, &a.row);
 		s->fencing = 0;
 	}
@@ -367,10 +373,19 @@
 	if (value)
 		do_write(c, i, key, &a, value);
 	json_decref(value);
+	return !pending;
 }
 
 void control_lease_release_all(struct control *c)
 {
-	for (int i = 0; i < c->lease_count; i++)
-		release(c, i);
+	int64_t limit = clock_boot_ms() + RELEASE_LIMIT_MS;
+	int count;
+
+	pthread_mutex_lock(&c->lock);
+	count = c->lease_count;
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < count; i++) {
+		while (clock_boot_ms() < limit && !release(c, i))
+			clock_sleep_ms(20);
+	}
 }
--- a/daemon/control_status.c
+++ b/daemon/control_status.c
@@ -58,6 +58,10 @@
 							      j->drain.order.id, "phase",
 							      phase_names[j->drain.phase]));
 	}
+	for (int i = 0; i < c->withdrawn_count; i++)
+		json_array_append_new(list, json_pack("{s:s,s:s,s:s}", "endpoint", c->withdrawn[i],
+						      "order", CONTROL_OPERATOR_ORDER, "phase",
+						      phase_names[DRAIN_DONE]));
 	return list;
 }
 
--- /dev/null
+++ b/daemon/control_withdraw.c
@@ -0,0 +1,75 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "control_impl.h"
+
+/*
+ * Endpoints that leave by an operator's drain or the platform's list get no order. A drain without
+ * one makes sure that every instance has stopped and finished, and tells the operator so.
+ */
+
+static bool wanted(struct control *c, const struct endpoint_status *s)
+{
+	bool drained;
+
+	rcu_read_lock();
+	drained = config_drain(rcu_dereference(c->gate->config), s->info.name) != NULL;
+	rcu_read_unlock();
+	return drained || s->info.leaving;
+}
+
+static int withdrawn_find(const struct control *c, const char *name)
+{
+	for (int i = 0; i < c->withdrawn_count; i++) {
+		if (strcmp(c->withdrawn[i], name) == 0)
+			return i;
+	}
+	return -1;
+}
+
+void control_withdraw_done(struct control *c, const char *endpoint)
+{
+	if (withdrawn_find(c, endpoint) < 0 && c->withdrawn_count < CONTROL_WITHDRAWN_MAX)
+		str_copy(c->withdrawn[c->withdrawn_count++], MEMBER_ID_MAX, str_from(endpoint));
+}
+
+static bool withdrawn(struct control *c, const char *name, bool forget)
+{
+	int i;
+
+	pthread_mutex_lock(&c->lock);
+	i = withdrawn_find(c, name);
+	if (i >= 0 && forget)
+		memmove(c->withdrawn[i], c->withdrawn[--c->withdrawn_count], MEMBER_ID_MAX);
+	pthread_mutex_unlock(&c->lock);
+	return i >= 0;
+}
+
+static void start(struct control *c, const struct endpoint_info *ep)
+{
+	struct order order = { .kind = ORDER_WITHDRAW };
+	char token[24];
+
+	if (!control_lease_held(c, ep->dc, &order.fencing))
+		return;
+	control_token(token);
+	snprintf(order.id, sizeof(order.id), "w-%s", token);
+	str_copy(order.endpoint, sizeof(order.endpoint), str_from(ep->name));
+	control_job_start(c, &order, ep->dc, ep->role);
+}
+
+void control_withdraw_check(struct control *c)
+{
+	int n;
+	struct endpoint_status *all = fleet_statuses(c->fleet, &n);
+
+	for (int i = 0; i < n; i++) {
+		bool want = wanted(c, &all[i]);
+
+		if (!withdrawn(c, all[i].info.name, !want) && want)
+			start(c, &all[i].info);
+	}
+	free(all);
+}
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -1,5 +1,7 @@
 #include "standin_process.h"
 
+#include <zmq.h>
+
 #include <map>
 #include <memory>
 
@@ -289,6 +291,111 @@
 	json_decref(o);
 }
 
+/* Guards against a different order to an engine that can't refuse the one of an earlier holder. */
+TEST(Control, UnfencedEngineWaitsForTheEarlierHolder)
+{
+	Region g;
+	string holder;
+	string next;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	g.engine("old", "abertawe", "prefill", false);
+	Standin &e = g.engine("new", "abertawe", "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	g.kill(holder, true);
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &next) == 1; }, 15000));
+	struct rig *r = g.rigs[next];
+	EXPECT_FALSE(rig_drain(r, "abertawe", "old", ROLE_PREFILL, ROLE_DECODE));
+	ASSERT_TRUE(rig_drain(r, "abertawe", "new", ROLE_PREFILL, ROLE_DECODE));
+	clock_sleep_ms(1500);
+	EXPECT_FALSE(done_with_role(e, "decode")) << "a listed instance has not confirmed";
+	json_decref(g.table.send("DELETE", "/list/instances/" + holder));
+	EXPECT_TRUE(eventually([&] { return done_with_role(e, "decode"); }, 10000));
+	EXPECT_TRUE(eventually(
+		[&] { return rig_drain(r, "abertawe", "old", ROLE_PREFILL, ROLE_DECODE); }, 3000));
+}
+
+/* Guards against a released lease that is waited for, and an operator's drain that is never done.
+ */
+TEST(Control, LeaveReleasesAndDrainsComplete)
+{
+	Region g;
+	struct error err = {};
+	string holder;
+	string next;
+	int64_t v;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	g.engine("e1", "abertawe", "mixed", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	ASSERT_EQ(rig_change(g.rigs["a1"], "drain/e1", "{\"reason\":\"fan\"}", -1, &v, &err), 0);
+	EXPECT_TRUE(
+		eventually([&] { return g.stopped("a1", "e1") && g.stopped("a2", "e1"); }, 4000));
+	EXPECT_TRUE(eventually(
+		[&] {
+			json_t *o = rig_status(g.rigs[holder]);
+			const json_t *d = json_array_get(json_object_get(o, "drains"), 0);
+			bool done = strcmp(json_get_cstr(d, "phase", ""), "done") == 0;
+
+			json_decref(o);
+			return done;
+		},
+		4000));
+	clock_sleep_ms(4000);
+	EXPECT_TRUE(g.stopped("a1", "e1") && g.stopped("a2", "e1")) << "until the operator ends it";
+	ASSERT_EQ(rig_change(g.rigs["a1"], "drain/e1", nullptr, -1, &v, &err), 0);
+	EXPECT_TRUE(
+		eventually([&] { return !g.stopped("a1", "e1") && !g.stopped("a2", "e1"); }, 6000));
+	rig_leave(g.rigs[holder]);
+	g.rigs.erase(holder);
+	json_decref(g.table.send("DELETE", "/list/instances/" + holder));
+	EXPECT_TRUE(eventually([&] { return g.holders("abertawe", &next) == 1; }, 4500))
+		<< "no term to wait for";
+}
+
+/* Guards against roles that do not follow the demand, and changes while the platform is down. */
+TEST(Control, RolesFollowTheDemandOfTheRegion)
+{
+	Region g;
+	string holder;
+	int64_t end;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	for (int i = 0; i < 4; i++)
+		g.engine("e" + std::to_string(i), "abertawe", i < 3 ? "prefill" : "decode", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	string other = holder == "a1" ? "a2" : "a1";
+	auto decoders = [&] {
+		int n = 0;
+
+		for (auto &e : g.engines)
+			n += done_with_role(*e.second, "decode");
+		return n;
+	};
+	/* All demand arrives at the instance that does not decide. */
+	auto press = [&](int64_t ms, int want) {
+		end = clock_boot_ms() + ms;
+		while (clock_boot_ms() < end && decoders() < want) {
+			fleet_demand_add(rig_fleet(g.rigs[other]), POOL, 20000, 300000);
+			clock_sleep_ms(100);
+		}
+		return decoders();
+	};
+	g.table.tell("/faults", "{\"down\":true}");
+	EXPECT_EQ(press(4000, 2), 1) << "no change while the platform is down";
+	g.table.tell("/faults", "{\"down\":false}");
+	EXPECT_GE(press(25000, 2), 2);
+}
+
 /* Guards against a call with side effects that runs twice, a result that is lost with the reply of
  * the table, and a repeat that waits for a dead owner. */
 TEST(Control, ClaimsRunAtMostOnce)
@@ -340,6 +447,42 @@
 	EXPECT_TRUE(eventually([&] { return rig_quarantine(g.rigs["a1"], 7, false) == 2; }, 2000));
 }
 
+/* Guards against a stranger, or a member under another's name, that takes part. */
+TEST(Control, CurveAdmitsOnlyKnownKeys)
+{
+	std::map<string, std::pair<string, string>> keys;
+	Region g;
+	string admitted = "[curve-peers]\n";
+
+	for (const char *id : { "a1", "a2", "a3" }) {
+		char pub[41];
+		char sec[41];
+
+		ASSERT_EQ(zmq_curve_keypair(pub, sec), 0);
+		/* The INI format gives these two characters a meaning. */
+		while (strpbrk(pub, "#;") || strpbrk(sec, "#;"))
+			zmq_curve_keypair(pub, sec);
+		keys[id] = { pub, sec };
+		if (strcmp(id, "a3") != 0)
+			admitted += string(id) + " = " + pub + "\n";
+	}
+	for (auto &k : keys) {
+		string all = admitted;
+
+		g.peer_extra = "curve-public-key = " + k.second.first +
+			       "\ncurve-secret-key = " + k.second.second + "\n";
+		if (k.first == "a3")
+			all += "a3 = " + k.second.first + "\n";
+		g.start(k.first, "abertawe", all);
+	}
+	ASSERT_TRUE(g.ready());
+	EXPECT_TRUE(eventually([&] { return Region::live(g.rigs["a1"]) == 2; }, 8000));
+	EXPECT_TRUE(eventually([&] { return Region::live(g.rigs["a2"]) == 2; }, 4000));
+	clock_sleep_ms(2500);
+	EXPECT_EQ(Region::live(g.rigs["a1"]), 2);
+	EXPECT_EQ(Region::live(g.rigs["a3"]), 1);
+}
+
 /* Guards against a peer whose silent connection is used for ever. */
 TEST(Control, SilentPeerConnectionIsReplaced)
 {
