Take intents over under the own fencing number; forget members gone for long

An earlier holder that resumes in the middle of clearing an intent could have told members to return while its successor orders. The successor now rewrites the row first, so that the earlier delete conflicts. Members gone for ten minutes no longer get heartbeats.

--- a/daemon/control_demand.c
+++ b/daemon/control_demand.c
@@ -6,18 +6,42 @@
 #define SPAN_MIN_MS 900
 #define EXPIRY_MS 10000
 
-static struct demand_source *source_for(struct control *c, const char *id, uint64_t incarnation)
+static bool source_counts(const struct control *c, const struct demand_source *s)
 {
-	struct demand_source *s = NULL;
+	const struct member *m = member_find(c->members, s->id);
 
-	for (int i = 0; i < c->source_count && !s; i++) {
+	return m && m->state != MEMBER_GONE && m->incarnation == s->incarnation;
+}
+
+static struct demand_source *source_find(struct control *c, const char *id)
+{
+	for (int i = 0; i < c->source_count; i++) {
 		if (strcmp(c->sources[i].id, id) == 0)
-			s = &c->sources[i];
+			return &c->sources[i];
+	}
+	return NULL;
+}
+
+/* A place for a new source: an unused one, or that of an instance that is gone. */
+static struct demand_source *source_spare(struct control *c)
+{
+	if (c->source_count < CONTROL_SOURCES_MAX)
+		return &c->sources[c->source_count++];
+	for (int i = 0; i < c->source_count; i++) {
+		if (!source_counts(c, &c->sources[i]))
+			return &c->sources[i];
 	}
+	return NULL;
+}
+
+static struct demand_source *source_for(struct control *c, const char *id, uint64_t incarnation)
+{
+	struct demand_source *s = source_find(c, id);
+
 	if (!s) {
-		if (c->source_count == CONTROL_SOURCES_MAX)
+		s = source_spare(c);
+		if (!s)
 			return NULL;
-		s = &c->sources[c->source_count++];
 		*s = (struct demand_source){ .incarnation = incarnation };
 		str_copy(s->id, sizeof(s->id), str_from(id));
 	}
@@ -125,13 +149,6 @@
 		observe(s, totals, n, now);
 }
 
-static bool source_counts(const struct control *c, const struct demand_source *s)
-{
-	const struct member *m = member_find(c->members, s->id);
-
-	return m && m->state != MEMBER_GONE && m->incarnation == s->incarnation;
-}
-
 static void own_dc_rate(const struct control *c, const char *model, double *prefill, double *decode)
 {
 	for (int i = 0; i < c->source_count; i++) {
--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -17,6 +17,8 @@
 #define WITHDRAW_MS 500
 /* A row of a doubtful write may appear after the first look. */
 #define RESCAN_MS 10000
+/* A decision older than this rests on a demand that has passed. */
+#define INTENT_LIMIT_MS 10000
 /* Above the total deadline of a request: what runs longer does not end by itself. */
 #define GIVE_UP_MS 180000
 
@@ -148,32 +150,65 @@
 	return control_job_start(c, &order, dc, from);
 }
 
-static void resume(struct control *c, const struct table_row *row, const char *dc, int64_t fencing)
+static bool job_known(struct control *c, const char *endpoint)
+{
+	bool known;
+
+	pthread_mutex_lock(&c->lock);
+	job_for(c, endpoint, &known);
+	pthread_mutex_unlock(&c->lock);
+	return known;
+}
+
+/*
+ * The row is written anew under the own fencing number, so that an earlier holder that resumes can
+ * neither clear it nor tell the members to return.
+ */
+static int take_over(struct control *c, const struct table_row *row, const struct order *order,
+		     const char *dc, int64_t *version)
+{
+	json_t *value = control_intent_json(order, dc, c->settings->instance.id);
+	struct error err = { 0 };
+	int rc =
+		platform_put(c->gate->platform, row->key, value, row->version, version, NULL, &err);
+
+	json_decref(value);
+	return rc;
+}
+
+/* Return: false when the row has to be read again. */
+static bool resume(struct control *c, const struct table_row *row, const char *dc, int64_t fencing)
 {
 	struct drain_event ev = { .kind = DRAIN_EV_INTENT_WRITTEN };
 	struct order order = { .fencing = fencing };
 	char row_dc[MEMBER_DC_MAX];
 	struct peer_order p;
 	struct drain_job *j;
+	int64_t version;
 	bool known;
 
-	if (!control_intent_parse(row, &p, row_dc, sizeof(row_dc)) || strcmp(row_dc, dc) != 0)
-		return;
+	if (!control_intent_parse(row, &p, row_dc, sizeof(row_dc)) || strcmp(row_dc, dc) != 0 ||
+	    job_known(c, p.endpoint))
+		return true;
 	order.kind = p.kind;
-	order.u.role = p.role;
+	if (p.kind == ORDER_ROLE)
+		order.u.role = p.role;
 	str_copy(order.id, sizeof(order.id), str_from(p.order));
 	str_copy(order.endpoint, sizeof(order.endpoint), str_from(p.endpoint));
+	if (take_over(c, row, &order, dc, &version))
+		return false;
 	pthread_mutex_lock(&c->lock);
 	j = job_for(c, p.endpoint, &known);
 	if (j) {
 		job_begin(c, j, &order, dc);
-		j->version = row->version;
+		j->version = version;
 		j->resumed = true;
 		j->sent = true;
 		j->role_before = p.role;
 		drain_step(&j->drain, &ev, clock_boot_ms());
 	}
 	pthread_mutex_unlock(&c->lock);
+	return j != NULL;
 }
 
 static bool load_intents(struct control *c, const char *dc, int64_t fencing)
@@ -186,7 +221,8 @@
 			       &err);
 
 	for (int i = 0; i < count; i++) {
-		resume(c, &rows[i], dc, fencing);
+		if (!resume(c, &rows[i], dc, fencing))
+			rc = -1;
 		table_row_clear(&rows[i]);
 	}
 	free(rows);
@@ -407,11 +443,12 @@
 {
 	bool gone = endpoint_gone(c, j->drain.order.endpoint);
 
-	if (j->drain.order.kind == ORDER_WITHDRAW)
-		return;
 	pthread_mutex_lock(&c->lock);
-	if (j->drain.phase == DRAIN_STOPPING && (gone || !j->sent) &&
-	    (gone || now - j->begun_ms > GIVE_UP_MS)) {
+	/* A row of a doubtful write is found by a later scan and finished then. */
+	if (j->drain.phase == DRAIN_INTENT && now - j->begun_ms > INTENT_LIMIT_MS)
+		j->drain.phase = DRAIN_ABORTED;
+	if (j->drain.order.kind != ORDER_WITHDRAW && j->drain.phase == DRAIN_STOPPING &&
+	    (gone || !j->sent) && (gone || now - j->begun_ms > GIVE_UP_MS)) {
 		j->given_up = true;
 		j->drain.phase = DRAIN_CLEARING;
 		log_warn("drain-given-up", "endpoint=%s order=%s", j->drain.order.endpoint,
--- a/daemon/control_members.c
+++ b/daemon/control_members.c
@@ -52,7 +52,7 @@
 	c->members = member_table_create(&self);
 	/* The data centre of a seed is learned from its first heartbeat. */
 	for (int i = 0; i < s->seed_count; i++)
-		member_listed(c->members, s->seeds[i].key, "", s->seeds[i].value, 0);
+		member_listed(c->members, s->seeds[i].key, "", s->seeds[i].value, clock_boot_ms());
 }
 
 static struct peer_member entry_of(const struct member *m, int64_t now)
--- a/state/member.c
+++ b/state/member.c
@@ -6,6 +6,8 @@
 #include "ibisgate/state/member.h"
 
 #define MEMBERS_MAX 1024
+/* Instances are replaced under new ids; without an end, heartbeats would go to all earlier ones. */
+#define FORGET_MS 600000
 /* A summary passes two hops, each with its own period, before it vouches for a member. */
 #define INDIRECT_SLACK_MS (MEMBER_SUMMARY_MS + MEMBER_HEARTBEAT_MS)
 
@@ -123,9 +125,11 @@
 		   int64_t now_ms)
 {
 	struct member *known = find(t, id);
-	struct member m = { .state = MEMBER_JOINING };
+	struct member m = { .state = MEMBER_JOINING, .heard_ms = now_ms };
 
 	if (known) {
+		if (!known->incarnation)
+			known->heard_ms = now_ms;
 		if (known != t->members[0] && !known->incarnation && peer[0])
 			str_copy(known->peer, sizeof(known->peer), str_from(peer));
 		if (!known->dc[0])
@@ -138,6 +142,11 @@
 	add(t, &m);
 }
 
+static bool forgotten(const struct member *m, int64_t now_ms)
+{
+	return (!m->incarnation || m->state == MEMBER_GONE) && now_ms - m->heard_ms > FORGET_MS;
+}
+
 int member_tick(struct member_table *t, int64_t now_ms)
 {
 	int changed = 0;
@@ -158,6 +167,12 @@
 		if (state == MEMBER_GONE)
 			m->hears_us = false;
 	}
+	for (int i = t->count - 1; i > 0; i--) {
+		if (!forgotten(t->members[i], now_ms))
+			continue;
+		free(t->members[i]);
+		t->members[i] = t->members[--t->count];
+	}
 	return changed;
 }
 
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -9,6 +9,7 @@
 #define class class_
 extern "C" {
 #include "control_rig.h"
+#include "ibisgate/common/metrics.h"
 }
 #undef class
 
@@ -195,6 +196,36 @@
 	EXPECT_GT(f2, f1);
 }
 
+/* Guards against control work that takes more of an instance than 1.7% of a core and 22 KB/s. */
+TEST(Control, IdleCostStaysWithinItsShare)
+{
+	const int instances = 5;
+	const int64_t span_ms = 5000;
+	int64_t bytes;
+	int64_t us;
+	Region g;
+
+	for (int i = 0; i < instances; i++)
+		g.start("a" + std::to_string(i), i < 4 ? "abertawe" : "caerdydd");
+	for (int i = 0; i < 20; i++)
+		g.table.tell("/list/endpoints", "{\"name\":\"e" + std::to_string(i) +
+							"\",\"dc\":\"abertawe\",\"url\":"
+							"\"http://127.0.0.1:1\",\"kind\":"
+							"\"engine\",\"model\":\"m\",\"role\":"
+							"\"mixed\",\"state\":\"live\"}");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	us = metric_get(METRIC_CONTROL_CPU_US);
+	bytes = metric_get(METRIC_PEER_BYTES_IN) + metric_get(METRIC_PEER_BYTES_OUT);
+	clock_sleep_ms((int)span_ms);
+	us = (metric_get(METRIC_CONTROL_CPU_US) - us) / instances;
+	bytes = metric_get(METRIC_PEER_BYTES_IN) + metric_get(METRIC_PEER_BYTES_OUT) - bytes;
+	std::cout << "per instance: " << (double)us / 10.0 / (double)span_ms << "% of a core, "
+		  << bytes * 1000 / span_ms / instances << " bytes/s of messages\n";
+	EXPECT_LT(us, span_ms * 17);
+	EXPECT_LT(bytes * 1000 / span_ms / instances, 22000);
+}
+
 /* Guards against a lost or doubled change, two winners of a race, and an instance left behind. */
 TEST(Control, ConfigurationChangesRaceAndSpread)
 {
--- a/tests/test_member.cc
+++ b/tests/test_member.cc
@@ -88,6 +88,24 @@
 	member_table_destroy(t);
 }
 
+/* Guards against heartbeats to every instance there ever was. */
+TEST(Member, ForgetsThoseGoneForLong)
+{
+	struct member self = make("b", "x", 1);
+	struct member_table *t = member_table_create(&self);
+	struct member old = make("a", "x", 1);
+
+	member_heard(t, &old, true, 0);
+	member_listed(t, "never", "x", "10.0.0.1:1", 0);
+	member_listed(t, "still", "x", "10.0.0.1:1", 500000);
+	member_tick(t, 600001);
+	EXPECT_FALSE(member_find(t, "a"));
+	EXPECT_FALSE(member_find(t, "never"));
+	EXPECT_TRUE(member_find(t, "still"));
+	EXPECT_TRUE(member_find(t, "b"));
+	member_table_destroy(t);
+}
+
 /* Guards against members that vouch for a dead one in a circle for ever. */
 TEST(Member, OldVouchersDoNotKeepAMemberAlive)
 {
