--- a/daemon/control_list.c
+++ b/daemon/control_list.c
@@ -139,24 +139,17 @@
 	free(all);
 }
 
-/* The row drains this instance for as long as it exists; a stop by signal is never taken back. */
-static void apply_instance_drain(struct control *c, bool *drained)
+/* A drained instance ends; while the row exists, a successor with the same id ends as well. */
+static void apply_instance_drain(struct control *c)
 {
-	int expected;
 	bool drain;
 
 	rcu_read_lock();
 	drain = config_drain_instance(rcu_dereference(c->gate->config), c->settings->instance.id) !=
 		NULL;
 	rcu_read_unlock();
-	expected = drain ? GATE_READY : GATE_DRAINING;
-	if (drain && !*drained)
-		*drained =
-			atomic_compare_exchange_strong(&c->gate->state, &expected, GATE_DRAINING);
-	else if (!drain && *drained && !atomic_load(&c->left)) {
-		atomic_compare_exchange_strong(&c->gate->state, &expected, GATE_READY);
-		*drained = false;
-	}
+	if (drain && atomic_load(&c->gate->state) == GATE_READY)
+		gate_drain_start(c->gate, "drained by the configuration");
 }
 
 static bool stops_known(struct control *c)
@@ -172,7 +165,6 @@
 int control_list_run(void *ctx, struct error *err)
 {
 	struct control *c = ctx;
-	bool drained = false;
 	int64_t reconcile_ms = 0;
 	int64_t poll_ms = 0;
 
@@ -184,7 +176,7 @@
 			poll_ms = clock_boot_ms() + c->settings->platform.list_poll_ms;
 		}
 		apply_operator_drains(c);
-		apply_instance_drain(c, &drained);
+		apply_instance_drain(c);
 		if (now >= reconcile_ms && (!atomic_load(&c->intents_known) || stops_known(c))) {
 			control_stops_reconcile(c);
 			reconcile_ms =
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -274,6 +274,21 @@
 		     x->call.attempts);
 }
 
+/* Before the configuration is known no API key can be judged, so the caller may try elsewhere. */
+static bool serving(struct exchange *x)
+{
+	int state = atomic_load(&x->front->gate->state);
+	struct outcome o = {
+		.status = 503, .type = "not_run", .code = "not_ready", .retry_after_s = 1
+	};
+
+	if (state == GATE_READY || state == GATE_DRAINING)
+		return true;
+	str_copy(o.message, sizeof(o.message), STR_LIT("the instance is starting or stopping"));
+	reply_outcome(x, &o);
+	return false;
+}
+
 static void exchange_run(struct exchange *x)
 {
 	const char *uri = x->info->local_uri ? x->info->local_uri : "";
@@ -296,6 +311,8 @@
 		reply_invalid(x, 405, "wrong_method", NULL, "method not allowed");
 		return;
 	}
+	if (!p->open && !serving(x))
+		return;
 	if (!p->open && (!authenticate(x) || !options_read(x)))
 		return;
 	switch (p->kind) {
--- a/daemon/gate.c
+++ b/daemon/gate.c
@@ -132,12 +132,18 @@
 	       clock_boot_ms() - gate->drain_since_ms >= DRAIN_SETTLE_MS;
 }
 
-/* Listeners end first, so that no request meets a part that is gone. */
+/*
+ * Listeners end first, so that no request meets a part that is gone. A request that arrived
+ * between the last look at the counter and STOPPED is waited for, since CivetWeb aborts writes
+ * once it stops.
+ */
 void gate_destroy(struct gate *gate)
 {
 	if (!gate)
 		return;
 	gate->state = GATE_STOPPED;
+	while (gate->requests > 0)
+		clock_sleep_ms(1);
 	front_destroy(gate->front);
 	admin_destroy(gate->admin);
 	if (gate->supervisor)
