--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -349,6 +349,31 @@
 		[&] { return rig_drain(r, "abertawe", "old", ROLE_PREFILL, ROLE_DECODE); }, 3000));
 }
 
+/* Guards against a new instance that sends work to an endpoint that is about to change. */
+TEST(Control, NewInstanceLearnsLeavingEndpointsBeforeItIsReady)
+{
+	Region g;
+	string holder;
+
+	g.start("a1", "abertawe");
+	g.engine("e1", "abertawe", "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	/* An instance that never confirms keeps the drain from ending. */
+	g.table.tell("/list/instances", "{\"id\":\"ghost\",\"dc\":\"abertawe\",\"peer\":"
+					"\"127.0.0.1:1\",\"state\":\"live\"}");
+	clock_sleep_ms(600);
+	ASSERT_TRUE(rig_drain(g.rigs["a1"], "abertawe", "e1", ROLE_PREFILL, ROLE_DECODE));
+	ASSERT_TRUE(eventually([&] { return g.stopped("a1", "e1"); }, 2000));
+	g.start("a2", "abertawe");
+	ASSERT_TRUE(g.ready());
+	EXPECT_TRUE(g.stopped("a2", "e1"));
+	json_decref(g.table.send("DELETE", "/list/instances/ghost"));
+	EXPECT_TRUE(eventually([&] { return done_with_role(*g.engines["e1"], "decode"); }, 8000));
+	EXPECT_TRUE(
+		eventually([&] { return !g.stopped("a1", "e1") && !g.stopped("a2", "e1"); }, 6000));
+}
+
 /* Guards against a released lease that is waited for, and an operator's drain that is never done.
  */
 TEST(Control, LeaveReleasesAndDrainsComplete)
