--- a/ibisgatectl/cmd_exception_list.c
+++ b/ibisgatectl/cmd_exception_list.c
@@ -44,7 +44,7 @@
 				    overridden_value(items, json_get_cstr(value, "setting", "")));
 		json_object_set_new(
 			row, "expired",
-			json_boolean(json_get_i64(value, "expires_ms", 0) <= clock_wall_ms()));
+			json_boolean(json_get_i64(value, "expiry", 0) <= clock_wall_ms()));
 		json_array_append_new(list, row);
 	}
 	return list;
--- /dev/null
+++ b/tests/test_ctl.cc
@@ -0,0 +1,166 @@
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern "C" {
+#include "ibisgate/common/json.h"
+#include "ibisgate/harness/harness.h"
+}
+
+/* Exit codes of ibisgatectl(1). */
+enum { OK = 0, REFUSED = 1, USAGE = 2, UNREACHABLE = 3, CONFLICT = 4 };
+
+class CtlTest : public ::testing::Test
+{
+      protected:
+	static void SetUpTestSuite()
+	{
+		static const struct harness_engine_spec engines[] = { { "mixed", true }, {} };
+		static struct harness_deployment d;
+
+		d.region = "de-cymru";
+		d.dcs[0] = "abertawe";
+		d.dcs[1] = "caerdydd";
+		d.instances = 1;
+		d.engines = engines;
+		h = harness_create(&err);
+		ASSERT_NE(h, nullptr) << err.text;
+		fleet = harness_fleet_create(h, &d, &err);
+		ASSERT_NE(fleet, nullptr) << err.text;
+		ASSERT_EQ(harness_ready(fleet, 15000, &err), 0) << err.text;
+		write_file("token", HARNESS_TOKEN "\n");
+		write_file("key", "secret-key\n");
+	}
+	static void TearDownTestSuite()
+	{
+		if (fleet)
+			harness_fleet_destroy(fleet);
+		harness_destroy(h);
+	}
+	static std::string path(const char *name)
+	{
+		return std::string(h->dir) + "/" + name;
+	}
+	static void write_file(const char *name, const char *text)
+	{
+		FILE *f = fopen(path(name).c_str(), "w");
+
+		fputs(text, f);
+		fclose(f);
+	}
+	/* Runs a command; standard output and errors go to @text. */
+	static int ctl(const std::string &args, const char *admin = nullptr)
+	{
+		std::array<char, 4096> part{};
+		std::string line = std::string(CTL_PROGRAM " -u tester -t ") + path("token") +
+				   " -a " + (admin ? admin : fleet->instances[0].admin + 7) + " " +
+				   args + " 2>&1";
+		FILE *p = popen(line.c_str(), "r");
+		size_t n;
+		int status;
+
+		text.clear();
+		while ((n = fread(part.data(), 1, part.size(), p)) > 0)
+			text.append(part.data(), n);
+		status = pclose(p);
+		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	}
+	static bool says(const char *part)
+	{
+		return text.find(part) != std::string::npos;
+	}
+
+	static struct harness *h;
+	static struct harness_fleet *fleet;
+	static struct error err;
+	static std::string text;
+};
+
+struct harness *CtlTest::h;
+struct harness_fleet *CtlTest::fleet;
+struct error CtlTest::err;
+std::string CtlTest::text;
+
+/* Guards against commands whose values the instance does not understand. */
+TEST_F(CtlTest, EveryChangeIsAcceptedAndShown)
+{
+	EXPECT_EQ(ctl("organisation-create firm --weight 2 -k " + path("key")), OK) << text;
+	EXPECT_EQ(ctl("service-create quotes -m M -c urgent --first-token-ms 640"), OK) << text;
+	EXPECT_EQ(ctl("service-create orders"), OK) << text;
+	EXPECT_EQ(ctl("default-set role.margin 1.5"), OK) << text;
+	EXPECT_EQ(ctl("exception-add slow -s organisation/firm --setting deadline.gap-ms "
+		      "--value 80 -r 'long manuals'"),
+		  OK)
+		<< text;
+	EXPECT_EQ(ctl("exception-list"), OK);
+	EXPECT_TRUE(says("long manuals") && says("59") && says("80") && says("tester")) << text;
+	EXPECT_EQ(ctl("default-list"), OK);
+	EXPECT_TRUE(says("role.margin") && says("1.5")) << text;
+	EXPECT_EQ(ctl("exception-end slow"), OK) << text;
+	EXPECT_EQ(ctl("config-show"), OK);
+	EXPECT_TRUE(says("organisation/firm") && !says("exception/slow")) << text;
+	EXPECT_FALSE(says("secret-key")) << "an API key must be kept hashed";
+}
+
+/* Guards against an exception without a reason, and against values that are half applied. */
+TEST_F(CtlTest, BadInputIsRefusedWithAReason)
+{
+	EXPECT_EQ(ctl("exception-add x -s service/quotes --setting role.margin --value 2"), USAGE);
+	EXPECT_EQ(ctl("exception-add x -s rack/1 --setting role.margin --value 2 -r why"), REFUSED);
+	EXPECT_TRUE(says("scope")) << text;
+	EXPECT_EQ(ctl("default-set role.margni 2"), REFUSED);
+	EXPECT_TRUE(says("role.margni")) << text;
+	EXPECT_EQ(ctl("default-set role.policy sometimes"), REFUSED);
+	EXPECT_TRUE(says("greedy")) << text;
+	EXPECT_EQ(ctl("no-such-command"), USAGE);
+	EXPECT_EQ(ctl("status", "127.0.0.1:1"), UNREACHABLE);
+}
+
+/* Guards against the loser of a race believing that its change is in force. */
+TEST_F(CtlTest, StaleVersionIsAConflict)
+{
+	ASSERT_EQ(ctl("default-set role.margin 1.6"), OK) << text;
+	EXPECT_EQ(ctl("default-set role.margin 1.7 -i 0"), CONFLICT) << text;
+}
+
+/* Guards against a status that hides a drain, and a timeline that cannot be read. */
+TEST_F(CtlTest, DrainShowsInStatusAndTimelineIsJson)
+{
+	EXPECT_EQ(ctl("endpoint-drain e1"), USAGE);
+	ASSERT_EQ(ctl("endpoint-drain e1 -r maintenance"), OK) << text;
+	for (int i = 0; i < 50 && (ctl("status"), !says("operator")); i++)
+		;
+	EXPECT_TRUE(says("operator")) << text;
+	EXPECT_EQ(ctl("endpoint-return e1"), OK) << text;
+	/* Instances of different data centres hear of each other within seconds. */
+	size_t count = 0;
+	for (int i = 0; i < 100 && count < 2; i++) {
+		ASSERT_EQ(ctl("--json timeline --kind ready"), OK) << text;
+		json_t *events = json_parse(str{ text.data(), text.size() });
+		count = json_array_size(events);
+		json_decref(events);
+		usleep(100000);
+	}
+	EXPECT_EQ(count, 2u) << text;
+}
+
+/* Guards against commands without help; the table is the only list of them. */
+TEST_F(CtlTest, EveryCommandHasHelp)
+{
+	ASSERT_EQ(ctl("--help"), OK);
+	std::string list = text.substr(text.find("Commands:"));
+
+	for (size_t pos = 0; (pos = list.find("\n  ", pos)) != std::string::npos; pos += 3) {
+		std::string name = list.substr(pos + 3, list.find(' ', pos + 3) - pos - 3);
+
+		EXPECT_EQ(ctl(name + " --help"), OK) << name;
+		EXPECT_TRUE(says("ibisgatectl")) << name;
+	}
+	EXPECT_EQ(ctl("completion"), OK);
+	EXPECT_TRUE(says("exception-add"));
+}
