--- a/daemon/control.c
+++ b/daemon/control.c
@@ -140,6 +140,7 @@
 		{ "drain", control_drain_run, c, true },
 		{ "roles", control_roles_run, c, true },
 		{ "claims", control_claims_run, c, true },
+		{ "expiry", control_expiry_run, c, true },
 	};
 
 	for (size_t i = 0; i < sizeof(children) / sizeof(children[0]); i++)
--- /dev/null
+++ b/daemon/control_expiry.c
@@ -0,0 +1,69 @@
+#include <stdlib.h>
+#include <string.h>
+#include <urcu-bp.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/supervisor.h"
+
+/* One page a period costs each lease holder 0.2 reads a second of the table's budget. */
+#define EXPIRY_PERIOD_MS 5000
+#define EXPIRY_PAGE 200
+#define EXPIRY_PREFIX "claim/"
+
+static int64_t keep_ms(struct control *c)
+{
+	struct config_scope scope = { .dc = c->settings->instance.dc, .wall_ms = clock_wall_ms() };
+	int64_t ms;
+
+	rcu_read_lock();
+	ms = config_i64(rcu_dereference(c->gate->config), "claim.keep-ms", &scope);
+	rcu_read_unlock();
+	return ms;
+}
+
+/*
+ * Looks at the page of rows after @cursor and moves it on; "" starts again. A row that changed
+ * since it was read stays, because the deletion names its version.
+ */
+static void expire_page(struct control *c, char *cursor, size_t size)
+{
+	int64_t before = clock_wall_ms() - keep_ms(c);
+	struct table_row *rows = NULL;
+	struct error err = { 0 };
+	int count = 0;
+	int deleted = 0;
+	bool more = false;
+
+	if (platform_scan(c->gate->platform, EXPIRY_PREFIX, cursor, EXPIRY_PAGE, &rows, &count,
+			  &more, &err))
+		return;
+	cursor[0] = '\0';
+	if (more && count)
+		str_copy(cursor, size, str_from(rows[count - 1].key));
+	for (int i = 0; i < count; i++) {
+		if (json_get_i64(rows[i].value, "at_ms", INT64_MAX) < before &&
+		    platform_delete(c->gate->platform, rows[i].key, rows[i].version, &err) == 0)
+			deleted++;
+		table_row_clear(&rows[i]);
+	}
+	free(rows);
+	if (deleted)
+		log_info("claims-expired", "deleted=%d", deleted);
+}
+
+int control_expiry_run(void *ctx, struct error *err)
+{
+	struct control *c = ctx;
+	char cursor[sizeof(((struct table_row *)0)->key)] = "";
+	int64_t fencing;
+
+	while (!child_sleep_ms(EXPIRY_PERIOD_MS)) {
+		if (control_lease_held(c, c->settings->instance.dc, &fencing))
+			expire_page(c, cursor, sizeof(cursor));
+		child_account_cpu();
+	}
+	return 0;
+}
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -283,6 +283,11 @@
 void control_on_claim(struct control *c, const struct peer_message *m);
 void control_claims_clear(struct control *c);
 
+/* control_expiry.c */
+
+/** control_expiry_run - lease holders delete claim rows older than claim.keep-ms */
+int control_expiry_run(void *ctx, struct error *err);
+
 /* control_quarantine.c */
 void control_on_quarantine(struct control *c, const struct peer_message *m);
 
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -488,6 +488,32 @@
 	EXPECT_EQ(rig_claim(a, 3, "k2", "body", 15000), CLAIM_SAY_UNKNOWN) << "owner is gone";
 }
 
+/* Guards against a table that fills with claims of calls that ended long ago, and against the loss
+ * of a young claim, which would let a repeat run again. */
+TEST(Control, OldClaimsExpire)
+{
+	Region g;
+
+	g.start("a1", "abertawe");
+	ASSERT_TRUE(g.ready());
+	string old = "/table/claim%2Fpress-parts%2Forders%2Fold";
+	string young = "/table/claim%2Fpress-parts%2Forders%2Fyoung";
+	string now = std::to_string(time(nullptr)) + "000";
+
+	json_decref(g.table.send("PUT", old, "{\"phase\":\"done\",\"at_ms\":1000}"));
+	json_decref(g.table.send("PUT", young, "{\"phase\":\"done\",\"at_ms\":" + now + "}"));
+	size_t count = 2;
+	for (int i = 0; i < 200 && count > 1; i++) {
+		json_t *page = g.table.send("GET", "/table?prefix=claim%2F");
+
+		count = json_array_size(json_object_get(page, "rows"));
+		json_decref(page);
+		usleep(100000);
+	}
+	EXPECT_EQ(count, 1u);
+	json_decref(g.table.send("GET", young));
+}
+
 /* Guards against a crashing request that is refused on one instance only. */
 TEST(Control, QuarantineSpreads)
 {
