Make TLS towards callers work with OpenSSL 3

Cause: Debian's CivetWeb looks up SSL_get_peer_certificate with dlsym(); the symbol is gone in OpenSSL 3 and the null pointer was called for each TLS connection (seen as a segmentation fault of ibisgated at the first request). Ruled out: the certificate, missing libssl.so, mg_init_library.

Test: before, the process died; after, three requests over a verified certificate are answered and plain HTTP is refused.

--- a/ibisgated/main.c
+++ b/ibisgated/main.c
@@ -8,6 +8,7 @@
 
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/str.h"
+#include "ibisgate/compat/ssl.h"
 #include "ibisgate/daemon/control.h"
 #include "ibisgate/daemon/gate.h"
 
@@ -60,6 +61,7 @@
 	sigset_t set;
 	bool failed;
 
+	ssl_compat_link();
 	block_signals(&set);
 	gate = gate_create(settings, &err);
 	if (!gate) {
