bench: make the path benchmark fair

Cause: the stand-in engine admits one prefill a step, so with 200 us steps it took at most 5,000 requests a second and was the limit of both ways; one load thread was close to its own limit; a percentile over all slices shows what other work does to the machine.

Change: 50 us steps, four load threads, the median over the rounds of the difference within each round, the time that the link threads wait for a processor, processor time a token.

--- a/bench/path.c
+++ b/bench/path.c
@@ -1,5 +1,6 @@
 #include <argtable2.h>
 #include <curl/curl.h>
+#include <dirent.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -8,6 +9,7 @@
 #include <unistd.h>
 
 #include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
 #include "ibisgate/harness/harness.h"
 #include "ibisgate/load/report.h"
 
@@ -20,6 +22,11 @@
 #define READY_MS 20000
 #define MEMORY_STREAMS 500
 #define SAMPLE_MS 100
+#define ROUNDS_MAX 64
+#define WAITS_MAX 16
+/* The kernel sends a delayed acknowledgement after 40 ms. */
+#define DELAYED_ACK_FROM_US 39000
+#define DELAYED_ACK_TO_US 45000
 
 enum way {
 	WAY_DIRECT,
@@ -27,7 +34,10 @@
 	WAYS,
 };
 
-/** struct samples - first token times and totals of one way over all slices */
+/**
+ * struct samples - first token times and totals of one way over all slices
+ * @max_lag_us: longest time that the load tool itself was late
+ */
 struct samples {
 	double *ttft_us;
 	size_t count;
@@ -35,6 +45,10 @@
 	double rate;
 	double tokens_per_s;
 	int64_t failures;
+	int64_t tokens;
+	int64_t max_lag_us;
+	double p50_us[ROUNDS_MAX];
+	double p99_us[ROUNDS_MAX];
 };
 
 struct path {
@@ -44,6 +58,8 @@
 	double slice_s;
 	int rounds;
 	int streams;
+	int generators;
+	double rate;
 	int64_t run;
 };
 
@@ -61,46 +77,118 @@
 	};
 }
 
-/* Runs one slice and adds what it measured to @out. */
-static int slice_run(struct path *p, enum way way, int concurrency, struct samples *out,
-		     struct error *err)
-{
+/**
+ * struct generator - one thread that sends a part of the load
+ *
+ * One thread of the load tool sends at most as much as one instance can take, so a single one
+ * would be measured instead of the instance.
+ */
+struct generator {
+	pthread_t thread;
+	struct scenario scenario;
 	struct load_options options;
 	struct load_result result;
+	struct error err;
 	char run_id[48];
+	int rc;
+};
+
+static void *generator_run(void *arg)
+{
+	struct generator *g = arg;
+
+	g->rc = load_run(&g->scenario, &g->options, &g->result, &g->err);
+	return NULL;
+}
+
+static void generator_start(struct path *p, struct generator *g, int index, enum way way,
+			    int concurrency)
+{
+	int share = concurrency / p->generators + (index < concurrency % p->generators);
+
+	g->scenario = p->scenario;
+	g->scenario.seed = hash_mix(p->scenario.seed, (uint64_t)index);
+	g->scenario.phases[0].rate = p->scenario.phases[0].rate / p->generators;
+	snprintf(g->run_id, sizeof(g->run_id), "path-%d-%lld", (int)getpid(), (long long)++p->run);
+	load_options_defaults(&g->options);
+	g->options.run_id = g->run_id;
+	g->options.duration_s = p->slice_s;
+	g->options.concurrency = share;
+	g->options.direct = way == WAY_DIRECT;
+	g->options.url_count = 1;
+	g->options.urls[0] =
+		way == WAY_DIRECT ? p->fleet->endpoints[0].url : p->fleet->instances[0].http;
+	pthread_create(&g->thread, NULL, generator_run, g);
+}
+
+static void sample_add(struct samples *out, double ttft_us)
+{
+	if (out->count == out->cap) {
+		out->cap = out->cap ? 2 * out->cap : 4096;
+		out->ttft_us = mem_resize(out->ttft_us, out->cap * sizeof(double));
+	}
+	out->ttft_us[out->count++] = ttft_us;
+}
+
+static void result_add(const struct path *p, const struct load_result *result, struct samples *out)
+{
 	int64_t tokens = 0;
 	int64_t whole = 0;
 
-	snprintf(run_id, sizeof(run_id), "path-%d-%lld", (int)getpid(), (long long)++p->run);
-	load_options_defaults(&options);
-	options.run_id = run_id;
-	options.duration_s = p->slice_s;
-	options.concurrency = concurrency;
-	options.direct = way == WAY_DIRECT;
-	options.url_count = 1;
-	options.urls[0] =
-		way == WAY_DIRECT ? p->fleet->endpoints[0].url : p->fleet->instances[0].http;
-	if (load_run(&p->scenario, &options, &result, err) < 0)
-		return -1;
-	for (size_t i = 0; i < result.count; i++) {
-		const struct load_record *r = &result.records[i];
+	for (size_t i = 0; i < result->count; i++) {
+		const struct load_record *r = &result->records[i];
 
 		if (r->outcome != LOAD_WHOLE) {
 			out->failures++;
 			continue;
 		}
-		if (out->count == out->cap) {
-			out->cap = out->cap ? 2 * out->cap : 4096;
-			out->ttft_us = mem_resize(out->ttft_us, out->cap * sizeof(double));
-		}
-		out->ttft_us[out->count++] = (double)r->ttft_us;
+		sample_add(out, (double)r->ttft_us);
 		tokens += r->tokens;
 		whole++;
 	}
-	out->rate += (double)whole / result.elapsed_s / p->rounds;
-	out->tokens_per_s += (double)tokens / result.elapsed_s / p->rounds;
-	load_result_free(&result);
-	return 0;
+	if (result->max_lag_us > out->max_lag_us)
+		out->max_lag_us = result->max_lag_us;
+	out->tokens += tokens;
+	out->rate += (double)whole / result->elapsed_s / p->rounds;
+	out->tokens_per_s += (double)tokens / result->elapsed_s / p->rounds;
+}
+
+/* Runs one slice and adds what it measured to @out. */
+static int slice_run(struct path *p, enum way way, int concurrency, struct samples *out,
+		     struct error *err)
+{
+	struct generator *all = mem_zalloc((size_t)p->generators * sizeof(*all));
+	int rc = 0;
+
+	for (int i = 0; i < p->generators; i++)
+		generator_start(p, &all[i], i, way, concurrency);
+	for (int i = 0; i < p->generators; i++) {
+		pthread_join(all[i].thread, NULL);
+		if (all[i].rc < 0) {
+			*err = all[i].err;
+			rc = -1;
+			continue;
+		}
+		result_add(p, &all[i].result, out);
+		load_result_free(&all[i].result);
+	}
+	free(all);
+	return rc;
+}
+
+static int double_cmp(const void *a, const void *b)
+{
+	double x = *(const double *)a;
+	double y = *(const double *)b;
+
+	return (x > y) - (x < y);
+}
+
+static double percentile_us(double *values, size_t count, double part)
+{
+	if (count)
+		qsort(values, count, sizeof(double), double_cmp);
+	return report_percentile(values, count, part);
 }
 
 static int ways_run(struct path *p, int concurrency, struct samples out[WAYS], struct error *err)
@@ -110,27 +198,41 @@
 		for (int i = 0; i < WAYS; i++) {
 			/* The order changes from round to round against drift of the machine. */
 			enum way way = (enum way)((round + i) % WAYS);
+			struct samples *s = &out[way];
+			size_t from = s->count;
+			int64_t run = p->run;
 
-			if (slice_run(p, way, concurrency, &out[way], err) < 0)
+			if (slice_run(p, way, concurrency, s, err) < 0)
 				return -1;
+			/* Sorting the slice in place leaves those before it as they are. */
+			s->p50_us[round] = percentile_us(s->ttft_us + from, s->count - from, 0.5);
+			s->p99_us[round] = percentile_us(s->ttft_us + from, s->count - from, 0.99);
+			p->run = run + p->generators;
 		}
 	}
 	return 0;
 }
 
-static int double_cmp(const void *a, const void *b)
+/*
+ * Median over the rounds of what the instance adds to a percentile. Other work on the machine
+ * delays single slices by tens of milliseconds, which a percentile over all slices would show.
+ */
+static double added_us(const struct path *p, const double *direct, const double *gateway)
 {
-	double x = *(const double *)a;
-	double y = *(const double *)b;
+	double differences[ROUNDS_MAX];
 
-	return (x > y) - (x < y);
+	for (int i = 0; i < p->rounds; i++)
+		differences[i] = gateway[i] - direct[i];
+	return percentile_us(differences, (size_t)p->rounds, 0.5);
 }
 
-static double percentile_us(struct samples *s, double part)
+static size_t delayed_ack_count(const struct samples *s)
 {
-	if (s->count)
-		qsort(s->ttft_us, s->count, sizeof(double), double_cmp);
-	return report_percentile(s->ttft_us, s->count, part);
+	size_t n = 0;
+
+	for (size_t i = 0; i < s->count; i++)
+		n += s->ttft_us[i] >= DELAYED_ACK_FROM_US && s->ttft_us[i] < DELAYED_ACK_TO_US;
+	return n;
 }
 
 static void samples_free(struct samples s[WAYS])
@@ -161,6 +263,86 @@
 	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
 }
 
+/**
+ * struct waits - time that link threads were ready to run and had to wait for a processor
+ *
+ * A tail that grows with it comes from the machine and not from the instance.
+ */
+struct waits {
+	long tid[WAITS_MAX];
+	int64_t ns[WAITS_MAX];
+	int count;
+	int64_t at_us;
+};
+
+static int64_t task_wait_ns(pid_t pid, long tid)
+{
+	long long run = 0;
+	long long waited = 0;
+	char path[96];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/task/%ld/schedstat", (int)pid, tid);
+	f = fopen(path, "re");
+	if (!f)
+		return 0;
+	if (fscanf(f, "%lld %lld", &run, &waited) != 2)
+		waited = 0;
+	fclose(f);
+	return waited;
+}
+
+static bool task_is_link(pid_t pid, long tid)
+{
+	char name[32] = "";
+	char path[96];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/task/%ld/comm", (int)pid, tid);
+	f = fopen(path, "re");
+	if (!f)
+		return false;
+	if (!fgets(name, sizeof(name), f))
+		name[0] = '\0';
+	fclose(f);
+	return strcmp(name, "link\n") == 0;
+}
+
+static void waits_begin(struct waits *w, pid_t pid)
+{
+	struct dirent *entry;
+	char path[64];
+	DIR *dir;
+
+	*w = (struct waits){ .at_us = clock_boot_us() };
+	snprintf(path, sizeof(path), "/proc/%d/task", (int)pid);
+	dir = opendir(path);
+	while (dir && (entry = readdir(dir)) && w->count < WAITS_MAX) {
+		long tid = strtol(entry->d_name, NULL, 10);
+
+		if (!task_is_link(pid, tid))
+			continue;
+		w->tid[w->count] = tid;
+		w->ns[w->count] = task_wait_ns(pid, w->tid[w->count]);
+		w->count++;
+	}
+	if (dir)
+		closedir(dir);
+}
+
+/* Permille of the time of the thread that waited longest. */
+static int waits_end(const struct waits *w, pid_t pid)
+{
+	int64_t most = 0;
+
+	for (int i = 0; i < w->count; i++) {
+		int64_t ns = task_wait_ns(pid, w->tid[i]) - w->ns[i];
+
+		most = ns > most ? ns : most;
+	}
+	return (int)(most / (clock_boot_us() - w->at_us + 1));
+}
+
 static int64_t rss_kb(pid_t pid)
 {
 	char path[64];
@@ -218,21 +400,35 @@
 	return 0;
 }
 
+static void latency_print(struct samples *s, const char *name)
+{
+	printf("first token %s: requests %zu, not whole %lld, p50 %.0f p99 %.0f us, at 39 to 45 ms "
+	       "%zu, load tool late by at most %lld us\n",
+	       name, s->count, (long long)s->failures, percentile_us(s->ttft_us, s->count, 0.5),
+	       percentile_us(s->ttft_us, s->count, 0.99), delayed_ack_count(s),
+	       (long long)s->max_lag_us);
+}
+
 static int measure_latency(struct path *p, double rate, double added[2], struct error *err)
 {
 	struct samples s[WAYS];
+	struct waits waits;
 
 	scenario_set(p, rate, 50, 8);
+	waits_begin(&waits, p->pid);
 	if (ways_run(p, 0, s, err) < 0)
 		return -1;
-	for (int i = 0; i < 2; i++)
-		added[i] = percentile_us(&s[WAY_GATEWAY], i ? 0.99 : 0.5) -
-			   percentile_us(&s[WAY_DIRECT], i ? 0.99 : 0.5);
-	printf("first token at %.0f/s: direct p50 %.0f p99 %.0f us, through the instance p50 %.0f "
-	       "p99 %.0f us, not whole %lld and %lld\n",
-	       rate, percentile_us(&s[WAY_DIRECT], 0.5), percentile_us(&s[WAY_DIRECT], 0.99),
-	       percentile_us(&s[WAY_GATEWAY], 0.5), percentile_us(&s[WAY_GATEWAY], 0.99),
-	       (long long)s[WAY_DIRECT].failures, (long long)s[WAY_GATEWAY].failures);
+	printf("link thread: waited for a processor %d permille of the time\n",
+	       waits_end(&waits, p->pid));
+	added[0] = added_us(p, s[WAY_DIRECT].p50_us, s[WAY_GATEWAY].p50_us);
+	added[1] = added_us(p, s[WAY_DIRECT].p99_us, s[WAY_GATEWAY].p99_us);
+	for (int i = 0; i < p->rounds; i++)
+		printf("round %d at %.0f/s: direct p50 %.0f p99 %.0f us, through the instance p50 "
+		       "%.0f p99 %.0f us\n",
+		       i, rate, s[WAY_DIRECT].p50_us[i], s[WAY_DIRECT].p99_us[i],
+		       s[WAY_GATEWAY].p50_us[i], s[WAY_GATEWAY].p99_us[i]);
+	latency_print(&s[WAY_DIRECT], "direct");
+	latency_print(&s[WAY_GATEWAY], "through the instance");
 	samples_free(s);
 	return 0;
 }
@@ -240,10 +436,16 @@
 static int measure_streams(struct path *p, double *ratio, struct error *err)
 {
 	struct samples s[WAYS];
+	double before = cpu_s(p->pid);
+	double used;
 
 	scenario_set(p, 0, 50, 200);
 	if (ways_run(p, p->streams, s, err) < 0)
 		return -1;
+	used = cpu_s(p->pid) - before;
+	if (s[WAY_GATEWAY].tokens)
+		printf("processor time of the instance: %.2f us a token\n",
+		       used * 1e6 / (double)s[WAY_GATEWAY].tokens);
 	*ratio = s[WAY_DIRECT].tokens_per_s > 0
 			 ? s[WAY_GATEWAY].tokens_per_s / s[WAY_DIRECT].tokens_per_s
 			 : 0;
@@ -295,8 +497,8 @@
 	double ratio = 0;
 
 	if (fleet_prepare(p, err) < 0 || measure_throughput(p, &rate, &per_core, err) < 0 ||
-	    measure_latency(p, rate / 2, added, err) < 0 || measure_streams(p, &ratio, err) < 0 ||
-	    measure_memory(p, err) < 0)
+	    measure_latency(p, p->rate > 0 ? p->rate : rate / 2, added, err) < 0 ||
+	    measure_streams(p, &ratio, err) < 0 || measure_memory(p, err) < 0)
 		return -1;
 	printf("added_p50_us=%.0f added_p99_us=%.0f stream_ratio=%.3f requests_per_core=%.0f\n",
 	       added[0], added[1], ratio, per_core);
@@ -307,7 +509,7 @@
 {
 	static const struct harness_engine_spec engines[] = { { "mixed", true }, { NULL } };
 	static const char *const engine_args[] = {
-		"--step-base-us", "200",  "--step-per-seq-us", "0", "--slots", "1024",
+		"--step-base-us", "50",	  "--step-per-seq-us", "0", "--slots", "1024",
 		"--threads",	  "1100", "--prefill-rate",    "0", NULL
 	};
 	const struct harness_deployment d = { .region = "de-cymru",
@@ -337,12 +539,14 @@
 
 int main(int argc, char **argv)
 {
-	static struct path path = { .slice_s = 3, .rounds = 4, .streams = 300 };
-	struct arg_dbl *slice = arg_dbl0(NULL, "slice-s", "S", "length of a slice (3)");
-	struct arg_int *rounds = arg_int0(NULL, "rounds", "N", "slices of each way (4)");
+	static struct path path = { .slice_s = 1, .rounds = 9, .streams = 300, .generators = 4 };
+	struct arg_dbl *slice = arg_dbl0(NULL, "slice-s", "S", "length of a slice (1)");
+	struct arg_int *rounds = arg_int0(NULL, "rounds", "N", "slices of each way (9)");
 	struct arg_int *streams = arg_int0(NULL, "streams", "N", "streams at once (300)");
+	struct arg_int *generators = arg_int0(NULL, "generators", "N", "threads that send (4)");
+	struct arg_dbl *rate = arg_dbl0(NULL, "rate", "R", "requests a second (half load)");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { slice, rounds, streams, end };
+	void *table[] = { slice, rounds, streams, generators, rate, end };
 	int rc = 2;
 
 	if (arg_parse(argc, argv, table)) {
@@ -352,9 +556,14 @@
 	if (slice->count)
 		path.slice_s = slice->dval[0];
 	if (rounds->count)
-		path.rounds = rounds->ival[0];
+		path.rounds = rounds->ival[0] < ROUNDS_MAX ? rounds->ival[0] : ROUNDS_MAX;
 	if (streams->count)
 		path.streams = streams->ival[0];
+	if (generators->count)
+		path.generators = generators->ival[0];
+	if (rate->count)
+		path.rate = rate->dval[0];
+	setvbuf(stdout, NULL, _IOLBF, 0);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	rc = run(&path);
 	curl_global_cleanup();
