Write all tokens that have arrived at once

Cause: each token was an event of its own between link thread and front thread, with a wake-up, and a write to the caller.

Change: data that nobody has taken yet is joined in the queue, only the first event of an empty queue wakes the reader, and the chunks made of one event go out in one write.

--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -111,6 +111,14 @@
 		s->invalid = true;
 }
 
+static void batch_end(struct stream *s)
+{
+	struct generation *g = s->w->g;
+
+	if (!s->caller_gone && g->on_batch && !g->on_batch(g->ctx))
+		s->caller_gone = true;
+}
+
 static char *body_build(struct work *w, const char *attempt, const json_t *kv, bool stream)
 {
 	struct generation *g = w->g;
@@ -266,6 +274,7 @@
 			break;
 		case LINK_DATA:
 			data_apply(s, buf_str(&ev.data));
+			batch_end(s);
 			break;
 		case LINK_END:
 			ended = true;
--- a/daemon/front_generate.c
+++ b/daemon/front_generate.c
@@ -14,6 +14,7 @@
  * @model: model name as a JSON string
  * @begun: the headers of the stream are out
  * @finish: finish reason, "" before the end
+ * @out: chunks that are not written yet
  */
 struct answer {
 	struct exchange *x;
@@ -25,6 +26,7 @@
 	bool broken;
 	char finish[32];
 	struct buf prompt;
+	struct buf out;
 };
 
 static void chunk_format(struct answer *a, struct buf *out, struct str text, int tokens,
@@ -61,7 +63,6 @@
 static bool on_piece(void *ctx, struct str text, int tokens, const char *finish)
 {
 	struct answer *a = ctx;
-	struct buf out = { 0 };
 
 	if (finish)
 		finish_keep(a, finish);
@@ -73,10 +74,18 @@
 			 str_from(a->g.call.endpoint));
 		a->broken = !reply_stream_begin(a->x);
 	}
-	chunk_format(a, &out, text, tokens, finish ? a->finish : NULL);
-	if (!a->broken)
-		a->broken = !reply_stream(a->x, buf_str(&out));
-	buf_free(&out);
+	chunk_format(a, &a->out, text, tokens, finish ? a->finish : NULL);
+	return !a->broken;
+}
+
+static bool on_batch(void *ctx)
+{
+	struct answer *a = ctx;
+
+	/* An empty part would end the stream. */
+	if (!a->broken && a->out.len)
+		a->broken = !reply_stream(a->x, buf_str(&a->out));
+	buf_reset(&a->out);
 	return !a->broken;
 }
 
@@ -202,6 +211,7 @@
 	a->g.call = a->x->call;
 	a->g.prompt = buf_str(&a->prompt);
 	a->g.on_piece = on_piece;
+	a->g.on_batch = on_batch;
 	a->g.ctx = a;
 	a->created = clock_wall_ms() / 1000;
 	a->model = json_dumps(json_object_get(a->g.body, "model"), JSON_ENCODE_ANY | JSON_COMPACT);
@@ -209,6 +219,7 @@
 	answer_end(a, &o);
 	a->x->call = a->g.call;
 	free(a->model);
+	buf_free(&a->out);
 	buf_free(&a->g.text);
 }
 
--- a/include/ibisgate/daemon/dispatch_use.h
+++ b/include/ibisgate/daemon/dispatch_use.h
@@ -69,6 +69,8 @@
  * @prompt: text that the engine sees, for chat the contents joined with a newline
  * @on_piece: delivers text to the caller; @finish is NULL but for the last piece; false when the
  *	caller has gone
+ * @on_batch: all pieces that had arrived are delivered, so that they can go out in one write; may
+ *	be NULL; false when the caller has gone
  * @text: everything delivered so far
  * @tokens: tokens in @text
  * @resumed: times that the generation went on elsewhere after text had been delivered
@@ -81,6 +83,7 @@
 	int64_t max_tokens;
 	struct str prompt;
 	bool (*on_piece)(void *ctx, struct str text, int tokens, const char *finish);
+	bool (*on_batch)(void *ctx);
 	void *ctx;
 	struct buf text;
 	int64_t tokens;
--- a/net/link_queue.c
+++ b/net/link_queue.c
@@ -6,11 +6,14 @@
 #include "ibisgate/common/metrics.h"
 #include "link_impl.h"
 
+/* Joined data stays small enough that memory for one slow reader is returned soon. */
+#define LINK_JOIN_MAX 65536
+
 struct link_queue {
 	pthread_mutex_t lock;
 	pthread_cond_t cond;
 	struct link_event *head;
-	struct link_event **tail;
+	struct link_event *last;
 	uint64_t attempt;
 	uint64_t detached;
 	int refs;
@@ -26,7 +29,6 @@
 	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
 	pthread_cond_init(&q->cond, &attr);
 	pthread_condattr_destroy(&attr);
-	q->tail = &q->head;
 	q->refs = 1;
 	return q;
 }
@@ -45,7 +47,7 @@
 		link_event_clear(ev);
 		free(ev);
 	}
-	q->tail = &q->head;
+	q->last = NULL;
 }
 
 void link_queue_ref(struct link_queue *q)
@@ -93,27 +95,53 @@
 	pthread_mutex_unlock(&q->lock);
 }
 
+/* Caller holds the lock. Data that follows data which nobody has taken yet joins it. */
+static bool data_joined(struct link_queue *q, const struct link_event *ev)
+{
+	struct link_event *last = q->last;
+
+	if (!last || last->kind != LINK_DATA || ev->kind != LINK_DATA ||
+	    last->data.len + ev->data.len > LINK_JOIN_MAX)
+		return false;
+	buf_append_str(&last->data, buf_str(&ev->data));
+	return true;
+}
+
+/* Caller holds the lock. Only the first event of an empty queue finds the reader waiting. */
+static void event_append(struct link_queue *q, const struct link_event *ev)
+{
+	struct link_event *copy = mem_alloc(sizeof(*copy));
+
+	*copy = *ev;
+	copy->next = NULL;
+	if (q->last)
+		q->last->next = copy;
+	else
+		q->head = copy;
+	q->last = copy;
+	if (q->head == copy)
+		pthread_cond_signal(&q->cond);
+}
+
 void link_queue_push(struct link_queue *q, struct link_event ev)
 {
-	struct link_event *copy = NULL;
+	bool kept = false;
 	bool stale;
 
 	pthread_mutex_lock(&q->lock);
 	stale = ev.attempt != q->detached;
-	if (q->attempt == ev.attempt) {
-		copy = mem_alloc(sizeof(*copy));
-		*copy = ev;
-		copy->next = NULL;
-		*q->tail = copy;
-		q->tail = &copy->next;
-		pthread_cond_signal(&q->cond);
+	if (q->attempt == ev.attempt && !data_joined(q, &ev)) {
+		event_append(q, &ev);
+		kept = true;
+	} else if (q->attempt == ev.attempt) {
+		stale = false;
 	}
 	pthread_mutex_unlock(&q->lock);
-	if (!copy) {
-		if (stale)
-			metric_add(METRIC_STALE_DROPPED, 1);
-		link_event_clear(&ev);
-	}
+	if (kept)
+		return;
+	if (stale)
+		metric_add(METRIC_STALE_DROPPED, 1);
+	link_event_clear(&ev);
 }
 
 static struct timespec mono_after(int64_t ms)
@@ -148,7 +176,7 @@
 	if (ev) {
 		q->head = ev->next;
 		if (!q->head)
-			q->tail = &q->head;
+			q->last = NULL;
 		*out = *ev;
 		out->next = NULL;
 	}
