Compose stream chunks and events with less work

Cause: each token went through a JSON string and two formatted prints, and all requests formatted their events while they held the lock of the event ring.

Change: the beginning of a chunk is composed once for an answer, text without characters to escape is copied, and events are formatted before the lock is taken.

--- a/common/event.c
+++ b/common/event.c
@@ -15,20 +15,20 @@
 void event_record(const char *kind, const char *request, const char *endpoint,
 		  const char *organisation, const char *fmt, ...)
 {
-	struct event *ev;
+	struct event ev = { .kind = kind };
 	va_list ap;
 
-	pthread_mutex_lock(&ring_lock);
-	ev = &ring[ring_next++ % EVENT_RING_SIZE];
-	ev->hlc = hlc_now();
-	ev->kind = kind;
-	snprintf(ev->request, sizeof(ev->request), "%s", request ? request : "");
-	snprintf(ev->endpoint, sizeof(ev->endpoint), "%s", endpoint ? endpoint : "");
-	snprintf(ev->organisation, sizeof(ev->organisation), "%s",
-		 organisation ? organisation : "");
+	str_copy(ev.request, sizeof(ev.request), str_from(request ? request : ""));
+	str_copy(ev.endpoint, sizeof(ev.endpoint), str_from(endpoint ? endpoint : ""));
+	str_copy(ev.organisation, sizeof(ev.organisation),
+		 str_from(organisation ? organisation : ""));
 	va_start(ap, fmt);
-	vsnprintf(ev->detail, sizeof(ev->detail), fmt, ap);
+	vsnprintf(ev.detail, sizeof(ev.detail), fmt, ap);
 	va_end(ap);
+	/* All requests pass here, so the entry is formatted before the lock is taken. */
+	pthread_mutex_lock(&ring_lock);
+	ev.hlc = hlc_now();
+	ring[ring_next++ % EVENT_RING_SIZE] = ev;
 	pthread_mutex_unlock(&ring_lock);
 }
 
--- a/daemon/front_generate.c
+++ b/daemon/front_generate.c
@@ -14,6 +14,7 @@
  * @model: model name as a JSON string
  * @begun: the headers of the stream are out
  * @finish: finish reason, "" before the end
+ * @head: beginning of each chunk
  * @out: chunks that are not written yet
  */
 struct answer {
@@ -26,30 +27,60 @@
 	bool broken;
 	char finish[32];
 	struct buf prompt;
+	struct buf head;
 	struct buf out;
 };
 
-static void chunk_format(struct answer *a, struct buf *out, struct str text, int tokens,
-			 const char *finish)
+/* The same for each chunk of an answer. */
+static void head_format(struct answer *a)
 {
-	json_t *value = json_stringn(text.data ? text.data : "", text.len);
-	char *quoted = json_dumps(value, JSON_ENCODE_ANY | JSON_COMPACT);
-
-	buf_printf(out,
+	buf_printf(&a->head,
 		   "data: {\"id\":\"%s\",\"object\":\"%s\",\"created\":%" PRId64 ",\"model\":%s,"
-		   "\"choices\":[{\"index\":0,",
+		   "\"choices\":[{\"index\":0,%s",
 		   a->x->call.id, a->g.chat ? "chat.completion.chunk" : "text_completion",
-		   a->created, a->model);
+		   a->created, a->model, a->g.chat ? "\"delta\":{\"content\":" : "\"text\":");
+}
+
+static bool needs_escape(struct str text)
+{
+	for (size_t i = 0; i < text.len; i++) {
+		unsigned char c = (unsigned char)text.data[i];
+
+		if (c < 0x20 || c == '"' || c == '\\')
+			return true;
+	}
+	return false;
+}
+
+/* The text comes out of a JSON parser, so it is UTF-8 and most of it needs no escaping. */
+static void text_format(struct buf *out, struct str text)
+{
+	json_t *value;
+
+	if (!needs_escape(text)) {
+		buf_append(out, "\"", 1);
+		buf_append_str(out, text);
+		buf_append(out, "\"", 1);
+		return;
+	}
+	value = json_stringn(text.data, text.len);
+	json_append(out, value);
+	json_decref(value);
+}
+
+static void chunk_format(struct answer *a, struct buf *out, struct str text, int tokens,
+			 const char *finish)
+{
+	if (!a->head.len)
+		head_format(a);
+	buf_append_str(out, buf_str(&a->head));
+	text_format(out, text);
 	if (a->g.chat)
-		buf_printf(out, "\"delta\":{\"content\":%s}", quoted ? quoted : "\"\"");
-	else
-		buf_printf(out, "\"text\":%s", quoted ? quoted : "\"\"");
+		buf_append(out, "}", 1);
 	if (finish)
 		buf_printf(out, ",\"finish_reason\":\"%s\"}],\"tokens\":%d}\n\n", finish, tokens);
 	else
 		buf_printf(out, ",\"finish_reason\":null}],\"tokens\":%d}\n\n", tokens);
-	free(quoted);
-	json_decref(value);
 }
 
 /* Finish reasons go out unquoted, so anything but a plain word is replaced. */
@@ -219,6 +250,7 @@
 	answer_end(a, &o);
 	a->x->call = a->g.call;
 	free(a->model);
+	buf_free(&a->head);
 	buf_free(&a->out);
 	buf_free(&a->g.text);
 }
