Close connections after an answer while few threads are left

Change: the front counts its connections and closes after the answer while more than three quarters of the threads are taken.

--- a/daemon/front.c
+++ b/daemon/front.c
@@ -360,12 +360,32 @@
 	return 1;
 }
 
+/* CivetWeb may close a connection that it never announced, so the announced ones are marked. */
+static int on_open(const struct mg_connection *conn, void **data)
+{
+	struct front *f = mg_get_user_data(mg_get_context(conn));
+
+	atomic_fetch_add(&f->connections, 1);
+	*data = f;
+	return 0;
+}
+
+static void on_close(const struct mg_connection *conn)
+{
+	struct front *f = mg_get_user_connection_data(conn);
+
+	if (f)
+		atomic_fetch_sub(&f->connections, 1);
+}
+
 struct front *front_create(struct gate *gate, struct error *err)
 {
 	const struct settings *s = &gate->settings;
 	struct front *f = mem_zalloc(sizeof(*f));
 	struct mg_callbacks callbacks = { .begin_request = on_request,
 					  .http_error = on_error,
+					  .init_connection = on_open,
+					  .connection_close = on_close,
 					  .log_message = on_log };
 	struct mg_server_port port;
 	char listen[80];
--- a/daemon/front_impl.h
+++ b/daemon/front_impl.h
@@ -6,10 +6,12 @@
 #include "ibisgate/daemon/control.h"
 #include "ibisgate/daemon/dispatch_use.h"
 
+/** struct front - listener for callers; @connections: open ones, each of which has a thread */
 struct front {
 	struct gate *gate;
 	struct mg_context *context;
 	int port;
+	_Atomic int connections;
 };
 
 /**
--- a/daemon/front_reply.c
+++ b/daemon/front_reply.c
@@ -5,12 +5,22 @@
 #include "ibisgate/common/json.h"
 #include "ibisgate/common/metrics.h"
 
+/*
+ * An idle connection keeps its thread for the whole keep-alive time and new connections would wait
+ * as long, so that a quarter of the threads always goes to connections for one request.
+ */
+static bool threads_scarce(const struct front *f)
+{
+	return atomic_load(&f->connections) > f->gate->settings.http.threads * 3 / 4;
+}
+
 static bool closes(const struct exchange *x)
 {
 	const char *asked = mg_get_header(x->conn, "Connection");
 	int state = atomic_load(&x->front->gate->state);
 
-	return state >= GATE_DRAINING || !x->body_read || (asked && !strcasecmp(asked, "close")) ||
+	return state >= GATE_DRAINING || !x->body_read || threads_scarce(x->front) ||
+	       (asked && !strcasecmp(asked, "close")) ||
 	       strcmp(x->info->http_version ? x->info->http_version : "1.0", "1.1") != 0;
 }
 
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -451,4 +451,20 @@
 	close(fd);
 }
 
+/* Guards against idle connections that occupy all threads, so that a new caller waits for 30 s. */
+TEST_F(Front, IdleConnectionsLeaveThreads)
+{
+	start();
+	std::vector<int> idle;
+
+	/* The fake gate has 24 threads. */
+	for (int i = 0; i < 30; i++) {
+		idle.push_back(dial());
+		TinyServer::say(idle.back(), "GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+		EXPECT_EQ(status(reply_until_close(idle.back(), 200)), 200) << i;
+	}
+	for (int fd : idle)
+		close(fd);
+}
+
 } // namespace
