bench: fault runs that check the promises

Draws a schedule of faults from a seed, plays it against a deployment under load and checks the nine promises from the logs of the stand-ins, the load records and the time lines.

--- /dev/null
+++ b/bench/faults.c
@@ -0,0 +1,234 @@
+#include <argtable2.h>
+#include <curl/curl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "faults.h"
+#include "ibisgate/common/clock.h"
+
+#define READY_MS 30000
+#define PHASE_S 5
+
+static const struct harness_engine_spec engines[] = {
+	{ "mixed", true, "abertawe" },
+	{ "mixed", false, "abertawe" },
+	{ "prefill", true, "caerdydd" },
+	{ "decode", false, "caerdydd" },
+	{ "decode", true, "casnewydd" },
+	{ "prefill", false, "casnewydd" },
+	{ "decode", false, "merthyr" },
+	{ "prefill", true, "merthyr" },
+	{ NULL },
+};
+static const char *const services[] = { "orders", "bookings", NULL };
+static const char *const engine_args[] = { "--step-base-us",
+					   "8000",
+					   "--load-lag-ms",
+					   "500",
+					   "--role-change-ms",
+					   "1000",
+					   "--threads",
+					   "100",
+					   "--slots",
+					   "32",
+					   NULL };
+static const char *const service_args[] = { "--delay-ms", "20", "--threads", "50", NULL };
+static const char *const platform_args[] = { "--list-lag-ms", "500", NULL };
+static const struct harness_deployment deployment = {
+	.region = "de-cymru",
+	.dcs = { "abertawe", "caerdydd", "casnewydd", "merthyr" },
+	.instances = 1,
+	.more_instances = 1,
+	.engines = engines,
+	.services = services,
+	.through_proxy = true,
+	.engine_args = engine_args,
+	.service_args = service_args,
+	.platform_args = platform_args,
+	.distance_us = 1500,
+};
+
+/* Long prompts and long outputs take turns, so that greedy role changes never end. */
+static void load_prepare(struct faults *r)
+{
+	struct scenario *s = &r->scenario;
+	struct load_options *o = &r->options;
+	double all_s = (double)(r->length_ms + FAULTS_TAIL_MS) / 1000;
+
+	scenario_defaults(s);
+	s->seed = r->seed;
+	s->chat_share = 0.3;
+	str_copy(s->marker, sizeof(s->marker), str_from(FAULTS_MARKER));
+	s->phase_count = 0;
+	while (s->phase_count < SCENARIO_PHASES_MAX && s->phase_count * PHASE_S < all_s) {
+		bool prompts = s->phase_count % 2;
+
+		s->phases[s->phase_count] = (struct scenario_phase){
+			.start_s = s->phase_count * PHASE_S,
+			.rate = 10,
+			.prompt_tokens = prompts ? 1500 : 100,
+			.output_tokens = prompts ? 20 : 120,
+			.prefix_share = 0.3,
+		};
+		s->phase_count++;
+	}
+	for (int i = 0; i < FAULTS_ORGANISATIONS; i++) {
+		struct scenario_organisation *org = &s->organisations[s->organisation_count++];
+
+		*org = (struct scenario_organisation){ .weight = 1, .factor = 1 };
+		snprintf(org->name, sizeof(org->name), "org-%d", i);
+		snprintf(org->key, sizeof(org->key), "key-%d", i);
+	}
+	for (int i = 0; services[i]; i++) {
+		struct scenario_call *c = &s->calls[s->call_count++];
+
+		*c = (struct scenario_call){ .rate = 5, .repeat = 0.4 };
+		str_copy(c->name, sizeof(c->name), str_from(services[i]));
+		str_copy(c->service, sizeof(c->service), str_from(services[i]));
+	}
+	load_options_defaults(o);
+	o->duration_s = all_s;
+	o->drain_s = 30;
+	o->timeout_ms = 40000;
+	o->url_count = FAULTS_INSTANCES;
+	o->run_id = "faults";
+	for (int i = 0; i < FAULTS_INSTANCES; i++) {
+		snprintf(r->urls[i], sizeof(r->urls[i]), "http://127.0.0.1:%d",
+			 faults_caller_route(r, i));
+		o->urls[i] = r->urls[i];
+	}
+}
+
+static bool defaults_set(struct faults *r)
+{
+	struct harness_fleet *f = r->fleet;
+
+	return harness_default(f, "role.policy", json_string("greedy")) == 200 &&
+	       harness_default(f, "role.min-dwell-ms", json_integer(1000)) == 200 &&
+	       harness_default(f, "role.smooth-ms", json_integer(1000)) == 200 &&
+	       harness_default(f, "role.change-ms", json_integer(1000)) == 200 &&
+	       harness_default(f, "load.lag-ms", json_integer(500)) == 200;
+}
+
+static int prepare(struct faults *r, struct error *err)
+{
+	struct harness_fleet *f = r->fleet;
+	char name[16];
+	char key[16];
+	bool ok = true;
+
+	if (harness_ready(f, READY_MS, err) < 0)
+		return -1;
+	for (int i = 0; i < FAULTS_ORGANISATIONS; i++) {
+		snprintf(name, sizeof(name), "org-%d", i);
+		snprintf(key, sizeof(key), "key-%d", i);
+		ok = ok && harness_organisation(f, name, key, 1) == 200;
+	}
+	for (int i = 0; services[i]; i++)
+		ok = ok && harness_service(f, services[i], false) == 200;
+	/* Deadlines that a busy machine meets, since this run is about correctness. */
+	ok = ok && harness_config(f, 0, "service/text",
+				  json_pack("{s:s, s:s, s:b, s:s, s:i, s:i, s:i}", "kind", "model",
+					    "model", "M", "idempotent", 1, "class", "normal",
+					    "deadline_ms", 30000, "first_token_ms", 5000, "gap_ms",
+					    500)) == 200;
+	if (!ok || !defaults_set(r))
+		return error_set(err, ERROR_TOOL, 1, "the configuration was refused");
+	for (int i = 0; i < f->endpoint_count; i++)
+		faults_arm(r, i);
+	for (int i = 0; i < FAULTS_INSTANCES; i++)
+		r->up[i] = true;
+	if (harness_config_wait(f, faults_version(r, 0), READY_MS) < 0)
+		return error_set(err, ERROR_TOOL, 1, "the configuration is not in force");
+	load_prepare(r);
+	return 0;
+}
+
+static void *load_main(void *arg)
+{
+	struct faults *r = arg;
+	struct error err = { 0 };
+
+	if (load_run(&r->scenario, &r->options, &r->result, &err) < 0)
+		fprintf(stderr, "bench-faults: %s\n", err.text);
+	return NULL;
+}
+
+static int measure(struct faults *r, struct error *err)
+{
+	int failed;
+	int rc;
+
+	if (prepare(r, err) < 0)
+		return -1;
+	if (pthread_create(&r->watch_thread, NULL, faults_watch, r) != 0 ||
+	    pthread_create(&r->load_thread, NULL, load_main, r) != 0)
+		return error_set(err, ERROR_TOOL, 1, "cannot start a thread");
+	rc = faults_play(r, err);
+	atomic_store(&r->stop, true);
+	pthread_join(r->watch_thread, NULL);
+	if (rc < 0)
+		return -1;
+	faults_watch_once(r);
+	faults_check(r);
+	failed = faults_stop_all(r);
+	if (failed)
+		faults_violation(r, 8, "%d instances did not end with exit code 0", failed);
+	return 0;
+}
+
+static int run(struct faults *r)
+{
+	struct error err = { 0 };
+	int rc = -1;
+
+	r->harness = harness_create(&err);
+	if (!r->harness)
+		goto out;
+	r->fleet = harness_fleet_create(r->harness, &deployment, &err);
+	if (!r->fleet)
+		goto out;
+	r->events = json_array();
+	r->orders = json_object();
+	pthread_mutex_init(&r->lock, NULL);
+	rc = measure(r, &err);
+out:
+	if (rc < 0)
+		fprintf(stderr, "bench-faults: %s\n", err.text);
+	harness_fleet_destroy(r->fleet);
+	harness_destroy(r->harness);
+	if (rc < 0)
+		return 2;
+	printf("seed=%llu violations=%d\n", (unsigned long long)r->seed, r->violations);
+	return r->violations ? 1 : 0;
+}
+
+int main(int argc, char **argv)
+{
+	static struct faults faults;
+	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of the schedule (1)");
+	struct arg_dbl *seconds = arg_dbl0(NULL, "seconds", "S", "time with faults (30)");
+	struct arg_lit *verbose = arg_lit0("v", "verbose", "print faults that were not taken");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { seed, seconds, verbose, end };
+	int rc = 2;
+
+	if (arg_parse(argc, argv, table)) {
+		arg_print_errors(stderr, end, "bench-faults");
+		goto out;
+	}
+	faults.seed = seed->count ? (uint64_t)seed->ival[0] : 1;
+	faults.length_ms = (int64_t)((seconds->count ? seconds->dval[0] : 30) * 1000);
+	faults.verbose = verbose->count > 0;
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	faults_draw(&faults);
+	faults_print(&faults);
+	rc = run(&faults);
+	curl_global_cleanup();
+out:
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return rc;
+}
--- /dev/null
+++ b/bench/faults_check.c
@@ -0,0 +1,285 @@
+#include <dirent.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "faults.h"
+#include "ibisgate/common/json.h"
+
+#define PRINTED_MAX 40
+
+void faults_violation(struct faults *r, int promise, const char *fmt, ...)
+{
+	va_list ap;
+
+	if (++r->violations > PRINTED_MAX)
+		return;
+	printf("violation of promise %d: ", promise);
+	va_start(ap, fmt);
+	vprintf(fmt, ap);
+	va_end(ap);
+	printf("\n");
+}
+
+bool faults_affected(const struct faults *r, int instance, int64_t from_ms, int64_t to_ms)
+{
+	for (int i = 0; i < r->window_count; i++) {
+		const struct window *w = &r->windows[i];
+
+		if ((w->instance == instance || w->instance < 0) && w->from_ms <= to_ms &&
+		    (!w->to_ms || w->to_ms >= from_ms))
+			return true;
+	}
+	for (int i = 0; i < r->graceful_count; i++) {
+		const struct graceful *g = &r->graceful[i];
+
+		if (g->instance == instance && g->from_ms <= to_ms &&
+		    (!g->back_ms || g->back_ms + 2000 >= from_ms))
+			return true;
+	}
+	return false;
+}
+
+static bool checks_fencing(const struct faults *r, const char *process)
+{
+	for (int i = 0; i < r->fleet->endpoint_count; i++) {
+		const struct harness_endpoint *e = &r->fleet->endpoints[i];
+		size_t len = strlen(e->name);
+
+		if (strncmp(process, e->name, len) == 0 && process[len] == ' ')
+			return e->fencing;
+	}
+	return false;
+}
+
+/* Accepted orders with a lower number than one that the engine had seen before. */
+static void stale_orders(struct faults *r, const char *process, const json_t *log)
+{
+	int64_t seen = 0;
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(log, i, o) {
+		int64_t fencing = json_get_i64(o, "fencing", 0);
+
+		if (json_get_bool(o, "accepted", false) && fencing < seen)
+			faults_violation(r, 3,
+					 "%s accepted order %s of %s with number %lld after %lld",
+					 process, json_get_cstr(o, "order_id", ""),
+					 json_get_cstr(o, "holder", ""), (long long)fencing,
+					 (long long)seen);
+		if (fencing > seen)
+			seen = fencing;
+	}
+}
+
+/* An engine that ignores numbers relies on no order coming while another one is running. */
+static void overlapping_orders(struct faults *r, const char *process, const json_t *log)
+{
+	const json_t *last = NULL;
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(log, i, o) {
+		if (last && json_get_i64(o, "at_ms", 0) < json_get_i64(last, "at_ms", 0) + 1000 &&
+		    strcmp(json_get_cstr(o, "order_id", ""), json_get_cstr(last, "order_id", "")))
+			faults_violation(r, 1, "%s got order %s of %s %lld ms after order %s of %s",
+					 process, json_get_cstr(o, "order_id", ""),
+					 json_get_cstr(o, "holder", ""),
+					 (long long)(json_get_i64(o, "at_ms", 0) -
+						     json_get_i64(last, "at_ms", 0)),
+					 json_get_cstr(last, "order_id", ""),
+					 json_get_cstr(last, "holder", ""));
+		if (json_get_bool(o, "accepted", false))
+			last = o;
+	}
+}
+
+static void check_orders(struct faults *r)
+{
+	const char *process;
+	json_t *o;
+	int accepted = 0;
+
+	json_object_foreach(r->orders, process, o) {
+		const json_t *log = json_object_get(o, "log");
+		int64_t cut = json_get_i64(o, "cut_requests", 0);
+		int64_t conflicts = json_get_i64(o, "conflicts", 0);
+
+		accepted += (int)json_array_size(log);
+		if (conflicts)
+			faults_violation(r, 1, "%s: %lld conflicting orders", process,
+					 (long long)conflicts);
+		if (cut)
+			faults_violation(r, 2, "%s: %lld requests cut by orders", process,
+					 (long long)cut);
+		stale_orders(r, process, log);
+		if (!checks_fencing(r, process))
+			overlapping_orders(r, process, log);
+	}
+	printf("orders: %d in the logs of %zu engine processes\n", accepted,
+	       json_object_size(r->orders));
+}
+
+static int instance_of(const struct faults *r, const char *id)
+{
+	for (int i = 0; i < FAULTS_INSTANCES; i++) {
+		if (strcmp(r->fleet->instances[i].id, id) == 0)
+			return i;
+	}
+	return 0;
+}
+
+/* Attempts at @endpoint that began later than the bound after it was marked, until it returned. */
+static void leaving_attempts(struct faults *r, const char *endpoint, int64_t from_ms, int64_t to_ms,
+			     const char *why)
+{
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(r->events, i, o) {
+		int64_t at = json_get_i64(o, "time_ms", 0);
+		const char *instance = json_get_cstr(o, "instance", "");
+
+		if (at <= from_ms + FAULTS_LEAVE_BOUND_MS || at >= to_ms ||
+		    strcmp(json_get_cstr(o, "kind", ""), "attempt-sent") != 0 ||
+		    strcmp(json_get_cstr(o, "endpoint", ""), endpoint) != 0)
+			continue;
+		/* Whoever could not hear of the mark gets the bound once it can. */
+		if (faults_affected(r, instance_of(r, instance), at - FAULTS_LEAVE_BOUND_MS, at))
+			continue;
+		faults_violation(r, 7, "%s sent %s to %s %lld ms after %s", instance,
+				 json_get_cstr(o, "request", ""), endpoint,
+				 (long long)(at - from_ms), why);
+		return;
+	}
+}
+
+static int64_t order_end_ms(const struct faults *r, const char *order, int64_t from_ms)
+{
+	int64_t end = INT64_MAX;
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(r->events, i, o) {
+		const char *kind = json_get_cstr(o, "kind", "");
+		int64_t at = json_get_i64(o, "time_ms", 0);
+
+		if (strcmp(kind, "endpoint-return") != 0 && strcmp(kind, "drain-aborted") != 0 &&
+		    strcmp(kind, "role-changed") != 0)
+			continue;
+		if (at >= from_ms && at < end && strstr(json_get_cstr(o, "detail", ""), order))
+			end = at;
+	}
+	return end;
+}
+
+static void check_leaving(struct faults *r)
+{
+	const json_t *o;
+	size_t i;
+
+	for (int k = 0; k < r->drain_count; k++)
+		leaving_attempts(r, r->drains[k].endpoint, r->drains[k].from_ms,
+				 r->drains[k].to_ms ? r->drains[k].to_ms : INT64_MAX,
+				 "its operator drain");
+	json_array_foreach(r->events, i, o) {
+		const char *detail = json_get_cstr(o, "detail", "");
+		int64_t at = json_get_i64(o, "time_ms", 0);
+
+		if (strcmp(json_get_cstr(o, "kind", ""), "drain-begin") == 0)
+			leaving_attempts(r, json_get_cstr(o, "endpoint", ""), at,
+					 order_end_ms(r, detail, at), detail);
+	}
+	printf("drains: %d by operators\n", r->drain_count);
+}
+
+static void file_search(struct faults *r, const char *path)
+{
+	char line[8192];
+	FILE *f = fopen(path, "re");
+
+	while (f && fgets(line, sizeof(line), f)) {
+		if (strstr(line, FAULTS_MARKER) || strstr(line, FAULTS_POISON)) {
+			faults_violation(r, 0, "prompt text in %s: %.120s", path, line);
+			break;
+		}
+	}
+	if (f)
+		fclose(f);
+}
+
+static void check_logs(struct faults *r)
+{
+	DIR *d = opendir(r->harness->dir);
+	char *events = json_dumps(r->events, 0);
+	struct dirent *e;
+	char path[1024];
+
+	while (d && (e = readdir(d))) {
+		snprintf(path, sizeof(path), "%s/%s", r->harness->dir, e->d_name);
+		file_search(r, path);
+	}
+	if (d)
+		closedir(d);
+	if (events && (strstr(events, FAULTS_MARKER) || strstr(events, FAULTS_POISON)))
+		faults_violation(r, 0, "prompt text in a time line");
+	free(events);
+}
+
+static int crash_lines(const char *path)
+{
+	char line[4096];
+	FILE *f = fopen(path, "re");
+	int n = 0;
+
+	while (f && fgets(line, sizeof(line), f))
+		n += strstr(line, "reason=marker") != NULL;
+	if (f)
+		fclose(f);
+	return n;
+}
+
+static void check_poison(struct faults *r)
+{
+	char path[512];
+	int crashes = 0;
+
+	for (int i = 0; i < r->fleet->endpoint_count; i++) {
+		snprintf(path, sizeof(path), "%s/%s.log", r->harness->dir,
+			 r->fleet->endpoints[i].name);
+		crashes += crash_lines(path);
+	}
+	printf("crashing requests: %d, engines lost to them: %d\n", r->poisons, crashes);
+	if (crashes > 2 * r->poisons)
+		faults_violation(r, 0, "%d crashing requests cost %d engines", r->poisons, crashes);
+	if (crashes >= 2 * r->poisons && r->poison_unresolved)
+		faults_violation(r, 0, "%d crashing requests were not refused afterwards",
+				 r->poison_unresolved);
+}
+
+static void check_stops(struct faults *r)
+{
+	for (int i = 0; i < r->graceful_count; i++) {
+		const struct graceful *g = &r->graceful[i];
+
+		printf("graceful stop of i%d took %lld ms, exit code %d\n", g->instance + 1,
+		       (long long)(g->exit_ms - g->from_ms), g->code);
+		if (!g->exit_ms || g->code != 0)
+			faults_violation(r, 8, "i%d ended with code %d after SIGTERM",
+					 g->instance + 1, g->exit_ms ? g->code : -2);
+	}
+}
+
+void faults_check(struct faults *r)
+{
+	check_orders(r);
+	check_leaving(r);
+	check_stops(r);
+	check_logs(r);
+	check_poison(r);
+	faults_check_answers(r);
+	faults_check_calls(r);
+	faults_check_config(r);
+}
--- /dev/null
+++ b/bench/faults_operator.c
@@ -0,0 +1,243 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "faults.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+
+#define POST_TIMEOUT_MS 8000
+#define RESEND_MS 300
+#define POISON_TIMEOUT_MS 20000
+
+static const char *const admin_headers[] = { "Authorization: Bearer " HARNESS_TOKEN,
+					     "Content-Type: application/json", NULL };
+
+void faults_thread(struct faults *r, void *(*run)(void *), int a, int b)
+{
+	struct faults_job *job = mem_zalloc(sizeof(*job));
+
+	*job = (struct faults_job){ r, a, b };
+	if (r->thread_count == FAULTS_THREADS_MAX ||
+	    pthread_create(&r->threads[r->thread_count], NULL, run, job) != 0)
+		free(job);
+	else
+		r->thread_count++;
+}
+
+static bool admin_url(struct faults *r, int instance, const char *path, char *out, size_t size)
+{
+	bool up;
+
+	pthread_mutex_lock(&r->lock);
+	up = r->up[instance];
+	snprintf(out, size, "%s%s", r->fleet->instances[instance].admin, path);
+	pthread_mutex_unlock(&r->lock);
+	return up;
+}
+
+int64_t faults_version(struct faults *r, int instance)
+{
+	char url[128];
+	struct harness_reply reply;
+	int64_t version;
+
+	if (!admin_url(r, instance, "/admin/config", url, sizeof(url)))
+		return -1;
+	harness_http("GET", url, admin_headers, NULL, 1000, &reply, NULL);
+	version = json_get_i64(reply.json, "version", -1);
+	harness_reply_free(&reply);
+	return version;
+}
+
+static void change_note(struct faults *r, const char *key, json_t *value, int race, int status,
+			int64_t version)
+{
+	pthread_mutex_lock(&r->lock);
+	if (r->change_count < FAULTS_CHANGES_MAX) {
+		struct change *c = &r->changes[r->change_count++];
+
+		*c = (struct change){ .value = json_incref(value),
+				      .race = race,
+				      .status = status,
+				      .version = version,
+				      .at_ms = clock_wall_ms() };
+		str_copy(c->key, sizeof(c->key), str_from(key));
+	}
+	pthread_mutex_unlock(&r->lock);
+}
+
+int faults_post_config(struct faults *r, int instance, const char *key, json_t *value, int race,
+		       int64_t if_version, int64_t *version)
+{
+	json_t *o = json_pack("{s:s, s:O, s:s, s:I}", "key", key, "value", value, "author",
+			      "operator", "if_version", (json_int_t)if_version);
+	struct harness_reply reply = { 0 };
+	struct buf body = { 0 };
+	char url[128];
+	int status = 0;
+
+	*version = -1;
+	json_append(&body, o);
+	json_decref(o);
+	if (admin_url(r, instance, "/admin/config", url, sizeof(url))) {
+		harness_http("POST", url, admin_headers, body.data, POST_TIMEOUT_MS, &reply, NULL);
+		status = reply.status;
+		*version = json_get_i64(reply.json, "version", -1);
+		change_note(r, key, value, race, status, *version);
+		harness_reply_free(&reply);
+	}
+	buf_free(&body);
+	return status;
+}
+
+struct racer {
+	struct faults *run;
+	int instance;
+	int race;
+	int side;
+	int64_t version;
+};
+
+static void *racer_run(void *arg)
+{
+	struct racer *c = arg;
+	char key[64];
+	int64_t version;
+	json_t *value = json_pack("{s:i, s:[]}", "weight", 1000 + 2 * c->race + c->side, "keys");
+
+	snprintf(key, sizeof(key), "organisation/race-%d", c->race);
+	faults_post_config(c->run, c->instance, key, value, c->race, c->version, &version);
+	json_decref(value);
+	return NULL;
+}
+
+void *faults_race(void *arg)
+{
+	struct faults_job *job = arg;
+	struct faults *r = job->run;
+	struct racer sides[2];
+	pthread_t other;
+	int64_t version = faults_version(r, job->a);
+	int race;
+
+	pthread_mutex_lock(&r->lock);
+	race = ++r->races;
+	pthread_mutex_unlock(&r->lock);
+	for (int i = 0; i < 2; i++)
+		sides[i] = (struct racer){ r, i ? job->b : job->a, race, i, version };
+	if (version >= 0 && pthread_create(&other, NULL, racer_run, &sides[1]) == 0) {
+		racer_run(&sides[0]);
+		pthread_join(other, NULL);
+	}
+	free(job);
+	return NULL;
+}
+
+/* Sends the change until an instance has accepted it; that is what an operator would do. */
+static bool change_insist(struct faults *r, int instance, const char *key, json_t *value,
+			  int64_t limit_ms)
+{
+	int64_t end = clock_boot_ms() + limit_ms;
+	int64_t version;
+
+	while (clock_boot_ms() < end) {
+		int64_t seen = faults_version(r, instance);
+
+		if (seen >= 0 &&
+		    faults_post_config(r, instance, key, value, 0, seen, &version) == 200)
+			return true;
+		instance = (instance + 1) % FAULTS_INSTANCES;
+		clock_sleep_ms(100);
+	}
+	return false;
+}
+
+void *faults_drain(void *arg)
+{
+	struct faults_job *job = arg;
+	struct faults *r = job->run;
+	json_t *value = json_pack("{s:s}", "reason", "replacement of a fan");
+	const char *name = r->fleet->endpoints[job->a].name;
+	char key[64];
+
+	snprintf(key, sizeof(key), "drain/%s", name);
+	if (change_insist(r, job->b, key, value, 2000)) {
+		pthread_mutex_lock(&r->lock);
+		str_copy(r->drains[r->drain_count].endpoint, sizeof(r->drains[0].endpoint),
+			 str_from(name));
+		r->drains[r->drain_count++].from_ms = clock_wall_ms();
+		pthread_mutex_unlock(&r->lock);
+	}
+	json_decref(value);
+	free(job);
+	return NULL;
+}
+
+void *faults_undrain(void *arg)
+{
+	struct faults_job *job = arg;
+	struct faults *r = job->run;
+	const char *name = r->fleet->endpoints[job->a].name;
+	json_t *null = json_null();
+	char key[64];
+
+	snprintf(key, sizeof(key), "drain/%s", name);
+	pthread_mutex_lock(&r->lock);
+	for (int i = 0; i < r->drain_count; i++) {
+		if (strcmp(r->drains[i].endpoint, name) == 0 && !r->drains[i].to_ms)
+			r->drains[i].to_ms = clock_wall_ms();
+	}
+	pthread_mutex_unlock(&r->lock);
+	change_insist(r, job->b, key, null, 15000);
+	free(job);
+	return NULL;
+}
+
+static int poison_send(struct faults *r, int instance, int number, char *code, size_t size)
+{
+	static const char *const headers[] = { "Authorization: Bearer key-0",
+					       "Content-Type: application/json", NULL };
+	struct harness_reply reply;
+	char body[256];
+	char url[128];
+	int status;
+
+	snprintf(url, sizeof(url), "%s/v1/completions", r->urls[instance]);
+	snprintf(body, sizeof(body),
+		 "{\"model\":\"M\",\"max_tokens\":20,\"prompt\":\"%s %s number %d of seed %llu\"}",
+		 FAULTS_MARKER, FAULTS_POISON, number, (unsigned long long)r->seed);
+	harness_http("POST", url, headers, body, POISON_TIMEOUT_MS, &reply, NULL);
+	status = reply.status;
+	str_copy(code, size, json_get_str(json_object_get(reply.json, "error"), "code"));
+	harness_reply_free(&reply);
+	return status;
+}
+
+/* The caller of a request that crashes engines sends it three times, through other instances. */
+void *faults_poison(void *arg)
+{
+	struct faults_job *job = arg;
+	struct faults *r = job->run;
+	char code[32] = "";
+	int number;
+
+	pthread_mutex_lock(&r->lock);
+	number = ++r->poisons;
+	pthread_mutex_unlock(&r->lock);
+	for (int i = 0; i < 3; i++) {
+		int instance = (job->a + i) % FAULTS_INSTANCES;
+		int status = poison_send(r, instance, number, code, sizeof(code));
+
+		printf("poison %d: sent to i%d: status %d %s\n", number, instance + 1, status,
+		       code);
+		clock_sleep_ms(RESEND_MS);
+	}
+	if (strcmp(code, "quarantined") != 0) {
+		pthread_mutex_lock(&r->lock);
+		r->poison_unresolved++;
+		pthread_mutex_unlock(&r->lock);
+	}
+	free(job);
+	return NULL;
+}
--- /dev/null
+++ b/bench/faults_schedule.c
@@ -0,0 +1,136 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "faults.h"
+
+#define FIRST_MS 2000
+#define MEAN_GAP_MS 1500
+
+/** struct kind_spec - how a kind of fault is drawn; durations in milliseconds */
+struct kind_spec {
+	const char *name;
+	double weight;
+	int64_t least_ms;
+	int64_t most_ms;
+};
+
+static const struct kind_spec kinds[FAULT_KINDS] = {
+	[FAULT_KILL] = { "kill", 2, 500, 4000 },
+	[FAULT_FREEZE] = { "freeze", 2, 1000, 10000 },
+	[FAULT_RESTART] = { "restart", 1.5, 0, 0 },
+	[FAULT_ENGINE_CRASH] = { "engine-crash", 2, 500, 3000 },
+	[FAULT_CRASH_IN_CHANGE] = { "crash-in-change", 1, 3000, 8000 },
+	[FAULT_POISON] = { "poison", 1, 0, 0 },
+	[FAULT_CUT_PEERS] = { "cut-peers", 1, 1000, 9000 },
+	[FAULT_CUT_PEERS_ONE_WAY] = { "cut-peers-one-way", 1, 1000, 9000 },
+	[FAULT_CUT_DC_PEERS] = { "cut-dc-peers", 1, 1000, 9000 },
+	[FAULT_CUT_DC_PLATFORM] = { "cut-dc-platform", 1, 1000, 9000 },
+	[FAULT_CUT_DC_BOTH] = { "cut-dc-both", 1, 1000, 9000 },
+	[FAULT_CUT_ENDPOINT] = { "cut-endpoint", 1, 500, 5000 },
+	[FAULT_PLATFORM_DOWN] = { "platform-down", 1, 500, 8000 },
+	[FAULT_PLATFORM_SLOW] = { "platform-slow", 1, 1000, 6000 },
+	[FAULT_PLATFORM_DROP] = { "platform-drop-reply", 1.5, 1000, 6000 },
+	[FAULT_SILENT] = { "silent", 1, 2000, 8000 },
+	[FAULT_SILENT_TO_CLIENT] = { "silent-to-client", 1, 2000, 8000 },
+	[FAULT_SILENT_TO_TARGET] = { "silent-to-target", 1, 2000, 8000 },
+	[FAULT_SILENT_PLATFORM] = { "silent-platform", 1, 2000, 8000 },
+	[FAULT_SERVICE_SLOW] = { "service-slow", 1, 1000, 6000 },
+	[FAULT_SERVICE_REFUSE] = { "service-refuse", 1, 1000, 6000 },
+	[FAULT_SERVICE_DROP] = { "service-drop-reply", 1, 1000, 6000 },
+	[FAULT_RACE] = { "race", 3, 0, 0 },
+	[FAULT_DRAIN] = { "drain", 2, 3000, 9000 },
+};
+
+const char *fault_name(enum fault_kind kind)
+{
+	return kinds[kind].name;
+}
+
+static enum fault_kind kind_draw(struct scenario_random *random)
+{
+	double total = 0;
+	double at;
+	int kind = 0;
+
+	for (int i = 0; i < FAULT_KINDS; i++)
+		total += kinds[i].weight;
+	at = scenario_uniform(random) * total;
+	while (kind < FAULT_KINDS - 1 && at >= kinds[kind].weight)
+		at -= kinds[kind++].weight;
+	return (enum fault_kind)kind;
+}
+
+static int target_draw(struct scenario_random *random, enum fault_kind kind)
+{
+	int count = FAULTS_INSTANCES;
+
+	switch (kind) {
+	case FAULT_ENGINE_CRASH:
+	case FAULT_CRASH_IN_CHANGE:
+	case FAULT_DRAIN:
+		count = FAULTS_ENGINES;
+		break;
+	case FAULT_CUT_DC_PEERS:
+	case FAULT_CUT_DC_PLATFORM:
+	case FAULT_CUT_DC_BOTH:
+	case FAULT_SERVICE_SLOW:
+	case FAULT_SERVICE_REFUSE:
+	case FAULT_SERVICE_DROP:
+		count = 4;
+		break;
+	default:
+		break;
+	}
+	return (int)(scenario_uniform(random) * count);
+}
+
+/* Kills, freezes and restarts of one instance must not overlap; the later one is left out. */
+static bool fits(const struct faults *r, const struct fault *f)
+{
+	if (f->kind > FAULT_RESTART)
+		return true;
+	for (int i = 0; i < r->fault_count; i++) {
+		const struct fault *o = &r->faults[i];
+
+		if (o->kind > FAULT_RESTART || o->a != f->a)
+			continue;
+		if (o->kind == FAULT_RESTART || f->kind == FAULT_RESTART)
+			return false;
+		if (f->at_ms < o->end_ms + 2000)
+			return false;
+	}
+	return true;
+}
+
+void faults_draw(struct faults *r)
+{
+	struct scenario_random random = { .seed = r->seed };
+	int64_t at = FIRST_MS;
+
+	while (at < r->length_ms && r->fault_count < FAULTS_MAX) {
+		struct fault f = { .kind = kind_draw(&random), .at_ms = at };
+		const struct kind_spec *spec = &kinds[f.kind];
+		double part = scenario_uniform(&random);
+
+		f.end_ms = at + spec->least_ms +
+			   (int64_t)(part * (double)(spec->most_ms - spec->least_ms));
+		if (f.end_ms > r->length_ms)
+			f.end_ms = r->length_ms;
+		f.a = target_draw(&random, f.kind);
+		f.b = (f.a + 1 + (int)(scenario_uniform(&random) * (FAULTS_INSTANCES - 1))) %
+		      FAULTS_INSTANCES;
+		if (fits(r, &f))
+			r->faults[r->fault_count++] = f;
+		at += (int64_t)(scenario_gap(&random, 1000.0 / MEAN_GAP_MS) * 1000);
+	}
+}
+
+void faults_print(const struct faults *r)
+{
+	for (int i = 0; i < r->fault_count; i++) {
+		const struct fault *f = &r->faults[i];
+
+		printf("schedule: %6.2f s to %6.2f s %s a=%d b=%d\n", (double)f->at_ms / 1000,
+		       (double)f->end_ms / 1000, fault_name(f->kind), f->a, f->b);
+	}
+}
--- /dev/null
+++ b/bench/faults_watch.c
@@ -0,0 +1,129 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "faults.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+
+#define POLL_MS 200
+#define TIMEOUT_MS 1000
+
+static const char *const admin_headers[] = { "Authorization: Bearer " HARNESS_TOKEN, NULL };
+
+static json_t *get(const char *url)
+{
+	struct harness_reply reply;
+	json_t *json = NULL;
+
+	if (harness_http("GET", url, admin_headers, NULL, TIMEOUT_MS, &reply, NULL) == 0 &&
+	    reply.status == 200)
+		json = json_incref(reply.json);
+	harness_reply_free(&reply);
+	return json;
+}
+
+static void sample_add(struct faults *r, const struct sample *s)
+{
+	if (r->sample_count == r->sample_cap) {
+		r->sample_cap = r->sample_cap ? 2 * r->sample_cap : 4096;
+		r->samples = mem_resize(r->samples, r->sample_cap * sizeof(*r->samples));
+	}
+	r->samples[r->sample_count++] = *s;
+}
+
+static void status_poll(struct faults *r, int instance, const char *admin, uint64_t *incarnation)
+{
+	struct sample s = { .instance = instance };
+	char url[128];
+	json_t *status;
+
+	snprintf(url, sizeof(url), "%s/admin/status", admin);
+	status = get(url);
+	if (!status)
+		return;
+	s.incarnation = (uint64_t)json_get_i64(status, "incarnation", 0);
+	s.version = json_get_i64(status, "config_version", 0);
+	s.at_ms = clock_wall_ms();
+	*incarnation = s.incarnation;
+	sample_add(r, &s);
+	json_decref(status);
+}
+
+static void events_poll(struct faults *r, int instance, const char *admin, uint64_t incarnation)
+{
+	static uint64_t after[FAULTS_INSTANCES];
+	static uint64_t process[FAULTS_INSTANCES];
+	char url[160];
+	json_t *list;
+	json_t *o;
+	size_t i;
+
+	if (process[instance] != incarnation)
+		after[instance] = 0;
+	process[instance] = incarnation;
+	snprintf(url, sizeof(url), "%s/admin/events?after=%llu", admin,
+		 (unsigned long long)after[instance]);
+	list = get(url);
+	json_array_foreach(list, i, o) {
+		after[instance] = (uint64_t)json_get_i64(o, "hlc", 0);
+		json_object_set_new(o, "process", json_integer((json_int_t)incarnation));
+		json_array_append(r->events, o);
+	}
+	json_decref(list);
+}
+
+static void orders_poll(struct faults *r, int endpoint, const char *url_base, int pid)
+{
+	const struct harness_endpoint *e = &r->fleet->endpoints[endpoint];
+	char url[128];
+	char name[96];
+	json_t *o;
+
+	snprintf(url, sizeof(url), "%s/orders", url_base);
+	snprintf(name, sizeof(name), "%s (process %d)", e->name, pid);
+	o = get(url);
+	if (o)
+		json_object_set_new(r->orders, name, o);
+}
+
+void faults_watch_once(struct faults *r)
+{
+	for (int i = 0; i < FAULTS_INSTANCES; i++) {
+		uint64_t incarnation = 0;
+		char admin[64];
+		bool up;
+
+		pthread_mutex_lock(&r->lock);
+		up = r->up[i];
+		memcpy(admin, r->fleet->instances[i].admin, sizeof(admin));
+		pthread_mutex_unlock(&r->lock);
+		if (up)
+			status_poll(r, i, admin, &incarnation);
+		if (incarnation)
+			events_poll(r, i, admin, incarnation);
+	}
+	for (int i = 0; i < r->fleet->endpoint_count; i++) {
+		const struct harness_endpoint *e = &r->fleet->endpoints[i];
+		char url[64];
+		int pid;
+
+		pthread_mutex_lock(&r->lock);
+		pid = e->process->pid;
+		memcpy(url, e->url, sizeof(url));
+		pthread_mutex_unlock(&r->lock);
+		if (pid && !e->service)
+			orders_poll(r, i, url, pid);
+	}
+}
+
+void *faults_watch(void *arg)
+{
+	struct faults *r = arg;
+
+	while (!atomic_load(&r->stop)) {
+		faults_watch_once(r);
+		clock_sleep_ms(POLL_MS);
+	}
+	return NULL;
+}
--- a/bench/harness/deploy.c
+++ b/bench/harness/deploy.c
@@ -6,6 +6,7 @@
 #include "ibisgate/harness/harness.h"
 
 #define ARGS_MAX 60
+#define LIST_TRIES 20
 
 /** struct args - argument list under construction */
 struct args {
@@ -126,10 +127,13 @@
 static int list_post(struct harness_fleet *f, const char *what, json_t *entry, struct error *err)
 {
 	char url[128];
-	int status;
+	int status = 0;
 
 	snprintf(url, sizeof(url), "%s/list/%s", f->platform, what);
-	status = harness_post(url, entry);
+	/* The platform may be under a fault that drops replies; the same entry again is harmless. */
+	for (int i = 0; i < LIST_TRIES && status / 100 != 2; i++)
+		status = harness_post(url, json_incref(entry));
+	json_decref(entry);
 	if (status / 100 != 2)
 		return error_set(err, ERROR_TOOL, status, "POST %s: status %d", url, status);
 	return 0;
@@ -252,6 +256,8 @@
 
 	for (int dc = 0; d->dcs[dc]; dc++) {
 		for (int i = 0; d->engines && d->engines[i].role; i++) {
+			if (d->engines[i].dc && strcmp(d->engines[i].dc, d->dcs[dc]) != 0)
+				continue;
 			if (endpoint_add(f, d->dcs[dc], d->engines[i].role, d->engines[i].fencing,
 					 NULL, ++engines, err) < 0)
 				return -1;
@@ -270,7 +276,9 @@
 	const struct harness_deployment *d = f->deployment;
 
 	for (int dc = 0; d->dcs[dc]; dc++) {
-		for (int i = 0; i < d->instances; i++) {
+		int count = d->instances + (dc ? 0 : d->more_instances);
+
+		for (int i = 0; i < count; i++) {
 			struct harness_instance *in = &f->instances[f->instance_count];
 
 			if (f->instance_count == HARNESS_INSTANCES_MAX)
--- a/include/ibisgate/harness/harness.h
+++ b/include/ibisgate/harness/harness.h
@@ -115,16 +115,19 @@
 /**
  * struct harness_engine_spec - one engine of each data centre
  * @role: mixed, prefill or decode
+ * @dc: only in this data centre; NULL for every one
  * @fencing: refuses orders with an old fencing number
  */
 struct harness_engine_spec {
 	const char *role;
 	bool fencing;
+	const char *dc;
 };
 
 /**
  * struct harness_deployment - what to start; all pointers outlive the fleet
  * @instances: per data centre
+ * @more_instances: further ones in the first data centre
  * @engines: per data centre, ended by an entry without role
  * @services: plain services, a worker for each in each data centre; NULL-terminated
  * @through_proxy: instances reach platform, peers and endpoints through the fault proxy
@@ -137,6 +140,7 @@
 	const char *region;
 	const char *dcs[HARNESS_DCS_MAX + 1];
 	int instances;
+	int more_instances;
 	const struct harness_engine_spec *engines;
 	const char *const *services;
 	bool through_proxy;
--- a/include/ibisgate/load/client.h
+++ b/include/ibisgate/load/client.h
@@ -66,6 +66,7 @@
  * @call: plain call, as against a generation
  * @repeat: second sending of the same key
  * @organisation: index in the scenario
+ * @target: index in the URLs of the options, of the last one tried
  * @start_us: since the start of the run; the planned time in open loop
  * @ttft_us: from @start_us to the first text; -1 without one
  * @bytes: received body bytes
@@ -77,6 +78,7 @@
 	bool call;
 	bool repeat;
 	int organisation;
+	int target;
 	enum load_outcome outcome;
 	enum check_fault fault;
 	int status;
--- a/include/ibisgate/load/scenario.h
+++ b/include/ibisgate/load/scenario.h
@@ -59,6 +59,7 @@
  * @sigma: shape of the log-normal sizes; draws are bounded to a quarter and four times the mean
  * @prefixes: common prefixes of each organisation
  * @chat_share: part of the generations sent as chat completions
+ * @marker: word in every prompt, to be searched for in logs; may be empty
  */
 struct scenario {
 	char model[64];
@@ -66,6 +67,7 @@
 	double sigma;
 	int prefixes;
 	double chat_share;
+	char marker[32];
 	struct scenario_phase phases[SCENARIO_PHASES_MAX];
 	int phase_count;
 	struct scenario_organisation organisations[SCENARIO_ORGANISATIONS_MAX];
--- a/load/request.c
+++ b/load/request.c
@@ -44,6 +44,8 @@
 
 	text_append(prompt, hash_mix(seed, (uint64_t)variant), common);
 	text_append(prompt, hash_mix(r->text_seed, (uint64_t)t->record.number), bytes - common);
+	if (r->scenario->marker[0])
+		buf_printf(prompt, " %s", r->scenario->marker);
 }
 
 static int priority_number(const char *priority)
@@ -189,6 +191,7 @@
 
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	rec->status = (int)status;
+	rec->target = t->target;
 	rec->end_us = run_now_us(r);
 	rec->ttft_us = -1;
 	rec->effect = -1;
