faultproxy: refuse connections while the target refuses them

The proxy accepted a connection and then closed it when its target was dead, so a client behind it saw a reset where it would see a refusal without the proxy, and instances took attempts at dead engines for crashes. A route now stops listening while its target refuses, from before the clients of the old connections learn of the end.

--- a/include/ibisgate/standins/proxy.h
+++ b/include/ibisgate/standins/proxy.h
@@ -69,6 +69,7 @@
 /**
  * struct route - one listener and its target
  * @hold_fd: bound but not listening; keeps the port while a cut closes the listener
+ * @down: the target refuses connections, so the route refuses them too
  */
 struct route {
 	struct route *next;
@@ -76,6 +77,7 @@
 	struct sockaddr_in target;
 	int port;
 	int hold_fd, listen_fd;
+	bool down;
 	struct watch watch;
 	enum proxy_mode mode;
 	int64_t delay_us;
@@ -89,6 +91,7 @@
 	struct watch wake;
 	struct route *routes;
 	struct conn *conns, *dead;
+	int64_t checked_us;
 	atomic_bool stopping;
 };
 
@@ -96,6 +99,14 @@
 void *proxy_run(void *proxy);
 void proxy_wake(struct proxy *p);
 
+/**
+ * proxy_target_check - look whether the target of @r takes connections
+ *
+ * A route to a target that refuses connections stops listening, so that clients are refused as they
+ * would be without the proxy. Called with the lock held.
+ */
+void proxy_target_check(struct proxy *p, struct route *r);
+
 /** proxy_target_parse - parse "IP:PORT" */
 bool proxy_target_parse(struct str s, struct sockaddr_in *out);
 
--- a/standins/proxy_conn.c
+++ b/standins/proxy_conn.c
@@ -172,6 +172,10 @@
 static void conn_ended(struct proxy *p, struct conn *c, enum proxy_side side)
 {
 	c->eof[side] = true;
+	/* Before the client learns of the end: its next connection must meet a dead target's
+	 * refusal. */
+	if (side == SIDE_TARGET)
+		proxy_target_check(p, c->route);
 	if (!conn_discards(c, side))
 		queue_push(c, side, NULL, 0);
 	else if (c->eof[other(side)])
@@ -220,10 +224,12 @@
 	socklen_t len = sizeof(err);
 
 	getsockopt(c->fds[SIDE_TARGET], SOL_SOCKET, SO_ERROR, &err, &len);
-	if (err)
+	if (err) {
+		proxy_target_check(p, c->route);
 		conn_close(p, c);
-	else
+	} else {
 		c->connected = true;
+	}
 }
 
 void conn_event(struct proxy *p, struct conn *c, enum proxy_side side, uint32_t events)
@@ -303,6 +309,7 @@
 	conn_start(p, r, client, target);
 	return;
 fail:
+	proxy_target_check(p, r);
 	close(client);
 	if (target >= 0)
 		close(target);
--- a/standins/proxy_loop.c
+++ b/standins/proxy_loop.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -12,6 +13,7 @@
 #define EVENTS_MAX 64
 #define LISTEN_BACKLOG 256
 #define IDLE_WAIT_US 1000000
+#define DOWN_CHECK_US 100000
 
 int proxy_init(struct proxy *p)
 {
@@ -69,7 +71,7 @@
 {
 	struct epoll_event ev = { .events = EPOLLIN, .data.ptr = &r->watch };
 
-	if (r->listen_fd >= 0)
+	if (r->listen_fd >= 0 || r->down || r->mode == PROXY_CUT)
 		return 0;
 	r->listen_fd = port_bind(r->port);
 	if (r->listen_fd < 0)
@@ -89,6 +91,45 @@
 	r->listen_fd = -1;
 }
 
+static bool target_refuses(const struct route *r)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	bool refused = false;
+
+	if (fd < 0)
+		return false;
+	/* On loopback the refusal is there at once. */
+	if (connect(fd, (const struct sockaddr *)&r->target, sizeof(r->target)) != 0)
+		refused = errno == ECONNREFUSED;
+	close(fd);
+	return refused;
+}
+
+void proxy_target_check(struct proxy *p, struct route *r)
+{
+	r->down = target_refuses(r);
+	if (r->down)
+		route_shut(r);
+	else
+		route_open(p, r);
+}
+
+/* Return: whether any route is down. */
+static bool down_check(struct proxy *p)
+{
+	int64_t now = mono_us();
+	bool any = false;
+
+	for (struct route *r = p->routes; r; r = r->next) {
+		if (r->down && now - p->checked_us >= DOWN_CHECK_US)
+			proxy_target_check(p, r);
+		any |= r->down;
+	}
+	if (now - p->checked_us >= DOWN_CHECK_US)
+		p->checked_us = now;
+	return any;
+}
+
 static struct route *route_create(struct proxy *p, struct str name)
 {
 	struct route *r = mem_zalloc(sizeof(*r));
@@ -128,6 +169,8 @@
 		r = route_create(p, name);
 	if (r) {
 		r->target = *target;
+		if (r->down)
+			proxy_target_check(p, r);
 		port = r->port;
 	}
 	pthread_mutex_unlock(&p->lock);
@@ -234,6 +277,8 @@
 
 		pthread_mutex_lock(&p->lock);
 		wait_us = delayed_flush(p) - mono_us();
+		if (down_check(p) && wait_us > DOWN_CHECK_US)
+			wait_us = DOWN_CHECK_US;
 		dead_free(p);
 		pthread_mutex_unlock(&p->lock);
 		ts = mono_timespec(wait_us > 0 ? wait_us : 0);
