Judge ended attempts by what is known: circuits, crashes, not run

- A stream that ended with its finish chunk and [DONE] reported no success, so a half-open circuit stayed half-open, with one request at a time, for good, and failures added up over any time.
- The probe of an engine whose stream broke took a reset of the fresh connection for an engine that lives.
An ending process can still accept, so such a crash was not charged.
- A request that was refused at its second crash was told "not run", although it had run and could have delivered text.
It is told outcome_unknown now; repeats are still refused as not run.

Each has a test in test-front.

--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -147,7 +147,8 @@
 
 /*
  * A connection that breaks may be the network or the engine. The engine has died when it refuses
- * connections or has started anew since; a timeout proves nothing.
+ * connections or has started anew since; a timeout proves nothing. While a process ends, its
+ * listening socket may still take the connection and reset it.
  */
 static bool engine_died(struct dispatch *d, const struct fleet_slot *slot)
 {
@@ -165,7 +166,7 @@
 	snprintf(url, sizeof(url), "%s/load", slot->url);
 	req.url = url;
 	if (link_fetch(d->link, &req, PROBE_MS, &status, &body, &failed) != 0) {
-		died = failed.refused;
+		died = failed.refused || failed.failure == LINK_RESET;
 	} else {
 		json_t *o = json_parse(buf_str(&body));
 		struct str boot = json_get_str(o, "boot_id");
@@ -280,9 +281,12 @@
 	}
 	if (s->caller_gone)
 		a->result = ATTEMPT_CALLER_GONE;
-	else if (s->finished)
+	else if (s->finished) {
 		a->result = ATTEMPT_DONE;
-	else if (!ended && a->result != ATTEMPT_DEADLINE)
+		/* Otherwise the end or failure of the transfer has been judged already. */
+		if (!ended)
+			fleet_result(d->gate->fleet, slot->name, FLEET_SUCCESS);
+	} else if (!ended && a->result != ATTEMPT_DEADLINE)
 		answer_judge(d, a, s, slot);
 	/* After [DONE] only the end of the response is missing; it is left to the loop. */
 	if (s->done)
--- a/daemon/dispatch_generate.c
+++ b/daemon/dispatch_generate.c
@@ -97,9 +97,10 @@
 		w->avoid[w->avoid_count++] = id;
 }
 
-static bool quarantined(struct outcome *out)
+/* @ran: a try of this very request has reached an engine */
+static bool quarantined(struct outcome *out, bool ran)
 {
-	outcome_set(out, 422, "not_run", "quarantined",
+	outcome_set(out, 422, ran ? "outcome_unknown" : "not_run", "quarantined",
 		    "requests like this one have crashed engines and are refused for some minutes");
 	return true;
 }
@@ -112,7 +113,7 @@
 		return false;
 	switch (control_quarantine_charge(d->gate->control, w->fingerprint, a->alone)) {
 	case QUARANTINE_REFUSE:
-		return quarantined(out);
+		return quarantined(out, true);
 	case QUARANTINE_SUSPECT:
 		w->alone = true;
 		break;
@@ -224,7 +225,7 @@
 	work_init(d, &w, g, service);
 	switch (control_quarantine_check(d->gate->control, w.fingerprint)) {
 	case QUARANTINE_REFUSE:
-		quarantined(out);
+		quarantined(out, false);
 		return;
 	case QUARANTINE_SUSPECT:
 		w.alone = true;
--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -9,6 +9,7 @@
 #include "ibisgate/common/supervisor.h"
 #include "ibisgate/daemon/control.h"
 #include "ibisgate/daemon/dispatch.h"
+#include "ibisgate/daemon/fleet_use.h"
 
 #define ENDPOINTS_MAX 8
 
@@ -100,6 +101,25 @@
 	fleet_update(g->gate.fleet, g->endpoints, g->endpoint_count);
 }
 
+void fake_gate_circuit_open(struct fake_gate *g, const char *name)
+{
+	for (int i = 0; i < CIRCUIT_FAILURES; i++)
+		fleet_result(g->gate.fleet, name, FLEET_FAILURE);
+	clock_sleep_ms(CIRCUIT_OPEN_MS + 50);
+}
+
+bool fake_gate_circuits_closed(struct fake_gate *g)
+{
+	bool closed = true;
+	int n;
+	struct endpoint_status *all = fleet_statuses(g->gate.fleet, &n);
+
+	for (int i = 0; i < n; i++)
+		closed &= all[i].circuit == CIRCUIT_CLOSED;
+	free(all);
+	return closed;
+}
+
 void fake_gate_drain(struct fake_gate *g)
 {
 	atomic_store(&g->gate.state, GATE_DRAINING);
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -29,6 +29,9 @@
 /** fake_gate_endpoint - @role is mixed, prefill, decode or service */
 void fake_gate_endpoint(struct fake_gate *g, const char *name, const char *url, const char *role,
 			const char *model);
+/** fake_gate_circuit_open - open the circuit of an endpoint and wait until a probe is allowed */
+void fake_gate_circuit_open(struct fake_gate *g, const char *name);
+bool fake_gate_circuits_closed(struct fake_gate *g);
 void fake_gate_drain(struct fake_gate *g);
 void fake_gate_claim(struct fake_gate *g, enum fake_claim verdict);
 struct fake_counts fake_gate_counts(struct fake_gate *g);
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -378,6 +378,8 @@
 	start(std::move(list));
 	std::string r = post("/v1/completions", json_body);
 	EXPECT_EQ(status(r), 422) << r;
+	/* It ran twice, so "not run" would be untrue. */
+	EXPECT_NE(r.find("\"type\":\"outcome_unknown\""), std::string::npos) << r;
 	EXPECT_EQ(crashes, 2);
 	r = post("/v1/completions", json_body);
 	EXPECT_EQ(status(r), 422) << r;
@@ -385,6 +387,41 @@
 	EXPECT_EQ(crashes, 2);
 }
 
+/* Guards against a crash that is not charged because the ending engine still takes the probe. */
+TEST_F(Front, EngineThatResetsTheProbeHasDied)
+{
+	std::atomic<int> crashes{ 0 };
+	std::vector<Engine> list;
+
+	for (int i = 0; i < 4; i++) {
+		auto dead = std::make_shared<std::atomic<bool>>(false);
+
+		list.push_back(
+			std::make_unique<TinyServer>([&, dead](int fd, const std::string &r) {
+				if (!*dead && is_load(fd, r))
+					return true;
+				crashes += !dead->exchange(true);
+				TinyServer::reset(fd);
+				return false;
+			}));
+	}
+	start(std::move(list));
+	EXPECT_EQ(status(post("/v1/completions", json_body)), 422);
+	EXPECT_EQ(crashes, 2);
+}
+
+/* Guards against a circuit that stays half-open, with one request at a time, for good. */
+TEST_F(Front, StreamedAnswerClosesTheCircuit)
+{
+	std::vector<Engine> list;
+
+	list.push_back(good_engine());
+	start(std::move(list));
+	fake_gate_circuit_open(g, "e0");
+	EXPECT_EQ(status(post("/v1/completions", stream_body)), 200);
+	EXPECT_TRUE(fake_gate_circuits_closed(g));
+}
+
 /* Guards against "not run" after a call that may have had its effect, and the other way round. */
 TEST_F(Front, CallsSayWhatIsKnown)
 {
