--- a/bench/faults.h
+++ b/bench/faults.h
@@ -143,6 +143,7 @@
 	int thread_count;
 	int races;
 	int poisons;
+	int poison_allowed;
 	int poison_unresolved;
 
 	pthread_t watch_thread;
--- a/bench/faults_check.c
+++ b/bench/faults_check.c
@@ -226,6 +226,9 @@
 	if (events && (strstr(events, FAULTS_MARKER) || strstr(events, FAULTS_POISON)))
 		faults_violation(r, 0, "prompt text in a time line");
 	free(events);
+	/* For a look at a violation; the directory stays with IBISGATE_HARNESS_KEEP. */
+	snprintf(path, sizeof(path), "%s/events.json", r->harness->dir);
+	json_dump_file(r->events, path, JSON_INDENT(0));
 }
 
 static int crash_lines(const char *path)
@@ -252,7 +255,7 @@
 		crashes += crash_lines(path);
 	}
 	printf("crashing requests: %d, engines lost to them: %d\n", r->poisons, crashes);
-	if (crashes > 2 * r->poisons)
+	if (crashes > r->poison_allowed)
 		faults_violation(r, 0, "%d crashing requests cost %d engines", r->poisons, crashes);
 	if (crashes >= 2 * r->poisons && r->poison_unresolved)
 		faults_violation(r, 0, "%d crashing requests were not refused afterwards",
--- a/bench/faults_check_load.c
+++ b/bench/faults_check_load.c
@@ -139,7 +139,7 @@
 
 		check_answer(r, rec);
 		o = json_object_get(ids, rec->request_id);
-		if (strcmp(rec->type, "not_run") == 0 && strcmp(rec->code, "quarantined") != 0 && o)
+		if (strcmp(rec->type, "not_run") == 0 && o)
 			record_violation(r, 5, rec, json_get_cstr(o, "detail", ""));
 	}
 	json_decref(ids);
--- a/bench/faults_operator.c
+++ b/bench/faults_operator.c
@@ -214,12 +214,32 @@
 	return status;
 }
 
+/* Whether peers could not tell @instance what they know; the promise is kept on each side. */
+static bool cut_from_peers(struct faults *r, int instance)
+{
+	int64_t now = clock_wall_ms();
+	bool cut = false;
+
+	pthread_mutex_lock(&r->lock);
+	for (int i = 0; i < r->window_count; i++) {
+		const struct window *w = &r->windows[i];
+
+		cut |= w->instance == instance && w->kind >= FAULT_CUT_PEERS &&
+		       w->kind <= FAULT_CUT_DC_BOTH && (!w->to_ms || w->to_ms + 1000 > now);
+		cut |= w->instance == instance && w->kind == FAULT_FREEZE &&
+		       (!w->to_ms || w->to_ms + 1000 > now);
+	}
+	pthread_mutex_unlock(&r->lock);
+	return cut;
+}
+
 /* The caller of a request that crashes engines sends it three times, through other instances. */
 void *faults_poison(void *arg)
 {
 	struct faults_job *job = arg;
 	struct faults *r = job->run;
 	char code[32] = "";
+	bool cut_from_first = false;
 	int number;
 
 	pthread_mutex_lock(&r->lock);
@@ -227,8 +247,15 @@
 	pthread_mutex_unlock(&r->lock);
 	for (int i = 0; i < 3; i++) {
 		int instance = (job->a + i) % FAULTS_INSTANCES;
+		bool cut = cut_from_peers(r, instance);
 		int status = poison_send(r, instance, number, code, sizeof(code));
 
+		pthread_mutex_lock(&r->lock);
+		if (i == 0 || cut || cut_from_first)
+			r->poison_allowed += 2;
+		pthread_mutex_unlock(&r->lock);
+		cut_from_first |= cut;
+
 		printf("poison %d: sent to i%d: status %d %s\n", number, instance + 1, status,
 		       code);
 		clock_sleep_ms(RESEND_MS);
--- a/bench/faults_watch.c
+++ b/bench/faults_watch.c
@@ -32,6 +32,29 @@
 	r->samples[r->sample_count++] = *s;
 }
 
+/* Adds the state of the endpoints to the time line whenever it has changed. */
+static void endpoints_note(struct faults *r, int instance, const json_t *status)
+{
+	static char last[FAULTS_INSTANCES][2048];
+	const json_t *o;
+	struct buf text = { 0 };
+	size_t i;
+
+	json_array_foreach(json_object_get(status, "endpoints"), i, o)
+		buf_printf(&text, "%s:%s:%s:%s%s ", json_get_cstr(o, "name", ""),
+			   json_get_cstr(o, "role", ""), json_get_cstr(o, "circuit", ""),
+			   json_get_bool(o, "stopped", false) ? "stopped" : "",
+			   json_get_cstr(o, "stop_order", ""));
+	if (text.len && strncmp(last[instance], text.data, sizeof(last[0]) - 1) != 0) {
+		str_copy(last[instance], sizeof(last[0]), buf_str(&text));
+		json_array_append_new(r->events, json_pack("{s:I, s:s, s:s, s:s}", "time_ms",
+							   (json_int_t)clock_wall_ms(), "instance",
+							   r->fleet->instances[instance].id, "kind",
+							   "bench-endpoints", "detail", text.data));
+	}
+	buf_free(&text);
+}
+
 static void status_poll(struct faults *r, int instance, const char *admin, uint64_t *incarnation)
 {
 	struct sample s = { .instance = instance };
@@ -47,6 +70,7 @@
 	s.at_ms = clock_wall_ms();
 	*incarnation = s.incarnation;
 	sample_add(r, &s);
+	endpoints_note(r, instance, status);
 	json_decref(status);
 }
 
--- a/bench/harness/deploy.c
+++ b/bench/harness/deploy.c
@@ -130,7 +130,8 @@
 	int status = 0;
 
 	snprintf(url, sizeof(url), "%s/list/%s", f->platform, what);
-	/* The platform may be under a fault that drops replies; the same entry again is harmless. */
+	/* The platform may be under a fault that drops replies; the same entry again is harmless.
+	 */
 	for (int i = 0; i < LIST_TRIES && status / 100 != 2; i++)
 		status = harness_post(url, json_incref(entry));
 	json_decref(entry);
