Add a test build that switches mechanisms off

With the meson option ablation, IBISGATE_ABLATE names mechanisms that are left out at their decisive point; normal builds contain none of it. The fault runs get named scenarios, slow links, lost replies at a link, and checks of intents, of numbers shared by two holders and of the cache salt.

--- a/bench/faults.c
+++ b/bench/faults.c
@@ -192,6 +192,7 @@
 		goto out;
 	r->events = json_array();
 	r->orders = json_object();
+	r->intents = json_object();
 	pthread_mutex_init(&r->lock, NULL);
 	rc = measure(r, &err);
 out:
@@ -210,9 +211,10 @@
 	static struct faults faults;
 	struct arg_int *seed = arg_int0(NULL, "seed", "N", "seed of the schedule (1)");
 	struct arg_dbl *seconds = arg_dbl0(NULL, "seconds", "S", "time with faults (30)");
+	struct arg_str *name = arg_str0(NULL, "scenario", "NAME", "only faults of one kind");
 	struct arg_lit *verbose = arg_lit0("v", "verbose", "print faults that were not taken");
 	struct arg_end *end = arg_end(4);
-	void *table[] = { seed, seconds, verbose, end };
+	void *table[] = { seed, seconds, name, verbose, end };
 	int rc = 2;
 
 	if (arg_parse(argc, argv, table)) {
@@ -222,6 +224,10 @@
 	faults.seed = seed->count ? (uint64_t)seed->ival[0] : 1;
 	faults.length_ms = (int64_t)((seconds->count ? seconds->dval[0] : 30) * 1000);
 	faults.verbose = verbose->count > 0;
+	if (name->count && !faults_scenario(&faults, name->sval[0])) {
+		fprintf(stderr, "bench-faults: unknown scenario %s\n", name->sval[0]);
+		goto out;
+	}
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	faults_draw(&faults);
--- a/bench/faults.h
+++ b/bench/faults.h
@@ -41,6 +41,8 @@
 	FAULT_SILENT_TO_CLIENT,
 	FAULT_SILENT_TO_TARGET,
 	FAULT_SILENT_PLATFORM,
+	FAULT_SLOW_LINKS,
+	FAULT_LOST_REPLIES,
 	FAULT_SERVICE_SLOW,
 	FAULT_SERVICE_REFUSE,
 	FAULT_SERVICE_DROP,
@@ -115,6 +117,9 @@
 	uint64_t seed;
 	int64_t length_ms;
 	bool verbose;
+	/* Named scenario, NULL for faults of all kinds; @whole: no generation may fail in it. */
+	const char *scenario_name;
+	bool whole;
 
 	struct fault faults[FAULTS_MAX];
 	int fault_count;
@@ -153,12 +158,16 @@
 	json_t *events;
 	/* Order logs and counters by process of each engine, the latest state of each. */
 	json_t *orders;
+	/* Ids of orders that were seen as intents in the table. */
+	json_t *intents;
 
 	int violations;
 };
 
 /* faults_schedule.c */
 const char *fault_name(enum fault_kind kind);
+/** faults_scenario - take the kinds of a named scenario; false for an unknown name */
+bool faults_scenario(struct faults *r, const char *name);
 void faults_draw(struct faults *r);
 void faults_print(const struct faults *r);
 
@@ -196,8 +205,6 @@
 void faults_check_answers(struct faults *r);
 void faults_check_calls(struct faults *r);
 void faults_check_config(struct faults *r);
-
-/* faults_scenario.c */
-int faults_scenario(struct faults *r, const char *name, struct error *err);
+void faults_check_salt(struct faults *r);
 
 #endif
--- a/bench/faults_act.c
+++ b/bench/faults_act.c
@@ -230,6 +230,28 @@
 	}
 }
 
+/* All links of an instance get slow, or answers of one plain worker to it are lost. */
+static void many_links_apply(struct faults *r, const struct fault *f, bool on)
+{
+	const char *id = r->fleet->instances[f->a].id;
+	char route[128];
+
+	if (f->kind == FAULT_LOST_REPLIES) {
+		route_set(r, id, endpoint_at(r, true, f->b)->name, on ? "drop_replies" : "pass",
+			  false);
+		return;
+	}
+	for (int i = 0; i < r->fleet->endpoint_count + FAULTS_INSTANCES; i++) {
+		const char *to = i < FAULTS_INSTANCES
+					 ? r->fleet->instances[i].id
+					 : r->fleet->endpoints[i - FAULTS_INSTANCES].name;
+
+		snprintf(route, sizeof(route), "%s-%s", id, i == f->a ? "platform" : to);
+		faults_set(r, r->fleet->proxy,
+			   json_pack("{s:s, s:i}", "route", route, "delay_ms", on ? 150 : 0));
+	}
+}
+
 static void link_apply(struct faults *r, const struct fault *f, bool on)
 {
 	static const char *const modes[FAULT_KINDS] = {
@@ -314,6 +336,8 @@
 	case FAULT_SILENT_TO_CLIENT:
 	case FAULT_SILENT_TO_TARGET:
 	case FAULT_SILENT_PLATFORM:
+	case FAULT_SLOW_LINKS:
+	case FAULT_LOST_REPLIES:
 		window_mark(r, f, f->a, on);
 		break;
 	default:
@@ -370,6 +394,10 @@
 	case FAULT_DRAIN:
 		endpoint_apply(r, f, on);
 		break;
+	case FAULT_SLOW_LINKS:
+	case FAULT_LOST_REPLIES:
+		many_links_apply(r, f, on);
+		break;
 	default:
 		link_apply(r, f, on);
 		break;
--- a/bench/faults_check.c
+++ b/bench/faults_check.c
@@ -83,7 +83,8 @@
 
 	json_array_foreach(log, i, o) {
 		if (last && json_get_i64(o, "at_ms", 0) < json_get_i64(last, "at_ms", 0) + 1000 &&
-		    strcmp(json_get_cstr(o, "order_id", ""), json_get_cstr(last, "order_id", "")))
+		    strcmp(json_get_cstr(o, "order_id", ""), json_get_cstr(last, "order_id", "")) !=
+			    0)
 			faults_violation(r, 1, "%s got order %s of %s %lld ms after order %s of %s",
 					 process, json_get_cstr(o, "order_id", ""),
 					 json_get_cstr(o, "holder", ""),
@@ -96,6 +97,53 @@
 	}
 }
 
+static bool platform_disturbed(const struct faults *r, int64_t from_ms, int64_t to_ms)
+{
+	for (int i = 0; i < r->window_count; i++) {
+		const struct window *w = &r->windows[i];
+
+		if ((w->kind == FAULT_PLATFORM_SLOW || w->kind == FAULT_PLATFORM_DROP) &&
+		    w->from_ms <= to_ms && (!w->to_ms || w->to_ms >= from_ms))
+			return true;
+	}
+	return false;
+}
+
+/* The table is looked at five times a second and a change takes one second. */
+static void missing_intents(struct faults *r, const char *process, const json_t *log)
+{
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(log, i, o) {
+		const char *order = json_get_cstr(o, "order_id", "");
+		int64_t at = json_get_i64(o, "at_ms", 0);
+
+		if (json_get_bool(o, "accepted", false) && !json_object_get(r->intents, order) &&
+		    !platform_disturbed(r, at - 1000, at + 1000))
+			faults_violation(r, 1, "%s ran order %s of %s without an intent", process,
+					 order, json_get_cstr(o, "holder", ""));
+	}
+}
+
+/* Each holder of a lease has a number of its own. */
+static void shared_numbers(struct faults *r, const char *process, const json_t *log)
+{
+	const json_t *last = NULL;
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(log, i, o) {
+		if (last && json_get_i64(o, "fencing", 0) == json_get_i64(last, "fencing", 0) &&
+		    strcmp(json_get_cstr(o, "holder", ""), json_get_cstr(last, "holder", "")) != 0)
+			faults_violation(r, 3, "%s got orders of %s and %s with the number %lld",
+					 process, json_get_cstr(last, "holder", ""),
+					 json_get_cstr(o, "holder", ""),
+					 (long long)json_get_i64(o, "fencing", 0));
+		last = o;
+	}
+}
+
 static void check_orders(struct faults *r)
 {
 	const char *process;
@@ -115,6 +163,8 @@
 			faults_violation(r, 2, "%s: %lld requests cut by orders", process,
 					 (long long)cut);
 		stale_orders(r, process, log);
+		missing_intents(r, process, log);
+		shared_numbers(r, process, log);
 		if (!checks_fencing(r, process))
 			overlapping_orders(r, process, log);
 	}
@@ -285,4 +335,5 @@
 	faults_check_answers(r);
 	faults_check_calls(r);
 	faults_check_config(r);
+	faults_check_salt(r);
 }
--- a/bench/faults_check_load.c
+++ b/bench/faults_check_load.c
@@ -82,6 +82,8 @@
 	default:
 		break;
 	}
+	if (r->whole && !rec->call && rec->outcome != LOAD_WHOLE)
+		record_violation(r, 4, rec, "not whole although an engine was free");
 	if (rec->outcome == LOAD_CUT && strcmp(rec->type, "not_run") == 0 && rec->ttft_us >= 0)
 		record_violation(r, 5, rec, "\"not run\" after text was delivered");
 	if (record_start_ms(r, rec) > r->heal_ms + FAULTS_RECOVERY_MS && rec->outcome != LOAD_WHOLE)
--- a/bench/faults_schedule.c
+++ b/bench/faults_schedule.c
@@ -1,5 +1,6 @@
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "faults.h"
 
@@ -34,6 +35,8 @@
 	[FAULT_SILENT_TO_CLIENT] = { "silent-to-client", 1, 2000, 8000 },
 	[FAULT_SILENT_TO_TARGET] = { "silent-to-target", 1, 2000, 8000 },
 	[FAULT_SILENT_PLATFORM] = { "silent-platform", 1, 2000, 8000 },
+	[FAULT_SLOW_LINKS] = { "slow-links", 1, 1000, 8000 },
+	[FAULT_LOST_REPLIES] = { "lost-replies", 1, 1000, 6000 },
 	[FAULT_SERVICE_SLOW] = { "service-slow", 1, 1000, 6000 },
 	[FAULT_SERVICE_REFUSE] = { "service-refuse", 1, 1000, 6000 },
 	[FAULT_SERVICE_DROP] = { "service-drop-reply", 1, 1000, 6000 },
@@ -46,7 +49,47 @@
 	return kinds[kind].name;
 }
 
-static enum fault_kind kind_draw(struct scenario_random *random)
+/** struct scenario_kinds - kinds that a named scenario draws from, with one or two entries */
+struct scenario_kinds {
+	const char *name;
+	int count;
+	enum fault_kind kinds[4];
+	bool whole;
+};
+
+static const struct scenario_kinds scenarios[] = {
+	{ "none", 0, { 0 }, true },
+	{ "kills", 1, { FAULT_KILL }, false },
+	{ "frozen-holder", 2, { FAULT_FREEZE, FAULT_CUT_DC_PLATFORM }, false },
+	{ "lost-replies", 1, { FAULT_PLATFORM_DROP }, false },
+	{ "silent", 3, { FAULT_SILENT, FAULT_SILENT_TO_CLIENT, FAULT_SILENT_TO_TARGET }, true },
+	{ "restarts", 1, { FAULT_RESTART }, true },
+	{ "races", 1, { FAULT_RACE }, true },
+	{ "poison", 1, { FAULT_POISON }, false },
+	{ "engine-crashes", 1, { FAULT_ENGINE_CRASH }, false },
+	{ "services", 2, { FAULT_SERVICE_DROP, FAULT_SERVICE_REFUSE }, false },
+	{ "drains", 1, { FAULT_DRAIN }, true },
+};
+
+static const struct scenario_kinds *scenario_find(const char *name)
+{
+	for (size_t i = 0; i < sizeof(scenarios) / sizeof(scenarios[0]); i++) {
+		if (strcmp(scenarios[i].name, name) == 0)
+			return &scenarios[i];
+	}
+	return NULL;
+}
+
+bool faults_scenario(struct faults *r, const char *name)
+{
+	const struct scenario_kinds *s = scenario_find(name);
+
+	r->scenario_name = name;
+	r->whole = s && s->whole;
+	return s != NULL;
+}
+
+static enum fault_kind kind_any(struct scenario_random *random)
 {
 	double total = 0;
 	double at;
@@ -60,6 +103,15 @@
 	return (enum fault_kind)kind;
 }
 
+static enum fault_kind kind_draw(struct faults *r, struct scenario_random *random)
+{
+	const struct scenario_kinds *s = r->scenario_name ? scenario_find(r->scenario_name) : NULL;
+
+	if (!s)
+		return kind_any(random);
+	return s->kinds[(int)(scenario_uniform(random) * s->count)];
+}
+
 static int target_draw(struct scenario_random *random, enum fault_kind kind)
 {
 	int count = FAULTS_INSTANCES;
@@ -107,8 +159,10 @@
 	struct scenario_random random = { .seed = r->seed };
 	int64_t at = FIRST_MS;
 
+	if (r->scenario_name && !scenario_find(r->scenario_name)->count)
+		return;
 	while (at < r->length_ms && r->fault_count < FAULTS_MAX) {
-		struct fault f = { .kind = kind_draw(&random), .at_ms = at };
+		struct fault f = { .kind = kind_draw(r, &random), .at_ms = at };
 		const struct kind_spec *spec = &kinds[f.kind];
 		double part = scenario_uniform(&random);
 
--- a/bench/faults_watch.c
+++ b/bench/faults_watch.c
@@ -111,8 +111,26 @@
 		json_object_set_new(r->orders, name, o);
 }
 
+static void intents_poll(struct faults *r)
+{
+	char url[128];
+	json_t *all;
+	const json_t *o;
+	size_t i;
+
+	snprintf(url, sizeof(url), "%s/table?prefix=intent/", r->fleet->platform);
+	all = get(url);
+	json_array_foreach(json_object_get(all, "rows"), i, o) {
+		const char *order = json_get_cstr(json_object_get(o, "value"), "order", "");
+
+		json_object_set_new(r->intents, order, json_true());
+	}
+	json_decref(all);
+}
+
 void faults_watch_once(struct faults *r)
 {
+	intents_poll(r);
 	for (int i = 0; i < FAULTS_INSTANCES; i++) {
 		uint64_t incarnation = 0;
 		char admin[64];
--- a/daemon/control_claims.c
+++ b/daemon/control_claims.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "control_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/hash.h"
@@ -335,6 +336,8 @@
 			w = CLAIM_WRITE_EXISTS;
 	}
 	json_decref(value);
+	if (w == CLAIM_WRITE_DOUBTFUL && ablated(MECHANISM_CLAIM_DOUBT))
+		return CLAIM_DISPATCH;
 	*sent = *sent || w == CLAIM_WRITE_DOUBTFUL;
 	/* An earlier write in doubt may still have made the row. */
 	if (w == CLAIM_WRITE_FAILED && *sent)
--- a/daemon/control_config.c
+++ b/daemon/control_config.c
@@ -5,6 +5,7 @@
 #include <urcu-bp.h>
 
 #include "control_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/json.h"
@@ -30,7 +31,7 @@
 {
 	struct config *old = c->gate->config;
 
-	if (config_version(next) < config_version(old)) {
+	if (config_version(next) < config_version(old) && !ablated(MECHANISM_CONFIG_MONOTONIC)) {
 		config_destroy(next);
 		return;
 	}
--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "control_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/json.h"
@@ -208,6 +209,10 @@
 	char key[96];
 	int rc;
 
+	if (ablated(MECHANISM_INTENT)) {
+		json_decref(value);
+		return feed(c, j, DRAIN_EV_INTENT_WRITTEN);
+	}
 	intent_key(key, sizeof(key), j);
 	rc = platform_put(c->gate->platform, key, value, TABLE_MUST_NOT_EXIST, &j->version,
 			  &current, &err);
@@ -395,13 +400,20 @@
 	enum drain_action a;
 	bool over;
 
-	if (!control_lease_held(c, j->dc, NULL))
+	if (!control_lease_held(c, j->dc, NULL) && !ablated(MECHANISM_LEASE_CHECK))
 		feed(c, j, DRAIN_EV_LEASE_LOST);
 	pthread_mutex_lock(&c->lock);
 	update_members(c, j);
 	pthread_mutex_unlock(&c->lock);
 	check_give_up(c, j, now);
 	a = feed(c, j, DRAIN_EV_TICK);
+	if (ablated(MECHANISM_DRAIN_ACK) && a == DRAIN_DO_SEND_LEAVE) {
+		pthread_mutex_lock(&c->lock);
+		j->drain.phase = DRAIN_ORDERING;
+		pthread_mutex_unlock(&c->lock);
+		act(c, j, a);
+		a = DRAIN_DO_SEND_ORDER;
+	}
 	while (a != DRAIN_DO_NOTHING)
 		a = act(c, j, a);
 	pthread_mutex_lock(&c->lock);
--- a/daemon/control_log.c
+++ b/daemon/control_log.c
@@ -5,6 +5,7 @@
 #include <urcu-bp.h>
 
 #include "control_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
 #include "ibisgate/common/log.h"
@@ -163,6 +164,8 @@
 	control_change_key(key, sizeof(key), change->version);
 	ops[0] = (struct table_op){ TABLE_OP_PUT, HEAD_KEY, head, head_row };
 	ops[1] = (struct table_op){ TABLE_OP_PUT, key, row, TABLE_MUST_NOT_EXIST };
+	if (ablated(MECHANISM_CONFIG_CAS))
+		ops[0].if_version = ops[1].if_version = TABLE_ANY_VERSION;
 	rc = platform_txn(c->gate->platform, ops, 2, NULL, err);
 	json_decref(head);
 	json_decref(row);
@@ -257,7 +260,7 @@
 		return -1;
 	if (head > control_config_version(c) && control_log_read(c, err))
 		return -1;
-	if (if_version >= 0 && if_version != head)
+	if (if_version >= 0 && if_version != head && !ablated(MECHANISM_CONFIG_CAS))
 		return stale(c, version, err);
 	change.version = head + 1;
 	if (check_change(c, &change, err)) {
--- a/daemon/control_order.c
+++ b/daemon/control_order.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "control_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/json.h"
@@ -32,8 +33,8 @@
 	bool role = order->kind == ORDER_ROLE;
 
 	return json_pack("{s:s,s:I,s:s,s:s,s:s}", "order_id", order->id, "fencing",
-			 (json_int_t)order->fencing, "holder", c->settings->instance.id, "kind",
-			 role ? "role" : "model", "value",
+			 (json_int_t)(ablated(MECHANISM_FENCING) ? 1 : order->fencing), "holder",
+			 c->settings->instance.id, "kind", role ? "role" : "model", "value",
 			 role ? roles[order->u.role] : order->u.model);
 }
 
@@ -79,7 +80,7 @@
 	event_record("order-sent", NULL, ep->name, NULL, "order=%s fencing=%" PRId64, order->id,
 		     order->fencing);
 	/* The authority is looked at again as late as possible. */
-	if (!control_lease_held(c, ep->dc, NULL))
+	if (!control_lease_held(c, ep->dc, NULL) && !ablated(MECHANISM_LEASE_CHECK))
 		reply = ORDER_REPLY_STALE;
 	else if (http_call(c->http, &call) == HTTP_REPLIED)
 		reply = reply_of(&call);
--- a/daemon/control_quarantine.c
+++ b/daemon/control_quarantine.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 
 #include "control_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/log.h"
@@ -13,7 +14,7 @@
 	pthread_mutex_lock(&c->lock);
 	v = quarantine_check(c->quarantine, fingerprint, clock_boot_ms());
 	pthread_mutex_unlock(&c->lock);
-	return v;
+	return ablated(MECHANISM_QUARANTINE) ? QUARANTINE_CLEAR : v;
 }
 
 /* A suspect is told to all too: its caller may repeat it at another instance. */
@@ -36,6 +37,8 @@
 {
 	enum quarantine_verdict v;
 
+	if (ablated(MECHANISM_QUARANTINE))
+		return QUARANTINE_CLEAR;
 	pthread_mutex_lock(&c->lock);
 	v = quarantine_charge(c->quarantine, fingerprint, alone, clock_boot_ms());
 	pthread_mutex_unlock(&c->lock);
--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "dispatch_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/hash.h"
@@ -70,7 +71,8 @@
 
 	if (!json_is_object(choice) || tokens < 0)
 		return false;
-	if (id.len && !str_eq_cstr(id, s->id) && !str_eq_cstr(id, g->call.id)) {
+	if (id.len && !ablated(MECHANISM_ATTEMPT_ID) && !str_eq_cstr(id, s->id) &&
+	    !str_eq_cstr(id, g->call.id)) {
 		metric_add(METRIC_STALE_DROPPED, 1);
 		return false;
 	}
@@ -127,7 +129,7 @@
 	json_object_del(o, "resume_from");
 	json_object_del(o, "resume_text");
 	json_object_del(o, "kv_transfer_params");
-	if (g->tokens) {
+	if (g->tokens && !ablated(MECHANISM_RESUME)) {
 		json_object_set_new(o, "resume_from", json_integer(g->tokens));
 		json_object_set_new(o, "resume_text", json_stringn(g->text.data, g->text.len));
 	}
--- a/daemon/dispatch_generate.c
+++ b/daemon/dispatch_generate.c
@@ -4,6 +4,7 @@
 #include <urcu-bp.h>
 
 #include "dispatch_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/hash.h"
@@ -80,7 +81,7 @@
 	if (call->asked_ms > 0 && call->asked_ms < total)
 		total = call->asked_ms;
 	call->deadline_ms = call->arrived_ms + total;
-	w->salt = keyed_u64(SALT_KEY, str_from(call->organisation));
+	w->salt = ablated(MECHANISM_SALT) ? 0 : keyed_u64(SALT_KEY, str_from(call->organisation));
 	w->prefix = prefix_of(g->prompt, w->salt, PREFIX_PIECE_TOKENS * BYTES_PER_TOKEN);
 	w->prompt_tokens = (int64_t)(g->prompt.len + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
 	w->output_tokens = g->max_tokens ? g->max_tokens : w->limits.output_tokens;
--- a/daemon/dispatch_service.c
+++ b/daemon/dispatch_service.c
@@ -3,6 +3,7 @@
 #include <urcu-bp.h>
 
 #include "dispatch_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/metrics.h"
@@ -165,7 +166,7 @@
 			break;
 		clock_sleep_ms(delay);
 	}
-	return maybe ? CALL_MAYBE : CALL_NOT_RUN;
+	return maybe && !ablated(MECHANISM_NOT_RUN) ? CALL_MAYBE : CALL_NOT_RUN;
 }
 
 static void result_outcome(enum call_result r, struct outcome *out)
@@ -294,7 +295,7 @@
 	retry_budget_first_try(&w.org->budget, &w.limits.retry, clock_boot_ms());
 	pthread_mutex_unlock(&d->lock);
 	s->single_try = w.kind == CALL_NON_IDEMPOTENT && !s->key.len;
-	if (w.kind == CALL_NON_IDEMPOTENT && s->key.len)
+	if (w.kind == CALL_NON_IDEMPOTENT && s->key.len && !ablated(MECHANISM_CLAIM))
 		claimed_call(d, &w, out);
 	else
 		result_outcome(service_run(d, &w), out);
--- a/daemon/gate.c
+++ b/daemon/gate.c
@@ -6,6 +6,7 @@
 #include <string.h>
 #include <urcu-bp.h>
 
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/log.h"
@@ -128,6 +129,8 @@
 
 bool gate_drained(const struct gate *gate)
 {
+	if (gate->state == GATE_DRAINING && ablated(MECHANISM_GRACEFUL))
+		return true;
 	return gate->state == GATE_DRAINING && gate->requests == 0 &&
 	       clock_boot_ms() - gate->drain_since_ms >= DRAIN_SETTLE_MS;
 }
--- a/net/link.c
+++ b/net/link.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
@@ -113,7 +114,8 @@
 	loop->checked_ms = now;
 	for (struct transfer *t = loop->active; t; t = next) {
 		next = t->next;
-		if (!t->silence_ms || now - t->active_ms < t->silence_ms)
+		if (!t->silence_ms || ablated(MECHANISM_SILENCE) ||
+		    now - t->active_ms < t->silence_ms)
 			continue;
 		t->silent = true;
 		metric_add(METRIC_SILENT_CLOSED, 1);
--- a/state/config.c
+++ b/state/config.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/json.h"
 #include "ibisgate/state/config.h"
 
@@ -155,13 +156,13 @@
 {
 	struct config *next;
 
-	if (change->version <= c->version) {
+	if (change->version <= c->version && !ablated(MECHANISM_CONFIG_MONOTONIC)) {
 		error_set(err, ERROR_STATE, CONFIG_STALE,
 			  "version %" PRId64 " is in force already, at %" PRId64, change->version,
 			  c->version);
 		return NULL;
 	}
-	if (change->version != c->version + 1) {
+	if (change->version > c->version + 1) {
 		error_set(err, ERROR_STATE, CONFIG_GAP,
 			  "change %" PRId64 " does not follow version %" PRId64, change->version,
 			  c->version);
