--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "dispatch_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/hash.h"
@@ -78,7 +79,8 @@
 
 	if (!json_is_object(choice) || tokens < 0)
 		return false;
-	if (id.len && !str_eq_cstr(id, s->id) && !str_eq_cstr(id, g->call.id)) {
+	if (id.len && !ablated(MECHANISM_ATTEMPT_ID) && !str_eq_cstr(id, s->id) &&
+	    !str_eq_cstr(id, g->call.id)) {
 		metric_add(METRIC_STALE_DROPPED, 1);
 		return false;
 	}
@@ -145,7 +147,7 @@
 	json_object_del(o, "resume_from");
 	json_object_del(o, "resume_text");
 	json_object_del(o, "kv_transfer_params");
-	if (g->tokens) {
+	if (g->tokens && !ablated(MECHANISM_RESUME)) {
 		json_object_set_new(o, "resume_from", json_integer(g->tokens));
 		json_object_set_new(o, "resume_text", json_stringn(g->text.data, g->text.len));
 	}
@@ -165,7 +167,8 @@
 
 /*
  * A connection that breaks may be the network or the engine. The engine has died when it refuses
- * connections or has started anew since; a timeout proves nothing.
+ * connections or has started anew since; a timeout proves nothing. While a process ends, its
+ * listening socket may still take the connection and reset it.
  */
 static bool engine_died(struct dispatch *d, const struct fleet_slot *slot)
 {
@@ -183,7 +186,7 @@
 	snprintf(url, sizeof(url), "%s/load", slot->url);
 	req.url = url;
 	if (link_fetch(d->link, &req, PROBE_MS, &status, &body, &failed) != 0) {
-		died = failed.refused;
+		died = failed.refused || failed.failure == LINK_RESET;
 	} else {
 		json_t *o = json_parse(buf_str(&body));
 		struct str boot = json_get_str(o, "boot_id");
@@ -300,9 +303,12 @@
 	}
 	if (s->caller_gone)
 		a->result = ATTEMPT_CALLER_GONE;
-	else if (s->finished)
+	else if (s->finished) {
 		a->result = ATTEMPT_DONE;
-	else if (!ended && a->result != ATTEMPT_DEADLINE)
+		/* Otherwise the end or failure of the transfer has been judged already. */
+		if (!ended)
+			fleet_result(d->gate->fleet, slot->name, FLEET_SUCCESS);
+	} else if (!ended && a->result != ATTEMPT_DEADLINE)
 		answer_judge(d, a, s, slot);
 	/* After [DONE] only the end of the response is missing; it is left to the loop. */
 	if (s->done)
--- a/daemon/dispatch_generate.c
+++ b/daemon/dispatch_generate.c
@@ -4,6 +4,7 @@
 #include <urcu-bp.h>
 
 #include "dispatch_impl.h"
+#include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
 #include "ibisgate/common/hash.h"
@@ -80,7 +81,7 @@
 	if (call->asked_ms > 0 && call->asked_ms < total)
 		total = call->asked_ms;
 	call->deadline_ms = call->arrived_ms + total;
-	w->salt = keyed_u64(SALT_KEY, str_from(call->organisation));
+	w->salt = ablated(MECHANISM_SALT) ? 0 : keyed_u64(SALT_KEY, str_from(call->organisation));
 	w->prefix = prefix_of(g->prompt, w->salt, PREFIX_PIECE_TOKENS * BYTES_PER_TOKEN);
 	w->prompt_tokens = (int64_t)(g->prompt.len + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
 	w->output_tokens = g->max_tokens ? g->max_tokens : w->limits.output_tokens;
@@ -97,9 +98,10 @@
 		w->avoid[w->avoid_count++] = id;
 }
 
-static bool quarantined(struct outcome *out)
+/* @ran: a try of this very request has reached an engine */
+static bool quarantined(struct outcome *out, bool ran)
 {
-	outcome_set(out, 422, "not_run", "quarantined",
+	outcome_set(out, 422, ran ? "outcome_unknown" : "not_run", "quarantined",
 		    "requests like this one have crashed engines and are refused for some minutes");
 	return true;
 }
@@ -112,7 +114,7 @@
 		return false;
 	switch (control_quarantine_charge(d->gate->control, w->fingerprint, a->alone)) {
 	case QUARANTINE_REFUSE:
-		return quarantined(out);
+		return quarantined(out, true);
 	case QUARANTINE_SUSPECT:
 		w->alone = true;
 		break;
@@ -224,7 +226,7 @@
 	work_init(d, &w, g, service);
 	switch (control_quarantine_check(d->gate->control, w.fingerprint)) {
 	case QUARANTINE_REFUSE:
-		quarantined(out);
+		quarantined(out, false);
 		return;
 	case QUARANTINE_SUSPECT:
 		w.alone = true;
