--- a/bench/harness/deploy.c
+++ b/bench/harness/deploy.c
@@ -244,6 +244,11 @@
 	return harness_endpoint_start(f, f->endpoint_count++, err);
 }
 
+static bool bound_reached(int count, int max)
+{
+	return max > 0 && count >= max;
+}
+
 static int endpoints_start(struct harness_fleet *f, struct error *err)
 {
 	const struct harness_deployment *d = f->deployment;
@@ -252,6 +257,8 @@
 
 	for (int dc = 0; d->dcs[dc]; dc++) {
 		for (int i = 0; d->engines && d->engines[i].role; i++) {
+			if (bound_reached(engines, d->engines_max))
+				break;
 			if (endpoint_add(f, d->dcs[dc], d->engines[i].role, d->engines[i].fencing,
 					 NULL, ++engines, err) < 0)
 				return -1;
@@ -273,6 +280,8 @@
 		for (int i = 0; i < d->instances; i++) {
 			struct harness_instance *in = &f->instances[f->instance_count];
 
+			if (bound_reached(f->instance_count, d->instances_max))
+				break;
 			if (f->instance_count == HARNESS_INSTANCES_MAX)
 				return error_set(err, ERROR_TOOL, 1, "more than %d instances",
 						 HARNESS_INSTANCES_MAX);
--- /dev/null
+++ b/bench/mix_report.c
@@ -0,0 +1,117 @@
+#include <stdio.h>
+
+#include "ibisgate/common/json.h"
+#include "mix.h"
+
+#define BUCKET_S 3
+#define BUCKETS_MAX 64
+
+int64_t mix_good(const struct mix_run *run)
+{
+	int64_t n = 0;
+
+	for (size_t i = 0; i < run->result.count; i++)
+		n += load_good(&run->result.records[i], &run->options);
+	return n;
+}
+
+double mix_ordinary_share(const struct mix_run *run, int flooder)
+{
+	int64_t good = 0;
+	int64_t all = 0;
+
+	for (size_t i = 0; i < run->result.count; i++) {
+		const struct load_record *r = &run->result.records[i];
+
+		if (r->organisation == flooder)
+			continue;
+		all++;
+		good += load_good(r, &run->options);
+	}
+	return all ? (double)good / (double)all : 0;
+}
+
+struct bucket {
+	int requests;
+	int good;
+	int refused;
+	int late_first;
+	int slow_gap;
+};
+
+static void bucket_count(struct bucket *b, const struct load_record *r,
+			 const struct load_options *o)
+{
+	b->requests++;
+	b->good += load_good(r, o);
+	b->refused += r->outcome == LOAD_REFUSED;
+	if (r->outcome != LOAD_WHOLE)
+		return;
+	b->late_first += r->ttft_us > o->ttft_ms * 1000;
+	b->slow_gap += r->gap_mean_us > o->gap_ms * 1000;
+}
+
+static void buckets_print(const struct mix_run *run)
+{
+	struct bucket buckets[BUCKETS_MAX] = { 0 };
+
+	for (size_t i = 0; i < run->result.count; i++) {
+		int64_t at = run->result.records[i].start_us / 1000000 / BUCKET_S;
+
+		if (at >= 0 && at < BUCKETS_MAX)
+			bucket_count(&buckets[at], &run->result.records[i], &run->options);
+	}
+	printf("  %c, seconds: good%% refused/late/slow%%:", run->config->letter);
+	for (int i = 0; i < BUCKETS_MAX; i++) {
+		const struct bucket *b = &buckets[i];
+
+		if (b->requests)
+			printf(" %d:%d,%d/%d/%d", i * BUCKET_S, 100 * b->good / b->requests,
+			       100 * b->refused / b->requests, 100 * b->late_first / b->requests,
+			       100 * b->slow_gap / b->requests);
+	}
+	printf("\n");
+}
+
+static void row_print(const struct mix_run *run)
+{
+	json_t *report = report_json(&run->plan->scenario, &run->options, &run->result);
+	double bound = mix_bound(run->plan, &run->result);
+	double good = (double)mix_good(run);
+
+	printf("%c %-24s %9.2f %7.1f %7.3f %9.0f %8.1f %8lld %8lld %8lld %8.0f\n",
+	       run->config->letter, run->config->name, good / run->plan->duration_s,
+	       100 * json_get_double(report, "good_share", 0), bound > 0 ? good / bound : 0,
+	       json_get_double(json_object_get(report, "ttft_ms"), "p95", 0),
+	       json_get_double(json_object_get(report, "gap_ms"), "p95", 0),
+	       (long long)json_get_i64(report, "refused", 0),
+	       (long long)(json_get_i64(report, "requests", 0) - json_get_i64(report, "whole", 0) -
+			   json_get_i64(report, "refused", 0)),
+	       (long long)run->role_changes, json_get_double(report, "max_lag_ms", 0));
+	json_decref(report);
+}
+
+void mix_report(const struct mix_run *runs, int count, bool verbose)
+{
+	const struct mix_plan *plan = runs[0].plan;
+
+	printf("\nmix %s, %s, %d engines, %d of them prefill at the start, %.0f s\n", plan->name,
+	       plan->deployment.region, MIX_ENGINES, plan->prefill, plan->duration_s);
+	for (int i = 0; i < plan->scenario.phase_count && i < 4; i++) {
+		const struct scenario_phase *p = &plan->scenario.phases[i];
+
+		printf("  from %.0f s: %.0f/s, prompts of %.0f and outputs of %.0f tokens\n",
+		       p->start_s, p->rate, p->prompt_tokens, p->output_tokens);
+	}
+	if (plan->scenario.phase_count > 4)
+		printf("  and so on, %d phases\n", plan->scenario.phase_count);
+	printf("  upper bound (best split in each phase, free changes): %.2f/s\n",
+	       mix_bound(plan, &runs[0].result) / plan->duration_s);
+	printf("%-26s %9s %7s %7s %9s %8s %8s %8s %8s %8s\n", "", "goodput/s", "good %", "of bound",
+	       "ttft p95", "gap p95", "refused", "failed", "changes", "lag ms");
+	for (int i = 0; i < count; i++)
+		row_print(&runs[i]);
+	for (int i = 0; verbose && i < count; i++)
+		buckets_print(&runs[i]);
+	fflush(stdout);
+}
--- /dev/null
+++ b/bench/mix_run.c
@@ -0,0 +1,184 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+#include "mix.h"
+
+#define READY_MS 30000
+#define LINE_MAX_BYTES 256
+
+static json_t *value_parse(const char *text)
+{
+	int64_t n;
+	double d;
+
+	if (str_to_i64(str_from(text), &n))
+		return json_integer(n);
+	if (str_to_double(str_from(text), &d))
+		return json_real(d);
+	return json_string(text);
+}
+
+static int setting_apply(struct mix_run *run, const char *setting, const char *value)
+{
+	if (harness_default(run->fleet, setting, value_parse(value)) == 200)
+		return 0;
+	return error_set(&run->err, ERROR_TOOL, 1, "%s %s was refused", setting, value);
+}
+
+static int preset_apply(struct mix_run *run)
+{
+	char path[512];
+	char line[LINE_MAX_BYTES];
+	int rc = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "%s/%s", MIX_PRESET_DIR, run->config->preset);
+	f = fopen(path, "re");
+	if (!f)
+		return error_set(&run->err, ERROR_TOOL, 1, "cannot read %s", path);
+	while (!rc && fgets(line, sizeof(line), f)) {
+		struct str value = str_trim(str_from(line));
+		struct str setting = str_split(&value, ' ');
+		char name[64];
+		char text[64];
+
+		if (!setting.len || setting.data[0] == '#')
+			continue;
+		str_copy(name, sizeof(name), setting);
+		str_copy(text, sizeof(text), str_trim(value));
+		rc = setting_apply(run, name, text);
+	}
+	fclose(f);
+	return rc;
+}
+
+static int configure(struct mix_run *run)
+{
+	const struct scenario *s = &run->plan->scenario;
+	const char *const *settings = run->config->settings;
+	char change_ms[16];
+
+	if (run->config->preset && preset_apply(run) < 0)
+		return -1;
+	for (int i = 0; settings && settings[i]; i += 2) {
+		if (setting_apply(run, settings[i], settings[i + 1]) < 0)
+			return -1;
+	}
+	snprintf(change_ms, sizeof(change_ms), "%d", MIX_CHANGE_MS);
+	if (setting_apply(run, "role.change-ms", change_ms) < 0)
+		return -1;
+	for (int i = 0; i < s->organisation_count; i++) {
+		const struct scenario_organisation *o = &s->organisations[i];
+
+		if (harness_organisation(run->fleet, o->name, o->key, o->weight) != 200)
+			return error_set(&run->err, ERROR_TOOL, 1, "%s was refused", o->name);
+	}
+	if (harness_model(run->fleet, "M") != 200)
+		return error_set(&run->err, ERROR_TOOL, 1, "the model was refused");
+	return 0;
+}
+
+static int config_wait(struct mix_run *run)
+{
+	char url[128];
+	json_t *config;
+	int64_t version;
+
+	snprintf(url, sizeof(url), "%s/admin/config", run->fleet->instances[0].admin);
+	config = harness_get(url);
+	version = json_get_i64(config, "version", 1);
+	json_decref(config);
+	if (harness_config_wait(run->fleet, version, READY_MS) < 0)
+		return error_set(&run->err, ERROR_TOOL, 1, "the configuration did not spread");
+	return 0;
+}
+
+int mix_run_start(struct mix_run *run)
+{
+	run->harness = harness_create(&run->err);
+	if (!run->harness)
+		return -1;
+	run->fleet = harness_fleet_create(run->harness, &run->plan->deployment, &run->err);
+	if (!run->fleet || harness_ready(run->fleet, READY_MS, &run->err) < 0 ||
+	    configure(run) < 0 || config_wait(run) < 0)
+		return -1;
+	load_options_defaults(&run->options);
+	/* The same identifier in all runs, so that they send the same prompts. */
+	snprintf(run->run_id, sizeof(run->run_id), "mix-%s", run->plan->name);
+	run->options.run_id = run->run_id;
+	run->options.duration_s = run->plan->duration_s;
+	run->options.drain_s = 20;
+	run->options.timeout_ms = 20000;
+	for (int i = 0; i < run->fleet->instance_count; i++)
+		run->options.urls[run->options.url_count++] = run->fleet->instances[i].http;
+	return 0;
+}
+
+static void *load_thread(void *arg)
+{
+	struct mix_run *run = arg;
+
+	run->rc = load_run(&run->plan->scenario, &run->options, &run->result, &run->err);
+	return NULL;
+}
+
+static int64_t changes_of(struct harness_fleet *f)
+{
+	int64_t n = 0;
+
+	for (int i = 0; i < f->instance_count; i++) {
+		json_t *status = harness_status(f, i);
+
+		n += json_get_i64(status, "role_changes", 0);
+		json_decref(status);
+	}
+	return n;
+}
+
+/* The first engine of the start is one for prefill, of which the next phase needs more. */
+static void engine_kill(struct mix_run *run)
+{
+	harness_signal(run->fleet->endpoints[0].process, SIGKILL);
+}
+
+int mix_run_load(struct mix_run *runs, int count)
+{
+	double kill_s = runs[0].plan->kill_s;
+	int64_t before[MIX_CONFIGS];
+	int rc = 0;
+
+	for (int i = 0; i < count; i++)
+		before[i] = changes_of(runs[i].fleet);
+	for (int i = 0; i < count; i++)
+		pthread_create(&runs[i].thread, NULL, load_thread, &runs[i]);
+	if (kill_s > 0) {
+		clock_sleep_ms((int64_t)(kill_s * 1000));
+		for (int i = 0; i < count; i++)
+			engine_kill(&runs[i]);
+	}
+	for (int i = 0; i < count; i++) {
+		pthread_join(runs[i].thread, NULL);
+		runs[i].role_changes = changes_of(runs[i].fleet) - before[i];
+		if (runs[i].rc < 0)
+			rc = -1;
+	}
+	return rc;
+}
+
+void mix_run_stop(struct mix_run *run)
+{
+	harness_fleet_destroy(run->fleet);
+	harness_destroy(run->harness);
+	run->fleet = NULL;
+	run->harness = NULL;
+}
+
+void mix_run_free(struct mix_run *run)
+{
+	load_result_free(&run->result);
+}
--- a/include/ibisgate/harness/harness.h
+++ b/include/ibisgate/harness/harness.h
@@ -125,6 +125,7 @@
 /**
  * struct harness_deployment - what to start; all pointers outlive the fleet
  * @instances: per data centre
+ * @instances_max: bound over all data centres, likewise @engines_max; 0 for none
  * @engines: per data centre, ended by an entry without role
  * @services: plain services, a worker for each in each data centre; NULL-terminated
  * @through_proxy: instances reach platform, peers and endpoints through the fault proxy
@@ -137,6 +138,8 @@
 	const char *region;
 	const char *dcs[HARNESS_DCS_MAX + 1];
 	int instances;
+	int instances_max;
+	int engines_max;
 	const struct harness_engine_spec *engines;
 	const char *const *services;
 	bool through_proxy;
