Divide the engines among the instances and damp lagging reports

Cause: all instances choose by the same reports, which are 2 s old. They pile requests on the engine that was idle then and leave it together: on the steady mix one prefill engine held 20,432 queued tokens beside an idle one, one decode engine 43 sequences beside one with 5.

Change: each instance has homes among the engines of a role and adds a margin to the load of the others; an away engine counts at least as loaded as the mean; the work of others is a mean over twice the lag.

--- a/bench/mix_plan.c
+++ b/bench/mix_plan.c
@@ -30,7 +30,7 @@
 					   "--load-lag-ms",
 					   "2000",
 					   "--threads",
-					   "120",
+					   "400",
 					   NULL };
 
 static const struct harness_deployment deployments[] = {
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -212,6 +212,26 @@
 	return n > 0 ? n : 1;
 }
 
+int control_rank(struct control *c, int *count)
+{
+	int rank = 0;
+	int n = 1;
+
+	pthread_mutex_lock(&c->lock);
+	for (int i = 0; i < member_count(c->members); i++) {
+		const struct member *m = member_at(c->members, i);
+		int order = strcmp(m->id, c->settings->instance.id);
+
+		if (!order || (m->state != MEMBER_LIVE && m->state != MEMBER_SUSPECT))
+			continue;
+		n++;
+		rank += order < 0;
+	}
+	pthread_mutex_unlock(&c->lock);
+	*count = n;
+	return rank;
+}
+
 int control_peer_port(const struct control *c)
 {
 	return peer_bus_port(c->bus);
--- a/daemon/dispatch_poll.c
+++ b/daemon/dispatch_poll.c
@@ -11,6 +11,7 @@
 #define EVENTS_POLL_MS 1000
 #define POLL_TIMEOUT_MS 2000
 #define POLL_STEP_MS 20
+#define HOMES_MS 500
 
 /**
  * struct polled - polling state of one endpoint
@@ -34,6 +35,7 @@
 
 struct poller {
 	struct dispatch *d;
+	int64_t homes_due_ms;
 	struct polled *entries[FLEET_ENDPOINTS_MAX];
 	int count;
 };
@@ -262,12 +264,27 @@
 	fleet_set_load_lag(d->gate->fleet, lag);
 }
 
+static void homes_apply(struct poller *po)
+{
+	struct dispatch *d = po->d;
+	int64_t now = clock_boot_ms();
+	int count;
+	int rank;
+
+	if (now < po->homes_due_ms)
+		return;
+	po->homes_due_ms = now + HOMES_MS;
+	rank = control_rank(d->gate->control, &count);
+	fleet_set_homes(d->gate->fleet, rank, count);
+}
+
 int poll_run(void *ctx, struct error *err)
 {
 	struct poller po = { .d = ctx };
 
 	while (!child_sleep_ms(POLL_STEP_MS)) {
 		load_lag_apply(po.d);
+		homes_apply(&po);
 		poll_all(&po);
 		child_account_cpu();
 	}
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -196,6 +197,23 @@
 	last->seqs = ep->own_seqs;
 }
 
+/*
+ * The work of others at the time of the report has largely ended by now and other work has come.
+ * A mean over twice the lag tells more about the present than the last report does; following each
+ * report made all instances leave and enter the same engines together every few seconds.
+ */
+static void foreign_note(struct endpoint *ep, double prefill, double seqs, int64_t lag_ms,
+			 int64_t at_ms)
+{
+	double span = (double)(at_ms - ep->load.at_ms);
+	double weight = 1;
+
+	if (ep->load.at_ms && lag_ms > 0)
+		weight = -expm1(-fmax(0, span) / (2.0 * (double)lag_ms));
+	ep->foreign_prefill += (prefill - ep->foreign_prefill) * weight;
+	ep->foreign_seqs += (seqs - ep->foreign_seqs) * weight;
+}
+
 void fleet_load(struct fleet *f, const char *name, const struct endpoint_load *load)
 {
 	struct endpoint *ep;
@@ -209,10 +227,9 @@
 		prefix_index_forget(f->index, (int)(ep - f->endpoints));
 	ep->down = false;
 	own = own_work_at(ep, load->at_ms - f->load_lag_ms);
+	foreign_note(ep, fmax(0, (double)(load->prefill_backlog - own.prefill)),
+		     fmax(0, load->decode_seqs - own.seqs), f->load_lag_ms, load->at_ms);
 	ep->load = *load;
-	ep->foreign_prefill =
-		load->prefill_backlog > own.prefill ? load->prefill_backlog - own.prefill : 0;
-	ep->foreign_seqs = load->decode_seqs > own.seqs ? load->decode_seqs - own.seqs : 0;
 	if (ep->info.engine && !load->changing && load->role != ROLE_SERVICE &&
 	    load->at_ms - ep->role_set_ms > ROLE_SETTLE_MS + f->load_lag_ms)
 		ep->info.role = load->role;
--- a/daemon/fleet_impl.h
+++ b/daemon/fleet_impl.h
@@ -23,8 +23,11 @@
  * @unlisted_ms: since when it is not, boot clock
  * @stops: order ids that keep new work away
  * @reserved: kept for one suspect request
+ * @away: another instance has this engine as one of its homes, see fleet_set_homes()
+ * @homeless: this instance has no home among the engines of that role
+ * @usual_prefill: mean report of the engines of that role, likewise @usual_seqs
  * @down: engine that died or refused a connection and has not answered a load poll since
- * @foreign_prefill: part of the last report that own attempts did not explain, likewise
+ * @foreign_prefill: mean part of the reports that own attempts did not explain, likewise
  *	@foreign_seqs
  */
 struct endpoint {
@@ -38,10 +41,14 @@
 	int in_flight;
 	int64_t own_prefill;
 	int own_seqs;
-	int64_t foreign_prefill;
-	int foreign_seqs;
+	double foreign_prefill;
+	double foreign_seqs;
 	int64_t role_set_ms;
 	bool reserved;
+	bool away;
+	bool homeless;
+	int64_t usual_prefill;
+	int usual_seqs;
 	bool down;
 	struct circuit circuit;
 	struct retry_budget budget;
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "fleet_impl.h"
@@ -62,12 +63,18 @@
 	*c = (struct route_candidate){
 		.index = id,
 		.role = ep->info.engine ? ep->info.role : ROLE_SERVICE,
-		.prefill_backlog = ep->own_prefill + ep->foreign_prefill,
-		.decode_seqs = ep->own_seqs + ep->foreign_seqs,
+		.prefill_backlog = ep->own_prefill + llround(ep->foreign_prefill),
+		.decode_seqs = ep->own_seqs + (int)lround(ep->foreign_seqs),
+		.away = ep->away && !ep->homeless,
 		.decode_slots = ep->load.at_ms ? ep->load.decode_slots : SLOTS_UNKNOWN,
 		.cached_tokens = cached < q->prompt_tokens ? cached : q->prompt_tokens,
 		.cost = ep->load.at_ms ? ep->load.cost : cost_unknown,
 	};
+	/* All instances see the same old report, so an idle engine in it is not idle any more. */
+	if (c->away && c->prefill_backlog < ep->usual_prefill)
+		c->prefill_backlog = ep->usual_prefill;
+	if (c->away && c->decode_seqs < ep->usual_seqs)
+		c->decode_seqs = ep->usual_seqs;
 	if (q->settings)
 		c->distance_us = settings_distance_us(q->settings, ep->info.dc);
 }
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -22,6 +22,9 @@
 /** control_live_instances - live instances of the region, this one included; >= 1 */
 int control_live_instances(struct control *c);
 
+/** control_rank - place of this instance among @count live ones in order of their ids */
+int control_rank(struct control *c, int *count);
+
 /* Crashing requests. */
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint);
 enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
--- a/include/ibisgate/daemon/fleet_use.h
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -100,6 +100,16 @@
 /** fleet_cache_forget - the cache events of @name have a gap */
 void fleet_cache_forget(struct fleet *f, const char *name);
 
+/**
+ * fleet_set_homes - divide the engines of each role among the instances
+ * @rank: place of this instance among the @count live ones, in order of their ids
+ *
+ * An instance knows its own work at once and that of others only from reports that lag by seconds.
+ * Instances that all choose by the same old report pile work on the engine that was idle then, so
+ * each prefers engines that the others avoid.
+ */
+void fleet_set_homes(struct fleet *f, int rank, int count);
+
 /** fleet_set_load_lag - age of the state that a load report shows when it arrives */
 void fleet_set_load_lag(struct fleet *f, int64_t lag_ms);
 
--- a/include/ibisgate/policy/route.h
+++ b/include/ibisgate/policy/route.h
@@ -37,6 +37,7 @@
  * @index: caller's index of the endpoint
  * @role: current role
  * @usable: right model, circuit lets a request through, not leaving
+ * @away: other instances prefer it, so their work there may have grown since its report
  * @prefill_backlog: prompt tokens that wait or run there, in tokens
  * @decode_seqs: sequences that generate there
  * @decode_slots: sequences that fit
@@ -48,6 +49,7 @@
 	int index;
 	enum endpoint_role role;
 	bool usable;
+	bool away;
 	int64_t prefill_backlog;
 	int decode_seqs;
 	int decode_slots;
--- a/policy/route.c
+++ b/policy/route.c
@@ -16,6 +16,11 @@
 /* Prefill engines that are combined with every decode engine; bounds the pairs looked at. */
 #define PREFILL_SHORTLIST 4
 
+/* Prefill work that may have come to an engine that others prefer since its last report. */
+#define AWAY_BACKLOG_US 150000.0
+/* Likewise one in so many of its decode slots. */
+#define AWAY_SLOT_SHARE 8
+
 struct estimate {
 	double first_us;
 	double gap_us;
@@ -72,7 +77,7 @@
 
 static double backlog_us(const struct route_candidate *c)
 {
-	return tokens_us(c, c->prefill_backlog);
+	return tokens_us(c, c->prefill_backlog) + (c->away ? AWAY_BACKLOG_US : 0);
 }
 
 /* Time from the gateway's call until the prompt is in the KV cache and the gateway knows. */
@@ -82,9 +87,14 @@
 	       tokens_us(c, req->prompt_tokens - c->cached_tokens);
 }
 
+static int seqs_of(const struct route_candidate *c)
+{
+	return c->decode_seqs + (c->away ? c->decode_slots / AWAY_SLOT_SHARE : 0);
+}
+
 static double step_us(const struct route_candidate *c)
 {
-	return c->cost.step_base_us + c->cost.step_per_seq_us * (double)(c->decode_seqs + 1);
+	return c->cost.step_base_us + c->cost.step_per_seq_us * (double)(seqs_of(c) + 1);
 }
 
 static double output_tokens(const struct route_request *req)
@@ -95,7 +105,7 @@
 /* Wait for a slot, if sequences end evenly and are as long as this request. */
 static double slot_wait_us(const struct route_candidate *c, const struct route_request *req)
 {
-	int over = c->decode_seqs + 1 - c->decode_slots;
+	int over = seqs_of(c) + 1 - c->decode_slots;
 	int slots = c->decode_slots > 0 ? c->decode_slots : 1;
 
 	if (over <= 0)
@@ -141,7 +151,7 @@
 	/* The present backlog stands for the prefill work that interrupts the decode steps. */
 	double gap = step_us(c) + backlog_us(c) / output_tokens(req);
 
-	return estimate_of(first, gap, c->decode_seqs < c->decode_slots, req);
+	return estimate_of(first, gap, seqs_of(c) < c->decode_slots, req);
 }
 
 /* Part of an estimate that depends on the decode engine alone. */
@@ -159,7 +169,7 @@
 	return (struct decode_part){
 		.first_us = 2.0 * (double)c->distance_us + slot_wait_us(c, req) + step,
 		.gap_us = step,
-		.slot_free = c->decode_seqs < c->decode_slots,
+		.slot_free = seqs_of(c) < c->decode_slots,
 	};
 }
 
--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -147,6 +147,12 @@
 	return 1;
 }
 
+int control_rank(struct control *c, int *count)
+{
+	*count = 1;
+	return 0;
+}
+
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint)
 {
 	enum quarantine_verdict v;
--- a/tests/test_route.cc
+++ b/tests/test_route.cc
@@ -26,15 +26,26 @@
 	       (double)r.prompt_tokens * std::max(p.cost.kv_token_us, d.cost.kv_token_us);
 }
 
+/* Load with what may have come to an engine that other instances prefer. */
+static double backlog_us(const route_candidate &c)
+{
+	return tokens_us(c, (double)c.prefill_backlog) + (c.away ? 150000.0 : 0.0);
+}
+
+static int seqs(const route_candidate &c)
+{
+	return c.decode_seqs + (c.away ? c.decode_slots / 8 : 0);
+}
+
 /* Cost of one placement, written down separately from route.c. */
 static double cost(const route_candidate &p, const route_candidate &d, const route_request &r,
 		   double *finish)
 {
 	bool mixed = &p == &d;
 	double out = (double)r.output_tokens;
-	double step = d.cost.step_base_us + d.cost.step_per_seq_us * (d.decode_seqs + 1);
-	double backlog = tokens_us(p, (double)p.prefill_backlog);
-	double over = std::max(0, d.decode_seqs + 1 - d.decode_slots);
+	double step = d.cost.step_base_us + d.cost.step_per_seq_us * (seqs(d) + 1);
+	double backlog = backlog_us(p);
+	double over = std::max(0, seqs(d) + 1 - d.decode_slots);
 	double first = 2.0 * (double)p.distance_us + backlog +
 		       tokens_us(p, (double)(r.prompt_tokens - p.cached_tokens)) + step +
 		       over * out * step / d.decode_slots;
@@ -57,6 +68,7 @@
 		c.index = i;
 		c.role = (endpoint_role)(ROLE_MIXED + (mixed ? rng() % 3 : 1 + rng() % 2));
 		c.usable = rng() % 8 != 0;
+		c.away = rng() % 3 == 0;
 		c.prefill_backlog = (int64_t)(rng() % 3 ? rng() % 60000 : 0);
 		c.decode_seqs = (int)(rng() % 36);
 		c.decode_slots = 32;
@@ -94,10 +106,10 @@
 				best = std::min(best, cost(p, p, r, &f));
 			if (p.role != ROLE_PREFILL)
 				continue;
-			key = std::min(key, 2.0 * (double)p.distance_us + transfer(p, p, r) +
-						    tokens_us(p, (double)p.prefill_backlog) +
-						    tokens_us(p, (double)(r.prompt_tokens -
-									  p.cached_tokens)));
+			key = std::min(
+				key,
+				2.0 * (double)p.distance_us + transfer(p, p, r) + backlog_us(p) +
+					tokens_us(p, (double)(r.prompt_tokens - p.cached_tokens)));
 			for (auto &d : c) {
 				if (!d.usable || d.role != ROLE_DECODE)
 					continue;
