--- a/tests/promise_fixture.h
+++ b/tests/promise_fixture.h
@@ -211,6 +211,30 @@
 			all.push_back(f->instances[i].http);
 		return all;
 	}
+	/* Addresses in front of the instances that stay when an instance is started again. */
+	std::vector<std::string> balanced_urls()
+	{
+		std::vector<std::string> all;
+
+		for (int i = 0; i < f->instance_count; i++)
+			all.push_back("http://127.0.0.1:" + std::to_string(balance(i)));
+		return all;
+	}
+	/* Points the caller's address of instance @i at its process. */
+	int balance(int i)
+	{
+		std::string url = std::string(f->proxy) + "/routes";
+		std::string body = std::string("{\"name\":\"callers-") + f->instances[i].id +
+				   "\",\"target\":\"" + (f->instances[i].http + strlen("http://")) +
+				   "\"}";
+		struct harness_reply reply;
+		int port;
+
+		harness_http("POST", url.c_str(), nullptr, body.c_str(), 2000, &reply, nullptr);
+		port = (int)json_get_i64(reply.json, "port", 0);
+		harness_reply_free(&reply);
+		return port;
+	}
 	Json status(int i)
 	{
 		return Json(harness_status(f, i));
--- /dev/null
+++ b/tests/test_promise_members.cc
@@ -0,0 +1,1 @@
+#include "promise_fixture.h"
