--- a/compat/ssl.c
+++ b/compat/ssl.c
@@ -9,6 +9,7 @@
  * it answers that dlopen(); all other symbols come from the real library, on which it depends.
  */
 #undef SSL_get_peer_certificate
+/* The name is OpenSSL's. NOLINTNEXTLINE(readability-identifier-naming) */
 X509 *SSL_get_peer_certificate(const SSL *ssl);
 
 X509 *SSL_get_peer_certificate(const SSL *ssl)
--- a/ibisgatectl/cmd_exception_add.c
+++ b/ibisgatectl/cmd_exception_add.c
@@ -12,9 +12,8 @@
 {
 	struct arg_lit *help = arg_lit0("h", "help", "print this help");
 	struct arg_str *id = arg_str1(NULL, NULL, "ID", "name of the exception");
-	struct arg_str *scope =
-		arg_str1("s", "scope", "SCOPE",
-			 "endpoint/NAME, organisation/NAME, service/NAME or dc/NAME");
+	struct arg_str *scope = arg_str1(
+		"s", "scope", "SCOPE", "endpoint/NAME, organisation/NAME, service/NAME or dc/NAME");
 	struct arg_str *setting = arg_str1(NULL, "setting", "SETTING", "setting to override");
 	struct arg_str *text = arg_str1(NULL, "value", "VALUE", "value inside the scope");
 	struct arg_str *reason = arg_str1("r", "reason", "TEXT", "why; required");
@@ -31,8 +30,7 @@
 	expires = clock_wall_ms() + (hours->count ? hours->ival[0] : DEFAULT_HOURS) * MS_PER_HOUR;
 	value = json_pack("{s:s,s:s,s:o,s:s,s:s,s:I}", "scope", scope->sval[0], "setting",
 			  setting->sval[0], "value", ctl_value(text->sval[0]), "reason",
-			  reason->sval[0], "author", ctl->author, "expiry",
-			  (json_int_t)expires);
+			  reason->sval[0], "author", ctl->author, "expiry", (json_int_t)expires);
 	snprintf(key, sizeof(key), "exception/%s", id->sval[0]);
 	code = ctl_change(ctl, key, value, -1);
 out:
