Take a closed probe connection for a dead engine

Cause: a broken stream is charged as a crash only when a probe of the engine is refused or shows another boot id. Behind a port forwarder, as the fault proxy is one, the probe of a dead engine is accepted and closed without an answer, so no crash was charged and one crashing request, sent 20 times, took 6 of 6 engines and 200 ordinary requests with it.

Change: a fresh connection that is closed without an answer counts as dead.

--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -147,7 +147,8 @@
 
 /*
  * A connection that breaks may be the network or the engine. The engine has died when it refuses
- * connections or has started anew since; a timeout proves nothing.
+ * connections or has started anew since; a timeout proves nothing. A port forwarder in front of a
+ * dead engine accepts the new connection and closes it without an answer.
  */
 static bool engine_died(struct dispatch *d, const struct fleet_slot *slot)
 {
@@ -165,7 +166,7 @@
 	snprintf(url, sizeof(url), "%s/load", slot->url);
 	req.url = url;
 	if (link_fetch(d->link, &req, PROBE_MS, &status, &body, &failed) != 0) {
-		died = failed.refused;
+		died = failed.refused || failed.failure == LINK_RESET;
 	} else {
 		json_t *o = json_parse(buf_str(&body));
 		struct str boot = json_get_str(o, "boot_id");
