Run suspects of different instances on different engines

Cause: "alone" holds within one instance only. After a crash every request of the engine is a suspect, and two instances could run theirs "alone" on the same engine. When one of them crashed it, both were charged with a second crash, and an ordinary request was refused with 422.

Change: live instances divide the engines of a role by rank for suspects; an instance without a usable one takes any, as before.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -212,6 +212,20 @@
 	return n > 0 ? n : 1;
 }
 
+int control_live_rank(struct control *c)
+{
+	int rank = 0;
+
+	pthread_mutex_lock(&c->lock);
+	for (int i = 0; i < member_count(c->members); i++) {
+		const struct member *m = member_at(c->members, i);
+
+		rank += m->state == MEMBER_LIVE && strcmp(m->id, c->settings->instance.id) < 0;
+	}
+	pthread_mutex_unlock(&c->lock);
+	return rank;
+}
+
 int control_peer_port(const struct control *c)
 {
 	return peer_bus_port(c->bus);
--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -374,6 +374,8 @@
 	struct fleet *f = d->gate->fleet;
 	struct placement *p = &w->place;
 
+	q.rank = control_live_rank(d->gate->control);
+	q.instances = control_live_instances(d->gate->control);
 	if (!p->prefill.held && reserved[1] < 0 && model_has_mixed(d, &q))
 		return fleet_acquire_alone(f, &q, ROLE_MIXED, w->prompt_tokens, &reserved[0],
 					   &p->run);
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -152,10 +152,51 @@
 	return ok;
 }
 
+/*
+ * Engines are divided among the instances, in order of names. Two suspects that ran "alone" on one
+ * engine through two instances would both be charged with its crash.
+ */
+static bool reserve_own(const struct fleet *f, const struct fleet_query *q, int id)
+{
+	const struct endpoint *ep = &f->endpoints[id];
+	int rank = 0;
+
+	if (q->instances < 2)
+		return true;
+	for (int i = 0; i < f->count; i++) {
+		const struct endpoint *other = &f->endpoints[i];
+
+		rank += other->listed && endpoint_serves(other, q) &&
+			other->info.role == ep->info.role &&
+			strcmp(other->info.name, ep->info.name) < 0;
+	}
+	return rank % q->instances == q->rank;
+}
+
+static bool reserve_usable(const struct fleet *f, const struct fleet_query *q,
+			   enum endpoint_role role, int id, int64_t now)
+{
+	const struct endpoint *ep = &f->endpoints[id];
+
+	return endpoint_serves(ep, q) && ep->info.role == role && endpoint_usable(ep, now);
+}
+
+/* With more instances than engines some have none of their own, and take any. */
+static bool reserve_owns_any(const struct fleet *f, const struct fleet_query *q,
+			     enum endpoint_role role, int64_t now)
+{
+	for (int i = 0; i < f->count; i++) {
+		if (reserve_usable(f, q, role, i, now) && reserve_own(f, q, i))
+			return true;
+	}
+	return false;
+}
+
 /* Reserves the engine of @role with the fewest own attempts; -1 when there is none. */
 static int reserve_pick(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
 			int64_t now)
 {
+	bool own = reserve_owns_any(f, q, role, now);
 	int best = -1;
 	int reserved = 0;
 	int total = 0;
@@ -163,12 +204,14 @@
 	for (int i = 0; i < f->count; i++) {
 		const struct endpoint *ep = &f->endpoints[i];
 
-		if (!endpoint_serves(ep, q) || ep->info.role != role || !endpoint_usable(ep, now))
+		if (!reserve_usable(f, q, role, i, now))
 			continue;
 		total++;
 		reserved += ep->reserved;
 		if (ep->reserved || ep->circuit.state != CIRCUIT_CLOSED)
 			continue;
+		if (own && !reserve_own(f, q, i))
+			continue;
 		if (best < 0 || ep->in_flight < f->endpoints[best].in_flight)
 			best = i;
 	}
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -22,6 +22,9 @@
 /** control_live_instances - live instances of the region, this one included; >= 1 */
 int control_live_instances(struct control *c);
 
+/** control_live_rank - position of this instance among the live ones by id, from 0 */
+int control_live_rank(struct control *c);
+
 /* Crashing requests. */
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint);
 enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
--- a/include/ibisgate/daemon/fleet_use.h
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -17,6 +17,7 @@
  * @prompt_tokens: upper limit of the cached tokens
  * @avoid: endpoint ids that failed this request; used again when nothing else is left
  * @settings: source of the distances; NULL for none
+ * @rank: of this instance among @instances live ones, which divide the engines for suspects
  */
 struct fleet_query {
 	const char *model;
@@ -26,6 +27,8 @@
 	const int *avoid;
 	int avoid_count;
 	const struct settings *settings;
+	int rank;
+	int instances;
 };
 
 /**
--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -142,6 +142,11 @@
 	return true;
 }
 
+int control_live_rank(struct control *c)
+{
+	return 0;
+}
+
 int control_live_instances(struct control *c)
 {
 	return 1;
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -204,4 +204,27 @@
 	fleet_release(f, &first);
 }
 
+/* Guards against suspects of two instances that run "alone" on one engine and are both charged. */
+TEST_F(Fleet, SuspectsOfTwoInstancesRunApart)
+{
+	int ids[2];
+
+	q.instances = 2;
+	for (q.rank = 0; q.rank < 2; q.rank++) {
+		fleet_slot s = {};
+		int reserved = -1;
+
+		ASSERT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+		ids[q.rank] = s.id;
+		fleet_release(f, &s);
+	}
+	EXPECT_NE(ids[0], ids[1]);
+	fleet_result(f, "a", FLEET_HARD_FAILURE);
+	fleet_slot s = {};
+	int reserved = -1;
+	q.rank = 0;
+	EXPECT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s)) << "takes any";
+	fleet_release(f, &s);
+}
+
 } // namespace
--- a/tests/test_promise_outage.cc
+++ b/tests/test_promise_outage.cc
@@ -1,1 +1,166 @@
 #include "promise_fixture.h"
+
+/* Crashing requests, outages of the platform, and the privacy of organisations. */
+class PromiseOutage : public PromiseTest
+{
+      protected:
+	std::string prompt_body(const std::string &prompt, int tokens)
+	{
+		return "{\"model\":\"M\",\"prompt\":\"" + prompt +
+		       "\",\"max_tokens\":" + std::to_string(tokens) + "}";
+	}
+	int64_t cached(int64_t *prefilled = nullptr)
+	{
+		int64_t n = 0;
+
+		for (int e = 0; e < f->endpoint_count; e++)
+			n += engine_stat(e, "cached_tokens");
+		if (prefilled) {
+			*prefilled = 0;
+			for (int e = 0; e < f->endpoint_count; e++)
+				*prefilled += engine_stat(e, "prefill_tokens");
+		}
+		return n;
+	}
+	std::string expected_text(const std::string &prompt, int tokens)
+	{
+		uint64_t seed = text_seed(str_from(prompt.c_str()), str_from("M"));
+		std::string out;
+		char token[TEXT_TOKEN_BYTES + 1];
+
+		for (int i = 0; i < tokens; i++) {
+			text_token(seed, i, token);
+			out += token;
+		}
+		return out;
+	}
+	static double good_share(const Load &load, double from_s, double to_s)
+	{
+		int good = 0;
+		int all = 0;
+
+		for (size_t i = 0; i < load.result.count; i++) {
+			const struct load_record &r = load.result.records[i];
+
+			if (r.call || r.start_us < from_s * 1e6 || r.start_us >= to_s * 1e6)
+				continue;
+			all++;
+			good += load_good(&r, &load.o);
+		}
+		return all ? (double)good / all : 0;
+	}
+	Load load;
+};
+
+/* Guards against a request that takes down engine after engine, and ordinary requests that are
+ * lost or refused with it. */
+TEST_F(PromiseOutage, CrashingRequest)
+{
+	const int ordinary = 200;
+	const int crashing = 20;
+	std::vector<Answer> poison(crashing);
+	std::vector<Answer> answers(ordinary);
+	std::vector<std::thread> callers;
+	std::vector<harness_engine_spec> six(6, { "mixed", true });
+	int lost = 0;
+
+	start({ "abertawe" }, 3, six, false);
+	for (int e = 0; e < 6; e++)
+		endpoint_fault(e, "{\"crash_marker\":\"poison\"}");
+	for (int c = 0; c < 20; c++)
+		callers.emplace_back([&, c] {
+			for (int n = 0; n < ordinary / 20; n++)
+				answers[c * 10 + n] = request(
+					(c + n) % 3, "/v1/completions",
+					prompt_body("part " + std::to_string(c * 10 + n), 20));
+		});
+	callers.emplace_back([&] {
+		for (int n = 0; n < crashing; n++)
+			poison[n] =
+				request(n % 3, "/v1/completions", prompt_body("a poison pill", 20));
+	});
+	for (auto &c : callers)
+		c.join();
+	for (int e = 0; e < 6; e++)
+		lost += harness_wait(f->endpoints[e].process, 0) == 0;
+	EXPECT_LE(lost, 2);
+	EXPECT_GE(lost, 1);
+	for (int n = 0; n < crashing; n++) {
+		EXPECT_EQ(poison[n].status, 422) << n << poison[n].body;
+		EXPECT_EQ(poison[n].body.find("poison"), std::string::npos);
+	}
+	for (int n = 0; n < ordinary; n++) {
+		EXPECT_EQ(answers[n].status, 200) << n << answers[n].body;
+		EXPECT_NE(answers[n].body.find(expected_text("part " + std::to_string(n), 20)),
+			  std::string::npos)
+			<< n << answers[n].body;
+	}
+}
+
+/* Guards against generations that wait for the table. */
+TEST_F(PromiseOutage, GenerationsGoOnWithoutPlatform)
+{
+	start({ "abertawe" }, 2,
+	      { { "prefill", true }, { "decode", true }, { "decode", true }, { "mixed", true } },
+	      true);
+	load.o.duration_s = 36;
+	load.s.phases[0].rate = 15;
+	load.s.phases[0].prompt_tokens = 200;
+	load.s.phases[0].output_tokens = 30;
+	load.start(urls());
+	int64_t begun = clock_boot_ms();
+	/* Phases of the run: 8 s as usual, 20 s down, 8 s slow. */
+	EXPECT_TRUE(eventually([&] { return clock_boot_ms() - begun >= 8000; }, 9000));
+	platform_fault("{\"down\":true}");
+	EXPECT_TRUE(eventually([&] { return clock_boot_ms() - begun >= 28000; }, 21000));
+	platform_fault("{\"down\":false,\"delay_ms\":2000}");
+	load.wait();
+	platform_fault("{\"delay_ms\":0}");
+	double before = good_share(load, 0.5, 8);
+	double down = good_share(load, 8, 28);
+	double slow = good_share(load, 28, 36);
+	printf("good share before %.3f down %.3f slow %.3f of %zu requests\n", before, down, slow,
+	       load.result.count);
+	EXPECT_GT(before, 0);
+	EXPECT_GE(down, 0.95 * before);
+	EXPECT_GE(slow, 0.95 * before);
+	EXPECT_TRUE(report_sound(&load.result)) << load.failures();
+}
+
+/* Guards against prompts of one organisation that speed up or show in the traffic of another. */
+TEST_F(PromiseOutage, OrganisationsArePrivate)
+{
+	std::string secret = "torque-sheet-7f3a ";
+	std::string prompt;
+	int64_t first;
+	int64_t second;
+
+	start({ "abertawe" }, 2, { { "mixed", true } }, false);
+	ASSERT_EQ(harness_organisation(f, "rivals", "rival-key", 1), 200);
+	ASSERT_EQ(harness_config_wait(f, version(0), 5000), 0);
+	while (prompt.size() < 20000)
+		prompt += secret;
+	auto send = [&](int i, const char *key) {
+		Answer a = request(i, "/v1/completions", prompt_body(prompt, 4), "", key);
+
+		EXPECT_EQ(a.status, 200) << a.body;
+		EXPECT_NE(a.body.find(expected_text(prompt, 4)), std::string::npos);
+	};
+	send(0, API_KEY);
+	EXPECT_EQ(cached(), 0);
+	send(1, "rival-key");
+	EXPECT_EQ(cached(), 0) << "another organisation met the cache of the first";
+	send(1, API_KEY);
+	first = cached();
+	EXPECT_GE(first, 4000) << "the same organisation, through another instance";
+	send(0, "rival-key");
+	second = cached();
+	EXPECT_GE(second, first + 4000);
+	for (int i = 0; i < f->instance_count; i++) {
+		EXPECT_EQ(events(i).find("torque-sheet"), std::string::npos);
+		EXPECT_EQ(log_text(f->instances[i].id).find("torque-sheet"), std::string::npos);
+		EXPECT_EQ(events(i).find("rival-key"), std::string::npos);
+		EXPECT_EQ(log_text(f->instances[i].id).find("rival-key"), std::string::npos);
+		EXPECT_NE(events(i).find("request-received"), std::string::npos);
+	}
+}
