--- a/bench/faults_check_config.c
+++ b/bench/faults_check_config.c
@@ -32,6 +32,33 @@
 	}
 }
 
+/* Each change that a process applies has a higher version than the one before. */
+static void check_applied(struct faults *r)
+{
+	json_t *last = json_object();
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(r->events, i, o) {
+		char process[64];
+		int64_t before;
+		int64_t version;
+
+		if (strcmp(json_get_cstr(o, "kind", ""), "config-change") != 0)
+			continue;
+		snprintf(process, sizeof(process), "%s/%lld", json_get_cstr(o, "instance", ""),
+			 (long long)json_get_i64(o, "process", 0));
+		before = json_get_i64(last, process, 0);
+		version = strtoll(json_get_cstr(o, "detail", "version=0") + strlen("version="),
+				  NULL, 10);
+		if (version <= before)
+			faults_violation(r, 9, "%s applied version %lld after %lld", process,
+					 (long long)version, (long long)before);
+		json_object_set_new(last, process, json_integer((json_int_t)version));
+	}
+	json_decref(last);
+}
+
 static void check_races(struct faults *r)
 {
 	for (int i = 0; i < r->change_count; i++) {
@@ -149,6 +176,7 @@
 	int n = 0;
 
 	check_monotonic(r);
+	check_applied(r);
 	check_races(r);
 	for (int i = 0; i < FAULTS_INSTANCES; i++)
 		check_present(r, i);
