--- /dev/null
+++ b/ibisgatectl/cmd_preset_apply.c
@@ -0,0 +1,71 @@
+#include <argtable2.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "ibisgate/common/json.h"
+#include "ibisgate/ibisgatectl/command.h"
+
+#define LINE_BYTES_MAX 256
+
+static int invalid_line(const char *path, int number)
+{
+	fprintf(stderr, "ibisgatectl: %s:%d: expected \"SETTING VALUE\"\n", path, number);
+	return CTL_USAGE;
+}
+
+/* Checks a line, and applies it when @apply is set; comments and empty lines do nothing. */
+static int line_run(struct ctl *ctl, const char *path, int number, const char *line, bool apply)
+{
+	struct str value = str_trim(str_from(line));
+	struct str name = str_split(&value, ' ');
+	char text[LINE_BYTES_MAX];
+	char setting[64];
+	char key[128];
+
+	if (!name.len || name.data[0] == '#')
+		return CTL_OK;
+	value = str_trim(value);
+	if (!value.len || !str_copy(text, sizeof(text), value) ||
+	    !str_copy(setting, sizeof(setting), name))
+		return invalid_line(path, number);
+	if (!apply)
+		return CTL_OK;
+	snprintf(key, sizeof(key), "default/%s", setting);
+	return ctl_change(ctl, key, ctl_value(text), -1);
+}
+
+static int file_run(struct ctl *ctl, const char *path, bool apply)
+{
+	FILE *in = fopen(path, "re");
+	char line[LINE_BYTES_MAX];
+	int code = CTL_OK;
+	int number = 0;
+
+	if (!in) {
+		fprintf(stderr, "ibisgatectl: cannot read %s\n", path);
+		return CTL_USAGE;
+	}
+	while (code == CTL_OK && fgets(line, sizeof(line), in))
+		code = line_run(ctl, path, ++number, line, apply);
+	fclose(in);
+	return code;
+}
+
+int cmd_preset_apply(struct ctl *ctl, int argc, char **argv)
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_str *path = arg_str1(NULL, NULL, "FILE", "a \"SETTING VALUE\" on each line");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { help, path, end };
+	int code;
+
+	if (!command_parse(ctl, argc, argv, table, 3, &code))
+		goto out;
+	/* A malformed file changes nothing; a refused value leaves the lines before it applied. */
+	code = file_run(ctl, path->sval[0], false);
+	if (code == CTL_OK)
+		code = file_run(ctl, path->sval[0], true);
+out:
+	arg_freetable(table, 3);
+	return code;
+}
--- a/ibisgatectl/command.c
+++ b/ibisgatectl/command.c
@@ -17,6 +17,7 @@
 	{ "endpoint-drain", "send no new work to an endpoint", cmd_endpoint_drain },
 	{ "endpoint-return", "end the drain of an endpoint", cmd_endpoint_return },
 	{ "instance-drain", "shut an instance down gracefully", cmd_instance_drain },
+	{ "preset-apply", "set the fleet-wide defaults that a file lists", cmd_preset_apply },
 	{ "completion", "shell completion for bash", cmd_completion },
 	{ 0 },
 };
--- a/include/ibisgate/ibisgatectl/command.h
+++ b/include/ibisgate/ibisgatectl/command.h
@@ -74,6 +74,7 @@
 int cmd_exception_list(struct ctl *ctl, int argc, char **argv);
 int cmd_instance_drain(struct ctl *ctl, int argc, char **argv);
 int cmd_organisation_create(struct ctl *ctl, int argc, char **argv);
+int cmd_preset_apply(struct ctl *ctl, int argc, char **argv);
 int cmd_service_create(struct ctl *ctl, int argc, char **argv);
 int cmd_status(struct ctl *ctl, int argc, char **argv);
 int cmd_timeline(struct ctl *ctl, int argc, char **argv);
