Keep round-robin in turn when a request is priced

Cause: the look that prices a request took a turn too, so round-robin used every second engine only, and all instances started at the same engine.

--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -10,6 +10,7 @@
 #include "ibisgate/common/metrics.h"
 
 #define PLACE_RETRY_MS 10
+#define ROUND_ROBIN_STARTS 1000003
 
 /**
  * struct waiter - one queued request; lives on its thread's stack
@@ -79,8 +80,12 @@
 	struct fleet_query q = query_of(d, w);
 	int n = fleet_candidates(d->gate->fleet, &q, d->cands);
 
-	if (m->method.kind != w->limits.method.kind)
+	if (m->method.kind != w->limits.method.kind) {
 		m->method = w->limits.method;
+		/* Instances that start together must not take their turns in step. */
+		if (m->method.kind == ROUTE_ROUND_ROBIN)
+			m->method.u.round_robin.next = random_u64() % ROUND_ROBIN_STARTS;
+	}
 	return route_pick(&m->method, d->cands, n, req, out);
 }
 
@@ -307,6 +312,7 @@
 	struct model_queue *m = model_get(d, w->g->model);
 	struct route_request any;
 	struct route_choice best;
+	struct route_method turn;
 	double rate;
 
 	if (!m)
@@ -316,8 +322,12 @@
 	any = request_of(w);
 	any.first_token_us = INT64_MAX;
 	any.gap_us = INT64_MAX;
+	/* The look that prices the request must not take a turn of round-robin. */
+	turn = m->method;
 	if (!place_look(d, m, w, &any, &best))
 		return refuse(d, w, out, true, 0);
+	if (turn.kind == m->method.kind)
+		m->method = turn;
 	work_price(d, w, &best);
 	fleet_demand_add(d->gate->fleet, w->g->model, w->prefill_us, w->decode_us);
 	if (w->limits.admission)
