Ignore late reports of a role change that has ended

Cause: a report that is 2 s old still says that the engine changes, so each changed engine got no work for another 2 s.

Change: reports about the time before the end of the change don't count as changing; test_fleet guards it.

--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -230,6 +230,9 @@
 	foreign_note(ep, fmax(0, (double)(load->prefill_backlog - own.prefill)),
 		     fmax(0, load->decode_seqs - own.seqs), f->load_lag_ms, load->at_ms);
 	ep->load = *load;
+	/* The report may still show the change that has ended since. */
+	if (ep->role_set_ms && load->at_ms - f->load_lag_ms < ep->role_set_ms)
+		ep->load.changing = false;
 	if (ep->info.engine && !load->changing && load->role != ROLE_SERVICE &&
 	    load->at_ms - ep->role_set_ms > ROLE_SETTLE_MS + f->load_lag_ms)
 		ep->info.role = load->role;
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -145,6 +145,24 @@
 	EXPECT_EQ(candidates()[0].decode_seqs, 2);
 }
 
+/* Guards against an engine that gets no work for the lag of its reports after each role change. */
+TEST_F(Fleet, LateReportOfAnEndedChangeIsIgnored)
+{
+	endpoint_load load = {};
+
+	fleet_set_load_lag(f, 100);
+	ASSERT_TRUE(fleet_stop(f, "a", "o-1"));
+	ASSERT_TRUE(fleet_return(f, "a", "o-1", ROLE_PREFILL));
+	load.at_ms = clock_boot_ms() + 50;
+	load.role = ROLE_DECODE;
+	load.changing = true;
+	fleet_load(f, "a", &load);
+	EXPECT_TRUE(candidates()[0].usable);
+	load.at_ms += 100;
+	fleet_load(f, "a", &load);
+	EXPECT_FALSE(candidates()[0].usable) << "a later change counts";
+}
+
 /* Guards against neighbours beside a suspect request, which its crash would take along. */
 TEST_F(Fleet, SuspectWaitsUntilItIsAlone)
 {
