Charge a crash only on evidence

An engine that reset a connection and refused the next one was taken for crashed, so a cut proxy or a partition charged the requests in flight and refused them with 422 for ten minutes. A refused connection now makes a request suspect only. A later GET /load with another boot id, or the platform's list without the endpoint, confirms the crash; the same boot id to a question asked later withdraws the suspicion. While two crashes are possible and one of them is unconfirmed the request is held: the running one waits for evidence up to its deadline, a repeat gets 503 not run. Instances tell each other confirmed and unconfirmed counts.

A suspect that waits for an engine of its own takes an ordinary place once it is cleared; it waited up to its deadline when all circuits were open.

--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -294,6 +294,9 @@
 void control_claims_clear(struct control *c);
 
 /* control_quarantine.c */
+/* Endpoints of the platform's list that was asked for at @asked_ms. */
+void control_quarantine_listed(struct control *c, const struct endpoint_info *infos, int count,
+			       int64_t asked_ms);
 void control_on_quarantine(struct control *c, const struct peer_message *m);
 
 #endif
--- a/daemon/control_list.c
+++ b/daemon/control_list.c
@@ -55,7 +55,7 @@
 	       str_copy(out->model, sizeof(out->model), json_get_str(o, "model")) && out->name[0];
 }
 
-static void learn_endpoints(struct control *c, const json_t *list)
+static void learn_endpoints(struct control *c, const json_t *list, int64_t asked_ms)
 {
 	size_t n = json_array_size(list);
 	struct endpoint_info *infos = mem_zalloc(n * sizeof(*infos));
@@ -66,6 +66,7 @@
 			count++;
 	}
 	fleet_update(c->fleet, infos, count);
+	control_quarantine_listed(c, infos, count, asked_ms);
 	free(infos);
 }
 
@@ -97,6 +98,7 @@
 
 static void poll_list(struct control *c)
 {
+	int64_t asked_ms = clock_boot_ms();
 	struct error err = { 0 };
 	json_t *list;
 
@@ -109,7 +111,7 @@
 		learn_instances(c, json_object_get(list, "instances"));
 		/* Set first, so that an answer of a peer can't replace the list. */
 		atomic_store(&c->fleet_listed, true);
-		learn_endpoints(c, json_object_get(list, "endpoints"));
+		learn_endpoints(c, json_object_get(list, "endpoints"), asked_ms);
 		atomic_store(&c->fleet_known, true);
 	}
 	json_decref(list);
--- a/daemon/control_quarantine.c
+++ b/daemon/control_quarantine.c
@@ -1,11 +1,16 @@
 #include <inttypes.h>
+#include <stdlib.h>
 
 #include "control_impl.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
+#include "ibisgate/common/hash.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
 
+/* Requests that one piece of evidence settles at a time. */
+#define CHANGED_MAX 256
+
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint)
 {
 	enum quarantine_verdict v;
@@ -17,38 +22,107 @@
 }
 
 /* A suspect is told to all too: its caller may repeat it at another instance. */
-static void tell(struct control *c, uint64_t fingerprint, bool refuse)
+static void tell(struct control *c, const struct quarantine_note *note)
 {
 	struct peer_message *m = peer_message_create(PEER_QUARANTINE);
 
-	m->u.quarantine.fingerprint = fingerprint;
-	m->u.quarantine.crashes = refuse ? QUARANTINE_CRASHES : 1;
-	m->u.quarantine.refuse = refuse;
-	m->u.quarantine.left_ms = QUARANTINE_SUSPECT_MS;
-	if (refuse)
-		m->u.quarantine.left_ms = QUARANTINE_MS;
+	m->u.quarantine.fingerprint = note->fingerprint;
+	m->u.quarantine.crashes = note->crashes;
+	m->u.quarantine.unconfirmed = note->unconfirmed;
+	m->u.quarantine.refuse = note->refuse;
+	m->u.quarantine.left_ms = note->refuse ? QUARANTINE_MS : QUARANTINE_SUSPECT_MS;
+	/* The suspicion is withdrawn. */
+	if (!note->crashes && !note->unconfirmed)
+		m->u.quarantine.left_ms = 0;
 	control_send_all(c, m);
 	peer_message_destroy(m);
 }
 
-enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
-						  bool alone)
+static void spread(struct control *c, uint64_t fingerprint)
 {
-	enum quarantine_verdict v;
+	struct quarantine_note note;
 
 	pthread_mutex_lock(&c->lock);
-	v = quarantine_charge(c->quarantine, fingerprint, alone, clock_boot_ms());
+	note = quarantine_note(c->quarantine, fingerprint, clock_boot_ms());
 	pthread_mutex_unlock(&c->lock);
-	if (v == QUARANTINE_REFUSE) {
+	if (note.refuse) {
 		metric_add(METRIC_QUARANTINED, 1);
 		log_warn("quarantined", "fingerprint=%016" PRIx64, fingerprint);
 		event_record("quarantined", NULL, NULL, NULL, "fingerprint=%016" PRIx64,
 			     fingerprint);
 	}
-	tell(c, fingerprint, v == QUARANTINE_REFUSE);
+	tell(c, &note);
+}
+
+enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
+						  bool alone)
+{
+	enum quarantine_verdict v;
+
+	pthread_mutex_lock(&c->lock);
+	v = quarantine_charge(c->quarantine, fingerprint, alone, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+	spread(c, fingerprint);
+	return v;
+}
+
+static uint64_t hash_of(const char *text)
+{
+	return text[0] ? hash_str(str_from(text), 0) | 1 : 0;
+}
+
+enum quarantine_verdict control_quarantine_suspect(struct control *c, uint64_t fingerprint,
+						   const char *endpoint, const char *boot_id,
+						   bool alone)
+{
+	struct quarantine_place place = {
+		.endpoint = hash_of(endpoint),
+		.boot = hash_of(boot_id),
+		.alone = alone,
+	};
+	enum quarantine_verdict v;
+
+	pthread_mutex_lock(&c->lock);
+	v = quarantine_suspect(c->quarantine, fingerprint, &place, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+	spread(c, fingerprint);
 	return v;
 }
 
+void control_quarantine_seen(struct control *c, const char *endpoint, const char *boot_id,
+			     int64_t asked_ms)
+{
+	uint64_t changed[CHANGED_MAX];
+	int n = 0;
+
+	pthread_mutex_lock(&c->lock);
+	if (quarantine_unconfirmed(c->quarantine))
+		n = quarantine_seen(c->quarantine, hash_of(endpoint), hash_of(boot_id), asked_ms,
+				    clock_boot_ms(), changed, CHANGED_MAX);
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < n; i++)
+		spread(c, changed[i]);
+}
+
+void control_quarantine_listed(struct control *c, const struct endpoint_info *infos, int count,
+			       int64_t asked_ms)
+{
+	uint64_t *listed = mem_zalloc((size_t)(count + 1) * sizeof(*listed));
+	uint64_t changed[CHANGED_MAX];
+	int n = 0;
+
+	for (int i = 0; i < count; i++)
+		listed[i] = hash_of(infos[i].name);
+	pthread_mutex_lock(&c->lock);
+	if (quarantine_unconfirmed(c->quarantine))
+		n = quarantine_unlisted(c->quarantine, listed, count, asked_ms, clock_boot_ms(),
+					changed, CHANGED_MAX);
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < n; i++)
+		spread(c, changed[i]);
+	free(listed);
+}
+
 void control_quarantine_clear(struct control *c, uint64_t fingerprint)
 {
 	pthread_mutex_lock(&c->lock);
@@ -60,11 +134,16 @@
 {
 	int64_t now = clock_boot_ms();
 	int64_t left = m->u.quarantine.left_ms;
+	struct quarantine_note note = {
+		.fingerprint = m->u.quarantine.fingerprint,
+		.crashes = m->u.quarantine.crashes,
+		.unconfirmed = m->u.quarantine.unconfirmed,
+		.refuse = m->u.quarantine.refuse,
+	};
 
 	if (left > QUARANTINE_MS)
 		left = QUARANTINE_MS;
 	pthread_mutex_lock(&c->lock);
-	quarantine_learn(c->quarantine, m->u.quarantine.fingerprint, m->u.quarantine.crashes,
-			 m->u.quarantine.refuse, now + left, now);
+	quarantine_learn(c->quarantine, &note, now + left, now);
 	pthread_mutex_unlock(&c->lock);
 }
--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -386,6 +386,22 @@
 	return p->prefill.held && p->run.held;
 }
 
+/* Evidence may clear a suspect request while it waits; ordinary places are easier to get. */
+static void suspect_cleared(struct dispatch *d, struct work *w, int reserved[2])
+{
+	if (!w->alone ||
+	    control_quarantine_check(d->gate->control, w->fingerprint) != QUARANTINE_CLEAR)
+		return;
+	for (int i = 0; i < 2; i++) {
+		fleet_unreserve(d->gate->fleet, reserved[i]);
+		reserved[i] = -1;
+	}
+	fleet_release(d->gate->fleet, &w->place.prefill);
+	fleet_release(d->gate->fleet, &w->place.run);
+	w->place = (struct placement){ 0 };
+	w->alone = false;
+}
+
 bool place_again(struct dispatch *d, struct work *w)
 {
 	int reserved[2] = { -1, -1 };
@@ -395,6 +411,7 @@
 	while (clock_boot_ms() < w->g->call.deadline_ms) {
 		struct model_queue *m;
 
+		suspect_cleared(d, w, reserved);
 		if (w->alone) {
 			ok = place_alone(d, w, reserved);
 		} else {
--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -153,13 +153,14 @@
 	memcpy(a->endpoint, slot->name, sizeof(a->endpoint));
 	a->endpoint_id = slot->id;
 	a->alone = slot->alone;
+	memcpy(a->boot_id, slot->boot_id, sizeof(a->boot_id));
 }
 
 /*
- * A connection that breaks may be the network or the engine. The engine has died when it refuses
- * connections or has started anew since; a timeout proves nothing.
+ * A connection that breaks may be the network or the engine. The engine has died when it has
+ * started anew since; one that refuses connections may have, a timeout proves nothing.
  */
-static bool engine_died(struct dispatch *d, const struct fleet_slot *slot)
+static void engine_probe(struct dispatch *d, struct attempt *a, const struct fleet_slot *slot)
 {
 	struct buf body = { 0 };
 	struct link_event failed;
@@ -170,21 +171,19 @@
 	};
 	char url[160];
 	int status;
-	bool died;
 
 	snprintf(url, sizeof(url), "%s/load", slot->url);
 	req.url = url;
 	if (link_fetch(d->link, &req, PROBE_MS, &status, &body, &failed) != 0) {
-		died = failed.refused;
+		a->suspect = failed.refused;
 	} else {
 		json_t *o = json_parse(buf_str(&body));
 		struct str boot = json_get_str(o, "boot_id");
 
-		died = boot.len && slot->boot_id[0] && !str_eq_cstr(boot, slot->boot_id);
+		a->crash = boot.len && slot->boot_id[0] && !str_eq_cstr(boot, slot->boot_id);
 		json_decref(o);
 	}
 	buf_free(&body);
-	return died;
 }
 
 static void failure_note(struct dispatch *d, struct attempt *a, const struct link_event *ev,
@@ -200,9 +199,11 @@
 	a->sent = ev->sent;
 	a->alone = slot->alone;
 	a->reason = reasons[ev->failure];
-	a->crash = ev->failure == LINK_RESET && engine_died(d, slot);
+	if (ev->failure == LINK_RESET)
+		engine_probe(d, a, slot);
 	fleet_result(d->gate->fleet, slot->name,
-		     a->crash || ev->failure == LINK_CONNECT ? FLEET_HARD_FAILURE : FLEET_FAILURE);
+		     a->crash || a->suspect || ev->failure == LINK_CONNECT ? FLEET_HARD_FAILURE
+									   : FLEET_FAILURE);
 }
 
 /* What the whole answer of an engine means. */
--- a/daemon/dispatch_generate.c
+++ b/daemon/dispatch_generate.c
@@ -16,6 +16,8 @@
 /* A continuation that the retry budget denies is asked again for this long. */
 #define BUDGET_WAIT_MS 5000
 #define BUDGET_STEP_MS 100
+#define EVIDENCE_STEP_MS 50
+#define HOLD_RETRY_S 5
 
 /*
  * All instances must derive the same values, so these keys only separate the uses from each other.
@@ -104,18 +106,48 @@
 	return true;
 }
 
-/* Charges a crash to the request. True when it may not run again. */
+static enum quarantine_verdict crash_note(struct dispatch *d, struct work *w,
+					  const struct attempt *a)
+{
+	struct control *c = d->gate->control;
+
+	if (a->crash)
+		return control_quarantine_charge(c, w->fingerprint, a->alone);
+	return control_quarantine_suspect(c, w->fingerprint, a->endpoint, a->boot_id, a->alone);
+}
+
+/* Waits until load reports or the platform's list tell whether the engines have crashed. */
+static enum quarantine_verdict evidence_wait(struct dispatch *d, struct work *w)
+{
+	enum quarantine_verdict v = QUARANTINE_HOLD;
+
+	while (v == QUARANTINE_HOLD && clock_boot_ms() < w->g->call.deadline_ms) {
+		clock_sleep_ms(EVIDENCE_STEP_MS);
+		v = control_quarantine_check(d->gate->control, w->fingerprint);
+	}
+	return v;
+}
+
+/* Charges a crash, or the suspicion of one, to the request. True when it may not run again. */
 static bool crash_charge(struct dispatch *d, struct work *w, const struct attempt *a,
 			 struct outcome *out)
 {
-	if (!a->crash)
+	enum quarantine_verdict v;
+
+	if (!a->crash && !a->suspect)
 		return false;
-	switch (control_quarantine_charge(d->gate->control, w->fingerprint, a->alone)) {
+	v = crash_note(d, w, a);
+	if (v == QUARANTINE_HOLD)
+		v = evidence_wait(d, w);
+	w->alone = v != QUARANTINE_CLEAR;
+	switch (v) {
 	case QUARANTINE_REFUSE:
 		return quarantined(out);
+	case QUARANTINE_HOLD:
+		outcome_set(out, 504, "outcome_unknown", "crash_unconfirmed",
+			    "two engines became unreachable while they ran the request");
+		return true;
 	case QUARANTINE_SUSPECT:
-		w->alone = true;
-		break;
 	case QUARANTINE_CLEAR:
 		break;
 	}
@@ -229,6 +261,11 @@
 	case QUARANTINE_SUSPECT:
 		w.alone = true;
 		break;
+	case QUARANTINE_HOLD:
+		outcome_set(out, 503, "not_run", "crash_unconfirmed",
+			    "two engines became unreachable while they ran a request like this");
+		out->retry_after_s = HOLD_RETRY_S;
+		return;
 	case QUARANTINE_CLEAR:
 		break;
 	}
--- a/daemon/dispatch_impl.h
+++ b/daemon/dispatch_impl.h
@@ -140,6 +140,8 @@
  * struct attempt - result of one try
  * @sent: for ATTEMPT_FAILED
  * @crash: the engine died
+ * @suspect: the engine refuses connections, which may be the network
+ * @boot_id: of the engine when the attempt began; "" when unknown
  * @refused_work: the engine said that it did not run the request
  * @status: HTTP status for ATTEMPT_REJECTED
  * @slot: which endpoint it was
@@ -148,6 +150,8 @@
 	enum attempt_result result;
 	enum sent_state sent;
 	bool crash;
+	bool suspect;
+	char boot_id[24];
 	bool refused_work;
 	int status;
 	const char *reason;
--- a/daemon/dispatch_poll.c
+++ b/daemon/dispatch_poll.c
@@ -7,6 +7,7 @@
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
 #include "ibisgate/common/supervisor.h"
+#include "ibisgate/daemon/control.h"
 
 #define EVENTS_POLL_MS 1000
 #define POLL_TIMEOUT_MS 2000
@@ -16,12 +17,14 @@
  * struct polled - polling state of one endpoint
  * @next_event: argument of the next GET /cache_events
  * @load: transfer in progress, 0 for none; likewise @events
+ * @load_sent_ms: when it was sent
  */
 struct polled {
 	char name[ENDPOINT_NAME_MAX];
 	char boot_id[24];
 	int64_t next_event;
 	int64_t load_due_ms;
+	int64_t load_sent_ms;
 	int64_t events_due_ms;
 	struct link_queue *load_queue;
 	struct link_queue *events_queue;
@@ -70,6 +73,7 @@
 		return;
 	str_copy(load.boot_id, sizeof(load.boot_id), json_get_str(o, "boot_id"));
 	fleet_load(d->gate->fleet, p->name, &load);
+	control_quarantine_seen(d->gate->control, p->name, load.boot_id, p->load_sent_ms);
 }
 
 static void events_apply(struct dispatch *d, struct polled *p, const json_t *o)
@@ -156,6 +160,7 @@
 	if (p->load || now < p->load_due_ms)
 		return;
 	p->load_due_ms = now + d->gate->settings.links.load_poll_ms;
+	p->load_sent_ms = now;
 	p->load = poll_send(d, p->load_queue, p->name, st->info.url, "/load");
 }
 
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -29,6 +29,18 @@
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint);
 enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
 						  bool alone);
+
+/**
+ * control_quarantine_suspect - @endpoint refuses connections since the request ran there
+ * @boot_id: of the endpoint when the request was sent; "" when unknown
+ */
+enum quarantine_verdict control_quarantine_suspect(struct control *c, uint64_t fingerprint,
+						   const char *endpoint, const char *boot_id,
+						   bool alone);
+
+/** control_quarantine_seen - @endpoint, asked at @asked_ms (boot clock), runs as @boot_id */
+void control_quarantine_seen(struct control *c, const char *endpoint, const char *boot_id,
+			     int64_t asked_ms);
 void control_quarantine_clear(struct control *c, uint64_t fingerprint);
 
 /**
--- a/include/ibisgate/net/codec.h
+++ b/include/ibisgate/net/codec.h
@@ -177,6 +177,7 @@
 		struct {
 			uint64_t fingerprint;
 			int crashes;
+			int unconfirmed;
 			bool refuse;
 			int64_t left_ms;
 		} quarantine;
--- a/net/codec.c
+++ b/net/codec.c
@@ -204,9 +204,10 @@
 		put_uint(b, (uint64_t)m->u.ack.in_flight);
 		break;
 	case PEER_QUARANTINE:
-		put_array(b, 4);
+		put_array(b, 5);
 		put_uint(b, m->u.quarantine.fingerprint);
 		put_uint(b, (uint64_t)m->u.quarantine.crashes);
+		put_uint(b, (uint64_t)m->u.quarantine.unconfirmed);
 		put_uint(b, m->u.quarantine.refuse);
 		put_uint(b, (uint64_t)m->u.quarantine.left_ms);
 		break;
--- a/net/codec_read.c
+++ b/net/codec_read.c
@@ -294,9 +294,10 @@
 		m->u.ack.in_flight = (int)get_uint(r, INT32_MAX);
 		break;
 	case PEER_QUARANTINE:
-		get_tuple(r, 4);
+		get_tuple(r, 5);
 		m->u.quarantine.fingerprint = get_uint(r, UINT64_MAX);
 		m->u.quarantine.crashes = (int)get_uint(r, INT32_MAX);
+		m->u.quarantine.unconfirmed = (int)get_uint(r, INT32_MAX);
 		m->u.quarantine.refuse = get_uint(r, 1);
 		m->u.quarantine.left_ms = get_i64(r);
 		break;
--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -174,6 +174,35 @@
 	return v;
 }
 
+static uint64_t hash_of(const char *text)
+{
+	return text[0] ? hash_str(str_from(text), 0) | 1 : 0;
+}
+
+enum quarantine_verdict control_quarantine_suspect(struct control *c, uint64_t fingerprint,
+						   const char *endpoint, const char *boot_id,
+						   bool alone)
+{
+	struct quarantine_place place = { hash_of(endpoint), hash_of(boot_id), alone };
+	enum quarantine_verdict v;
+
+	pthread_mutex_lock(&c->lock);
+	v = quarantine_suspect(c->quarantine, fingerprint, &place, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+	return v;
+}
+
+void control_quarantine_seen(struct control *c, const char *endpoint, const char *boot_id,
+			     int64_t asked_ms)
+{
+	uint64_t changed[64];
+
+	pthread_mutex_lock(&c->lock);
+	quarantine_seen(c->quarantine, hash_of(endpoint), hash_of(boot_id), asked_ms,
+			clock_boot_ms(), changed, 64);
+	pthread_mutex_unlock(&c->lock);
+}
+
 void control_quarantine_clear(struct control *c, uint64_t fingerprint)
 {
 	pthread_mutex_lock(&c->lock);
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -91,6 +91,7 @@
 		break;
 	case PEER_QUARANTINE:
 		m->u.quarantine.fingerprint = rng();
+		m->u.quarantine.unconfirmed = (int)(rng() % 3);
 		m->u.quarantine.refuse = rng() % 2;
 		break;
 	case PEER_CLAIM_QUERY:
--- a/tests/tiny_server.h
+++ b/tests/tiny_server.h
@@ -25,16 +25,7 @@
 
 	explicit TinyServer(Handler handler) : handler_(std::move(handler))
 	{
-		sockaddr_in a = {};
-		socklen_t len = sizeof(a);
-
-		listen_fd_ = socket(AF_INET, SOCK_STREAM, 0);
-		a.sin_family = AF_INET;
-		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(listen_fd_, reinterpret_cast<sockaddr *>(&a), sizeof(a));
-		listen(listen_fd_, 64);
-		getsockname(listen_fd_, reinterpret_cast<sockaddr *>(&a), &len);
-		port = ntohs(a.sin_port);
+		open_listener();
 		acceptor_ = std::thread([this] { accept_loop(); });
 	}
 
@@ -67,6 +58,13 @@
 			usleep(1000);
 	}
 
+	/* The same for some time only; the listener then has the same port again. */
+	void refuse_for(int ms)
+	{
+		refuse_ms_ = ms;
+		refuse_from_now_on();
+	}
+
 	std::string url() const
 	{
 		return "http://127.0.0.1:" + std::to_string(port);
@@ -96,6 +94,23 @@
 	std::atomic<int> requests{ 0 };
 
       private:
+	void open_listener()
+	{
+		sockaddr_in a = {};
+		socklen_t len = sizeof(a);
+		int one = 1;
+
+		listen_fd_ = socket(AF_INET, SOCK_STREAM, 0);
+		setsockopt(listen_fd_, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		a.sin_family = AF_INET;
+		a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		a.sin_port = htons(static_cast<uint16_t>(port));
+		bind(listen_fd_, reinterpret_cast<sockaddr *>(&a), sizeof(a));
+		listen(listen_fd_, 64);
+		getsockname(listen_fd_, reinterpret_cast<sockaddr *>(&a), &len);
+		port = ntohs(a.sin_port);
+	}
+
 	void accept_loop()
 	{
 		while (!stopping_) {
@@ -108,7 +123,10 @@
 			}
 			if (refused_) {
 				usleep(1000);
-				continue;
+				if (!refuse_ms_ || --refuse_ms_)
+					continue;
+				open_listener();
+				refusing_ = refused_ = false;
 			}
 			if (poll(&p, 1, 5) != 1)
 				continue;
@@ -165,6 +183,7 @@
 	std::atomic<bool> stopping_{ false };
 	std::atomic<bool> refusing_{ false };
 	std::atomic<bool> refused_{ false };
+	std::atomic<int> refuse_ms_{ 0 };
 	std::thread acceptor_;
 	std::mutex lock_;
 	std::vector<int> fds_;
