--- a/daemon/control_list.c
+++ b/daemon/control_list.c
@@ -10,6 +10,7 @@
 
 #define LOOP_MS 200
 #define RECONCILE_MS 3000
+#define FETCH_RETRY_MS 500
 
 bool control_listed(const struct control *c, const char *id)
 {
@@ -54,7 +55,7 @@
 	       str_copy(out->model, sizeof(out->model), json_get_str(o, "model")) && out->name[0];
 }
 
-static void learn_endpoints(struct control *c, const json_t *list)
+static void learn_endpoints(struct control *c, const json_t *list, int64_t asked_ms)
 {
 	size_t n = json_array_size(list);
 	struct endpoint_info *infos = mem_zalloc(n * sizeof(*infos));
@@ -65,6 +66,7 @@
 			count++;
 	}
 	fleet_update(c->fleet, infos, count);
+	control_quarantine_listed(c, infos, count, asked_ms);
 	free(infos);
 }
 
@@ -96,6 +98,7 @@
 
 static void poll_list(struct control *c)
 {
+	int64_t asked_ms = clock_boot_ms();
 	struct error err = { 0 };
 	json_t *list;
 
@@ -106,7 +109,9 @@
 	if (json_is_array(json_object_get(list, "endpoints")) &&
 	    json_is_array(json_object_get(list, "instances"))) {
 		learn_instances(c, json_object_get(list, "instances"));
-		learn_endpoints(c, json_object_get(list, "endpoints"));
+		/* Set first, so that an answer of a peer can't replace the list. */
+		atomic_store(&c->fleet_listed, true);
+		learn_endpoints(c, json_object_get(list, "endpoints"), asked_ms);
 		atomic_store(&c->fleet_known, true);
 	}
 	json_decref(list);
@@ -167,6 +172,7 @@
 	struct control *c = ctx;
 	int64_t reconcile_ms = 0;
 	int64_t poll_ms = 0;
+	int64_t fetch_ms = 0;
 
 	while (!child_sleep_ms(LOOP_MS)) {
 		int64_t now = clock_boot_ms();
@@ -177,10 +183,15 @@
 		}
 		apply_operator_drains(c);
 		apply_instance_drain(c);
-		if (now >= reconcile_ms && (!atomic_load(&c->intents_known) || stops_known(c))) {
+		if (now >= reconcile_ms && (!atomic_load(&c->intents_read) || stops_known(c))) {
 			control_stops_reconcile(c);
 			reconcile_ms =
-				now + (atomic_load(&c->intents_known) ? RECONCILE_MS : LOOP_MS);
+				now + (atomic_load(&c->intents_read) ? RECONCILE_MS : LOOP_MS);
+		}
+		if (now >= fetch_ms &&
+		    !(atomic_load(&c->fleet_known) && atomic_load(&c->intents_known))) {
+			control_fleet_fetch(c);
+			fetch_ms = clock_boot_ms() + FETCH_RETRY_MS;
 		}
 		child_account_cpu();
 	}
