--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -13,7 +13,6 @@
 
 #define LOOP_MS 50
 #define TICK_MS 200
-#define SCAN_LIMIT 200
 #define WITHDRAW_MS 500
 /* A row of a doubtful write may appear after the first look. */
 #define RESCAN_MS 10000
@@ -27,7 +26,8 @@
  * the bus thread, both under the lock.
  */
 
-static enum drain_action feed(struct control *c, struct drain_job *j, enum drain_event_kind kind)
+enum drain_action control_job_feed(struct control *c, struct drain_job *j,
+				   enum drain_event_kind kind)
 {
 	struct drain_event ev = { .kind = kind };
 	enum drain_action a;
@@ -86,7 +86,7 @@
 	}
 }
 
-static struct drain_job *job_for(struct control *c, const char *endpoint, bool *known)
+struct drain_job *control_job_for(struct control *c, const char *endpoint, bool *known)
 {
 	struct drain_job *spare = NULL;
 
@@ -102,8 +102,8 @@
 	return *known ? NULL : spare;
 }
 
-static void job_begin(struct control *c, struct drain_job *j, const struct order *order,
-		      const char *dc)
+void control_job_begin(struct control *c, struct drain_job *j, const struct order *order,
+		       const char *dc)
 {
 	int64_t now = clock_boot_ms();
 
@@ -123,9 +123,9 @@
 	bool known;
 
 	pthread_mutex_lock(&c->lock);
-	j = job_for(c, order->endpoint, &known);
+	j = control_job_for(c, order->endpoint, &known);
 	if (j) {
-		job_begin(c, j, order, dc);
+		control_job_begin(c, j, order, dc);
 		j->role_before = role_before;
 	}
 	pthread_mutex_unlock(&c->lock);
@@ -150,145 +150,6 @@
 	return control_job_start(c, &order, dc, from);
 }
 
-static bool job_known(struct control *c, const char *endpoint)
-{
-	bool known;
-
-	pthread_mutex_lock(&c->lock);
-	job_for(c, endpoint, &known);
-	pthread_mutex_unlock(&c->lock);
-	return known;
-}
-
-/*
- * The row is written anew under the own fencing number, so that an earlier holder that resumes can
- * neither clear it nor tell the members to return.
- */
-static int take_over(struct control *c, const struct table_row *row, const struct order *order,
-		     const char *dc, int64_t *version)
-{
-	json_t *value = control_intent_json(order, dc, c->settings->instance.id);
-	struct error err = { 0 };
-	int rc =
-		platform_put(c->gate->platform, row->key, value, row->version, version, NULL, &err);
-
-	json_decref(value);
-	return rc;
-}
-
-/* Return: false when the row has to be read again. */
-static bool resume(struct control *c, const struct table_row *row, const char *dc, int64_t fencing)
-{
-	struct drain_event ev = { .kind = DRAIN_EV_INTENT_WRITTEN };
-	struct order order = { .fencing = fencing };
-	char row_dc[MEMBER_DC_MAX];
-	struct peer_order p;
-	struct drain_job *j;
-	int64_t version;
-	bool known;
-
-	if (!control_intent_parse(row, &p, row_dc, sizeof(row_dc)) || strcmp(row_dc, dc) != 0 ||
-	    job_known(c, p.endpoint))
-		return true;
-	order.kind = p.kind;
-	if (p.kind == ORDER_ROLE)
-		order.u.role = p.role;
-	str_copy(order.id, sizeof(order.id), str_from(p.order));
-	str_copy(order.endpoint, sizeof(order.endpoint), str_from(p.endpoint));
-	if (take_over(c, row, &order, dc, &version))
-		return false;
-	pthread_mutex_lock(&c->lock);
-	j = job_for(c, p.endpoint, &known);
-	if (j) {
-		job_begin(c, j, &order, dc);
-		j->version = version;
-		j->resumed = true;
-		j->sent = true;
-		j->role_before = p.role;
-		drain_step(&j->drain, &ev, clock_boot_ms());
-	}
-	pthread_mutex_unlock(&c->lock);
-	return j != NULL;
-}
-
-static bool load_intents(struct control *c, const char *dc, int64_t fencing)
-{
-	struct table_row *rows;
-	struct error err = { 0 };
-	bool more;
-	int count;
-	int rc = platform_scan(c->gate->platform, "intent/", "", SCAN_LIMIT, &rows, &count, &more,
-			       &err);
-
-	for (int i = 0; i < count; i++) {
-		if (!resume(c, &rows[i], dc, fencing))
-			rc = -1;
-		table_row_clear(&rows[i]);
-	}
-	free(rows);
-	return rc == 0;
-}
-
-static bool to_load(struct control *c, int i, bool rescan, char dc[MEMBER_DC_MAX])
-{
-	bool due = false;
-
-	pthread_mutex_lock(&c->lock);
-	if (i < c->lease_count) {
-		due = rescan || c->leases[i].load_intents;
-		memcpy(dc, c->leases[i].dc, MEMBER_DC_MAX);
-	}
-	pthread_mutex_unlock(&c->lock);
-	return due;
-}
-
-static void check_leases(struct control *c, bool rescan)
-{
-	char dc[MEMBER_DC_MAX];
-
-	for (int i = 0; i < CONTROL_LEASES_MAX; i++) {
-		int64_t fencing;
-
-		if (!to_load(c, i, rescan, dc) || !control_lease_held(c, dc, &fencing) ||
-		    !load_intents(c, dc, fencing))
-			continue;
-		pthread_mutex_lock(&c->lock);
-		c->leases[i].load_intents = false;
-		pthread_mutex_unlock(&c->lock);
-	}
-}
-
-static void intent_key(char *out, size_t size, const struct drain_job *j)
-{
-	snprintf(out, size, "intent/%s", j->drain.order.endpoint);
-}
-
-static enum drain_action write_intent(struct control *c, struct drain_job *j)
-{
-	json_t *value = control_intent_json(&j->drain.order, j->dc, c->settings->instance.id);
-	struct table_row current = { 0 };
-	struct error err = { 0 };
-	enum drain_action a = DRAIN_DO_NOTHING;
-	char key[96];
-	int rc;
-
-	intent_key(key, sizeof(key), j);
-	rc = platform_put(c->gate->platform, key, value, TABLE_MUST_NOT_EXIST, &j->version,
-			  &current, &err);
-	if (rc && err.code == PLATFORM_CONFLICT &&
-	    strcmp(json_get_cstr(current.value, "order", ""), j->drain.order.id) == 0) {
-		j->version = current.version;
-		rc = 0;
-	}
-	if (!rc)
-		a = feed(c, j, DRAIN_EV_INTENT_WRITTEN);
-	else if (err.code == PLATFORM_CONFLICT)
-		a = feed(c, j, DRAIN_EV_INTENT_REFUSED);
-	json_decref(value);
-	table_row_clear(&current);
-	return a;
-}
-
 static struct peer_order peer_order_of(const struct drain_job *j)
 {
 	const struct order *o = &j->drain.order;
@@ -336,42 +197,66 @@
 	peer_message_destroy(m);
 }
 
+/*
+ * A stop keeps an endpoint in the fleet after the platform's list has dropped it, so the list is
+ * what counts.
+ */
+static bool endpoint_gone(struct control *c, const char *name)
+{
+	bool gone = true;
+	int n;
+	struct endpoint_status *all;
+
+	if (!atomic_load(&c->fleet_listed) || platform_down_since_ms(c->gate->platform))
+		return false;
+	all = fleet_statuses(c->fleet, &n);
+	for (int i = 0; i < n; i++) {
+		if (strcmp(all[i].info.name, name) == 0 && all[i].listed && !all[i].info.leaving)
+			gone = false;
+	}
+	free(all);
+	return gone;
+}
+
+/* An endpoint that has left takes no order any more; its drain ends without a role change. */
+static enum drain_action abandon(struct control *c, struct drain_job *j)
+{
+	j->given_up = true;
+	log_warn("drain-endpoint-gone", "endpoint=%s order=%s", j->drain.order.endpoint,
+		 j->drain.order.id);
+	return control_job_feed(c, j, DRAIN_EV_ORDER_FINISHED);
+}
+
 static enum drain_action send_order(struct control *c, struct drain_job *j)
 {
 	struct endpoint_info ep;
 
+	if (endpoint_gone(c, j->drain.order.endpoint))
+		return abandon(c, j);
 	if (!control_endpoint(c, j->drain.order.endpoint, &ep))
 		return DRAIN_DO_NOTHING;
 	j->sent = true;
 	switch (control_order_send(c, &ep, &j->drain.order)) {
 	case ORDER_REPLY_ACCEPTED:
-		return feed(c, j, DRAIN_EV_ORDER_ACCEPTED);
+		return control_job_feed(c, j, DRAIN_EV_ORDER_ACCEPTED);
 	case ORDER_REPLY_STALE:
-		return feed(c, j, DRAIN_EV_LEASE_LOST);
+		return control_job_feed(c, j, DRAIN_EV_LEASE_LOST);
 	default:
-		return feed(c, j, DRAIN_EV_ORDER_REFUSED);
+		return control_job_feed(c, j, DRAIN_EV_ORDER_REFUSED);
 	}
 }
 
-static bool endpoint_gone(struct control *c, const char *name)
-{
-	struct endpoint_info ep;
-
-	return atomic_load(&c->fleet_known) && !platform_down_since_ms(c->gate->platform) &&
-	       (!control_endpoint(c, name, &ep) || ep.leaving);
-}
-
 static enum drain_action poll_endpoint(struct control *c, struct drain_job *j)
 {
 	struct endpoint_info ep;
 
 	if (endpoint_gone(c, j->drain.order.endpoint))
-		return feed(c, j, DRAIN_EV_ORDER_FINISHED);
+		return abandon(c, j);
 	if (!control_endpoint(c, j->drain.order.endpoint, &ep))
 		return DRAIN_DO_NOTHING;
 	switch (control_order_poll(c, &ep, j->drain.order.id)) {
 	case ORDER_REPLY_DONE:
-		return feed(c, j, DRAIN_EV_ORDER_FINISHED);
+		return control_job_feed(c, j, DRAIN_EV_ORDER_FINISHED);
 	case ORDER_REPLY_LOST:
 		/* The engine was started again and forgot the order, which is sent once more. */
 		pthread_mutex_lock(&c->lock);
@@ -383,20 +268,6 @@
 	}
 }
 
-static enum drain_action clear_intent(struct control *c, struct drain_job *j)
-{
-	struct error err = { 0 };
-	char key[96];
-
-	intent_key(key, sizeof(key), j);
-	if (platform_delete(c->gate->platform, key, j->version, &err) == 0 ||
-	    err.code == PLATFORM_NOT_FOUND)
-		return feed(c, j, DRAIN_EV_INTENT_CLEARED);
-	if (err.code == PLATFORM_CONFLICT)
-		return feed(c, j, DRAIN_EV_LEASE_LOST);
-	return DRAIN_DO_NOTHING;
-}
-
 static void send_return(struct control *c, struct drain_job *j)
 {
 	struct peer_message *m = peer_message_create(PEER_RETURN);
@@ -421,7 +292,7 @@
 	case DRAIN_DO_NOTHING:
 		break;
 	case DRAIN_DO_WRITE_INTENT:
-		return write_intent(c, j);
+		return control_intent_write(c, j);
 	case DRAIN_DO_SEND_LEAVE:
 		send_leave(c, j);
 		break;
@@ -430,7 +301,7 @@
 	case DRAIN_DO_POLL_ENDPOINT:
 		return poll_endpoint(c, j);
 	case DRAIN_DO_CLEAR_INTENT:
-		return clear_intent(c, j);
+		return control_intent_clear(c, j);
 	case DRAIN_DO_SEND_RETURN:
 		send_return(c, j);
 		break;
@@ -463,12 +334,12 @@
 	bool over;
 
 	if (!control_lease_held(c, j->dc, NULL))
-		feed(c, j, DRAIN_EV_LEASE_LOST);
+		control_job_feed(c, j, DRAIN_EV_LEASE_LOST);
 	pthread_mutex_lock(&c->lock);
 	update_members(c, j);
 	pthread_mutex_unlock(&c->lock);
 	check_give_up(c, j, now);
-	a = feed(c, j, DRAIN_EV_TICK);
+	a = control_job_feed(c, j, DRAIN_EV_TICK);
 	while (a != DRAIN_DO_NOTHING)
 		a = act(c, j, a);
 	pthread_mutex_lock(&c->lock);
@@ -509,7 +380,7 @@
 			withdraw_ms = now + WITHDRAW_MS;
 		}
 
-		check_leases(c, now >= rescan_ms);
+		control_intents_load(c, now >= rescan_ms);
 		if (now >= rescan_ms)
 			rescan_ms = now + RESCAN_MS;
 		for (int i = 0; i < CONTROL_JOBS_MAX && !child_stopping(); i++) {
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -256,6 +256,20 @@
 bool control_job_start(struct control *c, const struct order *order, const char *dc,
 		       enum endpoint_role role_before);
 
+/* @known: out: a job for @endpoint runs; otherwise a spare one is returned, NULL when none is left
+ */
+struct drain_job *control_job_for(struct control *c, const char *endpoint, bool *known);
+void control_job_begin(struct control *c, struct drain_job *j, const struct order *order,
+		       const char *dc);
+enum drain_action control_job_feed(struct control *c, struct drain_job *j,
+				   enum drain_event_kind kind);
+
+/* control_intent.c */
+/* Resumes the drains of leases that were acquired; with @rescan of all that are held. */
+void control_intents_load(struct control *c, bool rescan);
+enum drain_action control_intent_write(struct control *c, struct drain_job *j);
+enum drain_action control_intent_clear(struct control *c, struct drain_job *j);
+
 /* control_withdraw.c */
 void control_withdraw_check(struct control *c);
 void control_withdraw_done(struct control *c, const char *endpoint);
--- a/daemon/control_quarantine.c
+++ b/daemon/control_quarantine.c
@@ -30,7 +30,9 @@
 	m->u.quarantine.crashes = note->crashes;
 	m->u.quarantine.unconfirmed = note->unconfirmed;
 	m->u.quarantine.refuse = note->refuse;
-	m->u.quarantine.left_ms = note->refuse ? QUARANTINE_MS : QUARANTINE_SUSPECT_MS;
+	m->u.quarantine.left_ms = QUARANTINE_SUSPECT_MS;
+	if (note->refuse)
+		m->u.quarantine.left_ms = QUARANTINE_MS;
 	/* The suspicion is withdrawn. */
 	if (!note->crashes && !note->unconfirmed)
 		m->u.quarantine.left_ms = 0;
--- a/tests/region.h
+++ b/tests/region.h
@@ -22,7 +22,7 @@
 class Region
 {
       public:
-	Region() : table("ibisgate-platform", { "--port", "0" })
+	Region() : table("ibisgate-platform", { "--port", "0", "--list-lag-ms", "200" })
 	{
 	}
 	~Region()
@@ -69,8 +69,10 @@
 	}
 	Standin &engine(const string &name, const string &dc, const string &role, bool fencing)
 	{
+		string port = engines.count(name) ? std::to_string(engines[name]->port) : "0";
+
 		engines[name].reset(new Standin(
-			"ibisgate-engine", { "--port", "0", "--name", name, "--dc", dc, "--model",
+			"ibisgate-engine", { "--port", port, "--name", name, "--dc", dc, "--model",
 					     POOL, "--role", role, "--check-fencing",
 					     fencing ? "1" : "0", "--role-change-ms", "300" }));
 		table.tell("/list/endpoints",
--- a/tests/test_recovery.cc
+++ b/tests/test_recovery.cc
@@ -1,5 +1,8 @@
 #include "region.h"
 
+#include <atomic>
+#include <thread>
+
 extern "C" {
 #include "ibisgate/harness/harness.h"
 }
@@ -82,6 +85,168 @@
 	}
 }
 
+/* Guards against a data centre without instances whose engines nobody may order any more. */
+TEST(Recovery, LeaseOfAnEmptyDataCentreIsTakenOverAndGivenBack)
+{
+	Region g;
+	string who;
+	int64_t first = 0;
+	int64_t second = 0;
+
+	g.start("a1", "abertawe");
+	g.start("c1", "caerdydd");
+	Standin &e = g.engine("e1", "caerdydd", "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("caerdydd", &who, &first) == 1; }, 5000));
+	EXPECT_EQ(who, "c1");
+	g.kill("c1", false);
+	ASSERT_TRUE(eventually([&] { return g.holders("caerdydd", &who, &second) == 1; }, 20000));
+	EXPECT_EQ(who, "a1");
+	EXPECT_GT(second, first);
+	EXPECT_TRUE(rig_drain(g.rigs["a1"], "caerdydd", "e1", ROLE_PREFILL, ROLE_DECODE));
+	EXPECT_TRUE(eventually([&] { return done_with_role(e, "decode"); }, 8000));
+	g.start("c1", "caerdydd");
+	EXPECT_TRUE(g.ready());
+	EXPECT_TRUE(
+		eventually([&] { return g.holders("caerdydd", &who) == 1 && who == "c1"; }, 20000));
+}
+
+static bool hears(struct rig *r, const string &peer, string *state)
+{
+	json_t *o = rig_status(r);
+	const json_t *list = json_object_get(o, "members");
+	bool hears = false;
+
+	for (size_t i = 0; i < json_array_size(list); i++) {
+		const json_t *m = json_array_get(list, i);
+
+		if (peer != json_get_cstr(m, "id", ""))
+			continue;
+		hears = json_get_bool(m, "hears_us", false);
+		*state = json_get_cstr(m, "state", "");
+	}
+	json_decref(o);
+	return hears;
+}
+
+/* Guards against a loss in one direction that looks like health to the side that still hears. */
+TEST(Recovery, OneWayLossShowsInStatus)
+{
+	Region g;
+	string state;
+
+	g.start("a1", "abertawe");
+	string to_a1 = "127.0.0.1:" + std::to_string(rig_peer_port(g.rigs["a1"]));
+	Standin proxy("ibisgate-faultproxy", { "--control", "0", "--route", "a1=" + to_a1 });
+	g.start("a2", "abertawe",
+		"[routes]\na1 = 127.0.0.1:" + std::to_string(proxy.route("a1")) + "\n");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	EXPECT_TRUE(eventually([&] { return hears(g.rigs["a2"], "a1", &state); }, 3000));
+	proxy.tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent_to_target\"}");
+	EXPECT_TRUE(eventually([&] { return !hears(g.rigs["a2"], "a1", &state); }, 8000));
+	EXPECT_EQ(state, "live") << "a2 still hears a1";
+	hears(g.rigs["a1"], "a2", &state);
+	EXPECT_NE(state, "live") << "a1 does not hear a2";
+	proxy.tell("/faults", "{\"route\":\"a1\",\"mode\":\"pass\"}");
+	EXPECT_TRUE(eventually([&] { return hears(g.rigs["a2"], "a1", &state); }, 8000));
+	EXPECT_TRUE(g.see_each_other(8000));
+}
+
+/* Guards against a key that stays blocked by a row whose write arrived after its call was over. */
+TEST(Recovery, OwnerDeletesAClaimThatItNeverDispatched)
+{
+	Region g;
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_EQ(rig_claim(g.rigs["a1"], 0, "k", "body", 3000), CLAIM_DISPATCH);
+	json_t *rows = g.table.send("GET", "/table?prefix=claim/");
+	const json_t *row = json_array_get(json_object_get(rows, "rows"), 0);
+	string path = string("/table/") + json_get_cstr(row, "key", "");
+	char *value = json_dumps(json_object_get(row, "value"), JSON_COMPACT);
+	rig_claim_release(g.rigs["a1"], 0);
+	EXPECT_TRUE(eventually(
+		[&] {
+			json_t *o = g.table.send("GET", "/table?prefix=claim/");
+			bool none = json_array_size(json_object_get(o, "rows")) == 0;
+
+			json_decref(o);
+			return none;
+		},
+		3000));
+	json_decref(g.table.send("PUT", path, value));
+	EXPECT_EQ(rig_claim(g.rigs["a2"], 1, "k", "body", 10000), CLAIM_DISPATCH);
+	free(value);
+	json_decref(rows);
+}
+
+/* Orders that took effect at the engine; each is counted once however often it was sent. */
+static size_t orders(Standin &e, string *id)
+{
+	json_t *o = e.send("GET", "/orders");
+	const json_t *log = json_object_get(o, "log");
+	size_t n = 0;
+
+	for (size_t i = 0; i < json_array_size(log); i++) {
+		n += json_get_bool(json_array_get(log, i), "accepted", false);
+		*id = json_get_cstr(json_array_get(log, i), "order_id", "");
+	}
+	EXPECT_EQ(json_get_i64(o, "conflicts", -1), 0);
+	json_decref(o);
+	return n;
+}
+
+static size_t table_rows(Region &g, const string &prefix)
+{
+	json_t *o = g.table.send("GET", "/table?prefix=" + prefix);
+	size_t n = json_array_size(json_object_get(o, "rows"));
+
+	json_decref(o);
+	return n;
+}
+
+/* Guards against a drain that never ends, and an order that is lost, after an engine's crash. */
+TEST(Recovery, EngineCrashesInARoleChange)
+{
+	for (bool restarts : { true, false }) {
+		Region g;
+		string holder;
+		string before;
+		string after;
+
+		g.start("a1", "abertawe");
+		g.start("a2", "abertawe");
+		Standin *e = &g.engine("e1", "abertawe", "prefill", true);
+		ASSERT_TRUE(g.ready());
+		ASSERT_TRUE(g.see_each_other(8000));
+		ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+		e->tell("/faults", "{\"crash_in_change\":true}");
+		ASSERT_TRUE(rig_drain(g.rigs[holder], "abertawe", "e1", ROLE_PREFILL, ROLE_DECODE));
+		ASSERT_TRUE(
+			eventually([&] { return waitpid(e->pid, nullptr, WNOHANG) != 0; }, 8000))
+			<< "the engine has not crashed";
+		EXPECT_EQ(table_rows(g, "intent/"), 1u);
+		EXPECT_TRUE(g.stopped("a1", "e1") && g.stopped("a2", "e1"));
+		if (restarts) {
+			e = &g.engine("e1", "abertawe", "prefill", true);
+			EXPECT_TRUE(
+				eventually([&] { return done_with_role(*e, "decode"); }, 10000));
+			EXPECT_EQ(orders(*e, &after), 1u) << "sent once more, in effect once";
+		} else {
+			json_decref(g.table.send("DELETE", "/list/endpoints/e1"));
+		}
+		EXPECT_TRUE(eventually([&] { return table_rows(g, "intent/") == 0; }, 10000));
+		EXPECT_TRUE(eventually(
+			[&] { return !g.stopped("a1", "e1") && !g.stopped("a2", "e1"); }, 10000));
+		EXPECT_EQ(g.endpoints("a1"), restarts ? 1 : 0);
+		EXPECT_EQ(g.endpoints("a2"), restarts ? 1 : 0);
+	}
+}
+
 class Deployment
 {
       public:
@@ -117,15 +282,16 @@
 						mode, false),
 				  200);
 	}
-	bool generate(int i)
+	bool generate(int i, int tokens = 4)
 	{
 		const char *const headers[] = { "Authorization: Bearer k", nullptr };
 		struct harness_reply r;
 
 		harness_http("POST", (string(f->instances[i].http) + "/v1/completions").c_str(),
 			     headers,
-			     "{\"model\":\"M\",\"prompt\":\"p\",\"max_tokens\":4,"
-			     "\"stream\":true}",
+			     ("{\"model\":\"M\",\"prompt\":\"p\",\"stream\":true,\"max_tokens\":" +
+			      std::to_string(tokens) + "}")
+				     .c_str(),
 			     20000, &r, nullptr);
 		string body(r.body.data ? r.body.data : "", r.body.len);
 		bool ok = r.status == 200 && body.find("[DONE]") != string::npos;
@@ -197,3 +363,32 @@
 	t.platform("pass");
 	EXPECT_TRUE(eventually([&] { return t.ready(0) && t.ready(1); }, 15000));
 }
+
+/* Guards against an instance that cuts requests off, or does not end, when an operator drains it.
+ */
+TEST(Recovery, OperatorDrainsInstances)
+{
+	const char *const admin[] = { "Authorization: Bearer " HARNESS_TOKEN, nullptr };
+	struct harness_reply r;
+	Deployment t;
+
+	ASSERT_TRUE(t.f) << t.err.text;
+	ASSERT_TRUE(t.configure()) << t.err.text;
+	std::atomic<int> whole{ 0 };
+	std::thread caller([&] { whole = t.generate(1, 200); });
+	clock_sleep_ms(300);
+	EXPECT_EQ(harness_config(t.f, 0, "drain-instance/i2", json_pack("{s:s}", "reason", "fan")),
+		  200);
+	EXPECT_EQ(harness_wait(t.f->instances[1].process, 20000), 0);
+	EXPECT_EQ(t.f->instances[1].process->status, 0);
+	caller.join();
+	EXPECT_EQ(whole, 1) << "the running request was cut off";
+	EXPECT_TRUE(t.generate(0));
+	harness_http("POST", (string(t.f->instances[2].admin) + "/admin/drain").c_str(), admin,
+		     "{\"reason\":\"fan\",\"author\":\"op\"}", 3000, &r, nullptr);
+	EXPECT_EQ(r.status, 202);
+	harness_reply_free(&r);
+	EXPECT_EQ(harness_wait(t.f->instances[2].process, 20000), 0);
+	EXPECT_EQ(t.f->instances[2].process->status, 0);
+	EXPECT_TRUE(t.generate(0));
+}
