--- a/bench/faults.h
+++ b/bench/faults.h
@@ -160,6 +160,7 @@
 	json_t *orders;
 	/* Ids of orders that were seen as intents in the table. */
 	json_t *intents;
+	json_t *intent_polls;
 
 	int violations;
 };
@@ -202,6 +203,7 @@
 void faults_violation(struct faults *r, int promise, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 void faults_check(struct faults *r);
+void faults_check_leaving(struct faults *r);
 void faults_check_answers(struct faults *r);
 void faults_check_calls(struct faults *r);
 void faults_check_config(struct faults *r);
--- /dev/null
+++ b/bench/faults_check_leaving.c
@@ -0,0 +1,144 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "faults.h"
+#include "ibisgate/common/json.h"
+
+static int instance_of(const struct faults *r, const char *id)
+{
+	for (int i = 0; i < FAULTS_INSTANCES; i++) {
+		if (strcmp(r->fleet->instances[i].id, id) == 0)
+			return i;
+	}
+	return 0;
+}
+
+static bool is_kind(const json_t *o, const char *kind)
+{
+	return strcmp(json_get_cstr(o, "kind", ""), kind) == 0;
+}
+
+static bool same(const json_t *a, const json_t *b, const char *member)
+{
+	return strcmp(json_get_cstr(a, member, ""), json_get_cstr(b, member, "")) == 0;
+}
+
+static void late_attempt(struct faults *r, const json_t *o, int64_t from_ms, const char *why)
+{
+	faults_violation(r, 7, "%s sent %s to %s %lld ms after %s",
+			 json_get_cstr(o, "instance", ""), json_get_cstr(o, "request", ""),
+			 json_get_cstr(o, "endpoint", ""),
+			 (long long)(json_get_i64(o, "time_ms", 0) - from_ms), why);
+}
+
+/* Attempts at @endpoint that began later than the bound after it was marked, until it returned. */
+static void attempts_anywhere(struct faults *r, const char *endpoint, int64_t from_ms,
+			      int64_t to_ms, const char *why)
+{
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(r->events, i, o) {
+		int64_t at = json_get_i64(o, "time_ms", 0);
+
+		if (at <= from_ms + FAULTS_LEAVE_BOUND_MS || at >= to_ms ||
+		    !is_kind(o, "attempt-sent") ||
+		    strcmp(json_get_cstr(o, "endpoint", ""), endpoint) != 0)
+			continue;
+		/* Whoever could not hear of the mark gets the bound once it can. */
+		if (faults_affected(r, instance_of(r, json_get_cstr(o, "instance", "")),
+				    at - FAULTS_LEAVE_BOUND_MS, at))
+			continue;
+		late_attempt(r, o, from_ms, why);
+		return;
+	}
+}
+
+/* An instance that has noted a leave itself has no excuse. */
+static void attempts_own(struct faults *r, const json_t *leave, size_t index)
+{
+	int64_t from_ms = json_get_i64(leave, "time_ms", 0);
+	const json_t *o;
+
+	for (size_t i = index + 1; i < json_array_size(r->events); i++) {
+		o = json_array_get(r->events, i);
+		if (!same(o, leave, "instance") || !same(o, leave, "endpoint") ||
+		    json_get_i64(o, "process", 0) != json_get_i64(leave, "process", 0))
+			continue;
+		if (is_kind(o, "endpoint-return"))
+			return;
+		if (is_kind(o, "attempt-sent") &&
+		    json_get_i64(o, "time_ms", 0) > from_ms + FAULTS_LEAVE_BOUND_MS) {
+			late_attempt(r, o, from_ms, "it noted the leave itself");
+			return;
+		}
+	}
+}
+
+static int64_t order_end_ms(const struct faults *r, const char *order, int64_t from_ms)
+{
+	int64_t end = INT64_MAX;
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(r->events, i, o) {
+		int64_t at = json_get_i64(o, "time_ms", 0);
+
+		if (!is_kind(o, "endpoint-return") && !is_kind(o, "drain-aborted") &&
+		    !is_kind(o, "role-changed"))
+			continue;
+		if (at >= from_ms && at < end && strstr(json_get_cstr(o, "detail", ""), order))
+			end = at;
+	}
+	return end;
+}
+
+/* Time from which the others could hear of a mark that @instance made at @at_ms. */
+static int64_t audible_ms(const struct faults *r, int instance, int64_t at_ms)
+{
+	int64_t from_ms = at_ms;
+
+	for (int i = 0; i < r->window_count; i++) {
+		const struct window *w = &r->windows[i];
+
+		if ((w->instance == instance || w->instance < 0) &&
+		    w->from_ms <= from_ms + FAULTS_LEAVE_BOUND_MS &&
+		    (!w->to_ms || w->to_ms > from_ms))
+			from_ms = w->to_ms ? w->to_ms : INT64_MAX / 2;
+	}
+	return from_ms;
+}
+
+static void check_order_leaves(struct faults *r)
+{
+	const json_t *o;
+	size_t i;
+
+	json_array_foreach(r->events, i, o) {
+		const char *detail = json_get_cstr(o, "detail", "");
+		int64_t at = json_get_i64(o, "time_ms", 0);
+		char order[64];
+
+		if (!is_kind(o, "endpoint-leave"))
+			continue;
+		attempts_own(r, o, i);
+		/* The holder's own entry names no holder. */
+		if (sscanf(detail, "order=%63s", order) != 1 || !strstr(detail, "holder=") ||
+		    strstr(detail, "holder=")[strlen("holder=")])
+			continue;
+		attempts_anywhere(
+			r, json_get_cstr(o, "endpoint", ""),
+			audible_ms(r, instance_of(r, json_get_cstr(o, "instance", "")), at),
+			order_end_ms(r, order, at), detail);
+	}
+}
+
+void faults_check_leaving(struct faults *r)
+{
+	for (int k = 0; k < r->drain_count; k++)
+		attempts_anywhere(r, r->drains[k].endpoint, r->drains[k].from_ms,
+				  r->drains[k].to_ms ? r->drains[k].to_ms : INT64_MAX,
+				  "its operator drain");
+	check_order_leaves(r);
+	printf("drains: %d by operators\n", r->drain_count);
+}
--- a/bench/faults_watch.c
+++ b/bench/faults_watch.c
@@ -8,6 +8,7 @@
 
 #define POLL_MS 200
 #define TIMEOUT_MS 1000
+#define INTENT_POLLS_MAX 100000
 
 static const char *const admin_headers[] = { "Authorization: Bearer " HARNESS_TOKEN, NULL };
 
@@ -119,6 +120,8 @@
 	size_t i;
 
 	snprintf(url, sizeof(url), "%s/table?prefix=intent/", r->fleet->platform);
+	if (json_array_size(r->intent_polls) < INTENT_POLLS_MAX)
+		json_array_append_new(r->intent_polls, json_integer(clock_wall_ms()));
 	all = get(url);
 	json_array_foreach(json_object_get(all, "rows"), i, o) {
 		const char *order = json_get_cstr(json_object_get(o, "value"), "order", "");
