Assume that other instances fall back on the same engines

Cause: when a swing fills the homes of all instances at once, each sends its excess to the engines of the others, whose reports still show the time before.

Change: own work on an away engine counts once for every other instance.

--- a/daemon/fleet_home.c
+++ b/daemon/fleet_home.c
@@ -67,6 +67,7 @@
 	int n = 0;
 
 	pthread_mutex_lock(&f->lock);
+	f->instances = count;
 	for (int i = 0; i < f->count; i++) {
 		if (takes_work(&f->endpoints[i]))
 			eps[n++] = &f->endpoints[i];
--- a/daemon/fleet_impl.h
+++ b/daemon/fleet_impl.h
@@ -61,6 +61,7 @@
 	struct endpoint *endpoints;
 	int count;
 	int64_t load_lag_ms;
+	int instances;
 	struct prefix_index *index;
 	struct fleet_demand demands[FLEET_MODELS_MAX];
 	int demand_count;
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -52,6 +52,26 @@
 	return false;
 }
 
+/*
+ * All instances see the same old report and fall back on the engines of others at the same moment,
+ * so an engine that was idle is not idle any more, and each of them sends as much there as this
+ * one.
+ */
+static void away_fill(const struct fleet *f, const struct endpoint *ep, struct route_candidate *c)
+{
+	int64_t prefill = ep->own_prefill * (f->instances - 1);
+	int seqs = ep->own_seqs * (f->instances - 1);
+
+	if (prefill < ep->usual_prefill)
+		prefill = ep->usual_prefill;
+	if (seqs < ep->usual_seqs)
+		seqs = ep->usual_seqs;
+	if (c->prefill_backlog < prefill)
+		c->prefill_backlog = prefill;
+	if (c->decode_seqs < seqs)
+		c->decode_seqs = seqs;
+}
+
 static void candidate_fill(struct fleet *f, int id, const struct fleet_query *q,
 			   struct route_candidate *c)
 {
@@ -70,11 +90,8 @@
 		.cached_tokens = cached < q->prompt_tokens ? cached : q->prompt_tokens,
 		.cost = ep->load.at_ms ? ep->load.cost : cost_unknown,
 	};
-	/* All instances see the same old report, so an idle engine in it is not idle any more. */
-	if (c->away && c->prefill_backlog < ep->usual_prefill)
-		c->prefill_backlog = ep->usual_prefill;
-	if (c->away && c->decode_seqs < ep->usual_seqs)
-		c->decode_seqs = ep->usual_seqs;
+	if (c->away)
+		away_fill(f, ep, c);
 	if (q->settings)
 		c->distance_us = settings_distance_us(q->settings, ep->info.dc);
 }
