Let role changes with a known target run side by side

Cause: a swing over five engines waited for each drain and change in turn.

Change: an engine under way counts with its coming role, so the policy need not await its effect; one change for each data centre at a time. The loss of a change includes those under way. test_role guards both directions.

--- a/daemon/control_roles.c
+++ b/daemon/control_roles.c
@@ -80,6 +80,26 @@
 	       (!s->stopped || changing(s));
 }
 
+/* A role change under way between prefill and decode; other orders have other names. */
+static bool role_changing(const struct endpoint_status *s)
+{
+	return changing(s) && s->stopped && strncmp(s->stop_order, "o-", 2) == 0;
+}
+
+/* An engine under way is counted with the role that it will have. */
+static void dc_count(struct role_dc *dc, const struct endpoint_status *s)
+{
+	bool moves = role_changing(s);
+	bool to_prefill = moves && s->info.role == ROLE_DECODE;
+	bool to_decode = moves && s->info.role == ROLE_PREFILL;
+
+	dc->changing += changing(s);
+	dc->to_prefill += to_prefill;
+	dc->to_decode += to_decode;
+	dc->prefill += to_prefill || (!moves && s->info.role == ROLE_PREFILL);
+	dc->decode += to_decode || (!moves && s->info.role == ROLE_DECODE);
+}
+
 static struct role_view make_view(struct control *c, const struct endpoint_status *all, int n,
 				  const char *model, int64_t change_ms)
 {
@@ -93,10 +113,7 @@
 		dc = dc_find(&v, all[i].info.dc);
 		if (!dc)
 			continue;
-		if (changing(&all[i]))
-			dc->changing++;
-		dc->prefill += all[i].info.role == ROLE_PREFILL;
-		dc->decode += all[i].info.role == ROLE_DECODE;
+		dc_count(dc, &all[i]);
 	}
 	pthread_mutex_lock(&c->lock);
 	control_demand_of(c, model, &v.prefill_demand, &v.decode_demand);
--- a/include/ibisgate/policy/role.h
+++ b/include/ibisgate/policy/role.h
@@ -36,11 +36,19 @@
 	} u;
 };
 
+/**
+ * struct role_dc - engines of one data centre by role
+ * @prefill: including @to_prefill, likewise @decode
+ * @changing: engines that are away for a change, whatever its target
+ * @to_prefill: of them, those known to become prefill engines, likewise @to_decode
+ */
 struct role_dc {
 	char name[32];
 	int prefill;
 	int decode;
 	int changing;
+	int to_prefill;
+	int to_decode;
 };
 
 /**
--- a/policy/role.c
+++ b/policy/role.c
@@ -10,6 +10,8 @@
 	int prefill;
 	int decode;
 	int changing;
+	int to_prefill;
+	int to_decode;
 };
 
 static struct role_counts counts_of(const struct role_view *v)
@@ -20,6 +22,8 @@
 		n.prefill += v->dcs[i].prefill;
 		n.decode += v->dcs[i].decode;
 		n.changing += v->dcs[i].changing;
+		n.to_prefill += v->dcs[i].to_prefill;
+		n.to_decode += v->dcs[i].to_decode;
 	}
 	return n;
 }
@@ -95,7 +99,7 @@
 
 /*
  * The engine itself is charged as lost for the whole change, and so is the demand that the
- * remaining donors cannot serve meanwhile.
+ * remaining donors cannot serve meanwhile, beside the changes that are under way.
  */
 static struct change_value change_value(const struct role_state *st, const struct role_view *v,
 					const struct role_counts *n, enum endpoint_role to)
@@ -106,12 +110,15 @@
 	double away_s = (double)v->change_ms / 1000.0;
 	double now = role_goodput(st->prefill_avg, st->decode_avg, n->prefill, n->decode);
 	double then = role_goodput(st->prefill_avg, st->decode_avg, n->prefill + p, n->decode - p);
-	double away = role_goodput(st->prefill_avg, st->decode_avg, n->prefill - p_away,
-				   n->decode - !p_away);
+	int p_here = n->prefill - n->to_prefill;
+	int d_here = n->decode - n->to_decode;
+	double here = role_goodput(st->prefill_avg, st->decode_avg, p_here, d_here);
+	double away =
+		role_goodput(st->prefill_avg, st->decode_avg, p_here - p_away, d_here - !p_away);
 
 	return (struct change_value){
 		.gain_rate = (then - now) * demand,
-		.loss = away_s + (now - away) * demand * away_s,
+		.loss = away_s + (here - away) * demand * away_s,
 	};
 }
 
@@ -126,7 +133,7 @@
 
 static bool donor_left(const struct role_counts *n, enum endpoint_role from)
 {
-	return (from == ROLE_PREFILL ? n->prefill : n->decode) >= 2;
+	return (from == ROLE_PREFILL ? n->prefill - n->to_prefill : n->decode - n->to_decode) >= 2;
 }
 
 /* Role to which a change pays off on the averages, ROLE_SERVICE when none does. */
@@ -178,7 +185,7 @@
 
 static int donor_count(const struct role_dc *dc, enum endpoint_role from)
 {
-	return from == ROLE_PREFILL ? dc->prefill : dc->decode;
+	return from == ROLE_PREFILL ? dc->prefill - dc->to_prefill : dc->decode - dc->to_decode;
 }
 
 static bool donor_better(const struct role_dc *a, const struct role_dc *b, enum endpoint_role from)
@@ -251,8 +258,8 @@
 		return ROLE_SERVICE;
 	if (st->last_change_ms && since_change < m->u.horizon.min_dwell_ms)
 		return ROLE_SERVICE;
-	/* The target of a running change is not in the counts yet, so its effect is awaited. */
-	if (n.changing && since_change < STUCK_CHANGES * v->change_ms)
+	/* A running change of unknown target is not in the counts yet, so its effect is awaited. */
+	if (n.changing > n.to_prefill + n.to_decode && since_change < STUCK_CHANGES * v->change_ms)
 		return ROLE_SERVICE;
 	return to;
 }
--- a/tests/test_role.cc
+++ b/tests/test_role.cc
@@ -218,6 +218,24 @@
 	EXPECT_TRUE(role_decide(&st, &m, &v, "a", 30000).change);
 }
 
+/* Guards against a large swing that is followed one engine at a time, and against a change too many
+ * because those under way are not counted. */
+TEST(Role, KnownChangesRunSideBySide)
+{
+	role_method m = horizon();
+	role_state st = {};
+	role_view v = view(12, 8, { { "a", 2, 5, 0 }, { "b", 2, 5, 0 }, { "c", 3, 3, 1, 1, 0 } });
+
+	for (int s = 1; s <= 30; s++)
+		role_observe(&st, &m, &v, 1000 * s);
+	role_changed(&st, 20000);
+	EXPECT_TRUE(role_decide(&st, &m, &v, "a", 30000).change);
+	EXPECT_FALSE(role_decide(&st, &m, &v, "c", 30000).change);
+	v.dcs[2] = { "c", 8, 0, 5, 5, 0 };
+	EXPECT_FALSE(role_decide(&st, &m, &v, "a", 30000).change);
+	EXPECT_FALSE(role_decide(&st, &m, &v, "b", 30000).change);
+}
+
 /* Guards against the dwell time being ignored. */
 TEST(Role, DwellSeparatesChanges)
 {
