Plan admission for 80% of the first token limit

Cause: while a role is short, the queue stands at the limit and the work that other instances sent is known late, so a third of the admitted requests missed the limit by little and wasted engine time.

--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -10,6 +10,11 @@
 #include "ibisgate/common/metrics.h"
 
 #define PLACE_RETRY_MS 10
+/*
+ * Part of the first token limit that admission plans for, in percent. Work that other instances
+ * have sent is known late; at 100 a full queue admits what then misses the limit by little.
+ */
+#define PLAN_PERCENT 80
 #define ROUND_ROBIN_STARTS 1000003
 
 /**
@@ -203,7 +208,7 @@
 {
 	const struct route_candidate *p = &d->cands[best->prefill];
 	const struct route_candidate *r = &d->cands[best->decode];
-	int64_t limit_ms = w->limits.first_token_ms;
+	int64_t limit_ms = w->limits.first_token_ms * PLAN_PERCENT / 100;
 	int64_t unused;
 
 	cost_of(p, w->prompt_tokens - p->cached_tokens, 0, &w->prefill_us, &unused);
