Plan roles for a load of 90%

Cause: with a demand of 10.8 engines on 11 the policy saw nothing to gain, while a quarter of the requests was refused or late.

--- a/daemon/control_roles.c
+++ b/daemon/control_roles.c
@@ -8,6 +8,11 @@
 #include "ibisgate/common/supervisor.h"
 
 #define LOOP_MS 1000
+/*
+ * Load of an engine up to which its queue stays short. A role loaded to 98% serves its demand on
+ * paper, but a quarter of its requests wait too long.
+ */
+#define TARGET_LOAD 0.9
 
 struct model_roles {
 	char model[48];
@@ -118,6 +123,8 @@
 	pthread_mutex_lock(&c->lock);
 	control_demand_of(c, model, &v.prefill_demand, &v.decode_demand);
 	pthread_mutex_unlock(&c->lock);
+	v.prefill_demand /= TARGET_LOAD;
+	v.decode_demand /= TARGET_LOAD;
 	return v;
 }
 
