--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -334,19 +334,13 @@
 	enum drain_action a;
 	bool over;
 
-<<<<<<< HEAD
 	if (!control_lease_held(c, j->dc, NULL) && !ablated(MECHANISM_LEASE_CHECK))
-		feed(c, j, DRAIN_EV_LEASE_LOST);
-=======
-	if (!control_lease_held(c, j->dc, NULL))
 		control_job_feed(c, j, DRAIN_EV_LEASE_LOST);
->>>>>>> recovery
 	pthread_mutex_lock(&c->lock);
 	update_members(c, j);
 	pthread_mutex_unlock(&c->lock);
 	check_give_up(c, j, now);
-<<<<<<< HEAD
-	a = feed(c, j, DRAIN_EV_TICK);
+	a = control_job_feed(c, j, DRAIN_EV_TICK);
 	if (ablated(MECHANISM_DRAIN_ACK) && a == DRAIN_DO_SEND_LEAVE) {
 		pthread_mutex_lock(&c->lock);
 		j->drain.phase = DRAIN_ORDERING;
@@ -354,9 +348,6 @@
 		act(c, j, a);
 		a = DRAIN_DO_SEND_ORDER;
 	}
-=======
-	a = control_job_feed(c, j, DRAIN_EV_TICK);
->>>>>>> recovery
 	while (a != DRAIN_DO_NOTHING)
 		a = act(c, j, a);
 	pthread_mutex_lock(&c->lock);
