Keep the last engine of a role open and order suspects' reservations

Cause: when an engine dies, all its requests become suspects and reserve engines. With two engines of a role, the other one was reserved for suspects and ordinary requests were refused with 503; and with split roles one suspect could hold the prefill engine and another the decode engine, each waiting for the other until its deadline.

Change: ordinary work runs beside a suspect when no other engine of the role is left, and a decode engine is reserved only once the prefill engine is held.

--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -383,7 +383,9 @@
 	if (!p->prefill.held)
 		fleet_acquire_alone(f, &q, ROLE_PREFILL, w->prompt_tokens, &reserved[1],
 				    &p->prefill);
-	if (!p->run.held)
+	/* In this order only, or two suspects hold one role each and wait for the other for ever.
+	 */
+	if (p->prefill.held && !p->run.held)
 		fleet_acquire_alone(f, &q, ROLE_DECODE, 0, &reserved[0], &p->run);
 	return p->prefill.held && p->run.held;
 }
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -30,6 +30,25 @@
 	return ep->used && ep->info.engine == q->engine && strcmp(ep->info.model, q->model) == 0;
 }
 
+/*
+ * Ordinary work keeps away from a reserved engine while there is another one for it. Beside a
+ * suspect on the last engine of a role it goes on; then the suspect is the only one of its kind.
+ */
+static bool endpoint_kept(const struct fleet *f, const struct fleet_query *q, int id,
+			  int64_t now_ms)
+{
+	const struct endpoint *kept = &f->endpoints[id];
+
+	for (int i = 0; kept->reserved && i < f->count; i++) {
+		const struct endpoint *ep = &f->endpoints[i];
+
+		if (!ep->reserved && ep->info.role == kept->info.role && endpoint_serves(ep, q) &&
+		    endpoint_usable(ep, now_ms))
+			return true;
+	}
+	return false;
+}
+
 bool fleet_has_model(struct fleet *f, const char *model)
 {
 	const struct fleet_query q = { .model = model, .engine = true };
@@ -108,7 +127,8 @@
 		if (!endpoint_serves(ep, q))
 			continue;
 		candidate_fill(f, i, q, &out[n]);
-		out[n].usable = endpoint_usable(ep, now) && !ep->reserved && !avoided(q, i);
+		out[n].usable =
+			endpoint_usable(ep, now) && !endpoint_kept(f, q, i, now) && !avoided(q, i);
 		n++;
 	}
 	home_assume(f, q, out, n);
@@ -141,11 +161,17 @@
 bool fleet_acquire(struct fleet *f, int id, int64_t prefill_tokens, int seqs,
 		   struct fleet_slot *out)
 {
+	int64_t now = clock_boot_ms();
 	bool ok;
 
 	pthread_mutex_lock(&f->lock);
-	ok = id >= 0 && id < f->count && endpoint_usable(&f->endpoints[id], clock_boot_ms()) &&
-	     !f->endpoints[id].reserved;
+	ok = id >= 0 && id < f->count && endpoint_usable(&f->endpoints[id], now);
+	if (ok) {
+		const struct endpoint_info *info = &f->endpoints[id].info;
+		const struct fleet_query q = { .model = info->model, .engine = info->engine };
+
+		ok = !endpoint_kept(f, &q, id, now);
+	}
 	if (ok)
 		slot_take(f, id, prefill_tokens, seqs, out);
 	pthread_mutex_unlock(&f->lock);
@@ -234,7 +260,8 @@
 	}
 	if (*reserved < 0)
 		*reserved = reserve_pick(f, q, role, now);
-	if (*reserved >= 0 && !f->endpoints[*reserved].in_flight) {
+	if (*reserved >= 0 &&
+	    (!f->endpoints[*reserved].in_flight || !endpoint_kept(f, q, *reserved, now))) {
 		slot_take(f, *reserved, prefill_tokens, role == ROLE_PREFILL ? 0 : 1, out);
 		out->alone = true;
 		*reserved = -1;
--- a/include/ibisgate/daemon/fleet_use.h
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -46,7 +46,7 @@
  * @id: endpoint id; valid while @held
  * @prefill_tokens: prompt tokens counted until fleet_prefilled()
  * @seqs: sequences counted until the release
- * @alone: no other attempt of this instance may run there
+ * @alone: no other attempt of this instance may run there, on the last engine no other suspect
  * @boot_id: of the endpoint when the slot was taken; "" when unknown
  */
 struct fleet_slot {
--- a/tests/test_promise_answers.cc
+++ b/tests/test_promise_answers.cc
@@ -55,22 +55,38 @@
 };
 
 /* Guards against answers that end, repeat or skip a piece when their engine dies. */
-TEST_F(PromiseAnswers, EnginesKilled)
+TEST_F(PromiseAnswers, DecodeEngineKilled)
 {
 	start_fleet();
 	load.o.duration_s = 8;
 	load.start(urls());
 	kill_engine(2);
-	ASSERT_EQ(harness_endpoint_start(f, 2, &err), 0) << err.text;
-	kill_engine(0);
-	ASSERT_EQ(harness_endpoint_start(f, 0, &err), 0) << err.text;
 	wait_busy(3);
+	ASSERT_EQ(harness_endpoint_start(f, 2, &err), 0) << err.text;
 	wait_busy(2);
 	load.wait();
 	EXPECT_GE(failures(0, "\"resumed\"") + failures(1, "\"resumed\""), 1);
 	load.expect_all_whole();
 }
 
+/* Guards against requests that end with the engine that holds their KV cache, and against a role
+ * whose last engine is kept for suspects while ordinary requests are refused. */
+TEST_F(PromiseAnswers, PrefillEngineKilled)
+{
+	start_fleet();
+	load.o.duration_s = 8;
+	load.s.phases[0].prompt_tokens = 3000;
+	load.s.phases[0].output_tokens = 20;
+	load.start(urls());
+	kill_engine(0);
+	wait_busy(1);
+	ASSERT_EQ(harness_endpoint_start(f, 0, &err), 0) << err.text;
+	wait_busy(0);
+	load.wait();
+	EXPECT_GE(failures(0, "\"attempt-failed\"") + failures(1, "\"attempt-failed\""), 1);
+	load.expect_all_whole();
+}
+
 /* Guards against answers that wait for ever on a connection that went silent while new ones
  * work, and against its reuse. */
 TEST_F(PromiseAnswers, SilentConnections)
