Check the quarantine again before a suspect is sent

Cause: a suspect that waits for an engine of its own may wait for a second. When the same request crashed another engine meanwhile, the refusal that arrived from there was not looked at, and a third engine was lost.

Change: a suspect is checked again before each attempt.

--- a/daemon/dispatch_generate.c
+++ b/daemon/dispatch_generate.c
@@ -162,6 +162,19 @@
 		     a->reason, a->sent == SENT_NO ? "no" : "maybe", a->crash, w->g->tokens);
 }
 
+/*
+ * While a suspect waited to be alone, the same request may have crashed another engine elsewhere.
+ * True when it must not be sent any more.
+ */
+static bool refused_meanwhile(struct dispatch *d, struct work *w, struct outcome *out)
+{
+	if (!w->alone ||
+	    control_quarantine_check(d->gate->control, w->fingerprint) != QUARANTINE_REFUSE)
+		return false;
+	place_release(d, w);
+	return quarantined(out);
+}
+
 /* Runs attempts until one ends the generation. */
 static void attempts_run(struct dispatch *d, struct work *w, struct outcome *out)
 {
@@ -170,6 +183,8 @@
 	struct attempt a;
 
 	for (;;) {
+		if (refused_meanwhile(d, w, out))
+			return;
 		attempt_run(d, w, &a);
 		switch (a.result) {
 		case ATTEMPT_DONE:
