--- a/daemon/dispatch_generate.c
+++ b/daemon/dispatch_generate.c
@@ -197,16 +197,24 @@
 }
 
 /*
- * While a suspect waited to be alone, the same request may have crashed another engine elsewhere.
- * True when it must not be sent any more.
+ * While a suspect waited to be alone, the same request may have crashed another engine elsewhere,
+ * or may have made a second one unreachable. True when it must not be sent any more.
  */
 static bool refused_meanwhile(struct dispatch *d, struct work *w, struct outcome *out)
 {
-	if (!w->alone ||
-	    control_quarantine_check(d->gate->control, w->fingerprint) != QUARANTINE_REFUSE)
+	bool ran = w->g->call.attempts > 0;
+	enum quarantine_verdict v = QUARANTINE_CLEAR;
+
+	if (w->alone)
+		v = control_quarantine_check(d->gate->control, w->fingerprint);
+	if (v != QUARANTINE_REFUSE && v != QUARANTINE_HOLD)
 		return false;
 	place_release(d, w);
-	return quarantined(out);
+	if (v == QUARANTINE_REFUSE)
+		return quarantined(out, ran);
+	outcome_set(out, ran ? 504 : 503, ran ? "outcome_unknown" : "not_run", "crash_unconfirmed",
+		    "two engines became unreachable while they ran the request");
+	return true;
 }
 
 /* Runs attempts until one ends the generation. */
