--- /dev/null
+++ b/bench/control_peers.c
@@ -0,0 +1,243 @@
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <zmq.h>
+
+#include "control.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/net/codec.h"
+
+#define DCS 3
+#define MODELS 7
+#define STEP_MS 5
+#define FULL_EVERY 4
+#define ENTRIES_DELEGATE 3
+#define INCARNATION 1000
+
+struct sim_peer {
+	char id[MEMBER_ID_MAX];
+	int dc;
+	void *dealer;
+	int64_t next_ms;
+	int beats;
+};
+
+struct sim_peers {
+	struct sim_peer *peers;
+	int count;
+	bool target_delegate;
+	char target[MEMBER_ID_MAX];
+	uint64_t target_incarnation;
+	char address[MEMBER_ADDR_MAX];
+	void *context;
+	void *router;
+	pthread_t thread;
+	_Atomic bool stop;
+};
+
+static bool is_delegate(const struct sim_peers *s, const struct sim_peer *p)
+{
+	return p - s->peers < DCS && (p->dc != 0 || !s->target_delegate);
+}
+
+static void entry_add(const struct sim_peers *s, const struct sim_peer *p, struct peer_heartbeat *h)
+{
+	struct peer_member *e = &h->members[h->member_count++];
+
+	*e = (struct peer_member){ .incarnation = INCARNATION, .state = MEMBER_LIVE };
+	str_copy(e->id, sizeof(e->id), str_from(p->id));
+	snprintf(e->dc, sizeof(e->dc), "d%d", p->dc);
+	str_copy(e->peer, sizeof(e->peer), str_from(s->address));
+	str_copy(e->http, sizeof(e->http), str_from(s->address));
+	str_copy(e->admin, sizeof(e->admin), str_from(s->address));
+}
+
+static void fill_others(const struct sim_peers *s, const struct sim_peer *from,
+			struct peer_heartbeat *h, bool full)
+{
+	bool delegate = is_delegate(s, from);
+	bool vouches = delegate && (from->dc != 0 || from->beats % 2 == 0);
+
+	h->heard[h->heard_count++] = peer_tag(s->target, s->target_incarnation);
+	for (int i = 0; i < s->count; i++) {
+		const struct sim_peer *p = &s->peers[i];
+		bool told = from->dc != 0 ? p->dc == from->dc : p->dc != 0;
+
+		if ((p->dc == from->dc || (delegate && is_delegate(s, p))) &&
+		    h->heard_count < PEER_HEARD_MAX)
+			h->heard[h->heard_count++] = peer_tag(p->id, INCARNATION);
+		if (vouches && told && h->vouched_count < PEER_VOUCHED_MAX)
+			h->vouched[h->vouched_count++] =
+				(struct peer_vouch){ .tag = peer_tag(p->id, INCARNATION),
+						     .state = MEMBER_LIVE };
+	}
+	for (int i = 0; full && i < s->count; i++) {
+		const struct sim_peer *p = &s->peers[(from->beats + i) % s->count];
+		bool told = from->dc != 0 ? p->dc == from->dc : delegate == (p->dc != 0);
+
+		if (told && h->member_count < (delegate ? ENTRIES_DELEGATE : 1))
+			entry_add(s, p, h);
+	}
+}
+
+static void demand_add(struct peer_heartbeat *h, int dc)
+{
+	for (int i = 0; i < MODELS; i++) {
+		struct peer_demand *d = &h->demands[h->demand_count++];
+
+		*d = (struct peer_demand){ .prefill_us = 123456789, .decode_us = 987654321 };
+		snprintf(d->model, sizeof(d->model), "model-%d", i);
+		if (dc >= 0)
+			snprintf(d->dc, sizeof(d->dc), "d%d", dc);
+	}
+}
+
+static void beat(struct sim_peers *s, struct sim_peer *p)
+{
+	struct peer_message *m = peer_message_create(PEER_HEARTBEAT);
+	struct peer_heartbeat *h = &m->u.heartbeat;
+	bool full = p->dc != 0 || p->beats % FULL_EVERY == 0;
+	struct buf data = { 0 };
+	struct error err;
+
+	str_copy(m->sender, sizeof(m->sender), str_from(p->id));
+	m->incarnation = INCARNATION;
+	m->hlc = hlc_now();
+	snprintf(h->dc, sizeof(h->dc), "d%d", p->dc);
+	h->state = MEMBER_LIVE;
+	fill_others(s, p, h, full);
+	if (full) {
+		str_copy(h->peer, sizeof(h->peer), str_from(s->address));
+		str_copy(h->http, sizeof(h->http), str_from(s->address));
+		str_copy(h->admin, sizeof(h->admin), str_from(s->address));
+		demand_add(h, p->dc ? p->dc : -1);
+		for (int dc = 1; p->dc == 0 && is_delegate(s, p) && dc < DCS; dc++)
+			demand_add(h, dc);
+	}
+	if (peer_message_encode(m, &data, &err) == 0)
+		zmq_send(p->dealer, data.data, data.len, ZMQ_DONTWAIT);
+	p->beats++;
+	buf_free(&data);
+	peer_message_destroy(m);
+}
+
+static void receive_all(struct sim_peers *s)
+{
+	zmq_msg_t msg;
+
+	for (;;) {
+		struct error err;
+		struct peer_message *m = NULL;
+
+		zmq_msg_init(&msg);
+		if (zmq_msg_recv(&msg, s->router, ZMQ_DONTWAIT) < 0)
+			break;
+		/* Peers confirm the incarnation that they hear. */
+		if (!s->target_incarnation)
+			m = peer_message_decode(
+				(struct str){ zmq_msg_data(&msg), zmq_msg_size(&msg) }, &err);
+		if (m)
+			s->target_incarnation = m->incarnation;
+		peer_message_destroy(m);
+		zmq_msg_close(&msg);
+	}
+	zmq_msg_close(&msg);
+}
+
+/* Of other data centres only the delegate sends, and only to a delegate. */
+static bool sends(const struct sim_peers *s, const struct sim_peer *p)
+{
+	return p->dc == 0 || (s->target_delegate && is_delegate(s, p));
+}
+
+static void *peers_run(void *arg)
+{
+	struct sim_peers *s = arg;
+
+	while (!s->stop) {
+		int64_t now = clock_boot_ms();
+
+		receive_all(s);
+		for (int i = 0; i < s->count; i++) {
+			struct sim_peer *p = &s->peers[i];
+
+			if (now < p->next_ms || !sends(s, p))
+				continue;
+			p->next_ms = now + (p->dc ? MEMBER_SUMMARY_MS : MEMBER_HEARTBEAT_MS);
+			beat(s, p);
+		}
+		clock_sleep_ms(STEP_MS);
+	}
+	return NULL;
+}
+
+static void *socket_open(struct sim_peers *s, int type)
+{
+	void *socket = zmq_socket(s->context, type);
+	int zero = 0;
+
+	zmq_setsockopt(socket, ZMQ_LINGER, &zero, sizeof(zero));
+	return socket;
+}
+
+static void peer_init(struct sim_peers *s, int i, const char *endpoint)
+{
+	struct sim_peer *p = &s->peers[i];
+
+	/* The harness calls the instance i1; "a" sorts before it and "m" after it. */
+	snprintf(p->id, sizeof(p->id), "%c%04d", s->target_delegate ? 'm' : 'a', i);
+	p->dc = i % DCS;
+	p->next_ms = clock_boot_ms() + i * 37 % MEMBER_HEARTBEAT_MS;
+	p->beats = i;
+	if (!sends(s, p))
+		return;
+	p->dealer = socket_open(s, ZMQ_DEALER);
+	zmq_connect(p->dealer, endpoint);
+}
+
+struct sim_peers *sim_peers_create(int count, const char *address, const char *target,
+				   bool delegate)
+{
+	struct sim_peers *s = mem_zalloc(sizeof(*s));
+	char endpoint[96];
+	size_t size = sizeof(endpoint);
+
+	s->peers = mem_zalloc((size_t)(count + 1) * sizeof(*s->peers));
+	s->count = count;
+	s->target_delegate = delegate;
+	str_copy(s->target, sizeof(s->target), str_from(target));
+	s->context = zmq_ctx_new();
+	s->router = socket_open(s, ZMQ_ROUTER);
+	if (zmq_bind(s->router, "tcp://127.0.0.1:*")) {
+		zmq_close(s->router);
+		zmq_ctx_term(s->context);
+		free(s->peers);
+		free(s);
+		return NULL;
+	}
+	zmq_getsockopt(s->router, ZMQ_LAST_ENDPOINT, endpoint, &size);
+	str_copy(s->address, sizeof(s->address), str_from(endpoint + strlen("tcp://")));
+	snprintf(endpoint, sizeof(endpoint), "tcp://%s", address);
+	for (int i = 0; i < count; i++)
+		peer_init(s, i, endpoint);
+	pthread_create(&s->thread, NULL, peers_run, s);
+	return s;
+}
+
+void sim_peers_destroy(struct sim_peers *s)
+{
+	if (!s)
+		return;
+	s->stop = true;
+	pthread_join(s->thread, NULL);
+	for (int i = 0; i < s->count; i++) {
+		if (s->peers[i].dealer)
+			zmq_close(s->peers[i].dealer);
+	}
+	zmq_close(s->router);
+	zmq_ctx_term(s->context);
+	free(s->peers);
+	free(s);
+}
