Poll engines of other data centres less often in large regions

Change: above 64 engines those of other data centres are polled at a quarter of the rate. Fleets of today's size are not affected.

--- a/bench/control.c
+++ b/bench/control.c
@@ -56,6 +56,7 @@
 	double reads;
 	double writes;
 	double poll_bytes;
+	double list_bytes;
 	double apply_ms;
 	double start_ms;
 };
@@ -156,6 +157,20 @@
 	json_decref(o);
 }
 
+/* Each instance reads the whole list once a second (list_poll_ms). */
+static double list_bytes(const struct harness_fleet *f)
+{
+	struct harness_reply reply;
+	char url[128];
+	double n;
+
+	snprintf(url, sizeof(url), "%s/list", f->platform);
+	harness_http("GET", url, NULL, NULL, 2000, &reply, NULL);
+	n = (double)reply.body.len;
+	harness_reply_free(&reply);
+	return n;
+}
+
 static struct sample sample_take(const struct rig *r)
 {
 	const struct harness_fleet *f = r->fleet;
@@ -433,6 +448,7 @@
 	*out = figures_between(&a, &b);
 	out->rss_mb = rss_mb(r.fleet->instances[0].process->pid);
 	out->start_ms = r.start_ms;
+	out->list_bytes = list_bytes(r.fleet);
 	if (p->organisations)
 		out->apply_ms = apply_measure(r.fleet);
 	if (p->streams && metric_of(r.fleet, 0, "streams") < p->streams)
@@ -449,9 +465,10 @@
 {
 	printf("slope %s x=%d control_us_s=%.0f process_us_s=%.0f rss_mb=%.1f peer_bytes_s=%.0f "
 	       "peer_messages_s=%.1f table_reads_s=%.2f table_writes_s=%.2f poll_bytes_s=%.0f "
+	       "list_bytes_s=%.0f "
 	       "apply_ms=%.1f start_ms=%.0f\n",
 	       name, x, f->control_us, f->process_us, f->rss_mb, f->peer_bytes, f->peer_messages,
-	       f->reads, f->writes, f->poll_bytes, f->apply_ms, f->start_ms);
+	       f->reads, f->writes, f->poll_bytes, f->list_bytes, f->apply_ms, f->start_ms);
 }
 
 /** struct line - least squares over the points of one series */
@@ -697,7 +714,7 @@
 		return -1;
 	figures_print("target_region", 53, &f);
 	printf("control_core_percent=%.2f control_mb=%.1f control_kb_s=%.1f\n", f.control_us / 1e4,
-	       f.rss_mb, (f.peer_bytes + f.poll_bytes) / 1e3);
+	       f.rss_mb, (f.peer_bytes + f.poll_bytes + f.list_bytes) / 1e3);
 	return 0;
 }
 
--- a/daemon/dispatch_poll.c
+++ b/daemon/dispatch_poll.c
@@ -11,11 +11,18 @@
 #define EVENTS_POLL_MS 1000
 #define POLL_TIMEOUT_MS 2000
 #define POLL_STEP_MS 50
+/*
+ * In a large region polls of all engines would exceed the budget of control, so that those of other
+ * data centres are polled less often.
+ */
+#define POLL_ALL_MAX 64
+#define POLL_FAR_FACTOR 4
 
 /**
  * struct polled - polling state of one endpoint
  * @next_event: argument of the next GET /cache_events
  * @load: transfer in progress, 0 for none; likewise @events
+ * @factor: polled at this multiple of the usual interval
  */
 struct polled {
 	char name[ENDPOINT_NAME_MAX];
@@ -27,6 +34,7 @@
 	struct link_queue *events_queue;
 	uint64_t load;
 	uint64_t events;
+	int factor;
 	struct buf load_body;
 	struct buf events_body;
 	bool seen;
@@ -157,7 +165,7 @@
 	}
 	if (p->load || now < p->load_due_ms)
 		return;
-	p->load_due_ms = now + d->gate->settings.links.load_poll_ms;
+	p->load_due_ms = now + d->gate->settings.links.load_poll_ms * p->factor;
 	p->load = poll_send(d, p->load_queue, p->name, st->info.url, "/load");
 }
 
@@ -175,7 +183,7 @@
 	}
 	if (p->events || now < p->events_due_ms)
 		return;
-	p->events_due_ms = now + EVENTS_POLL_MS;
+	p->events_due_ms = now + (int64_t)EVENTS_POLL_MS * p->factor;
 	snprintf(path, sizeof(path), "/cache_events?after=%" PRId64, p->next_event);
 	p->events = poll_send(d, p->events_queue, p->name, st->info.url, path);
 }
@@ -231,6 +239,13 @@
 	po->count = kept;
 }
 
+static int factor_of(const struct poller *po, const struct endpoint_info *info, int count)
+{
+	bool far = strcmp(info->dc, po->d->gate->settings.instance.dc) != 0;
+
+	return far && count > POLL_ALL_MAX ? POLL_FAR_FACTOR : 1;
+}
+
 static void poll_all(struct poller *po)
 {
 	int64_t now = clock_boot_ms();
@@ -249,6 +264,7 @@
 		if (!p)
 			continue;
 		p->seen = true;
+		p->factor = factor_of(po, &st[i].info, count);
 		load_step(po, p, &st[i], now);
 		events_step(po, p, &st[i], now);
 	}
