--- a/daemon/front.c
+++ b/daemon/front.c
@@ -20,6 +20,9 @@
 #define IDEMPOTENCY_KEY_MAX 255
 #define HEADERS_MAX_BYTES "16384"
 #define KEEP_ALIVE_MS "30000"
+/* A connection that finds the backlog full is tried again by its client after a second. */
+#define LISTEN_BACKLOG "1024"
+#define CONNECTION_QUEUE "256"
 
 enum authentication {
 	AUTH_OK,
@@ -407,6 +410,10 @@
 		HEADERS_MAX_BYTES,
 		"tcp_nodelay",
 		"1",
+		"listen_backlog",
+		LISTEN_BACKLOG,
+		"connection_queue",
+		CONNECTION_QUEUE,
 		"decode_url",
 		"yes",
 		tls ? "ssl_certificate" : NULL,
