Reuse libcurl handles of links

Cause: each poll and each attempt made and freed a libcurl handle; polls are most of the work of control.

Change: finished transfers leave their handle, reset, to later ones.

Tested: test-link.

--- a/net/link.c
+++ b/net/link.c
@@ -147,6 +147,7 @@
 
 	pthread_once(&curl_once, curl_init);
 	l->options = *options;
+	pthread_mutex_init(&l->spare_lock, NULL);
 	l->loops = mem_zalloc((size_t)options->loops * sizeof(*l->loops));
 	for (int i = 0; i < options->loops; i++) {
 		struct loop *loop = &l->loops[i];
@@ -186,6 +187,9 @@
 		pthread_mutex_destroy(&loop->lock);
 		free(loop->cancels);
 	}
+	for (int i = 0; i < l->spare_count; i++)
+		curl_easy_cleanup(l->spare[i]);
+	pthread_mutex_destroy(&l->spare_lock);
 	free(l->loops);
 	free(l);
 }
--- a/net/link_impl.h
+++ b/net/link_impl.h
@@ -7,6 +7,7 @@
 #include "ibisgate/net/link.h"
 
 #define LINK_HOSTS 256
+#define LINK_SPARE_MAX 256
 
 struct loop;
 
@@ -61,6 +62,10 @@
 	int loop_count;
 	/* Until when connections to a host (by hash) are opened anew after one went silent. */
 	_Atomic int64_t fresh_until_ms[LINK_HOSTS];
+	/* Handles for further transfers; making one costs more than resetting it. */
+	pthread_mutex_t spare_lock;
+	CURL *spare[LINK_SPARE_MAX];
+	int spare_count;
 };
 
 void link_queue_ref(struct link_queue *q);
--- a/net/link_transfer.c
+++ b/net/link_transfer.c
@@ -110,11 +110,35 @@
 	return (uint32_t)hash_str(str_split(&rest, '/'), 0);
 }
 
+static CURL *handle_take(struct link *l)
+{
+	CURL *easy = NULL;
+
+	pthread_mutex_lock(&l->spare_lock);
+	if (l->spare_count)
+		easy = l->spare[--l->spare_count];
+	pthread_mutex_unlock(&l->spare_lock);
+	return easy ? easy : curl_easy_init();
+}
+
+static void handle_put(struct link *l, CURL *easy)
+{
+	curl_easy_reset(easy);
+	pthread_mutex_lock(&l->spare_lock);
+	if (l->spare_count < LINK_SPARE_MAX) {
+		l->spare[l->spare_count++] = easy;
+		easy = NULL;
+	}
+	pthread_mutex_unlock(&l->spare_lock);
+	if (easy)
+		curl_easy_cleanup(easy);
+}
+
 struct transfer *transfer_create(struct link *l, const struct link_request *req)
 {
 	struct transfer *t = mem_zalloc(sizeof(*t));
 
-	t->easy = curl_easy_init();
+	t->easy = handle_take(l);
 	if (!t->easy)
 		abort();
 	t->silence_ms = req->silence_ms;
@@ -144,7 +168,7 @@
 
 void transfer_destroy(struct transfer *t)
 {
-	curl_easy_cleanup(t->easy);
+	handle_put(t->loop->link, t->easy);
 	curl_slist_free_all(t->headers);
 	curl_slist_free_all(t->connect_to);
 	buf_free(&t->body);
