Let the late order arrive before its holder wakes

The delayed order was dropped with the connection of the woken holder, so the case could not fail. With a successor that makes up an order of its own instead of finishing the intent, OrderInFlightUnfenced now fails.

--- a/tests/promise_fixture.h
+++ b/tests/promise_fixture.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <sstream>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -171,9 +172,8 @@
 		harness_fleet_destroy(f);
 		harness_destroy(h);
 	}
-	/* Starts the deployment @d and waits until it serves. */
-	void start(std::vector<const char *> dcs, int instances,
-		   std::vector<harness_engine_spec> specs, bool service)
+	void deploy(std::vector<const char *> dcs, int instances,
+		    std::vector<harness_engine_spec> specs, bool service)
 	{
 		engines = specs;
 		engines.push_back({});
@@ -199,6 +199,14 @@
 			ASSERT_EQ(harness_default(f, c.first.c_str(), c.second), 200);
 		ASSERT_EQ(harness_config_wait(f, version(0), 10000), 0);
 	}
+	/* Starts the deployment @d and waits until it serves; ends the case when it doesn't. */
+	void start(std::vector<const char *> dcs, int instances,
+		   std::vector<harness_engine_spec> specs, bool service)
+	{
+		deploy(dcs, instances, specs, service);
+		if (HasFatalFailure())
+			throw std::runtime_error("the deployment did not start");
+	}
 	std::string dir() const
 	{
 		return h->dir;
--- a/tests/test_promise_authority.cc
+++ b/tests/test_promise_authority.cc
@@ -136,6 +136,9 @@
 			       public ::testing::WithParamInterface<frozen_case>
 {
       protected:
+	/* Above the time in which a successor takes over and acts. */
+	static const int LATE_MS = 12000;
+	int64_t arrives_ms = 0;
 	void prepare()
 	{
 		switch (GetParam().step) {
@@ -170,7 +173,7 @@
 		case ORDER_IN_FLIGHT:
 			ASSERT_TRUE(drain_in("stopping"));
 			/* The order stays in the network until a successor has acted. */
-			route_delay(id + "-" + endpoint, 14000);
+			route_delay(id + "-" + endpoint, LATE_MS);
 			route(other + "-" + id, "pass");
 			ASSERT_TRUE(drain_in("ordering"));
 			ASSERT_TRUE(eventually(
@@ -178,6 +181,7 @@
 					return events(held).find("order-sent") != std::string::npos;
 				},
 				3000));
+			arrives_ms = clock_boot_ms() + LATE_MS;
 			break;
 		case ORDER_ACCEPTED:
 			ASSERT_TRUE(drain_in("waiting"));
@@ -217,6 +221,9 @@
 			12000))
 			<< "the successor finishes the intent";
 	}
+	/* The late order arrives after the successor's; the woken holder would close its
+	 * connection. */
+	EXPECT_TRUE(eventually([&] { return clock_boot_ms() > arrives_ms + 200; }, LATE_MS + 1000));
 	wake(held);
 	EXPECT_TRUE(eventually([&] { return status(held).get() != nullptr; }, 5000));
 	EXPECT_TRUE(eventually([&] { return holder("abertawe", successor) < 0; }, 3000));
