--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -278,6 +278,13 @@
 	peer_message_destroy(m);
 	if (j->given_up)
 		return;
+	if (j->drain.order.kind == ORDER_MODEL) {
+		log_info("model-changed", "endpoint=%s order=%s model=%s", j->drain.order.endpoint,
+			 j->drain.order.id, j->drain.order.u.model);
+		event_record("model-changed", NULL, j->drain.order.endpoint, NULL, "order=%s",
+			     j->drain.order.id);
+		return;
+	}
 	atomic_fetch_add(&c->role_changes, 1);
 	metric_add(METRIC_ROLE_CHANGES, 1);
 	log_info("role-changed", "endpoint=%s order=%s ms=%" PRId64, j->drain.order.endpoint,
@@ -377,6 +384,7 @@
 
 		if (now >= withdraw_ms) {
 			control_withdraw_check(c);
+			control_models_check(c);
 			withdraw_ms = now + WITHDRAW_MS;
 		}
 
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -22,6 +22,7 @@
 #define CONTROL_CLAIMS_MAX 8192
 #define CONTROL_ANSWERS_MAX 256
 #define CONTROL_WITHDRAWN_MAX 512
+#define CONTROL_WISHES_MAX 64
 #define CONTROL_OPERATOR_ORDER "operator"
 
 /** struct listed - instance in the platform's list */
@@ -87,6 +88,14 @@
 	int64_t next_ms;
 };
 
+/** struct model_wish - endpoint in service that has had another model than wanted since @since_ms
+ */
+struct model_wish {
+	char endpoint[MEMBER_ID_MAX];
+	int64_t since_ms;
+	bool seen;
+};
+
 /** struct demand_source - running totals of one instance and the rates made of them */
 struct demand_source {
 	char id[MEMBER_ID_MAX];
@@ -171,6 +180,7 @@
 	struct lease_slot leases[CONTROL_LEASES_MAX];
 	int lease_count;
 	struct drain_job jobs[CONTROL_JOBS_MAX];
+	struct model_wish wishes[CONTROL_WISHES_MAX];
 	char withdrawn[CONTROL_WITHDRAWN_MAX][MEMBER_ID_MAX];
 	int withdrawn_count;
 
@@ -225,7 +235,9 @@
 void control_stops_reconcile(struct control *c);
 bool control_intent_parse(const struct table_row *row, struct peer_order *out, char *dc,
 			  size_t dc_size);
-json_t *control_intent_json(const struct order *order, const char *dc, const char *holder);
+/* @role: role after the order, for orders that do not change it */
+json_t *control_intent_json(const struct order *order, const char *dc, const char *holder,
+			    enum endpoint_role role);
 
 /* control_config.c */
 int control_config_run(void *ctx, struct error *err);
@@ -274,6 +286,9 @@
 void control_withdraw_check(struct control *c);
 void control_withdraw_done(struct control *c, const char *endpoint);
 
+/* control_models.c */
+void control_models_check(struct control *c);
+
 /* control_order.c */
 enum order_reply {
 	ORDER_REPLY_ACCEPTED,
--- a/daemon/control_intent.c
+++ b/daemon/control_intent.c
@@ -25,9 +25,9 @@
  * neither clear it nor tell the members to return.
  */
 static int take_over(struct control *c, const struct table_row *row, const struct order *order,
-		     const char *dc, int64_t *version)
+		     const char *dc, enum endpoint_role role, int64_t *version)
 {
-	json_t *value = control_intent_json(order, dc, c->settings->instance.id);
+	json_t *value = control_intent_json(order, dc, c->settings->instance.id, role);
 	struct error err = { 0 };
 	int rc =
 		platform_put(c->gate->platform, row->key, value, row->version, version, NULL, &err);
@@ -53,9 +53,12 @@
 	order.kind = p.kind;
 	if (p.kind == ORDER_ROLE)
 		order.u.role = p.role;
+	if (p.kind == ORDER_MODEL &&
+	    !str_copy(order.u.model, sizeof(order.u.model), json_get_str(row->value, "model")))
+		return true;
 	str_copy(order.id, sizeof(order.id), str_from(p.order));
 	str_copy(order.endpoint, sizeof(order.endpoint), str_from(p.endpoint));
-	if (take_over(c, row, &order, dc, &version))
+	if (take_over(c, row, &order, dc, p.role, &version))
 		return false;
 	pthread_mutex_lock(&c->lock);
 	j = control_job_for(c, p.endpoint, &known);
@@ -125,7 +128,8 @@
 
 enum drain_action control_intent_write(struct control *c, struct drain_job *j)
 {
-	json_t *value = control_intent_json(&j->drain.order, j->dc, c->settings->instance.id);
+	json_t *value = control_intent_json(&j->drain.order, j->dc, c->settings->instance.id,
+					    j->role_before);
 	struct table_row current = { 0 };
 	struct error err = { 0 };
 	enum drain_action a = DRAIN_DO_NOTHING;
--- a/daemon/control_stops.c
+++ b/daemon/control_stops.c
@@ -121,7 +121,8 @@
 static const char *const kind_names[] = { "role", "model", "withdraw" };
 static const char *const role_names[] = { "service", "mixed", "prefill", "decode" };
 
-json_t *control_intent_json(const struct order *order, const char *dc, const char *holder)
+json_t *control_intent_json(const struct order *order, const char *dc, const char *holder,
+			    enum endpoint_role role)
 {
 	json_t *o = json_object();
 
@@ -132,7 +133,10 @@
 	json_object_set_new(o, "fencing", json_integer(order->fencing));
 	json_object_set_new(o, "holder", json_string(holder));
 	if (order->kind == ORDER_ROLE)
-		json_object_set_new(o, "role", json_string(role_names[order->u.role]));
+		role = order->u.role;
+	else if (order->kind == ORDER_MODEL)
+		json_object_set_new(o, "model", json_string(order->u.model));
+	json_object_set_new(o, "role", json_string(role_names[role]));
 	return o;
 }
 
--- a/daemon/dispatch_poll.c
+++ b/daemon/dispatch_poll.c
@@ -71,6 +71,7 @@
 
 	if (!json_is_object(o))
 		return;
+	str_copy(load.model, sizeof(load.model), json_get_str(o, "model"));
 	str_copy(load.boot_id, sizeof(load.boot_id), json_get_str(o, "boot_id"));
 	fleet_load(d->gate->fleet, p->name, &load);
 	control_quarantine_seen(d->gate->control, p->name, load.boot_id, p->load_sent_ms);
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -74,6 +74,9 @@
 
 	ep->info = *info;
 	ep->listed = true;
+	/* An order may have changed the model since the endpoint listed itself. */
+	if (ep->load.model[0])
+		memcpy(ep->info.model, ep->load.model, sizeof(ep->info.model));
 	/* The list lags: once known, the role follows orders and load reports. */
 	if (was_listed || ep->role_set_ms)
 		ep->info.role = role;
@@ -210,6 +213,8 @@
 	ep->down = false;
 	own = own_work_at(ep, load->at_ms - f->load_lag_ms);
 	ep->load = *load;
+	if (ep->info.engine && !load->changing && load->model[0])
+		memcpy(ep->info.model, load->model, sizeof(ep->info.model));
 	ep->foreign_prefill =
 		load->prefill_backlog > own.prefill ? load->prefill_backlog - own.prefill : 0;
 	ep->foreign_seqs = load->decode_seqs > own.seqs ? load->decode_seqs - own.seqs : 0;
--- a/include/ibisgate/daemon/fleet.h
+++ b/include/ibisgate/daemon/fleet.h
@@ -31,6 +31,7 @@
 /**
  * struct endpoint_load - an engine's own report, late by some seconds
  * @at_ms: boot time at which it was received
+ * @model: model served; "" when the report names none
  */
 struct endpoint_load {
 	int64_t at_ms;
@@ -41,6 +42,7 @@
 	bool changing;
 	struct engine_cost cost;
 	char boot_id[24];
+	char model[48];
 };
 
 /**
--- a/include/ibisgate/state/config.h
+++ b/include/ibisgate/state/config.h
@@ -129,6 +129,11 @@
 bool config_service(const struct config *c, const char *name, struct config_service *out);
 bool config_service_by_model(const struct config *c, const char *model, struct config_service *out);
 
+#define CONFIG_MODEL_MAX 48
+
+/** config_model - model that an operator wants endpoint @endpoint to serve; NULL for none */
+const char *config_model(const struct config *c, const char *endpoint);
+
 /** config_drain - operator's drain of an endpoint; NULL if there is none */
 const json_t *config_drain(const struct config *c, const char *endpoint);
 const json_t *config_drain_instance(const struct config *c, const char *instance);
--- a/state/config.c
+++ b/state/config.c
@@ -359,6 +359,13 @@
 	return key && service_at(c, key, out);
 }
 
+const char *config_model(const struct config *c, const char *endpoint)
+{
+	char key[256];
+
+	return json_get_cstr(item(c, "model", endpoint, key, sizeof(key)), "model", NULL);
+}
+
 const json_t *config_drain(const struct config *c, const char *endpoint)
 {
 	char key[256];
--- a/state/config_check.c
+++ b/state/config_check.c
@@ -184,6 +184,19 @@
 	return 0;
 }
 
+static int check_model(const char *key, const json_t *obj, struct error *err)
+{
+	if (check_members(key, obj, "model reason author", err))
+		return -1;
+	if (!text_given(obj, "reason"))
+		return error_set(err, ERROR_STATE, CONFIG_NO_REASON, "%s: expected a reason", key);
+	if (!text_given(obj, "author"))
+		return bad_value(err, key, "an author");
+	if (!text_given(obj, "model") || json_get_str(obj, "model").len >= CONFIG_MODEL_MAX)
+		return bad_value(err, key, "the name of a model");
+	return 0;
+}
+
 static bool name_valid(struct str s)
 {
 	for (size_t i = 0; i < s.len; i++) {
@@ -201,11 +214,12 @@
 	struct str kind = str_split(&name, '/');
 
 	if (strlen(key) > KEY_MAX || !name_valid(name) ||
-	    !choice_valid("organisation service default exception drain drain-instance", kind))
+	    !choice_valid("organisation service default exception drain drain-instance model",
+			  kind))
 		return error_set(err, ERROR_STATE, CONFIG_BAD_KEY,
 				 "\"%.80s\": expected organisation/NAME, service/NAME, "
-				 "default/SETTING, exception/ID, drain/ENDPOINT or "
-				 "drain-instance/ID",
+				 "default/SETTING, exception/ID, drain/ENDPOINT, "
+				 "drain-instance/ID or model/ENDPOINT",
 				 key);
 	if (str_eq_cstr(kind, "default") && !info_find(name.data))
 		return error_set(err, ERROR_STATE, CONFIG_BAD_KEY, "%s: unknown setting \"%s\"",
@@ -220,5 +234,7 @@
 		return check_setting(key, name.data, value, err);
 	if (str_eq_cstr(kind, "exception"))
 		return check_exception(key, value, err);
+	if (str_eq_cstr(kind, "model"))
+		return check_model(key, value, err);
 	return check_drain(key, value, err);
 }
