--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -75,6 +75,9 @@
 
 	ep->info = *info;
 	ep->listed = true;
+	/* An order may have changed the model since the endpoint listed itself. */
+	if (ep->load.model[0])
+		memcpy(ep->info.model, ep->load.model, sizeof(ep->info.model));
 	/* The list lags: once known, the role follows orders and load reports. */
 	if (was_listed || ep->role_set_ms)
 		ep->info.role = role;
@@ -233,6 +236,8 @@
 	/* The report may still show the change that has ended since. */
 	if (ep->role_set_ms && load->at_ms - f->load_lag_ms < ep->role_set_ms)
 		ep->load.changing = false;
+	if (ep->info.engine && !load->changing && load->model[0])
+		memcpy(ep->info.model, load->model, sizeof(ep->info.model));
 	if (ep->info.engine && !load->changing && load->role != ROLE_SERVICE &&
 	    load->at_ms - ep->role_set_ms > ROLE_SETTLE_MS + f->load_lag_ms)
 		ep->info.role = load->role;
