Estimate the load of away engines from the own load

Cause: after a swing an instance with full homes still believed the engines of the others to be as loaded as their old reports; all of them filled the decode engines to twice their slots, and prompts waited there past the limit.

Change: an away engine counts at least as loaded as the own work times the number of instances over the number of engines. It replaces the multiple of the own work there. test_fleet guards homes, means and this estimate.

--- a/daemon/fleet_home.c
+++ b/daemon/fleet_home.c
@@ -72,7 +72,7 @@
 		if (takes_work(&f->endpoints[i]))
 			eps[n++] = &f->endpoints[i];
 	}
-	qsort(eps, (size_t)n, sizeof(eps[0]), name_cmp);
+	qsort(eps, (size_t)n, sizeof(eps) / FLEET_ENDPOINTS_MAX, name_cmp);
 	homes_assign(eps, n, rank, count);
 	/* An instance without a home of its own has no preference. */
 	for (int i = 0; i < n; i++) {
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -52,15 +52,44 @@
 	return false;
 }
 
+/**
+ * struct own_sum - own work on the engines of one role
+ * @engines: usable ones
+ */
+struct own_sum {
+	int engines;
+	int64_t prefill;
+	int64_t seqs;
+};
+
+#define ROLES (ROLE_DECODE + 1)
+
+static void own_sums(const struct fleet *f, const struct fleet_query *q, int64_t now,
+		     struct own_sum sums[ROLES])
+{
+	for (int i = 0; i < f->count; i++) {
+		const struct endpoint *ep = &f->endpoints[i];
+		struct own_sum *s = &sums[ep->info.role];
+
+		if (!endpoint_serves(ep, q))
+			continue;
+		s->engines += endpoint_usable(ep, now);
+		s->prefill += ep->own_prefill;
+		s->seqs += ep->own_seqs;
+	}
+}
+
 /*
- * All instances see the same old report and fall back on the engines of others at the same moment,
- * so an engine that was idle is not idle any more, and each of them sends as much there as this
- * one.
+ * All instances see the same old report and fall back on the engines of others at the same moment.
+ * Arrivals are spread evenly over the instances, so the present load of all engines follows from
+ * the work of this one; an away engine counts at least as loaded as their mean.
  */
-static void away_fill(const struct fleet *f, const struct endpoint *ep, struct route_candidate *c)
+static void away_fill(const struct fleet *f, const struct endpoint *ep, const struct own_sum *own,
+		      struct route_candidate *c)
 {
-	int64_t prefill = ep->own_prefill * (f->instances - 1);
-	int seqs = ep->own_seqs * (f->instances - 1);
+	int engines = own->engines > 0 ? own->engines : 1;
+	int64_t prefill = own->prefill * f->instances / engines;
+	int seqs = (int)(own->seqs * f->instances / engines);
 
 	if (prefill < ep->usual_prefill)
 		prefill = ep->usual_prefill;
@@ -73,7 +102,7 @@
 }
 
 static void candidate_fill(struct fleet *f, int id, const struct fleet_query *q,
-			   struct route_candidate *c)
+			   const struct own_sum *own, struct route_candidate *c)
 {
 	const struct endpoint *ep = &f->endpoints[id];
 	int64_t cached = 0;
@@ -91,7 +120,7 @@
 		.cost = ep->load.at_ms ? ep->load.cost : cost_unknown,
 	};
 	if (c->away)
-		away_fill(f, ep, c);
+		away_fill(f, ep, &own[ep->info.role], c);
 	if (q->settings)
 		c->distance_us = settings_distance_us(q->settings, ep->info.dc);
 }
@@ -122,16 +151,18 @@
 
 int fleet_candidates(struct fleet *f, const struct fleet_query *q, struct route_candidate *out)
 {
+	struct own_sum own[ROLES] = { 0 };
 	int64_t now = clock_boot_ms();
 	int n = 0;
 
 	pthread_mutex_lock(&f->lock);
+	own_sums(f, q, now, own);
 	for (int i = 0; i < f->count; i++) {
 		const struct endpoint *ep = &f->endpoints[i];
 
 		if (!endpoint_serves(ep, q))
 			continue;
-		candidate_fill(f, i, q, &out[n]);
+		candidate_fill(f, i, q, own, &out[n]);
 		out[n].usable = endpoint_usable(ep, now) && !ep->reserved && !avoided(q, i);
 		n++;
 	}
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -163,6 +163,52 @@
 	EXPECT_FALSE(candidates()[0].usable) << "a later change counts";
 }
 
+/* Guards against instances that all prefer the engine that was idle in the same old report, and
+ * against an instance that avoids every engine because there are fewer engines than instances. */
+TEST_F(Fleet, InstancesPreferDifferentEngines)
+{
+	endpoint_load load = {};
+	fleet_slot s = {};
+	fleet_slot other = {};
+
+	fleet_set_homes(f, 0, 2);
+	EXPECT_FALSE(candidates()[0].away);
+	EXPECT_TRUE(candidates()[1].away);
+	fleet_set_homes(f, 2, 3);
+	EXPECT_FALSE(candidates()[0].away);
+	EXPECT_FALSE(candidates()[1].away);
+	load.at_ms = clock_boot_ms();
+	load.role = ROLE_MIXED;
+	load.decode_slots = 8;
+	load.decode_seqs = 6;
+	fleet_load(f, "a", &load);
+	fleet_set_homes(f, 0, 2);
+	EXPECT_EQ(candidates()[1].decode_seqs, 3) << "an idle engine of others counts as the mean";
+	ASSERT_TRUE(fleet_acquire(f, 1, 0, 4, &s));
+	ASSERT_TRUE(fleet_acquire(f, 0, 0, 4, &other));
+	fleet_set_homes(f, 0, 2);
+	EXPECT_EQ(candidates()[1].decode_seqs, 8) << "the other instance has sent as much";
+	fleet_release(f, &other);
+	fleet_release(f, &s);
+}
+
+/* Guards against instances that leave and enter an engine together with each late report. */
+TEST_F(Fleet, WorkOfOthersIsAMeanOverReports)
+{
+	endpoint_load load = {};
+
+	fleet_set_load_lag(f, 2000);
+	load.at_ms = 10000;
+	load.role = ROLE_MIXED;
+	load.prefill_backlog = 8000;
+	fleet_load(f, "a", &load);
+	EXPECT_EQ(candidates()[0].prefill_backlog, 8000);
+	load.at_ms += 500;
+	load.prefill_backlog = 0;
+	fleet_load(f, "a", &load);
+	EXPECT_NEAR((double)candidates()[0].prefill_backlog, 7060, 2);
+}
+
 /* Guards against neighbours beside a suspect request, which its crash would take along. */
 TEST_F(Fleet, SuspectWaitsUntilItIsAlone)
 {
