--- a/bench/control.c
+++ b/bench/control.c
@@ -82,28 +82,6 @@
 	return at ? strtod(at, NULL) : 0;
 }
 
-/* Processor time of a process: fields 14 and 15 of /proc/PID/stat. */
-static double cpu_us(pid_t pid)
-{
-	char path[64];
-	char line[1024];
-	unsigned long user = 0;
-	unsigned long system = 0;
-	const char *rest;
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
-	f = fopen(path, "re");
-	if (!f)
-		return 0;
-	rest = fgets(line, sizeof(line), f) ? strrchr(line, ')') : NULL;
-	if (rest)
-		sscanf(rest + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
-		       &system);
-	fclose(f);
-	return (double)(user + system) * 1e6 / (double)sysconf(_SC_CLK_TCK);
-}
-
 static double rss_mb(pid_t pid)
 {
 	char path[64];
@@ -179,7 +157,7 @@
 	struct sample s = {
 		.at_us = clock_boot_us(),
 		.control_us = metric_read(t, "control_cpu_us_total"),
-		.process_us = cpu_us(f->instances[0].process->pid),
+		.process_us = harness_cpu_us(f->instances[0].process->pid),
 		.peer_bytes = metric_read(t, "peer_bytes_in_total") +
 			      metric_read(t, "peer_bytes_out_total"),
 		.peer_messages = metric_read(t, "peer_messages_in_total") +
--- a/bench/harness/process.c
+++ b/bench/harness/process.c
@@ -221,3 +221,25 @@
 		return -1;
 	return WIFEXITED(p->status) ? WEXITSTATUS(p->status) : -1;
 }
+
+/* Fields 14 and 15 of /proc/PID/stat. */
+double harness_cpu_us(pid_t pid)
+{
+	char path[64];
+	char line[1024];
+	unsigned long user = 0;
+	unsigned long system = 0;
+	const char *rest;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
+	f = fopen(path, "re");
+	if (!f)
+		return 0;
+	rest = fgets(line, sizeof(line), f) ? strrchr(line, ')') : NULL;
+	if (rest)
+		sscanf(rest + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+		       &system);
+	fclose(f);
+	return (double)(user + system) * 1e6 / (double)sysconf(_SC_CLK_TCK);
+}
--- a/bench/path.c
+++ b/bench/path.c
@@ -244,28 +244,6 @@
 		free(s[i].ttft_us);
 }
 
-/* Processor time of a process in seconds: fields 14 and 15 of /proc/PID/stat. */
-static double cpu_s(pid_t pid)
-{
-	char path[64];
-	char line[1024];
-	unsigned long user = 0;
-	unsigned long system = 0;
-	const char *rest;
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/stat", (int)pid);
-	f = fopen(path, "re");
-	if (!f)
-		return 0;
-	rest = fgets(line, sizeof(line), f) ? strrchr(line, ')') : NULL;
-	if (rest)
-		sscanf(rest + 2, "%*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
-		       &system);
-	fclose(f);
-	return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
-}
-
 /**
  * struct waits - time that link threads were ready to run and had to wait for a processor
  *
@@ -387,13 +365,13 @@
 static int measure_throughput(struct path *p, double *rate, double *per_core, struct error *err)
 {
 	struct samples s[WAYS];
-	double before = cpu_s(p->pid);
+	double before = (harness_cpu_us(p->pid) / 1e6);
 	double used;
 
 	scenario_set(p, 0, 50, 8);
 	if (ways_run(p, 64, s, err) < 0)
 		return -1;
-	used = cpu_s(p->pid) - before;
+	used = (harness_cpu_us(p->pid) / 1e6) - before;
 	*rate = s[WAY_GATEWAY].rate;
 	*per_core = used > 0 ? (double)s[WAY_GATEWAY].count / used : 0;
 	printf("throughput: direct %.0f/s, through the instance %.0f/s, not whole %lld and %lld\n",
@@ -439,13 +417,13 @@
 static int measure_streams(struct path *p, double *ratio, struct error *err)
 {
 	struct samples s[WAYS];
-	double before = cpu_s(p->pid);
+	double before = (harness_cpu_us(p->pid) / 1e6);
 	double used;
 
 	scenario_set(p, 0, 50, 200);
 	if (ways_run(p, p->streams, s, err) < 0)
 		return -1;
-	used = cpu_s(p->pid) - before;
+	used = (harness_cpu_us(p->pid) / 1e6) - before;
 	if (s[WAY_GATEWAY].tokens)
 		printf("processor time of the instance: %.2f us a token\n",
 		       used * 1e6 / (double)s[WAY_GATEWAY].tokens);
--- a/common/clock.c
+++ b/common/clock.c
@@ -36,6 +36,20 @@
 	nanosleep(&ts, NULL);
 }
 
+struct timespec clock_mono_after(int64_t ms)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_MONOTONIC, &ts);
+	ts.tv_sec += ms / 1000;
+	ts.tv_nsec += ms % 1000 * 1000000;
+	if (ts.tv_nsec >= 1000000000) {
+		ts.tv_sec++;
+		ts.tv_nsec -= 1000000000;
+	}
+	return ts;
+}
+
 uint64_t hlc_now(void)
 {
 	uint64_t wall = (uint64_t)clock_wall_ms() << 16;
--- a/common/supervisor.c
+++ b/common/supervisor.c
@@ -148,20 +148,13 @@
 
 bool child_sleep_ms(int ms)
 {
-	struct timespec until;
+	struct timespec until = clock_mono_after(ms);
 	int rc = 0;
 
 	if (!current) {
 		clock_sleep_ms(ms);
 		return false;
 	}
-	clock_gettime(CLOCK_MONOTONIC, &until);
-	until.tv_sec += ms / 1000;
-	until.tv_nsec += (long)(ms % 1000) * 1000000;
-	if (until.tv_nsec >= 1000000000) {
-		until.tv_sec++;
-		until.tv_nsec -= 1000000000;
-	}
 	pthread_mutex_lock(&current->lock);
 	while (!rc && !child_stopping())
 		rc = pthread_cond_timedwait(&current->stop, &current->lock, &until);
--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -220,20 +220,6 @@
 		w->first_token_by_ms = w->g->call.deadline_ms;
 }
 
-static struct timespec mono_after(int64_t ms)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += ms % 1000 * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
-	return ts;
-}
-
 /* Caller holds the lock. Waits until the pump admits @wt or its deadline passes. */
 static void waiter_wait(struct dispatch *d, struct waiter *wt)
 {
@@ -243,7 +229,7 @@
 
 		if (left <= 0)
 			return;
-		until = mono_after(left);
+		until = clock_mono_after(left);
 		pthread_cond_timedwait(&wt->cond, &d->lock, &until);
 	}
 }
--- a/ibisgatectl/cmd_config_show.c
+++ b/ibisgatectl/cmd_config_show.c
@@ -1,4 +1,3 @@
-#include <argtable2.h>
 #include <inttypes.h>
 #include <stdlib.h>
 
@@ -20,25 +19,12 @@
 	}
 }
 
-int cmd_config_show(struct ctl *ctl, int argc, char **argv)
+static json_t *whole(json_t *config)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_end *end = arg_end(4);
-	void *table[] = { help, end };
-	json_t *config = NULL;
-	int code = CTL_OK;
+	return json_incref(config);
+}
 
-	if (!command_parse(ctl, argc, argv, table, 2, &code))
-		goto out;
-	config = ctl_config(ctl, &code);
-	if (!config)
-		goto out;
-	if (ctl->json)
-		ctl_print_json(config);
-	else
-		print_config(config);
-out:
-	json_decref(config);
-	arg_freetable(table, 2);
-	return code;
+int cmd_config_show(struct ctl *ctl, int argc, char **argv)
+{
+	return command_show_config(ctl, argc, argv, whole, print_config);
 }
--- a/ibisgatectl/cmd_default_list.c
+++ b/ibisgatectl/cmd_default_list.c
@@ -1,4 +1,3 @@
-#include <argtable2.h>
 #include <stdlib.h>
 
 #include "ibisgate/common/json.h"
@@ -16,8 +15,9 @@
 	return value ? json_incref(value) : ctl_value(info->builtin);
 }
 
-static json_t *list_settings(const json_t *items)
+static json_t *list_settings(json_t *config)
 {
+	const json_t *items = json_object_get(config, "items");
 	json_t *list = json_array();
 	const struct setting_info *infos;
 	int count;
@@ -52,26 +52,5 @@
 
 int cmd_default_list(struct ctl *ctl, int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_end *end = arg_end(4);
-	void *table[] = { help, end };
-	json_t *config = NULL;
-	json_t *list = NULL;
-	int code = CTL_OK;
-
-	if (!command_parse(ctl, argc, argv, table, 2, &code))
-		goto out;
-	config = ctl_config(ctl, &code);
-	if (!config)
-		goto out;
-	list = list_settings(json_object_get(config, "items"));
-	if (ctl->json)
-		ctl_print_json(list);
-	else
-		print_list(list);
-out:
-	json_decref(list);
-	json_decref(config);
-	arg_freetable(table, 2);
-	return code;
+	return command_show_config(ctl, argc, argv, list_settings, print_list);
 }
--- a/ibisgatectl/cmd_exception_list.c
+++ b/ibisgatectl/cmd_exception_list.c
@@ -1,4 +1,3 @@
-#include <argtable2.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -27,8 +26,9 @@
 	return json_null();
 }
 
-static json_t *list_exceptions(json_t *items)
+static json_t *list_exceptions(json_t *config)
 {
+	json_t *items = json_object_get(config, "items");
 	json_t *list = json_array();
 	const char *key;
 	json_t *value;
@@ -74,26 +74,5 @@
 
 int cmd_exception_list(struct ctl *ctl, int argc, char **argv)
 {
-	struct arg_lit *help = arg_lit0("h", "help", "print this help");
-	struct arg_end *end = arg_end(4);
-	void *table[] = { help, end };
-	json_t *config = NULL;
-	json_t *list = NULL;
-	int code = CTL_OK;
-
-	if (!command_parse(ctl, argc, argv, table, 2, &code))
-		goto out;
-	config = ctl_config(ctl, &code);
-	if (!config)
-		goto out;
-	list = list_exceptions(json_object_get(config, "items"));
-	if (ctl->json)
-		ctl_print_json(list);
-	else
-		print_list(list);
-out:
-	json_decref(list);
-	json_decref(config);
-	arg_freetable(table, 2);
-	return code;
+	return command_show_config(ctl, argc, argv, list_exceptions, print_list);
 }
--- a/ibisgatectl/command.c
+++ b/ibisgatectl/command.c
@@ -72,3 +72,30 @@
 	arg_freetable(table, 3);
 	return code;
 }
+
+int command_show_config(struct ctl *ctl, int argc, char **argv, json_t *(*make)(json_t *config),
+			void (*print)(const json_t *value))
+{
+	struct arg_lit *help = arg_lit0("h", "help", "print this help");
+	struct arg_end *end = arg_end(4);
+	void *table[] = { help, end };
+	json_t *config = NULL;
+	json_t *value = NULL;
+	int code = CTL_OK;
+
+	if (!command_parse(ctl, argc, argv, table, 2, &code))
+		goto out;
+	config = ctl_config(ctl, &code);
+	if (!config)
+		goto out;
+	value = make(config);
+	if (ctl->json)
+		ctl_print_json(value);
+	else
+		print(value);
+out:
+	json_decref(value);
+	json_decref(config);
+	arg_freetable(table, 2);
+	return code;
+}
--- a/include/ibisgate/common/clock.h
+++ b/include/ibisgate/common/clock.h
@@ -2,6 +2,7 @@
 #define IBISGATE_COMMON_CLOCK_H
 
 #include <stdint.h>
+#include <time.h>
 
 /** clock_boot_ms - milliseconds on CLOCK_BOOTTIME, which runs on while the machine is suspended */
 int64_t clock_boot_ms(void);
@@ -14,6 +15,9 @@
 
 void clock_sleep_ms(int64_t ms);
 
+/** clock_mono_after - CLOCK_MONOTONIC in @ms milliseconds, for pthread_cond_clockwait() */
+struct timespec clock_mono_after(int64_t ms);
+
 /**
  * hlc_now - hybrid logical clock: milliseconds of wall time << 16 | counter
  *
--- a/include/ibisgate/harness/harness.h
+++ b/include/ibisgate/harness/harness.h
@@ -74,6 +74,9 @@
 /** harness_stop - SIGTERM and wait; Return: exit code, -1 on a signal or after @timeout_ms */
 int harness_stop(struct harness_process *p, int64_t timeout_ms);
 
+/** harness_cpu_us - processor time of a process so far in microseconds; 0 when it is gone */
+double harness_cpu_us(pid_t pid);
+
 /**
  * struct harness_reply - answer of harness_http()
  * @status: HTTP status; 0 without an answer
--- a/include/ibisgate/ibisgatectl/command.h
+++ b/include/ibisgate/ibisgatectl/command.h
@@ -122,6 +122,14 @@
 int command_delete_key(struct ctl *ctl, int argc, char **argv, const char *prefix,
 		       const char *datatype, const char *glossary);
 
+/**
+ * command_show_config - command without arguments that prints something made from the configuration
+ * @make: what to print, from {"version","items"}; new reference
+ * @print: prints it for people; with --json it is printed as it is
+ */
+int command_show_config(struct ctl *ctl, int argc, char **argv, json_t *(*make)(json_t *config),
+			void (*print)(const json_t *value));
+
 /** ctl_members - admin addresses of all live instances, from the status of one; false on error */
 bool ctl_members(struct ctl *ctl, char (*out)[64], int *count, int *code);
 
--- a/net/link_queue.c
+++ b/net/link_queue.c
@@ -144,20 +144,6 @@
 	link_event_clear(&ev);
 }
 
-static struct timespec mono_after(int64_t ms)
-{
-	struct timespec ts;
-
-	clock_gettime(CLOCK_MONOTONIC, &ts);
-	ts.tv_sec += ms / 1000;
-	ts.tv_nsec += ms % 1000 * 1000000;
-	if (ts.tv_nsec >= 1000000000) {
-		ts.tv_sec++;
-		ts.tv_nsec -= 1000000000;
-	}
-	return ts;
-}
-
 bool link_wait(struct link_queue *q, struct link_event *out, int64_t deadline_ms)
 {
 	struct link_event *ev;
@@ -169,7 +155,7 @@
 
 		if (left <= 0)
 			break;
-		until = mono_after(left < 3600000 ? left : 3600000);
+		until = clock_mono_after(left < 3600000 ? left : 3600000);
 		pthread_cond_timedwait(&q->cond, &q->lock, &until);
 	}
 	ev = q->head;
