Store the result of a claim before the caller has its answer

Cause: results were stored in the background after the answer. A repeat sent right after the answer through an instance that still took the owner for gone (it had been frozen) found a running claim and had to say outcome unknown.

Change: the first try of the write is made before the answer unless the platform is known to be down; later tries stay in the background. It costs a call one table write of latency.

--- a/daemon/control_claims.c
+++ b/daemon/control_claims.c
@@ -127,8 +127,8 @@
 
 /* Background writes. */
 
-static void task_add(struct control *c, const char *key, const char *token, int64_t version,
-		     json_t *value)
+static struct claim_task *task_create(const char *key, const char *token, int64_t version,
+				      json_t *value)
 {
 	struct claim_task *t = mem_zalloc(sizeof(*t));
 
@@ -136,12 +136,23 @@
 	str_copy(t->token, sizeof(t->token), str_from(token));
 	t->version = version;
 	t->value = value;
+	return t;
+}
+
+static void task_queue(struct control *c, struct claim_task *t)
+{
 	pthread_mutex_lock(&c->lock);
 	t->next = c->tasks;
 	c->tasks = t;
 	pthread_mutex_unlock(&c->lock);
 }
 
+static void task_add(struct control *c, const char *key, const char *token, int64_t version,
+		     json_t *value)
+{
+	task_queue(c, task_create(key, token, version, value));
+}
+
 /* Deletes the row of a claim that was never dispatched; a delayed write of ours may have made it.
  */
 static bool delete_row(struct control *c, const struct claim_task *t)
@@ -207,10 +218,7 @@
 				continue;
 			}
 			t->next_ms = clock_boot_ms() + RETRY_MS;
-			pthread_mutex_lock(&c->lock);
-			t->next = c->tasks;
-			c->tasks = t;
-			pthread_mutex_unlock(&c->lock);
+			task_queue(c, t);
 		}
 		child_account_cpu();
 	}
@@ -494,11 +502,22 @@
 	return t->verdict == CLAIM_DISPATCH && own_move(c, t->token, OWN_CLAIMED, OWN_DISPATCHED);
 }
 
+/*
+ * The first try is made before the caller has its answer: a repeat at an instance that takes this
+ * one for gone would find a running claim and could only say that the outcome is unknown.
+ */
 static void store(struct control *c, struct claim_ticket *t, json_t *value)
 {
+	struct claim_task *task = task_create(t->key, t->token, t->version, value);
+
 	own_move(c, t->token, OWN_CLAIMED, OWN_STORING);
 	own_move(c, t->token, OWN_DISPATCHED, OWN_STORING);
-	task_add(c, t->key, t->token, t->version, value);
+	if (!platform_down_since_ms(c->gate->platform) && task_run(c, task)) {
+		own_drop(c, t->token);
+		task_destroy(task);
+		return;
+	}
+	task_queue(c, task);
 }
 
 void claim_finish(struct control *c, struct claim_ticket *t, int status, struct str body)
