Load promise tests within what the remaining engines serve

PrefillEngineKilled and RoleChangeUnderLoad expect every answer to be whole, under twelve callers with prompts of 75 ms of prefill each. One engine has then 900 ms of work in front, more than the first token limit, and admission refuses truthfully (429, not run). They passed while admission planned for all of the limit.

--- a/tests/test_promise_answers.cc
+++ b/tests/test_promise_answers.cc
@@ -75,6 +75,8 @@
 {
 	start_fleet();
 	load.o.duration_s = 8;
+	/* Four prompts of 75 ms fit the first token limit of one engine; twelve would not. */
+	load.o.concurrency = 4;
 	load.s.phases[0].prompt_tokens = 3000;
 	load.s.phases[0].output_tokens = 20;
 	load.start(urls());
