Keep engine queues short so that waiting is ordered by shares

Cause: requests were admitted as long as the expected first token met the limit, so engines were filled to the limit and nothing had time left to wait. The fair queue stayed empty and who was served depended on the moment of arrival: a flood by one organisation halved the others' goodput.

Change: while a prefill engine has more than 25% of the first token limit in front, requests wait in the instance, where shares decide.

--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -15,6 +15,11 @@
  * have sent is known late; at 100 a full queue admits what then misses the limit by little.
  */
 #define PLAN_PERCENT 80
+/*
+ * Part of the first token limit that may be spent in the queue of an engine. What waits there is
+ * served in order of arrival; what waits here is served by shares.
+ */
+#define ENGINE_QUEUE_PERCENT 25
 #define ROUND_ROBIN_STARTS 1000003
 
 /**
@@ -119,6 +124,19 @@
 	return !d->cands[c->prefill].prefill_backlog && !d->cands[c->decode].decode_seqs;
 }
 
+/* The engine has enough work in front to stay busy until the next look. */
+static bool engine_queue_full(const struct dispatch *d, const struct work *w,
+			      const struct route_choice *choice)
+{
+	const struct route_candidate *p = &d->cands[choice->prefill];
+	double queue_us;
+
+	if (w->limits.first_token_ms <= 0 || p->cost.prefill_tokens_per_s <= 0)
+		return false;
+	queue_us = (double)p->prefill_backlog / p->cost.prefill_tokens_per_s * 1e6;
+	return queue_us > (double)(w->limits.first_token_ms * 10 * ENGINE_QUEUE_PERCENT);
+}
+
 /* Caller holds the lock. @force: take the best endpoints even when the limits are not met. */
 static enum place_result place_try(struct dispatch *d, struct model_queue *m, struct work *w,
 				   bool force)
@@ -128,7 +146,8 @@
 
 	if (!place_look(d, m, w, &req, &choice))
 		return PLACE_NONE;
-	if (!force && !choice.fits && !choice_idle(d, &choice))
+	if (!force && !choice_idle(d, &choice) &&
+	    (!choice.fits || engine_queue_full(d, w, &choice)))
 		return PLACE_FULL;
 	return place_take(d, w, &choice) ? PLACE_TAKEN : PLACE_FULL;
 }
