--- a/tests/test_promise_changes.cc
+++ b/tests/test_promise_changes.cc
@@ -83,8 +83,7 @@
 	defaults.emplace_back("role.change-ms", json_integer(500));
 	start_fleet();
 	load.o.duration_s = 10;
-	/* Long prompts of twelve callers do not fit the first token limit while an engine is away.
-	 */
+	/* Long prompts of twelve callers exceed the first token limit while an engine is away. */
 	load.o.concurrency = 6;
 	load.s.phases[0].prompt_tokens = 3000;
 	load.s.phases[0].output_tokens = 8;
