--- a/daemon/control_claims.c
+++ b/daemon/control_claims.c
@@ -10,244 +10,23 @@
 #include "ibisgate/common/hash.h"
 #include "ibisgate/common/json.h"
 #include "ibisgate/common/metrics.h"
-#include "ibisgate/common/supervisor.h"
 
-#define LOOP_MS 10
-#define RETRY_MS 200
 #define WAIT_FIRST_MS 10
 #define WAIT_MAX_MS 250
 /* Pause before the one repeat of a write that provably was not sent. */
 #define UNSENT_RETRY_MS 50
 
-static const char *const phase_names[] = { "running", "done", "unknown" };
-
-/* Own claims: from before the row is written until the table holds its outcome. */
-
-static struct own_claim **own_find(struct control *c, const char *token)
-{
-	struct own_claim **at = &c->own_claims;
-
-	while (*at && strcmp((*at)->token, token) != 0)
-		at = &(*at)->next;
-	return at;
-}
-
-static bool own_add(struct control *c, const char *token)
-{
-	struct own_claim *o;
-	bool room;
-
-	pthread_mutex_lock(&c->lock);
-	room = c->own_claim_count < CONTROL_CLAIMS_MAX;
-	if (room) {
-		o = mem_zalloc(sizeof(*o));
-		str_copy(o->token, sizeof(o->token), str_from(token));
-		o->next = c->own_claims;
-		c->own_claims = o;
-		c->own_claim_count++;
-	}
-	pthread_mutex_unlock(&c->lock);
-	return room;
-}
-
-static void own_drop(struct control *c, const char *token)
-{
-	struct own_claim **at;
-	struct own_claim *o;
-
-	pthread_mutex_lock(&c->lock);
-	at = own_find(c, token);
-	o = *at;
-	if (o) {
-		*at = o->next;
-		c->own_claim_count--;
-	}
-	pthread_mutex_unlock(&c->lock);
-	free(o);
-}
-
-static bool own_move(struct control *c, const char *token, enum own_phase from, enum own_phase to)
-{
-	struct own_claim *o;
-	bool moved;
-
-	pthread_mutex_lock(&c->lock);
-	o = *own_find(c, token);
-	moved = o && o->phase == from;
-	if (moved)
-		o->phase = to;
-	pthread_mutex_unlock(&c->lock);
-	return moved;
-}
-
-static bool own_known(struct control *c, const char *token)
-{
-	bool known;
-
-	pthread_mutex_lock(&c->lock);
-	known = *own_find(c, token) != NULL;
-	pthread_mutex_unlock(&c->lock);
-	return known;
-}
-
-static json_t *row_json(const struct control *c, const struct claim_ticket *t,
-			enum claim_phase phase)
-{
-	json_t *o = json_object();
-
-	json_object_set_new(o, "phase", json_string(phase_names[phase]));
-	json_object_set_new(o, "owner", json_string(c->settings->instance.id));
-	json_object_set_new(o, "incarnation", json_integer((json_int_t)c->gate->incarnation));
-	json_object_set_new(o, "fingerprint", json_string(t->fingerprint));
-	json_object_set_new(o, "token", json_string(t->token));
-	json_object_set_new(o, "at_ms", json_integer(clock_wall_ms()));
-	return o;
-}
-
-static bool row_parse(const struct table_row *in, struct claim_row *out)
-{
-	const char *phase = json_get_cstr(in->value, "phase", "");
-
-	*out = (struct claim_row){
-		.version = in->version,
-		.incarnation = (uint64_t)json_get_i64(in->value, "incarnation", 0),
-		.status = (int)json_get_i64(in->value, "status", 0),
-		.result = json_get_str(in->value, "result"),
-		.phase = CLAIM_UNKNOWN,
-	};
-	for (int i = 0; i < 3; i++) {
-		if (strcmp(phase, phase_names[i]) == 0)
-			out->phase = (enum claim_phase)i;
-	}
-	return str_copy(out->owner, sizeof(out->owner), json_get_str(in->value, "owner")) &&
-	       str_copy(out->token, sizeof(out->token), json_get_str(in->value, "token")) &&
-	       str_copy(out->fingerprint, sizeof(out->fingerprint),
-			json_get_str(in->value, "fingerprint"));
-}
-
-/* Background writes. */
-
-static struct claim_task *task_create(const char *key, const char *token, int64_t version,
-				      json_t *value)
-{
-	struct claim_task *t = mem_zalloc(sizeof(*t));
-
-	str_copy(t->key, sizeof(t->key), str_from(key));
-	str_copy(t->token, sizeof(t->token), str_from(token));
-	t->version = version;
-	t->value = value;
-	return t;
-}
-
-static void task_queue(struct control *c, struct claim_task *t)
-{
-	pthread_mutex_lock(&c->lock);
-	t->next = c->tasks;
-	c->tasks = t;
-	pthread_mutex_unlock(&c->lock);
-}
-
-static void task_add(struct control *c, const char *key, const char *token, int64_t version,
-		     json_t *value)
-{
-	task_queue(c, task_create(key, token, version, value));
-}
-
-/* Deletes the row of a claim that was never dispatched; a delayed write of ours may have made it.
- */
-static bool delete_row(struct control *c, const struct claim_task *t)
-{
-	struct table_row row;
-	struct claim_row claim;
-	struct error err = { 0 };
-	bool ours;
-	int rc;
-
-	if (platform_get(c->gate->platform, t->key, &row, &err))
-		return err.code == PLATFORM_NOT_FOUND;
-	ours = row_parse(&row, &claim) && claim.phase == CLAIM_RUNNING &&
-	       strcmp(claim.token, t->token) == 0;
-	rc = ours ? platform_delete(c->gate->platform, t->key, row.version, &err) : 0;
-	table_row_clear(&row);
-	return !rc || err.code == PLATFORM_NOT_FOUND || err.code == PLATFORM_CONFLICT;
-}
-
-/* A conflict can only come from an earlier try of this write: nobody else changes the row. */
-static bool task_run(struct control *c, const struct claim_task *t)
-{
-	struct error err = { 0 };
-
-	if (!t->value)
-		return delete_row(c, t);
-	return platform_put(c->gate->platform, t->key, t->value, t->version, NULL, NULL, &err) ==
-		       0 ||
-	       err.code == PLATFORM_CONFLICT;
-}
-
-static struct claim_task *task_take(struct control *c, int64_t now)
-{
-	struct claim_task **at = &c->tasks;
-	struct claim_task *t;
-
-	pthread_mutex_lock(&c->lock);
-	while (*at && (*at)->next_ms > now)
-		at = &(*at)->next;
-	t = *at;
-	if (t)
-		*at = t->next;
-	pthread_mutex_unlock(&c->lock);
-	return t;
-}
-
-static void task_destroy(struct claim_task *t)
-{
-	json_decref(t->value);
-	free(t);
-}
-
-int control_claims_run(void *ctx, struct error *err)
-{
-	struct control *c = ctx;
-	struct claim_task *t;
-
-	while (!child_sleep_ms(LOOP_MS)) {
-		while (!child_stopping() && (t = task_take(c, clock_boot_ms()))) {
-			if (task_run(c, t)) {
-				own_drop(c, t->token);
-				task_destroy(t);
-				continue;
-			}
-			t->next_ms = clock_boot_ms() + RETRY_MS;
-			task_queue(c, t);
-		}
-		child_account_cpu();
-	}
-	return 0;
-}
-
-void control_claims_clear(struct control *c)
-{
-	while (c->tasks) {
-		struct claim_task *t = c->tasks;
-
-		c->tasks = t->next;
-		task_destroy(t);
-	}
-	while (c->own_claims)
-		own_drop(c, c->own_claims->token);
-}
-
 /* Questions between instances. */
 
 static enum claim_answer answer_for(struct control *c, const char *key, const char *token)
 {
-	if (own_known(c, token))
+	if (own_claim_known(c, token))
 		return CLAIM_ANSWER_RUNNING;
 	/*
 	 * The write of the row was in doubt and its call was given up, or the outcome is in the
 	 * table already; the deletion looks at the row again and only takes the former.
 	 */
-	task_add(c, key, token, 0, NULL);
+	claim_task_add(c, key, token, 0, NULL);
 	return CLAIM_ANSWER_NEVER_DISPATCHED;
 }
 
@@ -344,7 +123,7 @@
 
 static enum claim_verdict write_row(struct control *c, struct claim_ticket *t, struct settling *s)
 {
-	json_t *value = row_json(c, t, CLAIM_RUNNING);
+	json_t *value = claim_row_json(c, t, CLAIM_RUNNING);
 	struct error err = { 0 };
 	enum claim_write w = CLAIM_WRITE_OK;
 
@@ -413,7 +192,7 @@
 	}
 	s->down_ms = 0;
 	*found = true;
-	if (!row_parse(&row, &claim)) {
+	if (!claim_row_parse(&row, &claim)) {
 		table_row_clear(&row);
 		return CLAIM_SAY_UNKNOWN;
 	}
@@ -481,17 +260,17 @@
 	bool sent;
 
 	make_ticket(out, organisation, service, idempotency_key, body);
-	if (!out->key[0] || !own_add(c, out->token))
+	if (!out->key[0] || !own_claim_add(c, out->token))
 		return;
 	out->verdict = settle(c, out, deadline_ms, &sent);
 	if (out->verdict == CLAIM_DISPATCH && clock_boot_ms() >= deadline_ms) {
 		claim_release(c, out);
 		out->verdict = CLAIM_SAY_NOT_RUN;
 	} else if (out->verdict != CLAIM_DISPATCH) {
-		own_drop(c, out->token);
+		own_claim_drop(c, out->token);
 		/* Never dispatched: a row with this token must not outlive the call. */
 		if (sent)
-			task_add(c, out->key, out->token, 0, NULL);
+			claim_task_add(c, out->key, out->token, 0, NULL);
 	}
 	event_record("claim", NULL, NULL, organisation, "service=%s verdict=%d token=%s", service,
 		     out->verdict, out->token);
@@ -499,25 +278,8 @@
 
 bool claim_dispatching(struct control *c, struct claim_ticket *t)
 {
-	return t->verdict == CLAIM_DISPATCH && own_move(c, t->token, OWN_CLAIMED, OWN_DISPATCHED);
-}
-
-/*
- * The first try is made before the caller has its answer: a repeat at an instance that takes this
- * one for gone would find a running claim and could only say that the outcome is unknown.
- */
-static void store(struct control *c, struct claim_ticket *t, json_t *value)
-{
-	struct claim_task *task = task_create(t->key, t->token, t->version, value);
-
-	own_move(c, t->token, OWN_CLAIMED, OWN_STORING);
-	own_move(c, t->token, OWN_DISPATCHED, OWN_STORING);
-	if (!platform_down_since_ms(c->gate->platform) && task_run(c, task)) {
-		own_drop(c, t->token);
-		task_destroy(task);
-		return;
-	}
-	task_queue(c, task);
+	return t->verdict == CLAIM_DISPATCH &&
+	       own_claim_move(c, t->token, OWN_CLAIMED, OWN_DISPATCHED);
 }
 
 void claim_finish(struct control *c, struct claim_ticket *t, int status, struct str body)
@@ -529,22 +291,22 @@
 		claim_unknown(c, t);
 		return;
 	}
-	value = row_json(c, t, CLAIM_DONE);
+	value = claim_row_json(c, t, CLAIM_DONE);
 	json_object_set_new(value, "status", json_integer(status));
 	json_object_set_new(value, "result", json_stringn(body.data ? body.data : "", body.len));
-	store(c, t, value);
+	claim_store(c, t, value);
 }
 
 void claim_unknown(struct control *c, struct claim_ticket *t)
 {
-	store(c, t, row_json(c, t, CLAIM_UNKNOWN));
+	claim_store(c, t, claim_row_json(c, t, CLAIM_UNKNOWN));
 }
 
 void claim_release(struct control *c, struct claim_ticket *t)
 {
-	own_move(c, t->token, OWN_CLAIMED, OWN_STORING);
-	own_move(c, t->token, OWN_DISPATCHED, OWN_STORING);
-	task_add(c, t->key, t->token, t->version, NULL);
+	own_claim_move(c, t->token, OWN_CLAIMED, OWN_STORING);
+	own_claim_move(c, t->token, OWN_DISPATCHED, OWN_STORING);
+	claim_task_add(c, t->key, t->token, t->version, NULL);
 }
 
 void claim_ticket_clear(struct claim_ticket *t)
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -317,11 +317,29 @@
 void control_fleet_fetch(struct control *c);
 void control_on_fleet(struct control *c, const struct peer_message *m);
 
-/* control_claims.c */
+/* control_claim_store.c */
+
+/** own_claim_add - note a claim of this process before its row is written; false when full */
+bool own_claim_add(struct control *c, const char *token);
+void own_claim_drop(struct control *c, const char *token);
+bool own_claim_move(struct control *c, const char *token, enum own_phase from, enum own_phase to);
+bool own_claim_known(struct control *c, const char *token);
+json_t *claim_row_json(const struct control *c, const struct claim_ticket *t,
+		       enum claim_phase phase);
+bool claim_row_parse(const struct table_row *in, struct claim_row *out);
+
+/** claim_task_add - write @value (stolen) in the background; NULL deletes a row with @token */
+void claim_task_add(struct control *c, const char *key, const char *token, int64_t version,
+		    json_t *value);
+
+/** claim_store - write the outcome @value (stolen) of a claim, at once if the platform answers */
+void claim_store(struct control *c, struct claim_ticket *t, json_t *value);
 int control_claims_run(void *ctx, struct error *err);
-void control_on_claim(struct control *c, const struct peer_message *m);
 void control_claims_clear(struct control *c);
 
+/* control_claims.c */
+void control_on_claim(struct control *c, const struct peer_message *m);
+
 /* control_expiry.c */
 
 /** control_expiry_run - lease holders delete claim rows older than claim.keep-ms */
