--- a/bench/control.c
+++ b/bench/control.c
@@ -82,24 +82,6 @@
 	return at ? strtod(at, NULL) : 0;
 }
 
-static double rss_mb(pid_t pid)
-{
-	char path[64];
-	char line[256];
-	long kb = 0;
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
-	f = fopen(path, "re");
-	while (f && fgets(line, sizeof(line), f)) {
-		if (sscanf(line, "VmRSS: %ld", &kb) == 1)
-			break;
-	}
-	if (f)
-		fclose(f);
-	return (double)kb / 1024;
-}
-
 static struct buf metrics_read(const struct harness_fleet *f, int index)
 {
 	struct harness_reply reply;
@@ -424,7 +406,7 @@
 	clock_sleep_ms(measure_ms);
 	b = sample_take(&r);
 	*out = figures_between(&a, &b);
-	out->rss_mb = rss_mb(r.fleet->instances[0].process->pid);
+	out->rss_mb = (double)harness_rss_kb(r.fleet->instances[0].process->pid) / 1024;
 	out->start_ms = r.start_ms;
 	out->list_bytes = list_bytes(r.fleet);
 	if (p->organisations)
--- a/bench/harness/process.c
+++ b/bench/harness/process.c
@@ -243,3 +243,21 @@
 	fclose(f);
 	return (double)(user + system) * 1e6 / (double)sysconf(_SC_CLK_TCK);
 }
+
+int64_t harness_rss_kb(pid_t pid)
+{
+	char path[64];
+	char line[256];
+	long kb = 0;
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+	f = fopen(path, "re");
+	while (f && fgets(line, sizeof(line), f)) {
+		if (sscanf(line, "VmRSS: %ld", &kb) == 1)
+			break;
+	}
+	if (f)
+		fclose(f);
+	return kb;
+}
--- a/bench/mix_run.c
+++ b/bench/mix_run.c
@@ -11,21 +11,9 @@
 #define READY_MS 30000
 #define LINE_MAX_BYTES 256
 
-static json_t *value_parse(const char *text)
-{
-	int64_t n;
-	double d;
-
-	if (str_to_i64(str_from(text), &n))
-		return json_integer(n);
-	if (str_to_double(str_from(text), &d))
-		return json_real(d);
-	return json_string(text);
-}
-
 static int setting_apply(struct mix_run *run, const char *setting, const char *value)
 {
-	if (harness_default(run->fleet, setting, value_parse(value)) == 200)
+	if (harness_default(run->fleet, setting, json_from_text(value)) == 200)
 		return 0;
 	return error_set(&run->err, ERROR_TOOL, 1, "%s %s was refused", setting, value);
 }
--- a/bench/path.c
+++ b/bench/path.c
@@ -324,24 +324,6 @@
 	return (int)(most / (clock_boot_us() - w->at_us + 1));
 }
 
-static int64_t rss_kb(pid_t pid)
-{
-	char path[64];
-	char line[256];
-	long kb = 0;
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
-	f = fopen(path, "re");
-	while (f && fgets(line, sizeof(line), f)) {
-		if (sscanf(line, "VmRSS: %ld", &kb) == 1)
-			break;
-	}
-	if (f)
-		fclose(f);
-	return kb;
-}
-
 struct sampler {
 	pid_t pid;
 	int64_t most_kb;
@@ -353,7 +335,7 @@
 	struct sampler *s = arg;
 
 	while (!s->stop) {
-		int64_t kb = rss_kb(s->pid);
+		int64_t kb = harness_rss_kb(s->pid);
 
 		if (kb > s->most_kb)
 			s->most_kb = kb;
@@ -470,7 +452,7 @@
 {
 	struct sampler sampler = { .pid = p->pid };
 	struct samples s = { 0 };
-	int64_t before = rss_kb(sampler.pid);
+	int64_t before = harness_rss_kb(sampler.pid);
 	pthread_t thread;
 	int rc;
 
--- a/common/json.c
+++ b/common/json.c
@@ -52,3 +52,15 @@
 		buf_append_str(out, str_from(text));
 	free(text);
 }
+
+json_t *json_from_text(const char *text)
+{
+	int64_t n;
+	double d;
+
+	if (str_to_i64(str_from(text), &n))
+		return json_integer(n);
+	if (str_to_double(str_from(text), &d))
+		return json_real(d);
+	return json_string(text);
+}
--- a/ibisgatectl/cmd_default_list.c
+++ b/ibisgatectl/cmd_default_list.c
@@ -12,7 +12,7 @@
 	snprintf(key, sizeof(key), "default/%s", info->name);
 	value = json_object_get(items, key);
 	*set = value != NULL;
-	return value ? json_incref(value) : ctl_value(info->builtin);
+	return value ? json_incref(value) : json_from_text(info->builtin);
 }
 
 static json_t *list_settings(json_t *config)
--- a/ibisgatectl/cmd_default_set.c
+++ b/ibisgatectl/cmd_default_set.c
@@ -18,7 +18,7 @@
 	if (!command_parse(ctl, argc, argv, table, 5, &code))
 		goto out;
 	snprintf(key, sizeof(key), "default/%s", name->sval[0]);
-	code = ctl_change(ctl, key, ctl_value(text->sval[0]),
+	code = ctl_change(ctl, key, json_from_text(text->sval[0]),
 			  version->count ? version->ival[0] : -1);
 out:
 	arg_freetable(table, 5);
--- a/ibisgatectl/cmd_exception_add.c
+++ b/ibisgatectl/cmd_exception_add.c
@@ -29,7 +29,7 @@
 		goto out;
 	expires = clock_wall_ms() + (hours->count ? hours->ival[0] : DEFAULT_HOURS) * MS_PER_HOUR;
 	value = json_pack("{s:s,s:s,s:o,s:s,s:s,s:I}", "scope", scope->sval[0], "setting",
-			  setting->sval[0], "value", ctl_value(text->sval[0]), "reason",
+			  setting->sval[0], "value", json_from_text(text->sval[0]), "reason",
 			  reason->sval[0], "author", ctl->author, "expiry", (json_int_t)expires);
 	snprintf(key, sizeof(key), "exception/%s", id->sval[0]);
 	code = ctl_change(ctl, key, value, -1);
--- a/ibisgatectl/cmd_exception_list.c
+++ b/ibisgatectl/cmd_exception_list.c
@@ -21,7 +21,7 @@
 	infos = setting_infos(&count);
 	for (int i = 0; i < count; i++) {
 		if (strcmp(infos[i].name, setting) == 0)
-			return ctl_value(infos[i].builtin);
+			return json_from_text(infos[i].builtin);
 	}
 	return json_null();
 }
--- a/ibisgatectl/cmd_preset_apply.c
+++ b/ibisgatectl/cmd_preset_apply.c
@@ -31,7 +31,7 @@
 	if (!apply)
 		return CTL_OK;
 	snprintf(key, sizeof(key), "default/%s", setting);
-	return ctl_change(ctl, key, ctl_value(text), -1);
+	return ctl_change(ctl, key, json_from_text(text), -1);
 }
 
 static int file_run(struct ctl *ctl, const char *path, bool apply)
--- a/include/ibisgate/common/json.h
+++ b/include/ibisgate/common/json.h
@@ -17,6 +17,9 @@
 /** json_parse - parse @text (one value, no trailing bytes); NULL on error */
 json_t *json_parse(struct str text);
 
+/** json_from_text - JSON number if @text is one, else a string; new reference */
+json_t *json_from_text(const char *text);
+
 /** json_append - append the compact form of @value to @out */
 void json_append(struct buf *out, const json_t *value);
 
--- a/include/ibisgate/harness/harness.h
+++ b/include/ibisgate/harness/harness.h
@@ -77,6 +77,9 @@
 /** harness_cpu_us - processor time of a process so far in microseconds; 0 when it is gone */
 double harness_cpu_us(pid_t pid);
 
+/** harness_rss_kb - resident memory of a process in KiB; 0 when it is gone */
+int64_t harness_rss_kb(pid_t pid);
+
 /**
  * struct harness_reply - answer of harness_http()
  * @status: HTTP status; 0 without an answer
--- a/include/ibisgate/ibisgatectl/command.h
+++ b/include/ibisgate/ibisgatectl/command.h
@@ -110,9 +110,6 @@
  */
 int ctl_change(struct ctl *ctl, const char *key, json_t *value, int64_t if_version);
 
-/** ctl_value - JSON number if @text is one, else a string; new reference */
-json_t *ctl_value(const char *text);
-
 /**
  * command_delete_key - command whose only argument names a configuration key to delete
  * @prefix: kind of key, e.g. "drain/"
