Tie a drain to the holding of the lease that it began under

Cause: a drain asked whether the lease is held, not whether it is still the same holding. While the drain child waits up to a second for an engine, the lease can lapse, be released by a successor and be acquired again; the drain then went on with its old order and number although somebody else may have acted. Ruled out: the intent row as a guard, since it is looked at only when it is cleared, and fencing, since some engines ignore the number.

Change: lease_held_as() compares the fencing number; a drain under an earlier holding ends like one of a lost lease, and its intent is taken over under the new number by the next scan.

Tested: Lease.ARegainedLeaseIsAnotherHolding (fails to build before), test-recovery 7 of 7, the successor cases of test-control.

--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -341,7 +341,8 @@
 	enum drain_action a;
 	bool over;
 
-	if (!control_lease_held(c, j->dc, NULL) && !ablated(MECHANISM_LEASE_CHECK))
+	if (!control_lease_held_as(c, j->dc, j->drain.order.fencing) &&
+	    !ablated(MECHANISM_LEASE_CHECK))
 		control_job_feed(c, j, DRAIN_EV_LEASE_LOST);
 	pthread_mutex_lock(&c->lock);
 	update_members(c, j);
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -256,6 +256,7 @@
 /* control_lease.c */
 int control_lease_run(void *ctx, struct error *err);
 bool control_lease_held(struct control *c, const char *dc, int64_t *fencing);
+bool control_lease_held_as(struct control *c, const char *dc, int64_t fencing);
 bool control_lease_settled(struct control *c, const char *dc);
 void control_lease_release_all(struct control *c);
 
--- a/daemon/control_lease.c
+++ b/daemon/control_lease.c
@@ -43,6 +43,18 @@
 	return held;
 }
 
+bool control_lease_held_as(struct control *c, const char *dc, int64_t fencing)
+{
+	struct lease_slot *s;
+	bool held;
+
+	pthread_mutex_lock(&c->lock);
+	s = slot_find(c, dc);
+	held = s && !atomic_load(&c->left) && lease_held_as(&s->lease, fencing, clock_boot_ms());
+	pthread_mutex_unlock(&c->lock);
+	return held;
+}
+
 /* A holder is settled once it released, left the platform's list, or runs as a new process. */
 static bool unsettled_gone(const struct control *c, const struct unsettled *u)
 {
--- a/daemon/control_order.c
+++ b/daemon/control_order.c
@@ -80,7 +80,7 @@
 	event_record("order-sent", NULL, ep->name, NULL, "order=%s fencing=%" PRId64, order->id,
 		     order->fencing);
 	/* The authority is looked at again as late as possible. */
-	if (!control_lease_held(c, ep->dc, NULL) && !ablated(MECHANISM_LEASE_CHECK))
+	if (!control_lease_held_as(c, ep->dc, order->fencing) && !ablated(MECHANISM_LEASE_CHECK))
 		reply = ORDER_REPLY_STALE;
 	else if (http_call(c->http, &call) == HTTP_REPLIED)
 		reply = reply_of(&call);
--- a/include/ibisgate/state/lease.h
+++ b/include/ibisgate/state/lease.h
@@ -97,6 +97,14 @@
 /** lease_held - true while orders may be given; checked again right before each order is sent */
 bool lease_held(const struct lease *l, int64_t now_ms);
 
+/**
+ * lease_held_as - true while the holding that began with @fencing goes on
+ *
+ * A lease that was lost and acquired again is another holding: someone else may have acted in
+ * between, so what was begun under the first must not go on under the second.
+ */
+bool lease_held_as(const struct lease *l, int64_t fencing, int64_t now_ms);
+
 /** lease_release - row that gives the lease up; false when it is not held */
 bool lease_release(struct lease *l, const char *token, int64_t now_ms, struct lease_action *out);
 
--- a/state/lease.c
+++ b/state/lease.c
@@ -149,6 +149,11 @@
 	return l->fencing && now_ms < l->valid_until_ms;
 }
 
+bool lease_held_as(const struct lease *l, int64_t fencing, int64_t now_ms)
+{
+	return lease_held(l, now_ms) && l->fencing == fencing;
+}
+
 bool lease_release(struct lease *l, const char *token, int64_t now_ms, struct lease_action *out)
 {
 	bool held = l->phase == LEASE_HELD && lease_held(l, now_ms);
--- a/tests/test_lease.cc
+++ b/tests/test_lease.cc
@@ -179,3 +179,27 @@
 		EXPECT_FALSE(lease_held(&l, 10 + LEASE_TERM_MS)) << "counted from before the send";
 	}
 }
+
+/* Guards against a drain that goes on after the lease was lost and acquired again in a pause. */
+TEST(Lease, ARegainedLeaseIsAnotherHolding)
+{
+	lease_row first = { "b", 1, "t1", 6 };
+	lease_row freed = { "", 2, "t2", 8 };
+	lease_row second = { "b", 1, "t3", 9 };
+	int64_t late = 10 + LEASE_TERM_MS;
+	lease l;
+
+	lease_init(&l, "b", 1);
+	lease_report(&l, LEASE_READ_NONE, nullptr, 0);
+	ASSERT_EQ(lease_next(&l, true, "t1", 10).kind, LEASE_DO_WRITE);
+	lease_report(&l, LEASE_WRITE_OK, &first, 20);
+	EXPECT_TRUE(lease_held_as(&l, 6, late - 1));
+	EXPECT_FALSE(lease_held_as(&l, 6, late));
+	ASSERT_EQ(lease_next(&l, true, "x", late).kind, LEASE_DO_WRITE);
+	lease_report(&l, LEASE_WRITE_CONFLICT, &freed, late + 1);
+	ASSERT_EQ(lease_next(&l, true, "t3", late + 2).kind, LEASE_DO_WRITE);
+	lease_report(&l, LEASE_WRITE_OK, &second, late + 3);
+	EXPECT_TRUE(lease_held(&l, late + 3));
+	EXPECT_TRUE(lease_held_as(&l, 9, late + 3));
+	EXPECT_FALSE(lease_held_as(&l, 6, late + 3));
+}
