Load a new model on one engine of a data centre at a time

Cause: rows model/<endpoint> for several engines were ordered all at once, so that no engine was left to serve and all loads competed for the rate-limited weight store. Ruled out: leaving the pace to the operator, since nobody may be there to wait between two commands.

Change: policy/rollout.c decides which engine goes next, within the setting model.parallel-loads (1) of the data centre. The next load starts 10 s after the last one ended, when load reports show its model.

--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -284,6 +284,7 @@
 			 j->drain.order.id, j->drain.order.u.model);
 		event_record("model-changed", NULL, j->drain.order.endpoint, NULL, "order=%s",
 			     j->drain.order.id);
+		control_models_settle(c, j->dc);
 		return;
 	}
 	atomic_fetch_add(&c->role_changes, 1);
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -23,6 +23,11 @@
 #define CONTROL_ANSWERS_MAX 256
 #define CONTROL_WITHDRAWN_MAX 512
 #define CONTROL_WISHES_MAX 64
+/*
+ * Load reports lag, so an endpoint that has just returned may still show its earlier model. Every
+ * instance sees the stops, so that a successor counts from the same return.
+ */
+#define CONTROL_MODEL_SETTLE_MS 10000
 #define CONTROL_OPERATOR_ORDER "operator"
 
 /** struct listed - instance in the platform's list */
@@ -56,6 +61,7 @@
  * @unsettled: holders that did not release; from the row, kept in it by each write
  * @overflow: more of them than fit, so that none may ever be forgotten
  * @load_intents: the drain child has yet to read the intents of the data centre
+ * @models_settled_ms: until then the load reports may show the model before the last load
  */
 struct lease_slot {
 	char dc[MEMBER_DC_MAX];
@@ -66,6 +72,7 @@
 	struct unsettled unsettled[CONTROL_UNSETTLED_MAX];
 	bool overflow;
 	bool load_intents;
+	int64_t models_settled_ms;
 };
 
 /**
@@ -289,6 +296,8 @@
 
 /* control_models.c */
 void control_models_check(struct control *c);
+/* Lets the load reports catch up before another engine of @dc loads a model. */
+void control_models_settle(struct control *c, const char *dc);
 
 /* control_order.c */
 enum order_reply {
--- a/daemon/control_lease.c
+++ b/daemon/control_lease.c
@@ -219,6 +219,8 @@
 		return;
 	if (fencing) {
 		s->load_intents = true;
+		/* An earlier holder may have ended a load just now. */
+		s->models_settled_ms = now + CONTROL_MODEL_SETTLE_MS;
 		log_info("lease-acquired", "dc=%s fencing=%" PRId64, s->dc, fencing);
 		event_record("lease-acquired", NULL, NULL, NULL, "dc=%s fencing=%" PRId64, s->dc,
 			     fencing);
--- a/daemon/control_models.c
+++ b/daemon/control_models.c
@@ -5,15 +5,10 @@
 
 #include "control_impl.h"
 #include "ibisgate/common/clock.h"
+#include "ibisgate/policy/rollout.h"
 
 /* Orders to load a model, for the rows model/<endpoint> of the configuration. */
 
-/*
- * Load reports lag, so an endpoint that has just returned may still show its earlier model. Every
- * instance sees the stops, so that a successor counts from the same return.
- */
-#define MODEL_SETTLE_MS 10000
-
 static bool wanted_model(struct control *c, const char *endpoint, char out[CONFIG_MODEL_MAX])
 {
 	const char *model;
@@ -70,19 +65,103 @@
 	control_job_start(c, &order, ep->dc, ep->role);
 }
 
-static void check(struct control *c, const struct endpoint_status *s, int64_t now)
+/* The endpoint has had another model than wanted for long enough. */
+static bool due(struct control *c, const struct endpoint_status *s, int64_t now)
 {
 	char model[CONFIG_MODEL_MAX];
 	struct model_wish *w;
 
 	if (!wanted_model(c, s->info.name, model) || !differs(s, model))
-		return;
+		return false;
 	w = wish_get(c, s->info.name, now);
 	if (!w)
-		return;
+		return false;
 	w->seen = true;
-	if (now - w->since_ms >= MODEL_SETTLE_MS)
-		start(c, &s->info, model);
+	return now - w->since_ms >= CONTROL_MODEL_SETTLE_MS;
+}
+
+static int load_limit(struct control *c, const char *dc)
+{
+	struct config_scope scope = { .dc = dc, .wall_ms = clock_wall_ms() };
+	int64_t limit;
+
+	rcu_read_lock();
+	limit = config_i64(rcu_dereference(c->gate->config), "model.parallel-loads", &scope);
+	rcu_read_unlock();
+	return (int)limit;
+}
+
+static int orders_under_way(struct control *c, const char *dc)
+{
+	int n = 0;
+
+	pthread_mutex_lock(&c->lock);
+	for (int i = 0; i < c->lease_count; i++)
+		n += strcmp(c->leases[i].dc, dc) == 0 &&
+		     clock_boot_ms() < c->leases[i].models_settled_ms;
+	for (int i = 0; i < CONTROL_JOBS_MAX; i++) {
+		const struct drain_job *j = &c->jobs[i];
+
+		n += j->used && j->drain.order.kind != ORDER_WITHDRAW && strcmp(j->dc, dc) == 0;
+	}
+	pthread_mutex_unlock(&c->lock);
+	return n;
+}
+
+void control_models_settle(struct control *c, const char *dc)
+{
+	pthread_mutex_lock(&c->lock);
+	for (int i = 0; i < c->lease_count; i++) {
+		if (strcmp(c->leases[i].dc, dc) == 0)
+			c->leases[i].models_settled_ms = clock_boot_ms() + CONTROL_MODEL_SETTLE_MS;
+	}
+	pthread_mutex_unlock(&c->lock);
+}
+
+/* Engines in service; @at holds the place of each in @all. */
+static int engines_list(struct control *c, const struct endpoint_status *all, int n,
+			struct rollout_engine *out, int *at, int64_t now)
+{
+	int count = 0;
+
+	for (int i = 0; i < n; i++) {
+		const struct endpoint_status *s = &all[i];
+
+		if (!s->info.engine || !s->listed || s->stopped || s->info.leaving)
+			continue;
+		at[count] = i;
+		out[count++] = (struct rollout_engine){
+			.dc = s->info.dc,
+			.model = s->load.model,
+			.role = s->info.role,
+			.due = due(c, s, now),
+		};
+	}
+	return count;
+}
+
+static void rollout_step(struct control *c, const struct endpoint_status *all, int n, int64_t now)
+{
+	struct rollout_engine *engines = mem_zalloc((size_t)(n + 1) * sizeof(*engines));
+	int *at = mem_zalloc((size_t)(n + 1) * sizeof(*at));
+	int count = engines_list(c, all, n, engines, at, now);
+
+	for (int i = 0; i < count; i++) {
+		const struct endpoint_info *ep = &all[at[i]].info;
+		char model[CONFIG_MODEL_MAX];
+		int next;
+
+		if (!engines[i].due || !control_lease_held(c, ep->dc, NULL))
+			continue;
+		next = rollout_next(engines, count, ep->dc, orders_under_way(c, ep->dc),
+				    load_limit(c, ep->dc));
+		if (next < 0 || !wanted_model(c, all[at[next]].info.name, model))
+			continue;
+		start(c, &all[at[next]].info, model);
+		engines[next].due = false;
+	}
+	free(at);
+	free(engines);
 }
 
 void control_models_check(struct control *c)
@@ -93,8 +172,7 @@
 
 	for (int i = 0; i < CONTROL_WISHES_MAX; i++)
 		c->wishes[i].seen = false;
-	for (int i = 0; i < n; i++)
-		check(c, &all[i], now);
+	rollout_step(c, all, n, now);
 	for (int i = 0; i < CONTROL_WISHES_MAX; i++) {
 		if (!c->wishes[i].seen)
 			c->wishes[i].endpoint[0] = '\0';
--- a/state/config_check.c
+++ b/state/config_check.c
@@ -22,6 +22,8 @@
 	{ "load.lag-ms", 'i', 0, 60000, NULL, "2000", "age of the engines' load reports" },
 	{ "claim.keep-ms", 'i', 60000, 2000000000, NULL, "86400000",
 	  "time after which an idempotency key may be used anew" },
+	{ "model.parallel-loads", 'i', 1, 64, NULL, "1",
+	  "engines of a data centre that may load a model at a time" },
 	{ "role.policy", 's', 0, 0, "fixed greedy horizon", "\"horizon\"", "role change policy" },
 	{ "role.horizon-ms", 'i', 100, 3600000, NULL, "30000", "time over which a gain counts" },
 	{ "role.margin", 'd', 0, 100, NULL, "1.2", "factor by which a gain must exceed the loss" },
--- a/tests/test_outage.cc
+++ b/tests/test_outage.cc
@@ -197,3 +197,40 @@
 	clock_sleep_ms(12000);
 	EXPECT_EQ(order_log(), 1u) << "the same model was ordered again";
 }
+
+/* Guards against a new model for all engines that leaves a moment without any of them. */
+TEST(Outage, ANewModelForAllEnginesIsLoadedByOneAfterTheOther)
+{
+	Deployment t;
+	int64_t starts[2] = { 0, 0 };
+	int without = 0;
+
+	ASSERT_TRUE(t.f) << t.err.text;
+	ASSERT_TRUE(t.configure()) << t.err.text;
+	for (const char *key : { "model/e1", "model/e2" })
+		ASSERT_EQ(harness_config(t.f, 0, key,
+					 json_pack("{s:s,s:s,s:s}", "model", "N", "reason", "trial",
+						   "author", "op")),
+			  200);
+	auto both_done = [&] {
+		int done = 0;
+
+		for (int e = 0; e < 2; e++) {
+			json_t *o =
+				harness_get((string(t.f->endpoints[e].url) + "/orders").c_str());
+			const json_t *first = json_array_get(json_object_get(o, "log"), 0);
+
+			if (first)
+				starts[e] = json_get_i64(first, "at_ms", 0);
+			EXPECT_EQ(json_get_i64(o, "cut_requests", -1), 0);
+			done += string(json_get_cstr(o, "model", "")) == "N";
+			json_decref(o);
+		}
+		without += !t.generate(1) && !t.generate(1, 4, "N") && !t.generate(1);
+		return done == 2;
+	};
+	EXPECT_TRUE(eventually(both_done, 60000));
+	EXPECT_EQ(without, 0) << "moments in which neither model was served";
+	EXPECT_GE(std::abs(starts[0] - starts[1]), 3000) << "shorter than one load takes";
+	EXPECT_TRUE(eventually([&] { return t.generate(0, 4, "N"); }, 10000));
+}
--- /dev/null
+++ b/tests/test_rollout.cc
@@ -0,0 +1,59 @@
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "ibisgate/policy/rollout.h"
+}
+
+/* Guards against a new model that takes all engines of a data centre at once, or none. */
+TEST(Rollout, LimitHoldsAndTheBestServedModelGivesFirst)
+{
+	std::vector<rollout_engine> e = {
+		{ "a", "M", ROLE_DECODE, true },
+		{ "a", "M", ROLE_PREFILL, true },
+		{ "b", "M", ROLE_PREFILL, true },
+		{ "a", "N", ROLE_PREFILL, false },
+	};
+
+	EXPECT_EQ(rollout_next(e.data(), 4, "a", 0, 1), 1) << "b serves the same role too";
+	EXPECT_EQ(rollout_next(e.data(), 4, "a", 1, 1), -1);
+	EXPECT_EQ(rollout_next(e.data(), 4, "a", 1, 2), 1);
+	EXPECT_EQ(rollout_next(e.data(), 4, "c", 0, 1), -1);
+	e[1].due = false;
+	EXPECT_EQ(rollout_next(e.data(), 4, "a", 0, 1), 0) << "the last of its kind goes last";
+}
+
+/* Guards against a choice that differs from the plain rule, for any mix of engines. */
+TEST(Rollout, EqualsTheRuleOnRandomFleets)
+{
+	const char *const dcs[] = { "a", "b" };
+	const char *const models[] = { "M", "N", "" };
+	const endpoint_role roles[] = { ROLE_PREFILL, ROLE_DECODE, ROLE_MIXED };
+	const unsigned seed = std::random_device{}();
+	std::mt19937 random(seed);
+
+	for (int round = 0; round < 2000; round++) {
+		std::vector<rollout_engine> e(random() % 12);
+		int limit = 1 + (int)(random() % 3);
+		int under_way = (int)(random() % 4);
+		int expected = -1;
+		size_t most = 0;
+
+		for (auto &x : e)
+			x = { dcs[random() % 2], models[random() % 3], roles[random() % 3],
+			      random() % 2 == 0 };
+		for (size_t i = 0; i < e.size() && under_way < limit; i++) {
+			size_t alike = 0;
+
+			for (auto &o : e)
+				alike += std::string(o.model) == e[i].model && o.role == e[i].role;
+			if (e[i].due && std::string(e[i].dc) == "a" && alike > most) {
+				most = alike;
+				expected = (int)i;
+			}
+		}
+		ASSERT_EQ(rollout_next(e.data(), (int)e.size(), "a", under_way, limit), expected)
+			<< "seed " << seed << " round " << round;
+	}
+}
