Send the whole configuration to a peer in parts

Cause: a peer that was too far behind got the whole configuration in one message of at most 1 MiB. 21,000 organisations are 2.4 MB, so an instance that started while the platform was down never became ready. Ruled out: a larger message limit, since one message would block the connection's heartbeats for its whole length and a hostile sender could claim more memory.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -68,6 +68,7 @@
 	case PEER_CONFIG_CHANGE:
 	case PEER_CONFIG_FETCH:
 	case PEER_CONFIG_BATCH:
+	case PEER_CONFIG_PART:
 		control_on_config(c, m);
 		break;
 	case PEER_LEAVE:
--- a/daemon/control_config.c
+++ b/daemon/control_config.c
@@ -87,11 +87,11 @@
 	*copy = *m;
 	if (m->kind == PEER_CONFIG_CHANGE && m->u.change.value)
 		copy->u.change.value = mem_strdup(m->u.change.value);
+	if (m->kind == PEER_CONFIG_PART)
+		copy->u.part.text = mem_strdup(m->u.part.text);
 	if (m->kind == PEER_CONFIG_BATCH) {
 		struct peer_batch *b = &copy->u.batch;
 
-		if (b->snapshot)
-			b->snapshot = mem_strdup(b->snapshot);
 		for (int i = 0; i < b->change_count; i++) {
 			if (b->changes[i].value)
 				b->changes[i].value = mem_strdup(b->changes[i].value);
@@ -131,20 +131,6 @@
 	json_decref(change.value);
 }
 
-static void apply_snapshot(struct control *c, const char *text)
-{
-	json_t *o = json_loads(text, 0, NULL);
-	struct error err = { 0 };
-	struct config *next = o ? config_from_json(o, &err) : NULL;
-
-	json_decref(o);
-	if (!next)
-		return;
-	pthread_mutex_lock(&c->config_lock);
-	control_config_publish(c, next);
-	pthread_mutex_unlock(&c->config_lock);
-}
-
 static bool copy_kept(struct control *c, int64_t after, int64_t version, struct peer_batch *b)
 {
 	bool whole = true;
@@ -164,20 +150,7 @@
 	return whole;
 }
 
-static char *own_snapshot(struct control *c)
-{
-	json_t *o;
-	char *text;
-
-	rcu_read_lock();
-	o = config_to_json(rcu_dereference(c->gate->config));
-	text = json_dumps(o, JSON_COMPACT);
-	json_decref(o);
-	rcu_read_unlock();
-	return text;
-}
-
-/* Answers with the changes that are kept, otherwise with everything if that fits a message. */
+/* Answers with the changes that are kept, otherwise with everything. */
 static void answer_fetch(struct control *c, const char *to, int64_t after)
 {
 	int64_t version = control_config_version(c);
@@ -189,8 +162,9 @@
 	m = peer_message_create(PEER_CONFIG_BATCH);
 	whole = copy_kept(c, after, version, &m->u.batch);
 	if (!whole && m->u.batch.change_count == 0)
-		m->u.batch.snapshot = own_snapshot(c);
-	control_send(c, to, m);
+		control_snapshot_send(c, to);
+	else
+		control_send(c, to, m);
 	peer_message_destroy(m);
 }
 
@@ -204,11 +178,12 @@
 		answer_fetch(c, m->sender, m->u.fetch_after);
 		break;
 	case PEER_CONFIG_BATCH:
-		if (m->u.batch.snapshot)
-			apply_snapshot(c, m->u.batch.snapshot);
 		for (int i = 0; i < m->u.batch.change_count; i++)
 			apply_peer_change(c, &m->u.batch.changes[i], m->sender);
 		break;
+	case PEER_CONFIG_PART:
+		control_snapshot_part(c, m);
+		break;
 	default:
 		break;
 	}
@@ -243,7 +218,7 @@
 	behind = c->version_heard > version;
 	memcpy(from, c->version_from, sizeof(from));
 	pthread_mutex_unlock(&c->lock);
-	if (!behind || !from[0])
+	if (!behind || !from[0] || snapshot_busy(&c->snapshot, clock_boot_ms()))
 		return;
 	m = peer_message_create(PEER_CONFIG_FETCH);
 	m->u.fetch_after = version;
@@ -309,6 +284,7 @@
 	for (int i = 0; i < c->inbox_count; i++)
 		peer_message_destroy(c->inbox[i]);
 	c->inbox_count = 0;
+	snapshot_reset(&c->snapshot);
 	for (int i = 0; i < CONTROL_CHANGES_KEPT; i++)
 		free(c->kept[i].value);
 }
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -9,6 +9,7 @@
 #include "ibisgate/net/peer.h"
 #include "ibisgate/state/drain.h"
 #include "ibisgate/state/lease.h"
+#include "ibisgate/state/snapshot.h"
 
 #define CONTROL_LISTED_MAX 1024
 #define CONTROL_STOPS_MAX PEER_LEAVING_MAX
@@ -202,6 +203,9 @@
 	int64_t version_heard;
 	char version_from[MEMBER_ID_MAX];
 
+	/* Belongs to the config child alone. */
+	struct snapshot_assembly snapshot;
+
 	struct quarantine *quarantine;
 
 	struct own_claim *own_claims;
@@ -260,6 +264,10 @@
 int control_config_apply(struct control *c, const struct config_change *change, struct error *err);
 void control_config_publish(struct control *c, struct config *next);
 
+/* control_snapshot.c */
+void control_snapshot_send(struct control *c, const char *to);
+void control_snapshot_part(struct control *c, const struct peer_message *m);
+
 /* control_lease.c */
 int control_lease_run(void *ctx, struct error *err);
 bool control_lease_held(struct control *c, const char *dc, int64_t *fencing);
--- a/include/ibisgate/net/codec.h
+++ b/include/ibisgate/net/codec.h
@@ -33,6 +33,7 @@
 	PEER_CLAIM_STATE,
 	PEER_FLEET_FETCH,
 	PEER_FLEET_BATCH,
+	PEER_CONFIG_PART = 24,
 };
 
 /** enum codec_error - codes of layer ERROR_CODEC */
@@ -117,9 +118,16 @@
 	char *value;
 };
 
-/** struct peer_batch - @snapshot (JSON text, owned, may be NULL), then changes in order */
+/** struct peer_part - part of a snapshot, see struct snapshot_part; @text owned */
+struct peer_part {
+	int64_t version;
+	uint64_t total;
+	uint64_t offset;
+	char *text;
+};
+
+/** struct peer_batch - changes in order */
 struct peer_batch {
-	char *snapshot;
 	int change_count;
 	struct peer_change changes[PEER_CHANGES_MAX];
 };
@@ -167,6 +175,7 @@
 		struct peer_change change;
 		int64_t fetch_after;
 		struct peer_batch batch;
+		struct peer_part part;
 		struct peer_order order;
 		struct peer_fleet *fleet;
 		struct {
--- a/net/codec.c
+++ b/net/codec.c
@@ -27,10 +27,11 @@
 	if (m->kind == PEER_CONFIG_CHANGE)
 		free(m->u.change.value);
 	if (m->kind == PEER_CONFIG_BATCH) {
-		free(m->u.batch.snapshot);
 		for (int i = 0; i < m->u.batch.change_count; i++)
 			free(m->u.batch.changes[i].value);
 	}
+	if (m->kind == PEER_CONFIG_PART)
+		free(m->u.part.text);
 	if (m->kind == PEER_FLEET_BATCH)
 		free(m->u.fleet);
 	free(m);
@@ -147,13 +148,20 @@
 
 static void put_batch(struct buf *b, const struct peer_batch *batch)
 {
-	put_array(b, 2);
-	put_optional(b, batch->snapshot);
 	put_array(b, batch->change_count);
 	for (int i = 0; i < batch->change_count; i++)
 		put_change(b, &batch->changes[i]);
 }
 
+static void put_part(struct buf *b, const struct peer_part *part)
+{
+	put_array(b, 4);
+	put_uint(b, (uint64_t)part->version);
+	put_uint(b, part->total);
+	put_uint(b, part->offset);
+	put_text(b, part->text);
+}
+
 static void put_endpoint(struct buf *b, const struct peer_endpoint *e)
 {
 	put_array(b, 8);
@@ -193,6 +201,9 @@
 	case PEER_CONFIG_BATCH:
 		put_batch(b, &m->u.batch);
 		break;
+	case PEER_CONFIG_PART:
+		put_part(b, &m->u.part);
+		break;
 	case PEER_LEAVE:
 	case PEER_RETURN:
 		put_order(b, &m->u.order);
--- a/net/codec_read.c
+++ b/net/codec_read.c
@@ -233,8 +233,6 @@
 {
 	int count;
 
-	get_tuple(r, 2);
-	b->snapshot = get_optional(r);
 	count = get_count(r, PEER_CHANGES_MAX);
 	for (int i = 0; i < count && !r->failed; i++) {
 		get_change(r, &b->changes[i]);
@@ -242,6 +240,17 @@
 	}
 }
 
+static void get_part(struct reader *r, struct peer_part *part)
+{
+	get_tuple(r, 4);
+	part->version = get_i64(r);
+	part->total = get_uint(r, UINT64_MAX);
+	part->offset = get_uint(r, UINT64_MAX);
+	part->text = get_optional(r);
+	if (!part->text)
+		r->failed = true;
+}
+
 static void get_endpoint(struct reader *r, struct peer_endpoint *e)
 {
 	get_tuple(r, 8);
@@ -283,6 +292,9 @@
 	case PEER_CONFIG_BATCH:
 		get_batch(r, &m->u.batch);
 		break;
+	case PEER_CONFIG_PART:
+		get_part(r, &m->u.part);
+		break;
 	case PEER_LEAVE:
 	case PEER_RETURN:
 		get_order(r, &m->u.order);
@@ -317,6 +329,11 @@
 	}
 }
 
+static bool kind_known(uint64_t kind)
+{
+	return (kind >= PEER_HEARTBEAT && kind <= PEER_FLEET_BATCH) || kind == PEER_CONFIG_PART;
+}
+
 struct peer_message *peer_message_decode(struct str data, struct error *err)
 {
 	struct reader r = { .rest = data };
@@ -330,7 +347,7 @@
 	}
 	get_tuple(&r, 5);
 	kind = get_uint(&r, UINT64_MAX);
-	if (!r.failed && (kind < PEER_HEARTBEAT || kind > PEER_FLEET_BATCH)) {
+	if (!r.failed && !kind_known(kind)) {
 		error_set(err, ERROR_CODEC, CODEC_UNKNOWN_TYPE, "unknown message type");
 		return NULL;
 	}
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -28,6 +28,13 @@
 	return m;
 }
 
+static int kind_at(int i)
+{
+	int k = 1 + i % (PEER_FLEET_BATCH + 1);
+
+	return k > PEER_FLEET_BATCH ? PEER_CONFIG_PART : k;
+}
+
 static void text(std::mt19937_64 &rng, char *dst, size_t size)
 {
 	size_t n = rng() % size;
@@ -75,11 +82,16 @@
 		m->u.change.value = rng() % 2 ? strdup("{\"a\":1}") : nullptr;
 		break;
 	case PEER_CONFIG_BATCH:
-		m->u.batch.snapshot = rng() % 2 ? strdup("{}") : nullptr;
 		m->u.batch.change_count = (int)(rng() % 5);
 		for (int i = 0; i < m->u.batch.change_count; i++)
 			m->u.batch.changes[i].value = rng() % 2 ? strdup("7") : nullptr;
 		break;
+	case PEER_CONFIG_PART:
+		m->u.part.version = (int64_t)(rng() >> 1);
+		m->u.part.total = rng();
+		m->u.part.offset = rng();
+		m->u.part.text = strdup("{\"items\":");
+		break;
 	case PEER_LEAVE:
 	case PEER_RETURN:
 		text(rng, m->u.order.endpoint, sizeof(m->u.order.endpoint));
@@ -132,7 +144,7 @@
 
 	std::cout << "seed " << seed << "\n";
 	for (int i = 0; i < 3000; i++) {
-		struct peer_message *m = sample(rng, 1 + i % PEER_FLEET_BATCH);
+		struct peer_message *m = sample(rng, kind_at(i));
 		std::string bytes = encode(m);
 		struct peer_message *copy = decode(bytes);
 
@@ -140,6 +152,9 @@
 		EXPECT_EQ(encode(copy), bytes);
 		if (m->kind == PEER_FLEET_BATCH) {
 			EXPECT_EQ(memcmp(m->u.fleet, copy->u.fleet, sizeof(*m->u.fleet)), 0);
+		} else if (m->kind == PEER_CONFIG_PART) {
+			EXPECT_EQ(m->u.part.version, copy->u.part.version);
+			EXPECT_STREQ(m->u.part.text, copy->u.part.text);
 		} else if (m->kind != PEER_CONFIG_CHANGE && m->kind != PEER_CONFIG_BATCH) {
 			EXPECT_EQ(memcmp(m, copy, sizeof(*m)), 0) << "kind " << m->kind;
 		}
@@ -156,7 +171,7 @@
 
 	std::cout << "seed " << seed << "\n";
 	for (int i = 0; i < 60000; i++) {
-		struct peer_message *m = sample(rng, 1 + i % PEER_FLEET_BATCH);
+		struct peer_message *m = sample(rng, kind_at(i));
 		std::string bytes = encode(m);
 		size_t cut = rng() % bytes.size();
 
--- a/tests/test_recovery.cc
+++ b/tests/test_recovery.cc
@@ -278,3 +278,38 @@
 	EXPECT_STREQ(json_get_cstr(o, "role", ""), "prefill");
 	json_decref(o);
 }
+
+/* Guards against a large configuration that an instance can't get from a peer in an outage. */
+TEST(Recovery, ALargeConfigurationComesFromAPeerInAnOutage)
+{
+	const int organisations = 21000;
+	Region g;
+	auto p = g.platform_proxy();
+	string items;
+	char hash[65];
+
+	for (int i = 0; i < organisations; i++) {
+		snprintf(hash, sizeof(hash), "%064x", i);
+		items += string(i ? "," : "") + "\"organisation/org-" + std::to_string(i) +
+			 "\":{\"weight\":1.0,\"keys\":[\"" + hash + "\"]}";
+	}
+	const string count = std::to_string(organisations);
+	json_decref(g.table.send("PUT", "/objects/config%2Fsnapshot",
+				 "{\"version\":" + count + ",\"items\":{" + items + "}}"));
+	json_decref(g.table.send("PUT", "/table/config%2Fhead", "{\"version\":" + count + "}"));
+	auto version = [&](const string &id) {
+		json_t *o = rig_status(g.rigs[id]);
+		int64_t v = json_get_i64(o, "config_version", -1);
+
+		json_decref(o);
+		return v;
+	};
+	g.start("a1", "abertawe", Region::behind(*p));
+	ASSERT_TRUE(g.ready());
+	ASSERT_EQ(version("a1"), organisations);
+	p->tell("/faults", "{\"route\":\"*\",\"mode\":\"cut\"}");
+	string seed = "a1 = 127.0.0.1:" + std::to_string(rig_peer_port(g.rigs["a1"]));
+	g.start("a2", "abertawe", Region::behind(*p, seed));
+	EXPECT_TRUE(eventually([&] { return rig_ready(g.rigs["a2"]); }, 15000));
+	EXPECT_EQ(version("a2"), organisations);
+}
