Add endpoint-model, which loads a model on an endpoint

Cause: the fleet carries out the key model/<endpoint> of the configuration, but ibisgatectl had no command that writes it; an operator had to call the admin listener by hand.

Other combinations of the options are refused as usage, and so is a reason that is not UTF-8: without a value ctl_change() would delete the key. A name too long for a key is refused by the instance instead of being cut to another name.

--- a/ibisgatectl/command.c
+++ b/ibisgatectl/command.c
@@ -16,6 +16,7 @@
 	{ "exception-end", "end an exception", cmd_exception_end },
 	{ "endpoint-drain", "send no new work to an endpoint", cmd_endpoint_drain },
 	{ "endpoint-return", "end the drain of an endpoint", cmd_endpoint_return },
+	{ "endpoint-model", "load a model on an endpoint", cmd_endpoint_model },
 	{ "instance-drain", "shut an instance down gracefully", cmd_instance_drain },
 	{ "preset-apply", "set the fleet-wide defaults that a file lists", cmd_preset_apply },
 	{ "completion", "shell completion for bash", cmd_completion },
--- a/include/ibisgate/ibisgatectl/command.h
+++ b/include/ibisgate/ibisgatectl/command.h
@@ -68,6 +68,7 @@
 int cmd_default_list(struct ctl *ctl, int argc, char **argv);
 int cmd_default_set(struct ctl *ctl, int argc, char **argv);
 int cmd_endpoint_drain(struct ctl *ctl, int argc, char **argv);
+int cmd_endpoint_model(struct ctl *ctl, int argc, char **argv);
 int cmd_endpoint_return(struct ctl *ctl, int argc, char **argv);
 int cmd_exception_add(struct ctl *ctl, int argc, char **argv);
 int cmd_exception_end(struct ctl *ctl, int argc, char **argv);
--- a/tests/test_ctl.cc
+++ b/tests/test_ctl.cc
@@ -75,6 +75,20 @@
 		return text.find(part) != std::string::npos;
 	}
 
+	/* The configuration's items as the command prints them; NULL after a failure. */
+	static json_t *items()
+	{
+		json_t *config;
+		json_t *value;
+
+		if (ctl("--json config-show") != OK)
+			return nullptr;
+		config = json_parse(str{ text.data(), text.size() });
+		value = json_incref(json_object_get(config, "items"));
+		json_decref(config);
+		return value;
+	}
+
 	static struct harness *h;
 	static struct harness_fleet *fleet;
 	static struct error err;
@@ -149,6 +163,60 @@
 	EXPECT_EQ(count, 2u) << text;
 }
 
+/* Guards against an order for a model without a reason, and against one that is ambiguous. */
+TEST_F(CtlTest, ModelNeedsAReason)
+{
+	json_t *before = items();
+
+	ASSERT_NE(before, nullptr) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --model N"), USAGE) << text;
+	EXPECT_TRUE(says("--reason")) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --model N --reason ''"), USAGE) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --model N -r ''"), REFUSED) << text;
+	EXPECT_TRUE(says("expected a reason")) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --model N --reason $(printf '\\377')"), USAGE) << text;
+	EXPECT_EQ(ctl("endpoint-model spare"), USAGE) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --reason trial"), USAGE) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --end --reason trial"), USAGE) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --end --model N --reason trial"), USAGE) << text;
+	EXPECT_EQ(ctl("endpoint-model " + std::string(300, 'e') + " --model N -r trial"), REFUSED);
+	EXPECT_TRUE(says("model/ENDPOINT")) << text;
+	json_t *after = items();
+	EXPECT_TRUE(json_equal(before, after)) << text;
+	json_decref(before);
+	json_decref(after);
+}
+
+/* Guards against an order for a model under a wrong key or with a wrong value. */
+TEST_F(CtlTest, ModelChangesItsKeyAlone)
+{
+	json_t *expected = items();
+	json_t *before = json_copy(expected);
+	json_t *shown;
+
+	ASSERT_NE(expected, nullptr) << text;
+	json_object_set_new(expected, "model/spare",
+			    json_pack("{s:s,s:s,s:s}", "model", "N", "reason", "night run",
+				      "author", "tester"));
+	/* No endpoint has this name, so that nothing is drained for it. */
+	ASSERT_EQ(ctl("endpoint-model spare --model N --reason 'night run'"), OK) << text;
+	shown = items();
+	EXPECT_TRUE(json_equal(shown, expected)) << text;
+	json_decref(shown);
+	EXPECT_EQ(ctl("endpoint-model spare --model O --reason trial -i 0"), CONFLICT) << text;
+	EXPECT_EQ(ctl("endpoint-model spare --end --if-version 0"), CONFLICT) << text;
+	shown = items();
+	EXPECT_TRUE(json_equal(shown, expected)) << text;
+	json_decref(shown);
+	ASSERT_EQ(ctl("--json endpoint-model spare --end"), OK) << text;
+	EXPECT_TRUE(says("\"version\"")) << text;
+	shown = items();
+	EXPECT_TRUE(json_equal(shown, before)) << text;
+	json_decref(shown);
+	json_decref(before);
+	json_decref(expected);
+}
+
 /* Guards against commands without help; the table is the only list of them. */
 TEST_F(CtlTest, EveryCommandHasHelp)
 {
