Refuse operator text that has no JSON form instead of deleting the key

Cause: jansson makes no value of text that is not UTF-8. ctl_change() took the missing value for a deletion, so that endpoint-drain with a broken reason ended the drain in force with exit code 0; a broken name made the call a read whose version was printed as accepted. Long names were cut to 127 bytes and could name another endpoint, a negative --if-version meant any version, a blank reason counted as one, and status named the state of an instance by a table that lacked an entry.

Change: ctl_delete() deletes, ctl_change() refuses a missing value with exit code 2; keys are not cut; --if-version and reasons are checked; the names of states are indexed.

--- a/daemon/control_status.c
+++ b/daemon/control_status.c
@@ -6,7 +6,10 @@
 #include "ibisgate/daemon/dispatch.h"
 
 static const char *const state_names[] = { "joining", "live", "draining", "suspect", "gone" };
-static const char *const gate_names[] = { "starting", "ready", "draining", "stopped" };
+static const char *const gate_names[] = {
+	[GATE_CREATING] = "creating", [GATE_STARTING] = "starting", [GATE_READY] = "ready",
+	[GATE_DRAINING] = "draining", [GATE_STOPPED] = "stopped",
+};
 static const char *const role_names[] = { "service", "mixed", "prefill", "decode" };
 static const char *const circuit_names[] = { "closed", "open", "half-open" };
 static const char *const phase_names[] = { "intent",   "stopping", "ordering", "waiting",
--- a/ibisgatectl/client.c
+++ b/ibisgatectl/client.c
@@ -104,27 +104,52 @@
 	return NULL;
 }
 
-int ctl_change(struct ctl *ctl, const char *key, json_t *value, int64_t if_version)
+/* @value: stolen reference; JSON null deletes the key. */
+static int change_send(struct ctl *ctl, const char *prefix, const char *name, json_t *value,
+		       int64_t if_version)
 {
-	json_t *body =
-		json_pack("{s:s,s:o,s:s,s:I}", "key", key, "value", value ? value : json_null(),
-			  "author", ctl->author, "if_version", (json_int_t)if_version);
+	struct buf key = { 0 };
 	json_t *answer = NULL;
-	int status = ctl_call(ctl, NULL, "/admin/config", body, &answer);
+	json_t *body = NULL;
 	int code = CTL_OK;
-
+	int status;
+
+	buf_printf(&key, "%s%s", prefix, name);
+	/* Without text that is UTF-8 there is no JSON, and a call without a body is a read. */
+	if (value)
+		body = json_pack("{s:s,s:o,s:s,s:I}", "key", key.data, "value", value, "author",
+				 ctl->author, "if_version", (json_int_t)if_version);
+	if (!body) {
+		fprintf(stderr, "ibisgatectl: expected names and values in UTF-8\n");
+		code = CTL_USAGE;
+		goto out;
+	}
+	status = ctl_call(ctl, NULL, "/admin/config", body, &answer);
 	if (status != 200)
 		code = ctl_failed(ctl, status, answer);
 	else if (ctl->json)
 		ctl_print_json(answer);
 	else
-		printf("%s: accepted as version %" PRId64 "\n", key,
+		printf("%s: accepted as version %" PRId64 "\n", key.data,
 		       json_get_i64(answer, "version", 0));
+out:
 	json_decref(answer);
 	json_decref(body);
+	buf_free(&key);
 	return code;
 }
 
+int ctl_change(struct ctl *ctl, const char *prefix, const char *name, json_t *value,
+	       int64_t if_version)
+{
+	return change_send(ctl, prefix, name, value, if_version);
+}
+
+int ctl_delete(struct ctl *ctl, const char *prefix, const char *name, int64_t if_version)
+{
+	return change_send(ctl, prefix, name, json_null(), if_version);
+}
+
 bool ctl_members(struct ctl *ctl, char (*out)[64], int *count, int *code)
 {
 	json_t *answer;
--- a/ibisgatectl/cmd_default_set.c
+++ b/ibisgatectl/cmd_default_set.c
@@ -12,14 +12,15 @@
 					   "refuse unless the configuration is at this version");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, name, text, version, end };
-	char key[128];
+	int64_t if_version;
 	int code;
 
 	if (!command_parse(ctl, argc, argv, table, 5, &code))
 		goto out;
-	snprintf(key, sizeof(key), "default/%s", name->sval[0]);
-	code = ctl_change(ctl, key, json_from_text(text->sval[0]),
-			  version->count ? version->ival[0] : -1);
+	code = CTL_USAGE;
+	if (command_if_version(ctl, version, &if_version))
+		code = ctl_change(ctl, "default/", name->sval[0], json_from_text(text->sval[0]),
+				  if_version);
 out:
 	arg_freetable(table, 5);
 	return code;
--- a/ibisgatectl/cmd_endpoint_drain.c
+++ b/ibisgatectl/cmd_endpoint_drain.c
@@ -10,15 +10,13 @@
 	struct arg_str *reason = arg_str1("r", "reason", "TEXT", "why; required");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, name, reason, end };
-	char key[128];
 	int code;
 
 	if (!command_parse(ctl, argc, argv, table, 4, &code))
 		goto out;
-	snprintf(key, sizeof(key), "drain/%s", name->sval[0]);
-	code = ctl_change(ctl, key,
+	code = ctl_change(ctl, "drain/", name->sval[0],
 			  json_pack("{s:s,s:s}", "reason", reason->sval[0], "author", ctl->author),
-			  -1);
+			  CTL_ANY_VERSION);
 out:
 	arg_freetable(table, 4);
 	return code;
--- a/ibisgatectl/cmd_endpoint_model.c
+++ b/ibisgatectl/cmd_endpoint_model.c
@@ -26,8 +26,7 @@
 					   "refuse unless the configuration is at this version");
 	struct arg_end *end = arg_end(6);
 	void *table[] = { help, name, model, reason, undo, version, end };
-	json_t *value;
-	char key[256]; /* longer than any valid key: a cut name is refused, not another one used */
+	int64_t if_version;
 	int code;
 
 	if (!command_parse(ctl, argc, argv, table, 7, &code))
@@ -36,14 +35,14 @@
 		code = usage(ctl, "expected --model with --reason, or --end alone");
 		goto out;
 	}
-	value = model->count ? make_order(ctl, model->sval[0], reason->sval[0]) : NULL;
-	/* Without a value ctl_change() would delete the key. */
-	if (model->count && !value) {
-		code = usage(ctl, "expected model, reason and author in UTF-8");
+	code = CTL_USAGE;
+	if (!command_if_version(ctl, version, &if_version))
 		goto out;
-	}
-	snprintf(key, sizeof(key), "model/%s", name->sval[0]);
-	code = ctl_change(ctl, key, value, version->count ? version->ival[0] : -1);
+	if (undo->count)
+		code = ctl_delete(ctl, "model/", name->sval[0], if_version);
+	else
+		code = ctl_change(ctl, "model/", name->sval[0],
+				  make_order(ctl, model->sval[0], reason->sval[0]), if_version);
 out:
 	arg_freetable(table, 7);
 	return code;
--- a/ibisgatectl/cmd_exception_add.c
+++ b/ibisgatectl/cmd_exception_add.c
@@ -20,7 +20,6 @@
 	struct arg_int *hours = arg_int0(NULL, "hours", "N", "time until it expires, default 24");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { help, id, scope, setting, text, reason, hours, end };
-	char key[128];
 	json_t *value;
 	int64_t expires;
 	int code;
@@ -31,8 +30,7 @@
 	value = json_pack("{s:s,s:s,s:o,s:s,s:s,s:I}", "scope", scope->sval[0], "setting",
 			  setting->sval[0], "value", json_from_text(text->sval[0]), "reason",
 			  reason->sval[0], "author", ctl->author, "expiry", (json_int_t)expires);
-	snprintf(key, sizeof(key), "exception/%s", id->sval[0]);
-	code = ctl_change(ctl, key, value, -1);
+	code = ctl_change(ctl, "exception/", id->sval[0], value, CTL_ANY_VERSION);
 out:
 	arg_freetable(table, 8);
 	return code;
--- a/ibisgatectl/cmd_organisation_create.c
+++ b/ibisgatectl/cmd_organisation_create.c
@@ -38,7 +38,6 @@
 		arg_filen("k", "key-file", "FILE", 1, 16, "file with an API key; repeatable");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, name, weight, keys, end };
-	char key[128];
 	json_t *hashes;
 	int code;
 
@@ -50,11 +49,10 @@
 	hashes = hash_keys(keys);
 	if (!hashes)
 		goto out;
-	snprintf(key, sizeof(key), "organisation/%s", name->sval[0]);
-	code = ctl_change(ctl, key,
+	code = ctl_change(ctl, "organisation/", name->sval[0],
 			  json_pack("{s:f,s:o}", "weight", weight->count ? weight->dval[0] : 1.0,
 				    "keys", hashes),
-			  -1);
+			  CTL_ANY_VERSION);
 out:
 	arg_freetable(table, 5);
 	return code;
--- a/ibisgatectl/cmd_preset_apply.c
+++ b/ibisgatectl/cmd_preset_apply.c
@@ -20,7 +20,6 @@
 	struct str name = str_split(&value, ' ');
 	char text[LINE_BYTES_MAX];
 	char setting[64];
-	char key[128];
 
 	if (!name.len || name.data[0] == '#')
 		return CTL_OK;
@@ -30,8 +29,7 @@
 		return invalid_line(path, number);
 	if (!apply)
 		return CTL_OK;
-	snprintf(key, sizeof(key), "default/%s", setting);
-	return ctl_change(ctl, key, json_from_text(text), -1);
+	return ctl_change(ctl, "default/", setting, json_from_text(text), CTL_ANY_VERSION);
 }
 
 static int file_run(struct ctl *ctl, const char *path, bool apply)
--- a/ibisgatectl/cmd_service_create.c
+++ b/ibisgatectl/cmd_service_create.c
@@ -23,7 +23,6 @@
 	struct arg_int *gap = arg_int0(NULL, "gap-ms", "MS", "limit for the mean gap");
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, name, model, idem, class, total, first, gap, end };
-	char key[128];
 	json_t *value;
 	int code;
 
@@ -37,8 +36,7 @@
 	set_limit(value, "deadline_ms", total);
 	set_limit(value, "first_token_ms", first);
 	set_limit(value, "gap_ms", gap);
-	snprintf(key, sizeof(key), "service/%s", name->sval[0]);
-	code = ctl_change(ctl, key, value, -1);
+	code = ctl_change(ctl, "service/", name->sval[0], value, CTL_ANY_VERSION);
 out:
 	arg_freetable(table, 9);
 	return code;
--- a/ibisgatectl/command.c
+++ b/ibisgatectl/command.c
@@ -55,6 +55,15 @@
 	return true;
 }
 
+bool command_if_version(const struct ctl *ctl, const struct arg_int *version, int64_t *out)
+{
+	*out = version->count ? version->ival[0] : CTL_ANY_VERSION;
+	if (!version->count || version->ival[0] >= 0)
+		return true;
+	fprintf(stderr, "%s: --if-version: expected 0 or more\n", ctl->command->name);
+	return false;
+}
+
 int command_delete_key(struct ctl *ctl, int argc, char **argv, const char *prefix,
 		       const char *datatype, const char *glossary)
 {
@@ -62,13 +71,11 @@
 	struct arg_str *name = arg_str1(NULL, NULL, datatype, glossary);
 	struct arg_end *end = arg_end(4);
 	void *table[] = { help, name, end };
-	char key[128];
 	int code;
 
 	if (!command_parse(ctl, argc, argv, table, 3, &code))
 		goto out;
-	snprintf(key, sizeof(key), "%s%s", prefix, name->sval[0]);
-	code = ctl_change(ctl, key, NULL, -1);
+	code = ctl_delete(ctl, prefix, name->sval[0], CTL_ANY_VERSION);
 out:
 	arg_freetable(table, 3);
 	return code;
--- a/include/ibisgate/ibisgatectl/command.h
+++ b/include/ibisgate/ibisgatectl/command.h
@@ -1,6 +1,7 @@
 #ifndef IBISGATE_IBISGATECTL_COMMAND_H
 #define IBISGATE_IBISGATECTL_COMMAND_H
 
+#include <argtable2.h>
 #include <jansson.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -10,6 +11,7 @@
 #include "ibisgate/common/str.h"
 
 #define CTL_INSTANCES_MAX 512
+#define CTL_ANY_VERSION (-1)
 
 /**
  * enum ctl_exit - exit codes, documented in ibisgatectl(1)
@@ -106,10 +108,22 @@
 
 /**
  * ctl_change - commit one configuration change and print the result
- * @value: stolen reference; NULL deletes the key
- * @if_version: version that the change is based on; -1 takes the current one
+ * @prefix: kind of the key with its slash, e.g. "drain/"; @name is the rest of the key
+ * @value: stolen reference; NULL, as jansson makes it of text that is not UTF-8, is a usage error
+ * @if_version: version that the change is based on; CTL_ANY_VERSION takes the current one
  */
-int ctl_change(struct ctl *ctl, const char *key, json_t *value, int64_t if_version);
+int ctl_change(struct ctl *ctl, const char *prefix, const char *name, json_t *value,
+	       int64_t if_version);
+
+/** ctl_delete - commit the deletion of one key and print the result */
+int ctl_delete(struct ctl *ctl, const char *prefix, const char *name, int64_t if_version);
+
+/**
+ * command_if_version - version given by the option --if-version
+ *
+ * Return: false for a negative number, with the problem printed.
+ */
+bool command_if_version(const struct ctl *ctl, const struct arg_int *version, int64_t *out);
 
 /**
  * command_delete_key - command whose only argument names a configuration key to delete
--- a/state/config_check.c
+++ b/state/config_check.c
@@ -90,7 +90,7 @@
 
 static bool text_given(const json_t *obj, const char *member)
 {
-	return json_get_str(obj, member).len > 0;
+	return str_trim(json_get_str(obj, member)).len > 0;
 }
 
 static int check_members(const char *key, const json_t *obj, const char *known, struct error *err)
--- a/tests/test_ctl.cc
+++ b/tests/test_ctl.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <sys/wait.h>
 #include <unistd.h>
+#include <vector>
 
 extern "C" {
 #include "ibisgate/common/json.h"
@@ -217,6 +218,48 @@
 	json_decref(expected);
 }
 
+/* Guards against text without a JSON form that turns a change into a deletion or a mere read. */
+TEST_F(CtlTest, TextThatIsNotUtf8ChangesNothing)
+{
+	const std::string bad = "$(printf '\\377')";
+	json_t *o;
+
+	ASSERT_EQ(ctl("endpoint-drain spare -r repair"), OK) << text;
+	ASSERT_EQ(ctl("default-set role.margin 1.5"), OK) << text;
+	for (const std::string &line : std::vector<std::string>{
+		     "endpoint-drain spare -r " + bad,
+		     "endpoint-return " + bad,
+		     "default-set role.margin " + bad,
+		     "endpoint-model spare --end -i -2",
+		     "default-set role.margin 2 --if-version -1",
+		     "endpoint-model " + bad + " --model N --reason trial",
+	     })
+		EXPECT_EQ(ctl(line), USAGE) << line << ": " << text;
+	o = items();
+	ASSERT_NE(o, nullptr) << text;
+	EXPECT_STREQ(json_get_cstr(json_object_get(o, "drain/spare"), "reason", ""), "repair");
+	EXPECT_EQ(json_number_value(json_object_get(o, "default/role.margin")), 1.5);
+	json_decref(o);
+	EXPECT_EQ(ctl("endpoint-return spare"), OK);
+}
+
+/* Guards against a long name that is cut to that of another endpoint, and blank reasons. */
+TEST_F(CtlTest, LongNamesAreRefusedWhole)
+{
+	EXPECT_EQ(ctl("endpoint-drain " + std::string(300, 'a') + " -r repair"), REFUSED) << text;
+	EXPECT_EQ(ctl("endpoint-drain spare -r ' '"), REFUSED) << text;
+	EXPECT_TRUE(says("expected a reason")) << text;
+}
+
+/* Guards against a state that is named wrongly to operators. */
+TEST_F(CtlTest, StatusNamesTheState)
+{
+	json_t *status = harness_status(fleet, 0);
+
+	EXPECT_STREQ(json_get_cstr(status, "state", ""), "ready");
+	json_decref(status);
+}
+
 /* Guards against commands without help; the table is the only list of them. */
 TEST_F(CtlTest, EveryCommandHasHelp)
 {
