Send slow idempotent calls to a second endpoint

An idempotent call to a plain service waited for its endpoint up to the call's deadline, also behind a connection that had gone silent.

Change: policy/hedge.c gives the time after which 95 of 100 calls are answered; then the call is sent to another endpoint too, within a budget of 5% of the calls (hedge.ratio). The first answer counts, the other transfer is cancelled and the overtaken endpoint counts as failed. A link queue takes two transfers for it. Non-idempotent calls and generations are never sent twice.

Seen while the machine was at load 60: CutConnectionsAreNoCrashes failed in 2 of 6 runs of the whole test-front, in none of 5 runs when it was quieter; not looked into yet.

--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -63,6 +63,7 @@
 	out->retry.ratio = setting_double(c, SETTING_RETRY_RATIO, &scope, 0.1);
 	out->retry.min_per_s = setting_double(c, SETTING_RETRY_MIN_PER_S, &scope, 3);
 	out->retry.burst = RETRY_BURST;
+	out->hedge_ratio = setting_double(c, SETTING_HEDGE_RATIO, &scope, 0.05);
 	out->max_attempts = (int)setting_i64(c, SETTING_RETRY_MAX_ATTEMPTS, &scope, 4);
 	out->admission = setting_i64(c, SETTING_ADMISSION_ENABLED, &scope, 1) != 0;
 	out->queue_max = (int)setting_i64(c, SETTING_ADMISSION_QUEUE_MAX, &scope, 1000);
--- a/daemon/dispatch_impl.h
+++ b/daemon/dispatch_impl.h
@@ -7,12 +7,15 @@
 #include "ibisgate/daemon/dispatch_use.h"
 #include "ibisgate/daemon/fleet_use.h"
 #include "ibisgate/net/link.h"
+#include "ibisgate/policy/hedge.h"
 
 #define DISPATCH_MODELS_MAX FLEET_MODELS_MAX
 #define DISPATCH_ORGANISATION_BUCKETS 1024
 /* All requests of an engine that dies have to continue at once; a smaller burst delays them. */
 #define RETRY_BURST 64
 #define AVOID_MAX 8
+/* Plain services whose slow calls are sent twice; calls of others are not. */
+#define DISPATCH_HEDGES_MAX 64
 
 /**
  * struct call_limits - settings that apply to one call
@@ -23,6 +26,7 @@
 	int64_t gap_ms;
 	int64_t total_ms;
 	struct retry_limits retry;
+	double hedge_ratio;
 	int max_attempts;
 	bool admission;
 	int queue_max;
@@ -84,6 +88,11 @@
 	bool queued;
 };
 
+struct service_hedge {
+	char service[64];
+	struct hedge hedge;
+};
+
 /**
  * struct dispatch - data plane
  * @lock: protects everything below it; taken before the fleet's lock
@@ -96,9 +105,41 @@
 	struct model_queue models[DISPATCH_MODELS_MAX];
 	int model_count;
 	struct organisation *organisations[DISPATCH_ORGANISATION_BUCKETS];
+	struct service_hedge hedges[DISPATCH_HEDGES_MAX];
+	int hedge_count;
 	struct route_candidate cands[FLEET_ENDPOINTS_MAX];
 };
 
+/**
+ * struct service_work - a call to a plain service with what the data plane keeps about it
+ * @avoid: endpoints that failed it
+ */
+struct service_work {
+	struct service_call *s;
+	struct call_limits limits;
+	struct organisation *org;
+	enum call_kind kind;
+	int avoid[AVOID_MAX];
+	int avoid_count;
+};
+
+/* dispatch_call.c */
+
+/** service_place - take the usable endpoint with the fewest attempts; false when there is none */
+bool service_place(struct dispatch *d, struct service_work *w, struct fleet_slot *slot);
+void service_avoid(struct service_work *w, int id);
+
+/**
+ * service_try - one try of a call on the endpoint of @slot
+ *
+ * An idempotent call that takes longer than 95 of 100 gets a second sending on another endpoint
+ * beside the first, within a budget; the first answer counts.
+ *
+ * Return: true with the answer in w->s; otherwise @sent tells whether it may have had an effect.
+ */
+bool service_try(struct dispatch *d, struct service_work *w, const struct fleet_slot *slot,
+		 enum sent_state *sent);
+
 /* dispatch.c */
 void limits_load(struct dispatch *d, const char *organisation, const char *service,
 		 struct call_limits *out);
--- a/daemon/dispatch_service.c
+++ b/daemon/dispatch_service.c
@@ -23,119 +23,6 @@
 	CALL_MAYBE,
 };
 
-struct service_work {
-	struct service_call *s;
-	struct call_limits limits;
-	struct organisation *org;
-	enum call_kind kind;
-	int avoid[AVOID_MAX];
-	int avoid_count;
-};
-
-/* Takes the usable endpoint with the fewest attempts. */
-static bool service_place(struct dispatch *d, struct service_work *w, struct fleet_slot *slot)
-{
-	struct fleet_query q = {
-		.model = w->s->service,
-		.avoid = w->avoid,
-		.avoid_count = w->avoid_count,
-		.settings = &d->gate->settings,
-	};
-	const struct route_candidate *best = NULL;
-	bool ok = false;
-	int n;
-
-	pthread_mutex_lock(&d->lock);
-	n = fleet_candidates(d->gate->fleet, &q, d->cands);
-	for (int i = 0; i < n; i++) {
-		const struct route_candidate *c = &d->cands[i];
-
-		if (!c->usable)
-			continue;
-		if (!best || c->decode_seqs < best->decode_seqs ||
-		    (c->decode_seqs == best->decode_seqs && c->distance_us < best->distance_us))
-			best = c;
-	}
-	if (best)
-		ok = fleet_acquire(d->gate->fleet, best->index, 0, 1, slot);
-	pthread_mutex_unlock(&d->lock);
-	return ok;
-}
-
-static int service_send(struct dispatch *d, struct service_work *w, const struct fleet_slot *slot,
-			struct link_event *failed)
-{
-	struct service_call *s = w->s;
-	struct call *call = &s->call;
-	struct buf headers[3] = { 0 };
-	const char *list[4] = { NULL };
-	int n = 0;
-	char url[192];
-	struct link_request req = {
-		.url = url,
-		.address = settings_route(&d->gate->settings, slot->name),
-		.headers = list,
-		.body = s->body,
-		/* A dead pooled connection would leave the outcome of the call unknown. */
-		.fresh = w->kind == CALL_NON_IDEMPOTENT,
-	};
-	int64_t left = call->deadline_ms - clock_boot_ms();
-	int rc;
-
-	snprintf(url, sizeof(url), "%s/call/%s", slot->url, s->service);
-	buf_printf(&headers[n++], "Ibisgate-Organisation: %s", call->organisation);
-	buf_printf(&headers[n++], "Ibisgate-Request-Id: %s", call->id);
-	if (s->key.len)
-		buf_printf(&headers[n++], "Idempotency-Key: " STR_FMT, STR_ARG(s->key));
-	for (int i = 0; i < n; i++)
-		list[i] = headers[i].data;
-	call->attempts++;
-	metric_add(METRIC_ATTEMPTS, 1);
-	event_record("attempt-sent", call->id, slot->name, call->organisation, "n=%d",
-		     call->attempts);
-	str_copy(call->endpoint, sizeof(call->endpoint), str_from(slot->name));
-	buf_reset(&s->answer);
-	rc = link_fetch(d->link, &req, left > 0 ? left : 1, &s->answer_status, &s->answer, failed);
-	for (int i = 0; i < n; i++)
-		buf_free(&headers[i]);
-	return rc;
-}
-
-/* One try. @sent tells whether it may have had an effect when there is no answer. */
-static bool service_try(struct dispatch *d, struct service_work *w, const struct fleet_slot *slot,
-			enum sent_state *sent)
-{
-	struct service_call *s = w->s;
-	struct link_event failed;
-	const char *reason = "status";
-
-	if (service_send(d, w, slot, &failed) != 0) {
-		*sent = failed.sent;
-		reason = failed.failure == LINK_CONNECT ? "connect" : "no_answer";
-		fleet_result(d->gate->fleet, slot->name,
-			     failed.failure == LINK_CONNECT ? FLEET_HARD_FAILURE : FLEET_FAILURE);
-	} else if (s->answer_status == 503 && body_says_not_run(buf_str(&s->answer))) {
-		*sent = SENT_NO;
-		reason = "refused";
-	} else if (s->answer_status >= 500) {
-		*sent = SENT_MAYBE;
-		fleet_result(d->gate->fleet, slot->name, FLEET_FAILURE);
-	} else {
-		fleet_result(d->gate->fleet, slot->name, FLEET_SUCCESS);
-		return true;
-	}
-	event_record("attempt-failed", s->call.id, slot->name, s->call.organisation,
-		     "n=%d reason=%s sent=%s", s->call.attempts, reason,
-		     *sent == SENT_NO ? "no" : "maybe");
-	return false;
-}
-
-static void service_avoid(struct service_work *w, int id)
-{
-	if (w->avoid_count < AVOID_MAX)
-		w->avoid[w->avoid_count++] = id;
-}
-
 /* Tries until there is an answer or no further try is allowed. */
 static enum call_result service_run(struct dispatch *d, struct service_work *w)
 {
@@ -161,7 +48,6 @@
 		if (answered)
 			return CALL_ANSWERED;
 		maybe |= sent == SENT_MAYBE;
-		service_avoid(w, slot.id);
 		if (retry_ask(d, call, w->org, &w->limits, slot.name, w->kind, sent, &delay) !=
 		    RETRY_AGAIN)
 			break;
--- a/include/ibisgate/common/metrics.h
+++ b/include/ibisgate/common/metrics.h
@@ -20,6 +20,8 @@
 	X(ATTEMPTS, "attempts_total", "counter", "Attempts sent to endpoints")                     \
 	X(RETRIES, "retries_total", "counter", "Attempts after the first one")                     \
 	X(RETRIES_DENIED, "retries_denied_total", "counter", "Retries refused by a budget")        \
+	X(HEDGES, "hedges_total", "counter", "Second sendings of slow idempotent calls")           \
+	X(HEDGES_WON, "hedges_won_total", "counter", "Second sendings that answered first")        \
 	X(RESUMED, "resumed_total", "counter", "Generations continued on another endpoint")        \
 	X(STALE_DROPPED, "stale_dropped_total", "counter", "Events dropped for another attempt")   \
 	X(SILENT_CLOSED, "silent_closed_total", "counter", "Connections closed after silence")     \
--- a/include/ibisgate/daemon/dispatch_use.h
+++ b/include/ibisgate/daemon/dispatch_use.h
@@ -19,6 +19,7 @@
 #define SETTING_RETRY_RATIO "retry.ratio"
 #define SETTING_RETRY_MIN_PER_S "retry.min-per-s"
 #define SETTING_RETRY_MAX_ATTEMPTS "retry.max-attempts"
+#define SETTING_HEDGE_RATIO "hedge.ratio"
 #define SETTING_ADMISSION_ENABLED "admission.enabled"
 #define SETTING_ADMISSION_QUEUE_MAX "admission.queue-max"
 #define SETTING_OUTPUT_TOKENS "cost.output-tokens"
--- a/include/ibisgate/net/link.h
+++ b/include/ibisgate/net/link.h
@@ -77,7 +77,7 @@
 };
 
 /**
- * struct link_queue - events for one waiting thread; holds events of its current attempt only
+ * struct link_queue - events for one waiting thread; holds events of its current attempts only
  */
 struct link_queue;
 
@@ -125,6 +125,13 @@
  */
 uint64_t link_start(struct link *l, struct link_queue *q, const struct link_request *req);
 
+/**
+ * link_start_second - start a transfer beside the current one of @q; events of both arrive there
+ *
+ * There is one second transfer at most. link_start() and link_cancel() end the interest in both.
+ */
+uint64_t link_start_second(struct link *l, struct link_queue *q, const struct link_request *req);
+
 /** link_cancel - close the transfer's connection; no event of @attempt is delivered any more */
 void link_cancel(struct link *l, struct link_queue *q, uint64_t attempt);
 
--- a/net/link.c
+++ b/net/link.c
@@ -196,23 +196,47 @@
 	free(l);
 }
 
-uint64_t link_start(struct link *l, struct link_queue *q, const struct link_request *req)
+static struct transfer *transfer_prepare(struct link *l, struct link_queue *q,
+					 const struct link_request *req)
 {
-	uint64_t attempt = atomic_fetch_add(&next_attempt, 1);
 	struct transfer *t = transfer_create(l, req);
-	/* One host stays on one loop, so that its idle connections are found again. */
-	struct loop *loop = &l->loops[t->host % (uint32_t)l->loop_count];
 
-	t->attempt = attempt;
-	t->loop = loop;
+	t->attempt = atomic_fetch_add(&next_attempt, 1);
+	/* One host stays on one loop, so that its idle connections are found again. */
+	t->loop = &l->loops[t->host % (uint32_t)l->loop_count];
 	t->queue = q;
 	link_queue_ref(q);
-	link_queue_expect(q, attempt);
+	return t;
+}
+
+static void transfer_submit(struct transfer *t)
+{
+	struct loop *loop = t->loop;
+
 	pthread_mutex_lock(&loop->lock);
 	t->next = loop->starts;
 	loop->starts = t;
 	pthread_mutex_unlock(&loop->lock);
 	curl_multi_wakeup(loop->multi);
+}
+
+uint64_t link_start(struct link *l, struct link_queue *q, const struct link_request *req)
+{
+	struct transfer *t = transfer_prepare(l, q, req);
+	uint64_t attempt = t->attempt;
+
+	link_queue_expect(q, attempt);
+	transfer_submit(t);
+	return attempt;
+}
+
+uint64_t link_start_second(struct link *l, struct link_queue *q, const struct link_request *req)
+{
+	struct transfer *t = transfer_prepare(l, q, req);
+	uint64_t attempt = t->attempt;
+
+	link_queue_expect_second(q, attempt);
+	transfer_submit(t);
 	return attempt;
 }
 
--- a/net/link_impl.h
+++ b/net/link_impl.h
@@ -71,6 +71,7 @@
 void link_queue_ref(struct link_queue *q);
 void link_queue_unref(struct link_queue *q);
 void link_queue_expect(struct link_queue *q, uint64_t attempt);
+void link_queue_expect_second(struct link_queue *q, uint64_t attempt);
 
 /* Takes over ev->data; drops and counts the event when the queue waits for another attempt. */
 void link_queue_push(struct link_queue *q, struct link_event ev);
--- a/net/link_queue.c
+++ b/net/link_queue.c
@@ -15,6 +15,7 @@
 	struct link_event *head;
 	struct link_event *last;
 	uint64_t attempt;
+	uint64_t second;
 	uint64_t detached;
 	int refs;
 };
@@ -84,10 +85,18 @@
 {
 	pthread_mutex_lock(&q->lock);
 	q->attempt = attempt;
+	q->second = 0;
 	events_drop(q);
 	pthread_mutex_unlock(&q->lock);
 }
 
+void link_queue_expect_second(struct link_queue *q, uint64_t attempt)
+{
+	pthread_mutex_lock(&q->lock);
+	q->second = attempt;
+	pthread_mutex_unlock(&q->lock);
+}
+
 void link_detach(struct link_queue *q)
 {
 	pthread_mutex_lock(&q->lock);
@@ -101,7 +110,7 @@
 	struct link_event *last = q->last;
 
 	if (!last || last->kind != LINK_DATA || ev->kind != LINK_DATA ||
-	    last->data.len + ev->data.len > LINK_JOIN_MAX)
+	    last->attempt != ev->attempt || last->data.len + ev->data.len > LINK_JOIN_MAX)
 		return false;
 	buf_append_str(&last->data, buf_str(&ev->data));
 	return true;
@@ -127,14 +136,14 @@
 {
 	bool kept = false;
 	bool stale;
+	bool current;
 
 	pthread_mutex_lock(&q->lock);
-	stale = ev.attempt != q->detached;
-	if (q->attempt == ev.attempt && !data_joined(q, &ev)) {
+	current = ev.attempt == q->attempt || ev.attempt == q->second;
+	stale = !current && ev.attempt != q->detached;
+	if (current && !data_joined(q, &ev)) {
 		event_append(q, &ev);
 		kept = true;
-	} else if (q->attempt == ev.attempt) {
-		stale = false;
 	}
 	pthread_mutex_unlock(&q->lock);
 	if (kept)
--- a/state/config_check.c
+++ b/state/config_check.c
@@ -16,6 +16,8 @@
 	{ "retry.ratio", 'd', 0, 1, NULL, "0.1", "retries as a share of first tries" },
 	{ "retry.min-per-s", 'd', 0, 1000, NULL, "3", "retries a second that are always allowed" },
 	{ "retry.max-attempts", 'i', 1, 16, NULL, "4", "attempts of one request" },
+	{ "hedge.ratio", 'd', 0, 1, NULL, "0.05",
+	  "second sendings of slow idempotent calls, as a share of them; 0 for none" },
 	{ "admission.enabled", 'i', 0, 1, NULL, "1", "refuse what can't meet its deadline" },
 	{ "admission.queue-max", 'i', 1, 100000, NULL, "1000", "requests that may wait" },
 	{ "cost.output-tokens", 'i', 1, 1000000, NULL, "256", "expected tokens of an answer" },
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -520,6 +520,45 @@
 	EXPECT_EQ(effects, 1);
 }
 
+/* Guards against an idempotent call that waits for a stalled endpoint beside a good one, and
+ * against second sendings of calls that must not run twice. */
+TEST_F(Front, SlowIdempotentCallsAreSentTwice)
+{
+	std::atomic<int> stalled{ -1 };
+	std::atomic<int> orders{ 0 };
+	std::vector<Engine> list;
+
+	for (int i = 0; i < 2; i++)
+		list.push_back(std::make_unique<TinyServer>([&, i](int fd, const std::string &r) {
+			bool order = r.find("/call/order") != std::string::npos;
+
+			orders += order;
+			if (stalled == i || (order && stalled >= 0))
+				usleep(1500000);
+			TinyServer::answer(fd, 200, "{\"ok\":1}");
+			return true;
+		}));
+	start(std::move(list), nullptr, 0, "service", "stock");
+	fake_gate_endpoint(g, "e3", engines[0]->url().c_str(), "service", "order");
+	fake_gate_endpoint(g, "e4", engines[1]->url().c_str(), "service", "order");
+	for (int i = 0; i < 40; i++)
+		ASSERT_EQ(status(post("/v1/services/stock", "{}")), 200);
+	for (int i = 0; i < 2; i++) {
+		stalled = i;
+		auto begun = std::chrono::steady_clock::now();
+		EXPECT_EQ(status(post("/v1/services/stock", "{}")), 200);
+		EXPECT_LT(std::chrono::steady_clock::now() - begun, std::chrono::seconds(1));
+	}
+	for (int i = 0; i < 25; i++) {
+		stalled = -1;
+		ASSERT_EQ(status(post("/v1/services/order", "{}", "Idempotency-Key: k1\r\n")), 200);
+	}
+	orders = 0;
+	stalled = 0;
+	EXPECT_EQ(status(post("/v1/services/order", "{}", "Idempotency-Key: k2\r\n")), 200);
+	EXPECT_EQ(orders, 1);
+}
+
 /* Guards against new connections' traffic that keeps a draining instance from ending. */
 TEST_F(Front, DrainingClosesConnections)
 {
--- /dev/null
+++ b/tests/test_hedge.cc
@@ -0,0 +1,57 @@
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "ibisgate/policy/hedge.h"
+}
+
+/* Guards against second tries that are sent before anything is known, or at the wrong time. */
+TEST(Hedge, WaitsForTheSlowestInTwenty)
+{
+	const unsigned seed = std::random_device{}();
+	std::mt19937 random(seed);
+	std::vector<int64_t> all;
+	hedge h = {};
+
+	for (int i = 0; i < 500; i++) {
+		int64_t took = random() % 1000;
+
+		all.push_back(took);
+		hedge_answered(&h, took);
+		if (i + 1 < HEDGE_SAMPLES_MIN) {
+			ASSERT_EQ(hedge_after_ms(&h), -1);
+			continue;
+		}
+		std::vector<int64_t> last(all.end() - std::min<size_t>(all.size(), HEDGE_SAMPLES),
+					  all.end());
+		int64_t after = hedge_after_ms(&h);
+		auto faster = std::count_if(last.begin(), last.end(),
+					    [&](int64_t t) { return t <= after; });
+		auto below = std::count_if(last.begin(), last.end(),
+					   [&](int64_t t) { return t < after; });
+
+		ASSERT_GE(faster * 100, (long)last.size() * 95) << "seed " << seed;
+		ASSERT_LT(below * 100, (long)last.size() * 95) << "seed " << seed;
+	}
+}
+
+/* Guards against second tries that double the load while everything is slow. */
+TEST(Hedge, BudgetIsAShareOfTheCalls)
+{
+	retry_limits l = hedge_limits(0.05);
+	retry_limits none = hedge_limits(0);
+	hedge h = {};
+	int sent = 0;
+
+	for (int i = 0; i < 1000; i++) {
+		retry_budget_first_try(&h.budget, &l, 1 + i);
+		sent += retry_budget_take(&h.budget, &l, 1 + i);
+	}
+	EXPECT_LE(sent, 50 + 5) << "5% and the burst";
+	EXPECT_GE(sent, 50);
+	h = {};
+	retry_budget_first_try(&h.budget, &none, 1);
+	EXPECT_FALSE(retry_budget_take(&h.budget, &none, 2));
+}
