Look at the lease on the open connection of an order

Cause: an engine that was started again has forgotten the orders and fencing numbers it took. A holder paused between its look at the lease and its send would open a connection to the new process, which accepts the order.

Change: http_call() takes a hook that runs once the connection is open and before the first byte (CURLOPT_PREREQFUNCTION). The lease is looked at there, so a later pause leaves the order on a connection of the process that ran while the lease was held.

Ruled out: telling the engine which boot it is meant for; unfenced engines ignore what they do not know.

Tests: Control.OrderOfAPausedHolderMissesARestartedEngine restarts the engine inside the hook.

--- a/daemon/control_order.c
+++ b/daemon/control_order.c
@@ -64,10 +64,30 @@
 	call->timeout_ms = ORDER_TIMEOUT_MS;
 }
 
+struct authority {
+	struct control *control;
+	const char *dc;
+	bool lost;
+};
+
+static bool authority_held(void *ctx)
+{
+	struct authority *a = ctx;
+
+	a->lost = !control_lease_held(a->control, a->dc, NULL) && !ablated(MECHANISM_LEASE_CHECK);
+	return !a->lost;
+}
+
+/*
+ * The lease is looked at on the open connection. A holder that is paused after that look can only
+ * reach the engine process that ran while it held the lease: one that was started again, and has
+ * forgotten the orders it took, has no part in that connection.
+ */
 enum order_reply control_order_send(struct control *c, const struct endpoint_info *ep,
 				    const struct order *order)
 {
-	struct http_call call = { .method = "POST" };
+	struct authority authority = { .control = c, .dc = ep->dc };
+	struct http_call call = { .method = "POST", .may_send = authority_held, .ctx = &authority };
 	enum order_reply reply = ORDER_REPLY_NONE;
 	json_t *o = order_json(c, order);
 	struct buf body = { 0 };
@@ -79,11 +99,10 @@
 	set_target(c, &call, url, sizeof(url), ep);
 	event_record("order-sent", NULL, ep->name, NULL, "order=%s fencing=%" PRId64, order->id,
 		     order->fencing);
-	/* The authority is looked at again as late as possible. */
-	if (!control_lease_held(c, ep->dc, NULL) && !ablated(MECHANISM_LEASE_CHECK))
-		reply = ORDER_REPLY_STALE;
-	else if (http_call(c->http, &call) == HTTP_REPLIED)
+	if (http_call(c->http, &call) == HTTP_REPLIED)
 		reply = reply_of(&call);
+	else if (authority.lost)
+		reply = ORDER_REPLY_STALE;
 	buf_free(&body);
 	buf_free(&call.reply);
 	return reply;
--- a/include/ibisgate/net/http_call.h
+++ b/include/ibisgate/net/http_call.h
@@ -25,6 +25,8 @@
  * @header: one more request header line, or NULL
  * @connect_to: "ip:port" to connect to instead of the URL's, or NULL
  * @timeout_ms: limit for the whole call
+ * @may_send: called with @ctx once the connection is open and before the first byte of the request;
+ *            false ends the call with HTTP_NOT_SENT. NULL: always send
  * @status: out: HTTP status
  * @reply: out: body; the caller frees it with buf_free()
  */
@@ -35,6 +37,8 @@
 	const char *header;
 	const char *connect_to;
 	int64_t timeout_ms;
+	bool (*may_send)(void *ctx);
+	void *ctx;
 	int status;
 	struct buf reply;
 };
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -79,6 +79,13 @@
 	return size * n;
 }
 
+static int on_connected(void *user, char *ip, char *local_ip, int port, int local_port)
+{
+	const struct http_call *call = user;
+
+	return call->may_send(call->ctx) ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
 static void set_options(CURL *h, struct http_call *call, struct curl_slist *headers,
 			struct curl_slist *connect_to)
 {
@@ -97,6 +104,10 @@
 	curl_easy_setopt(h, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
 	if (connect_to)
 		curl_easy_setopt(h, CURLOPT_CONNECT_TO, connect_to);
+	if (call->may_send) {
+		curl_easy_setopt(h, CURLOPT_PREREQFUNCTION, on_connected);
+		curl_easy_setopt(h, CURLOPT_PREREQDATA, call);
+	}
 	if (read)
 		return;
 	curl_easy_setopt(h, CURLOPT_CUSTOMREQUEST, call->method);
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -409,3 +409,55 @@
 	EXPECT_TRUE(eventually([&] { return Region::live(g.rigs["a1"]) == 1; }, 5000));
 	EXPECT_TRUE(g.see_each_other(6000));
 }
+
+/* What the order of a paused holder meets: a hook between the last look at the lease and the send.
+ */
+struct pause {
+	std::unique_ptr<Standin> engine;
+	std::vector<string> args;
+	bool held;
+};
+
+static bool restart_engine(void *ctx)
+{
+	struct pause *p = static_cast<struct pause *>(ctx);
+
+	kill(p->engine->pid, SIGKILL);
+	p->engine.reset();
+	p->engine.reset(new Standin("ibisgate-engine", p->args));
+	return p->held;
+}
+
+/*
+ * Guards against an order that a paused holder sends after its last look at the lease and that
+ * reaches an engine started again meanwhile, which has forgotten the order of the successor.
+ */
+TEST(Control, OrderOfAPausedHolderMissesARestartedEngine)
+{
+	const string body = R"({"order_id":"o-1","fencing":1,"holder":"a1","kind":"role",)"
+			    R"("value":"decode"})";
+
+	struct http_pool *pool = http_pool_create();
+
+	for (bool held : { true, false }) {
+		struct http_call c = {};
+		struct pause p = { nullptr, { "--port", "0" }, held };
+		string url;
+
+		p.engine.reset(new Standin("ibisgate-engine", p.args));
+		p.args[1] = std::to_string(p.engine->port);
+		url = p.engine->url() + "/orders";
+		c.method = "POST";
+		c.url = url.c_str();
+		c.body = { body.data(), body.size() };
+		c.timeout_ms = 3000;
+		c.may_send = restart_engine;
+		c.ctx = &p;
+		EXPECT_EQ(http_call(pool, &c), held ? HTTP_NO_REPLY : HTTP_NOT_SENT);
+		buf_free(&c.reply);
+		json_t *o = p.engine->send("GET", "/orders");
+		EXPECT_EQ(json_array_size(json_object_get(o, "log")), 0u);
+		json_decref(o);
+	}
+	http_pool_destroy(pool);
+}
--- a/tests/test_promise_authority.cc
+++ b/tests/test_promise_authority.cc
@@ -245,6 +245,54 @@
 					   frozen_case{ ORDER_ACCEPTED, false, "OrderAccepted" }),
 			 [](const auto &info) { return std::string(info.param.name); });
 
+class PromiseAuthorityRestart : public PromiseAuthority, public ::testing::WithParamInterface<bool>
+{
+      protected:
+	void engine_restart(int e)
+	{
+		harness_signal(f->endpoints[e].process, SIGKILL);
+		ASSERT_EQ(harness_wait(f->endpoints[e].process, 5000), 0);
+		ASSERT_EQ(harness_endpoint_start(f, e, &err), 0) << err.text;
+	}
+};
+
+/*
+ * Guards against an order of a holder that lost its lease while its order was due, sent to an
+ * engine that was started again after the successor's order: such an engine knows neither order nor
+ * number.
+ */
+TEST_P(PromiseAuthorityRestart, LateOrderHasNoEffect)
+{
+	int successor = -1;
+	int e;
+
+	start_fleet(GetParam(), "500");
+	route(other + "-" + id, "silent_to_target");
+	load_start(9);
+	ASSERT_TRUE(drain_in("stopping"));
+	e = endpoint_index();
+	route(id + "-" + endpoint, "cut");
+	route(other + "-" + id, "pass");
+	ASSERT_TRUE(drain_in("ordering"));
+	freeze(held);
+	ASSERT_TRUE(eventually([&] { return (successor = holder("abertawe", held)) >= 0; }, 20000));
+	delist(id);
+	ASSERT_TRUE(eventually([&] { return orders(e).text("last_done") == order; }, 12000))
+		<< "the successor finishes the intent";
+	load.wait();
+	engine_restart(e);
+	route(id + "-" + endpoint, "pass");
+	wake(held);
+	EXPECT_TRUE(eventually([&] { return status(held).get() != nullptr; }, 5000));
+	eventually([&] { return accepted_total(id) > 0; }, 3000);
+	EXPECT_EQ(accepted_total(id), 0) << "an order of the woken holder took effect";
+	expect_no_conflicts();
+}
+
+INSTANTIATE_TEST_SUITE_P(Engines, PromiseAuthorityRestart, ::testing::Bool(), [](const auto &info) {
+	return std::string(info.param ? "Fenced" : "Unfenced");
+});
+
 /* Guards against a holder that is cut off from the table alone and keeps its authority. */
 TEST_F(PromiseAuthority, HolderCutOffFromTable)
 {
