Divide the engines in one pass over a sorted list

Cause: fleet_set_homes() compared the engines pairwise, three times, twice a second while it held the fleet's mutex.

Change: the engines are sorted by model, role and name, then each run of one kind is divided and averaged at once. The order within a kind is the same as before, so the homes are the same.

--- a/daemon/fleet_home.c
+++ b/daemon/fleet_home.c
@@ -2,19 +2,22 @@
 #include <string.h>
 
 #include "fleet_impl.h"
-#include "ibisgate/common/clock.h"
 
-static int name_cmp(const void *a, const void *b)
+static int kind_cmp(const struct endpoint *a, const struct endpoint *b)
 {
-	const struct endpoint *const *x = a;
-	const struct endpoint *const *y = b;
+	int order = strcmp(a->info.model, b->info.model);
 
-	return strcmp((*x)->info.name, (*y)->info.name);
+	return order ? order : (int)a->info.role - (int)b->info.role;
 }
 
-static bool same_kind(const struct endpoint *a, const struct endpoint *b)
+/* Engines of one kind stand next to each other, in the order that all instances agree on. */
+static int endpoint_cmp(const void *a, const void *b)
 {
-	return a->info.role == b->info.role && strcmp(a->info.model, b->info.model) == 0;
+	const struct endpoint *x = *(const struct endpoint *const *)a;
+	const struct endpoint *y = *(const struct endpoint *const *)b;
+	int order = kind_cmp(x, y);
+
+	return order ? order : strcmp(x->info.name, y->info.name);
 }
 
 static bool takes_work(const struct endpoint *ep)
@@ -23,47 +26,41 @@
 	       !ep->down;
 }
 
-static void homes_assign(struct endpoint **eps, int n, int rank, int count)
+static int kind_count(struct endpoint *const *eps, int n)
 {
-	for (int i = 0; i < n; i++) {
-		int before = 0;
+	int count = 1;
 
-		for (int k = 0; k < i; k++)
-			before += same_kind(eps[k], eps[i]);
-		/* With fewer engines than instances some instances share one. */
-		eps[i]->away = before % count != rank;
-	}
+	while (count < n && kind_cmp(eps[0], eps[count]) == 0)
+		count++;
+	return count;
 }
 
-static void usual_set(struct endpoint *const *eps, int n, struct endpoint *of)
+/* Divides the @n engines of one kind and notes their mean report at each of them. */
+static void kind_assign(struct endpoint *const *eps, int n, int rank, int count)
 {
 	int64_t prefill = 0;
 	int64_t seqs = 0;
-	int count = 0;
+	bool homeless = true;
 
 	for (int i = 0; i < n; i++) {
-		if (!same_kind(eps[i], of))
-			continue;
+		/* With fewer engines than instances some instances share one. */
+		eps[i]->away = i % count != rank;
+		homeless = homeless && eps[i]->away;
 		prefill += eps[i]->load.prefill_backlog;
 		seqs += eps[i]->load.decode_seqs;
-		count++;
 	}
-	of->usual_prefill = prefill / count;
-	of->usual_seqs = (int)(seqs / count);
-}
-
-static bool kind_has_home(struct endpoint *const *eps, int n, const struct endpoint *of)
-{
 	for (int i = 0; i < n; i++) {
-		if (!eps[i]->away && same_kind(eps[i], of))
-			return true;
+		/* An instance without a home of its own has no preference. */
+		eps[i]->homeless = homeless;
+		eps[i]->usual_prefill = prefill / n;
+		eps[i]->usual_seqs = (int)(seqs / n);
 	}
-	return false;
 }
 
 void fleet_set_homes(struct fleet *f, int rank, int count)
 {
 	struct endpoint *eps[FLEET_ENDPOINTS_MAX];
+	int kind;
 	int n = 0;
 
 	pthread_mutex_lock(&f->lock);
@@ -72,12 +69,10 @@
 		if (takes_work(&f->endpoints[i]))
 			eps[n++] = &f->endpoints[i];
 	}
-	qsort(eps, (size_t)n, sizeof(struct endpoint *), name_cmp);
-	homes_assign(eps, n, rank, count);
-	/* An instance without a home of its own has no preference. */
-	for (int i = 0; i < n; i++) {
-		eps[i]->homeless = !kind_has_home(eps, n, eps[i]);
-		usual_set(eps, n, eps[i]);
+	qsort(eps, (size_t)n, sizeof(struct endpoint *), endpoint_cmp);
+	for (int i = 0; i < n; i += kind) {
+		kind = kind_count(eps + i, n - i);
+		kind_assign(eps + i, kind, rank, count);
 	}
 	pthread_mutex_unlock(&f->lock);
 }
