--- a/bench/faults_watch.c
+++ b/bench/faults_watch.c
@@ -10,20 +10,6 @@
 #define TIMEOUT_MS 1000
 #define INTENT_POLLS_MAX 100000
 
-static const char *const admin_headers[] = { "Authorization: Bearer " HARNESS_TOKEN, NULL };
-
-static json_t *get(const char *url)
-{
-	struct harness_reply reply;
-	json_t *json = NULL;
-
-	if (harness_http("GET", url, admin_headers, NULL, TIMEOUT_MS, &reply, NULL) == 0 &&
-	    reply.status == 200)
-		json = json_incref(reply.json);
-	harness_reply_free(&reply);
-	return json;
-}
-
 static void sample_add(struct faults *r, const struct sample *s)
 {
 	if (r->sample_count == r->sample_cap) {
@@ -63,7 +49,7 @@
 	json_t *status;
 
 	snprintf(url, sizeof(url), "%s/admin/status", admin);
-	status = get(url);
+	status = harness_get_within(url, TIMEOUT_MS);
 	if (!status)
 		return;
 	s.incarnation = (uint64_t)json_get_i64(status, "incarnation", 0);
@@ -89,7 +75,7 @@
 	process[instance] = incarnation;
 	snprintf(url, sizeof(url), "%s/admin/events?after=%llu", admin,
 		 (unsigned long long)after[instance]);
-	list = get(url);
+	list = harness_get_within(url, TIMEOUT_MS);
 	json_array_foreach(list, i, o) {
 		after[instance] = (uint64_t)json_get_i64(o, "hlc", 0);
 		json_object_set_new(o, "process", json_integer((json_int_t)incarnation));
@@ -107,7 +93,7 @@
 
 	snprintf(url, sizeof(url), "%s/orders", url_base);
 	snprintf(name, sizeof(name), "%s (process %d)", e->name, pid);
-	o = get(url);
+	o = harness_get_within(url, TIMEOUT_MS);
 	if (o)
 		json_object_set_new(r->orders, name, o);
 }
@@ -122,7 +108,7 @@
 	snprintf(url, sizeof(url), "%s/table?prefix=intent/", r->fleet->platform);
 	if (json_array_size(r->intent_polls) < INTENT_POLLS_MAX)
 		json_array_append_new(r->intent_polls, json_integer(clock_wall_ms()));
-	all = get(url);
+	all = harness_get_within(url, TIMEOUT_MS);
 	json_array_foreach(json_object_get(all, "rows"), i, o) {
 		const char *order = json_get_cstr(json_object_get(o, "value"), "order", "");
 
--- a/bench/harness/http.c
+++ b/bench/harness/http.c
@@ -75,12 +75,17 @@
 }
 
 json_t *harness_get(const char *url)
+{
+	return harness_get_within(url, TIMEOUT_MS);
+}
+
+json_t *harness_get_within(const char *url, int64_t timeout_ms)
 {
 	const char *const headers[] = { "Authorization: Bearer " HARNESS_TOKEN, NULL };
 	struct harness_reply reply;
 	json_t *json = NULL;
 
-	if (harness_http("GET", url, headers, NULL, TIMEOUT_MS, &reply, NULL) == 0 &&
+	if (harness_http("GET", url, headers, NULL, timeout_ms, &reply, NULL) == 0 &&
 	    reply.status == 200)
 		json = json_incref(reply.json);
 	harness_reply_free(&reply);
--- a/include/ibisgate/harness/harness.h
+++ b/include/ibisgate/harness/harness.h
@@ -110,6 +110,9 @@
 /** harness_get - GET within 2 s; parsed body of a 200 answer (new reference) or NULL */
 json_t *harness_get(const char *url);
 
+/** harness_get_within - likewise within @timeout_ms */
+json_t *harness_get_within(const char *url, int64_t timeout_ms);
+
 /** harness_post - POST @body as JSON (released) within 2 s; HTTP status, 0 without an answer */
 int harness_post(const char *url, json_t *body);
 
