--- a/tests/standin_process.h
+++ b/tests/standin_process.h
@@ -42,22 +42,33 @@
 		while (read(out[0], &c, 1) == 1 && c != '\n')
 			line += c;
 		close(out[0]);
+		EXPECT_EQ(line.rfind("listening ", 0), 0u) << path << ": " << line;
 		port = atoi(line.substr(line.find(' ') + 1).c_str());
 		pool = http_pool_create();
 	}
 	~Standin()
 	{
-		kill(pid, SIGTERM);
-		waitpid(pid, nullptr, 0);
+		if (pid > 0)
+			stop();
 		http_pool_destroy(pool);
 	}
+	/* Exit status after SIGTERM; 42 after an injected crash. */
+	int stop()
+	{
+		int status = 0;
+
+		kill(pid, SIGTERM);
+		waitpid(pid, &status, 0);
+		pid = -1;
+		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	}
 	std::string address() const
 	{
 		return "127.0.0.1:" + std::to_string(port);
 	}
-	std::string url() const
+	std::string url(const std::string &path = "") const
 	{
-		return "http://" + address();
+		return "http://" + address() + path;
 	}
 	/* Port of a route of the fault proxy. */
 	int route(const std::string &name) const
--- a/tests/test_standins.cc
+++ b/tests/test_standins.cc
@@ -1,79 +1,20 @@
+#include "standin_process.h"
+
 #include <arpa/inet.h>
 #include <curl/curl.h>
-#include <gtest/gtest.h>
 #include <poll.h>
-#include <signal.h>
-#include <spawn.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <chrono>
 #include <cstring>
-#include <string>
 #include <thread>
-#include <vector>
 
 extern "C" {
-#include "ibisgate/common/json.h"
 #include "ibisgate/standins/text.h"
 }
 
 using std::string;
 
-/* A stand-in process, stopped by its id at the end of the test. */
-class Process
-{
-      public:
-	Process(const string &name, const std::vector<string> &args)
-	{
-		string path = string(STANDIN_DIR) + "/" + name;
-		std::vector<char *> argv = { const_cast<char *>(path.c_str()) };
-		posix_spawn_file_actions_t actions;
-		int out[2];
-		char c;
-
-		for (const string &a : args)
-			argv.push_back(const_cast<char *>(a.c_str()));
-		argv.push_back(nullptr);
-		EXPECT_EQ(pipe(out), 0);
-		posix_spawn_file_actions_init(&actions);
-		posix_spawn_file_actions_adddup2(&actions, out[1], 1);
-		posix_spawn_file_actions_addclose(&actions, out[0]);
-		EXPECT_EQ(posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ),
-			  0);
-		posix_spawn_file_actions_destroy(&actions);
-		close(out[1]);
-		while (read(out[0], &c, 1) == 1 && c != '\n')
-			line += c;
-		close(out[0]);
-		EXPECT_EQ(line.rfind("listening ", 0), 0u) << path << ": " << line;
-		port = atoi(line.c_str() + 10);
-	}
-	~Process()
-	{
-		if (pid > 0)
-			stop();
-	}
-	/* Exit status after SIGTERM; 42 after an injected crash. */
-	int stop()
-	{
-		int status = 0;
-
-		kill(pid, SIGTERM);
-		waitpid(pid, &status, 0);
-		pid = -1;
-		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
-	}
-	string url(const string &path) const
-	{
-		return "http://127.0.0.1:" + std::to_string(port) + path;
-	}
-	pid_t pid = -1;
-	int port = 0;
-	string line;
-};
-
 struct Answer {
 	CURLcode rc;
 	long status = 0;
@@ -180,7 +121,7 @@
 /* Guards against lost, repeated or shifted tokens in a stream, and after a resume. */
 TEST(Engine, StreamsTheExactTextAndResumes)
 {
-	Process e("ibisgate-engine", with(fast_engine, { "--tokens-per-chunk", "3" }));
+	Standin e("ibisgate-engine", with(fast_engine, { "--tokens-per-chunk", "3" }));
 	int tokens;
 	Answer a = call("POST", e.url("/v1/completions"),
 			R"({"prompt":"abc","stream":true,"max_tokens":50})");
@@ -203,8 +144,8 @@
 /* Guards against a decode engine that generates without the cache it was promised. */
 TEST(Engine, KvHandOver)
 {
-	Process prefill("ibisgate-engine", with(fast_engine, { "--role", "prefill" }));
-	Process decode("ibisgate-engine", with(fast_engine, { "--role", "decode" }));
+	Standin prefill("ibisgate-engine", with(fast_engine, { "--role", "prefill" }));
+	Standin decode("ibisgate-engine", with(fast_engine, { "--role", "decode" }));
 	string req = R"({"prompt":"abc","max_tokens":5)";
 
 	EXPECT_EQ(call("POST", prefill.url("/v1/completions"), req + "}").code(), "wrong_role");
@@ -225,14 +166,14 @@
 	EXPECT_EQ(c.code(), "kv_gone");
 }
 
-static Answer order(const Process &e, const string &id, int fencing, const string &role)
+static Answer order(const Standin &e, const string &id, int fencing, const string &role)
 {
 	return call("POST", e.url("/orders"),
 		    R"({"holder":"h","kind":"role","order_id":")" + id + R"(","fencing":)" +
 			    std::to_string(fencing) + R"(,"value":")" + role + "\"}");
 }
 
-static bool order_done(const Process &e, const string &id)
+static bool order_done(const Standin &e, const string &id)
 {
 	for (int i = 0; i < 100; i++) {
 		if (json_get_cstr(call("GET", e.url("/orders")).json, "last_done", "") == id)
@@ -246,8 +187,8 @@
  */
 TEST(Engine, OrderFencing)
 {
-	Process e("ibisgate-engine", with(fast_engine, { "--check-fencing", "1" }));
-	Process lax("ibisgate-engine", fast_engine);
+	Standin e("ibisgate-engine", with(fast_engine, { "--check-fencing", "1" }));
+	Standin lax("ibisgate-engine", fast_engine);
 	std::thread running([&] {
 		Answer a = call("POST", e.url("/v1/completions"),
 				R"({"prompt":"abc","stream":true,"max_tokens":100000})");
@@ -277,7 +218,7 @@
 /* Guards against faults that do not happen: heartbeats, silence and crashes drive other tests. */
 TEST(Engine, Faults)
 {
-	Process e("ibisgate-engine", fast_engine);
+	Standin e("ibisgate-engine", fast_engine);
 	string req = R"({"prompt":"abc","stream":true,"max_tokens":50})";
 
 	call("POST", e.url("/faults"), R"({"stall_ms":1500})");
@@ -296,7 +237,7 @@
 /* Guards against late or missing cache accounting: a repeated prompt must prefill less. */
 TEST(Engine, PrefixCacheAndEvents)
 {
-	Process e("ibisgate-engine",
+	Standin e("ibisgate-engine",
 		  with(fast_engine, { "--prefill-rate", "1000000", "--cache-event-lag-ms", "0" }));
 	string req = R"({"cache_salt":"00000000000000ff","max_tokens":1,"prompt":")" +
 		     string(17000, 'x') + "\"}";
@@ -314,7 +255,7 @@
 /* Guards against lost updates and against a version that stands for two different rows. */
 TEST(Platform, CompareAndSet)
 {
-	Process p("ibisgate-platform", {});
+	Standin p("ibisgate-platform", {});
 	string row = p.url("/table/claim%2Fa%2F..%2F%25");
 
 	EXPECT_EQ(call("PUT", row, R"({"x":1})", "If-None-Match: *").number("version"), 1);
@@ -345,7 +286,7 @@
 /* Guards against faults with the wrong effect: a dropped reply applies, an outage does not. */
 TEST(Platform, DropReplyAppliesAndDownDoesNot)
 {
-	Process p("ibisgate-platform", { "--writes-per-s", "8" });
+	Standin p("ibisgate-platform", { "--writes-per-s", "8" });
 	int refused = 0;
 
 	call("POST", p.url("/faults"), R"({"drop_next_writes":1})");
@@ -363,7 +304,7 @@
 /* Guards against a list without lag, and entries of killed processes that stay for ever. */
 TEST(Platform, ListLagsAndExpires)
 {
-	Process p("ibisgate-platform", { "--list-lag-ms", "300" });
+	Standin p("ibisgate-platform", { "--list-lag-ms", "300" });
 	auto count = [&] {
 		return json_array_size(
 			json_object_get(call("GET", p.url("/list")).json, "endpoints"));
@@ -381,7 +322,7 @@
 /* Guards against a service that hides duplicates, which the effects log has to show. */
 TEST(Service, EveryCallIsAnEffect)
 {
-	Process s("ibisgate-service", {});
+	Standin s("ibisgate-service", {});
 	string url = s.url("/call/orders");
 
 	EXPECT_EQ(call("POST", url, "{}", "Idempotency-Key: k1").number("effect"), 1);
@@ -426,10 +367,9 @@
 /* Guards against a silent mode that closes, passes bytes, or revives a stream with a hole. */
 TEST(FaultProxy, SilentCutAndDroppedReplies)
 {
-	Process s("ibisgate-service", {});
-	Process p("ibisgate-faultproxy",
-		  { "--control", "0", "--route", "s=127.0.0.1:" + std::to_string(s.port) });
-	int port = atoi(p.line.c_str() + p.line.find("s=") + 2);
+	Standin s("ibisgate-service", {});
+	Standin p("ibisgate-faultproxy", { "--control", "0", "--route", "s=" + s.address() });
+	int port = p.route("s");
 	auto fault = [&](const string &body) {
 		EXPECT_EQ(call("POST", p.url("/faults"), body).status, 200) << body;
 	};
