Let stand-in engines send a chunk of another request

Cause: leaving out attempt_id went unnoticed, since no fault produced a foreign event on a stream.

Change: the engine's fault late_chunks begins the next N streams with the first chunk of an earlier stream, with that one's id and text. It is a kind of the fault runs (late-chunks, 3 streams of one engine) and a scenario of its own, in which no generation may fail.

Engine.Faults checks the fault itself.

Not covered: the JSON answer of a prefill engine, whose id is not compared with the attempt's.

--- a/bench/faults_act.c
+++ b/bench/faults_act.c
@@ -12,7 +12,8 @@
 #define ENGINE_BACK_MS 1000
 #define STOP_TIMEOUT_MS 90000
 #define READY_MS 20000
-#define UNDRAIN_AGAIN_MS 3000
+/* Few enough that a request meets an engine without the fault before its retries are spent. */
+#define LATE_CHUNKS 3
 
 void faults_set(struct faults *r, const char *url, json_t *body)
 {
@@ -300,6 +301,11 @@
 		if (e->process->pid)
 			faults_set(r, e->url, json_pack("{s:b}", "crash_in_change", (int)on));
 		break;
+	case FAULT_LATE_CHUNKS:
+		if (e->process->pid)
+			faults_set(r, e->url,
+				   json_pack("{s:i}", "late_chunks", on ? LATE_CHUNKS : 0));
+		break;
 	case FAULT_DRAIN:
 		faults_thread(r, on ? faults_drain : faults_undrain, f->a, f->b);
 		break;
@@ -392,6 +398,7 @@
 	case FAULT_ENGINE_CRASH:
 	case FAULT_CRASH_IN_CHANGE:
 	case FAULT_DRAIN:
+	case FAULT_LATE_CHUNKS:
 		endpoint_apply(r, f, on);
 		break;
 	case FAULT_SLOW_LINKS:
--- a/bench/faults_schedule.c
+++ b/bench/faults_schedule.c
@@ -42,6 +42,7 @@
 	[FAULT_SERVICE_DROP] = { "service-drop-reply", 1, 1000, 6000 },
 	[FAULT_RACE] = { "race", 3, 0, 0 },
 	[FAULT_DRAIN] = { "drain", 2, 3000, 9000 },
+	[FAULT_LATE_CHUNKS] = { "late-chunks", 1, 1000, 4000 },
 };
 
 const char *fault_name(enum fault_kind kind)
@@ -69,6 +70,7 @@
 	{ "engine-crashes", 1, { FAULT_ENGINE_CRASH }, false },
 	{ "services", 2, { FAULT_SERVICE_DROP, FAULT_SERVICE_REFUSE }, false },
 	{ "drains", 1, { FAULT_DRAIN }, true },
+	{ "late-chunks", 1, { FAULT_LATE_CHUNKS }, true },
 };
 
 static const struct scenario_kinds *scenario_find(const char *name)
@@ -120,6 +122,7 @@
 	case FAULT_ENGINE_CRASH:
 	case FAULT_CRASH_IN_CHANGE:
 	case FAULT_DRAIN:
+	case FAULT_LATE_CHUNKS:
 		count = FAULTS_ENGINES;
 		break;
 	case FAULT_CUT_DC_PEERS:
--- a/include/ibisgate/standins/engine.h
+++ b/include/ibisgate/standins/engine.h
@@ -9,6 +9,7 @@
 
 #include "ibisgate/common/str.h"
 #include "ibisgate/standins/common.h"
+#include "ibisgate/standins/text.h"
 
 /* Exit status of an injected crash. */
 #define ENGINE_CRASH_STATUS 42
@@ -118,7 +119,7 @@
 
 struct engine_stats {
 	int64_t requests, tokens, prefill_tokens, cached_tokens, bad_resume, cut_requests;
-	int64_t cancelled;
+	int64_t cancelled, late_chunks;
 };
 
 struct engine_faults {
@@ -129,6 +130,14 @@
 	double slow_factor;
 	/* Read and cleared by the stream that takes the fault; -1 when unset. */
 	_Atomic int64_t silent_after_tokens;
+	/* Streams that still begin with a chunk of an earlier stream. */
+	int64_t late_chunks;
+};
+
+/** struct engine_late - first token of an SSE answer, which the fault late_chunks sends again */
+struct engine_late {
+	char attempt[ENGINE_NAME_MAX];
+	char token[TEXT_TOKEN_BYTES + 1];
 };
 
 /**
@@ -168,6 +177,7 @@
 	int64_t conflicts, refused_stale, refused_busy;
 
 	struct engine_faults faults;
+	struct engine_late late;
 	struct engine_stats stats;
 };
 
--- a/standins/engine_main.c
+++ b/standins/engine_main.c
@@ -65,6 +65,7 @@
 	f->load_frozen = frozen;
 	e->opt.cache_event_loss = json_get_double(req, "cache_event_loss", e->opt.cache_event_loss);
 	f->slow_factor = json_get_double(req, "slow_factor", f->slow_factor);
+	f->late_chunks = json_get_i64(req, "late_chunks", f->late_chunks);
 }
 
 static int handle_faults(struct engine *e, struct mg_connection *conn)
@@ -89,12 +90,12 @@
 
 	pthread_mutex_lock(&e->lock);
 	/* A crash ends the process, so "crashes" of the living one is always 0. */
-	out = json_pack("{s:I,s:I,s:I,s:I,s:i,s:I,s:I,s:I}", "requests", (json_int_t)s->requests,
-			"tokens", (json_int_t)s->tokens, "prefill_tokens",
-			(json_int_t)s->prefill_tokens, "cached_tokens",
-			(json_int_t)s->cached_tokens, "crashes", 0, "bad_resume",
-			(json_int_t)s->bad_resume, "cut_requests", (json_int_t)s->cut_requests,
-			"cancelled", (json_int_t)s->cancelled);
+	out = json_pack(
+		"{s:I,s:I,s:I,s:I,s:i,s:I,s:I,s:I,s:I}", "requests", (json_int_t)s->requests,
+		"tokens", (json_int_t)s->tokens, "prefill_tokens", (json_int_t)s->prefill_tokens,
+		"cached_tokens", (json_int_t)s->cached_tokens, "crashes", 0, "bad_resume",
+		(json_int_t)s->bad_resume, "cut_requests", (json_int_t)s->cut_requests, "cancelled",
+		(json_int_t)s->cancelled, "late_chunks", (json_int_t)s->late_chunks);
 	pthread_mutex_unlock(&e->lock);
 	return http_reply(conn, 200, out);
 }
--- a/standins/engine_request.c
+++ b/standins/engine_request.c
@@ -72,28 +72,79 @@
 	return st->gone;
 }
 
+static void chunk_begin(struct stream *st, const char *id)
+{
+	buf_printf(&st->out, "data: {\"id\":%s,\"object\":\"%s\",\"model\":%s,\"choices\":[{", id,
+		   st->chat ? "chat.completion.chunk" : "text_completion", st->model);
+	buf_printf(&st->out, "\"index\":0,%s",
+		   st->chat ? "\"delta\":{\"content\":\"" : "\"text\":\"");
+}
+
+static void chunk_end(struct stream *st, int64_t count, bool last)
+{
+	buf_printf(&st->out, "\"%s,\"finish_reason\":%s}],\"tokens\":%" PRId64 "}\n\n",
+		   st->chat ? "}" : "", last ? "\"length\"" : "null", count);
+}
+
 static void stream_chunk(struct stream *st, int64_t count, bool last)
 {
 	char token[TEXT_TOKEN_BYTES + 1];
 
-	buf_printf(&st->out, "data: {\"id\":%s,\"object\":\"%s\",\"model\":%s,\"choices\":[{",
-		   st->id, st->chat ? "chat.completion.chunk" : "text_completion", st->model);
-	buf_printf(&st->out, "\"index\":0,%s",
-		   st->chat ? "\"delta\":{\"content\":\"" : "\"text\":\"");
+	chunk_begin(st, st->id);
 	for (int64_t i = 0; i < count; i++) {
 		text_token(st->seed, st->from + st->sent + i, token);
 		buf_append(&st->out, token, TEXT_TOKEN_BYTES);
 	}
-	buf_printf(&st->out, "\"%s,\"finish_reason\":%s}],\"tokens\":%" PRId64 "}\n\n",
-		   st->chat ? "}" : "", last ? "\"length\"" : "null", count);
+	chunk_end(st, count, last);
 	st->sent += count;
 }
 
+static char *quoted(const char *s)
+{
+	json_t *v = json_string(s);
+	char *out = v ? json_dumps(v, JSON_ENCODE_ANY) : NULL;
+
+	json_decref(v);
+	return out ? out : mem_strdup("\"\"");
+}
+
+/*
+ * Sends the first chunk of an earlier answer where the fault asks for it, as an engine does that
+ * mixes up the answers of a connection that it keeps open, and remembers the chunk of this one.
+ */
+static void late_chunk(struct stream *st)
+{
+	struct engine *e = st->e;
+	struct engine_late late = { 0 };
+	char token[TEXT_TOKEN_BYTES + 1];
+	char *id;
+
+	text_token(st->seed, st->from, token);
+	pthread_mutex_lock(&e->lock);
+	if (e->faults.late_chunks > 0 && e->late.attempt[0]) {
+		late = e->late;
+		e->faults.late_chunks--;
+		e->stats.late_chunks++;
+	}
+	str_copy(e->late.attempt, sizeof(e->late.attempt), str_from(st->seq->attempt));
+	str_copy(e->late.token, sizeof(e->late.token), (struct str){ token, TEXT_TOKEN_BYTES });
+	pthread_mutex_unlock(&e->lock);
+	if (!late.attempt[0])
+		return;
+	id = quoted(late.attempt);
+	chunk_begin(st, id);
+	buf_append_str(&st->out, str_from(late.token));
+	chunk_end(st, 1, false);
+	free(id);
+}
+
 static void stream_tokens(struct stream *st, int64_t ready)
 {
 	int64_t per_chunk = st->e->opt.tokens_per_chunk;
 	char token[TEXT_TOKEN_BYTES + 1];
 
+	if (st->sse && !st->sent)
+		late_chunk(st);
 	if (!st->sse) {
 		for (; st->sent < ready; st->sent++) {
 			text_token(st->seed, st->from + st->sent, token);
@@ -213,15 +264,6 @@
 	return STREAM_BROKEN;
 }
 
-static char *quoted(const char *s)
-{
-	json_t *v = json_string(s);
-	char *out = v ? json_dumps(v, JSON_ENCODE_ANY) : NULL;
-
-	json_decref(v);
-	return out ? out : mem_strdup("\"\"");
-}
-
 static bool prompt_collect(const json_t *req, bool chat, struct buf *out)
 {
 	const json_t *messages = json_object_get(req, "messages");
--- a/tests/test_standins.cc
+++ b/tests/test_standins.cc
@@ -228,6 +228,11 @@
 	EXPECT_EQ(silent.rc, CURLE_OPERATION_TIMEDOUT);
 	EXPECT_NE(silent.body.find(text_of("abc", "model", 6, 7)), string::npos);
 	EXPECT_EQ(silent.body.find(text_of("abc", "model", 7, 8)), string::npos);
+	call("POST", e.url("/faults"), R"({"late_chunks":1})");
+	Answer late = call("POST", e.url("/v1/completions"),
+			   R"({"prompt":"def","stream":true,"max_tokens":2,"attempt":"r2"})");
+	EXPECT_NE(late.body.find(text_of("abc", "model", 0, 1)), string::npos);
+	EXPECT_EQ(call("GET", e.url("/stats")).number("late_chunks"), 1);
 	call("POST", e.url("/faults"), R"({"crash_marker":"poison"})");
 	EXPECT_NE(call("POST", e.url("/v1/completions"), R"({"prompt":"a poison b"})").rc,
 		  CURLE_OK);
