Share the pair of instances behind a proxy between two tests

test_control.cc and test_recovery.cc set up the same two instances with a fault proxy between them; Region::start_pair() does it for both.

--- a/tests/region.h
+++ b/tests/region.h
@@ -60,6 +60,19 @@
 			std::vector<string>{ "--control", "0", "--route",
 					     "platform=" + table.address() });
 	}
+	/* Starts "a1", and "a2" that reaches it through route "a1" of the proxy returned. */
+	std::unique_ptr<Standin> start_pair(const string &dc)
+	{
+		start("a1", dc);
+		auto proxy = std::make_unique<Standin>(
+			"ibisgate-faultproxy",
+			std::vector<string>{ "--control", "0", "--route",
+					     "a1=127.0.0.1:" +
+						     std::to_string(rig_peer_port(rigs["a1"])) });
+		start("a2", dc,
+		      "[routes]\na1 = 127.0.0.1:" + std::to_string(proxy->route("a1")) + "\n");
+		return proxy;
+	}
 	void kill(const string &id, bool listed)
 	{
 		rig_kill(rigs[id]);
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -398,14 +398,10 @@
 {
 	Region g;
 
-	g.start("a1", "abertawe");
-	string to_a1 = "127.0.0.1:" + std::to_string(rig_peer_port(g.rigs["a1"]));
-	Standin proxy("ibisgate-faultproxy", { "--control", "0", "--route", "a1=" + to_a1 });
-	g.start("a2", "abertawe",
-		"[routes]\na1 = 127.0.0.1:" + std::to_string(proxy.route("a1")) + "\n");
+	auto proxy = g.start_pair("abertawe");
 	ASSERT_TRUE(g.ready());
 	ASSERT_TRUE(g.see_each_other(8000));
-	proxy.tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent\",\"existing_only\":true}");
+	proxy->tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent\",\"existing_only\":true}");
 	EXPECT_TRUE(eventually([&] { return Region::live(g.rigs["a1"]) == 1; }, 5000));
 	EXPECT_TRUE(g.see_each_other(6000));
 }
--- a/tests/test_recovery.cc
+++ b/tests/test_recovery.cc
@@ -119,20 +119,16 @@
 	Region g;
 	string state;
 
-	g.start("a1", "abertawe");
-	string to_a1 = "127.0.0.1:" + std::to_string(rig_peer_port(g.rigs["a1"]));
-	Standin proxy("ibisgate-faultproxy", { "--control", "0", "--route", "a1=" + to_a1 });
-	g.start("a2", "abertawe",
-		"[routes]\na1 = 127.0.0.1:" + std::to_string(proxy.route("a1")) + "\n");
+	auto proxy = g.start_pair("abertawe");
 	ASSERT_TRUE(g.ready());
 	ASSERT_TRUE(g.see_each_other(8000));
 	EXPECT_TRUE(eventually([&] { return hears(g.rigs["a2"], "a1", &state); }, 3000));
-	proxy.tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent_to_target\"}");
+	proxy->tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent_to_target\"}");
 	EXPECT_TRUE(eventually([&] { return !hears(g.rigs["a2"], "a1", &state); }, 8000));
 	EXPECT_EQ(state, "live") << "a2 still hears a1";
 	hears(g.rigs["a1"], "a2", &state);
 	EXPECT_NE(state, "live") << "a1 does not hear a2";
-	proxy.tell("/faults", "{\"route\":\"a1\",\"mode\":\"pass\"}");
+	proxy->tell("/faults", "{\"route\":\"a1\",\"mode\":\"pass\"}");
 	EXPECT_TRUE(eventually([&] { return hears(g.rigs["a2"], "a1", &state); }, 8000));
 	EXPECT_TRUE(g.see_each_other(8000));
 }
