Test an order in the network past a restart of its engine

PromiseAuthorityRestart gets a third case: an engine without fencing check is started again while the order of the frozen holder is in the network. The order ends with the connection of the old process.

--- a/tests/test_promise_authority.cc
+++ b/tests/test_promise_authority.cc
@@ -245,35 +245,59 @@
 					   frozen_case{ ORDER_ACCEPTED, false, "OrderAccepted" }),
 			 [](const auto &info) { return std::string(info.param.name); });
 
-class PromiseAuthorityRestart : public PromiseAuthority, public ::testing::WithParamInterface<bool>
+struct restart_case {
+	bool fencing;
+	/* The order is in the network when the engine is started again; otherwise it is due. */
+	bool in_network;
+	const char *name;
+};
+
+class PromiseAuthorityRestart : public PromiseAuthority,
+				public ::testing::WithParamInterface<restart_case>
 {
       protected:
+	/* Above the time in which a successor acts and the engine is started again. */
+	static const int LATE_MS = 17000;
 	void engine_restart(int e)
 	{
 		harness_signal(f->endpoints[e].process, SIGKILL);
 		ASSERT_EQ(harness_wait(f->endpoints[e].process, 5000), 0);
 		ASSERT_EQ(harness_endpoint_start(f, e, &err), 0) << err.text;
 	}
+	void hold_back_orders()
+	{
+		if (GetParam().in_network)
+			route_delay(id + "-" + endpoint, LATE_MS);
+		else
+			route(id + "-" + endpoint, "cut");
+	}
+	bool order_sent()
+	{
+		return eventually(
+			[&] { return events(held).find("order-sent") != std::string::npos; }, 3000);
+	}
 };
 
 /*
- * Guards against an order of a holder that lost its lease while its order was due, sent to an
- * engine that was started again after the successor's order: such an engine knows neither order nor
- * number.
+ * Guards against an order of a holder that lost its lease, which meets an engine that was started
+ * again after the successor's order: such an engine knows neither the order nor the number.
  */
 TEST_P(PromiseAuthorityRestart, LateOrderHasNoEffect)
 {
 	int successor = -1;
+	int64_t arrives_ms;
 	int e;
 
-	start_fleet(GetParam(), "500");
+	start_fleet(GetParam().fencing, "500");
 	route(other + "-" + id, "silent_to_target");
 	load_start(9);
 	ASSERT_TRUE(drain_in("stopping"));
 	e = endpoint_index();
-	route(id + "-" + endpoint, "cut");
+	hold_back_orders();
 	route(other + "-" + id, "pass");
 	ASSERT_TRUE(drain_in("ordering"));
+	ASSERT_TRUE(order_sent());
+	arrives_ms = clock_boot_ms() + (GetParam().in_network ? LATE_MS : 0);
 	freeze(held);
 	ASSERT_TRUE(eventually([&] { return (successor = holder("abertawe", held)) >= 0; }, 20000));
 	delist(id);
@@ -281,7 +305,11 @@
 		<< "the successor finishes the intent";
 	load.wait();
 	engine_restart(e);
-	route(id + "-" + endpoint, "pass");
+	if (GetParam().in_network)
+		EXPECT_LT(clock_boot_ms(), arrives_ms) << "the order came before the restart";
+	else
+		route(id + "-" + endpoint, "pass");
+	EXPECT_TRUE(eventually([&] { return clock_boot_ms() > arrives_ms + 200; }, LATE_MS + 1000));
 	wake(held);
 	EXPECT_TRUE(eventually([&] { return status(held).get() != nullptr; }, 5000));
 	eventually([&] { return accepted_total(id) > 0; }, 3000);
@@ -289,9 +317,11 @@
 	expect_no_conflicts();
 }
 
-INSTANTIATE_TEST_SUITE_P(Engines, PromiseAuthorityRestart, ::testing::Bool(), [](const auto &info) {
-	return std::string(info.param ? "Fenced" : "Unfenced");
-});
+INSTANTIATE_TEST_SUITE_P(Engines, PromiseAuthorityRestart,
+			 ::testing::Values(restart_case{ true, false, "Fenced" },
+					   restart_case{ false, false, "Unfenced" },
+					   restart_case{ false, true, "UnfencedInNetwork" }),
+			 [](const auto &info) { return std::string(info.param.name); });
 
 /* Guards against a holder that is cut off from the table alone and keeps its authority. */
 TEST_F(PromiseAuthority, HolderCutOffFromTable)
