--- a/bench/faults.h
+++ b/bench/faults.h
@@ -175,12 +175,29 @@
 void faults_print(const struct faults *r);
 
 /* faults_act.c */
-int faults_play(struct faults *r, struct error *err);
-int faults_stop_all(struct faults *r);
-int faults_caller_route(struct faults *r, int instance);
+
+/** faults_apply - begin or end @f; Return: 0, or -1 with @err set */
+int faults_apply(struct faults *r, const struct fault *f, bool on, struct error *err);
 void faults_arm(struct faults *r, int endpoint);
 void faults_set(struct faults *r, const char *url, json_t *body);
 
+/* faults_instance.c */
+
+/** faults_instance_apply - begin or end a kill, freeze or restart; likewise */
+int faults_instance_apply(struct faults *r, const struct fault *f, bool on, struct error *err);
+
+/** faults_graceful_tick - start the instances again that have ended after SIGTERM; likewise */
+int faults_graceful_tick(struct faults *r, struct error *err);
+
+/** faults_caller_route - port in front of @instance that stays over its restarts */
+int faults_caller_route(struct faults *r, int instance);
+
+/** faults_stop_all - stop all instances; Return: how many did not end with exit code 0 */
+int faults_stop_all(struct faults *r);
+
+/* faults_play.c */
+int faults_play(struct faults *r, struct error *err);
+
 /* faults_operator.c */
 void faults_thread(struct faults *r, void *(*run)(void *), int a, int b);
 struct faults_job {
--- a/bench/faults_act.c
+++ b/bench/faults_act.c
@@ -1,17 +1,11 @@
 #include <signal.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
-#include <sys/wait.h>
 
 #include "faults.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
 
-#define TICK_MS 10
-#define ENGINE_BACK_MS 1000
-#define STOP_TIMEOUT_MS 90000
-#define READY_MS 20000
 /* Few enough that a request meets an engine without the fault before its retries are spent. */
 #define LATE_CHUNKS 3
 
@@ -105,23 +99,6 @@
 	}
 }
 
-int faults_caller_route(struct faults *r, int instance)
-{
-	const struct harness_instance *in = &r->fleet->instances[instance];
-	struct harness_reply reply;
-	char url[128];
-	char body[256];
-	int port;
-
-	snprintf(url, sizeof(url), "%s/routes", r->fleet->proxy);
-	snprintf(body, sizeof(body), "{\"name\":\"caller-%s\",\"target\":\"%s\"}", in->id,
-		 in->http + strlen("http://"));
-	harness_http("POST", url, NULL, body, 2000, &reply, NULL);
-	port = (int)json_get_i64(reply.json, "port", 0);
-	harness_reply_free(&reply);
-	return port;
-}
-
 void faults_arm(struct faults *r, int endpoint)
 {
 	const struct harness_endpoint *e = &r->fleet->endpoints[endpoint];
@@ -130,89 +107,6 @@
 		faults_set(r, e->url, json_pack("{s:s}", "crash_marker", FAULTS_POISON));
 }
 
-/* What the platform does: it lists what it stops as leaving and forgets what is gone. */
-static void list_change(struct faults *r, int instance, bool gone)
-{
-	const struct harness_instance *in = &r->fleet->instances[instance];
-	struct harness_reply reply;
-	char url[160];
-	char peer[64];
-
-	if (gone) {
-		snprintf(url, sizeof(url), "%s/list/instances/%s", r->fleet->platform, in->id);
-		harness_http("DELETE", url, NULL, NULL, 2000, &reply, NULL);
-		harness_reply_free(&reply);
-		return;
-	}
-	snprintf(url, sizeof(url), "%s/list/instances", r->fleet->platform);
-	snprintf(peer, sizeof(peer), "127.0.0.1:%d", in->peer_port);
-	harness_post(url, json_pack("{s:s, s:s, s:s, s:s, s:s, s:s}", "id", in->id, "dc", in->dc,
-				    "peer", peer, "http", in->http + strlen("http://"), "admin",
-				    in->admin + strlen("http://"), "state", "leaving"));
-}
-
-static void instance_down(struct faults *r, int a)
-{
-	pthread_mutex_lock(&r->lock);
-	r->up[a] = false;
-	pthread_mutex_unlock(&r->lock);
-}
-
-static int instance_start(struct faults *r, int a, struct error *err)
-{
-	if (harness_instance_start(r->fleet, a, err) < 0)
-		return -1;
-	faults_caller_route(r, a);
-	pthread_mutex_lock(&r->lock);
-	r->up[a] = true;
-	pthread_mutex_unlock(&r->lock);
-	return 0;
-}
-
-static void instance_kill(struct faults *r, int a)
-{
-	instance_down(r, a);
-	harness_signal(r->fleet->instances[a].process, SIGKILL);
-	harness_wait(r->fleet->instances[a].process, 2000);
-	list_change(r, a, true);
-}
-
-static void instance_terminate(struct faults *r, int a)
-{
-	struct graceful *g = &r->graceful[r->graceful_count++];
-
-	*g = (struct graceful){ .instance = a, .from_ms = clock_wall_ms() };
-	list_change(r, a, false);
-	harness_signal(r->fleet->instances[a].process, SIGTERM);
-}
-
-static int instance_apply(struct faults *r, const struct fault *f, bool on, struct error *err)
-{
-	struct harness_process *p = r->fleet->instances[f->a].process;
-
-	switch (f->kind) {
-	case FAULT_KILL:
-		if (on)
-			instance_kill(r, f->a);
-		else
-			return instance_start(r, f->a, err);
-		break;
-	case FAULT_FREEZE:
-		if (on)
-			instance_down(r, f->a);
-		harness_signal(p, on ? SIGSTOP : SIGCONT);
-		pthread_mutex_lock(&r->lock);
-		r->up[f->a] = !on;
-		pthread_mutex_unlock(&r->lock);
-		break;
-	default:
-		if (on)
-			instance_terminate(r, f->a);
-		break;
-	}
-	return 0;
-}
-
 static void platform_apply(struct faults *r, const struct fault *f, bool on)
 {
 	switch (f->kind) {
@@ -351,7 +245,7 @@
 	}
 }
 
-static int fault_apply(struct faults *r, const struct fault *f, bool on, struct error *err)
+int faults_apply(struct faults *r, const struct fault *f, bool on, struct error *err)
 {
 	int rc = 0;
 
@@ -361,7 +255,7 @@
 	case FAULT_KILL:
 	case FAULT_FREEZE:
 	case FAULT_RESTART:
-		rc = instance_apply(r, f, on, err);
+		rc = faults_instance_apply(r, f, on, err);
 		break;
 	case FAULT_POISON:
 		if (on)
@@ -413,121 +307,3 @@
 		windows_apply(r, f, false);
 	return rc;
 }
-
-/* Engines that ended start again, as the platform would start them. */
-static int endpoints_tick(struct faults *r, int64_t now, struct error *err)
-{
-	for (int i = 0; i < r->fleet->endpoint_count; i++) {
-		struct harness_endpoint *e = &r->fleet->endpoints[i];
-
-		if (e->process->pid && harness_wait(e->process, 0) == 0)
-			r->restart_ms[i] = now + ENGINE_BACK_MS;
-		if (e->process->pid || now < r->restart_ms[i])
-			continue;
-		pthread_mutex_lock(&r->lock);
-		if (harness_endpoint_start(r->fleet, i, err) < 0) {
-			pthread_mutex_unlock(&r->lock);
-			return -1;
-		}
-		pthread_mutex_unlock(&r->lock);
-		faults_arm(r, i);
-	}
-	return 0;
-}
-
-static int graceful_tick(struct faults *r, struct error *err)
-{
-	for (int i = 0; i < r->graceful_count; i++) {
-		struct graceful *g = &r->graceful[i];
-		struct harness_process *p = r->fleet->instances[g->instance].process;
-
-		if (g->exit_ms || harness_wait(p, 0) < 0)
-			continue;
-		instance_down(r, g->instance);
-		g->exit_ms = clock_wall_ms();
-		g->code = WIFEXITED(p->status) ? WEXITSTATUS(p->status) : -1;
-		list_change(r, g->instance, true);
-		if (instance_start(r, g->instance, err) < 0)
-			return -1;
-		g->back_ms = clock_wall_ms();
-	}
-	return 0;
-}
-
-static int faults_tick(struct faults *r, int64_t now, struct error *err)
-{
-	for (int i = 0; i < r->fault_count; i++) {
-		struct fault *f = &r->faults[i];
-
-		if (!f->begun && now >= f->at_ms) {
-			f->begun = true;
-			if (fault_apply(r, f, true, err) < 0)
-				return -1;
-		}
-		if (f->begun && !f->ended && now >= f->end_ms) {
-			f->ended = true;
-			if (fault_apply(r, f, false, err) < 0)
-				return -1;
-		}
-	}
-	return 0;
-}
-
-static void heal(struct faults *r)
-{
-	faults_set(r, r->fleet->proxy,
-		   json_pack("{s:s, s:s, s:i}", "route", "*", "mode", "pass", "delay_ms", 0));
-	faults_set(r, r->fleet->platform,
-		   json_pack("{s:b, s:i, s:f}", "down", 0, "delay_ms", 0, "drop_reply", 0.0));
-	r->heal_ms = clock_wall_ms();
-}
-
-static int tick(struct faults *r, struct error *err)
-{
-	int64_t now = clock_wall_ms() - r->start_ms;
-
-	if (faults_tick(r, now, err) < 0 || endpoints_tick(r, now, err) < 0 ||
-	    graceful_tick(r, err) < 0)
-		return -1;
-	clock_sleep_ms(TICK_MS);
-	return 0;
-}
-
-int faults_play(struct faults *r, struct error *err)
-{
-	int64_t end = r->length_ms + FAULTS_TAIL_MS;
-
-	r->start_ms = clock_wall_ms();
-	while (clock_wall_ms() - r->start_ms < end) {
-		if (tick(r, err) < 0)
-			return -1;
-		if (!r->heal_ms && clock_wall_ms() - r->start_ms >= r->length_ms)
-			heal(r);
-	}
-	pthread_join(r->load_thread, NULL);
-	for (int i = 0; i < r->thread_count; i++)
-		pthread_join(r->threads[i], NULL);
-	for (int i = 0; i < 200; i++) {
-		if (tick(r, err) < 0)
-			return -1;
-	}
-	return harness_ready(r->fleet, READY_MS, err);
-}
-
-int faults_stop_all(struct faults *r)
-{
-	int failed = 0;
-
-	for (int i = 0; i < FAULTS_INSTANCES; i++)
-		harness_signal(r->fleet->instances[i].process, SIGTERM);
-	for (int i = 0; i < FAULTS_INSTANCES; i++) {
-		struct harness_process *p = r->fleet->instances[i].process;
-
-		if (!p->pid)
-			continue;
-		if (harness_wait(p, STOP_TIMEOUT_MS) < 0 || !WIFEXITED(p->status) ||
-		    WEXITSTATUS(p->status) != 0)
-			failed++;
-	}
-	return failed;
-}
--- a/bench/path.c
+++ b/bench/path.c
@@ -1,234 +1,28 @@
 #include <argtable2.h>
 #include <curl/curl.h>
-#include <dirent.h>
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
-#include <unistd.h>
 
 #include "ibisgate/common/clock.h"
-#include "ibisgate/common/hash.h"
-#include "ibisgate/harness/harness.h"
-#include "ibisgate/load/report.h"
+#include "path.h"
 
 /*
  * Cost of the path through one instance, beside a direct connection to the same stand-in engine.
  * Slices of both alternate in one run, since figures of different runs differ with the machine.
  */
 
-#define API_KEY "bench-path-key"
 #define READY_MS 20000
 #define MEMORY_STREAMS 500
 #define SAMPLE_MS 100
 /* Makes 5 ms of the 50 us that a step of the engine takes. */
 #define PACED_FACTOR 100
 #define PACED_ROUNDS 3
-#define ROUNDS_MAX 64
-#define WAITS_MAX 16
 /* The kernel sends a delayed acknowledgement after 40 ms. */
 #define DELAYED_ACK_FROM_US 39000
 #define DELAYED_ACK_TO_US 45000
 
-enum way {
-	WAY_DIRECT,
-	WAY_GATEWAY,
-	WAYS,
-};
-
-/**
- * struct samples - first token times and totals of one way over all slices
- * @max_lag_us: longest time that the load tool itself was late
- */
-struct samples {
-	double *ttft_us;
-	size_t count;
-	size_t cap;
-	double rate;
-	double tokens_per_s;
-	int64_t failures;
-	int64_t tokens;
-	int64_t max_lag_us;
-	double p50_us[ROUNDS_MAX];
-	double p99_us[ROUNDS_MAX];
-};
-
-struct path {
-	struct harness_fleet *fleet;
-	pid_t pid;
-	struct scenario scenario;
-	double slice_s;
-	int rounds;
-	int streams;
-	int generators;
-	double rate;
-	int64_t run;
-};
-
-static void scenario_set(struct path *p, double rate, double prompt, double output)
-{
-	struct scenario *s = &p->scenario;
-
-	scenario_defaults(s);
-	s->seed = (uint64_t)++p->run;
-	s->phases[0].rate = rate;
-	s->phases[0].prompt_tokens = prompt;
-	s->phases[0].output_tokens = output;
-	s->organisations[s->organisation_count++] = (struct scenario_organisation){
-		.name = "bench", .key = API_KEY, .weight = 1, .factor = 1
-	};
-}
-
-/**
- * struct generator - one thread that sends a part of the load
- *
- * One thread of the load tool sends at most as much as one instance can take, so a single one
- * would be measured instead of the instance.
- */
-struct generator {
-	pthread_t thread;
-	struct scenario scenario;
-	struct load_options options;
-	struct load_result result;
-	struct error err;
-	char run_id[48];
-	int rc;
-};
-
-static void *generator_run(void *arg)
-{
-	struct generator *g = arg;
-
-	g->rc = load_run(&g->scenario, &g->options, &g->result, &g->err);
-	return NULL;
-}
-
-static void generator_start(struct path *p, struct generator *g, int index, enum way way,
-			    int concurrency)
-{
-	int share = concurrency / p->generators + (index < concurrency % p->generators);
-
-	g->scenario = p->scenario;
-	g->scenario.seed = hash_mix(p->scenario.seed, (uint64_t)index);
-	g->scenario.phases[0].rate = p->scenario.phases[0].rate / p->generators;
-	snprintf(g->run_id, sizeof(g->run_id), "path-%d-%lld", (int)getpid(), (long long)++p->run);
-	load_options_defaults(&g->options);
-	g->options.run_id = g->run_id;
-	g->options.duration_s = p->slice_s;
-	g->options.concurrency = share;
-	g->options.direct = way == WAY_DIRECT;
-	g->options.url_count = 1;
-	g->options.urls[0] =
-		way == WAY_DIRECT ? p->fleet->endpoints[0].url : p->fleet->instances[0].http;
-	pthread_create(&g->thread, NULL, generator_run, g);
-}
-
-static void sample_add(struct samples *out, double ttft_us)
-{
-	if (out->count == out->cap) {
-		out->cap = out->cap ? 2 * out->cap : 4096;
-		out->ttft_us = mem_resize(out->ttft_us, out->cap * sizeof(double));
-	}
-	out->ttft_us[out->count++] = ttft_us;
-}
-
-static void result_add(const struct path *p, const struct load_result *result, struct samples *out)
-{
-	int64_t tokens = 0;
-	int64_t whole = 0;
-
-	for (size_t i = 0; i < result->count; i++) {
-		const struct load_record *r = &result->records[i];
-
-		if (r->outcome != LOAD_WHOLE) {
-			out->failures++;
-			continue;
-		}
-		sample_add(out, (double)r->ttft_us);
-		tokens += r->tokens;
-		whole++;
-	}
-	if (result->max_lag_us > out->max_lag_us)
-		out->max_lag_us = result->max_lag_us;
-	out->tokens += tokens;
-	out->rate += (double)whole / result->elapsed_s / p->rounds;
-	out->tokens_per_s += (double)tokens / result->elapsed_s / p->rounds;
-}
-
-/* Runs one slice and adds what it measured to @out. */
-static int slice_run(struct path *p, enum way way, int concurrency, struct samples *out,
-		     struct error *err)
-{
-	struct generator *all = mem_zalloc((size_t)p->generators * sizeof(*all));
-	int rc = 0;
-
-	for (int i = 0; i < p->generators; i++)
-		generator_start(p, &all[i], i, way, concurrency);
-	for (int i = 0; i < p->generators; i++) {
-		pthread_join(all[i].thread, NULL);
-		if (all[i].rc < 0) {
-			*err = all[i].err;
-			rc = -1;
-			continue;
-		}
-		result_add(p, &all[i].result, out);
-		load_result_free(&all[i].result);
-	}
-	free(all);
-	return rc;
-}
-
-static int double_cmp(const void *a, const void *b)
-{
-	double x = *(const double *)a;
-	double y = *(const double *)b;
-
-	return (x > y) - (x < y);
-}
-
-static double percentile_us(double *values, size_t count, double part)
-{
-	if (count)
-		qsort(values, count, sizeof(double), double_cmp);
-	return report_percentile(values, count, part);
-}
-
-static int ways_run(struct path *p, int concurrency, struct samples out[WAYS], struct error *err)
-{
-	memset(out, 0, sizeof(struct samples) * WAYS);
-	for (int round = 0; round < p->rounds; round++) {
-		for (int i = 0; i < WAYS; i++) {
-			/* The order changes from round to round against drift of the machine. */
-			enum way way = (enum way)((round + i) % WAYS);
-			struct samples *s = &out[way];
-			size_t from = s->count;
-			int64_t run = p->run;
-
-			if (slice_run(p, way, concurrency, s, err) < 0)
-				return -1;
-			/* Sorting the slice in place leaves those before it as they are. */
-			s->p50_us[round] = percentile_us(s->ttft_us + from, s->count - from, 0.5);
-			s->p99_us[round] = percentile_us(s->ttft_us + from, s->count - from, 0.99);
-			p->run = run + p->generators;
-		}
-	}
-	return 0;
-}
-
-/*
- * Median over the rounds of what the instance adds to a percentile. Other work on the machine
- * delays single slices by tens of milliseconds, which a percentile over all slices would show.
- */
-static double added_us(const struct path *p, const double *direct, const double *gateway)
-{
-	double differences[ROUNDS_MAX];
-
-	for (int i = 0; i < p->rounds; i++)
-		differences[i] = gateway[i] - direct[i];
-	return percentile_us(differences, (size_t)p->rounds, 0.5);
-}
-
 static size_t delayed_ack_count(const struct samples *s)
 {
 	size_t n = 0;
@@ -238,92 +32,6 @@
 	return n;
 }
 
-static void samples_free(struct samples s[WAYS])
-{
-	for (int i = 0; i < WAYS; i++)
-		free(s[i].ttft_us);
-}
-
-/**
- * struct waits - time that link threads were ready to run and had to wait for a processor
- *
- * A tail that grows with it comes from the machine and not from the instance.
- */
-struct waits {
-	long tid[WAITS_MAX];
-	int64_t ns[WAITS_MAX];
-	int count;
-	int64_t at_us;
-};
-
-static int64_t task_wait_ns(pid_t pid, long tid)
-{
-	long long run = 0;
-	long long waited = 0;
-	char path[96];
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/task/%ld/schedstat", (int)pid, tid);
-	f = fopen(path, "re");
-	if (!f)
-		return 0;
-	if (fscanf(f, "%lld %lld", &run, &waited) != 2)
-		waited = 0;
-	fclose(f);
-	return waited;
-}
-
-static bool task_is_link(pid_t pid, long tid)
-{
-	char name[32] = "";
-	char path[96];
-	FILE *f;
-
-	snprintf(path, sizeof(path), "/proc/%d/task/%ld/comm", (int)pid, tid);
-	f = fopen(path, "re");
-	if (!f)
-		return false;
-	if (!fgets(name, sizeof(name), f))
-		name[0] = '\0';
-	fclose(f);
-	return strcmp(name, "link\n") == 0;
-}
-
-static void waits_begin(struct waits *w, pid_t pid)
-{
-	struct dirent *entry;
-	char path[64];
-	DIR *dir;
-
-	*w = (struct waits){ .at_us = clock_boot_us() };
-	snprintf(path, sizeof(path), "/proc/%d/task", (int)pid);
-	dir = opendir(path);
-	while (dir && (entry = readdir(dir)) && w->count < WAITS_MAX) {
-		long tid = strtol(entry->d_name, NULL, 10);
-
-		if (!task_is_link(pid, tid))
-			continue;
-		w->tid[w->count] = tid;
-		w->ns[w->count] = task_wait_ns(pid, w->tid[w->count]);
-		w->count++;
-	}
-	if (dir)
-		closedir(dir);
-}
-
-/* Permille of the time of the thread that waited longest. */
-static int waits_end(const struct waits *w, pid_t pid)
-{
-	int64_t most = 0;
-
-	for (int i = 0; i < w->count; i++) {
-		int64_t ns = task_wait_ns(pid, w->tid[i]) - w->ns[i];
-
-		most = ns > most ? ns : most;
-	}
-	return (int)(most / (clock_boot_us() - w->at_us + 1));
-}
-
 struct sampler {
 	pid_t pid;
 	int64_t most_kb;
@@ -350,8 +58,8 @@
 	double before = (harness_cpu_us(p->pid) / 1e6);
 	double used;
 
-	scenario_set(p, 0, 50, 8);
-	if (ways_run(p, 64, s, err) < 0)
+	path_scenario(p, 0, 50, 8);
+	if (path_ways_run(p, 64, s, err) < 0)
 		return -1;
 	used = (harness_cpu_us(p->pid) / 1e6) - before;
 	*rate = s[WAY_GATEWAY].rate;
@@ -359,7 +67,7 @@
 	printf("throughput: direct %.0f/s, through the instance %.0f/s, not whole %lld and %lld\n",
 	       s[WAY_DIRECT].rate, s[WAY_GATEWAY].rate, (long long)s[WAY_DIRECT].failures,
 	       (long long)s[WAY_GATEWAY].failures);
-	samples_free(s);
+	path_samples_free(s);
 	return 0;
 }
 
@@ -367,8 +75,9 @@
 {
 	printf("first token %s: requests %zu, not whole %lld, p50 %.0f p99 %.0f us, at 39 to 45 ms "
 	       "%zu, load tool late by at most %lld us\n",
-	       name, s->count, (long long)s->failures, percentile_us(s->ttft_us, s->count, 0.5),
-	       percentile_us(s->ttft_us, s->count, 0.99), delayed_ack_count(s),
+	       name, s->count, (long long)s->failures,
+	       path_percentile_us(s->ttft_us, s->count, 0.5),
+	       path_percentile_us(s->ttft_us, s->count, 0.99), delayed_ack_count(s),
 	       (long long)s->max_lag_us);
 }
 
@@ -377,14 +86,14 @@
 	struct samples s[WAYS];
 	struct waits waits;
 
-	scenario_set(p, rate, 50, 8);
-	waits_begin(&waits, p->pid);
-	if (ways_run(p, 0, s, err) < 0)
+	path_scenario(p, rate, 50, 8);
+	path_waits_begin(&waits, p->pid);
+	if (path_ways_run(p, 0, s, err) < 0)
 		return -1;
 	printf("link thread: waited for a processor %d permille of the time\n",
-	       waits_end(&waits, p->pid));
-	added[0] = added_us(p, s[WAY_DIRECT].p50_us, s[WAY_GATEWAY].p50_us);
-	added[1] = added_us(p, s[WAY_DIRECT].p99_us, s[WAY_GATEWAY].p99_us);
+	       path_waits_end(&waits, p->pid));
+	added[0] = path_added_us(p, s[WAY_DIRECT].p50_us, s[WAY_GATEWAY].p50_us);
+	added[1] = path_added_us(p, s[WAY_DIRECT].p99_us, s[WAY_GATEWAY].p99_us);
 	for (int i = 0; i < p->rounds; i++)
 		printf("round %d at %.0f/s: direct p50 %.0f p99 %.0f us, through the instance p50 "
 		       "%.0f p99 %.0f us\n",
@@ -392,7 +101,7 @@
 		       s[WAY_GATEWAY].p50_us[i], s[WAY_GATEWAY].p99_us[i]);
 	latency_print(&s[WAY_DIRECT], "direct");
 	latency_print(&s[WAY_GATEWAY], "through the instance");
-	samples_free(s);
+	path_samples_free(s);
 	return 0;
 }
 
@@ -402,8 +111,8 @@
 	double before = (harness_cpu_us(p->pid) / 1e6);
 	double used;
 
-	scenario_set(p, 0, 50, 200);
-	if (ways_run(p, p->streams, s, err) < 0)
+	path_scenario(p, 0, 50, 200);
+	if (path_ways_run(p, p->streams, s, err) < 0)
 		return -1;
 	used = (harness_cpu_us(p->pid) / 1e6) - before;
 	if (s[WAY_GATEWAY].tokens)
@@ -416,7 +125,7 @@
 	       "%lld and %lld\n",
 	       p->streams, s[WAY_DIRECT].tokens_per_s, s[WAY_GATEWAY].tokens_per_s,
 	       (long long)s[WAY_DIRECT].failures, (long long)s[WAY_GATEWAY].failures);
-	samples_free(s);
+	path_samples_free(s);
 	return 0;
 }
 
@@ -456,9 +165,9 @@
 	pthread_t thread;
 	int rc;
 
-	scenario_set(p, 0, 50, 400);
+	path_scenario(p, 0, 50, 400);
 	pthread_create(&thread, NULL, sampler_run, &sampler);
-	rc = slice_run(p, WAY_GATEWAY, MEMORY_STREAMS, &s, err);
+	rc = path_slice_run(p, WAY_GATEWAY, MEMORY_STREAMS, &s, err);
 	sampler.stop = true;
 	pthread_join(thread, NULL);
 	printf("%d streams: resident %lld KiB before, %lld KiB at most, not whole %lld\n",
@@ -472,7 +181,7 @@
 {
 	if (harness_ready(p->fleet, READY_MS, err) < 0)
 		return -1;
-	if (harness_organisation(p->fleet, "bench", API_KEY, 1) != 200 ||
+	if (harness_organisation(p->fleet, "bench", PATH_API_KEY, 1) != 200 ||
 	    harness_model(p->fleet, "M") != 200 ||
 	    /* The cost of the path is measured, so no request may be refused as too late. */
 	    harness_default(p->fleet, "admission.enabled", json_integer(0)) != 200)
@@ -550,7 +259,7 @@
 	if (slice->count)
 		path.slice_s = slice->dval[0];
 	if (rounds->count)
-		path.rounds = rounds->ival[0] < ROUNDS_MAX ? rounds->ival[0] : ROUNDS_MAX;
+		path.rounds = rounds->ival[0] < PATH_ROUNDS_MAX ? rounds->ival[0] : PATH_ROUNDS_MAX;
 	if (streams->count)
 		path.streams = streams->ival[0];
 	if (generators->count)
--- /dev/null
+++ b/bench/path_wait.c
@@ -0,0 +1,75 @@
+#include <dirent.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "path.h"
+
+static int64_t task_wait_ns(pid_t pid, long tid)
+{
+	long long run = 0;
+	long long waited = 0;
+	char path[96];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/task/%ld/schedstat", (int)pid, tid);
+	f = fopen(path, "re");
+	if (!f)
+		return 0;
+	if (fscanf(f, "%lld %lld", &run, &waited) != 2)
+		waited = 0;
+	fclose(f);
+	return waited;
+}
+
+static bool task_is_link(pid_t pid, long tid)
+{
+	char name[32] = "";
+	char path[96];
+	FILE *f;
+
+	snprintf(path, sizeof(path), "/proc/%d/task/%ld/comm", (int)pid, tid);
+	f = fopen(path, "re");
+	if (!f)
+		return false;
+	if (!fgets(name, sizeof(name), f))
+		name[0] = '\0';
+	fclose(f);
+	return strcmp(name, "link\n") == 0;
+}
+
+void path_waits_begin(struct waits *w, pid_t pid)
+{
+	struct dirent *entry;
+	char path[64];
+	DIR *dir;
+
+	*w = (struct waits){ .at_us = clock_boot_us() };
+	snprintf(path, sizeof(path), "/proc/%d/task", (int)pid);
+	dir = opendir(path);
+	while (dir && (entry = readdir(dir)) && w->count < PATH_WAITS_MAX) {
+		long tid = strtol(entry->d_name, NULL, 10);
+
+		if (!task_is_link(pid, tid))
+			continue;
+		w->tid[w->count] = tid;
+		w->ns[w->count] = task_wait_ns(pid, w->tid[w->count]);
+		w->count++;
+	}
+	if (dir)
+		closedir(dir);
+}
+
+/* Permille of the time of the thread that waited longest. */
+int path_waits_end(const struct waits *w, pid_t pid)
+{
+	int64_t most = 0;
+
+	for (int i = 0; i < w->count; i++) {
+		int64_t ns = task_wait_ns(pid, w->tid[i]) - w->ns[i];
+
+		most = ns > most ? ns : most;
+	}
+	return (int)(most / (clock_boot_us() - w->at_us + 1));
+}
