--- a/tests/promise_fixture.h
+++ b/tests/promise_fixture.h
@@ -14,6 +14,8 @@
 #include <thread>
 #include <vector>
 
+#include "eventually.h"
+
 extern "C" {
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
@@ -24,19 +26,6 @@
 
 #define API_KEY "promise-key"
 
-/* Polls until @f holds. */
-template <typename F> bool eventually(F f, int64_t limit_ms)
-{
-	int64_t end = clock_boot_ms() + limit_ms;
-
-	while (!f()) {
-		if (clock_boot_ms() > end)
-			return false;
-		clock_sleep_ms(10);
-	}
-	return true;
-}
-
 /* Owned JSON value. */
 class Json
 {
--- a/tests/standin_process.h
+++ b/tests/standin_process.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "eventually.h"
+
 extern "C" {
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
@@ -100,16 +102,4 @@
 	struct http_pool *pool;
 };
 
-template <typename F> bool eventually(F f, int64_t limit_ms)
-{
-	int64_t end = clock_boot_ms() + limit_ms;
-
-	while (!f()) {
-		if (clock_boot_ms() > end)
-			return false;
-		clock_sleep_ms(20);
-	}
-	return true;
-}
-
 #endif
