Set up the engine stand-in's requests in one place

engine_kv.c and engine_register.c set the same libcurl options with the same function that discards the answer; engine_curl() does it for both.

--- a/include/ibisgate/standins/engine.h
+++ b/include/ibisgate/standins/engine.h
@@ -1,6 +1,7 @@
 #ifndef IBISGATE_STANDINS_ENGINE_H
 #define IBISGATE_STANDINS_ENGINE_H
 
+#include <curl/curl.h>
 #include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -227,6 +228,11 @@
 /* engine_request.c */
 int engine_completions(struct engine *e, struct mg_connection *conn, bool chat);
 
+/* engine_curl.c */
+
+/** engine_curl - handle for a request to another process whose answer is discarded, or NULL */
+CURL *engine_curl(const char *url, long timeout_ms);
+
 /* engine_kv.c */
 
 /** engine_kv_fetch - fetch a cache from another engine; Return: HTTP status, 0 without answer */
--- a/standins/engine_kv.c
+++ b/standins/engine_kv.c
@@ -11,11 +11,6 @@
 	void *ctx;
 };
 
-static size_t kv_discard(char *data, size_t size, size_t count, void *ctx)
-{
-	return size * count;
-}
-
 static int kv_progress(void *ctx, curl_off_t dl_total, curl_off_t dl, curl_off_t ul_total,
 		       curl_off_t ul)
 {
@@ -27,20 +22,15 @@
 int engine_kv_fetch(const char *url, const char *handle, int (*tick)(void *ctx), void *ctx)
 {
 	struct kv_progress progress = { tick, ctx };
-	CURL *curl = curl_easy_init();
 	char full[512];
 	long status = 0;
+	CURL *curl;
 
+	snprintf(full, sizeof(full), "%s/kv/%s", url, handle);
+	curl = engine_curl(full, KV_TIMEOUT_MS);
 	if (!curl)
 		return 0;
-	snprintf(full, sizeof(full), "%s/kv/%s", url, handle);
-	curl_easy_setopt(curl, CURLOPT_URL, full);
-	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, KV_CONNECT_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, KV_TIMEOUT_MS);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, kv_discard);
 	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
 	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, kv_progress);
 	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, &progress);
--- a/standins/engine_register.c
+++ b/standins/engine_register.c
@@ -11,11 +11,6 @@
 /* Three missed refreshes remove a killed engine from the list. */
 #define REGISTER_TTL_MS 3500
 
-static size_t register_discard(char *data, size_t size, size_t count, void *ctx)
-{
-	return size * count;
-}
-
 static char *register_body(struct engine *e, bool leaving)
 {
 	json_t *v;
@@ -36,21 +31,19 @@
 {
 	struct curl_slist *headers = curl_slist_append(NULL, "Content-Type: application/json");
 	char *body = register_body(e, leaving);
-	CURL *curl = curl_easy_init();
 	char url[256];
+	CURL *curl;
 
 	snprintf(url, sizeof(url), "%s/list/endpoints", e->opt.platform);
-	curl_easy_setopt(curl, CURLOPT_URL, url);
-	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
-	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
-	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
-	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, REGISTER_TIMEOUT_MS);
+	curl = engine_curl(url, REGISTER_TIMEOUT_MS);
+	if (!curl)
+		goto out;
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
 	curl_easy_setopt(curl, CURLOPT_POSTFIELDS, body);
-	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, register_discard);
 	/* A failed refresh is repeated a second later. */
 	curl_easy_perform(curl);
 	curl_easy_cleanup(curl);
+out:
 	curl_slist_free_all(headers);
 	free(body);
 }
