Begin orders of all kinds in one place

Role, model and withdrawal orders each took the lease's number, looked at unsettled holders and made an id. control_order_init() does it for all three.

--- a/daemon/control_drain.c
+++ b/daemon/control_drain.c
@@ -1,5 +1,4 @@
 #include <inttypes.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -7,7 +6,6 @@
 #include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
-#include "ibisgate/common/json.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
 #include "ibisgate/common/supervisor.h"
@@ -138,16 +136,9 @@
 {
 	struct order order = { .kind = ORDER_ROLE, .u.role = to };
 	struct endpoint_info ep;
-	char token[24];
 
-	if (!control_lease_held(c, dc, &order.fencing) || !control_endpoint(c, endpoint, &ep))
+	if (!control_endpoint(c, endpoint, &ep) || !control_order_init(c, &ep, dc, &order))
 		return false;
-	/* An earlier holder may still send its order to an engine that can't refuse it. */
-	if (!ep.checks_fencing && !control_lease_settled(c, dc))
-		return false;
-	control_token(token);
-	snprintf(order.id, sizeof(order.id), "o-%s", token);
-	str_copy(order.endpoint, sizeof(order.endpoint), str_from(endpoint));
 	return control_job_start(c, &order, dc, from);
 }
 
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -299,6 +299,14 @@
 	ORDER_REPLY_RUNNING,
 	ORDER_REPLY_LOST,
 };
+
+/**
+ * control_order_init - give @order of a known kind its id, endpoint and the number of the lease
+ *
+ * Return: false when this instance may give @ep no order now.
+ */
+bool control_order_init(struct control *c, const struct endpoint_info *ep, const char *dc,
+			struct order *order);
 enum order_reply control_order_send(struct control *c, const struct endpoint_info *ep,
 				    const struct order *order);
 enum order_reply control_order_poll(struct control *c, const struct endpoint_info *ep,
--- a/daemon/control_models.c
+++ b/daemon/control_models.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu-bp.h>
@@ -56,16 +55,9 @@
 static void start(struct control *c, const struct endpoint_info *ep, const char *model)
 {
 	struct order order = { .kind = ORDER_MODEL };
-	char token[24];
 
-	if (!control_lease_held(c, ep->dc, &order.fencing))
+	if (!control_order_init(c, ep, ep->dc, &order))
 		return;
-	/* An earlier holder may still send its order to an engine that can't refuse it. */
-	if (!ep->checks_fencing && !control_lease_settled(c, ep->dc))
-		return;
-	control_token(token);
-	snprintf(order.id, sizeof(order.id), "m-%s", token);
-	str_copy(order.endpoint, sizeof(order.endpoint), str_from(ep->name));
 	str_copy(order.u.model, sizeof(order.u.model), str_from(model));
 	control_job_start(c, &order, ep->dc, ep->role);
 }
--- a/daemon/control_order.c
+++ b/daemon/control_order.c
@@ -27,6 +27,30 @@
 	return found;
 }
 
+bool control_order_init(struct control *c, const struct endpoint_info *ep, const char *dc,
+			struct order *order)
+{
+	static const char kinds[] = {
+		[ORDER_ROLE] = 'o',
+		[ORDER_MODEL] = 'm',
+		[ORDER_WITHDRAW] = 'w',
+	};
+	char token[24];
+
+	if (!control_lease_held(c, dc, &order->fencing))
+		return false;
+	/*
+	 * An earlier holder may still send its order to an engine that can't refuse it. A
+	 * withdrawal sends the engine nothing.
+	 */
+	if (order->kind != ORDER_WITHDRAW && !ep->checks_fencing && !control_lease_settled(c, dc))
+		return false;
+	control_token(token);
+	snprintf(order->id, sizeof(order->id), "%c-%s", kinds[order->kind], token);
+	str_copy(order->endpoint, sizeof(order->endpoint), str_from(ep->name));
+	return true;
+}
+
 static json_t *order_json(const struct control *c, const struct order *order)
 {
 	static const char *const roles[] = { "service", "mixed", "prefill", "decode" };
--- a/daemon/control_withdraw.c
+++ b/daemon/control_withdraw.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu-bp.h>
@@ -50,14 +49,9 @@
 static void start(struct control *c, const struct endpoint_info *ep)
 {
 	struct order order = { .kind = ORDER_WITHDRAW };
-	char token[24];
 
-	if (!control_lease_held(c, ep->dc, &order.fencing))
-		return;
-	control_token(token);
-	snprintf(order.id, sizeof(order.id), "w-%s", token);
-	str_copy(order.endpoint, sizeof(order.endpoint), str_from(ep->name));
-	control_job_start(c, &order, ep->dc, ep->role);
+	if (control_order_init(c, ep, ep->dc, &order))
+		control_job_start(c, &order, ep->dc, ep->role);
 }
 
 void control_withdraw_check(struct control *c)
