--- a/daemon/control_order.c
+++ b/daemon/control_order.c
@@ -27,6 +27,30 @@
 	return found;
 }
 
+bool control_order_init(struct control *c, const struct endpoint_info *ep, const char *dc,
+			struct order *order)
+{
+	static const char kinds[] = {
+		[ORDER_ROLE] = 'o',
+		[ORDER_MODEL] = 'm',
+		[ORDER_WITHDRAW] = 'w',
+	};
+	char token[24];
+
+	if (!control_lease_held(c, dc, &order->fencing))
+		return false;
+	/*
+	 * An earlier holder may still send its order to an engine that can't refuse it. A
+	 * withdrawal sends the engine nothing.
+	 */
+	if (order->kind != ORDER_WITHDRAW && !ep->checks_fencing && !control_lease_settled(c, dc))
+		return false;
+	control_token(token);
+	snprintf(order->id, sizeof(order->id), "%c-%s", kinds[order->kind], token);
+	str_copy(order->endpoint, sizeof(order->endpoint), str_from(ep->name));
+	return true;
+}
+
 static json_t *order_json(const struct control *c, const struct order *order)
 {
 	static const char *const roles[] = { "service", "mixed", "prefill", "decode" };
@@ -64,10 +88,32 @@
 	call->timeout_ms = ORDER_TIMEOUT_MS;
 }
 
+struct authority {
+	struct control *control;
+	const char *dc;
+	int64_t fencing;
+	bool lost;
+};
+
+static bool authority_held(void *ctx)
+{
+	struct authority *a = ctx;
+
+	a->lost = !control_lease_held_as(a->control, a->dc, a->fencing) &&
+		  !ablated(MECHANISM_LEASE_CHECK);
+	return !a->lost;
+}
+
+/*
+ * The lease is looked at on the open connection. A holder that is paused after that look can only
+ * reach the engine process that ran while it held the lease: one that was started again, and has
+ * forgotten the orders it took, has no part in that connection.
+ */
 enum order_reply control_order_send(struct control *c, const struct endpoint_info *ep,
 				    const struct order *order)
 {
-	struct http_call call = { .method = "POST" };
+	struct authority authority = { .control = c, .dc = ep->dc, .fencing = order->fencing };
+	struct http_call call = { .method = "POST", .may_send = authority_held, .ctx = &authority };
 	enum order_reply reply = ORDER_REPLY_NONE;
 	json_t *o = order_json(c, order);
 	struct buf body = { 0 };
@@ -79,11 +125,10 @@
 	set_target(c, &call, url, sizeof(url), ep);
 	event_record("order-sent", NULL, ep->name, NULL, "order=%s fencing=%" PRId64, order->id,
 		     order->fencing);
-	/* The authority is looked at again as late as possible. */
-	if (!control_lease_held_as(c, ep->dc, order->fencing) && !ablated(MECHANISM_LEASE_CHECK))
-		reply = ORDER_REPLY_STALE;
-	else if (http_call(c->http, &call) == HTTP_REPLIED)
+	if (http_call(c->http, &call) == HTTP_REPLIED)
 		reply = reply_of(&call);
+	else if (authority.lost)
+		reply = ORDER_REPLY_STALE;
 	buf_free(&body);
 	buf_free(&call.reply);
 	return reply;
--- a/include/ibisgate/standins/engine.h
+++ b/include/ibisgate/standins/engine.h
@@ -1,6 +1,7 @@
 #ifndef IBISGATE_STANDINS_ENGINE_H
 #define IBISGATE_STANDINS_ENGINE_H
 
+#include <curl/curl.h>
 #include <jansson.h>
 #include <pthread.h>
 #include <stdatomic.h>
@@ -9,6 +10,7 @@
 
 #include "ibisgate/common/str.h"
 #include "ibisgate/standins/common.h"
+#include "ibisgate/standins/text.h"
 
 /* Exit status of an injected crash. */
 #define ENGINE_CRASH_STATUS 42
@@ -118,7 +120,7 @@
 
 struct engine_stats {
 	int64_t requests, tokens, prefill_tokens, cached_tokens, bad_resume, cut_requests;
-	int64_t cancelled;
+	int64_t cancelled, late_chunks;
 };
 
 struct engine_faults {
@@ -129,6 +131,14 @@
 	double slow_factor;
 	/* Read and cleared by the stream that takes the fault; -1 when unset. */
 	_Atomic int64_t silent_after_tokens;
+	/* Streams that still begin with a chunk of an earlier stream. */
+	int64_t late_chunks;
+};
+
+/** struct engine_late - first token of an SSE answer, which the fault late_chunks sends again */
+struct engine_late {
+	char attempt[ENGINE_NAME_MAX];
+	char token[TEXT_TOKEN_BYTES + 1];
 };
 
 /**
@@ -168,6 +178,7 @@
 	int64_t conflicts, refused_stale, refused_busy;
 
 	struct engine_faults faults;
+	struct engine_late late;
 	struct engine_stats stats;
 };
 
@@ -217,6 +228,11 @@
 /* engine_request.c */
 int engine_completions(struct engine *e, struct mg_connection *conn, bool chat);
 
+/* engine_curl.c */
+
+/** engine_curl - handle for a request to another process whose answer is discarded, or NULL */
+CURL *engine_curl(const char *url, long timeout_ms);
+
 /* engine_kv.c */
 
 /** engine_kv_fetch - fetch a cache from another engine; Return: HTTP status, 0 without answer */
--- a/tests/standin_process.h
+++ b/tests/standin_process.h
@@ -10,6 +10,8 @@
 #include <string>
 #include <vector>
 
+#include "eventually.h"
+
 extern "C" {
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
@@ -42,22 +44,33 @@
 		while (read(out[0], &c, 1) == 1 && c != '\n')
 			line += c;
 		close(out[0]);
+		EXPECT_EQ(line.rfind("listening ", 0), 0u) << path << ": " << line;
 		port = atoi(line.substr(line.find(' ') + 1).c_str());
 		pool = http_pool_create();
 	}
 	~Standin()
 	{
-		kill(pid, SIGTERM);
-		waitpid(pid, nullptr, 0);
+		if (pid > 0)
+			stop();
 		http_pool_destroy(pool);
 	}
+	/* Exit status after SIGTERM; 42 after an injected crash. */
+	int stop()
+	{
+		int status = 0;
+
+		kill(pid, SIGTERM);
+		waitpid(pid, &status, 0);
+		pid = -1;
+		return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+	}
 	std::string address() const
 	{
 		return "127.0.0.1:" + std::to_string(port);
 	}
-	std::string url() const
+	std::string url(const std::string &path = "") const
 	{
-		return "http://" + address();
+		return "http://" + address() + path;
 	}
 	/* Port of a route of the fault proxy. */
 	int route(const std::string &name) const
@@ -89,16 +102,4 @@
 	struct http_pool *pool;
 };
 
-template <typename F> bool eventually(F f, int64_t limit_ms)
-{
-	int64_t end = clock_boot_ms() + limit_ms;
-
-	while (!f()) {
-		if (clock_boot_ms() > end)
-			return false;
-		clock_sleep_ms(20);
-	}
-	return true;
-}
-
 #endif
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -398,14 +398,68 @@
 {
 	Region g;
 
-	g.start("a1", "abertawe");
-	string to_a1 = "127.0.0.1:" + std::to_string(rig_peer_port(g.rigs["a1"]));
-	Standin proxy("ibisgate-faultproxy", { "--control", "0", "--route", "a1=" + to_a1 });
-	g.start("a2", "abertawe",
-		"[routes]\na1 = 127.0.0.1:" + std::to_string(proxy.route("a1")) + "\n");
+	auto proxy = g.start_pair("abertawe");
 	ASSERT_TRUE(g.ready());
 	ASSERT_TRUE(g.see_each_other(8000));
-	proxy.tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent\",\"existing_only\":true}");
+	proxy->tell("/faults", "{\"route\":\"a1\",\"mode\":\"silent\",\"existing_only\":true}");
 	EXPECT_TRUE(eventually([&] { return Region::live(g.rigs["a1"]) == 1; }, 5000));
 	EXPECT_TRUE(g.see_each_other(6000));
 }
+
+/* What the order of a paused holder meets: a hook between the last look at the lease and the send.
+ */
+struct pause {
+	std::unique_ptr<Standin> engine;
+	std::vector<string> args;
+	bool held;
+};
+
+static bool restart_engine(void *ctx)
+{
+	struct pause *p = static_cast<struct pause *>(ctx);
+
+	kill(p->engine->pid, SIGKILL);
+	p->engine.reset();
+	p->engine.reset(new Standin("ibisgate-engine", p->args));
+	return p->held;
+}
+
+/*
+ * Guards against an order that a paused holder sends after its last look at the lease and that
+ * reaches an engine started again meanwhile, which has forgotten the order of the successor.
+ */
+TEST(Control, OrderOfAPausedHolderMissesARestartedEngine)
+{
+	const string body = R"({"order_id":"o-1","fencing":1,"holder":"a1","kind":"role",)"
+			    R"("value":"decode"})";
+
+	struct http_pool *pool = http_pool_create();
+
+	for (bool held : { true, false }) {
+		struct http_call c = {};
+		struct pause p = { nullptr, { "--port", "0" }, held };
+		string url;
+
+		p.engine.reset(new Standin("ibisgate-engine", p.args));
+		p.args[1] = std::to_string(p.engine->port);
+		url = p.engine->url() + "/orders";
+		c.method = "POST";
+		c.url = url.c_str();
+		c.body = { body.data(), body.size() };
+		c.timeout_ms = 3000;
+		c.may_send = restart_engine;
+		c.ctx = &p;
+		enum http_outcome outcome = http_call(pool, &c);
+
+		/* The write fails at once when the reset of the connection came before it. */
+		EXPECT_NE(outcome, HTTP_REPLIED);
+		if (!held) {
+			EXPECT_EQ(outcome, HTTP_NOT_SENT);
+		}
+		buf_free(&c.reply);
+		json_t *o = p.engine->send("GET", "/orders");
+		EXPECT_EQ(json_array_size(json_object_get(o, "log")), 0u);
+		json_decref(o);
+	}
+	http_pool_destroy(pool);
+}
