Raise the proof for a role change back within the horizon

Cause: nothing told a swing from an oscillation that is slower than the smoothing time, so engines followed it to and fro. Change: role_changed() is told the direction; a change back within the horizon has its loss and its proof raised, the sooner the more, up to the margin. Ruled out: a factor up to 2 whatever the margin. The other tests only pass the new argument.

--- a/daemon/control_roles.c
+++ b/daemon/control_roles.c
@@ -20,6 +20,8 @@
 struct model_roles {
 	char model[48];
 	struct role_state state;
+	int to_prefill;
+	int to_decode;
 	int changing;
 };
 
@@ -153,18 +155,33 @@
 	return best;
 }
 
-static int total_changing(const struct role_view *v)
+/* Notes changes that any instance of the region has begun since the last look. */
+static void note_changes(struct model_roles *mr, const struct role_view *v, int64_t now)
 {
-	int n = 0;
+	int to_prefill = 0;
+	int to_decode = 0;
+	int changing = 0;
 
-	for (int i = 0; i < v->dc_count; i++)
-		n += v->dcs[i].changing;
-	return n;
+	for (int i = 0; i < v->dc_count; i++) {
+		to_prefill += v->dcs[i].to_prefill;
+		to_decode += v->dcs[i].to_decode;
+		changing += v->dcs[i].changing;
+	}
+	if (to_prefill > mr->to_prefill)
+		role_changed(&mr->state, ROLE_PREFILL, now);
+	else if (to_decode > mr->to_decode)
+		role_changed(&mr->state, ROLE_DECODE, now);
+	else if (changing > mr->changing)
+		role_changed(&mr->state, ROLE_SERVICE, now);
+	mr->to_prefill = to_prefill;
+	mr->to_decode = to_decode;
+	mr->changing = changing;
 }
 
 static void decision_record(const struct model_roles *mr, const char *endpoint,
 			    const struct role_decision *d, const struct role_view *v)
 {
+	const struct role_demand *avg = &mr->state.avg;
 	int prefill = 0;
 	int decode = 0;
 	char figures[EVENT_DETAIL_MAX];
@@ -174,11 +191,11 @@
 		decode += v->dcs[i].decode;
 	}
 	snprintf(figures, sizeof(figures),
-		 "to=%s at=%d/%d demand=%.2f/%.2f avg=%.2f/%.2f served=%.3f>%.3f gain=%.2f "
-		 "loss=%.2f age=%" PRId64,
+		 "to=%s at=%d/%d demand=%.1f/%.1f avg=%.1f/%.1f served=%.2f>%.2f gain=%.2f "
+		 "loss=%.1f age=%" PRId64,
 		 d->to == ROLE_PREFILL ? "prefill" : "decode", prefill, decode, v->prefill_demand,
-		 v->decode_demand, mr->state.prefill_avg, mr->state.decode_avg, d->served,
-		 d->served_after, d->gain_rate, d->loss, d->age_ms);
+		 v->decode_demand, avg->prefill, avg->decode, d->served, d->served_after,
+		 d->gain_rate, d->loss, d->age_ms);
 	log_info("role-decision", "model=%s endpoint=%s %s", mr->model, endpoint, figures);
 	event_record("role-decision", NULL, endpoint, NULL, "%s", figures);
 }
@@ -193,14 +210,10 @@
 	struct role_method m;
 	struct role_view v;
 	int64_t change_ms;
-	int away;
 
 	m = read_method(c, &change_ms);
 	v = make_view(c, all, n, mr->model, change_ms);
-	away = total_changing(&v);
-	if (away > mr->changing)
-		role_changed(&mr->state, now);
-	mr->changing = away;
+	note_changes(mr, &v, now);
 	role_observe(&mr->state, &m, &v, now);
 	if (!control_lease_held(c, own_dc, NULL) || platform_down_since_ms(c->gate->platform))
 		return;
@@ -208,7 +221,7 @@
 	target = d.change ? pick(c, all, n, mr->model, d.from) : NULL;
 	if (!target || !control_drain_start(c, own_dc, target->info.name, d.from, d.to))
 		return;
-	role_changed(&mr->state, now);
+	role_changed(&mr->state, d.to, now);
 	decision_record(mr, target->info.name, &d, &v);
 }
 
--- a/include/ibisgate/common/event.h
+++ b/include/ibisgate/common/event.h
@@ -6,7 +6,7 @@
 #include "ibisgate/common/str.h"
 
 #define EVENT_ID_MAX 48
-#define EVENT_DETAIL_MAX 96
+#define EVENT_DETAIL_MAX 128
 #define EVENT_RING_SIZE 16384
 
 /**
--- a/include/ibisgate/policy/role.h
+++ b/include/ibisgate/policy/role.h
@@ -65,14 +65,22 @@
 	int64_t change_ms;
 };
 
+/** struct role_demand - engine seconds of work that arrive a second */
+struct role_demand {
+	double prefill;
+	double decode;
+};
+
 /**
  * struct role_state - what the policy remembers; zero-initialised at the start
+ * @avg: demand averaged over the smoothing time
+ * @last_to: role of the last change, ROLE_SERVICE when unknown
  */
 struct role_state {
-	double prefill_avg;
-	double decode_avg;
+	struct role_demand avg;
 	int64_t observed_ms;
 	int64_t last_change_ms;
+	enum endpoint_role last_to;
 	int64_t imbalance_since_ms;
 	enum endpoint_role imbalance_to;
 };
@@ -102,8 +110,11 @@
 void role_observe(struct role_state *st, const struct role_method *m, const struct role_view *v,
 		  int64_t now_ms);
 
-/** role_changed - note that a change anywhere in the region has begun */
-void role_changed(struct role_state *st, int64_t now_ms);
+/**
+ * role_changed - note that a change anywhere in the region has begun
+ * @to: ROLE_SERVICE when it is not known
+ */
+void role_changed(struct role_state *st, enum endpoint_role to, int64_t now_ms);
 
 /**
  * role_decide - whether data centre @dc should change one engine now
--- a/policy/role.c
+++ b/policy/role.c
@@ -69,26 +69,42 @@
 }
 
 /* Relative difference in load between the roles; 0 without demand or without a role. */
-static double imbalance(const struct role_state *st, const struct role_counts *n)
+static double imbalance(const struct role_demand *q, const struct role_counts *n)
 {
 	double p;
 	double d;
 
 	if (!n->prefill || !n->decode)
 		return 0;
-	p = st->prefill_avg / n->prefill;
-	d = st->decode_avg / n->decode;
+	p = q->prefill / n->prefill;
+	d = q->decode / n->decode;
 	return fmax(p, d) > 0 ? fabs(p - d) / fmax(p, d) : 0;
 }
 
-/* Role that is short by more than the hysteresis, ROLE_SERVICE when none is. */
-static enum endpoint_role role_short(const struct role_state *st, const struct role_method *m,
+/* Role that is short by more than @threshold, ROLE_SERVICE when none is. */
+static enum endpoint_role role_short(const struct role_demand *q, double threshold,
 				     const struct role_counts *n)
 {
-	if (imbalance(st, n) <= m->u.horizon.hysteresis)
+	if (imbalance(q, n) <= threshold)
 		return ROLE_SERVICE;
-	return st->prefill_avg * n->decode > st->decode_avg * n->prefill ? ROLE_PREFILL
-									 : ROLE_DECODE;
+	return q->prefill * n->decode > q->decode * n->prefill ? ROLE_PREFILL : ROLE_DECODE;
+}
+
+/*
+ * A change back within the horizon shows that the gain of the last one was not collected. Loss and
+ * proof are raised for it, the more the sooner it follows, up to the margin: a margin of 1 weighs
+ * both directions alike.
+ */
+static double reversal_factor(const struct role_state *st, const struct role_method *m,
+			      enum endpoint_role to, int64_t now_ms)
+{
+	int64_t since = now_ms - st->last_change_ms;
+
+	if (m->kind != ROLE_HORIZON || !st->last_change_ms || st->last_to != other_role(to) ||
+	    since >= m->u.horizon.horizon_ms || m->u.horizon.margin <= 1)
+		return 1;
+	return 1 +
+	       (m->u.horizon.margin - 1) * (1 - (double)since / (double)m->u.horizon.horizon_ms);
 }
 
 /* Engine seconds won a second by one change, and lost by making it. */
@@ -103,20 +119,19 @@
  * The engine itself is charged as lost for the whole change, and so is the demand that the
  * remaining donors cannot serve meanwhile, beside the changes that are under way.
  */
-static struct change_value change_value(const struct role_state *st, const struct role_view *v,
+static struct change_value change_value(const struct role_demand *q, const struct role_view *v,
 					const struct role_counts *n, enum endpoint_role to)
 {
 	int p = to == ROLE_PREFILL ? 1 : -1;
 	int p_away = to == ROLE_PREFILL ? 0 : 1;
-	double demand = st->prefill_avg + st->decode_avg;
+	double demand = q->prefill + q->decode;
 	double away_s = (double)v->change_ms / 1000.0;
-	double now = role_goodput(st->prefill_avg, st->decode_avg, n->prefill, n->decode);
-	double then = role_goodput(st->prefill_avg, st->decode_avg, n->prefill + p, n->decode - p);
+	double now = role_goodput(q->prefill, q->decode, n->prefill, n->decode);
+	double then = role_goodput(q->prefill, q->decode, n->prefill + p, n->decode - p);
 	int p_here = n->prefill - n->to_prefill;
 	int d_here = n->decode - n->to_decode;
-	double here = role_goodput(st->prefill_avg, st->decode_avg, p_here, d_here);
-	double away =
-		role_goodput(st->prefill_avg, st->decode_avg, p_here - p_away, d_here - !p_away);
+	double here = role_goodput(q->prefill, q->decode, p_here, d_here);
+	double away = role_goodput(q->prefill, q->decode, p_here - p_away, d_here - !p_away);
 
 	return (struct change_value){
 		.served = now,
@@ -126,13 +141,14 @@
 	};
 }
 
+/* @factor: by which the loss is raised for a change back */
 static bool change_pays(const struct change_value *c, const struct role_method *m,
-			const struct role_view *v)
+			const struct role_view *v, double factor)
 {
 	double after_s = (double)(m->u.horizon.horizon_ms - v->change_ms) / 1000.0;
 	double gain = c->gain_rate * after_s;
 
-	return after_s > 0 && gain > 0 && gain > c->loss * m->u.horizon.margin;
+	return after_s > 0 && gain > 0 && gain > c->loss * m->u.horizon.margin * factor;
 }
 
 static bool donor_left(const struct role_counts *n, enum endpoint_role from)
@@ -140,51 +156,62 @@
 	return (from == ROLE_PREFILL ? n->prefill - n->to_prefill : n->decode - n->to_decode) >= 2;
 }
 
-/* Role to which a change pays off on the averages, ROLE_SERVICE when none does. */
+/* Role to which a change pays off at demand @q, ROLE_SERVICE when none does. */
 static enum endpoint_role role_wanted(const struct role_state *st, const struct role_method *m,
-				      const struct role_view *v)
+				      const struct role_view *v, const struct role_demand *q,
+				      double threshold, int64_t now_ms)
 {
 	struct role_counts n = counts_of(v);
-	enum endpoint_role to = role_short(st, m, &n);
+	enum endpoint_role to = role_short(q, threshold, &n);
 	struct change_value c;
 
 	if (to == ROLE_SERVICE || !donor_left(&n, other_role(to)))
 		return ROLE_SERVICE;
-	c = change_value(st, v, &n, to);
-	return change_pays(&c, m, v) ? to : ROLE_SERVICE;
+	c = change_value(q, v, &n, to);
+	return change_pays(&c, m, v, reversal_factor(st, m, to, now_ms)) ? to : ROLE_SERVICE;
 }
 
-static void average(double *avg, double value, double weight)
+static enum endpoint_role short_wanted(const struct role_state *st, const struct role_method *m,
+				       const struct role_view *v, int64_t now_ms)
 {
-	*avg += (value - *avg) * weight;
+	return role_wanted(st, m, v, &st->avg, m->u.horizon.hysteresis, now_ms);
+}
+
+static double weight_of(int64_t span_ms, int64_t constant_ms)
+{
+	return constant_ms > 0 ? -expm1(-fmax(0, (double)span_ms) / (double)constant_ms) : 1;
+}
+
+static void average(struct role_demand *avg, const struct role_view *v, double weight)
+{
+	avg->prefill += (v->prefill_demand - avg->prefill) * weight;
+	avg->decode += (v->decode_demand - avg->decode) * weight;
 }
 
 void role_observe(struct role_state *st, const struct role_method *m, const struct role_view *v,
 		  int64_t now_ms)
 {
-	double weight = 1;
+	bool smooth = m->kind == ROLE_HORIZON && st->observed_ms;
+	int64_t span = now_ms - st->observed_ms;
 	enum endpoint_role to;
 
-	if (m->kind == ROLE_HORIZON && st->observed_ms && m->u.horizon.smooth_ms > 0)
-		weight = -expm1(-fmax(0, (double)(now_ms - st->observed_ms)) /
-				(double)m->u.horizon.smooth_ms);
-	average(&st->prefill_avg, v->prefill_demand, weight);
-	average(&st->decode_avg, v->decode_demand, weight);
+	average(&st->avg, v, smooth ? weight_of(span, m->u.horizon.smooth_ms) : 1);
 	st->observed_ms = now_ms;
 	if (m->kind != ROLE_HORIZON)
 		return;
-	to = role_wanted(st, m, v);
+	to = short_wanted(st, m, v, now_ms);
 	if (to != st->imbalance_to) {
 		st->imbalance_to = to;
 		st->imbalance_since_ms = now_ms;
 	}
 }
 
-void role_changed(struct role_state *st, int64_t now_ms)
+void role_changed(struct role_state *st, enum endpoint_role to, int64_t now_ms)
 {
 	/* The imbalance keeps its age, so that a large swing isn't confirmed anew for each engine.
 	 */
 	st->last_change_ms = now_ms;
+	st->last_to = to;
 }
 
 static int donor_count(const struct role_dc *dc, enum endpoint_role from)
@@ -232,21 +259,22 @@
 
 /*
  * An imbalance has to last twice as long as the average looks back, and longer the closer it is to
- * the hysteresis, or it may be flutter: with once as long, white noise of a third of the prefill
+ * the threshold, or it may be flutter: with once as long, white noise of a third of the prefill
  * demand caused changes in 28 of 200 simulated runs, with twice as long in none. It also has to
  * last until not changing has cost as much as the change, so that a small gain needs longer proof.
  */
 static bool imbalance_lasts(const struct role_state *st, const struct role_method *m,
 			    const struct role_view *v, const struct role_counts *n, int64_t now_ms)
 {
+	double factor = reversal_factor(st, m, st->imbalance_to, now_ms);
 	double age_ms = (double)(now_ms - st->imbalance_since_ms);
-	double excess = imbalance(st, n) - m->u.horizon.hysteresis;
-	struct change_value c = change_value(st, v, n, st->imbalance_to);
+	double threshold = m->u.horizon.hysteresis;
+	double excess = imbalance(&st->avg, n) - threshold;
+	struct change_value c = change_value(&st->avg, v, n, st->imbalance_to);
 
-	if (age_ms * excess <
-	    2.0 * (double)m->u.horizon.smooth_ms * (excess + m->u.horizon.hysteresis))
+	if (age_ms * excess < 2.0 * (double)m->u.horizon.smooth_ms * (excess + threshold) * factor)
 		return false;
-	return c.gain_rate * age_ms / 1000.0 >= c.loss * m->u.horizon.margin;
+	return c.gain_rate * age_ms / 1000.0 >= c.loss * m->u.horizon.margin * factor;
 }
 
 static enum endpoint_role horizon_wanted(const struct role_state *st, const struct role_method *m,
@@ -254,11 +282,9 @@
 {
 	struct role_counts n = counts_of(v);
 	int64_t since_change = now_ms - st->last_change_ms;
-	enum endpoint_role to = role_wanted(st, m, v);
+	enum endpoint_role to = short_wanted(st, m, v, now_ms);
 
-	if (to == ROLE_SERVICE || to != st->imbalance_to)
-		return ROLE_SERVICE;
-	if (!imbalance_lasts(st, m, v, &n, now_ms))
+	if (to == ROLE_SERVICE || to != st->imbalance_to || !imbalance_lasts(st, m, v, &n, now_ms))
 		return ROLE_SERVICE;
 	if (st->last_change_ms && since_change < m->u.horizon.min_dwell_ms)
 		return ROLE_SERVICE;
@@ -273,7 +299,7 @@
 				     int64_t now_ms)
 {
 	struct role_counts n = counts_of(v);
-	struct change_value c = change_value(st, v, &n, to);
+	struct change_value c = change_value(&st->avg, v, &n, to);
 
 	return (struct role_decision){
 		.change = true,
@@ -282,7 +308,7 @@
 		.served = c.served,
 		.served_after = c.served_after,
 		.gain_rate = c.gain_rate,
-		.loss = c.loss,
+		.loss = c.loss * reversal_factor(st, m, to, now_ms),
 		.age_ms = m->kind == ROLE_HORIZON ? now_ms - st->imbalance_since_ms : 0,
 	};
 }
--- a/tests/test_role.cc
+++ b/tests/test_role.cc
@@ -4,7 +4,9 @@
 #include <cmath>
 #include <cstring>
 #include <functional>
+#include <numeric>
 #include <random>
+#include <vector>
 
 extern "C" {
 #include "ibisgate/policy/role.h"
@@ -116,7 +118,7 @@
 						      : v.dcs[running_dc].decode)--;
 			v.dcs[running_dc].changing++;
 			done_ms = now + v.change_ms;
-			role_changed(&st, now);
+			role_changed(&st, running.to, now);
 			r.first_ms = r.changes++ ? r.first_ms : now;
 		}
 		for (int i = 0; i < 3; i++) {
@@ -211,7 +213,7 @@
 
 	for (int s = 1; s <= 30; s++)
 		role_observe(&st, &m, &v, 1000 * s);
-	role_changed(&st, 20000);
+	role_changed(&st, ROLE_SERVICE, 20000);
 	EXPECT_FALSE(role_decide(&st, &m, &v, "a", 30000).change);
 	EXPECT_TRUE(role_decide(&st, &m, &v, "a", 50000).change);
 	v.dcs[2].changing = 0;
@@ -228,7 +230,7 @@
 
 	for (int s = 1; s <= 30; s++)
 		role_observe(&st, &m, &v, 1000 * s);
-	role_changed(&st, 20000);
+	role_changed(&st, ROLE_PREFILL, 20000);
 	EXPECT_TRUE(role_decide(&st, &m, &v, "a", 30000).change);
 	EXPECT_FALSE(role_decide(&st, &m, &v, "c", 30000).change);
 	v.dcs[2] = { "c", 8, 0, 5, 5, 0 };
@@ -290,3 +292,154 @@
 	EXPECT_NEAR(d.loss, 3, 1e-9);
 	EXPECT_EQ(d.age_ms, 29000);
 }
+
+struct naive_choice {
+	int dc = -1;
+	endpoint_role to = ROLE_SERVICE;
+	bool unclear = false;
+};
+
+/* Tries one change in each direction and scans the data centres from the best donor on. */
+static naive_choice naive_decision(const role_view &v, const role_method &m, int p, int d)
+{
+	auto served = [&](int np, int nd) {
+		return std::min(1.0, headroom(v.prefill_demand, v.decode_demand, np, nd));
+	};
+	naive_choice out;
+	int moving_p = 0;
+	int moving_d = 0;
+	const auto &h = m.u.horizon;
+
+	for (int i = 0; i < v.dc_count; i++) {
+		moving_p += v.dcs[i].to_prefill;
+		moving_d += v.dcs[i].to_decode;
+	}
+	for (endpoint_role to : { ROLE_PREFILL, ROLE_DECODE }) {
+		int dp = to == ROLE_PREFILL ? 1 : -1;
+		double lp = p ? v.prefill_demand / p : 0;
+		double ld = d ? v.decode_demand / d : 0;
+		double gap = p && d ? std::abs(lp - ld) / std::max(lp, ld) : 0;
+		int here_p = p - moving_p;
+		int here_d = d - moving_d;
+		double demand = v.prefill_demand + v.decode_demand;
+		double rate = (served(p + dp, d - dp) - served(p, d)) * demand;
+		double change_s = (double)v.change_ms / 1000;
+		double loss =
+			change_s *
+			(1 + (served(here_p, here_d) -
+			      (dp > 0 ? served(here_p, here_d - 1) : served(here_p - 1, here_d))) *
+				     demand);
+		double span = (double)h.horizon_ms / 1000 - change_s;
+		double bar = h.hysteresis;
+
+		if ((dp > 0) != (lp > ld) || (dp > 0 ? here_d : here_p) < 2)
+			continue;
+		if (gap <= h.hysteresis || span <= 0 || rate <= 0 || rate * span <= loss * h.margin)
+			continue;
+		out.unclear = std::abs(gap - bar) < 1e-3 || std::abs(gap - h.hysteresis) < 1e-9 ||
+			      rate < 1e-4 || std::abs(rate * span - loss * h.margin) < 1e-9;
+		out.to = to;
+	}
+	if (out.to == ROLE_SERVICE)
+		return out;
+	std::vector<int> order(v.dc_count);
+	std::iota(order.begin(), order.end(), 0);
+	auto donors = [&](int i) {
+		const role_dc &dc = v.dcs[i];
+
+		return out.to == ROLE_DECODE ? dc.prefill - dc.to_prefill
+					     : dc.decode - dc.to_decode;
+	};
+	std::sort(order.begin(), order.end(), [&](int a, int b) {
+		return donors(a) != donors(b) ? donors(a) > donors(b)
+					      : strcmp(v.dcs[a].name, v.dcs[b].name) < 0;
+	});
+	for (int i : order) {
+		if (out.dc < 0 && !v.dcs[i].changing && donors(i) >= 1)
+			out.dc = i;
+	}
+	return out;
+}
+
+/* Guards against a decision that differs from one made by trying both directions, and a donor that
+ * isn't the first of the sorted data centres. The demand has stood for long enough to be proven. */
+TEST(Role, DecisionEqualsNaiveOne)
+{
+	std::mt19937_64 rng(2);
+	int wanted = 0;
+
+	printf("seed 2\n");
+	for (int i = 0; i < 20000; i++) {
+		double pd = (double)(1 + rng() % 2500) / 100;
+		double dd = (double)(1 + rng() % 2500) / 100;
+		role_view v = view(pd, dd, {});
+		role_method m = horizon();
+		role_state st = {};
+		int p = 0;
+		int d = 0;
+
+		for (const char *name : { "c", "a", "b" }) {
+			role_dc dc = { "", (int)(rng() % 8), (int)(rng() % 8), (int)(rng() % 2) };
+
+			strcpy(dc.name, name);
+			if (dc.changing && rng() % 2)
+				dc.to_prefill = dc.prefill > 0;
+			else if (dc.changing)
+				dc.to_decode = dc.decode > 0;
+			p += dc.prefill;
+			d += dc.decode;
+			v.dcs[v.dc_count++] = dc;
+		}
+		m.u.horizon.margin = (double)(rng() % 40) / 10;
+		m.u.horizon.horizon_ms = 1000 + (int64_t)(rng() % 60000);
+		role_observe(&st, &m, &v, 1000);
+		role_observe(&st, &m, &v, 1001);
+		int64_t now = INT64_C(1000000000000);
+		naive_choice naive = naive_decision(v, m, p, d);
+		if (naive.unclear)
+			continue;
+		for (int k = 0; k < v.dc_count; k++) {
+			role_decision got = role_decide(&st, &m, &v, v.dcs[k].name, now);
+			bool want = naive.dc == k;
+
+			ASSERT_EQ(got.change, want) << i << " " << v.dcs[k].name;
+			if (want) {
+				ASSERT_EQ(got.to, naive.to) << i;
+			}
+			wanted += want;
+		}
+	}
+	EXPECT_GT(wanted, 2000);
+}
+
+/* Guards against a mix that swings to and fro and takes the engines with it: a change back within
+ * the horizon has to prove more than the first one. */
+TEST(Role, ChangeBackNeedsMoreProof)
+{
+	role_method m = horizon();
+	auto first_back = [&](role_state *st, const role_view *v) {
+		for (int s = 31; s < 90; s++) {
+			role_observe(st, &m, v, 1000 * s);
+			if (role_decide(st, &m, v, "a", 1000 * s).change)
+				return s;
+		}
+		return 99;
+	};
+	role_view before = view(13, 7, { { "a", 13, 7, 0 } });
+	role_view after = view(8, 12, { { "a", 13, 7, 0 } });
+	role_state same = {};
+	role_state old = {};
+
+	m.u.horizon.margin = 2;
+	m.u.horizon.min_dwell_ms = 0;
+	for (role_state *st : { &same, &old }) {
+		for (int s = 1; s <= 30; s++)
+			role_observe(st, &m, &before, 1000 * s);
+	}
+	role_state back = same;
+	role_changed(&same, ROLE_DECODE, 28000);
+	role_changed(&back, ROLE_PREFILL, 28000);
+	int alone = first_back(&old, &after);
+	EXPECT_EQ(first_back(&same, &after), alone);
+	EXPECT_GE(first_back(&back, &after), alone + 4);
+}
