Let moderate imbalances wait for the horizon

Cause: the hysteresis was the only bound on how closely engines follow a swing. Change: role.urgent-imbalance. Above it a change starts after the smoothing time as before; between the hysteresis and it, demand averaged over the horizon decides, one engine a horizon. 0, the default, keeps the earlier behaviour. Ruled out: a margin that makes the last change too dear. The gain of each engine up to the best split is the same, so a larger margin delays the first change as much as the last.

--- a/daemon/control_roles.c
+++ b/daemon/control_roles.c
@@ -49,6 +49,7 @@
 	m.u.horizon.min_dwell_ms = config_i64(config, "role.min-dwell-ms", &scope);
 	m.u.horizon.hysteresis = config_double(config, "role.hysteresis", &scope);
 	m.u.horizon.smooth_ms = config_i64(config, "role.smooth-ms", &scope);
+	m.u.horizon.urgent = config_double(config, "role.urgent-imbalance", &scope);
 	*change_ms = config_i64(config, "role.change-ms", &scope);
 	rcu_read_unlock();
 	return m;
@@ -181,7 +182,7 @@
 static void decision_record(const struct model_roles *mr, const char *endpoint,
 			    const struct role_decision *d, const struct role_view *v)
 {
-	const struct role_demand *avg = &mr->state.avg;
+	const struct role_demand *avg = d->standing ? &mr->state.standing : &mr->state.avg;
 	int prefill = 0;
 	int decode = 0;
 	char figures[EVENT_DETAIL_MAX];
@@ -192,10 +193,10 @@
 	}
 	snprintf(figures, sizeof(figures),
 		 "to=%s at=%d/%d demand=%.1f/%.1f avg=%.1f/%.1f served=%.2f>%.2f gain=%.2f "
-		 "loss=%.1f age=%" PRId64,
+		 "loss=%.1f %s=%" PRId64,
 		 d->to == ROLE_PREFILL ? "prefill" : "decode", prefill, decode, v->prefill_demand,
 		 v->decode_demand, avg->prefill, avg->decode, d->served, d->served_after,
-		 d->gain_rate, d->loss, d->age_ms);
+		 d->gain_rate, d->loss, d->standing ? "standing" : "age", d->age_ms);
 	log_info("role-decision", "model=%s endpoint=%s %s", mr->model, endpoint, figures);
 	event_record("role-decision", NULL, endpoint, NULL, "%s", figures);
 }
--- a/include/ibisgate/policy/role.h
+++ b/include/ibisgate/policy/role.h
@@ -22,6 +22,9 @@
  * @min_dwell_ms: least time between two changes in the region's view
  * @hysteresis: relative imbalance below which nothing is done
  * @smooth_ms: time constant of the demand average
+ * @urgent: relative imbalance above which a change waits for the average alone. One between
+ *	@hysteresis and this has to stand on average over the horizon, and is then corrected by
+ *	one engine a horizon. 0: every imbalance above @hysteresis is urgent.
  */
 struct role_method {
 	enum role_kind kind;
@@ -32,6 +35,7 @@
 			int64_t min_dwell_ms;
 			double hysteresis;
 			int64_t smooth_ms;
+			double urgent;
 		} horizon;
 	} u;
 };
@@ -74,10 +78,13 @@
 /**
  * struct role_state - what the policy remembers; zero-initialised at the start
  * @avg: demand averaged over the smoothing time
+ * @standing: demand averaged over the horizon
  * @last_to: role of the last change, ROLE_SERVICE when unknown
  */
 struct role_state {
 	struct role_demand avg;
+	struct role_demand standing;
+	int64_t begun_ms;
 	int64_t observed_ms;
 	int64_t last_change_ms;
 	enum endpoint_role last_to;
@@ -91,7 +98,8 @@
  * @served_after: the same with the change
  * @gain_rate: engine seconds won a second by the change
  * @loss: engine seconds lost by making it
- * @age_ms: time for which the change has been wanted; 0 for ROLE_GREEDY
+ * @age_ms: time for which the change has been wanted; 0 for ROLE_GREEDY and with @standing
+ * @standing: decided on the demand averaged over the horizon
  *
  * The figures are valid when @change is set.
  */
@@ -104,6 +112,7 @@
 	double gain_rate;
 	double loss;
 	int64_t age_ms;
+	bool standing;
 };
 
 /** role_observe - update the averages; called about each second */
--- a/policy/role.c
+++ b/policy/role.c
@@ -90,6 +90,11 @@
 	return q->prefill * n->decode > q->decode * n->prefill ? ROLE_PREFILL : ROLE_DECODE;
 }
 
+static double urgent_threshold(const struct role_method *m)
+{
+	return fmax(m->u.horizon.hysteresis, m->u.horizon.urgent);
+}
+
 /*
  * A change back within the horizon shows that the gain of the last one was not collected. Loss and
  * proof are raised for it, the more the sooner it follows, up to the margin: a margin of 1 weighs
@@ -171,10 +176,10 @@
 	return change_pays(&c, m, v, reversal_factor(st, m, to, now_ms)) ? to : ROLE_SERVICE;
 }
 
-static enum endpoint_role short_wanted(const struct role_state *st, const struct role_method *m,
-				       const struct role_view *v, int64_t now_ms)
+static enum endpoint_role urgent_wanted(const struct role_state *st, const struct role_method *m,
+					const struct role_view *v, int64_t now_ms)
 {
-	return role_wanted(st, m, v, &st->avg, m->u.horizon.hysteresis, now_ms);
+	return role_wanted(st, m, v, &st->avg, urgent_threshold(m), now_ms);
 }
 
 static double weight_of(int64_t span_ms, int64_t constant_ms)
@@ -196,10 +201,13 @@
 	enum endpoint_role to;
 
 	average(&st->avg, v, smooth ? weight_of(span, m->u.horizon.smooth_ms) : 1);
+	average(&st->standing, v, smooth ? weight_of(span, m->u.horizon.horizon_ms) : 1);
+	if (!st->observed_ms)
+		st->begun_ms = now_ms;
 	st->observed_ms = now_ms;
 	if (m->kind != ROLE_HORIZON)
 		return;
-	to = short_wanted(st, m, v, now_ms);
+	to = urgent_wanted(st, m, v, now_ms);
 	if (to != st->imbalance_to) {
 		st->imbalance_to = to;
 		st->imbalance_since_ms = now_ms;
@@ -268,7 +276,7 @@
 {
 	double factor = reversal_factor(st, m, st->imbalance_to, now_ms);
 	double age_ms = (double)(now_ms - st->imbalance_since_ms);
-	double threshold = m->u.horizon.hysteresis;
+	double threshold = urgent_threshold(m);
 	double excess = imbalance(&st->avg, n) - threshold;
 	struct change_value c = change_value(&st->avg, v, n, st->imbalance_to);
 
@@ -277,14 +285,37 @@
 	return c.gain_rate * age_ms / 1000.0 >= c.loss * m->u.horizon.margin * factor;
 }
 
+/*
+ * What is not urgent and still costs goodput is corrected when it stands for a whole horizon, as
+ * far as the present demand does not speak against it.
+ */
+static enum endpoint_role standing_wanted(const struct role_state *st, const struct role_method *m,
+					  const struct role_view *v, int64_t now_ms)
+{
+	int64_t horizon_ms = m->u.horizon.horizon_ms;
+	struct role_counts n = counts_of(v);
+	enum endpoint_role to;
+
+	if (m->u.horizon.urgent <= m->u.horizon.hysteresis || now_ms - st->begun_ms < horizon_ms ||
+	    now_ms - st->last_change_ms < horizon_ms)
+		return ROLE_SERVICE;
+	to = role_wanted(st, m, v, &st->standing, m->u.horizon.hysteresis, now_ms);
+	if (to == ROLE_SERVICE || change_value(&st->avg, v, &n, to).gain_rate <= 0)
+		return ROLE_SERVICE;
+	return to;
+}
+
 static enum endpoint_role horizon_wanted(const struct role_state *st, const struct role_method *m,
-					 const struct role_view *v, int64_t now_ms)
+					 const struct role_view *v, int64_t now_ms, bool *standing)
 {
 	struct role_counts n = counts_of(v);
 	int64_t since_change = now_ms - st->last_change_ms;
-	enum endpoint_role to = short_wanted(st, m, v, now_ms);
+	enum endpoint_role to = urgent_wanted(st, m, v, now_ms);
 
-	if (to == ROLE_SERVICE || to != st->imbalance_to || !imbalance_lasts(st, m, v, &n, now_ms))
+	*standing = to == ROLE_SERVICE;
+	if (*standing)
+		to = standing_wanted(st, m, v, now_ms);
+	else if (to != st->imbalance_to || !imbalance_lasts(st, m, v, &n, now_ms))
 		return ROLE_SERVICE;
 	if (st->last_change_ms && since_change < m->u.horizon.min_dwell_ms)
 		return ROLE_SERVICE;
@@ -296,10 +327,11 @@
 
 static struct role_decision decision(const struct role_state *st, const struct role_method *m,
 				     const struct role_view *v, enum endpoint_role to,
-				     int64_t now_ms)
+				     bool standing, int64_t now_ms)
 {
 	struct role_counts n = counts_of(v);
-	struct change_value c = change_value(&st->avg, v, &n, to);
+	struct change_value c = change_value(standing ? &st->standing : &st->avg, v, &n, to);
+	bool aged = m->kind == ROLE_HORIZON && !standing;
 
 	return (struct role_decision){
 		.change = true,
@@ -309,7 +341,8 @@
 		.served_after = c.served_after,
 		.gain_rate = c.gain_rate,
 		.loss = c.loss * reversal_factor(st, m, to, now_ms),
-		.age_ms = m->kind == ROLE_HORIZON ? now_ms - st->imbalance_since_ms : 0,
+		.age_ms = aged ? now_ms - st->imbalance_since_ms : 0,
+		.standing = standing,
 	};
 }
 
@@ -319,6 +352,7 @@
 	struct role_decision none = { 0 };
 	enum endpoint_role to = ROLE_SERVICE;
 	const struct role_dc *donor;
+	bool standing = false;
 
 	switch (m->kind) {
 	case ROLE_FIXED:
@@ -327,7 +361,7 @@
 		to = greedy_wanted(v);
 		break;
 	case ROLE_HORIZON:
-		to = horizon_wanted(st, m, v, now_ms);
+		to = horizon_wanted(st, m, v, now_ms, &standing);
 		break;
 	}
 	if (to == ROLE_SERVICE)
@@ -335,5 +369,5 @@
 	donor = donor_dc(v, other_role(to));
 	if (!donor || strcmp(donor->name, dc) != 0)
 		return none;
-	return decision(st, m, v, to, now_ms);
+	return decision(st, m, v, to, standing, now_ms);
 }
--- a/state/config_check.c
+++ b/state/config_check.c
@@ -27,6 +27,8 @@
 	{ "role.margin", 'd', 0, 100, NULL, "1.2", "factor by which a gain must exceed the loss" },
 	{ "role.min-dwell-ms", 'i', 0, 3600000, NULL, "4000", "least time between two changes" },
 	{ "role.hysteresis", 'd', 0, 1, NULL, "0.1", "imbalance below which nothing is done" },
+	{ "role.urgent-imbalance", 'd', 0, 1, NULL, "0",
+	  "imbalance that does not wait for the horizon; 0: all" },
 	{ "role.smooth-ms", 'i', 1, 3600000, NULL, "4000", "time constant of the demand average" },
 	{ "role.change-ms", 'i', 1, 600000, NULL, "3000", "time that an engine is away" },
 };
