Pass by data centres whose exceptions forbid a role change

Cause: the data centre with most engines of the donor role acts for the region. With an exception role.policy=fixed, or a larger role.margin, for that one no other acted, so one exception stopped role changes of the whole region. Change: the view holds for each data centre whether its roles are fixed and its margin; the donor is the best one that its exceptions allow. Every data centre reads the exceptions of all from the same configuration. Checked besides, without a fault found: Control.NextHolderTakesUpAChangeWithoutOrder, a holder that loses its lease between decision and order. The intent that was written is finished by the next holder, the one that was not is aborted and can be decided anew, and only the instance that ordered counts a change. Tests: also Role.ExceptionOfOneDataCentreLeavesTheChangeToTheNext.

--- a/daemon/control_roles.c
+++ b/daemon/control_roles.c
@@ -111,6 +111,23 @@
 	dc->decode += to_decode || (!moves && s->info.role == ROLE_DECODE);
 }
 
+/* Every data centre decides with the exceptions of all, so that one that may not act is passed by.
+ */
+static void read_exceptions(struct control *c, struct role_view *v)
+{
+	struct config_scope scope = { .wall_ms = clock_wall_ms() };
+	const struct config *config;
+
+	rcu_read_lock();
+	config = rcu_dereference(c->gate->config);
+	for (int i = 0; i < v->dc_count; i++) {
+		scope.dc = v->dcs[i].name;
+		v->dcs[i].fixed = strcmp(config_cstr(config, "role.policy", &scope), "fixed") == 0;
+		v->dcs[i].margin = config_double(config, "role.margin", &scope);
+	}
+	rcu_read_unlock();
+}
+
 static struct role_view make_view(struct control *c, const struct endpoint_status *all, int n,
 				  const char *model, int64_t change_ms)
 {
@@ -126,6 +143,7 @@
 			continue;
 		dc_count(dc, &all[i]);
 	}
+	read_exceptions(c, &v);
 	pthread_mutex_lock(&c->lock);
 	control_demand_of(c, model, &v.prefill_demand, &v.decode_demand);
 	pthread_mutex_unlock(&c->lock);
--- a/include/ibisgate/policy/role.h
+++ b/include/ibisgate/policy/role.h
@@ -45,6 +45,8 @@
  * @prefill: including @to_prefill, likewise @decode
  * @changing: engines that are away for a change, whatever its target
  * @to_prefill: of them, those known to become prefill engines, likewise @to_decode
+ * @fixed: its engines keep their roles
+ * @margin: in place of the method's; 0 for that of the method
  */
 struct role_dc {
 	char name[32];
@@ -53,6 +55,8 @@
 	int changing;
 	int to_prefill;
 	int to_decode;
+	bool fixed;
+	double margin;
 };
 
 /**
@@ -129,8 +133,9 @@
  * role_decide - whether data centre @dc should change one engine now
  *
  * Never takes the last engine of a role in the region. At most one data centre gets a change for
- * the same view: the one with the largest count of the donor role that has none changing, ties
- * by name.
+ * the same view: of those that may give an engine, the one with the largest count of the donor
+ * role that has none changing, ties by name. One that is fixed, or whose margin the change does
+ * not meet, leaves the change to the next one.
  */
 struct role_decision role_decide(const struct role_state *st, const struct role_method *m,
 				 const struct role_view *v, const char *dc, int64_t now_ms);
--- a/policy/role.c
+++ b/policy/role.c
@@ -148,12 +148,12 @@
 
 /* @factor: by which the loss is raised for a change back */
 static bool change_pays(const struct change_value *c, const struct role_method *m,
-			const struct role_view *v, double factor)
+			const struct role_view *v, double margin, double factor)
 {
 	double after_s = (double)(m->u.horizon.horizon_ms - v->change_ms) / 1000.0;
 	double gain = c->gain_rate * after_s;
 
-	return after_s > 0 && gain > 0 && gain > c->loss * m->u.horizon.margin * factor;
+	return after_s > 0 && gain > 0 && gain > c->loss * margin * factor;
 }
 
 static bool donor_left(const struct role_counts *n, enum endpoint_role from)
@@ -173,7 +173,9 @@
 	if (to == ROLE_SERVICE || !donor_left(&n, other_role(to)))
 		return ROLE_SERVICE;
 	c = change_value(q, v, &n, to);
-	return change_pays(&c, m, v, reversal_factor(st, m, to, now_ms)) ? to : ROLE_SERVICE;
+	return change_pays(&c, m, v, m->u.horizon.margin, reversal_factor(st, m, to, now_ms))
+		       ? to
+		       : ROLE_SERVICE;
 }
 
 static enum endpoint_role urgent_wanted(const struct role_state *st, const struct role_method *m,
@@ -235,14 +237,26 @@
 	return na != nb ? na > nb : strcmp(a->name, b->name) < 0;
 }
 
-static const struct role_dc *donor_dc(const struct role_view *v, enum endpoint_role from)
+/* Whether exceptions of the data centre allow a change that is worth @c. */
+static bool dc_allows(const struct role_dc *dc, const struct role_method *m,
+		      const struct role_view *v, const struct change_value *c, double factor)
+{
+	if (dc->fixed)
+		return false;
+	return m->kind != ROLE_HORIZON || dc->margin <= m->u.horizon.margin ||
+	       change_pays(c, m, v, dc->margin, factor);
+}
+
+static const struct role_dc *donor_dc(const struct role_method *m, const struct role_view *v,
+				      enum endpoint_role from, const struct change_value *c,
+				      double factor)
 {
 	const struct role_dc *best = NULL;
 
 	for (int i = 0; i < v->dc_count; i++) {
 		const struct role_dc *dc = &v->dcs[i];
 
-		if (dc->changing || donor_count(dc, from) < 1)
+		if (dc->changing || donor_count(dc, from) < 1 || !dc_allows(dc, m, v, c, factor))
 			continue;
 		if (!best || donor_better(dc, best, from))
 			best = dc;
@@ -325,34 +339,16 @@
 	return to;
 }
 
-static struct role_decision decision(const struct role_state *st, const struct role_method *m,
-				     const struct role_view *v, enum endpoint_role to,
-				     bool standing, int64_t now_ms)
-{
-	struct role_counts n = counts_of(v);
-	struct change_value c = change_value(standing ? &st->standing : &st->avg, v, &n, to);
-	bool aged = m->kind == ROLE_HORIZON && !standing;
-
-	return (struct role_decision){
-		.change = true,
-		.from = other_role(to),
-		.to = to,
-		.served = c.served,
-		.served_after = c.served_after,
-		.gain_rate = c.gain_rate,
-		.loss = c.loss * reversal_factor(st, m, to, now_ms),
-		.age_ms = aged ? now_ms - st->imbalance_since_ms : 0,
-		.standing = standing,
-	};
-}
-
 struct role_decision role_decide(const struct role_state *st, const struct role_method *m,
 				 const struct role_view *v, const char *dc, int64_t now_ms)
 {
 	struct role_decision none = { 0 };
 	enum endpoint_role to = ROLE_SERVICE;
 	const struct role_dc *donor;
+	struct change_value c;
+	struct role_counts n;
 	bool standing = false;
+	double factor;
 
 	switch (m->kind) {
 	case ROLE_FIXED:
@@ -366,8 +362,22 @@
 	}
 	if (to == ROLE_SERVICE)
 		return none;
-	donor = donor_dc(v, other_role(to));
+	n = counts_of(v);
+	c = change_value(standing ? &st->standing : &st->avg, v, &n, to);
+	factor = reversal_factor(st, m, to, now_ms);
+	donor = donor_dc(m, v, other_role(to), &c, factor);
 	if (!donor || strcmp(donor->name, dc) != 0)
 		return none;
-	return decision(st, m, v, to, standing, now_ms);
+	return (struct role_decision){
+		.change = true,
+		.from = other_role(to),
+		.to = to,
+		.served = c.served,
+		.served_after = c.served_after,
+		.gain_rate = c.gain_rate,
+		.loss = c.loss * factor,
+		.age_ms =
+			m->kind == ROLE_HORIZON && !standing ? now_ms - st->imbalance_since_ms : 0,
+		.standing = standing,
+	};
 }
--- a/tests/region.h
+++ b/tests/region.h
@@ -163,6 +163,14 @@
 			},
 			limit_ms);
 	}
+	int64_t role_changes(const string &id)
+	{
+		json_t *o = rig_status(rigs[id]);
+		int64_t n = json_get_i64(o, "role_changes", -1);
+
+		json_decref(o);
+		return n;
+	}
 	int endpoints(const string &id)
 	{
 		int n;
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -150,6 +150,46 @@
 	json_decref(o);
 }
 
+/* Guards against a change that is counted without an order, or lost, when its holder loses the
+ * lease between the decision and the order: before the intent is written and after it. */
+TEST(Control, NextHolderTakesUpAChangeWithoutOrder)
+{
+	Region g;
+	auto proxy = g.platform_proxy();
+	string who;
+
+	g.start("a1", "abertawe", Region::behind(*proxy));
+	g.start("a2", "abertawe");
+	Standin &written = g.engine("written", "abertawe", "prefill", true);
+	Standin &unwritten = g.engine("unwritten", "abertawe", "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &who) == 1; }, 5000));
+	ASSERT_EQ(who, "a1");
+	/* An instance that never confirms keeps the drain from its order. */
+	g.table.tell("/list/instances", "{\"id\":\"ghost\",\"dc\":\"abertawe\",\"peer\":"
+					"\"127.0.0.1:1\",\"state\":\"live\"}");
+	clock_sleep_ms(600);
+	ASSERT_TRUE(rig_drain(g.rigs["a1"], "abertawe", "written", ROLE_PREFILL, ROLE_DECODE));
+	ASSERT_TRUE(eventually([&] { return g.stopped("a2", "written"); }, 3000));
+	proxy->tell("/faults", "{\"route\":\"*\",\"mode\":\"cut\"}");
+	EXPECT_TRUE(rig_drain(g.rigs["a1"], "abertawe", "unwritten", ROLE_PREFILL, ROLE_DECODE));
+	ASSERT_TRUE(
+		eventually([&] { return g.holders("abertawe", &who) == 1 && who == "a2"; }, 20000));
+	EXPECT_FALSE(rig_drain(g.rigs["a1"], "abertawe", "unwritten", ROLE_PREFILL, ROLE_DECODE));
+	EXPECT_FALSE(done_with_role(written, "decode"));
+	json_decref(g.table.send("DELETE", "/list/instances/ghost"));
+	EXPECT_TRUE(eventually([&] { return done_with_role(written, "decode"); }, 10000));
+	EXPECT_TRUE(eventually(
+		[&] { return !g.stopped("a1", "written") && !g.stopped("a2", "written"); }, 8000));
+	EXPECT_FALSE(g.stopped("a1", "unwritten") || g.stopped("a2", "unwritten"));
+	EXPECT_TRUE(done_with_role(unwritten, "prefill")) << "no order without an intent";
+	ASSERT_TRUE(rig_drain(g.rigs["a2"], "abertawe", "unwritten", ROLE_PREFILL, ROLE_DECODE));
+	EXPECT_TRUE(eventually([&] { return done_with_role(unwritten, "decode"); }, 10000));
+	EXPECT_EQ(g.role_changes("a1"), 0) << "it ordered nothing";
+	EXPECT_TRUE(eventually([&] { return g.role_changes("a2") == 2; }, 5000));
+}
+
 /* Guards against a different order to an engine that can't refuse the one of an earlier holder. */
 TEST(Control, UnfencedEngineWaitsForTheEarlierHolder)
 {
@@ -280,6 +320,41 @@
 	EXPECT_GE(press(25000, 2), 2);
 }
 
+/* Guards against an exception of one data centre that keeps the whole region from following its
+ * demand, and against one that is not in force. */
+TEST(Control, FixedDataCentreLeavesRoleChangesToOthers)
+{
+	Region g;
+	struct error err = {};
+	int64_t v;
+
+	g.start("a1", "abertawe");
+	g.start("c1", "caerdydd");
+	for (int i = 0; i < 6; i++)
+		g.engine("e" + std::to_string(i), i < 4 ? "abertawe" : "caerdydd",
+			 i == 0 ? "decode" : "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually(
+		[&] { return g.holders("abertawe") == 1 && g.holders("caerdydd") == 1; }, 8000));
+	ASSERT_EQ(rig_change(g.rigs["a1"], "exception/night",
+			     "{\"scope\":\"dc/abertawe\",\"setting\":\"role.policy\",\"value\":"
+			     "\"fixed\",\"reason\":\"no staff\",\"author\":\"op\","
+			     "\"expiry\":9000000000000}",
+			     -1, &v, &err),
+		  0);
+	ASSERT_EQ(rig_change(g.rigs["a1"], "default/role.policy", "\"greedy\"", -1, &v, &err), 0);
+	ASSERT_TRUE(g.version_everywhere(v, 5000));
+	auto changed = [&] {
+		fleet_demand_add(rig_fleet(g.rigs["c1"]), POOL, 20000, 300000);
+		return done_with_role(*g.engines["e4"], "decode") ||
+		       done_with_role(*g.engines["e5"], "decode");
+	};
+	EXPECT_TRUE(eventually(changed, 25000));
+	for (const char *e : { "e1", "e2", "e3" })
+		EXPECT_TRUE(done_with_role(*g.engines[e], "prefill")) << e;
+}
+
 /* Guards against a call with side effects that runs twice, a result that is lost with the reply of
  * the table, and a repeat that waits for a dead owner. */
 TEST(Control, ClaimsRunAtMostOnce)
--- a/tests/test_role.cc
+++ b/tests/test_role.cc
@@ -6,6 +6,7 @@
 #include <functional>
 #include <numeric>
 #include <random>
+#include <string>
 #include <vector>
 
 extern "C" {
@@ -463,3 +464,41 @@
 	EXPECT_EQ(first_back(&same, &after), alone);
 	EXPECT_GE(first_back(&back, &after), alone + 4);
 }
+
+/* Guards against an exception of one data centre that keeps the others from acting: the one with
+ * the most donors is fixed, asks for a margin that the change does not meet, or for one that it
+ * does. */
+TEST(Role, ExceptionOfOneDataCentreLeavesTheChangeToTheNext)
+{
+	role_method greedy = {};
+
+	greedy.kind = ROLE_GREEDY;
+	for (const role_method &m : { horizon(), greedy }) {
+		role_state st = {};
+		role_view v = view(13, 7, { { "a", 2, 6, 0 }, { "b", 3, 5, 0 }, { "c", 3, 1, 0 } });
+		auto actor = [&] {
+			std::string out;
+
+			for (const char *dc : { "a", "b", "c" }) {
+				if (role_decide(&st, &m, &v, dc, 60000).change)
+					out += dc;
+			}
+			return out;
+		};
+		bool weighs = m.kind == ROLE_HORIZON;
+
+		for (int s = 1; s <= 60; s++)
+			role_observe(&st, &m, &v, 1000 * s);
+		EXPECT_EQ(actor(), "a");
+		v.dcs[0].margin = 100;
+		EXPECT_EQ(actor(), weighs ? "b" : "a");
+		v.dcs[0].margin = 5;
+		EXPECT_EQ(actor(), "a");
+		v.dcs[0].fixed = true;
+		EXPECT_EQ(actor(), "b");
+		v.dcs[1].fixed = true;
+		EXPECT_EQ(actor(), "c");
+		v.dcs[2].fixed = true;
+		EXPECT_EQ(actor(), "");
+	}
+}
