Bound the role changes of a region within an hour

Cause: the snow gateway has no staff at night, and nothing bounded how many engines a mix that keeps swinging may take out of service. Change: role.max-changes-per-hour, 0 (no limit) by default. A write in doubt counts. role-change-withheld in log and timeline says when the limit keeps a change back. Ruled out: counting the stops that each instance sees; a new instance would know none, and two data centres could pass the limit together. Cost: with a limit a read each 5 s by each lease holder and a read and a write a change; without one nothing. Tests: Control.RoleChangesStopAtTheLimitOfTheHour (limit 1: one change, none by the next holder within 5 s, one more after an exception with 2 for the data centre), Role.LimitOfTheHourBoundsChanges.

--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -305,6 +305,21 @@
 				    const char *order_id);
 bool control_endpoint(struct control *c, const char *name, struct endpoint_info *out);
 
+/* control_role_starts.c */
+
+/** control_role_starts_read - changes begun in the region, from the table; false when it is not
+ * known */
+bool control_role_starts_read(struct control *c, struct role_starts *out);
+
+/**
+ * control_role_starts_take - count one more change in the table before it starts
+ *
+ * A write in doubt counts without a start, so the limit is never exceeded.
+ *
+ * Return: false when the limit is reached or the count could not be written.
+ */
+bool control_role_starts_take(struct control *c, int max_per_hour, struct role_starts *out);
+
 /* control_roles.c */
 int control_roles_run(void *ctx, struct error *err);
 
--- a/daemon/control_roles.c
+++ b/daemon/control_roles.c
@@ -11,6 +11,7 @@
 #include "ibisgate/common/supervisor.h"
 
 #define LOOP_MS 1000
+#define STARTS_MS 5000
 /*
  * Load of an engine up to which its queue stays short. A role loaded to 98% serves its demand on
  * paper, but a quarter of its requests wait too long.
@@ -23,9 +24,16 @@
 	int to_prefill;
 	int to_decode;
 	int changing;
+	bool withheld;
 };
 
+/**
+ * struct roles - state of the roles child
+ * @starts: changes begun in the region, while a data centre has a limit; read at @starts_ms
+ */
 struct roles {
+	struct role_starts starts;
+	int64_t starts_ms;
 	int count;
 	struct model_roles models[FLEET_MODELS_MAX];
 };
@@ -124,6 +132,8 @@
 		scope.dc = v->dcs[i].name;
 		v->dcs[i].fixed = strcmp(config_cstr(config, "role.policy", &scope), "fixed") == 0;
 		v->dcs[i].margin = config_double(config, "role.margin", &scope);
+		v->dcs[i].max_per_hour =
+			(int)config_i64(config, "role.max-changes-per-hour", &scope);
 	}
 	rcu_read_unlock();
 }
@@ -219,8 +229,70 @@
 	event_record("role-decision", NULL, endpoint, NULL, "%s", figures);
 }
 
-static void step_model(struct control *c, struct model_roles *mr, const struct endpoint_status *all,
-		       int n)
+static bool limited(const struct role_view *v)
+{
+	for (int i = 0; i < v->dc_count; i++) {
+		if (v->dcs[i].max_per_hour > 0)
+			return true;
+	}
+	return false;
+}
+
+/* Return: false when there is a limit and the changes that count for it are not known. */
+static bool starts_known(struct control *c, struct roles *r, struct role_view *v, int64_t now)
+{
+	if (!limited(v))
+		return true;
+	if (!r->starts_ms || now - r->starts_ms >= STARTS_MS) {
+		if (!control_role_starts_read(c, &r->starts))
+			return false;
+		r->starts_ms = now;
+	}
+	v->starts = r->starts.count;
+	return true;
+}
+
+/* Notes when the limit keeps back a change that would start otherwise, once each time. */
+static void note_withheld(struct model_roles *mr, const struct role_method *m,
+			  const struct role_view *v, const char *dc, bool starts, int64_t now)
+{
+	struct role_view free_view = *v;
+	bool withheld;
+
+	free_view.starts = 0;
+	withheld =
+		!starts && v->starts > 0 && role_decide(&mr->state, m, &free_view, dc, now).change;
+	if (withheld && !mr->withheld) {
+		log_warn("role-change-withheld", "model=%s starts=%d", mr->model, v->starts);
+		event_record("role-change-withheld", NULL, NULL, NULL, "starts=%d", v->starts);
+	}
+	mr->withheld = withheld;
+}
+
+static const struct endpoint_status *decide(struct control *c, struct roles *r,
+					    struct model_roles *mr, const struct role_method *m,
+					    struct role_view *v, const struct endpoint_status *all,
+					    int n, struct role_decision *d)
+{
+	const char *own_dc = c->settings->instance.dc;
+	const struct endpoint_status *target;
+	int64_t now = clock_boot_ms();
+
+	if (!starts_known(c, r, v, now))
+		return NULL;
+	*d = role_decide(&mr->state, m, v, own_dc, now);
+	note_withheld(mr, m, v, own_dc, d->change, now);
+	target = d->change ? pick(c, all, n, mr->model, d->from) : NULL;
+	if (!target || !limited(v))
+		return target;
+	if (control_role_starts_take(c, dc_find(v, own_dc)->max_per_hour, &r->starts))
+		return target;
+	r->starts_ms = 0;
+	return NULL;
+}
+
+static void step_model(struct control *c, struct roles *r, struct model_roles *mr,
+		       const struct endpoint_status *all, int n)
 {
 	const char *own_dc = c->settings->instance.dc;
 	const struct endpoint_status *target;
@@ -236,8 +308,7 @@
 	role_observe(&mr->state, &m, &v, now);
 	if (!control_lease_held(c, own_dc, NULL) || platform_down_since_ms(c->gate->platform))
 		return;
-	d = role_decide(&mr->state, &m, &v, own_dc, now);
-	target = d.change ? pick(c, all, n, mr->model, d.from) : NULL;
+	target = decide(c, r, mr, &m, &v, all, n, &d);
 	if (!target || !control_drain_start(c, own_dc, target->info.name, d.from, d.to))
 		return;
 	role_changed(&mr->state, d.to, now);
@@ -258,7 +329,7 @@
 				model_find(r, all[i].info.model);
 		}
 		for (int i = 0; i < r->count; i++)
-			step_model(c, &r->models[i], all, n);
+			step_model(c, r, &r->models[i], all, n);
 		free(all);
 		child_account_cpu();
 	}
--- a/include/ibisgate/policy/role.h
+++ b/include/ibisgate/policy/role.h
@@ -8,6 +8,7 @@
 #include "ibisgate/policy/route.h"
 
 #define ROLE_DCS_MAX 32
+#define ROLE_STARTS_MAX 1000
 
 enum role_kind {
 	ROLE_FIXED,
@@ -47,6 +48,7 @@
  * @to_prefill: of them, those known to become prefill engines, likewise @to_decode
  * @fixed: its engines keep their roles
  * @margin: in place of the method's; 0 for that of the method
+ * @max_per_hour: changes in the region within an hour from which on it gives no engine; 0: no limit
  */
 struct role_dc {
 	char name[32];
@@ -57,6 +59,7 @@
 	int to_decode;
 	bool fixed;
 	double margin;
+	int max_per_hour;
 };
 
 /**
@@ -64,6 +67,7 @@
  * @prefill_demand: prefill work that arrives, in engine seconds a second
  * @decode_demand: decode work that arrives, in engine seconds a second at the target gap
  * @change_ms: time that an engine is away for a change
+ * @starts: changes begun in the region within the last hour; only needed with a limit on them
  */
 struct role_view {
 	double prefill_demand;
@@ -71,6 +75,7 @@
 	int dc_count;
 	struct role_dc dcs[ROLE_DCS_MAX];
 	int64_t change_ms;
+	int starts;
 };
 
 /** struct role_demand - engine seconds of work that arrive a second */
@@ -140,6 +145,25 @@
 struct role_decision role_decide(const struct role_state *st, const struct role_method *m,
 				 const struct role_view *v, const char *dc, int64_t now_ms);
 
+/**
+ * struct role_starts - role changes begun in a region within the last hour
+ * @at_ms: wall clock, since instances count together
+ */
+struct role_starts {
+	int count;
+	int64_t at_ms[ROLE_STARTS_MAX];
+};
+
+/**
+ * role_starts_prune - forget changes of more than an hour ago
+ *
+ * One of more than an hour ahead comes from a wrong clock and is forgotten too.
+ */
+void role_starts_prune(struct role_starts *s, int64_t wall_ms);
+
+/** role_starts_add - note one more; false when @max_per_hour are noted already, 0 for no limit */
+bool role_starts_add(struct role_starts *s, int max_per_hour, int64_t wall_ms);
+
 /** role_goodput - share of the demand, 0 to 1, that @prefill and @decode engines can serve */
 double role_goodput(double prefill_demand, double decode_demand, int prefill, int decode);
 
--- a/policy/role.c
+++ b/policy/role.c
@@ -5,6 +5,7 @@
 
 /* A change that takes this many times its usual duration no longer blocks others. */
 #define STUCK_CHANGES 10
+#define HOUR_MS 3600000
 
 struct role_counts {
 	int prefill;
@@ -241,7 +242,7 @@
 static bool dc_allows(const struct role_dc *dc, const struct role_method *m,
 		      const struct role_view *v, const struct change_value *c, double factor)
 {
-	if (dc->fixed)
+	if (dc->fixed || (dc->max_per_hour > 0 && v->starts >= dc->max_per_hour))
 		return false;
 	return m->kind != ROLE_HORIZON || dc->margin <= m->u.horizon.margin ||
 	       change_pays(c, m, v, dc->margin, factor);
@@ -381,3 +382,23 @@
 		.standing = standing,
 	};
 }
+
+void role_starts_prune(struct role_starts *s, int64_t wall_ms)
+{
+	int kept = 0;
+
+	for (int i = 0; i < s->count; i++) {
+		if (s->at_ms[i] > wall_ms - HOUR_MS && s->at_ms[i] < wall_ms + HOUR_MS)
+			s->at_ms[kept++] = s->at_ms[i];
+	}
+	s->count = kept;
+}
+
+bool role_starts_add(struct role_starts *s, int max_per_hour, int64_t wall_ms)
+{
+	role_starts_prune(s, wall_ms);
+	if (s->count == ROLE_STARTS_MAX || (max_per_hour > 0 && s->count >= max_per_hour))
+		return false;
+	s->at_ms[s->count++] = wall_ms;
+	return true;
+}
--- a/state/config_check.c
+++ b/state/config_check.c
@@ -30,6 +30,8 @@
 	{ "role.urgent-imbalance", 'd', 0, 1, NULL, "0",
 	  "imbalance that does not wait for the horizon; 0: all" },
 	{ "role.smooth-ms", 'i', 1, 3600000, NULL, "4000", "time constant of the demand average" },
+	{ "role.max-changes-per-hour", 'i', 0, 1000, NULL, "0",
+	  "role changes begun in a region within an hour; 0: no limit" },
 	{ "role.change-ms", 'i', 1, 600000, NULL, "3000", "time that an engine is away" },
 };
 
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -355,6 +355,58 @@
 		EXPECT_TRUE(done_with_role(*g.engines[e], "prefill")) << e;
 }
 
+/* Guards against a limit on role changes that is exceeded, that a new lease holder forgets, or that
+ * keeps back changes after an operator has raised it for one data centre. */
+TEST(Control, RoleChangesStopAtTheLimitOfTheHour)
+{
+	Region g;
+	struct error err = {};
+	string holder;
+	int64_t v;
+	auto set = [&](const string &id, const char *key, const char *value) {
+		return rig_change(g.rigs[id], key, value, -1, &v, &err) == 0 &&
+		       g.version_everywhere(v, 5000);
+	};
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	for (int i = 0; i < 6; i++)
+		g.engine("e" + std::to_string(i), "abertawe", i == 0 ? "decode" : "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	ASSERT_TRUE(set("a1", "default/role.max-changes-per-hour", "1"));
+	ASSERT_TRUE(set("a1", "default/role.policy", "\"greedy\""));
+	auto decoders = [&] {
+		int n = 0;
+
+		for (auto &e : g.engines)
+			n += done_with_role(*e.second, "decode");
+		return n;
+	};
+	auto press = [&](const string &id, int64_t ms, int want) {
+		int64_t end = clock_boot_ms() + ms;
+
+		while (clock_boot_ms() < end && decoders() < want) {
+			fleet_demand_add(rig_fleet(g.rigs[id]), POOL, 20000, 300000);
+			clock_sleep_ms(100);
+		}
+		return decoders();
+	};
+	string other = holder == "a1" ? "a2" : "a1";
+	EXPECT_EQ(press(other, 20000, 2), 2);
+	EXPECT_EQ(press(other, 5000, 3), 2);
+	g.kill(holder, false);
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe") == 1; }, 20000));
+	EXPECT_EQ(press(other, 5000, 3), 2) << "the next holder knows the change";
+	ASSERT_TRUE(set(other, "exception/night",
+			"{\"scope\":\"dc/abertawe\",\"setting\":\"role.max-changes-per-hour\","
+			"\"value\":2,\"reason\":\"festival\",\"author\":\"op\","
+			"\"expiry\":9000000000000}"));
+	EXPECT_EQ(press(other, 20000, 3), 3);
+	EXPECT_EQ(press(other, 4000, 4), 3);
+}
+
 /* Guards against a call with side effects that runs twice, a result that is lost with the reply of
  * the table, and a repeat that waits for a dead owner. */
 TEST(Control, ClaimsRunAtMostOnce)
--- a/tests/test_role.cc
+++ b/tests/test_role.cc
@@ -502,3 +502,39 @@
 		EXPECT_EQ(actor(), "");
 	}
 }
+
+/* Guards against a limit that is exceeded, one that counts changes of more than an hour ago, and a
+ * wrong clock that uses it up for longer than an hour. */
+TEST(Role, LimitOfTheHourBoundsChanges)
+{
+	const int64_t hour = 3600000;
+	role_starts s = {};
+	int64_t now = 100 * hour;
+
+	EXPECT_TRUE(role_starts_add(&s, 2, now));
+	EXPECT_TRUE(role_starts_add(&s, 2, now + 1000));
+	EXPECT_FALSE(role_starts_add(&s, 2, now + hour - 1));
+	EXPECT_TRUE(role_starts_add(&s, 2, now + hour));
+	EXPECT_FALSE(role_starts_add(&s, 2, now + hour));
+	EXPECT_TRUE(role_starts_add(&s, 0, now + hour));
+	EXPECT_EQ(s.count, 3);
+	role_starts_prune(&s, now - hour);
+	EXPECT_EQ(s.count, 0);
+	while (s.count < ROLE_STARTS_MAX)
+		ASSERT_TRUE(role_starts_add(&s, 0, now));
+	EXPECT_FALSE(role_starts_add(&s, 0, now));
+
+	role_method m = horizon();
+	role_state st = {};
+	role_view v = view(13, 7, { { "a", 3, 7, 0 }, { "b", 5, 5, 0 } });
+	auto change = [&](const char *dc) { return role_decide(&st, &m, &v, dc, 60000).change; };
+
+	for (int i = 1; i <= 60; i++)
+		role_observe(&st, &m, &v, 1000 * i);
+	v.starts = 4;
+	v.dcs[0].max_per_hour = 5;
+	EXPECT_TRUE(change("a"));
+	v.dcs[0].max_per_hour = 4;
+	EXPECT_FALSE(change("a"));
+	EXPECT_TRUE(change("b")) << "without a limit";
+}
