Start the demand of the horizon from a plain mean

The exponential average over the horizon began with the first second, which still weighed 37% when the first standing imbalance was looked at. Change: until the horizon has been seen once, the standing demand is the plain mean. The test also checks that a standing loss of a fifth is corrected by one engine.

--- a/policy/role.c
+++ b/policy/role.c
@@ -190,6 +190,14 @@
 	return constant_ms > 0 ? -expm1(-fmax(0, (double)span_ms) / (double)constant_ms) : 1;
 }
 
+/* The plain mean at first, or the first second would weigh a third after a whole horizon. */
+static double standing_weight(int64_t span_ms, int64_t since_begun_ms, int64_t horizon_ms)
+{
+	double mean = span_ms > 0 ? (double)span_ms / (double)(since_begun_ms + span_ms) : 0;
+
+	return fmax(mean, weight_of(span_ms, horizon_ms));
+}
+
 static void average(struct role_demand *avg, const struct role_view *v, double weight)
 {
 	avg->prefill += (v->prefill_demand - avg->prefill) * weight;
@@ -204,9 +212,10 @@
 	enum endpoint_role to;
 
 	average(&st->avg, v, smooth ? weight_of(span, m->u.horizon.smooth_ms) : 1);
-	average(&st->standing, v, smooth ? weight_of(span, m->u.horizon.horizon_ms) : 1);
 	if (!st->observed_ms)
 		st->begun_ms = now_ms;
+	average(&st->standing, v,
+		smooth ? standing_weight(span, now_ms - st->begun_ms, m->u.horizon.horizon_ms) : 1);
 	st->observed_ms = now_ms;
 	if (m->kind != ROLE_HORIZON)
 		return;
--- a/tests/test_role.cc
+++ b/tests/test_role.cc
@@ -538,3 +538,25 @@
 	EXPECT_FALSE(change("a"));
 	EXPECT_TRUE(change("b")) << "without a limit";
 }
+
+/* Guards against values of presets/few-changes.conf that take flutter or noise for a swing because
+ * they look back for a second only, and against a standing loss that they never correct. */
+TEST(Role, UrgentImbalanceIsNotFlutter)
+{
+	role_method m = horizon();
+
+	m.u.horizon = { 30000, 2, 2000, 0.15, 1000, 0.35 };
+	auto flutter = [](int s) { return s % 4 < 2 ? 0.36 : 0.24; };
+	EXPECT_EQ(simulate(m, 6, 14, 600, flutter, 20).changes, 0);
+	printf("seeds 1..200\n");
+	for (uint64_t seed = 1; seed <= 200; seed++) {
+		std::mt19937_64 rng(seed);
+		auto noise = [&](int) { return 0.3 + 0.1 * ((double)(rng() % 2001) / 1000 - 1); };
+
+		EXPECT_EQ(simulate(m, 6, 14, 600, noise, 19).changes, 0) << seed;
+	}
+	auto standing = [](int s) { return s < 60 ? 0.3 : 0.38; };
+	Result r = simulate(m, 6, 14, 600, standing, 20);
+	EXPECT_EQ(r.prefill, 7);
+	EXPECT_EQ(r.changes, 1);
+}
