--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -320,13 +320,15 @@
 	EXPECT_GE(press(25000, 2), 2);
 }
 
-/* Guards against an exception of one data centre that keeps the whole region from following its
- * demand, and against one that is not in force. */
-TEST(Control, FixedDataCentreLeavesRoleChangesToOthers)
+/* The exception holds for the data centre with most engines of the donor role. */
+static void expect_change_elsewhere(const char *setting, const char *value, const char *policy)
 {
 	Region g;
 	struct error err = {};
 	int64_t v;
+	string exception = string("{\"scope\":\"dc/abertawe\",\"setting\":\"") + setting +
+			   "\",\"value\":" + value +
+			   ",\"reason\":\"no staff\",\"author\":\"op\",\"expiry\":9000000000000}";
 
 	g.start("a1", "abertawe");
 	g.start("c1", "caerdydd");
@@ -337,13 +339,8 @@
 	ASSERT_TRUE(g.see_each_other(8000));
 	ASSERT_TRUE(eventually(
 		[&] { return g.holders("abertawe") == 1 && g.holders("caerdydd") == 1; }, 8000));
-	ASSERT_EQ(rig_change(g.rigs["a1"], "exception/night",
-			     "{\"scope\":\"dc/abertawe\",\"setting\":\"role.policy\",\"value\":"
-			     "\"fixed\",\"reason\":\"no staff\",\"author\":\"op\","
-			     "\"expiry\":9000000000000}",
-			     -1, &v, &err),
-		  0);
-	ASSERT_EQ(rig_change(g.rigs["a1"], "default/role.policy", "\"greedy\"", -1, &v, &err), 0);
+	ASSERT_EQ(rig_change(g.rigs["a1"], "exception/night", exception.c_str(), -1, &v, &err), 0);
+	ASSERT_EQ(rig_change(g.rigs["a1"], "default/role.policy", policy, -1, &v, &err), 0);
 	ASSERT_TRUE(g.version_everywhere(v, 5000));
 	auto changed = [&] {
 		fleet_demand_add(rig_fleet(g.rigs["c1"]), POOL, 20000, 300000);
@@ -355,6 +352,19 @@
 		EXPECT_TRUE(done_with_role(*g.engines[e], "prefill")) << e;
 }
 
+/* Guards against an exception of one data centre that keeps the whole region from following its
+ * demand, and against one that is not in force. */
+TEST(Control, FixedDataCentreLeavesRoleChangesToOthers)
+{
+	expect_change_elsewhere("role.policy", "\"fixed\"", "\"greedy\"");
+}
+
+/* Likewise for a margin that the change does not meet there. */
+TEST(Control, LargerMarginOfADataCentreLeavesRoleChangesToOthers)
+{
+	expect_change_elsewhere("role.margin", "100", "\"horizon\"");
+}
+
 /* Guards against a limit on role changes that is exceeded, that a new lease holder forgets, or that
  * keeps back changes after an operator has raised it for one data centre. */
 TEST(Control, RoleChangesStopAtTheLimitOfTheHour)
