--- a/daemon/control_roles.c
+++ b/daemon/control_roles.c
@@ -1,13 +1,17 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <urcu-bp.h>
 
 #include "control_impl.h"
 #include "ibisgate/common/clock.h"
+#include "ibisgate/common/event.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/supervisor.h"
 
 #define LOOP_MS 1000
+#define STARTS_MS 5000
 /*
  * Load of an engine up to which its queue stays short. A role loaded to 98% serves its demand on
  * paper, but a quarter of its requests wait too long.
@@ -17,10 +21,19 @@
 struct model_roles {
 	char model[48];
 	struct role_state state;
+	int to_prefill;
+	int to_decode;
 	int changing;
+	bool withheld;
 };
 
+/**
+ * struct roles - state of the roles child
+ * @starts: changes begun in the region, while a data centre has a limit; read at @starts_ms
+ */
 struct roles {
+	struct role_starts starts;
+	int64_t starts_ms;
 	int count;
 	struct model_roles models[FLEET_MODELS_MAX];
 };
@@ -44,6 +57,7 @@
 	m.u.horizon.min_dwell_ms = config_i64(config, "role.min-dwell-ms", &scope);
 	m.u.horizon.hysteresis = config_double(config, "role.hysteresis", &scope);
 	m.u.horizon.smooth_ms = config_i64(config, "role.smooth-ms", &scope);
+	m.u.horizon.urgent = config_double(config, "role.urgent-imbalance", &scope);
 	*change_ms = config_i64(config, "role.change-ms", &scope);
 	rcu_read_unlock();
 	return m;
@@ -105,6 +119,25 @@
 	dc->decode += to_decode || (!moves && s->info.role == ROLE_DECODE);
 }
 
+/* Every data centre decides with the exceptions of all, so that one that may not act is passed by.
+ */
+static void read_exceptions(struct control *c, struct role_view *v)
+{
+	struct config_scope scope = { .wall_ms = clock_wall_ms() };
+	const struct config *config;
+
+	rcu_read_lock();
+	config = rcu_dereference(c->gate->config);
+	for (int i = 0; i < v->dc_count; i++) {
+		scope.dc = v->dcs[i].name;
+		v->dcs[i].fixed = strcmp(config_cstr(config, "role.policy", &scope), "fixed") == 0;
+		v->dcs[i].margin = config_double(config, "role.margin", &scope);
+		v->dcs[i].max_per_hour =
+			(int)config_i64(config, "role.max-changes-per-hour", &scope);
+	}
+	rcu_read_unlock();
+}
+
 static struct role_view make_view(struct control *c, const struct endpoint_status *all, int n,
 				  const char *model, int64_t change_ms)
 {
@@ -120,6 +153,7 @@
 			continue;
 		dc_count(dc, &all[i]);
 	}
+	read_exceptions(c, &v);
 	pthread_mutex_lock(&c->lock);
 	control_demand_of(c, model, &v.prefill_demand, &v.decode_demand);
 	pthread_mutex_unlock(&c->lock);
@@ -150,17 +184,115 @@
 	return best;
 }
 
-static int total_changing(const struct role_view *v)
+/* Notes changes that any instance of the region has begun since the last look. */
+static void note_changes(struct model_roles *mr, const struct role_view *v, int64_t now)
+{
+	int to_prefill = 0;
+	int to_decode = 0;
+	int changing = 0;
+
+	for (int i = 0; i < v->dc_count; i++) {
+		to_prefill += v->dcs[i].to_prefill;
+		to_decode += v->dcs[i].to_decode;
+		changing += v->dcs[i].changing;
+	}
+	if (to_prefill > mr->to_prefill)
+		role_changed(&mr->state, ROLE_PREFILL, now);
+	else if (to_decode > mr->to_decode)
+		role_changed(&mr->state, ROLE_DECODE, now);
+	else if (changing > mr->changing)
+		role_changed(&mr->state, ROLE_SERVICE, now);
+	mr->to_prefill = to_prefill;
+	mr->to_decode = to_decode;
+	mr->changing = changing;
+}
+
+static void decision_record(const struct model_roles *mr, const char *endpoint,
+			    const struct role_decision *d, const struct role_view *v)
+{
+	const struct role_demand *avg = d->standing ? &mr->state.standing : &mr->state.avg;
+	int prefill = 0;
+	int decode = 0;
+	char figures[EVENT_DETAIL_MAX];
+
+	for (int i = 0; i < v->dc_count; i++) {
+		prefill += v->dcs[i].prefill;
+		decode += v->dcs[i].decode;
+	}
+	snprintf(figures, sizeof(figures),
+		 "to=%s at=%d/%d demand=%.1f/%.1f avg=%.1f/%.1f served=%.2f>%.2f gain=%.2f "
+		 "loss=%.1f %s=%" PRId64,
+		 d->to == ROLE_PREFILL ? "prefill" : "decode", prefill, decode, v->prefill_demand,
+		 v->decode_demand, avg->prefill, avg->decode, d->served, d->served_after,
+		 d->gain_rate, d->loss, d->standing ? "standing" : "age", d->age_ms);
+	log_info("role-decision", "model=%s endpoint=%s %s", mr->model, endpoint, figures);
+	event_record("role-decision", NULL, endpoint, NULL, "%s", figures);
+}
+
+static bool limited(const struct role_view *v)
 {
-	int n = 0;
+	for (int i = 0; i < v->dc_count; i++) {
+		if (v->dcs[i].max_per_hour > 0)
+			return true;
+	}
+	return false;
+}
 
-	for (int i = 0; i < v->dc_count; i++)
-		n += v->dcs[i].changing;
-	return n;
+/* Return: false when there is a limit and the changes that count for it are not known. */
+static bool starts_known(struct control *c, struct roles *r, struct role_view *v, int64_t now)
+{
+	if (!limited(v))
+		return true;
+	if (!r->starts_ms || now - r->starts_ms >= STARTS_MS) {
+		if (!control_role_starts_read(c, &r->starts))
+			return false;
+		r->starts_ms = now;
+	}
+	v->starts = r->starts.count;
+	return true;
+}
+
+/* Notes when the limit keeps back a change that would start otherwise, once each time. */
+static void note_withheld(struct model_roles *mr, const struct role_method *m,
+			  const struct role_view *v, const char *dc, bool starts, int64_t now)
+{
+	struct role_view free_view = *v;
+	bool withheld;
+
+	free_view.starts = 0;
+	withheld =
+		!starts && v->starts > 0 && role_decide(&mr->state, m, &free_view, dc, now).change;
+	if (withheld && !mr->withheld) {
+		log_warn("role-change-withheld", "model=%s starts=%d", mr->model, v->starts);
+		event_record("role-change-withheld", NULL, NULL, NULL, "starts=%d", v->starts);
+	}
+	mr->withheld = withheld;
+}
+
+static const struct endpoint_status *decide(struct control *c, struct roles *r,
+					    struct model_roles *mr, const struct role_method *m,
+					    struct role_view *v, const struct endpoint_status *all,
+					    int n, struct role_decision *d)
+{
+	const char *own_dc = c->settings->instance.dc;
+	const struct endpoint_status *target;
+	int64_t now = clock_boot_ms();
+
+	if (!starts_known(c, r, v, now))
+		return NULL;
+	*d = role_decide(&mr->state, m, v, own_dc, now);
+	note_withheld(mr, m, v, own_dc, d->change, now);
+	target = d->change ? pick(c, all, n, mr->model, d->from) : NULL;
+	if (!target || !limited(v))
+		return target;
+	if (control_role_starts_take(c, dc_find(v, own_dc)->max_per_hour, &r->starts))
+		return target;
+	r->starts_ms = 0;
+	return NULL;
 }
 
-static void step_model(struct control *c, struct model_roles *mr, const struct endpoint_status *all,
-		       int n)
+static void step_model(struct control *c, struct roles *r, struct model_roles *mr,
+		       const struct endpoint_status *all, int n)
 {
 	const char *own_dc = c->settings->instance.dc;
 	const struct endpoint_status *target;
@@ -169,24 +301,18 @@
 	struct role_method m;
 	struct role_view v;
 	int64_t change_ms;
-	int away;
 
 	m = read_method(c, &change_ms);
 	v = make_view(c, all, n, mr->model, change_ms);
-	away = total_changing(&v);
-	if (away > mr->changing)
-		role_changed(&mr->state, now);
-	mr->changing = away;
+	note_changes(mr, &v, now);
 	role_observe(&mr->state, &m, &v, now);
 	if (!control_lease_held(c, own_dc, NULL) || platform_down_since_ms(c->gate->platform))
 		return;
-	d = role_decide(&mr->state, &m, &v, own_dc, now);
-	target = d.change ? pick(c, all, n, mr->model, d.from) : NULL;
+	target = decide(c, r, mr, &m, &v, all, n, &d);
 	if (!target || !control_drain_start(c, own_dc, target->info.name, d.from, d.to))
 		return;
-	role_changed(&mr->state, now);
-	log_info("role-decision", "model=%s endpoint=%s from=%d to=%d prefill=%.3f decode=%.3f",
-		 mr->model, target->info.name, d.from, d.to, v.prefill_demand, v.decode_demand);
+	role_changed(&mr->state, d.to, now);
+	decision_record(mr, target->info.name, &d, &v);
 }
 
 int control_roles_run(void *ctx, struct error *err)
@@ -203,7 +329,7 @@
 				model_find(r, all[i].info.model);
 		}
 		for (int i = 0; i < r->count; i++)
-			step_model(c, &r->models[i], all, n);
+			step_model(c, r, &r->models[i], all, n);
 		free(all);
 		child_account_cpu();
 	}
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -150,6 +150,46 @@
 	json_decref(o);
 }
 
+/* Guards against a change that is counted without an order, or lost, when its holder loses the
+ * lease between the decision and the order: before the intent is written and after it. */
+TEST(Control, NextHolderTakesUpAChangeWithoutOrder)
+{
+	Region g;
+	auto proxy = g.platform_proxy();
+	string who;
+
+	g.start("a1", "abertawe", Region::behind(*proxy));
+	g.start("a2", "abertawe");
+	Standin &written = g.engine("written", "abertawe", "prefill", true);
+	Standin &unwritten = g.engine("unwritten", "abertawe", "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &who) == 1; }, 5000));
+	ASSERT_EQ(who, "a1");
+	/* An instance that never confirms keeps the drain from its order. */
+	g.table.tell("/list/instances", "{\"id\":\"ghost\",\"dc\":\"abertawe\",\"peer\":"
+					"\"127.0.0.1:1\",\"state\":\"live\"}");
+	clock_sleep_ms(600);
+	ASSERT_TRUE(rig_drain(g.rigs["a1"], "abertawe", "written", ROLE_PREFILL, ROLE_DECODE));
+	ASSERT_TRUE(eventually([&] { return g.stopped("a2", "written"); }, 3000));
+	proxy->tell("/faults", "{\"route\":\"*\",\"mode\":\"cut\"}");
+	EXPECT_TRUE(rig_drain(g.rigs["a1"], "abertawe", "unwritten", ROLE_PREFILL, ROLE_DECODE));
+	ASSERT_TRUE(
+		eventually([&] { return g.holders("abertawe", &who) == 1 && who == "a2"; }, 20000));
+	EXPECT_FALSE(rig_drain(g.rigs["a1"], "abertawe", "unwritten", ROLE_PREFILL, ROLE_DECODE));
+	EXPECT_FALSE(done_with_role(written, "decode"));
+	json_decref(g.table.send("DELETE", "/list/instances/ghost"));
+	EXPECT_TRUE(eventually([&] { return done_with_role(written, "decode"); }, 10000));
+	EXPECT_TRUE(eventually(
+		[&] { return !g.stopped("a1", "written") && !g.stopped("a2", "written"); }, 8000));
+	EXPECT_FALSE(g.stopped("a1", "unwritten") || g.stopped("a2", "unwritten"));
+	EXPECT_TRUE(done_with_role(unwritten, "prefill")) << "no order without an intent";
+	ASSERT_TRUE(rig_drain(g.rigs["a2"], "abertawe", "unwritten", ROLE_PREFILL, ROLE_DECODE));
+	EXPECT_TRUE(eventually([&] { return done_with_role(unwritten, "decode"); }, 10000));
+	EXPECT_EQ(g.role_changes("a1"), 0) << "it ordered nothing";
+	EXPECT_TRUE(eventually([&] { return g.role_changes("a2") == 2; }, 5000));
+}
+
 /* Guards against a different order to an engine that can't refuse the one of an earlier holder. */
 TEST(Control, UnfencedEngineWaitsForTheEarlierHolder)
 {
@@ -280,6 +320,103 @@
 	EXPECT_GE(press(25000, 2), 2);
 }
 
+/* The exception holds for the data centre with most engines of the donor role. */
+static void expect_change_elsewhere(const char *setting, const char *value, const char *policy)
+{
+	Region g;
+	struct error err = {};
+	int64_t v;
+	string exception = string("{\"scope\":\"dc/abertawe\",\"setting\":\"") + setting +
+			   "\",\"value\":" + value +
+			   ",\"reason\":\"no staff\",\"author\":\"op\",\"expiry\":9000000000000}";
+
+	g.start("a1", "abertawe");
+	g.start("c1", "caerdydd");
+	for (int i = 0; i < 6; i++)
+		g.engine("e" + std::to_string(i), i < 4 ? "abertawe" : "caerdydd",
+			 i == 0 ? "decode" : "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually(
+		[&] { return g.holders("abertawe") == 1 && g.holders("caerdydd") == 1; }, 8000));
+	ASSERT_EQ(rig_change(g.rigs["a1"], "exception/night", exception.c_str(), -1, &v, &err), 0);
+	ASSERT_EQ(rig_change(g.rigs["a1"], "default/role.policy", policy, -1, &v, &err), 0);
+	ASSERT_TRUE(g.version_everywhere(v, 5000));
+	auto changed = [&] {
+		fleet_demand_add(rig_fleet(g.rigs["c1"]), POOL, 20000, 300000);
+		return done_with_role(*g.engines["e4"], "decode") ||
+		       done_with_role(*g.engines["e5"], "decode");
+	};
+	EXPECT_TRUE(eventually(changed, 25000));
+	for (const char *e : { "e1", "e2", "e3" })
+		EXPECT_TRUE(done_with_role(*g.engines[e], "prefill")) << e;
+}
+
+/* Guards against an exception of one data centre that keeps the whole region from following its
+ * demand, and against one that is not in force. */
+TEST(Control, FixedDataCentreLeavesRoleChangesToOthers)
+{
+	expect_change_elsewhere("role.policy", "\"fixed\"", "\"greedy\"");
+}
+
+/* Likewise for a margin that the change does not meet there. */
+TEST(Control, LargerMarginOfADataCentreLeavesRoleChangesToOthers)
+{
+	expect_change_elsewhere("role.margin", "100", "\"horizon\"");
+}
+
+/* Guards against a limit on role changes that is exceeded, that a new lease holder forgets, or that
+ * keeps back changes after an operator has raised it for one data centre. */
+TEST(Control, RoleChangesStopAtTheLimitOfTheHour)
+{
+	Region g;
+	struct error err = {};
+	string holder;
+	int64_t v;
+	auto set = [&](const string &id, const char *key, const char *value) {
+		return rig_change(g.rigs[id], key, value, -1, &v, &err) == 0 &&
+		       g.version_everywhere(v, 5000);
+	};
+
+	g.start("a1", "abertawe");
+	g.start("a2", "abertawe");
+	for (int i = 0; i < 6; i++)
+		g.engine("e" + std::to_string(i), "abertawe", i == 0 ? "decode" : "prefill", true);
+	ASSERT_TRUE(g.ready());
+	ASSERT_TRUE(g.see_each_other(8000));
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe", &holder) == 1; }, 5000));
+	ASSERT_TRUE(set("a1", "default/role.max-changes-per-hour", "1"));
+	ASSERT_TRUE(set("a1", "default/role.policy", "\"greedy\""));
+	auto decoders = [&] {
+		int n = 0;
+
+		for (auto &e : g.engines)
+			n += done_with_role(*e.second, "decode");
+		return n;
+	};
+	auto press = [&](const string &id, int64_t ms, int want) {
+		int64_t end = clock_boot_ms() + ms;
+
+		while (clock_boot_ms() < end && decoders() < want) {
+			fleet_demand_add(rig_fleet(g.rigs[id]), POOL, 20000, 300000);
+			clock_sleep_ms(100);
+		}
+		return decoders();
+	};
+	string other = holder == "a1" ? "a2" : "a1";
+	EXPECT_EQ(press(other, 20000, 2), 2);
+	EXPECT_EQ(press(other, 5000, 3), 2);
+	g.kill(holder, false);
+	ASSERT_TRUE(eventually([&] { return g.holders("abertawe") == 1; }, 20000));
+	EXPECT_EQ(press(other, 5000, 3), 2) << "the next holder knows the change";
+	ASSERT_TRUE(set(other, "exception/night",
+			"{\"scope\":\"dc/abertawe\",\"setting\":\"role.max-changes-per-hour\","
+			"\"value\":2,\"reason\":\"festival\",\"author\":\"op\","
+			"\"expiry\":9000000000000}"));
+	EXPECT_EQ(press(other, 20000, 3), 3);
+	EXPECT_EQ(press(other, 4000, 4), 3);
+}
+
 /* Guards against a call with side effects that runs twice, a result that is lost with the reply of
  * the table, and a repeat that waits for a dead owner. */
 TEST(Control, ClaimsRunAtMostOnce)
