Reserve the engine of a suspect request in the whole region

Cause: "alone" was known per instance.

Change: before a suspect is sent, its instance reserves the engine at all live instances (messages 13 to 15, daemon/control_reserve.c). They send no new work there (fleet_mark) and confirm with their count in flight, again when it reaches zero. The front thread waits for the grant within its deadline; the grant wakes it. A crash counts as alone only while the reservation is held. An instance refuses a reservation that would leave ordinary work no engine, and one of an engine that has just died there. On the last engine of a role ordinary work goes on, as before. The placement of suspects moves to daemon/dispatch_place.c and daemon/fleet_reserve.c.

Ruled out: ending a reservation when the engine becomes the last of its role meanwhile. The crash would not count as alone and a third engine could be lost.

Tests: ReserveRegion.* (three control planes over real sockets), Fleet.ReservationOfAnotherInstance, codec cases, PromiseOutageRounds.TwoCrashingRequests.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -90,6 +90,11 @@
 	case PEER_FLEET_BATCH:
 		control_on_fleet(c, m);
 		break;
+	case PEER_RESERVE:
+	case PEER_RESERVE_ACK:
+	case PEER_RESERVE_RELEASE:
+		control_on_reserve(c, m);
+		break;
 	}
 }
 
@@ -144,6 +149,7 @@
 		{ "drain", control_drain_run, c, true },
 		{ "roles", control_roles_run, c, true },
 		{ "claims", control_claims_run, c, true },
+		{ "reserve", control_reserve_run, c, true },
 		{ "expiry", control_expiry_run, c, true },
 	};
 
@@ -154,7 +160,12 @@
 struct control *control_create(struct gate *gate, struct error *err)
 {
 	struct control *c = mem_zalloc(sizeof(*c));
+	pthread_condattr_t attr;
 
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_cond_init(&c->reserve_cond, &attr);
+	pthread_condattr_destroy(&attr);
 	c->gate = gate;
 	c->settings = &gate->settings;
 	c->fleet = gate->fleet;
@@ -196,6 +207,7 @@
 	http_pool_destroy(c->http);
 	quarantine_destroy(c->quarantine);
 	member_table_destroy(c->members);
+	pthread_cond_destroy(&c->reserve_cond);
 	pthread_mutex_destroy(&c->lock);
 	pthread_mutex_destroy(&c->config_lock);
 	free(c);
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -9,6 +9,7 @@
 #include "ibisgate/net/peer.h"
 #include "ibisgate/state/drain.h"
 #include "ibisgate/state/lease.h"
+#include "ibisgate/state/reserve.h"
 
 #define CONTROL_LISTED_MAX 1024
 #define CONTROL_STOPS_MAX PEER_LEAVING_MAX
@@ -23,6 +24,8 @@
 #define CONTROL_ANSWERS_MAX 256
 #define CONTROL_WITHDRAWN_MAX 512
 #define CONTROL_WISHES_MAX 64
+#define CONTROL_RESERVES_MAX 64
+#define CONTROL_MARKS_MAX 256
 #define CONTROL_OPERATOR_ORDER "operator"
 
 /** struct listed - instance in the platform's list */
@@ -137,6 +140,27 @@
 	int64_t next_ms;
 };
 
+/** struct own_reserve - engine that this instance reserves for a suspect; free when @handle is 0 */
+struct own_reserve {
+	uint64_t handle;
+	char endpoint[MEMBER_ID_MAX];
+	char token[RESERVE_TOKEN_MAX];
+	uint64_t stamp;
+	int64_t begun_ms;
+	struct reserve reserve;
+};
+
+/**
+ * struct noted_mark - reservation of an engine by this or another instance; free without a holder
+ * @counted: of another instance, and part of mark_count
+ * @confirmed: the holder has been told that nothing of this instance runs there
+ */
+struct noted_mark {
+	struct reserve_mark mark;
+	bool counted;
+	bool confirmed;
+};
+
 struct claim_note {
 	char token[24];
 	enum claim_answer answer;
@@ -197,6 +221,14 @@
 
 	struct quarantine *quarantine;
 
+	/* @reserve_cond: a reservation of this instance was granted or lost */
+	pthread_cond_t reserve_cond;
+	uint64_t reserve_next;
+	_Atomic int reserve_count;
+	_Atomic int mark_count;
+	struct own_reserve reserves[CONTROL_RESERVES_MAX];
+	struct noted_mark marks[CONTROL_MARKS_MAX];
+
 	struct own_claim *own_claims;
 	int own_claim_count;
 	struct claim_task *tasks;
@@ -351,4 +383,10 @@
 			       int64_t asked_ms);
 void control_on_quarantine(struct control *c, const struct peer_message *m);
 
+/* control_reserve.c */
+void control_on_reserve(struct control *c, const struct peer_message *m);
+
+/** control_reserve_run - renews own reservations, ends those of others that are not renewed */
+int control_reserve_run(void *ctx, struct error *err);
+
 #endif
--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -40,7 +40,7 @@
 	PLACE_NONE,
 };
 
-static struct fleet_query query_of(const struct dispatch *d, const struct work *w)
+struct fleet_query dispatch_query(const struct dispatch *d, const struct work *w)
 {
 	return (struct fleet_query){
 		.model = w->g->model,
@@ -87,7 +87,7 @@
 static bool place_look(struct dispatch *d, struct model_queue *m, struct work *w,
 		       const struct route_request *req, struct route_choice *out)
 {
-	struct fleet_query q = query_of(d, w);
+	struct fleet_query q = dispatch_query(d, w);
 	int n = fleet_candidates(d->gate->fleet, &q, d->cands);
 
 	if (m->method.kind != w->limits.method.kind) {
@@ -374,95 +374,18 @@
 	return ok;
 }
 
-static bool model_has_mixed(struct dispatch *d, const struct fleet_query *q)
+bool place_now(struct dispatch *d, struct work *w)
 {
-	bool found = false;
-	int n;
+	struct model_queue *m;
+	bool ok;
 
 	pthread_mutex_lock(&d->lock);
-	n = fleet_candidates(d->gate->fleet, q, d->cands);
-	for (int i = 0; i < n; i++)
-		found |= d->cands[i].role == ROLE_MIXED && d->cands[i].usable;
+	m = model_get(d, w->g->model);
+	ok = m && place_try(d, m, w, true) == PLACE_TAKEN;
 	pthread_mutex_unlock(&d->lock);
-	return found;
-}
-
-/* One mixed engine, or one engine of each other role, without any other attempt. */
-static bool place_alone(struct dispatch *d, struct work *w, int reserved[2])
-{
-	struct fleet_query q = query_of(d, w);
-	struct fleet *f = d->gate->fleet;
-	struct placement *p = &w->place;
-
-	q.rank = control_rank(d->gate->control, &q.instances);
-	if (!p->prefill.held && reserved[1] < 0 && model_has_mixed(d, &q))
-		return fleet_acquire_alone(f, &q, ROLE_MIXED, w->prompt_tokens, &reserved[0],
-					   &p->run);
-	p->split = true;
-	if (!p->prefill.held)
-		fleet_acquire_alone(f, &q, ROLE_PREFILL, w->prompt_tokens, &reserved[1],
-				    &p->prefill);
-	/* In this order only, or two suspects hold one role each and wait for the other for ever.
-	 */
-	if (p->prefill.held && !p->run.held)
-		fleet_acquire_alone(f, &q, ROLE_DECODE, 0, &reserved[0], &p->run);
-	return p->prefill.held && p->run.held;
-}
-
-/* Evidence may clear a suspect request while it waits; ordinary places are easier to get. */
-static void suspect_cleared(struct dispatch *d, struct work *w, int reserved[2])
-{
-	if (!w->alone ||
-	    control_quarantine_check(d->gate->control, w->fingerprint) != QUARANTINE_CLEAR)
-		return;
-	for (int i = 0; i < 2; i++) {
-		fleet_unreserve(d->gate->fleet, reserved[i]);
-		reserved[i] = -1;
-	}
-	fleet_release(d->gate->fleet, &w->place.prefill);
-	fleet_release(d->gate->fleet, &w->place.run);
-	w->place = (struct placement){ 0 };
-	w->alone = false;
-}
-
-bool place_again(struct dispatch *d, struct work *w)
-{
-	int reserved[2] = { -1, -1 };
-	bool ok = false;
-
-	w->place = (struct placement){ 0 };
-	while (clock_boot_ms() < w->g->call.deadline_ms) {
-		struct model_queue *m;
-
-		suspect_cleared(d, w, reserved);
-		if (w->alone) {
-			ok = place_alone(d, w, reserved);
-		} else {
-			pthread_mutex_lock(&d->lock);
-			m = model_get(d, w->g->model);
-			ok = m && place_try(d, m, w, true) == PLACE_TAKEN;
-			pthread_mutex_unlock(&d->lock);
-		}
-		if (ok)
-			break;
-		/* Nothing else is left: endpoints that failed before may have recovered. */
-		w->avoid_count = 0;
-		clock_sleep_ms(PLACE_RETRY_MS);
-	}
-	fleet_unreserve(d->gate->fleet, reserved[0]);
-	fleet_unreserve(d->gate->fleet, reserved[1]);
-	if (!ok)
-		place_release(d, w);
 	return ok;
 }
 
-void place_release(struct dispatch *d, struct work *w)
-{
-	fleet_release(d->gate->fleet, &w->place.prefill);
-	fleet_release(d->gate->fleet, &w->place.run);
-	dispatch_pump(d, w->g->model);
-}
-
 void work_settle(struct dispatch *d, struct work *w)
 {
 	int64_t charged = w->prefill_us + w->decode_us;
--- a/daemon/dispatch_attempt.c
+++ b/daemon/dispatch_attempt.c
@@ -90,7 +90,7 @@
 	buf_append_str(&g->text, text);
 	g->tokens += tokens;
 	if (g->tokens - s->started_at >= SUSPECT_TOKENS)
-		fleet_share(s->d->gate->fleet, &s->w->place.run);
+		slot_share(s->d, &s->w->place.run);
 	metric_add(METRIC_TOKENS_OUT, tokens);
 	s->finished = finish != NULL;
 	s->caller_gone = !g->on_piece(g->ctx, text, tokens, finish);
@@ -162,7 +162,6 @@
 {
 	memcpy(a->endpoint, slot->name, sizeof(a->endpoint));
 	a->endpoint_id = slot->id;
-	a->alone = slot->alone;
 	memcpy(a->boot_id, slot->boot_id, sizeof(a->boot_id));
 }
 
@@ -208,7 +207,7 @@
 
 	a->result = ATTEMPT_FAILED;
 	a->sent = ev->sent;
-	a->alone = slot->alone;
+	a->alone = slot->alone && control_reserve_held(d->gate->control, slot->reservation);
 	a->reason = reasons[ev->failure];
 	if (ev->failure == LINK_RESET)
 		engine_probe(d, a, slot);
@@ -350,7 +349,7 @@
 	}
 	if (kv)
 		json_object_set_new(kv, "do_remote_prefill", json_true());
-	fleet_release(d->gate->fleet, &w->place.prefill);
+	slot_release(d, &w->place.prefill);
 	dispatch_pump(d, w->g->model);
 	json_decref(answer);
 	json_decref(ask);
--- a/daemon/dispatch_impl.h
+++ b/daemon/dispatch_impl.h
@@ -116,13 +116,29 @@
 /** admit - wait for admission; true with w->place taken, false with @out filled */
 bool admit(struct dispatch *d, struct work *w, struct outcome *out);
 
+/** dispatch_query - what @w needs from an endpoint */
+struct fleet_query dispatch_query(const struct dispatch *d, const struct work *w);
+
+/** place_now - the best endpoints by now, whether the limits are met or not; does not wait */
+bool place_now(struct dispatch *d, struct work *w);
+
+/* dispatch_place.c */
+
 /** place_again - endpoints for another attempt of an admitted request; blocks up to its deadline */
 bool place_again(struct dispatch *d, struct work *w);
+void place_release(struct dispatch *d, struct work *w);
+
+/** slot_release - fleet_release(), and the end of the slot's reservation */
+void slot_release(struct dispatch *d, struct fleet_slot *slot);
+
+/** slot_share - fleet_share(), and the end of the slot's reservation */
+void slot_share(struct dispatch *d, struct fleet_slot *slot);
+
+/* dispatch_admit.c */
 
 /** dispatch_pump - admit what fits now; called when capacity may have become free */
 void dispatch_pump(struct dispatch *d, const char *model);
 void dispatch_pump_all(struct dispatch *d);
-void place_release(struct dispatch *d, struct work *w);
 
 /** work_settle - correct the charge of the share once the request has ended */
 void work_settle(struct dispatch *d, struct work *w);
@@ -144,7 +160,8 @@
  * @boot_id: of the engine when the attempt began; "" when unknown
  * @refused_work: the engine said that it did not run the request
  * @status: HTTP status for ATTEMPT_REJECTED
- * @slot: which endpoint it was
+ * @endpoint: which one it was
+ * @alone: no other request ran there in the whole region
  */
 struct attempt {
 	enum attempt_result result;
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -42,7 +42,7 @@
 
 static bool endpoint_gone(const struct endpoint *ep)
 {
-	return !ep->listed && !ep->in_flight && !ep->stop_count && !ep->reserved;
+	return !ep->listed && !ep->in_flight && !ep->stop_count && !ep->reserved && !ep->marked;
 }
 
 /* Entry for a new name; entries of endpoints that went away are reused. NULL when full. */
@@ -68,6 +68,13 @@
 	return ep;
 }
 
+struct endpoint *fleet_find_or_add(struct fleet *f, const char *name)
+{
+	struct endpoint *ep = fleet_find(f, name);
+
+	return ep ? ep : endpoint_add(f, name);
+}
+
 static void endpoint_apply(struct endpoint *ep, const struct endpoint_info *info)
 {
 	enum endpoint_role role = ep->info.role;
@@ -101,10 +108,8 @@
 		f->endpoints[i].unlisted_ms = clock_boot_ms();
 	}
 	for (int i = 0; i < count; i++) {
-		struct endpoint *ep = fleet_find(f, infos[i].name);
+		struct endpoint *ep = fleet_find_or_add(f, infos[i].name);
 
-		if (!ep)
-			ep = endpoint_add(f, infos[i].name);
 		if (ep)
 			endpoint_apply(ep, &infos[i]);
 	}
@@ -126,10 +131,8 @@
 	bool ok = true;
 
 	pthread_mutex_lock(&f->lock);
-	ep = fleet_find(f, name);
 	/* A list that arrives later must not bring work to an endpoint stopped before. */
-	if (!ep)
-		ep = endpoint_add(f, name);
+	ep = fleet_find_or_add(f, name);
 	if (!ep)
 		ok = false;
 	else if (stop_find(ep, order) < 0) {
--- a/daemon/fleet_impl.h
+++ b/daemon/fleet_impl.h
@@ -22,11 +22,14 @@
  * @listed: named by the platform's list
  * @unlisted_ms: since when it is not, boot clock
  * @stops: order ids that keep new work away
- * @reserved: kept for one suspect request
+ * @reserved: kept for one suspect request of this instance
+ * @marked: reserved by another instance
+ * @refused_ms: not reserved again before then
  * @away: another instance has this engine as one of its homes, see fleet_set_homes()
  * @homeless: this instance has no home among the engines of that role
  * @usual_prefill: mean report of the engines of that role, likewise @usual_seqs
  * @down: engine that died or refused a connection and has not answered a load poll since
+ * @down_ms: when that was last seen
  * @foreign_prefill: mean part of the reports that own attempts did not explain, likewise
  *	@foreign_seqs
  */
@@ -45,11 +48,14 @@
 	double foreign_seqs;
 	int64_t role_set_ms;
 	bool reserved;
+	bool marked;
+	int64_t refused_ms;
 	bool away;
 	bool homeless;
 	int64_t usual_prefill;
 	int usual_seqs;
 	bool down;
+	int64_t down_ms;
 	struct circuit circuit;
 	struct retry_budget budget;
 	struct own_work history[FLEET_HISTORY];
@@ -69,6 +75,19 @@
 
 /* The caller holds the lock. */
 struct endpoint *fleet_find(struct fleet *f, const char *name);
+struct endpoint *fleet_find_or_add(struct fleet *f, const char *name);
 void endpoint_note_work(struct endpoint *ep, int64_t now_ms);
 
+/** endpoint_usable - takes new work as far as its own state goes */
+bool endpoint_usable(const struct endpoint *ep, int64_t now_ms);
+bool endpoint_serves(const struct endpoint *ep, const struct fleet_query *q);
+
+/** endpoint_reserved - for a suspect of this or another instance */
+bool endpoint_reserved(const struct endpoint *ep);
+
+/** endpoint_kept - reserved, and ordinary work has another engine to go to */
+bool endpoint_kept(const struct fleet *f, const struct fleet_query *q, int id, int64_t now_ms);
+void fleet_slot_take(struct fleet *f, int id, int64_t prefill_tokens, int seqs,
+		     struct fleet_slot *out);
+
 #endif
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -14,37 +14,36 @@
 #define SLOTS_UNKNOWN 32
 /* Share of the prompt's pieces credited to the home engine while no cache event is known. */
 #define HOME_SHARE 8
-/*
- * One engine in so many may be reserved at a time. The death of a busy engine makes all its
- * requests suspect; without a limit they would take every other engine from ordinary work.
- */
-#define RESERVE_SHARE 4
 
-static bool endpoint_usable(const struct endpoint *ep, int64_t now_ms)
+bool endpoint_usable(const struct endpoint *ep, int64_t now_ms)
 {
 	return ep->used && ep->listed && !ep->stop_count && !ep->info.leaving && !ep->down &&
 	       !ep->load.changing && circuit_allows(&ep->circuit, now_ms);
 }
 
-static bool endpoint_serves(const struct endpoint *ep, const struct fleet_query *q)
+bool endpoint_serves(const struct endpoint *ep, const struct fleet_query *q)
 {
 	return ep->used && ep->info.engine == q->engine && strcmp(ep->info.model, q->model) == 0;
 }
 
+bool endpoint_reserved(const struct endpoint *ep)
+{
+	return ep->reserved || ep->marked;
+}
+
 /*
  * Ordinary work keeps away from a reserved engine while there is another one for it. Beside a
  * suspect on the last engine of a role it goes on; then the suspect is the only one of its kind.
  */
-static bool endpoint_kept(const struct fleet *f, const struct fleet_query *q, int id,
-			  int64_t now_ms)
+bool endpoint_kept(const struct fleet *f, const struct fleet_query *q, int id, int64_t now_ms)
 {
 	const struct endpoint *kept = &f->endpoints[id];
 
-	for (int i = 0; kept->reserved && i < f->count; i++) {
+	for (int i = 0; endpoint_reserved(kept) && i < f->count; i++) {
 		const struct endpoint *ep = &f->endpoints[i];
 
-		if (!ep->reserved && ep->info.role == kept->info.role && endpoint_serves(ep, q) &&
-		    endpoint_usable(ep, now_ms))
+		if (!endpoint_reserved(ep) && ep->info.role == kept->info.role &&
+		    endpoint_serves(ep, q) && endpoint_usable(ep, now_ms))
 			return true;
 	}
 	return false;
@@ -191,8 +190,8 @@
 	return n;
 }
 
-static void slot_take(struct fleet *f, int id, int64_t prefill_tokens, int seqs,
-		      struct fleet_slot *out)
+void fleet_slot_take(struct fleet *f, int id, int64_t prefill_tokens, int seqs,
+		     struct fleet_slot *out)
 {
 	struct endpoint *ep = &f->endpoints[id];
 	int64_t now = clock_boot_ms();
@@ -228,123 +227,11 @@
 		ok = !endpoint_kept(f, &q, id, now);
 	}
 	if (ok)
-		slot_take(f, id, prefill_tokens, seqs, out);
+		fleet_slot_take(f, id, prefill_tokens, seqs, out);
 	pthread_mutex_unlock(&f->lock);
 	return ok;
 }
 
-/*
- * Engines are divided among the instances, in order of names. Two suspects that ran "alone" on one
- * engine through two instances would both be charged with its crash.
- */
-static bool reserve_own(const struct fleet *f, const struct fleet_query *q, int id)
-{
-	const struct endpoint *ep = &f->endpoints[id];
-	int rank = 0;
-
-	if (q->instances < 2)
-		return true;
-	for (int i = 0; i < f->count; i++) {
-		const struct endpoint *other = &f->endpoints[i];
-
-		rank += other->listed && endpoint_serves(other, q) &&
-			other->info.role == ep->info.role &&
-			strcmp(other->info.name, ep->info.name) < 0;
-	}
-	return rank % q->instances == q->rank;
-}
-
-static bool reserve_usable(const struct fleet *f, const struct fleet_query *q,
-			   enum endpoint_role role, int id, int64_t now)
-{
-	const struct endpoint *ep = &f->endpoints[id];
-
-	return endpoint_serves(ep, q) && ep->info.role == role && endpoint_usable(ep, now);
-}
-
-/* With more instances than engines some have none of their own, and take any. */
-static bool reserve_owns_any(const struct fleet *f, const struct fleet_query *q,
-			     enum endpoint_role role, int64_t now)
-{
-	for (int i = 0; i < f->count; i++) {
-		if (reserve_usable(f, q, role, i, now) && reserve_own(f, q, i))
-			return true;
-	}
-	return false;
-}
-
-/* Reserves the engine of @role with the fewest own attempts; -1 when there is none. */
-static int reserve_pick(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
-			int64_t now)
-{
-	bool own = reserve_owns_any(f, q, role, now);
-	int best = -1;
-	int reserved = 0;
-	int total = 0;
-
-	for (int i = 0; i < f->count; i++) {
-		const struct endpoint *ep = &f->endpoints[i];
-
-		if (!reserve_usable(f, q, role, i, now))
-			continue;
-		total++;
-		reserved += ep->reserved;
-		if (ep->reserved || ep->circuit.state != CIRCUIT_CLOSED)
-			continue;
-		if (own && !reserve_own(f, q, i))
-			continue;
-		if (best < 0 || ep->in_flight < f->endpoints[best].in_flight)
-			best = i;
-	}
-	if (best < 0 || reserved >= (total < RESERVE_SHARE ? 1 : total / RESERVE_SHARE))
-		return -1;
-	f->endpoints[best].reserved = true;
-	return best;
-}
-
-bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
-			 int64_t prefill_tokens, int *reserved, struct fleet_slot *out)
-{
-	int64_t now = clock_boot_ms();
-	bool ok = false;
-
-	pthread_mutex_lock(&f->lock);
-	if (*reserved >= 0 && !endpoint_usable(&f->endpoints[*reserved], now)) {
-		f->endpoints[*reserved].reserved = false;
-		*reserved = -1;
-	}
-	if (*reserved < 0)
-		*reserved = reserve_pick(f, q, role, now);
-	if (*reserved >= 0 &&
-	    (!f->endpoints[*reserved].in_flight || !endpoint_kept(f, q, *reserved, now))) {
-		slot_take(f, *reserved, prefill_tokens, role == ROLE_PREFILL ? 0 : 1, out);
-		out->alone = true;
-		*reserved = -1;
-		ok = true;
-	}
-	pthread_mutex_unlock(&f->lock);
-	return ok;
-}
-
-void fleet_unreserve(struct fleet *f, int reserved)
-{
-	if (reserved < 0)
-		return;
-	pthread_mutex_lock(&f->lock);
-	f->endpoints[reserved].reserved = false;
-	pthread_mutex_unlock(&f->lock);
-}
-
-void fleet_share(struct fleet *f, struct fleet_slot *slot)
-{
-	if (!slot->held || !slot->alone)
-		return;
-	pthread_mutex_lock(&f->lock);
-	f->endpoints[slot->id].reserved = false;
-	pthread_mutex_unlock(&f->lock);
-	slot->alone = false;
-}
-
 void fleet_prefilled(struct fleet *f, struct fleet_slot *slot)
 {
 	struct endpoint *ep;
@@ -392,8 +279,10 @@
 		circuit_failure(&ep->circuit, outcome == FLEET_HARD_FAILURE, clock_boot_ms());
 	/* Load polls find out when a dead engine is back; a caller's request need not be the probe.
 	 */
-	if (ep && outcome == FLEET_HARD_FAILURE && ep->info.engine)
+	if (ep && outcome == FLEET_HARD_FAILURE && ep->info.engine) {
 		ep->down = true;
+		ep->down_ms = clock_boot_ms();
+	}
 	pthread_mutex_unlock(&f->lock);
 }
 
--- a/include/ibisgate/common/metrics.h
+++ b/include/ibisgate/common/metrics.h
@@ -27,6 +27,11 @@
 	X(CLAIMS, "claims_total", "counter", "Claim rows written")                                 \
 	X(CLAIM_REPLAYS, "claim_replays_total", "counter", "Answers replayed from a claim")        \
 	X(QUARANTINED, "quarantined_total", "counter", "Fingerprints put into quarantine")         \
+	X(RESERVATIONS, "reservations_total", "counter",                                           \
+	  "Engines reserved for a suspect request of this instance")                               \
+	X(RESERVATIONS_LOST, "reservations_lost_total", "counter",                                 \
+	  "Reservations that ended without a grant, or while held")                                \
+	X(RESERVED_BY_PEERS, "reserved_by_peers", "gauge", "Engines reserved by other instances")  \
 	X(ROLE_CHANGES, "role_changes_total", "counter", "Role changes finished by this holder")   \
 	X(LEASE_LOST, "lease_lost_total", "counter", "Leases that lapsed while held")              \
 	X(PLATFORM_READS, "platform_reads_total", "counter", "Reads sent to the table")            \
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -5,6 +5,7 @@
 
 #include "ibisgate/daemon/gate.h"
 #include "ibisgate/state/claim.h"
+#include "ibisgate/state/reserve.h"
 
 /** control_create - control plane of @gate; starts its children under gate->supervisor */
 struct control *control_create(struct gate *gate, struct error *err);
@@ -46,6 +47,22 @@
 			     int64_t asked_ms);
 void control_quarantine_clear(struct control *c, uint64_t fingerprint);
 
+/**
+ * control_reserve_begin - ask all live instances to keep off engine @endpoint; does not block
+ * @last: this instance has no other engine of that role, and goes on using it
+ *
+ * Return: handle for the calls below, ended with control_reserve_end(); 0 when another instance has
+ * reserved the engine, or too many reservations are open.
+ */
+uint64_t control_reserve_begin(struct control *c, const char *endpoint, bool last);
+
+/** control_reserve_wait - wait up to @wait_ms for the answers; phase by then */
+enum reserve_phase control_reserve_wait(struct control *c, uint64_t handle, int wait_ms);
+
+/** control_reserve_held - granted, and no instance may have used the engine since */
+bool control_reserve_held(struct control *c, uint64_t handle);
+void control_reserve_end(struct control *c, uint64_t handle);
+
 /**
  * struct claim_ticket - one non-idempotent call with a key
  * @verdict: CLAIM_DISPATCH, CLAIM_REPLAY, CLAIM_OTHER_BODY, CLAIM_SAY_UNKNOWN or CLAIM_SAY_NOT_RUN
--- a/include/ibisgate/daemon/fleet_use.h
+++ b/include/ibisgate/daemon/fleet_use.h
@@ -46,7 +46,8 @@
  * @id: endpoint id; valid while @held
  * @prefill_tokens: prompt tokens counted until fleet_prefilled()
  * @seqs: sequences counted until the release
- * @alone: no other attempt of this instance may run there, on the last engine no other suspect
+ * @alone: no other attempt may run there, on the last engine of a role no other suspect
+ * @reservation: handle of control_reserve_begin(); 0 for none
  * @boot_id: of the endpoint when the slot was taken; "" when unknown
  */
 struct fleet_slot {
@@ -55,6 +56,7 @@
 	int64_t prefill_tokens;
 	int seqs;
 	bool alone;
+	uint64_t reservation;
 	char name[ENDPOINT_NAME_MAX];
 	char url[128];
 	char boot_id[24];
@@ -70,17 +72,57 @@
 		   struct fleet_slot *out);
 
 /**
- * fleet_acquire_alone - take an engine for one suspect request
- * @role: role of the engine
- * @reserved: in/out: endpoint id that is reserved while its other attempts end, -1 for none
- *
- * Return: true with the slot taken; false when the caller has to try again later. The caller gives
- * up with fleet_unreserve().
+ * struct fleet_choice - engine reserved for one suspect request
+ * @id: endpoint id, -1 for none
+ * @last: ordinary work has no other engine of that role and goes on beside the suspect
  */
-bool fleet_acquire_alone(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
-			 int64_t prefill_tokens, int *reserved, struct fleet_slot *out);
+struct fleet_choice {
+	int id;
+	bool last;
+	char name[ENDPOINT_NAME_MAX];
+};
+
+/** fleet_reserve - choose and reserve an engine of @role; false when there is none by now */
+bool fleet_reserve(struct fleet *f, const struct fleet_query *q, enum endpoint_role role,
+		   struct fleet_choice *out);
 void fleet_unreserve(struct fleet *f, int reserved);
 
+/** fleet_reserve_lost - fleet_unreserve(), and other engines first for some time */
+void fleet_reserve_lost(struct fleet *f, int reserved);
+
+enum fleet_alone {
+	FLEET_ALONE_TAKEN,
+	FLEET_ALONE_BUSY,
+	FLEET_ALONE_GONE,
+};
+
+/**
+ * fleet_acquire_alone - count the suspect on the engine that is reserved for it
+ *
+ * Return: BUSY while other attempts of this instance run there, GONE when it is no longer usable.
+ * After TAKEN fleet_release() ends the reservation in the fleet.
+ */
+enum fleet_alone fleet_acquire_alone(struct fleet *f, int reserved, int64_t prefill_tokens,
+				     int seqs, struct fleet_slot *out);
+
+enum fleet_mark {
+	FLEET_MARK_KEPT,
+	FLEET_MARK_LAST,
+	FLEET_MARK_FULL,
+	FLEET_MARK_DOWN,
+};
+
+/**
+ * fleet_mark - another instance asks to reserve engine @name; also for names not listed yet
+ * @in_flight: out: requests of this instance that run there
+ *
+ * Return: KEPT when no new work goes there from now on, LAST when ordinary work goes on for want of
+ * another engine; FULL or DOWN, without a mark, when it would leave none to ordinary work or has
+ * just gone down.
+ */
+enum fleet_mark fleet_mark(struct fleet *f, const char *name, int *in_flight);
+void fleet_unmark(struct fleet *f, const char *name);
+
 /** fleet_share - other attempts may run beside @slot from now on */
 void fleet_share(struct fleet *f, struct fleet_slot *slot);
 
--- a/include/ibisgate/net/codec.h
+++ b/include/ibisgate/net/codec.h
@@ -8,6 +8,7 @@
 #include "ibisgate/common/str.h"
 #include "ibisgate/state/drain.h"
 #include "ibisgate/state/member.h"
+#include "ibisgate/state/reserve.h"
 
 #define PEER_MESSAGE_MAX (1 << 20)
 #define PEER_HEARD_MAX 128
@@ -33,6 +34,9 @@
 	PEER_CLAIM_STATE,
 	PEER_FLEET_FETCH,
 	PEER_FLEET_BATCH,
+	PEER_RESERVE = 13,
+	PEER_RESERVE_ACK = 14,
+	PEER_RESERVE_RELEASE = 15,
 };
 
 /** enum codec_error - codes of layer ERROR_CODEC */
@@ -151,6 +155,22 @@
 	CLAIM_ANSWER_UNKNOWN,
 };
 
+/**
+ * struct peer_reserve - reservation of an engine for a suspect request
+ * @stamp: hybrid logical clock when the holder asked; the same in all rounds
+ * @left_ms: time after which it ends without a renewal
+ * @answer: of an acknowledgement, with @in_flight
+ */
+struct peer_reserve {
+	char endpoint[MEMBER_ID_MAX];
+	char token[RESERVE_TOKEN_MAX];
+	uint64_t stamp;
+	uint32_t round;
+	int64_t left_ms;
+	enum reserve_answer answer;
+	int in_flight;
+};
+
 /**
  * struct peer_message - one message between instances
  * @sender: instance id, @incarnation its incarnation
@@ -186,6 +206,7 @@
 			char token[24];
 			enum claim_answer answer;
 		} claim;
+		struct peer_reserve reserve;
 	} u;
 };
 
--- a/net/codec.c
+++ b/net/codec.c
@@ -178,6 +178,33 @@
 		put_order(b, &f->stops[i]);
 }
 
+static void put_reserve(struct buf *b, const struct peer_reserve *r)
+{
+	put_array(b, 5);
+	put_text(b, r->endpoint);
+	put_text(b, r->token);
+	put_uint(b, r->stamp);
+	put_uint(b, r->round);
+	put_uint(b, (uint64_t)r->left_ms);
+}
+
+static void put_reserve_ack(struct buf *b, const struct peer_reserve *r)
+{
+	put_array(b, 5);
+	put_text(b, r->endpoint);
+	put_text(b, r->token);
+	put_uint(b, r->round);
+	put_uint(b, r->answer);
+	put_uint(b, (uint64_t)r->in_flight);
+}
+
+static void put_reserve_release(struct buf *b, const struct peer_reserve *r)
+{
+	put_array(b, 2);
+	put_text(b, r->endpoint);
+	put_text(b, r->token);
+}
+
 static void put_body(struct buf *b, const struct peer_message *m)
 {
 	switch (m->kind) {
@@ -224,6 +251,15 @@
 	case PEER_FLEET_BATCH:
 		put_fleet(b, m->u.fleet);
 		break;
+	case PEER_RESERVE:
+		put_reserve(b, &m->u.reserve);
+		break;
+	case PEER_RESERVE_ACK:
+		put_reserve_ack(b, &m->u.reserve);
+		break;
+	case PEER_RESERVE_RELEASE:
+		put_reserve_release(b, &m->u.reserve);
+		break;
 	}
 }
 
--- a/net/codec_read.c
+++ b/net/codec_read.c
@@ -268,6 +268,38 @@
 		get_order(r, &f->stops[i]);
 }
 
+static void get_reserve_names(struct reader *r, struct peer_reserve *v)
+{
+	get_text(r, v->endpoint, sizeof(v->endpoint));
+	get_text(r, v->token, sizeof(v->token));
+	if (!v->endpoint[0] || !v->token[0])
+		r->failed = true;
+}
+
+static void get_reserve(struct reader *r, struct peer_reserve *v)
+{
+	get_tuple(r, 5);
+	get_reserve_names(r, v);
+	v->stamp = get_uint(r, UINT64_MAX);
+	v->round = (uint32_t)get_uint(r, UINT32_MAX);
+	v->left_ms = get_i64(r);
+}
+
+static void get_reserve_ack(struct reader *r, struct peer_reserve *v)
+{
+	get_tuple(r, 5);
+	get_reserve_names(r, v);
+	v->round = (uint32_t)get_uint(r, UINT32_MAX);
+	v->answer = (enum reserve_answer)get_uint(r, RESERVE_DOWN);
+	v->in_flight = (int)get_uint(r, INT32_MAX);
+}
+
+static void get_reserve_release(struct reader *r, struct peer_reserve *v)
+{
+	get_tuple(r, 2);
+	get_reserve_names(r, v);
+}
+
 static void get_body(struct reader *r, struct peer_message *m)
 {
 	switch (m->kind) {
@@ -314,6 +346,15 @@
 	case PEER_FLEET_BATCH:
 		get_fleet(r, m->u.fleet);
 		break;
+	case PEER_RESERVE:
+		get_reserve(r, &m->u.reserve);
+		break;
+	case PEER_RESERVE_ACK:
+		get_reserve_ack(r, &m->u.reserve);
+		break;
+	case PEER_RESERVE_RELEASE:
+		get_reserve_release(r, &m->u.reserve);
+		break;
 	}
 }
 
@@ -330,7 +371,7 @@
 	}
 	get_tuple(&r, 5);
 	kind = get_uint(&r, UINT64_MAX);
-	if (!r.failed && (kind < PEER_HEARTBEAT || kind > PEER_FLEET_BATCH)) {
+	if (!r.failed && (kind < PEER_HEARTBEAT || kind > PEER_RESERVE_RELEASE)) {
 		error_set(err, ERROR_CODEC, CODEC_UNKNOWN_TYPE, "unknown message type");
 		return NULL;
 	}
--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -133,3 +133,23 @@
 	return charge ? control_quarantine_charge(r->gate.control, fingerprint, true)
 		      : control_quarantine_check(r->gate.control, fingerprint);
 }
+
+uint64_t rig_reserve(struct rig *r, const char *endpoint, bool last)
+{
+	return control_reserve_begin(r->gate.control, endpoint, last);
+}
+
+enum reserve_phase rig_reserve_phase(struct rig *r, uint64_t handle, int wait_ms)
+{
+	return control_reserve_wait(r->gate.control, handle, wait_ms);
+}
+
+bool rig_reserve_held(struct rig *r, uint64_t handle)
+{
+	return control_reserve_held(r->gate.control, handle);
+}
+
+void rig_reserve_end(struct rig *r, uint64_t handle)
+{
+	control_reserve_end(r->gate.control, handle);
+}
--- a/tests/control_rig.h
+++ b/tests/control_rig.h
@@ -7,6 +7,7 @@
 #include "ibisgate/net/platform.h"
 #include "ibisgate/state/claim.h"
 #include "ibisgate/state/config.h"
+#include "ibisgate/state/reserve.h"
 
 /*
  * Control planes of several instances in one process, each with a fleet that takes no callers.
@@ -39,6 +40,12 @@
 
 /** rig_result - stored result of slot @i */
 const char *rig_result(struct rig *r, int i);
+
+/** rig_reserve - control_reserve_begin(); rig_reserve_phase() waits up to @wait_ms */
+uint64_t rig_reserve(struct rig *r, const char *endpoint, bool last);
+enum reserve_phase rig_reserve_phase(struct rig *r, uint64_t handle, int wait_ms);
+bool rig_reserve_held(struct rig *r, uint64_t handle);
+void rig_reserve_end(struct rig *r, uint64_t handle);
 int rig_quarantine(struct rig *r, uint64_t fingerprint, bool charge);
 
 #endif
--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -178,6 +178,25 @@
 	return 0;
 }
 
+uint64_t control_reserve_begin(struct control *c, const char *endpoint, bool last)
+{
+	return 1;
+}
+
+enum reserve_phase control_reserve_wait(struct control *c, uint64_t handle, int wait_ms)
+{
+	return RESERVE_GRANTED;
+}
+
+bool control_reserve_held(struct control *c, uint64_t handle)
+{
+	return handle != 0;
+}
+
+void control_reserve_end(struct control *c, uint64_t handle)
+{
+}
+
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint)
 {
 	enum quarantine_verdict v;
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -117,6 +117,23 @@
 		break;
 	case PEER_FLEET_FETCH:
 		break;
+	case PEER_RESERVE:
+	case PEER_RESERVE_ACK:
+	case PEER_RESERVE_RELEASE:
+		snprintf(m->u.reserve.endpoint, sizeof(m->u.reserve.endpoint), "e%d",
+			 (int)(rng() % 100));
+		snprintf(m->u.reserve.token, sizeof(m->u.reserve.token), "t%d", (int)(rng() % 100));
+		if (kind == PEER_RESERVE) {
+			m->u.reserve.stamp = rng();
+			m->u.reserve.left_ms = (int64_t)(rng() >> 1);
+		}
+		if (kind == PEER_RESERVE_ACK) {
+			m->u.reserve.answer = (enum reserve_answer)(rng() % 4);
+			m->u.reserve.in_flight = (int)(rng() % 1000);
+		}
+		if (kind != PEER_RESERVE_RELEASE)
+			m->u.reserve.round = (uint32_t)rng();
+		break;
 	default:
 		m->u.fetch_after = (int64_t)(rng() >> 1);
 		break;
@@ -132,7 +149,7 @@
 
 	std::cout << "seed " << seed << "\n";
 	for (int i = 0; i < 3000; i++) {
-		struct peer_message *m = sample(rng, 1 + i % PEER_FLEET_BATCH);
+		struct peer_message *m = sample(rng, 1 + i % PEER_RESERVE_RELEASE);
 		std::string bytes = encode(m);
 		struct peer_message *copy = decode(bytes);
 
@@ -156,7 +173,7 @@
 
 	std::cout << "seed " << seed << "\n";
 	for (int i = 0; i < 60000; i++) {
-		struct peer_message *m = sample(rng, 1 + i % PEER_FLEET_BATCH);
+		struct peer_message *m = sample(rng, 1 + i % PEER_RESERVE_RELEASE);
 		std::string bytes = encode(m);
 		size_t cut = rng() % bytes.size();
 
@@ -185,6 +202,19 @@
 	snprintf(m->sender, sizeof(m->sender), "a");
 	std::string good = encode(m);
 	peer_message_destroy(m);
+	for (int kind : { PEER_RESERVE, PEER_RESERVE_ACK, PEER_RESERVE_RELEASE }) {
+		m = peer_message_create((enum peer_message_kind)kind);
+		snprintf(m->sender, sizeof(m->sender), "a");
+		snprintf(m->u.reserve.endpoint, sizeof(m->u.reserve.endpoint), "e");
+		EXPECT_FALSE(decode(encode(m), &code)) << "no token";
+		snprintf(m->u.reserve.token, sizeof(m->u.reserve.token), "t");
+		m->u.reserve.answer = (enum reserve_answer)(RESERVE_DOWN + 1);
+		peer_message_destroy(decode(encode(m), &code));
+		if (kind == PEER_RESERVE_ACK) {
+			EXPECT_EQ(code, CODEC_MALFORMED) << "unknown answer";
+		}
+		peer_message_destroy(m);
+	}
 	EXPECT_FALSE(decode(good + "\x01", &code));
 	EXPECT_EQ(code, CODEC_MALFORMED);
 	EXPECT_FALSE(decode("\x85\x18\x63", &code));
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -47,6 +47,19 @@
 		out.resize(static_cast<size_t>(fleet_candidates(f, &q, out.data())));
 		return out;
 	}
+	/* Chooses an engine, unless one is reserved already, and takes it when it is free. */
+	bool take_alone(endpoint_role role, int64_t tokens, int *reserved, fleet_slot *out)
+	{
+		fleet_choice choice;
+
+		if (*reserved < 0 && fleet_reserve(f, &q, role, &choice))
+			*reserved = choice.id;
+		if (*reserved < 0 ||
+		    fleet_acquire_alone(f, *reserved, tokens, 1, out) != FLEET_ALONE_TAKEN)
+			return false;
+		*reserved = -1;
+		return true;
+	}
 };
 
 /* Guards against an attempt that is sent after the count of the confirmed stop was read. */
@@ -219,11 +232,11 @@
 
 	ASSERT_TRUE(fleet_acquire(f, 0, 1, 1, &busy[0]));
 	ASSERT_TRUE(fleet_acquire(f, 1, 1, 1, &busy[1]));
-	EXPECT_FALSE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+	EXPECT_FALSE(take_alone(ROLE_MIXED, 1, &reserved, &s));
 	ASSERT_EQ(reserved, 0);
 	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &other));
 	fleet_release(f, &busy[0]);
-	EXPECT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+	EXPECT_TRUE(take_alone(ROLE_MIXED, 1, &reserved, &s));
 	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &other));
 	fleet_release(f, &s);
 	EXPECT_TRUE(fleet_acquire(f, 0, 1, 1, &other));
@@ -240,7 +253,7 @@
 
 	fleet_result(f, "a", FLEET_HARD_FAILURE);
 	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &s));
-	ASSERT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+	ASSERT_TRUE(take_alone(ROLE_MIXED, 1, &reserved, &s));
 	EXPECT_EQ(s.id, 1);
 	fleet_release(f, &s);
 	clock_sleep_ms(CIRCUIT_OPEN_MS + 20);
@@ -260,8 +273,8 @@
 	fleet_slot other = {};
 	int reserved[2] = { -1, -1 };
 
-	ASSERT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved[0], &first));
-	EXPECT_FALSE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved[1], &second));
+	ASSERT_TRUE(take_alone(ROLE_MIXED, 1, &reserved[0], &first));
+	EXPECT_FALSE(take_alone(ROLE_MIXED, 1, &reserved[1], &second));
 	EXPECT_EQ(reserved[1], -1);
 	EXPECT_TRUE(fleet_acquire(f, 1, 1, 1, &other));
 	fleet_release(f, &other);
@@ -282,7 +295,7 @@
 		fleet_slot s = {};
 		int reserved = -1;
 
-		ASSERT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s));
+		ASSERT_TRUE(take_alone(ROLE_MIXED, 1, &reserved, &s));
 		ids[q.rank] = s.id;
 		fleet_release(f, &s);
 	}
@@ -291,8 +304,35 @@
 	fleet_slot s = {};
 	int reserved = -1;
 	q.rank = 0;
-	EXPECT_TRUE(fleet_acquire_alone(f, &q, ROLE_MIXED, 1, &reserved, &s)) << "takes any";
+	EXPECT_TRUE(take_alone(ROLE_MIXED, 1, &reserved, &s)) << "takes any";
+	fleet_release(f, &s);
+}
+
+/* Guards against work beside the suspect of another instance, and against none for the rest. */
+TEST_F(Fleet, ReservationOfAnotherInstance)
+{
+	fleet_slot s = {};
+	fleet_slot other = {};
+	int in_flight = -1;
+
+	ASSERT_TRUE(fleet_acquire(f, 0, 1, 1, &s));
+	EXPECT_EQ(fleet_mark(f, "a", &in_flight), FLEET_MARK_KEPT);
+	EXPECT_EQ(in_flight, 1);
+	EXPECT_FALSE(fleet_acquire(f, 0, 1, 1, &other));
+	EXPECT_FALSE(candidates()[0].usable);
+	EXPECT_EQ(fleet_mark(f, "b", &in_flight), FLEET_MARK_FULL) << "none would be left";
+	EXPECT_TRUE(fleet_acquire(f, 1, 1, 1, &other));
+	fleet_release(f, &other);
 	fleet_release(f, &s);
+	fleet_unmark(f, "a");
+	EXPECT_TRUE(fleet_acquire(f, 0, 1, 1, &other));
+	fleet_release(f, &other);
+	fleet_result(f, "a", FLEET_HARD_FAILURE);
+	EXPECT_EQ(fleet_mark(f, "a", &in_flight), FLEET_MARK_DOWN);
+	EXPECT_EQ(fleet_mark(f, "b", &in_flight), FLEET_MARK_LAST);
+	EXPECT_TRUE(fleet_acquire(f, 1, 1, 1, &other)) << "ordinary work goes on";
+	fleet_release(f, &other);
+	EXPECT_EQ(fleet_mark(f, "new", &in_flight), FLEET_MARK_KEPT) << "not listed yet";
 }
 
 } // namespace
--- a/tests/test_promise_outage.cc
+++ b/tests/test_promise_outage.cc
@@ -97,6 +97,73 @@
 	}
 }
 
+class PromiseOutageRounds : public PromiseOutage, public ::testing::WithParamInterface<int>
+{
+      protected:
+	/* Whether instance @i has sent a request for the second time. */
+	bool suspects_run(int i)
+	{
+		return events(i).find("\"n=2 ") != std::string::npos;
+	}
+};
+
+/*
+ * Guards against an innocent request that is charged with the crash of another instance's suspect:
+ * each of two instances has a crashing request of its own, and the second one begins while the
+ * neighbours of the first are tried again as suspects.
+ */
+TEST_P(PromiseOutageRounds, TwoCrashingRequests)
+{
+	const int callers = 12;
+	const int each = 5;
+	const int crashing = 4;
+	std::vector<harness_engine_spec> six(6, { "mixed", true });
+	std::vector<Answer> poison((size_t)2 * crashing);
+	std::vector<Answer> answers((size_t)callers * each);
+	std::vector<std::thread> threads;
+	int lost = 0;
+
+	start({ "abertawe" }, 2, six, false);
+	/* Slow engines, so that a suspect is alone for most of a second. */
+	for (int e = 0; e < 6; e++)
+		endpoint_fault(e, "{\"crash_marker\":\"poison\",\"slow_factor\":2.5}");
+	for (int c = 0; c < callers; c++)
+		threads.emplace_back([&, c] {
+			for (int n = c * each; n < (c + 1) * each; n++)
+				answers[n] = request(c % 2, "/v1/completions",
+						     prompt_body("part " + std::to_string(n), 30),
+						     "", API_KEY, 60000);
+		});
+	for (int i = 0; i < 2; i++)
+		threads.emplace_back([&, i] {
+			if (i == 0)
+				clock_sleep_ms(1000);
+			else if (eventually([&] { return suspects_run(0); }, 10000))
+				clock_sleep_ms(150 * GetParam());
+			for (int n = i * crashing; n < (i + 1) * crashing; n++)
+				poison[n] =
+					request(i, "/v1/completions",
+						prompt_body("poison of " + std::to_string(i), 20),
+						"", API_KEY, 60000);
+		});
+	for (auto &t : threads)
+		t.join();
+	for (int e = 0; e < 6; e++)
+		lost += harness_wait(f->endpoints[e].process, 0) == 0;
+	EXPECT_LE(lost, 4) << "two for each crashing request";
+	EXPECT_GE(lost, 2);
+	for (auto &a : poison)
+		EXPECT_EQ(a.status, 422) << a.body;
+	for (size_t n = 0; n < answers.size(); n++) {
+		EXPECT_EQ(answers[n].status, 200) << n << answers[n].body;
+		EXPECT_NE(answers[n].body.find(expected_text("part " + std::to_string(n), 30)),
+			  std::string::npos)
+			<< n << answers[n].body;
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Repeated, PromiseOutageRounds, ::testing::Range(0, 4));
+
 /* Guards against generations that wait for the table. */
 TEST_F(PromiseOutage, GenerationsGoOnWithoutPlatform)
 {
--- /dev/null
+++ b/tests/test_reserve_region.cc
@@ -0,0 +1,144 @@
+#include "region.h"
+
+#include <algorithm>
+#include <thread>
+
+extern "C" {
+#include "ibisgate/daemon/fleet_use.h"
+}
+
+/* Three engines and a slot on one of them, as a request of that instance takes it. */
+class ReservedRegion : public Region
+{
+      public:
+	ReservedRegion()
+	{
+		for (string id : { "a1", "a2", "a3" })
+			start(id, "abertawe");
+		for (string name : { "e0", "e1", "e2" })
+			table.tell("/list/endpoints",
+				   "{\"name\":\"" + name +
+					   "\",\"dc\":\"abertawe\",\"url\":\"http://127.0.0.1:1\","
+					   "\"kind\":\"engine\",\"model\":\"model-a\",\"role\":"
+					   "\"mixed\",\"state\":\"live\"}");
+	}
+	bool begin()
+	{
+		return ready() && see_each_other(8000) &&
+		       eventually(
+			       [&] {
+				       for (auto &r : rigs) {
+					       if (id_of(r.first, "e2") < 0)
+						       return false;
+				       }
+				       return true;
+			       },
+			       4000);
+	}
+	int id_of(const string &rig, const string &name)
+	{
+		int n;
+		endpoint_status *all = fleet_statuses(rig_fleet(rigs[rig]), &n);
+		int id = -1;
+
+		for (int i = 0; i < n; i++) {
+			if (name == all[i].info.name)
+				id = all[i].id;
+		}
+		free(all);
+		return id;
+	}
+	bool acquire(const string &rig, const string &name, fleet_slot *slot)
+	{
+		return fleet_acquire(rig_fleet(rigs[rig]), id_of(rig, name), 1, 1, slot);
+	}
+	bool usable(const string &rig, const string &name)
+	{
+		fleet_slot slot = {};
+		bool ok = acquire(rig, name, &slot);
+
+		fleet_release(rig_fleet(rigs[rig]), &slot);
+		return ok;
+	}
+};
+
+/* Guards against a suspect that runs beside work of another instance. */
+TEST(ReserveRegion, EngineIsReservedInTheRegion)
+{
+	ReservedRegion g;
+	fleet_slot slot = {};
+	std::vector<int64_t> us;
+
+	ASSERT_TRUE(g.begin());
+	ASSERT_TRUE(g.acquire("a2", "e0", &slot));
+	uint64_t h = rig_reserve(g.rigs["a1"], "e0", false);
+	ASSERT_NE(h, 0u);
+	EXPECT_EQ(rig_reserve_phase(g.rigs["a1"], h, 300), RESERVE_REQUESTED) << "work of a2";
+	EXPECT_FALSE(g.usable("a2", "e0"));
+	EXPECT_FALSE(g.usable("a3", "e0"));
+	EXPECT_EQ(rig_reserve(g.rigs["a2"], "e0", false), 0u) << "a1 was first";
+	fleet_release(rig_fleet(g.rigs["a2"]), &slot);
+	EXPECT_EQ(rig_reserve_phase(g.rigs["a1"], h, 1000), RESERVE_GRANTED);
+	EXPECT_TRUE(rig_reserve_held(g.rigs["a1"], h));
+	rig_reserve_end(g.rigs["a1"], h);
+	EXPECT_TRUE(eventually([&] { return g.usable("a2", "e0") && g.usable("a3", "e0"); }, 1000));
+	for (int i = 0; i < 50; i++) {
+		int64_t begun = clock_boot_us();
+
+		h = rig_reserve(g.rigs["a1"], "e1", false);
+		EXPECT_EQ(rig_reserve_phase(g.rigs["a1"], h, 2000), RESERVE_GRANTED);
+		us.push_back(clock_boot_us() - begun);
+		rig_reserve_end(g.rigs["a1"], h);
+	}
+	std::sort(us.begin(), us.end());
+	printf("granted after %lld us in the median, %lld us at most\n", (long long)us[25],
+	       (long long)us[49]);
+	EXPECT_LT(us[25], RESERVE_RESEND_MS * 1000 / 2) << "one round trip";
+}
+
+/* Guards against two suspects that both count as alone on one engine. */
+TEST(ReserveRegion, OneOfTwoReservationsWins)
+{
+	ReservedRegion g;
+	const char *const ids[] = { "a1", "a2" };
+	int granted = 0;
+
+	ASSERT_TRUE(g.begin());
+	for (int round = 0; round < 50; round++) {
+		uint64_t h[2];
+		reserve_phase phase[2];
+		std::vector<std::thread> threads;
+
+		for (int i = 0; i < 2; i++)
+			threads.emplace_back([&, i, r = g.rigs[ids[i]]] {
+				h[i] = rig_reserve(r, "e0", false);
+				phase[i] = h[i] ? rig_reserve_phase(r, h[i], 2000) : RESERVE_LOST;
+			});
+		for (auto &t : threads)
+			t.join();
+		ASSERT_FALSE(phase[0] == RESERVE_GRANTED && phase[1] == RESERVE_GRANTED) << round;
+		granted += phase[0] == RESERVE_GRANTED || phase[1] == RESERVE_GRANTED;
+		for (int i = 0; i < 2; i++)
+			rig_reserve_end(g.rigs[ids[i]], h[i]);
+	}
+	EXPECT_EQ(granted, 50);
+}
+
+/* Guards against an engine that a dead holder blocks, and a suspect that a dead instance blocks. */
+TEST(ReserveRegion, ReservationsOutliveNobody)
+{
+	ReservedRegion g;
+	uint64_t h;
+
+	ASSERT_TRUE(g.begin());
+	h = rig_reserve(g.rigs["a1"], "e0", false);
+	ASSERT_EQ(rig_reserve_phase(g.rigs["a1"], h, 2000), RESERVE_GRANTED);
+	clock_sleep_ms(RESERVE_TERM_MS + 1000);
+	EXPECT_TRUE(rig_reserve_held(g.rigs["a1"], h)) << "renewed";
+	EXPECT_FALSE(g.usable("a2", "e0"));
+	g.kill("a1", true);
+	h = rig_reserve(g.rigs["a2"], "e1", false);
+	EXPECT_EQ(rig_reserve_phase(g.rigs["a2"], h, MEMBER_SUSPECT_MS + 2000), RESERVE_GRANTED);
+	rig_reserve_end(g.rigs["a2"], h);
+	EXPECT_TRUE(eventually([&] { return g.usable("a2", "e0"); }, RESERVE_TERM_MS + 2000));
+}
