Tell why requests are refused, for each organisation

Cause: in a flood, refusals of the ordinary organisations could not be told apart: all of them are "overloaded".

The first plan, one metric a reason, was dropped: it can't tell organisations apart.

--- a/bench/mix.h
+++ b/bench/mix.h
@@ -60,6 +60,7 @@
 /**
  * struct mix_run - one configuration under one mix
  * @role_changes: over all instances, during the load
+ * @refusals: by reason, of all organisations but the flooder, over all instances
  * @cpu_s: processor time of its processes
  */
 struct mix_run {
@@ -74,6 +75,7 @@
 	int rc;
 	struct error err;
 	int64_t role_changes;
+	json_t *refusals;
 };
 
 /** mix_run_start - start the deployment and apply the configuration; -1 with run->err set */
@@ -86,7 +88,10 @@
 void mix_run_stop(struct mix_run *run);
 void mix_run_free(struct mix_run *run);
 
-/** mix_report - table of the configurations; @verbose adds the share of good answers over time */
+/**
+ * mix_report - table of the configurations
+ * @verbose: adds the share of good answers over time and why requests were not good
+ */
 void mix_report(const struct mix_run *runs, int count, bool verbose);
 
 /** mix_good - requests that count as goodput */
--- a/bench/mix_report.c
+++ b/bench/mix_report.c
@@ -5,6 +5,8 @@
 
 #define BUCKET_S 3
 #define BUCKETS_MAX 64
+/* A refusal on arrival takes less, even on a busy machine; one after a wait takes much longer. */
+#define ARRIVAL_MS 50
 
 int64_t mix_good(const struct mix_run *run)
 {
@@ -73,6 +75,74 @@
 	printf("\n");
 }
 
+/**
+ * struct reasons - why requests were not good
+ * @on_arrival: refused within ARRIVAL_MS, so without having waited
+ * @after_wait: refused later than that
+ * @late_first: answered, with a first token past the limit
+ * @slow_gap: answered in time at first, with gaps past the limit
+ */
+struct reasons {
+	int requests;
+	int good;
+	int on_arrival;
+	int after_wait;
+	int late_first;
+	int slow_gap;
+};
+
+static void reasons_count(struct reasons *c, const struct load_record *r,
+			  const struct load_options *o)
+{
+	c->requests++;
+	c->good += load_good(r, o);
+	if (r->outcome == LOAD_REFUSED && r->end_us - r->start_us <= ARRIVAL_MS * 1000)
+		c->on_arrival++;
+	else if (r->outcome == LOAD_REFUSED)
+		c->after_wait++;
+	else if (r->outcome == LOAD_WHOLE && r->ttft_us > o->ttft_ms * 1000)
+		c->late_first++;
+	else if (r->outcome == LOAD_WHOLE)
+		c->slow_gap += r->gap_mean_us > o->gap_ms * 1000;
+}
+
+static void reasons_print(const struct mix_run *run, const char *name, int target, bool flooder)
+{
+	struct reasons c = { 0 };
+
+	for (size_t i = 0; i < run->result.count; i++) {
+		const struct load_record *r = &run->result.records[i];
+
+		if ((r->organisation == run->plan->flooder) == flooder &&
+		    (target < 0 || r->target == target))
+			reasons_count(&c, r, &run->options);
+	}
+	printf("  %c, %s: requests %d good %d, refused on arrival %d after waiting %d, late %d "
+	       "slow %d\n",
+	       run->config->letter, name, c.requests, c.good, c.on_arrival, c.after_wait,
+	       c.late_first, c.slow_gap);
+}
+
+/* Tells a request that a share's queue delayed from one that the arrival check refused. */
+static void all_reasons_print(const struct mix_run *run)
+{
+	const char *reason;
+	json_t *count;
+	char name[32];
+
+	for (int i = 0; i < run->options.url_count; i++) {
+		snprintf(name, sizeof(name), "ordinary, instance %d", i);
+		reasons_print(run, name, i, false);
+	}
+	reasons_print(run, "ordinary, all", -1, false);
+	if (run->plan->flooder >= 0)
+		reasons_print(run, "flooder", -1, true);
+	printf("  %c, ordinary, refused by:", run->config->letter);
+	json_object_foreach(run->refusals, reason, count)
+		printf(" %s %lld", reason, (long long)json_integer_value(count));
+	printf("\n");
+}
+
 static void row_print(const struct mix_run *run)
 {
 	json_t *report = report_json(&run->plan->scenario, &run->options, &run->result);
@@ -111,7 +181,9 @@
 	       "ttft p95", "gap p95", "refused", "failed", "changes", "lag ms");
 	for (int i = 0; i < count; i++)
 		row_print(&runs[i]);
-	for (int i = 0; verbose && i < count; i++)
+	for (int i = 0; verbose && i < count; i++) {
 		buckets_print(&runs[i]);
+		all_reasons_print(&runs[i]);
+	}
 	fflush(stdout);
 }
--- a/bench/mix_run.c
+++ b/bench/mix_run.c
@@ -128,6 +128,40 @@
 	return n;
 }
 
+static void refusals_add(struct mix_run *run, const json_t *organisations)
+{
+	const struct scenario *s = &run->plan->scenario;
+	const char *reason;
+	json_t *count;
+	json_t *o;
+	size_t i;
+
+	json_array_foreach((json_t *)organisations, i, o) {
+		if (run->plan->flooder >= 0 &&
+		    strcmp(json_get_cstr(o, "name", ""),
+			   s->organisations[run->plan->flooder].name) == 0)
+			continue;
+		json_object_foreach(json_object_get(o, "refused_by"), reason, count) {
+			int64_t sum = json_get_i64(run->refusals, reason, 0);
+
+			json_object_set_new(run->refusals, reason,
+					    json_integer(sum + json_integer_value(count)));
+		}
+	}
+}
+
+static void refusals_read(struct mix_run *run)
+{
+	run->refusals = json_object();
+	for (int i = 0; i < run->fleet->instance_count; i++) {
+		json_t *status = harness_status(run->fleet, i);
+		const json_t *dispatch = json_object_get(status, "dispatch");
+
+		refusals_add(run, json_object_get(dispatch, "organisations"));
+		json_decref(status);
+	}
+}
+
 /* The first engine of the start is one for prefill, of which the next phase needs more. */
 static void engine_kill(struct mix_run *run)
 {
@@ -152,6 +186,7 @@
 	for (int i = 0; i < count; i++) {
 		pthread_join(runs[i].thread, NULL);
 		runs[i].role_changes = changes_of(runs[i].fleet) - before[i];
+		refusals_read(&runs[i]);
 		if (runs[i].rc < 0)
 			rc = -1;
 	}
@@ -169,4 +204,6 @@
 void mix_run_free(struct mix_run *run)
 {
 	load_result_free(&run->result);
+	json_decref(run->refusals);
+	run->refusals = NULL;
 }
--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -179,6 +179,18 @@
 	free(d);
 }
 
+static json_t *organisation_status(const struct organisation *o)
+{
+	json_t *by = json_object();
+
+	for (int i = 0; i < REFUSAL_COUNT; i++)
+		json_object_set_new(by, refusal_name((enum refusal)i),
+				    json_integer(o->refused_by[i]));
+	return json_pack("{s:s,s:I,s:I,s:o,s:I}", "name", o->name, "admitted",
+			 (json_int_t)o->admitted, "refused", (json_int_t)o->refused, "refused_by",
+			 by, "tokens", (json_int_t)o->tokens);
+}
+
 json_t *dispatch_status(struct dispatch *d)
 {
 	json_t *orgs = json_array();
@@ -192,10 +204,7 @@
 	}
 	for (int i = 0; i < DISPATCH_ORGANISATION_BUCKETS; i++) {
 		for (struct organisation *o = d->organisations[i]; o; o = o->next)
-			json_array_append_new(orgs, json_pack("{s:s,s:I,s:I,s:I}", "name", o->name,
-							      "admitted", (json_int_t)o->admitted,
-							      "refused", (json_int_t)o->refused,
-							      "tokens", (json_int_t)o->tokens));
+			json_array_append_new(orgs, organisation_status(o));
 	}
 	pthread_mutex_unlock(&d->lock);
 	return json_pack("{s:i,s:I,s:o}", "queued", queued, "admitted", (json_int_t)admitted,
--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -24,21 +24,26 @@
 
 /**
  * struct waiter - one queued request; lives on its thread's stack
- * @none: no usable set of roles existed at the last look
+ * @block: why the last look did not admit it
  */
 struct waiter {
 	struct share_ticket ticket;
 	struct work *work;
 	pthread_cond_t cond;
 	bool admitted;
-	bool none;
+	enum refusal block;
 };
 
-enum place_result {
-	PLACE_TAKEN,
-	PLACE_FULL,
-	PLACE_NONE,
-};
+const char *refusal_name(enum refusal r)
+{
+	static const char *const names[] = {
+		[REFUSAL_ENDPOINT] = "endpoint", [REFUSAL_ARRIVAL] = "arrival",
+		[REFUSAL_TURN] = "turn",	 [REFUSAL_QUEUE] = "queue",
+		[REFUSAL_SLOTS] = "slots",	 [REFUSAL_LIMITS] = "limits",
+	};
+
+	return names[r];
+}
 
 static struct fleet_query query_of(const struct dispatch *d, const struct work *w)
 {
@@ -137,19 +142,40 @@
 	return queue_us > (double)(w->limits.first_token_ms * 10 * ENGINE_QUEUE_PERCENT);
 }
 
-/* Caller holds the lock. @force: take the best endpoints even when the limits are not met. */
-static enum place_result place_try(struct dispatch *d, struct model_queue *m, struct work *w,
-				   bool force)
+/* Why @choice may not be taken; REFUSAL_COUNT when it may. */
+static enum refusal choice_block(const struct dispatch *d, const struct work *w,
+				 const struct route_choice *choice)
+{
+	const struct route_candidate *r = &d->cands[choice->decode];
+
+	if (choice_idle(d, choice))
+		return REFUSAL_COUNT;
+	if (r->decode_seqs >= r->decode_slots)
+		return REFUSAL_SLOTS;
+	if (engine_queue_full(d, w, choice))
+		return REFUSAL_QUEUE;
+	return choice->fits ? REFUSAL_COUNT : REFUSAL_LIMITS;
+}
+
+/*
+ * Caller holds the lock. False with @block set. @force: take the best endpoints even when the
+ * limits are not met.
+ */
+static bool place_try(struct dispatch *d, struct model_queue *m, struct work *w, bool force,
+		      enum refusal *block)
 {
 	struct route_request req = request_of(w);
 	struct route_choice choice;
 
+	*block = REFUSAL_ENDPOINT;
 	if (!place_look(d, m, w, &req, &choice))
-		return PLACE_NONE;
-	if (!force && !choice_idle(d, &choice) &&
-	    (!choice.fits || engine_queue_full(d, w, &choice)))
-		return PLACE_FULL;
-	return place_take(d, w, &choice) ? PLACE_TAKEN : PLACE_FULL;
+		return false;
+	if (!force)
+		*block = choice_block(d, w, &choice);
+	if (!force && *block != REFUSAL_COUNT)
+		return false;
+	*block = REFUSAL_LIMITS;
+	return place_take(d, w, &choice);
 }
 
 static struct waiter *waiter_of(struct share_ticket *t)
@@ -164,10 +190,8 @@
 
 	while ((t = share_peek(m->shares))) {
 		struct waiter *wt = waiter_of(t);
-		enum place_result r = place_try(d, m, wt->work, false);
 
-		wt->none = r == PLACE_NONE;
-		if (r != PLACE_TAKEN)
+		if (!place_try(d, m, wt->work, false, &wt->block))
 			return;
 		share_admit(m->shares, t, now);
 		m->admitted++;
@@ -253,11 +277,12 @@
 	}
 }
 
-static bool refuse(struct dispatch *d, struct work *w, struct outcome *out, bool none,
-		   int64_t wait_us)
+static bool refuse(struct work *w, struct outcome *out, enum refusal why, int64_t wait_us)
 {
 	w->org->refused++;
-	if (none)
+	w->org->refused_by[why]++;
+	w->refusal = why;
+	if (why == REFUSAL_ENDPOINT)
 		outcome_set(out, 503, "not_run", "no_endpoint", "no endpoint for model %s",
 			    w->g->model);
 	else
@@ -276,7 +301,7 @@
 static bool admit_queued(struct dispatch *d, struct model_queue *m, struct work *w,
 			 const struct route_choice *best, double rate, struct outcome *out)
 {
-	struct waiter wt = { .work = w };
+	struct waiter wt = { .work = w, .block = REFUSAL_TURN };
 	const struct call *call = &w->g->call;
 	pthread_condattr_t attr;
 	int64_t now = clock_boot_ms();
@@ -292,9 +317,9 @@
 	if (share_depth(m->shares) && rate > 0)
 		wait_us = share_wait_us(m->shares, &wt.ticket, rate);
 	if (share_depth(m->shares) >= w->limits.queue_max)
-		return refuse(d, w, out, false, wait_us);
+		return refuse(w, out, REFUSAL_ARRIVAL, wait_us);
 	if (!choice_idle(d, best) && now + wait_us / 1000 > wt.ticket.deadline_ms)
-		return refuse(d, w, out, false, wait_us);
+		return refuse(w, out, REFUSAL_ARRIVAL, wait_us);
 	/* An idle engine is taken at once even when the limit is already lost. */
 	if (wt.ticket.deadline_ms <= now)
 		wt.ticket.deadline_ms = now + PLACE_RETRY_MS;
@@ -309,7 +334,7 @@
 	if (!wt.admitted) {
 		metric_add(METRIC_QUEUED, -1);
 		share_cancel(m->shares, &wt.ticket);
-		refuse(d, w, out, wt.none, wait_us);
+		refuse(w, out, wt.block, wait_us);
 		pump_model(d, m);
 	}
 	pthread_cond_destroy(&wt.cond);
@@ -323,10 +348,11 @@
 	struct route_request any;
 	struct route_choice best;
 	struct route_method turn;
+	enum refusal block;
 	double rate;
 
 	if (!m)
-		return refuse(d, w, out, true, 0);
+		return refuse(w, out, REFUSAL_ENDPOINT, 0);
 	rate = floor_rate(d, w->g->model) / instances;
 	w->first_token_by_ms = w->g->call.arrived_ms + w->limits.first_token_ms;
 	any = request_of(w);
@@ -335,15 +361,15 @@
 	/* The look that prices the request must not take a turn of round-robin. */
 	turn = m->method;
 	if (!place_look(d, m, w, &any, &best))
-		return refuse(d, w, out, true, 0);
+		return refuse(w, out, REFUSAL_ENDPOINT, 0);
 	if (turn.kind == m->method.kind)
 		m->method = turn;
 	work_price(d, w, &best);
 	fleet_demand_add(d->gate->fleet, w->g->model, w->prefill_us, w->decode_us);
 	if (w->limits.admission)
 		return admit_queued(d, m, w, &best, rate, out);
-	if (place_try(d, m, w, true) != PLACE_TAKEN)
-		return refuse(d, w, out, true, 0);
+	if (!place_try(d, m, w, true, &block))
+		return refuse(w, out, REFUSAL_ENDPOINT, 0);
 	m->admitted++;
 	w->org->admitted++;
 	return true;
@@ -370,7 +396,9 @@
 			     "wait_ms=%d", (int)(clock_boot_ms() - w->g->call.arrived_ms));
 	else
 		event_record("refused", w->g->call.id, NULL, w->g->call.organisation,
-			     "status=%d code=%s", out->status, out->code);
+			     "status=%d code=%s reason=%s wait_ms=%d", out->status, out->code,
+			     w->alone ? "alone" : refusal_name(w->refusal),
+			     (int)(clock_boot_ms() - w->g->call.arrived_ms));
 	return ok;
 }
 
@@ -433,6 +461,7 @@
 	w->place = (struct placement){ 0 };
 	while (clock_boot_ms() < w->g->call.deadline_ms) {
 		struct model_queue *m;
+		enum refusal block;
 
 		suspect_cleared(d, w, reserved);
 		if (w->alone) {
@@ -440,7 +469,7 @@
 		} else {
 			pthread_mutex_lock(&d->lock);
 			m = model_get(d, w->g->model);
-			ok = m && place_try(d, m, w, true) == PLACE_TAKEN;
+			ok = m && place_try(d, m, w, true, &block);
 			pthread_mutex_unlock(&d->lock);
 		}
 		if (ok)
--- a/daemon/dispatch_impl.h
+++ b/daemon/dispatch_impl.h
@@ -29,12 +29,35 @@
 	int64_t output_tokens;
 };
 
+/**
+ * enum refusal - what kept a refused request from its first token in time
+ * @REFUSAL_ENDPOINT: no usable set of roles
+ * @REFUSAL_ARRIVAL: the backlog in front of it on arrival
+ * @REFUSAL_TURN: the tickets in front of it, until its time was up
+ * @REFUSAL_QUEUE: it was next, and the queues in the engines were as long as allowed
+ * @REFUSAL_SLOTS: it was next, and no decode slot was free
+ * @REFUSAL_LIMITS: it was next, and no engine met its limits
+ */
+enum refusal {
+	REFUSAL_ENDPOINT,
+	REFUSAL_ARRIVAL,
+	REFUSAL_TURN,
+	REFUSAL_QUEUE,
+	REFUSAL_SLOTS,
+	REFUSAL_LIMITS,
+	REFUSAL_COUNT,
+};
+
+/** refusal_name - as in events and in the status */
+const char *refusal_name(enum refusal r);
+
 struct organisation {
 	struct organisation *next;
 	char name[ORGANISATION_NAME_MAX];
 	struct retry_budget budget;
 	int64_t admitted;
 	int64_t refused;
+	int64_t refused_by[REFUSAL_COUNT];
 	int64_t tokens;
 };
 
@@ -64,6 +87,7 @@
  * @alone: suspect request; runs alone on an engine
  * @prefill_us: price of the prompt in engine time, likewise @decode_us of the expected output
  * @queued: was admitted, and charged, by the share queue
+ * @refusal: why it was refused
  */
 struct work {
 	struct generation *g;
@@ -82,6 +106,7 @@
 	int64_t prefill_us;
 	int64_t decode_us;
 	bool queued;
+	enum refusal refusal;
 };
 
 /**
