Leave engine queues to organisations within their share

The flooder fills the engines' queues to the same 25% as everyone, and orders of arrival inside the engine can't be changed; and when a flooder's ticket is next in line it holds up the organisations behind it.

Change: share_usage keeps the engine time that each organisation was admitted with, decaying over 5 s. While it waits for that, share_hold() lets the next organisation be looked at; virtual time does not pass the one set aside, so order stays that of the shares.

--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -165,8 +165,10 @@
 	if (!d)
 		return;
 	link_destroy(d->link);
-	for (int i = 0; i < d->model_count; i++)
+	for (int i = 0; i < d->model_count; i++) {
+		share_usage_destroy(d->models[i].usage);
 		share_destroy(d->models[i].shares);
+	}
 	for (int i = 0; i < DISPATCH_ORGANISATION_BUCKETS; i++) {
 		while (d->organisations[i]) {
 			struct organisation *org = d->organisations[i];
--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -20,6 +20,13 @@
  * served in order of arrival; what waits here is served by shares.
  */
 #define ENGINE_QUEUE_PERCENT 25
+/*
+ * The same for an organisation that has used more than its share lately. It is enough to keep the
+ * engine busy until the next look; the rest is left to organisations within their share.
+ */
+#define ENGINE_QUEUE_ABOVE_PERCENT 10
+/* Recent use: long against the time between two requests, short against a flood. */
+#define USAGE_WINDOW_MS 5000
 #define ROUND_ROBIN_STARTS 1000003
 
 /**
@@ -71,6 +78,7 @@
 	m = &d->models[d->model_count++];
 	str_copy(m->name, sizeof(m->name), str_from(name));
 	m->shares = share_create();
+	m->usage = share_usage_create(USAGE_WINDOW_MS);
 	return m;
 }
 
@@ -129,22 +137,23 @@
 	return !d->cands[c->prefill].prefill_backlog && !d->cands[c->decode].decode_seqs;
 }
 
-/* The engine has enough work in front to stay busy until the next look. */
+/* @above: the request's organisation has used more than its share lately */
 static bool engine_queue_full(const struct dispatch *d, const struct work *w,
-			      const struct route_choice *choice)
+			      const struct route_choice *choice, bool above)
 {
 	const struct route_candidate *p = &d->cands[choice->prefill];
+	int64_t percent = above ? ENGINE_QUEUE_ABOVE_PERCENT : ENGINE_QUEUE_PERCENT;
 	double queue_us;
 
 	if (w->limits.first_token_ms <= 0 || p->cost.prefill_tokens_per_s <= 0)
 		return false;
 	queue_us = (double)p->prefill_backlog / p->cost.prefill_tokens_per_s * 1e6;
-	return queue_us > (double)(w->limits.first_token_ms * 10 * ENGINE_QUEUE_PERCENT);
+	return queue_us > (double)(w->limits.first_token_ms * 10 * percent);
 }
 
 /* Why @choice may not be taken; REFUSAL_COUNT when it may. */
 static enum refusal choice_block(const struct dispatch *d, const struct work *w,
-				 const struct route_choice *choice)
+				 const struct route_choice *choice, bool above)
 {
 	const struct route_candidate *r = &d->cands[choice->decode];
 
@@ -152,7 +161,7 @@
 		return REFUSAL_COUNT;
 	if (r->decode_seqs >= r->decode_slots)
 		return REFUSAL_SLOTS;
-	if (engine_queue_full(d, w, choice))
+	if (engine_queue_full(d, w, choice, above))
 		return REFUSAL_QUEUE;
 	return choice->fits ? REFUSAL_COUNT : REFUSAL_LIMITS;
 }
@@ -162,7 +171,7 @@
  * limits are not met.
  */
 static bool place_try(struct dispatch *d, struct model_queue *m, struct work *w, bool force,
-		      enum refusal *block)
+		      bool above, enum refusal *block)
 {
 	struct route_request req = request_of(w);
 	struct route_choice choice;
@@ -171,7 +180,7 @@
 	if (!place_look(d, m, w, &req, &choice))
 		return false;
 	if (!force)
-		*block = choice_block(d, w, &choice);
+		*block = choice_block(d, w, &choice, above);
 	if (!force && *block != REFUSAL_COUNT)
 		return false;
 	*block = REFUSAL_LIMITS;
@@ -183,6 +192,22 @@
 	return (struct waiter *)((char *)t - offsetof(struct waiter, ticket));
 }
 
+static void waiter_admit(struct model_queue *m, struct waiter *wt, int64_t now)
+{
+	share_admit(m->shares, &wt->ticket, now);
+	share_usage_add(m->usage, wt->ticket.organisation, wt->ticket.weight, wt->ticket.cost_us,
+			now);
+	m->admitted++;
+	wt->work->org->admitted++;
+	wt->admitted = true;
+	metric_add(METRIC_QUEUED, -1);
+	pthread_cond_signal(&wt->cond);
+}
+
+/*
+ * Admits in the order of the shares. An organisation above its share that has to wait for more room
+ * than others need does not hold them up.
+ */
 static void pump_model(struct dispatch *d, struct model_queue *m)
 {
 	struct share_ticket *t;
@@ -190,16 +215,16 @@
 
 	while ((t = share_peek(m->shares))) {
 		struct waiter *wt = waiter_of(t);
+		bool above = share_usage_above(m->usage, t->organisation, now);
 
-		if (!place_try(d, m, wt->work, false, &wt->block))
-			return;
-		share_admit(m->shares, t, now);
-		m->admitted++;
-		wt->work->org->admitted++;
-		wt->admitted = true;
-		metric_add(METRIC_QUEUED, -1);
-		pthread_cond_signal(&wt->cond);
+		if (place_try(d, m, wt->work, false, above, &wt->block))
+			waiter_admit(m, wt, now);
+		else if (above)
+			share_hold(m->shares);
+		else
+			break;
 	}
+	share_resume(m->shares);
 }
 
 void dispatch_pump(struct dispatch *d, const char *model)
@@ -368,7 +393,7 @@
 	fleet_demand_add(d->gate->fleet, w->g->model, w->prefill_us, w->decode_us);
 	if (w->limits.admission)
 		return admit_queued(d, m, w, &best, rate, out);
-	if (!place_try(d, m, w, true, &block))
+	if (!place_try(d, m, w, true, false, &block))
 		return refuse(w, out, REFUSAL_ENDPOINT, 0);
 	m->admitted++;
 	w->org->admitted++;
@@ -469,7 +494,7 @@
 		} else {
 			pthread_mutex_lock(&d->lock);
 			m = model_get(d, w->g->model);
-			ok = m && place_try(d, m, w, true, &block);
+			ok = m && place_try(d, m, w, true, false, &block);
 			pthread_mutex_unlock(&d->lock);
 		}
 		if (ok)
--- a/daemon/dispatch_impl.h
+++ b/daemon/dispatch_impl.h
@@ -64,6 +64,7 @@
 struct model_queue {
 	char name[48];
 	struct share_queue *shares;
+	struct share_usage *usage;
 	struct route_method method;
 	int64_t admitted;
 };
--- a/include/ibisgate/policy/share.h
+++ b/include/ibisgate/policy/share.h
@@ -55,6 +55,15 @@
 /** share_peek - ticket that is to be admitted next; NULL when none waits */
 struct share_ticket *share_peek(struct share_queue *q);
 
+/**
+ * share_hold - set the organisation of share_peek() aside, so that the next one is looked at
+ *
+ * Until share_resume() only share_peek(), share_hold() and share_admit() of a peeked ticket may be
+ * called. Virtual time does not pass the organisations that are set aside.
+ */
+void share_hold(struct share_queue *q);
+void share_resume(struct share_queue *q);
+
 /** share_admit - take @t (any queued ticket) out and charge its cost to its organisation */
 void share_admit(struct share_queue *q, struct share_ticket *t, int64_t now_ms);
 
@@ -80,6 +89,32 @@
 /** share_depth - tickets that wait */
 int share_depth(const struct share_queue *q);
 
+/**
+ * struct share_usage - engine time that organisations have used lately
+ *
+ * Use decays with the time constant @window_ms of share_usage_create(). Times that go back count
+ * as the latest one seen. Not thread-safe: the owner locks.
+ */
+struct share_usage;
+
+struct share_usage *share_usage_create(int64_t window_ms);
+void share_usage_destroy(struct share_usage *u);
+
+/** share_usage_add - @organisation of @weight, > 0, was admitted with work of @used_us */
+void share_usage_add(struct share_usage *u, struct str organisation, double weight, int64_t used_us,
+		     int64_t now_ms);
+
+/**
+ * share_usage_ratio - recent use of @organisation as a multiple of its share
+ *
+ * The share is its part, by weight among the organisations seen lately, of what all of them have
+ * used. 0 when it has used nothing.
+ */
+double share_usage_ratio(struct share_usage *u, struct str organisation, int64_t now_ms);
+
+/** share_usage_above - @organisation has used clearly more than its share lately */
+bool share_usage_above(struct share_usage *u, struct str organisation, int64_t now_ms);
+
 bool share_class_parse(struct str name, enum share_class *out);
 
 #endif
--- a/policy/share.c
+++ b/policy/share.c
@@ -183,6 +183,27 @@
 	return org_first(q->backlogged.items[0]);
 }
 
+void share_hold(struct share_queue *q)
+{
+	struct org *o = q->backlogged.count ? org_heap_pop(&q->backlogged) : NULL;
+
+	if (!o)
+		return;
+	o->next_held = q->held;
+	q->held = o;
+}
+
+void share_resume(struct share_queue *q)
+{
+	while (q->held) {
+		struct org *o = q->held;
+
+		q->held = o->next_held;
+		o->next_held = NULL;
+		org_heap_add(&q->backlogged, o);
+	}
+}
+
 /* Takes @t out and adds @charge_us to its organisation. */
 static void ticket_remove(struct share_queue *q, struct share_ticket *t, int64_t charge_us)
 {
@@ -211,6 +232,8 @@
 	 * put back organisations that arrive now.
 	 */
 	start = q->backlogged.items[0]->tag;
+	for (const struct org *o = q->held; o; o = o->next_held)
+		start = fmin(start, o->tag);
 	if (start > q->vtime)
 		q->vtime = start;
 	ticket_remove(q, t, t->cost_us);
--- a/tests/test_share.cc
+++ b/tests/test_share.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <deque>
 #include <map>
 #include <random>
@@ -141,8 +142,9 @@
 	}
 }
 
-/* Guards against wrong order after random arrivals, cancels and settlements: a linear scan over
- * plain tags must name the same ticket. Also checks that nothing idles while tickets wait. */
+/* Guards against wrong order after random arrivals, cancels, settlements and organisations that
+ * are set aside: a linear scan over plain tags must name the same ticket. Also checks that nothing
+ * idles while tickets wait. */
 TEST_F(Share, SameOrderAsNaiveScan)
 {
 	struct Naive {
@@ -177,7 +179,7 @@
 		};
 		for (int step = 0; step < 20000; step++) {
 			size_t org = rng() % orgs.size();
-			int op = (int)(rng() % 10);
+			int op = (int)(rng() % 11);
 			size_t first = SIZE_MAX;
 
 			for (auto &[o, n] : naive) {
@@ -219,6 +221,32 @@
 					share_admit(q, t, 0);
 					remove(t, (double)t->cost_us);
 				}
+			} else if (op == 10 && want) {
+				/* Without @first, the next one in line; its admission must
+				 * not move virtual time past the tag of @first. */
+				size_t second = SIZE_MAX;
+
+				share_hold(q);
+				for (auto &[o, n] : naive) {
+					if (o != first && n.depth() &&
+					    (second == SIZE_MAX ||
+					     std::make_pair(n.tag, n.seq) <
+						     std::make_pair(naive[second].tag,
+								    naive[second].seq)))
+						second = o;
+				}
+				want = nullptr;
+				for (int c = 2; c >= 0 && second != SIZE_MAX; c--) {
+					if (!naive[second].list[c].empty())
+						want = naive[second].list[c][0];
+				}
+				ASSERT_EQ(share_peek(q), want) << "step " << step;
+				if (want) {
+					vtime = std::max(vtime, naive[first].tag);
+					share_admit(q, want, 0);
+					remove(want, (double)want->cost_us);
+				}
+				share_resume(q);
 			} else if (op == 9 && naive.count(org) && naive[org].depth()) {
 				int64_t actual = (int64_t)(rng() % 5000);
 
@@ -362,6 +390,96 @@
 	EXPECT_NEAR((double)waited, (double)wait, 3 * 1500);
 }
 
+/* Guards against a recent use that differs from the plain sum over all past admissions, after
+ * changes of weight, clocks that step back and organisations that were forgotten. */
+TEST_F(Share, UsageFollowsNaiveSum)
+{
+	struct Entry {
+		size_t org;
+		double us;
+		int64_t at;
+	};
+	const int64_t window = 1000;
+
+	for (uint64_t s = 1; s <= 5; s++) {
+		share_usage *u = share_usage_create(window);
+		std::vector<Entry> log;
+		std::map<size_t, std::pair<double, int64_t>> seen;
+		int64_t now = 0;
+
+		seed(s);
+		orgs.clear();
+		add_orgs(400, 1, 5);
+		for (int step = 0; step < 3000; step++) {
+			size_t org = rng() % (rng() % 400 + 1);
+			double weight = uniform(1, 5);
+			int64_t us = (int64_t)(rng() % 100000);
+			double all = 0;
+			double own = 0;
+			double weights = 0;
+
+			int64_t before = now;
+
+			now += (int64_t)(rng() % (step % 500 ? 20 : 8000));
+			share_usage_add(u, { orgs[org].name.data(), orgs[org].name.size() }, weight,
+					us, rng() % 8 ? now : (now = before - 5));
+			now = std::max(now, before);
+			if (seen.count(org) && now - seen[org].second > 4 * window)
+				log.erase(std::remove_if(
+						  log.begin(), log.end(),
+						  [&](const Entry &e) { return e.org == org; }),
+					  log.end());
+			log.push_back({ org, (double)us, now });
+			seen[org] = { weight, now };
+			org = rng() % 400;
+			for (auto &[o, w] : seen)
+				weights += now - w.second <= 4 * window ? w.first : 0;
+			for (const Entry &e : log) {
+				double left = e.us * exp((double)(e.at - now) / window);
+
+				if (now - seen[e.org].second > 4 * window)
+					continue;
+				all += left;
+				own += e.org == org ? left : 0;
+			}
+			double ratio = own > 0 ? own / all * (weights / seen[org].first) : 0;
+			ASSERT_NEAR(
+				share_usage_ratio(
+					u, { orgs[org].name.data(), orgs[org].name.size() }, now),
+				ratio, 1e-6 * ratio + 1e-9)
+				<< "step " << step;
+		}
+		share_usage_destroy(u);
+	}
+}
+
+/* Guards against a limit that meets organisations within their share when another one floods, or
+ * that stays on the flooder after the flood. */
+TEST_F(Share, UsageNamesTheFlooder)
+{
+	share_usage *u = share_usage_create(5000);
+
+	add_orgs(5, 1, 1);
+	for (int64_t now = 0; now < 10000; now += 100) {
+		for (size_t o = 0; o < 5; o++)
+			share_usage_add(u, { orgs[o].name.data(), orgs[o].name.size() }, 1,
+					o ? 16 : 36, now);
+	}
+	EXPECT_NEAR(share_usage_ratio(u, { "org0", 4 }, 10000), 1.8, 0.01);
+	EXPECT_NEAR(share_usage_ratio(u, { "org1", 4 }, 10000), 0.8, 0.01);
+	EXPECT_EQ(share_usage_ratio(u, { "none", 4 }, 10000), 0);
+	EXPECT_TRUE(share_usage_above(u, { "org0", 4 }, 10000));
+	EXPECT_FALSE(share_usage_above(u, { "org1", 4 }, 10000));
+	for (int64_t now = 10000; now < 30000; now += 100) {
+		for (size_t o = 0; o < 5; o++)
+			share_usage_add(u, { orgs[o].name.data(), orgs[o].name.size() }, 1, 16,
+					now);
+	}
+	EXPECT_NEAR(share_usage_ratio(u, { "org0", 4 }, 30000), 1, 0.05);
+	EXPECT_FALSE(share_usage_above(u, { "org0", 4 }, 30000));
+	share_usage_destroy(u);
+}
+
 static size_t heap_bytes()
 {
 #ifdef __SANITIZE_ADDRESS__
