Let a request wait until its own work no longer fits its limit

A ticket had to be admitted by its limit minus the time to the first token that the engines promised on its arrival. That includes their present queues and, with all decode slots taken, a wait for a slot (about 120 ms), although a ticket is only admitted once a slot is free. With 512 ms to plan for, little time to wait remained, or none.

Change: route_unqueued_us() gives the time without anything in front, and the ticket may wait until that no longer fits. Whether the engines meet the limit is still checked when it is admitted.

--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -27,6 +27,8 @@
 #define ENGINE_QUEUE_ABOVE_PERCENT 10
 /* Recent use: long against the time between two requests, short against a flood. */
 #define USAGE_WINDOW_MS 5000
+/* Organisations set aside in one look over the queue; bounds the time that the lock is held. */
+#define HELD_MAX 16
 #define ROUND_ROBIN_STARTS 1000003
 
 /**
@@ -205,13 +207,15 @@
 }
 
 /*
- * Admits in the order of the shares. An organisation above its share that has to wait for more room
- * than others need does not hold them up.
+ * Admits in the order of the shares. Two kinds of tickets do not hold up other organisations: one
+ * above its share, which waits for more room than others need, and one whose time has become too
+ * short for the present queues.
  */
 static void pump_model(struct dispatch *d, struct model_queue *m)
 {
 	struct share_ticket *t;
 	int64_t now = clock_boot_ms();
+	int held = 0;
 
 	while ((t = share_peek(m->shares))) {
 		struct waiter *wt = waiter_of(t);
@@ -219,7 +223,7 @@
 
 		if (place_try(d, m, wt->work, false, above, &wt->block))
 			waiter_admit(m, wt, now);
-		else if (above)
+		else if ((above || wt->block == REFUSAL_LIMITS) && held++ < HELD_MAX)
 			share_hold(m->shares);
 		else
 			break;
@@ -328,7 +332,10 @@
 {
 	struct waiter wt = { .work = w, .block = REFUSAL_TURN };
 	const struct call *call = &w->g->call;
+	const struct route_request req = request_of(w);
 	pthread_condattr_t attr;
+	int64_t unqueued_us =
+		route_unqueued_us(&d->cands[best->prefill], &d->cands[best->decode], &req);
 	int64_t now = clock_boot_ms();
 	int64_t wait_us = 0;
 
@@ -337,7 +344,7 @@
 		.weight = call_weight(call),
 		.class = call->class,
 		.cost_us = w->prefill_us + w->decode_us,
-		.deadline_ms = w->first_token_by_ms - best->first_token_us / 1000,
+		.deadline_ms = w->first_token_by_ms - unqueued_us / 1000,
 	};
 	if (share_depth(m->shares) && rate > 0)
 		wait_us = share_wait_us(m->shares, &wt.ticket, rate);
--- a/include/ibisgate/policy/route.h
+++ b/include/ibisgate/policy/route.h
@@ -121,6 +121,16 @@
 		const struct route_request *req, struct route_choice *out);
 
 /** route_method_parse - "expected-finish", "round-robin" or "least-inflight"; false otherwise */
+/**
+ * route_unqueued_us - time to the first token when nothing waits in front of the request
+ * @p: prefill engine
+ * @d: decode engine; the same as @p for a mixed engine
+ *
+ * For a request that waits until an engine has room, the present queues don't count.
+ */
+int64_t route_unqueued_us(const struct route_candidate *p, const struct route_candidate *d,
+			  const struct route_request *req);
+
 bool route_method_parse(const char *name, struct route_method *out);
 
 #endif
--- a/policy/route.c
+++ b/policy/route.c
@@ -330,6 +330,17 @@
 	choice_fill(out, prefill, decode, e);
 }
 
+int64_t route_unqueued_us(const struct route_candidate *p, const struct route_candidate *d,
+			  const struct route_request *req)
+{
+	double us = 2.0 * (double)p->distance_us +
+		    tokens_us(p, req->prompt_tokens - p->cached_tokens) + step_us(d);
+
+	if (p != d)
+		us += transfer_us(p, d, req) + 2.0 * (double)d->distance_us;
+	return to_us(us);
+}
+
 static bool pick_expected_finish(const struct route_candidate *cands, int count,
 				 const struct route_request *req, struct route_choice *out)
 {
--- a/tests/test_route.cc
+++ b/tests/test_route.cc
@@ -162,6 +162,25 @@
 	return out;
 }
 
+/* Guards against a request that is refused while it waits because of queues that others leave
+ * before it is sent: only its own work counts, as in the estimate for idle engines. */
+TEST(Route, UnqueuedTimeIgnoresQueues)
+{
+	Cands pair = { engine(0, ROLE_PREFILL), engine(1, ROLE_DECODE) };
+	Cands mixed = { engine(0, ROLE_MIXED) };
+	int64_t idle;
+
+	pair[0].distance_us = 300;
+	pair[1].distance_us = 900;
+	pair[0].cached_tokens = 1000;
+	idle = pick(pair).first_token_us;
+	EXPECT_EQ(route_unqueued_us(&pair[0], &pair[1], &REQ), idle);
+	pair[0].prefill_backlog = 50000;
+	EXPECT_EQ(route_unqueued_us(&pair[0], &pair[1], &REQ), idle);
+	EXPECT_GT(pick(pair).first_token_us, idle + 4000000);
+	EXPECT_EQ(route_unqueued_us(&mixed[0], &mixed[0], &REQ), pick(mixed).first_token_us);
+}
+
 /* Guards against instances with the same lagging view that all pick the same engine. */
 TEST(Route, EqualEnginesAreSpread)
 {
