Split choosing and taking engines from the queue of waiting requests

What chooses and takes engines is now daemon/dispatch_place.c; no behaviour changes.

test-share passes. test-front: a first run was cut off by a limit of 120 s (it takes 44 s otherwise) after a check had got status 0 instead of 200; its name was not kept. A second run passed all 14 tests.

--- a/daemon/dispatch_impl.h
+++ b/daemon/dispatch_impl.h
@@ -142,17 +142,51 @@
 /** admit - wait for admission; true with w->place taken, false with @out filled */
 bool admit(struct dispatch *d, struct work *w, struct outcome *out);
 
-/** place_again - endpoints for another attempt of an admitted request; blocks up to its deadline */
-bool place_again(struct dispatch *d, struct work *w);
+/** model_get - queue of a model; NULL when there are too many models. Caller holds the lock. */
+struct model_queue *model_get(struct dispatch *d, const char *name);
 
 /** dispatch_pump - admit what fits now; called when capacity may have become free */
 void dispatch_pump(struct dispatch *d, const char *model);
 void dispatch_pump_all(struct dispatch *d);
-void place_release(struct dispatch *d, struct work *w);
 
 /** work_settle - correct the charge of the share once the request has ended */
 void work_settle(struct dispatch *d, struct work *w);
 
+/* dispatch_place.c */
+/* A place that was not free is asked for again after this time. */
+#define PLACE_RETRY_MS 10
+
+/** request_of - what route_pick() has to know about @w now */
+struct route_request request_of(const struct work *w);
+
+/**
+ * place_look - choose endpoints without taking them; the candidates stay in d->cands
+ *
+ * Caller holds the lock.
+ */
+bool place_look(struct dispatch *d, struct model_queue *m, struct work *w,
+		const struct route_request *req, struct route_choice *out);
+
+/** choice_idle - nothing waits or runs on the chosen endpoints */
+bool choice_idle(const struct dispatch *d, const struct route_choice *c);
+
+/**
+ * place_try - choose endpoints and take them
+ * @force: take the best endpoints even when the limits are not met
+ * @above: the organisation of @w has used more than its share lately
+ *
+ * Caller holds the lock.
+ *
+ * Return: true with w->place taken; false with @block set.
+ */
+bool place_try(struct dispatch *d, struct model_queue *m, struct work *w, bool force, bool above,
+	       enum refusal *block);
+
+/** place_again - endpoints for another attempt of an admitted request; blocks up to its deadline */
+bool place_again(struct dispatch *d, struct work *w);
+
+void place_release(struct dispatch *d, struct work *w);
+
 /* dispatch_attempt.c */
 enum attempt_result {
 	ATTEMPT_DONE,
