--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -6,54 +6,42 @@
 #include "dispatch_impl.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/event.h"
-#include "ibisgate/common/hash.h"
 #include "ibisgate/common/metrics.h"
 
-#define PLACE_RETRY_MS 10
 /*
  * Part of the first token limit that admission plans for, in percent. Work that other instances
  * have sent is known late; at 100 a full queue admits what then misses the limit by little.
  */
 #define PLAN_PERCENT 80
-/*
- * Part of the first token limit that may be spent in the queue of an engine. What waits there is
- * served in order of arrival; what waits here is served by shares.
- */
-#define ENGINE_QUEUE_PERCENT 25
-#define ROUND_ROBIN_STARTS 1000003
+/* Recent use: long against the time between two requests, short against a flood. */
+#define USAGE_WINDOW_MS 5000
+/* Organisations set aside in one look over the queue; bounds the time that the lock is held. */
+#define HELD_MAX 16
 
 /**
  * struct waiter - one queued request; lives on its thread's stack
- * @none: no usable set of roles existed at the last look
+ * @block: why the last look did not admit it
  */
 struct waiter {
 	struct share_ticket ticket;
 	struct work *work;
 	pthread_cond_t cond;
 	bool admitted;
-	bool none;
-};
-
-enum place_result {
-	PLACE_TAKEN,
-	PLACE_FULL,
-	PLACE_NONE,
+	enum refusal block;
 };
 
-struct fleet_query dispatch_query(const struct dispatch *d, const struct work *w)
+const char *refusal_name(enum refusal r)
 {
-	return (struct fleet_query){
-		.model = w->g->model,
-		.engine = true,
-		.prefix = &w->prefix,
-		.prompt_tokens = w->prompt_tokens + w->g->tokens,
-		.avoid = w->avoid,
-		.avoid_count = w->avoid_count,
-		.settings = &d->gate->settings,
+	static const char *const names[] = {
+		[REFUSAL_ENDPOINT] = "endpoint", [REFUSAL_ARRIVAL] = "arrival",
+		[REFUSAL_TURN] = "turn",	 [REFUSAL_QUEUE] = "queue",
+		[REFUSAL_SLOTS] = "slots",	 [REFUSAL_LIMITS] = "limits",
 	};
+
+	return names[r];
 }
 
-static struct model_queue *model_get(struct dispatch *d, const char *name)
+struct model_queue *model_get(struct dispatch *d, const char *name)
 {
 	struct model_queue *m;
 
@@ -66,116 +54,50 @@
 	m = &d->models[d->model_count++];
 	str_copy(m->name, sizeof(m->name), str_from(name));
 	m->shares = share_create();
+	m->usage = share_usage_create(USAGE_WINDOW_MS);
 	return m;
 }
 
-static struct route_request request_of(const struct work *w)
-{
-	int64_t left_us = (w->first_token_by_ms - clock_boot_ms()) * 1000;
-	int64_t rest = w->output_tokens - w->g->tokens;
-
-	return (struct route_request){
-		.prompt_tokens = w->prompt_tokens + w->g->tokens,
-		.output_tokens = rest > 1 ? rest : 1,
-		.first_token_us = w->g->tokens ? INT64_MAX : (left_us > 0 ? left_us : 0),
-		.gap_us = w->limits.gap_ms * 1000,
-		.spread = random_u64(),
-	};
-}
-
-/* Chooses endpoints without taking them; the candidates stay in d->cands. Caller holds the lock. */
-static bool place_look(struct dispatch *d, struct model_queue *m, struct work *w,
-		       const struct route_request *req, struct route_choice *out)
-{
-	struct fleet_query q = dispatch_query(d, w);
-	int n = fleet_candidates(d->gate->fleet, &q, d->cands);
-
-	if (m->method.kind != w->limits.method.kind) {
-		m->method = w->limits.method;
-		/* Instances that start together must not take their turns in step. */
-		if (m->method.kind == ROUTE_ROUND_ROBIN)
-			m->method.u.round_robin.next = random_u64() % ROUND_ROBIN_STARTS;
-	}
-	return route_pick(&m->method, d->cands, n, req, out);
-}
-
-static bool place_take(struct dispatch *d, struct work *w, const struct route_choice *choice)
-{
-	const struct route_candidate *p = &d->cands[choice->prefill];
-	const struct route_candidate *r = &d->cands[choice->decode];
-	struct placement *place = &w->place;
-	int64_t prefill = w->prompt_tokens + w->g->tokens - p->cached_tokens;
-
-	*place = (struct placement){ .choice = *choice };
-	if (choice->prefill == choice->decode)
-		return fleet_acquire(d->gate->fleet, r->index, prefill, 1, &place->run);
-	if (!fleet_acquire(d->gate->fleet, p->index, prefill, 0, &place->prefill))
-		return false;
-	if (!fleet_acquire(d->gate->fleet, r->index, 0, 1, &place->run)) {
-		fleet_release(d->gate->fleet, &place->prefill);
-		return false;
-	}
-	place->split = true;
-	return true;
-}
-
-static bool choice_idle(const struct dispatch *d, const struct route_choice *c)
-{
-	return !d->cands[c->prefill].prefill_backlog && !d->cands[c->decode].decode_seqs;
-}
-
-/* The engine has enough work in front to stay busy until the next look. */
-static bool engine_queue_full(const struct dispatch *d, const struct work *w,
-			      const struct route_choice *choice)
-{
-	const struct route_candidate *p = &d->cands[choice->prefill];
-	double queue_us;
-
-	if (w->limits.first_token_ms <= 0 || p->cost.prefill_tokens_per_s <= 0)
-		return false;
-	queue_us = (double)p->prefill_backlog / p->cost.prefill_tokens_per_s * 1e6;
-	return queue_us > (double)(w->limits.first_token_ms * 10 * ENGINE_QUEUE_PERCENT);
-}
-
-/* Caller holds the lock. @force: take the best endpoints even when the limits are not met. */
-static enum place_result place_try(struct dispatch *d, struct model_queue *m, struct work *w,
-				   bool force)
+static struct waiter *waiter_of(struct share_ticket *t)
 {
-	struct route_request req = request_of(w);
-	struct route_choice choice;
-
-	if (!place_look(d, m, w, &req, &choice))
-		return PLACE_NONE;
-	if (!force && !choice_idle(d, &choice) &&
-	    (!choice.fits || engine_queue_full(d, w, &choice)))
-		return PLACE_FULL;
-	return place_take(d, w, &choice) ? PLACE_TAKEN : PLACE_FULL;
+	return (struct waiter *)((char *)t - offsetof(struct waiter, ticket));
 }
 
-static struct waiter *waiter_of(struct share_ticket *t)
+static void waiter_admit(struct model_queue *m, struct waiter *wt, int64_t now)
 {
-	return (struct waiter *)((char *)t - offsetof(struct waiter, ticket));
+	share_admit(m->shares, &wt->ticket, now);
+	share_usage_add(m->usage, wt->ticket.organisation, wt->ticket.weight, wt->ticket.cost_us,
+			now);
+	m->admitted++;
+	wt->work->org->admitted++;
+	wt->admitted = true;
+	metric_add(METRIC_QUEUED, -1);
+	pthread_cond_signal(&wt->cond);
 }
 
+/*
+ * Admits in the order of the shares. Two kinds of tickets do not hold up other organisations: one
+ * above its share, which waits for more room than others need, and one whose time has become too
+ * short for the present queues.
+ */
 static void pump_model(struct dispatch *d, struct model_queue *m)
 {
 	struct share_ticket *t;
 	int64_t now = clock_boot_ms();
+	int held = 0;
 
 	while ((t = share_peek(m->shares))) {
 		struct waiter *wt = waiter_of(t);
-		enum place_result r = place_try(d, m, wt->work, false);
-
-		wt->none = r == PLACE_NONE;
-		if (r != PLACE_TAKEN)
-			return;
-		share_admit(m->shares, t, now);
-		m->admitted++;
-		wt->work->org->admitted++;
-		wt->admitted = true;
-		metric_add(METRIC_QUEUED, -1);
-		pthread_cond_signal(&wt->cond);
+		bool above = share_usage_above(m->usage, t->organisation, now);
+
+		if (place_try(d, m, wt->work, false, above, &wt->block))
+			waiter_admit(m, wt, now);
+		else if ((above || wt->block == REFUSAL_LIMITS) && held++ < HELD_MAX)
+			share_hold(m->shares);
+		else
+			break;
 	}
+	share_resume(m->shares);
 }
 
 void dispatch_pump(struct dispatch *d, const char *model)
@@ -253,11 +175,12 @@
 	}
 }
 
-static bool refuse(struct dispatch *d, struct work *w, struct outcome *out, bool none,
-		   int64_t wait_us)
+static bool refuse(struct work *w, struct outcome *out, enum refusal why, int64_t wait_us)
 {
 	w->org->refused++;
-	if (none)
+	w->org->refused_by[why]++;
+	w->refusal = why;
+	if (why == REFUSAL_ENDPOINT)
 		outcome_set(out, 503, "not_run", "no_endpoint", "no endpoint for model %s",
 			    w->g->model);
 	else
@@ -276,9 +199,12 @@
 static bool admit_queued(struct dispatch *d, struct model_queue *m, struct work *w,
 			 const struct route_choice *best, double rate, struct outcome *out)
 {
-	struct waiter wt = { .work = w };
+	struct waiter wt = { .work = w, .block = REFUSAL_TURN };
 	const struct call *call = &w->g->call;
+	const struct route_request req = request_of(w);
 	pthread_condattr_t attr;
+	int64_t unqueued_us =
+		route_unqueued_us(&d->cands[best->prefill], &d->cands[best->decode], &req);
 	int64_t now = clock_boot_ms();
 	int64_t wait_us = 0;
 
@@ -287,14 +213,14 @@
 		.weight = call_weight(call),
 		.class = call->class,
 		.cost_us = w->prefill_us + w->decode_us,
-		.deadline_ms = w->first_token_by_ms - best->first_token_us / 1000,
+		.deadline_ms = w->first_token_by_ms - unqueued_us / 1000,
 	};
 	if (share_depth(m->shares) && rate > 0)
 		wait_us = share_wait_us(m->shares, &wt.ticket, rate);
 	if (share_depth(m->shares) >= w->limits.queue_max)
-		return refuse(d, w, out, false, wait_us);
+		return refuse(w, out, REFUSAL_ARRIVAL, wait_us);
 	if (!choice_idle(d, best) && now + wait_us / 1000 > wt.ticket.deadline_ms)
-		return refuse(d, w, out, false, wait_us);
+		return refuse(w, out, REFUSAL_ARRIVAL, wait_us);
 	/* An idle engine is taken at once even when the limit is already lost. */
 	if (wt.ticket.deadline_ms <= now)
 		wt.ticket.deadline_ms = now + PLACE_RETRY_MS;
@@ -309,7 +235,7 @@
 	if (!wt.admitted) {
 		metric_add(METRIC_QUEUED, -1);
 		share_cancel(m->shares, &wt.ticket);
-		refuse(d, w, out, wt.none, wait_us);
+		refuse(w, out, wt.block, wait_us);
 		pump_model(d, m);
 	}
 	pthread_cond_destroy(&wt.cond);
@@ -323,10 +249,11 @@
 	struct route_request any;
 	struct route_choice best;
 	struct route_method turn;
+	enum refusal block;
 	double rate;
 
 	if (!m)
-		return refuse(d, w, out, true, 0);
+		return refuse(w, out, REFUSAL_ENDPOINT, 0);
 	rate = floor_rate(d, w->g->model) / instances;
 	w->first_token_by_ms = w->g->call.arrived_ms + w->limits.first_token_ms;
 	any = request_of(w);
@@ -335,15 +262,15 @@
 	/* The look that prices the request must not take a turn of round-robin. */
 	turn = m->method;
 	if (!place_look(d, m, w, &any, &best))
-		return refuse(d, w, out, true, 0);
+		return refuse(w, out, REFUSAL_ENDPOINT, 0);
 	if (turn.kind == m->method.kind)
 		m->method = turn;
 	work_price(d, w, &best);
 	fleet_demand_add(d->gate->fleet, w->g->model, w->prefill_us, w->decode_us);
 	if (w->limits.admission)
 		return admit_queued(d, m, w, &best, rate, out);
-	if (place_try(d, m, w, true) != PLACE_TAKEN)
-		return refuse(d, w, out, true, 0);
+	if (!place_try(d, m, w, true, false, &block))
+		return refuse(w, out, REFUSAL_ENDPOINT, 0);
 	m->admitted++;
 	w->org->admitted++;
 	return true;
@@ -370,19 +297,9 @@
 			     "wait_ms=%d", (int)(clock_boot_ms() - w->g->call.arrived_ms));
 	else
 		event_record("refused", w->g->call.id, NULL, w->g->call.organisation,
-			     "status=%d code=%s", out->status, out->code);
-	return ok;
-}
-
-bool place_now(struct dispatch *d, struct work *w)
-{
-	struct model_queue *m;
-	bool ok;
-
-	pthread_mutex_lock(&d->lock);
-	m = model_get(d, w->g->model);
-	ok = m && place_try(d, m, w, true) == PLACE_TAKEN;
-	pthread_mutex_unlock(&d->lock);
+			     "status=%d code=%s reason=%s wait_ms=%d", out->status, out->code,
+			     w->alone ? "alone" : refusal_name(w->refusal),
+			     (int)(clock_boot_ms() - w->g->call.arrived_ms));
 	return ok;
 }
 
--- a/daemon/dispatch_impl.h
+++ b/daemon/dispatch_impl.h
@@ -33,18 +33,42 @@
 	int64_t output_tokens;
 };
 
+/**
+ * enum refusal - what kept a refused request from its first token in time
+ * @REFUSAL_ENDPOINT: no usable set of roles
+ * @REFUSAL_ARRIVAL: the backlog in front of it on arrival
+ * @REFUSAL_TURN: the tickets in front of it, until its time was up
+ * @REFUSAL_QUEUE: it was next, and the queues in the engines were as long as allowed
+ * @REFUSAL_SLOTS: it was next, and no decode slot was free
+ * @REFUSAL_LIMITS: it was next, and no engine met its limits
+ */
+enum refusal {
+	REFUSAL_ENDPOINT,
+	REFUSAL_ARRIVAL,
+	REFUSAL_TURN,
+	REFUSAL_QUEUE,
+	REFUSAL_SLOTS,
+	REFUSAL_LIMITS,
+	REFUSAL_COUNT,
+};
+
+/** refusal_name - as in events and in the status */
+const char *refusal_name(enum refusal r);
+
 struct organisation {
 	struct organisation *next;
 	char name[ORGANISATION_NAME_MAX];
 	struct retry_budget budget;
 	int64_t admitted;
 	int64_t refused;
+	int64_t refused_by[REFUSAL_COUNT];
 	int64_t tokens;
 };
 
 struct model_queue {
 	char name[48];
 	struct share_queue *shares;
+	struct share_usage *usage;
 	struct route_method method;
 	int64_t admitted;
 };
@@ -68,6 +92,7 @@
  * @alone: suspect request; runs alone on an engine
  * @prefill_us: price of the prompt in engine time, likewise @decode_us of the expected output
  * @queued: was admitted, and charged, by the share queue
+ * @refusal: why it was refused
  */
 struct work {
 	struct generation *g;
@@ -86,6 +111,7 @@
 	int64_t prefill_us;
 	int64_t decode_us;
 	bool queued;
+	enum refusal refusal;
 };
 
 struct service_hedge {
@@ -157,13 +183,53 @@
 /** admit - wait for admission; true with w->place taken, false with @out filled */
 bool admit(struct dispatch *d, struct work *w, struct outcome *out);
 
+/** model_get - queue of a model; NULL when there are too many models. Caller holds the lock. */
+struct model_queue *model_get(struct dispatch *d, const char *name);
+
+/** dispatch_pump - admit what fits now; called when capacity may have become free */
+void dispatch_pump(struct dispatch *d, const char *model);
+void dispatch_pump_all(struct dispatch *d);
+
+/** work_settle - correct the charge of the share once the request has ended */
+void work_settle(struct dispatch *d, struct work *w);
+
+/* dispatch_place.c */
+/* A place that was not free is asked for again after this time. */
+#define PLACE_RETRY_MS 10
+
 /** dispatch_query - what @w needs from an endpoint */
 struct fleet_query dispatch_query(const struct dispatch *d, const struct work *w);
 
+/** request_of - what route_pick() has to know about @w now */
+struct route_request request_of(const struct work *w);
+
+/**
+ * place_look - choose endpoints without taking them; the candidates stay in d->cands
+ *
+ * Caller holds the lock.
+ */
+bool place_look(struct dispatch *d, struct model_queue *m, struct work *w,
+		const struct route_request *req, struct route_choice *out);
+
+/** choice_idle - nothing waits or runs on the chosen endpoints */
+bool choice_idle(const struct dispatch *d, const struct route_choice *c);
+
+/**
+ * place_try - choose endpoints and take them
+ * @force: take the best endpoints even when the limits are not met
+ * @above: the organisation of @w has used more than its share lately
+ *
+ * Caller holds the lock.
+ *
+ * Return: true with w->place taken; false with @block set.
+ */
+bool place_try(struct dispatch *d, struct model_queue *m, struct work *w, bool force, bool above,
+	       enum refusal *block);
+
 /** place_now - the best endpoints by now, whether the limits are met or not; does not wait */
 bool place_now(struct dispatch *d, struct work *w);
 
-/* dispatch_place.c */
+/* dispatch_alone.c */
 
 /** place_again - endpoints for another attempt of an admitted request; blocks up to its deadline */
 bool place_again(struct dispatch *d, struct work *w);
@@ -175,15 +241,6 @@
 /** slot_share - fleet_share(), and the end of the slot's reservation */
 void slot_share(struct dispatch *d, struct fleet_slot *slot);
 
-/* dispatch_admit.c */
-
-/** dispatch_pump - admit what fits now; called when capacity may have become free */
-void dispatch_pump(struct dispatch *d, const char *model);
-void dispatch_pump_all(struct dispatch *d);
-
-/** work_settle - correct the charge of the share once the request has ended */
-void work_settle(struct dispatch *d, struct work *w);
-
 /* dispatch_attempt.c */
 enum attempt_result {
 	ATTEMPT_DONE,
--- a/daemon/dispatch_place.c
+++ b/daemon/dispatch_place.c
@@ -1,165 +1,141 @@
 #include "dispatch_impl.h"
 #include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
 
-#define PLACE_RETRY_MS 10
-
-/**
- * struct hold - engine that is reserved for a suspect until it is free of other requests
- * @choice: id -1 for none
- * @handle: of its region-wide reservation
+/*
+ * Part of the first token limit that may be spent in the queue of an engine. What waits there is
+ * served in order of arrival; what waits here is served by shares.
+ */
+#define ENGINE_QUEUE_PERCENT 25
+/*
+ * The same for an organisation that has used more than its share lately. It is enough to keep the
+ * engine busy until the next look; the rest is left to organisations within their share.
  */
-struct hold {
-	struct fleet_choice choice;
-	uint64_t handle;
-};
+#define ENGINE_QUEUE_ABOVE_PERCENT 10
+#define ROUND_ROBIN_STARTS 1000003
 
-static void hold_drop(struct dispatch *d, struct hold *h, bool lost)
+struct fleet_query dispatch_query(const struct dispatch *d, const struct work *w)
 {
-	if (lost)
-		fleet_reserve_lost(d->gate->fleet, h->choice.id);
-	else
-		fleet_unreserve(d->gate->fleet, h->choice.id);
-	control_reserve_end(d->gate->control, h->handle);
-	*h = (struct hold){ .choice.id = -1 };
+	return (struct fleet_query){
+		.model = w->g->model,
+		.engine = true,
+		.prefix = &w->prefix,
+		.prompt_tokens = w->prompt_tokens + w->g->tokens,
+		.avoid = w->avoid,
+		.avoid_count = w->avoid_count,
+		.settings = &d->gate->settings,
+	};
 }
 
-/* False when no engine can be reserved now. */
-static bool hold_begin(struct dispatch *d, const struct fleet_query *q, enum endpoint_role role,
-		       struct hold *h)
+struct route_request request_of(const struct work *w)
 {
-	if (!fleet_reserve(d->gate->fleet, q, role, &h->choice))
-		return false;
-	h->handle = control_reserve_begin(d->gate->control, h->choice.name, h->choice.last);
-	if (!h->handle)
-		hold_drop(d, h, true);
-	return h->handle != 0;
+	int64_t left_us = (w->first_token_by_ms - clock_boot_ms()) * 1000;
+	int64_t rest = w->output_tokens - w->g->tokens;
+
+	return (struct route_request){
+		.prompt_tokens = w->prompt_tokens + w->g->tokens,
+		.output_tokens = rest > 1 ? rest : 1,
+		.first_token_us = w->g->tokens ? INT64_MAX : (left_us > 0 ? left_us : 0),
+		.gap_us = w->limits.gap_ms * 1000,
+		.spread = random_u64(),
+	};
 }
 
-/* Takes the slot once the region has confirmed; the slot then owns the reservation. */
-static bool hold_take(struct dispatch *d, const struct fleet_query *q, enum endpoint_role role,
-		      int64_t prefill_tokens, struct hold *h, struct fleet_slot *slot)
+bool place_look(struct dispatch *d, struct model_queue *m, struct work *w,
+		const struct route_request *req, struct route_choice *out)
 {
-	enum reserve_phase phase;
+	struct fleet_query q = dispatch_query(d, w);
+	int n = fleet_candidates(d->gate->fleet, &q, d->cands);
 
-	if (h->choice.id < 0 && !hold_begin(d, q, role, h))
-		return false;
-	phase = control_reserve_wait(d->gate->control, h->handle, PLACE_RETRY_MS);
-	if (phase == RESERVE_REQUESTED)
-		return false;
-	if (phase != RESERVE_GRANTED) {
-		hold_drop(d, h, true);
-		return false;
+	if (m->method.kind != w->limits.method.kind) {
+		m->method = w->limits.method;
+		/* Instances that start together must not take their turns in step. */
+		if (m->method.kind == ROUTE_ROUND_ROBIN)
+			m->method.u.round_robin.next = random_u64() % ROUND_ROBIN_STARTS;
 	}
-	switch (fleet_acquire_alone(d->gate->fleet, h->choice.id, prefill_tokens,
-				    role == ROLE_PREFILL ? 0 : 1, slot)) {
-	case FLEET_ALONE_TAKEN:
-		slot->reservation = h->handle;
-		*h = (struct hold){ .choice.id = -1 };
-		return true;
-	case FLEET_ALONE_BUSY:
-		return false;
-	case FLEET_ALONE_GONE:
-		break;
-	}
-	hold_drop(d, h, false);
-	return false;
+	return route_pick(&m->method, d->cands, n, req, out);
 }
 
-static bool model_has_mixed(struct dispatch *d, const struct fleet_query *q)
+static bool place_take(struct dispatch *d, struct work *w, const struct route_choice *choice)
 {
-	bool found = false;
-	int n;
-
-	pthread_mutex_lock(&d->lock);
-	n = fleet_candidates(d->gate->fleet, q, d->cands);
-	for (int i = 0; i < n; i++)
-		found |= d->cands[i].role == ROLE_MIXED && d->cands[i].usable;
-	pthread_mutex_unlock(&d->lock);
-	return found;
+	const struct route_candidate *p = &d->cands[choice->prefill];
+	const struct route_candidate *r = &d->cands[choice->decode];
+	struct placement *place = &w->place;
+	int64_t prefill = w->prompt_tokens + w->g->tokens - p->cached_tokens;
+
+	*place = (struct placement){ .choice = *choice };
+	if (choice->prefill == choice->decode)
+		return fleet_acquire(d->gate->fleet, r->index, prefill, 1, &place->run);
+	if (!fleet_acquire(d->gate->fleet, p->index, prefill, 0, &place->prefill))
+		return false;
+	if (!fleet_acquire(d->gate->fleet, r->index, 0, 1, &place->run)) {
+		fleet_release(d->gate->fleet, &place->prefill);
+		return false;
+	}
+	place->split = true;
+	return true;
 }
 
-/* One mixed engine, or one engine of each other role, without any other attempt. */
-static bool place_alone(struct dispatch *d, struct work *w, struct hold holds[2])
+bool choice_idle(const struct dispatch *d, const struct route_choice *c)
 {
-	struct fleet_query q = dispatch_query(d, w);
-	struct placement *p = &w->place;
-
-	q.rank = control_rank(d->gate->control, &q.instances);
-	if (!p->prefill.held && holds[1].choice.id < 0 && model_has_mixed(d, &q))
-		return hold_take(d, &q, ROLE_MIXED, w->prompt_tokens, &holds[0], &p->run);
-	p->split = true;
-	if (!p->prefill.held)
-		hold_take(d, &q, ROLE_PREFILL, w->prompt_tokens, &holds[1], &p->prefill);
-	/* In this order only, or two suspects hold one role each and wait for the other for ever.
-	 */
-	if (p->prefill.held && !p->run.held)
-		hold_take(d, &q, ROLE_DECODE, 0, &holds[0], &p->run);
-	return p->prefill.held && p->run.held;
+	return !d->cands[c->prefill].prefill_backlog && !d->cands[c->decode].decode_seqs;
 }
 
-static void holds_drop(struct dispatch *d, struct hold holds[2])
+/* @above: the request's organisation has used more than its share lately */
+static bool engine_queue_full(const struct dispatch *d, const struct work *w,
+			      const struct route_choice *choice, bool above)
 {
-	for (int i = 0; i < 2; i++) {
-		if (holds[i].choice.id >= 0)
-			hold_drop(d, &holds[i], false);
-	}
-}
+	const struct route_candidate *p = &d->cands[choice->prefill];
+	int64_t percent = above ? ENGINE_QUEUE_ABOVE_PERCENT : ENGINE_QUEUE_PERCENT;
+	double queue_us;
 
-/* Evidence may clear a suspect request while it waits; ordinary places are easier to get. */
-static void suspect_cleared(struct dispatch *d, struct work *w, struct hold holds[2])
-{
-	if (!w->alone ||
-	    control_quarantine_check(d->gate->control, w->fingerprint) != QUARANTINE_CLEAR)
-		return;
-	holds_drop(d, holds);
-	slot_release(d, &w->place.prefill);
-	slot_release(d, &w->place.run);
-	w->place = (struct placement){ 0 };
-	w->alone = false;
+	if (w->limits.first_token_ms <= 0 || p->cost.prefill_tokens_per_s <= 0)
+		return false;
+	queue_us = (double)p->prefill_backlog / p->cost.prefill_tokens_per_s * 1e6;
+	return queue_us > (double)(w->limits.first_token_ms * 10 * percent);
 }
 
-bool place_again(struct dispatch *d, struct work *w)
+/* Why @choice may not be taken; REFUSAL_COUNT when it may. */
+static enum refusal choice_block(const struct dispatch *d, const struct work *w,
+				 const struct route_choice *choice, bool above)
 {
-	struct hold holds[2] = { { .choice.id = -1 }, { .choice.id = -1 } };
-	bool ok = false;
-
-	w->place = (struct placement){ 0 };
-	while (clock_boot_ms() < w->g->call.deadline_ms) {
-		suspect_cleared(d, w, holds);
-		ok = w->alone ? place_alone(d, w, holds) : place_now(d, w);
-		if (ok)
-			break;
-		/* Nothing else is left: endpoints that failed before may have recovered. */
-		w->avoid_count = 0;
-		clock_sleep_ms(PLACE_RETRY_MS);
-	}
-	holds_drop(d, holds);
-	if (!ok)
-		place_release(d, w);
-	return ok;
+	const struct route_candidate *r = &d->cands[choice->decode];
+
+	if (choice_idle(d, choice))
+		return REFUSAL_COUNT;
+	if (r->decode_seqs >= r->decode_slots)
+		return REFUSAL_SLOTS;
+	if (engine_queue_full(d, w, choice, above))
+		return REFUSAL_QUEUE;
+	return choice->fits ? REFUSAL_COUNT : REFUSAL_LIMITS;
 }
 
-void slot_release(struct dispatch *d, struct fleet_slot *slot)
+bool place_try(struct dispatch *d, struct model_queue *m, struct work *w, bool force, bool above,
+	       enum refusal *block)
 {
-	uint64_t reservation = slot->held ? slot->reservation : 0;
+	struct route_request req = request_of(w);
+	struct route_choice choice;
 
-	fleet_release(d->gate->fleet, slot);
-	slot->reservation = 0;
-	control_reserve_end(d->gate->control, reservation);
+	*block = REFUSAL_ENDPOINT;
+	if (!place_look(d, m, w, &req, &choice))
+		return false;
+	if (!force)
+		*block = choice_block(d, w, &choice, above);
+	if (!force && *block != REFUSAL_COUNT)
+		return false;
+	*block = REFUSAL_LIMITS;
+	return place_take(d, w, &choice);
 }
 
-void slot_share(struct dispatch *d, struct fleet_slot *slot)
+bool place_now(struct dispatch *d, struct work *w)
 {
-	uint64_t reservation = slot->held ? slot->reservation : 0;
-
-	fleet_share(d->gate->fleet, slot);
-	slot->reservation = 0;
-	control_reserve_end(d->gate->control, reservation);
-}
+	struct model_queue *m;
+	enum refusal block;
+	bool ok;
 
-void place_release(struct dispatch *d, struct work *w)
-{
-	slot_release(d, &w->place.prefill);
-	slot_release(d, &w->place.run);
-	dispatch_pump(d, w->g->model);
+	pthread_mutex_lock(&d->lock);
+	m = model_get(d, w->g->model);
+	ok = m && place_try(d, m, w, true, false, &block);
+	pthread_mutex_unlock(&d->lock);
+	return ok;
 }
