--- a/tests/test_recovery.cc
+++ b/tests/test_recovery.cc
@@ -225,7 +225,8 @@
 		EXPECT_TRUE(eventually([&] { return table_rows(g, "intent/") == 0; }, 10000));
 		EXPECT_TRUE(eventually(
 			[&] { return !g.stopped("a1", "e1") && !g.stopped("a2", "e1"); }, 10000));
-		/* Each instance reads the list on its own, the one that gave no order a little later. */
+		/* Each instance reads the list on its own, the one that gave no order a little
+		 * later. */
 		for (const char *id : { "a1", "a2" })
 			EXPECT_TRUE(eventually(
 				[&] { return g.endpoints(id) == (restarts ? 1 : 0); }, 5000))
