Read the platform's list only when it has changed

Ruled out: a longer list_poll_ms, which delays leaving endpoints and evidence by absence.

Without an ETag the list is read in full.

--- a/bench/control.c
+++ b/bench/control.c
@@ -44,6 +44,7 @@
 	double reads;
 	double writes;
 	double poll_bytes;
+	double list_bytes;
 };
 
 /** struct figures - rates between two samples, each a second */
@@ -117,20 +118,6 @@
 	json_decref(o);
 }
 
-/* Each instance reads the whole list once a second (list_poll_ms). */
-static double list_bytes(const struct harness_fleet *f)
-{
-	struct harness_reply reply;
-	char url[128];
-	double n;
-
-	snprintf(url, sizeof(url), "%s/list", f->platform);
-	harness_http("GET", url, NULL, NULL, 2000, &reply, NULL);
-	n = (double)reply.body.len;
-	harness_reply_free(&reply);
-	return n;
-}
-
 static struct sample sample_take(const struct rig *r)
 {
 	const struct harness_fleet *f = r->fleet;
@@ -144,6 +131,7 @@
 			      metric_read(t, "peer_bytes_out_total"),
 		.peer_messages = metric_read(t, "peer_messages_in_total") +
 				 metric_read(t, "peer_messages_out_total"),
+		.list_bytes = metric_read(t, "list_bytes_total"),
 		.poll_bytes = r->workers ? (double)sim_workers_bytes(r->workers) : 0,
 	};
 
@@ -164,6 +152,7 @@
 		.reads = (b->reads - a->reads) / s,
 		.writes = (b->writes - a->writes) / s,
 		.poll_bytes = (b->poll_bytes - a->poll_bytes) / s,
+		.list_bytes = (b->list_bytes - a->list_bytes) / s,
 	};
 }
 
@@ -408,7 +397,6 @@
 	*out = figures_between(&a, &b);
 	out->rss_mb = (double)harness_rss_kb(r.fleet->instances[0].process->pid) / 1024;
 	out->start_ms = r.start_ms;
-	out->list_bytes = list_bytes(r.fleet);
 	if (p->organisations)
 		out->apply_ms = apply_measure(r.fleet);
 	if (p->streams && metric_of(r.fleet, 0, "streams") < p->streams)
--- a/daemon/control_list.c
+++ b/daemon/control_list.c
@@ -96,25 +96,43 @@
 	pthread_mutex_unlock(&c->lock);
 }
 
-static void poll_list(struct control *c)
+/** struct held_list - last usable answer and its entity tag, which stands for it while unchanged */
+struct held_list {
+	json_t *list;
+	char etag[PLATFORM_ETAG_MAX];
+};
+
+static void held_list_clear(struct held_list *held)
+{
+	json_decref(held->list);
+	*held = (struct held_list){ 0 };
+}
+
+/* "Unchanged" is an answer as fresh as a list: both are applied with the time of the question. */
+static void poll_list(struct control *c, struct held_list *held)
 {
 	int64_t asked_ms = clock_boot_ms();
 	struct error err = { 0 };
 	json_t *list;
 
-	if (platform_list(c->gate->platform, &list, &err)) {
+	if (platform_list(c->gate->platform, held->etag, &list, &err)) {
 		log_debug("list-failed", "error=\"%s\"", err.text);
 		return;
 	}
-	if (json_is_array(json_object_get(list, "endpoints")) &&
-	    json_is_array(json_object_get(list, "instances"))) {
-		learn_instances(c, json_object_get(list, "instances"));
-		/* Set first, so that an answer of a peer can't replace the list. */
-		atomic_store(&c->fleet_listed, true);
-		learn_endpoints(c, json_object_get(list, "endpoints"), asked_ms);
-		atomic_store(&c->fleet_known, true);
+	if (list) {
+		json_decref(held->list);
+		held->list = list;
+	}
+	if (!json_is_array(json_object_get(held->list, "endpoints")) ||
+	    !json_is_array(json_object_get(held->list, "instances"))) {
+		held_list_clear(held);
+		return;
 	}
-	json_decref(list);
+	learn_instances(c, json_object_get(held->list, "instances"));
+	/* Set first, so that an answer of a peer can't replace the list. */
+	atomic_store(&c->fleet_listed, true);
+	learn_endpoints(c, json_object_get(held->list, "endpoints"), asked_ms);
+	atomic_store(&c->fleet_known, true);
 }
 
 static bool drained_by_config(struct control *c, const char *endpoint)
@@ -169,6 +187,7 @@
 
 int control_list_run(void *ctx, struct error *err)
 {
+	struct held_list held = { 0 };
 	struct control *c = ctx;
 	int64_t reconcile_ms = 0;
 	int64_t poll_ms = 0;
@@ -178,7 +197,7 @@
 		int64_t now = clock_boot_ms();
 
 		if (now >= poll_ms) {
-			poll_list(c);
+			poll_list(c, &held);
 			poll_ms = clock_boot_ms() + c->settings->platform.list_poll_ms;
 		}
 		apply_operator_drains(c);
@@ -195,5 +214,6 @@
 		}
 		child_account_cpu();
 	}
+	held_list_clear(&held);
 	return 0;
 }
--- a/include/ibisgate/common/metrics.h
+++ b/include/ibisgate/common/metrics.h
@@ -33,6 +33,8 @@
 	X(PLATFORM_WRITES, "platform_writes_total", "counter", "Writes sent to the table")         \
 	X(PLATFORM_ERRORS, "platform_errors_total", "counter",                                     \
 	  "Calls to the platform that failed")                                                     \
+	X(LIST_BYTES, "list_bytes_total", "counter",                                               \
+	  "Bytes of polls of the platform's list, both directions")                                \
 	X(PEER_BYTES_IN, "peer_bytes_in_total", "counter", "Bytes received from peers")            \
 	X(PEER_BYTES_OUT, "peer_bytes_out_total", "counter", "Bytes sent to peers")                \
 	X(PEER_MESSAGES_IN, "peer_messages_in_total", "counter", "Messages received from peers")   \
--- a/include/ibisgate/net/http_call.h
+++ b/include/ibisgate/net/http_call.h
@@ -6,6 +6,8 @@
 
 #include "ibisgate/common/str.h"
 
+#define HTTP_ETAG_MAX 96
+
 /**
  * enum http_outcome - what is known about a blocking call
  * @HTTP_REPLIED: a whole reply came
@@ -27,6 +29,8 @@
  * @timeout_ms: limit for the whole call
  * @status: out: HTTP status
  * @reply: out: body; the caller frees it with buf_free()
+ * @etag: out: entity tag of the reply; "" when it has none or a longer one
+ * @bytes: out: size of the request and of the reply, headers included
  */
 struct http_call {
 	const char *method;
@@ -37,6 +41,8 @@
 	int64_t timeout_ms;
 	int status;
 	struct buf reply;
+	char etag[HTTP_ETAG_MAX];
+	int64_t bytes;
 };
 
 /** struct http_pool - reusable connections; thread-safe */
--- a/include/ibisgate/net/platform.h
+++ b/include/ibisgate/net/platform.h
@@ -90,7 +90,16 @@
 int platform_object_get(struct platform *p, const char *key, struct buf *out, struct error *err);
 int platform_object_put(struct platform *p, const char *key, struct str data, struct error *err);
 
-/** platform_list - the list of instances and endpoints as JSON; new reference in @out */
-int platform_list(struct platform *p, json_t **out, struct error *err);
+#define PLATFORM_ETAG_MAX 96
+
+/**
+ * platform_list - the list of instances and endpoints as JSON
+ * @etag: in: entity tag of the list that the caller holds, "" for none; out: that of the reply
+ * @out: new reference; NULL when the list is still the one that @etag names
+ *
+ * A platform without entity tags answers with the whole list each time. @etag is kept on errors.
+ */
+int platform_list(struct platform *p, char etag[PLATFORM_ETAG_MAX], json_t **out,
+		  struct error *err);
 
 #endif
--- a/include/ibisgate/standins/common.h
+++ b/include/ibisgate/standins/common.h
@@ -88,6 +88,9 @@
 /** http_reply - send @value as JSON and release it; Return: @status */
 int http_reply(struct mg_connection *conn, int status, json_t *value);
 
+/** http_reply_tagged - the same with an entity tag; @value NULL sends no body */
+int http_reply_tagged(struct mg_connection *conn, int status, json_t *value, const char *etag);
+
 /** http_reply_error - send the usual error object; Return: @status */
 int http_reply_error(struct mg_connection *conn, int status, const char *type, const char *code);
 
--- a/include/ibisgate/standins/platform.h
+++ b/include/ibisgate/standins/platform.h
@@ -56,8 +56,10 @@
 	struct list_entry *next;
 };
 
+/** struct list_snapshot - past state; @number names it within this run of the stand-in */
 struct list_snapshot {
 	int64_t at_us;
+	uint64_t number;
 	json_t *value;
 	struct list_snapshot *next;
 };
@@ -66,6 +68,8 @@
 struct list {
 	pthread_mutex_t lock;
 	int64_t lag_ms;
+	uint64_t boot;
+	uint64_t next_number;
 	struct list_entry *instances, *endpoints;
 	struct list_snapshot *snapshots; /* newest first */
 };
@@ -77,8 +81,11 @@
 /** list_expire - drop entries that were not refreshed within their "ttl_ms" */
 void list_expire(struct list *l);
 
-/** list_read - new reference to the list as readers see it now */
-json_t *list_read(struct list *l);
+/**
+ * list_read - new reference to the list as readers see it now
+ * @etag: out: entity tag of that state, quoted
+ */
+json_t *list_read(struct list *l, char *etag, size_t size);
 
 struct platform_faults {
 	bool down;
--- a/net/http_call.c
+++ b/net/http_call.c
@@ -116,13 +116,32 @@
 	return HTTP_NO_REPLY;
 }
 
+static void note_reply(CURL *h, struct http_call *call)
+{
+	struct curl_header *etag;
+	curl_off_t body = 0;
+	long status = 0;
+	long sent = 0;
+	long headers = 0;
+
+	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
+	curl_easy_getinfo(h, CURLINFO_REQUEST_SIZE, &sent);
+	curl_easy_getinfo(h, CURLINFO_HEADER_SIZE, &headers);
+	curl_easy_getinfo(h, CURLINFO_SIZE_DOWNLOAD_T, &body);
+	call->status = (int)status;
+	call->bytes = sent + headers + body;
+	call->etag[0] = '\0';
+	if (curl_easy_header(h, "ETag", 0, CURLH_HEADER, -1, &etag) == CURLHE_OK &&
+	    !str_copy(call->etag, sizeof(call->etag), str_from(etag->value)))
+		call->etag[0] = '\0';
+}
+
 enum http_outcome http_call(struct http_pool *pool, struct http_call *call)
 {
 	struct curl_slist *headers = curl_slist_append(NULL, "Expect:");
 	struct curl_slist *connect_to = NULL;
 	CURL *h = take(pool);
 	enum http_outcome outcome;
-	long status = 0;
 	char to[160];
 	CURLcode rc;
 
@@ -137,8 +156,7 @@
 	set_options(h, call, headers, connect_to);
 	rc = curl_easy_perform(h);
 	outcome = outcome_of(h, rc);
-	curl_easy_getinfo(h, CURLINFO_RESPONSE_CODE, &status);
-	call->status = (int)status;
+	note_reply(h, call);
 	give(pool, h);
 	curl_slist_free_all(headers);
 	curl_slist_free_all(connect_to);
--- a/net/platform.c
+++ b/net/platform.c
@@ -68,8 +68,8 @@
 }
 
 /*
- * Makes a call and sorts its outcome. Replies 200 and 412 are left to the caller; all others are
- * errors.
+ * Makes a call and sorts its outcome. Replies 200, 304 to a condition and 412 are left to the
+ * caller; all others are errors.
  */
 static int make_call(struct platform *p, struct http_call *call, struct error *err)
 {
@@ -88,6 +88,10 @@
 	case 200:
 	case 412:
 		return 0;
+	case 304:
+		if (read && call->header)
+			return 0;
+		return fail(err, PLATFORM_PROTOCOL, call, "unchanged, without a condition");
 	case 404:
 		return error_set(err, ERROR_PLATFORM, PLATFORM_NOT_FOUND, "not found");
 	case 429:
@@ -371,13 +375,25 @@
 	return rc;
 }
 
-int platform_list(struct platform *p, json_t **out, struct error *err)
+int platform_list(struct platform *p, char etag[PLATFORM_ETAG_MAX], json_t **out, struct error *err)
 {
 	struct http_call call = { .method = "GET", .url = url_of(p, "/list", "") };
-	int rc = make_call(p, &call, err);
+	char header[PLATFORM_ETAG_MAX + 32];
+	int rc;
 
-	*out = rc ? NULL : reply_object(&call, err);
+	*out = NULL;
+	snprintf(header, sizeof(header), "If-None-Match: %s", etag);
+	if (etag[0])
+		call.header = header;
+	rc = make_call(p, &call, err);
+	metric_add(METRIC_LIST_BYTES, call.bytes);
+	if (!rc && call.status != 304) {
+		*out = reply_object(&call, err);
+		rc = *out ? 0 : -1;
+		if (!rc)
+			str_copy(etag, PLATFORM_ETAG_MAX, str_from(call.etag));
+	}
 	buf_free(&call.reply);
 	free((char *)call.url);
-	return *out ? 0 : -1;
+	return rc;
 }
--- a/standins/http.c
+++ b/standins/http.c
@@ -196,17 +196,21 @@
 	return value;
 }
 
-int http_reply(struct mg_connection *conn, int status, json_t *value)
+int http_reply_tagged(struct mg_connection *conn, int status, json_t *value, const char *etag)
 {
 	struct buf body = { 0 };
 	struct buf out = { 0 };
 
-	json_append(&body, value);
-	json_decref(value);
-	buf_printf(
-		&out,
-		"HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-		status, mg_get_response_code_text(conn, status), body.len);
+	buf_printf(&out, "HTTP/1.1 %d %s\r\n", status, mg_get_response_code_text(conn, status));
+	if (etag)
+		buf_printf(&out, "ETag: %s\r\n", etag);
+	if (value) {
+		json_append(&body, value);
+		json_decref(value);
+		buf_printf(&out, "Content-Type: application/json\r\nContent-Length: %zu\r\n",
+			   body.len);
+	}
+	buf_printf(&out, "\r\n");
 	buf_append_str(&out, buf_str(&body));
 	mg_write(conn, out.data, out.len);
 	buf_free(&body);
@@ -214,6 +218,11 @@
 	return status;
 }
 
+int http_reply(struct mg_connection *conn, int status, json_t *value)
+{
+	return http_reply_tagged(conn, status, value, NULL);
+}
+
 int http_reply_error(struct mg_connection *conn, int status, const char *type, const char *code)
 {
 	return http_reply(conn, status,
--- a/standins/platform_list.c
+++ b/standins/platform_list.c
@@ -1,6 +1,9 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "ibisgate/common/hash.h"
 #include "ibisgate/common/json.h"
 #include "ibisgate/standins/platform.h"
 
@@ -44,6 +47,7 @@
 	struct list_snapshot *s = mem_zalloc(sizeof(*s));
 
 	s->at_us = mono_us();
+	s->number = l->next_number++;
 	s->value = json_pack("{s:o,s:o}", "instances", entries_json(l->instances), "endpoints",
 			     entries_json(l->endpoints));
 	s->next = l->snapshots;
@@ -55,6 +59,8 @@
 {
 	pthread_mutex_init(&l->lock, NULL);
 	l->lag_ms = lag_ms;
+	/* A tag of an earlier run of the stand-in must not match. */
+	l->boot = random_u64();
 	snapshot_take(l);
 	l->snapshots->at_us = INT64_MIN;
 }
@@ -150,7 +156,7 @@
 	pthread_mutex_unlock(&l->lock);
 }
 
-json_t *list_read(struct list *l)
+json_t *list_read(struct list *l, char *etag, size_t size)
 {
 	int64_t visible = mono_us() - l->lag_ms * 1000;
 	const struct list_snapshot *s;
@@ -162,6 +168,7 @@
 		s = s->next;
 	/* Reference counts are not atomic across threads unless built so; a copy is safe. */
 	out = json_deep_copy(s->value);
+	snprintf(etag, size, "\"%016" PRIx64 "-%" PRIu64 "\"", l->boot, s->number);
 	pthread_mutex_unlock(&l->lock);
 	return out;
 }
--- a/standins/platform_main.c
+++ b/standins/platform_main.c
@@ -62,9 +62,19 @@
 
 static int handle_list_read(struct platform_state *p, struct mg_connection *conn)
 {
+	const char *wanted = mg_get_header(conn, "If-None-Match");
 	int status = platform_admit(p, conn, false);
-
-	return status ? status : http_reply(conn, 200, list_read(&p->list));
+	char etag[64];
+	json_t *list;
+
+	if (status)
+		return status;
+	list = list_read(&p->list, etag, sizeof(etag));
+	/* The header may list several tags, each in quotes. */
+	if (!wanted || !strstr(wanted, etag))
+		return http_reply_tagged(conn, 200, list, etag);
+	json_decref(list);
+	return http_reply_tagged(conn, 304, NULL, etag);
 }
 
 static int handle_list_set(struct platform_state *p, struct mg_connection *conn, bool instance)
--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -133,3 +133,8 @@
 	return charge ? control_quarantine_charge(r->gate.control, fingerprint, true)
 		      : control_quarantine_check(r->gate.control, fingerprint);
 }
+
+int rig_suspect(struct rig *r, uint64_t fingerprint, const char *endpoint)
+{
+	return control_quarantine_suspect(r->gate.control, fingerprint, endpoint, "boot", true);
+}
--- a/tests/control_rig.h
+++ b/tests/control_rig.h
@@ -7,6 +7,7 @@
 #include "ibisgate/net/platform.h"
 #include "ibisgate/state/claim.h"
 #include "ibisgate/state/config.h"
+#include "ibisgate/state/quarantine.h"
 
 /*
  * Control planes of several instances in one process, each with a fleet that takes no callers.
@@ -41,4 +42,7 @@
 const char *rig_result(struct rig *r, int i);
 int rig_quarantine(struct rig *r, uint64_t fingerprint, bool charge);
 
+/** rig_suspect - @fingerprint was alone on @endpoint when its connection broke; verdict */
+int rig_suspect(struct rig *r, uint64_t fingerprint, const char *endpoint);
+
 #endif
--- a/tests/test_control.cc
+++ b/tests/test_control.cc
@@ -357,6 +357,21 @@
 	EXPECT_TRUE(eventually([&] { return rig_quarantine(g.rigs["a1"], 7, false) == 2; }, 2000));
 }
 
+/* Guards against evidence by absence that waits for a change of the list. */
+TEST(Control, UnchangedListSettlesACrash)
+{
+	Region g;
+
+	g.start("a1", "abertawe");
+	ASSERT_TRUE(g.ready());
+	/* The list lags by 200 ms and is polled as often. */
+	clock_sleep_ms(1000);
+	rig_quarantine(g.rigs["a1"], 7, true);
+	EXPECT_EQ(rig_suspect(g.rigs["a1"], 7, "gone"), QUARANTINE_HOLD);
+	EXPECT_TRUE(eventually(
+		[&] { return rig_quarantine(g.rigs["a1"], 7, false) == QUARANTINE_REFUSE; }, 2000));
+}
+
 /* Guards against a stranger, or a member under another's name, that takes part. */
 TEST(Control, CurveAdmitsOnlyKnownKeys)
 {
--- a/tests/test_platform.cc
+++ b/tests/test_platform.cc
@@ -1,4 +1,5 @@
 #include "standin_process.h"
+#include "tiny_server.h"
 
 extern "C" {
 #include "ibisgate/net/platform.h"
@@ -112,3 +113,62 @@
 	platform_destroy(p);
 	platform_destroy(closed);
 }
+
+/* Guards against a change that is taken for "unchanged", and a failure that drops the held tag. */
+TEST(Platform, UnchangedListIsNotSentAgain)
+{
+	Standin table("ibisgate-platform", { "--port", "0", "--list-lag-ms", "0" });
+	struct platform *p = platform_create(table.url().c_str(), 1000);
+	char etag[PLATFORM_ETAG_MAX] = "";
+	struct error err = {};
+	json_t *list;
+
+	ASSERT_EQ(platform_list(p, etag, &list, &err), 0) << err.text;
+	EXPECT_TRUE(json_is_array(json_object_get(list, "endpoints")));
+	json_decref(list);
+	EXPECT_STRNE(etag, "");
+	for (int i = 0; i < 2; i++) {
+		ASSERT_EQ(platform_list(p, etag, &list, &err), 0) << err.text;
+		EXPECT_EQ(list, nullptr);
+	}
+	table.tell("/list/endpoints", "{\"name\":\"e1\"}");
+	ASSERT_EQ(platform_list(p, etag, &list, &err), 0) << err.text;
+	EXPECT_EQ(json_array_size(json_object_get(list, "endpoints")), 1u);
+	json_decref(list);
+	table.tell("/faults", "{\"down\":true}");
+	EXPECT_EQ(platform_list(p, etag, &list, &err), -1);
+	EXPECT_EQ(list, nullptr);
+	table.tell("/faults", "{\"down\":false}");
+	ASSERT_EQ(platform_list(p, etag, &list, &err), 0) << err.text;
+	EXPECT_EQ(list, nullptr);
+	EXPECT_EQ(platform_down_since_ms(p), 0);
+	platform_destroy(p);
+}
+
+/* Guards against a platform without entity tags, or with a stray 304, that leaves no list. */
+TEST(Platform, ListWithoutTagsIsReadInFull)
+{
+	std::atomic<bool> stray{ false };
+	TinyServer server([&](int fd, const std::string &request) {
+		EXPECT_EQ(request.find("If-None-Match"), std::string::npos);
+		if (stray)
+			TinyServer::say(fd, "HTTP/1.1 304 Not Modified\r\n\r\n");
+		else
+			TinyServer::answer(fd, 200, "{\"instances\":[],\"endpoints\":[]}");
+		return true;
+	});
+	struct platform *p = platform_create(server.url().c_str(), 1000);
+	char etag[PLATFORM_ETAG_MAX] = "";
+	struct error err = {};
+	json_t *list;
+
+	for (int i = 0; i < 3; i++) {
+		ASSERT_EQ(platform_list(p, etag, &list, &err), 0) << err.text;
+		EXPECT_NE(list, nullptr);
+		json_decref(list);
+	}
+	stray = true;
+	EXPECT_EQ(platform_list(p, etag, &list, &err), -1);
+	EXPECT_EQ(err.code, PLATFORM_PROTOCOL);
+	platform_destroy(p);
+}
--- a/tests/test_standins.cc
+++ b/tests/test_standins.cc
@@ -378,6 +378,44 @@
 	EXPECT_EQ(count(), 1u);
 }
 
+/* Guards against an entity tag that survives a change of the answer, the end of the lag included.
+ */
+TEST(Platform, ListIsTaggedByWhatReadersSee)
+{
+	Process p("ibisgate-platform", { "--list-lag-ms", "300" });
+	auto tag = [&] {
+		string head;
+		CURL *c = curl_easy_init();
+
+		curl_easy_setopt(c, CURLOPT_URL, p.url("/list").c_str());
+		curl_easy_setopt(c, CURLOPT_NOPROXY, "*");
+		curl_easy_setopt(c, CURLOPT_HEADER, 1L);
+		curl_easy_setopt(c, CURLOPT_WRITEFUNCTION, append);
+		curl_easy_setopt(c, CURLOPT_WRITEDATA, &head);
+		EXPECT_EQ(curl_easy_perform(c), CURLE_OK);
+		curl_easy_cleanup(c);
+		size_t at = head.find("ETag: ") + 6;
+		return head.substr(at, head.find('\r', at) - at);
+	};
+	auto status = [&](const string &seen) {
+		return call("GET", p.url("/list"), "", ("If-None-Match: " + seen).c_str()).status;
+	};
+	string empty = tag();
+
+	EXPECT_EQ(status(empty), 304);
+	call("POST", p.url("/list/endpoints"), R"({"name":"e1"})");
+	EXPECT_EQ(status(empty), 304) << "readers do not see the change yet";
+	std::this_thread::sleep_for(std::chrono::milliseconds(350));
+	EXPECT_EQ(status(empty), 200);
+	string one = tag();
+	EXPECT_EQ(status("\"x\", " + one), 304);
+	call("DELETE", p.url("/list/endpoints/e1"));
+	std::this_thread::sleep_for(std::chrono::milliseconds(350));
+	EXPECT_EQ(status(one), 200);
+	EXPECT_EQ(call("GET", p.url("/list"), "", ("If-None-Match: " + one).c_str()).json ? 1 : 0,
+		  1);
+}
+
 /* Guards against a service that hides duplicates, which the effects log has to show. */
 TEST(Service, EveryCallIsAnEffect)
 {
