--- a/bench/control.c
+++ b/bench/control.c
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include "control.h"
+#include "control_sim.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/hash.h"
 #include "ibisgate/common/json.h"
@@ -206,8 +207,8 @@
 		char url[64];
 		char dc[8];
 
-		snprintf(name, sizeof(name), "s%04d", i);
-		snprintf(dc, sizeof(dc), "d%d", i % 3);
+		sim_worker_name(i, name, sizeof(name));
+		snprintf(dc, sizeof(dc), "d%d", i % SIM_DCS);
 		snprintf(url, sizeof(url), "http://127.0.0.1:%d", sim_workers_port(r->workers, i));
 		if (harness_post(list, json_pack("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "name",
 						 name, "dc", dc, "url", url, "kind", "engine",
@@ -252,7 +253,7 @@
 	if (harness_instance_start(f, 0, err) < 0)
 		return -1;
 	snprintf(address, sizeof(address), "127.0.0.1:%d", f->instances[0].peer_port);
-	r->peers = sim_peers_create(p->peers, address, f->instances[0].id, p->delegate);
+	r->peers = sim_peers_create(p->peers, address, f->instances[0].id, p->delegate, p->workers);
 	if (!r->peers)
 		return error_set(err, ERROR_TOOL, 1, "cannot make the sockets of the members");
 	if (harness_ready(f, READY_MS, err) < 0)
@@ -613,11 +614,11 @@
 static int workers_series(struct error *err)
 {
 	static const struct point points[] = {
-		{ .delegate = true },
-		{ .delegate = true, .workers = 71 },
-		{ .delegate = true, .workers = 214 },
-		{ .delegate = true, .workers = 500 },
-		{ .delegate = true, .workers = 1500 },
+		{ .peers = 52, .delegate = true },
+		{ .peers = 52, .delegate = true, .workers = 71 },
+		{ .peers = 52, .delegate = true, .workers = 214 },
+		{ .peers = 52, .delegate = true, .workers = 500 },
+		{ .peers = 52, .delegate = true, .workers = 1500 },
 	};
 	static const int x[] = { 0, 71, 214, 500, 1500 };
 
--- a/bench/control.h
+++ b/bench/control.h
@@ -18,11 +18,12 @@
  * sim_peers_create - start @count members, spread over "d0" (that of the instance), "d1" and "d2"
  * @address: peer address "ip:port" of the instance, @target its id
  * @delegate: the instance has the lowest id of its data centre
+ * @workers: engines of the region, whose load the members relay
  *
  * Return: NULL when sockets can't be made.
  */
 struct sim_peers *sim_peers_create(int count, const char *address, const char *target,
-				   bool delegate);
+				   bool delegate, int workers);
 void sim_peers_destroy(struct sim_peers *s);
 
 /** struct sim_workers - engines that answer polls only, each on a port of its own, in one thread */
--- a/bench/control_peers.c
+++ b/bench/control_peers.c
@@ -6,13 +6,16 @@
 #include <zmq.h>
 
 #include "control.h"
+#include "control_sim.h"
 #include "ibisgate/common/clock.h"
-#include "ibisgate/net/codec.h"
+#include "ibisgate/state/relay.h"
 
-#define DCS 3
+#define DCS SIM_DCS
+#define POLLERS_MAX 128
 #define MODELS 7
 #define STEP_MS 5
 #define FULL_EVERY 4
+#define SMALL_REGION 24
 #define ENTRIES_DELEGATE 3
 #define INCARNATION 1000
 
@@ -21,13 +24,18 @@
 	int dc;
 	void *dealer;
 	int64_t next_ms;
+	int64_t loads_ms;
 	int beats;
+	int turn;
 };
 
 struct sim_peers {
 	struct sim_peer *peers;
 	int count;
 	bool target_delegate;
+	int workers;
+	char pollers[POLLERS_MAX][MEMBER_ID_MAX];
+	int poller_count;
 	char target[MEMBER_ID_MAX];
 	uint64_t target_incarnation;
 	char address[MEMBER_ADDR_MAX];
@@ -93,6 +101,8 @@
 {
 	bool delegate = is_delegate(s, from);
 
+	if (!delegate && s->count > SMALL_REGION && from->beats % (2 * FULL_EVERY) != 0)
+		return;
 	for (int i = 0; i < s->count; i++) {
 		const struct sim_peer *p = &s->peers[(from->beats + i) % s->count];
 		bool told = from->dc != 0 ? p->dc == from->dc : delegate == (p->dc != 0);
@@ -114,6 +124,20 @@
 	}
 }
 
+static void message_send(struct sim_peer *p, struct peer_message *m)
+{
+	struct buf data = { 0 };
+	struct error err;
+
+	str_copy(m->sender, sizeof(m->sender), str_from(p->id));
+	m->incarnation = INCARNATION;
+	m->hlc = hlc_now();
+	if (peer_message_encode(m, &data, &err) == 0)
+		zmq_send(p->dealer, data.data, data.len, ZMQ_DONTWAIT);
+	buf_free(&data);
+	peer_message_destroy(m);
+}
+
 static void beat(struct sim_peers *s, struct sim_peer *p)
 {
 	struct peer_message *m = peer_message_create(PEER_HEARTBEAT);
@@ -121,12 +145,7 @@
 	/* Summaries go out at half the rate of heartbeats; whole lists every 2 s in both. */
 	bool whole = p->beats % (p->dc ? FULL_EVERY / 2 : FULL_EVERY) == 0;
 	bool full = p->dc != 0 || whole;
-	struct buf data = { 0 };
-	struct error err;
 
-	str_copy(m->sender, sizeof(m->sender), str_from(p->id));
-	m->incarnation = INCARNATION;
-	m->hlc = hlc_now();
 	snprintf(h->dc, sizeof(h->dc), "d%d", p->dc);
 	h->state = MEMBER_LIVE;
 	fill_heard(s, p, h, whole);
@@ -141,11 +160,40 @@
 		for (int dc = 1; p->dc == 0 && is_delegate(s, p) && dc < DCS; dc++)
 			demand_add(h, dc);
 	}
-	if (peer_message_encode(m, &data, &err) == 0)
-		zmq_send(p->dealer, data.data, data.len, ZMQ_DONTWAIT);
 	p->beats++;
-	buf_free(&data);
-	peer_message_destroy(m);
+	message_send(p, m);
+}
+
+static void summary_send(struct sim_peers *s, struct sim_peer *p, int dc)
+{
+	struct peer_message *m = peer_message_create(PEER_LOAD_SUMMARY);
+
+	sim_loads_summary(m->u.loads, dc, s->workers, p->turn);
+	message_send(p, m);
+}
+
+static void loads_send(struct sim_peers *s, struct sim_peer *p)
+{
+	struct peer_message *m;
+
+	if (s->workers <= RELAY_ENGINES_MIN || !s->target_incarnation)
+		return;
+	if (p->dc != 0) {
+		summary_send(s, p, p->dc);
+	} else {
+		m = peer_message_create(PEER_LOAD_REPORT);
+		for (int i = 0; i < s->poller_count; i++) {
+			if (strcmp(s->pollers[i], p->id) == 0)
+				sim_loads_report(m->u.loads,
+						 (const char(*)[MEMBER_ID_MAX])s->pollers,
+						 s->poller_count, i, s->workers, p->turn);
+		}
+		message_send(p, m);
+		/* The delegate passes on what it gets from those of the other data centres. */
+		for (int dc = 1; is_delegate(s, p) && dc < DCS; dc++)
+			summary_send(s, p, dc);
+	}
+	p->turn++;
 }
 
 static void receive_all(struct sim_peers *s)
@@ -188,7 +236,13 @@
 		for (int i = 0; i < s->count; i++) {
 			struct sim_peer *p = &s->peers[i];
 
-			if (now < p->next_ms || !sends(s, p))
+			if (!sends(s, p))
+				continue;
+			if (now >= p->loads_ms) {
+				p->loads_ms = now + RELAY_MS;
+				loads_send(s, p);
+			}
+			if (now < p->next_ms)
 				continue;
 			p->next_ms = now + (p->dc ? MEMBER_SUMMARY_MS : MEMBER_HEARTBEAT_MS);
 			beat(s, p);
@@ -216,6 +270,9 @@
 	p->dc = i % DCS;
 	p->next_ms = clock_boot_ms() + i * 37 % MEMBER_HEARTBEAT_MS;
 	p->beats = i;
+	p->loads_ms = p->next_ms;
+	if (p->dc == 0 && s->poller_count < POLLERS_MAX)
+		memcpy(s->pollers[s->poller_count++], p->id, sizeof(p->id));
 	if (!sends(s, p))
 		return;
 	p->dealer = socket_open(s, ZMQ_DEALER);
@@ -223,7 +280,7 @@
 }
 
 struct sim_peers *sim_peers_create(int count, const char *address, const char *target,
-				   bool delegate)
+				   bool delegate, int workers)
 {
 	struct sim_peers *s = mem_zalloc(sizeof(*s));
 	char endpoint[96];
@@ -232,6 +289,8 @@
 	s->peers = mem_zalloc((size_t)(count + 1) * sizeof(*s->peers));
 	s->count = count;
 	s->target_delegate = delegate;
+	s->workers = workers;
+	str_copy(s->pollers[s->poller_count++], MEMBER_ID_MAX, str_from(target));
 	str_copy(s->target, sizeof(s->target), str_from(target));
 	s->context = zmq_ctx_new();
 	s->router = socket_open(s, ZMQ_ROUTER);
--- a/bench/control_workers.c
+++ b/bench/control_workers.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "control.h"
+#include "control_sim.h"
 
 #define EVENTS_MAX 256
 #define WAIT_MS 50
@@ -134,3 +135,8 @@
 {
 	return s->bytes;
 }
+
+void sim_worker_name(int index, char *out, size_t size)
+{
+	snprintf(out, size, "s%04d", index);
+}
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -90,6 +90,10 @@
 	case PEER_FLEET_BATCH:
 		control_on_fleet(c, m);
 		break;
+	case PEER_LOAD_REPORT:
+	case PEER_LOAD_SUMMARY:
+		control_on_load(c, m);
+		break;
 	}
 }
 
@@ -191,6 +195,7 @@
 	if (!c)
 		return;
 	control_vouch_clear(c);
+	free(c->relay);
 	control_config_clear(c);
 	control_claims_clear(c);
 	peer_bus_destroy(c->bus);
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -216,6 +216,9 @@
 	struct claim_note answers[CONTROL_ANSWERS_MAX];
 	int answer_next;
 
+	/* Of the thread that polls engines. */
+	struct load_relay *relay;
+
 	/* Serialises publishing of configurations; taken without @lock. */
 	pthread_mutex_t config_lock;
 };
@@ -253,6 +256,9 @@
 			bool dcs, int64_t now);
 void control_demand_of(struct control *c, const char *model, double *prefill, double *decode);
 
+/* control_load.c */
+void control_on_load(struct control *c, const struct peer_message *m);
+
 /* control_stops.c */
 void control_on_leave(struct control *c, const struct peer_message *m);
 void control_on_return(struct control *c, const struct peer_message *m);
--- /dev/null
+++ b/daemon/control_load.c
@@ -0,0 +1,433 @@
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "control_impl.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/daemon/fleet_use.h"
+#include "ibisgate/state/relay.h"
+
+/* Facts are sent for this time after a change, so that the loss of one message has no effect. */
+#define FACT_NEWS_MS 3000
+/*
+ * A receiver that missed the news of a fact polls the engine and learns it. Only a role or model of
+ * another data centre can then still be wrong, so that a summary repeats one fact in this many.
+ */
+#define REPEAT_TURNS 4
+#define TARGETS_MAX 1024
+
+/**
+ * struct load_relay - what was last told about each endpoint, by fleet id
+ * @members: digest of the receivers in the own data centre
+ * @engines: one more than the last summary covered
+ */
+struct load_relay {
+	struct {
+		uint32_t told;
+		int64_t changed_ms;
+	} facts[FLEET_ENDPOINTS_MAX];
+	uint32_t members;
+	int engines;
+	int turn;
+};
+
+/** struct group - sums over the engines of one model and role */
+struct group {
+	char model[48];
+	enum endpoint_role role;
+	double n, age_ms, prefill, seqs, slots;
+	struct engine_cost cost;
+};
+
+static uint32_t u32(double v)
+{
+	if (!(v > 0))
+		return 0;
+	return v < (double)UINT32_MAX ? (uint32_t)lround(v) : UINT32_MAX;
+}
+
+static uint32_t age_of(int64_t at_ms, int64_t now)
+{
+	return u32((double)(now - at_ms));
+}
+
+static struct peer_cost cost_out(const struct engine_cost *c)
+{
+	return (struct peer_cost){
+		.prefill_tokens_per_s = u32(c->prefill_tokens_per_s),
+		.step_base_ns = u32(c->step_base_us * 1e3),
+		.step_per_seq_ns = u32(c->step_per_seq_us * 1e3),
+		.kv_token_ns = u32(c->kv_token_us * 1e3),
+	};
+}
+
+static struct engine_cost cost_in(const struct peer_cost *c)
+{
+	return (struct engine_cost){
+		.prefill_tokens_per_s = c->prefill_tokens_per_s,
+		.step_base_us = c->step_base_ns / 1e3,
+		.step_per_seq_us = c->step_per_seq_ns / 1e3,
+		.kv_token_us = c->kv_token_ns / 1e3,
+	};
+}
+
+static struct peer_fact fact_of(uint32_t tag, const struct endpoint_load *load, int64_t now)
+{
+	struct peer_fact f = {
+		.tag = tag,
+		.age_ms = age_of(load->at_ms, now),
+		.role = load->role,
+		.decode_slots = u32(load->decode_slots),
+		.cost = cost_out(&load->cost),
+	};
+
+	str_copy(f.model, sizeof(f.model), str_from(load->model));
+	str_copy(f.boot_id, sizeof(f.boot_id), str_from(load->boot_id));
+	return f;
+}
+
+static void fact_apply(const struct peer_fact *f, struct endpoint_load *load)
+{
+	load->role = f->role;
+	load->decode_slots = (int)(f->decode_slots & INT32_MAX);
+	load->cost = cost_in(&f->cost);
+	memcpy(load->model, f->model, sizeof(load->model));
+	memcpy(load->boot_id, f->boot_id, sizeof(load->boot_id));
+}
+
+int control_dc_live(struct control *c, char (*ids)[MEMBER_ID_MAX], int max, int *self)
+{
+	int n = 0;
+
+	*self = -1;
+	pthread_mutex_lock(&c->lock);
+	for (int i = 0; i < member_count(c->members) && n < max; i++) {
+		const struct member *m = member_at(c->members, i);
+
+		if (m->state != MEMBER_LIVE || strcmp(m->dc, c->settings->instance.dc) != 0)
+			continue;
+		if (i == 0)
+			*self = n;
+		memcpy(ids[n++], m->id, MEMBER_ID_MAX);
+	}
+	pthread_mutex_unlock(&c->lock);
+	return n;
+}
+
+/* Ids of the other instances of the data centre, or of the delegates of the others. */
+static int targets_of(struct control *c, bool own_dc, char (*ids)[MEMBER_ID_MAX])
+{
+	int n = 0;
+
+	pthread_mutex_lock(&c->lock);
+	for (int i = 1; i < member_count(c->members) && n < TARGETS_MAX; i++) {
+		const struct member *m = member_at(c->members, i);
+		bool own = strcmp(m->dc, c->settings->instance.dc) == 0;
+
+		if (own == own_dc && m->incarnation && m->state != MEMBER_GONE &&
+		    member_sends_to(c->members, m))
+			memcpy(ids[n++], m->id, MEMBER_ID_MAX);
+	}
+	pthread_mutex_unlock(&c->lock);
+	return n;
+}
+
+static bool is_delegate(struct control *c)
+{
+	const struct member *d;
+	bool is;
+
+	pthread_mutex_lock(&c->lock);
+	d = member_delegate(c->members, c->settings->instance.dc);
+	is = d && strcmp(d->id, c->settings->instance.id) == 0;
+	pthread_mutex_unlock(&c->lock);
+	return is;
+}
+
+static uint32_t send_to(struct control *c, bool own_dc, struct peer_message *m)
+{
+	char(*ids)[MEMBER_ID_MAX] = mem_alloc(TARGETS_MAX * sizeof(*ids));
+	int n = targets_of(c, own_dc, ids);
+	uint32_t seen = 0;
+
+	for (int i = 0; i < n; i++) {
+		seen += (uint32_t)hash_str(str_from(ids[i]), 0);
+		control_send(c, ids[i], m);
+	}
+	free(ids);
+	return seen;
+}
+
+static void fact_add(struct load_relay *r, struct peer_loads *l, const struct endpoint_status *st,
+		     bool turn, int64_t now)
+{
+	struct peer_fact f = fact_of(peer_tag(st->info.name, 0), &st->load, now);
+	uint32_t digest = peer_fact_digest(&f) + (uint32_t)f.role;
+
+	if (r->facts[st->id].told != digest) {
+		r->facts[st->id].told = digest;
+		r->facts[st->id].changed_ms = now;
+	}
+	if ((turn || now - r->facts[st->id].changed_ms < FACT_NEWS_MS) &&
+	    l->fact_count < PEER_FACTS_MAX)
+		l->facts[l->fact_count++] = f;
+}
+
+static bool reported(const struct endpoint_status *st, int64_t now)
+{
+	return st->info.engine && st->listed && st->load.boot_id[0] && !st->load.mean &&
+	       now - st->load.at_ms < RELAY_FRESH_MS;
+}
+
+static void load_add(struct peer_loads *l, const struct endpoint_status *st, int64_t now)
+{
+	struct peer_fact f = fact_of(0, &st->load, now);
+
+	if (l->load_count == PEER_LOADS_MAX)
+		return;
+	l->loads[l->load_count++] = (struct peer_load){
+		.tag = peer_tag(st->info.name, 0),
+		.fact = peer_fact_digest(&f),
+		.age_ms = f.age_ms,
+		.role = st->load.role,
+		.changing = st->load.changing,
+		.prefill_backlog = u32((double)st->load.prefill_backlog),
+		.decode_seqs = u32(st->load.decode_seqs),
+	};
+}
+
+static void relay_own(struct control *c, const struct endpoint_status *st, const bool *mine,
+		      int count, int64_t now)
+{
+	struct peer_message *m = peer_message_create(PEER_LOAD_REPORT);
+	struct load_relay *r = c->relay;
+	uint32_t members;
+
+	for (int i = 0; i < count; i++) {
+		if (!mine[i] || !reported(&st[i], now))
+			continue;
+		fact_add(r, m->u.loads, &st[i], false, now);
+		load_add(m->u.loads, &st[i], now);
+	}
+	members = send_to(c, true, m);
+	/* A new member knows no facts. */
+	for (int i = 0; members != r->members && i < FLEET_ENDPOINTS_MAX; i++)
+		r->facts[i].changed_ms = now;
+	r->members = members;
+	peer_message_destroy(m);
+}
+
+static void group_add(struct group *groups, int *n, const struct endpoint_status *st, int64_t now)
+{
+	const struct endpoint_load *l = &st->load;
+	struct group *g = NULL;
+
+	for (int i = 0; i < *n && !g; i++) {
+		if (groups[i].role == st->info.role && strcmp(groups[i].model, l->model) == 0)
+			g = &groups[i];
+	}
+	if (!g && *n == PEER_MEANS_MAX)
+		return;
+	if (!g) {
+		g = &groups[(*n)++];
+		g->role = st->info.role;
+		memcpy(g->model, l->model, sizeof(g->model));
+	}
+	g->n++;
+	g->age_ms += (double)(now - l->at_ms);
+	g->prefill += (double)l->prefill_backlog;
+	g->seqs += l->decode_seqs;
+	g->slots += l->decode_slots;
+	g->cost.prefill_tokens_per_s += l->cost.prefill_tokens_per_s;
+	g->cost.step_base_us += l->cost.step_base_us;
+	g->cost.step_per_seq_us += l->cost.step_per_seq_us;
+	g->cost.kv_token_us += l->cost.kv_token_us;
+}
+
+static struct peer_mean mean_of(const struct group *g)
+{
+	struct engine_cost cost = {
+		.prefill_tokens_per_s = g->cost.prefill_tokens_per_s / g->n,
+		.step_base_us = g->cost.step_base_us / g->n,
+		.step_per_seq_us = g->cost.step_per_seq_us / g->n,
+		.kv_token_us = g->cost.kv_token_us / g->n,
+	};
+	struct peer_mean m = {
+		.role = g->role,
+		.count = u32(g->n),
+		.age_ms = u32(g->age_ms / g->n),
+		.prefill_backlog = u32(g->prefill / g->n),
+		.decode_seqs = u32(g->seqs / g->n),
+		.decode_slots = u32(g->slots / g->n),
+		.cost = cost_out(&cost),
+	};
+
+	memcpy(m.model, g->model, sizeof(m.model));
+	return m;
+}
+
+static void relay_summary(struct control *c, const struct endpoint_status *st, int count,
+			  int64_t now)
+{
+	struct peer_message *m = peer_message_create(PEER_LOAD_SUMMARY);
+	struct group *groups = mem_zalloc(PEER_MEANS_MAX * sizeof(*groups));
+	struct load_relay *r = c->relay;
+	int own = 0;
+	int n = 0;
+
+	str_copy(m->u.loads->dc, sizeof(m->u.loads->dc), str_from(c->settings->instance.dc));
+	for (int i = 0; i < count; i++) {
+		if (strcmp(st[i].info.dc, c->settings->instance.dc) != 0 || !reported(&st[i], now))
+			continue;
+		group_add(groups, &n, &st[i], now);
+		fact_add(r, m->u.loads, &st[i],
+			 r->turn % REPEAT_TURNS == 0 && own == r->turn / REPEAT_TURNS % r->engines,
+			 now);
+		own++;
+	}
+	r->engines = own + 1;
+	for (int i = 0; i < n; i++)
+		m->u.loads->means[m->u.loads->mean_count++] = mean_of(&groups[i]);
+	if (n)
+		send_to(c, false, m);
+	free(groups);
+	peer_message_destroy(m);
+}
+
+void control_load_relay(struct control *c, const struct endpoint_status *st, const bool *mine,
+			int count)
+{
+	int64_t now = clock_boot_ms();
+
+	if (!c->relay) {
+		c->relay = mem_zalloc(sizeof(*c->relay));
+		c->relay->engines = 1;
+	}
+	relay_own(c, st, mine, count, now);
+	if (is_delegate(c))
+		relay_summary(c, st, count, now);
+	c->relay->turn++;
+}
+
+static void learn_load(struct control *c, const struct peer_loads *l, const struct peer_load *in,
+		       int64_t now)
+{
+	char name[ENDPOINT_NAME_MAX];
+	struct endpoint_load load;
+	struct peer_fact known;
+
+	if (!fleet_load_by_tag(c->fleet, in->tag, name, &load))
+		return;
+	known = fact_of(in->tag, &load, now);
+	for (int i = 0; i < l->fact_count; i++) {
+		if (l->facts[i].tag == in->tag)
+			known = l->facts[i];
+	}
+	/* Without the facts that belong to it the report can't be used. */
+	if (peer_fact_digest(&known) != in->fact)
+		return;
+	fact_apply(&known, &load);
+	load.at_ms = now - in->age_ms;
+	load.role = in->role;
+	load.changing = in->changing;
+	load.prefill_backlog = in->prefill_backlog;
+	load.decode_seqs = (int)(in->decode_seqs & INT32_MAX);
+	load.mean = false;
+	fleet_load(c->fleet, name, &load);
+	control_quarantine_seen(c, name, load.boot_id, load.at_ms);
+}
+
+static void learn_fact(struct control *c, const struct peer_fact *f, int64_t now)
+{
+	char name[ENDPOINT_NAME_MAX];
+	struct endpoint_load load;
+
+	if (!fleet_load_by_tag(c->fleet, f->tag, name, &load) || !f->boot_id[0])
+		return;
+	fact_apply(f, &load);
+	load.at_ms = now - f->age_ms;
+	load.changing = false;
+	load.mean = false;
+	fleet_load(c->fleet, name, &load);
+	control_quarantine_seen(c, name, load.boot_id, load.at_ms);
+}
+
+static void mean_apply(struct control *c, const struct endpoint_status *st,
+		       const struct peer_mean *m, int64_t now)
+{
+	struct endpoint_load load = st->load;
+
+	load.at_ms = now - m->age_ms;
+	load.role = m->role;
+	load.changing = false;
+	load.prefill_backlog = m->prefill_backlog;
+	load.decode_seqs = (int)(m->decode_seqs & INT32_MAX);
+	load.decode_slots = (int)(m->decode_slots & INT32_MAX);
+	load.cost = cost_in(&m->cost);
+	load.mean = true;
+	fleet_load(c->fleet, st->info.name, &load);
+}
+
+static void learn_means(struct control *c, const struct peer_loads *l, int64_t now)
+{
+	struct endpoint_status *st;
+	int n;
+
+	st = fleet_statuses(c->fleet, &n);
+	for (int i = 0; i < n; i++) {
+		if (!st[i].info.engine || strcmp(st[i].info.dc, l->dc) != 0)
+			continue;
+		for (int k = 0; k < l->mean_count; k++) {
+			if (l->means[k].role == st[i].info.role &&
+			    strcmp(l->means[k].model, st[i].info.model) == 0)
+				mean_apply(c, &st[i], &l->means[k], now);
+		}
+	}
+	free(st);
+}
+
+/* A summary that came from another data centre is passed on within the own one. */
+static void pass_on(struct control *c, const struct peer_message *m)
+{
+	struct peer_message *copy;
+
+	if (strcmp(m->u.loads->dc, c->settings->instance.dc) == 0 || !is_delegate(c))
+		return;
+	copy = peer_message_create(PEER_LOAD_SUMMARY);
+	*copy->u.loads = *m->u.loads;
+	send_to(c, true, copy);
+	peer_message_destroy(copy);
+}
+
+static bool from_own_dc(struct control *c, const char *id)
+{
+	const struct member *m;
+	bool own;
+
+	pthread_mutex_lock(&c->lock);
+	m = member_find(c->members, id);
+	own = m && strcmp(m->dc, c->settings->instance.dc) == 0;
+	pthread_mutex_unlock(&c->lock);
+	return own;
+}
+
+void control_on_load(struct control *c, const struct peer_message *m)
+{
+	const struct peer_loads *l = m->u.loads;
+	int64_t now = clock_boot_ms();
+
+	if (m->kind == PEER_LOAD_REPORT) {
+		for (int i = 0; i < l->load_count; i++)
+			learn_load(c, l, &l->loads[i], now);
+		return;
+	}
+	/* The own data centre is known engine by engine. */
+	if (strcmp(l->dc, c->settings->instance.dc) == 0)
+		return;
+	for (int i = 0; i < l->fact_count; i++)
+		learn_fact(c, &l->facts[i], now);
+	learn_means(c, l, now);
+	if (!from_own_dc(c, m->sender))
+		pass_on(c, m);
+}
--- a/daemon/control_members.c
+++ b/daemon/control_members.c
@@ -76,7 +76,12 @@
 
 static int entries_max(const struct control *c, bool delegate, bool full)
 {
-	if (!full && (!delegate || member_count(c->members) > SMALL_REGION))
+	bool small = member_count(c->members) <= SMALL_REGION;
+
+	if (!full && !(delegate && small))
+		return 0;
+	/* Among many members every second turn is enough for addresses to get around. */
+	if (!delegate && !small && c->beats % (2 * FULL_EVERY) == FULL_EVERY)
 		return 0;
 	return delegate ? ENTRIES_DELEGATE : ENTRIES_OTHER;
 }
--- a/daemon/control_quarantine.c
+++ b/daemon/control_quarantine.c
@@ -109,6 +109,16 @@
 		spread(c, changed[i]);
 }
 
+bool control_quarantine_awaits(struct control *c, const char *endpoint)
+{
+	bool awaits;
+
+	pthread_mutex_lock(&c->lock);
+	awaits = quarantine_awaits(c->quarantine, hash_of(endpoint));
+	pthread_mutex_unlock(&c->lock);
+	return awaits;
+}
+
 void control_quarantine_listed(struct control *c, const struct endpoint_info *infos, int count,
 			       int64_t asked_ms)
 {
--- a/daemon/dispatch_poll.c
+++ b/daemon/dispatch_poll.c
@@ -6,26 +6,23 @@
 #include "dispatch_impl.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
+#include "ibisgate/common/metrics.h"
 #include "ibisgate/common/supervisor.h"
 #include "ibisgate/daemon/control.h"
+#include "ibisgate/state/relay.h"
 
 #define EVENTS_POLL_MS 1000
 #define POLL_TIMEOUT_MS 2000
 #define HOMES_MS 500
 #define POLL_STEP_MS 50
-/*
- * In a large region polls of all engines would exceed the budget of control, so that those of other
- * data centres are polled less often.
- */
-#define POLL_ALL_MAX 64
-#define POLL_FAR_FACTOR 4
+#define POLLERS_MAX 128
 
 /**
  * struct polled - polling state of one endpoint
  * @next_event: argument of the next GET /cache_events
  * @load: transfer in progress, 0 for none; likewise @events
  * @load_sent_ms: when it was sent
- * @factor: polled at this multiple of the usual interval
+ * @mine: in a large region, this instance is its poller
  */
 struct polled {
 	char name[ENDPOINT_NAME_MAX];
@@ -38,16 +35,27 @@
 	struct link_queue *events_queue;
 	uint64_t load;
 	uint64_t events;
-	int factor;
+	bool mine;
 	struct buf load_body;
 	struct buf events_body;
 	bool seen;
 };
 
-/** struct poller - @by_id: entry that an endpoint id had last, so that names are rarely compared */
+/**
+ * struct poller - state of the poll thread
+ * @by_id: entry that an endpoint id had last, so that names are rarely compared
+ * @engines: in the region's list
+ * @ids: live instances of the own data centre, which share its engines; @self is the own index
+ */
 struct poller {
 	struct dispatch *d;
 	int64_t homes_due_ms;
+	int64_t relay_due_ms;
+	struct relay_budget budget;
+	int engines;
+	char ids[POLLERS_MAX][MEMBER_ID_MAX];
+	int id_count;
+	int self;
 	struct polled *by_id[FLEET_ENDPOINTS_MAX];
 	struct polled *entries[FLEET_ENDPOINTS_MAX];
 	int count;
@@ -159,10 +167,32 @@
 	return true;
 }
 
+static bool relays(const struct poller *po)
+{
+	return po->engines > RELAY_ENGINES_MIN;
+}
+
+static enum relay_poll poll_reason(struct poller *po, const struct polled *p,
+				   const struct endpoint_status *st, int64_t now)
+{
+	struct relay_view v = {
+		.engines = po->engines,
+		.mine = p->mine,
+		.unknown = !st->load.boot_id[0] || st->down,
+		.report_ms = st->load.at_ms,
+		.asked_ms = p->load_sent_ms,
+	};
+
+	if (relays(po) && !p->mine)
+		v.awaited = control_quarantine_awaits(po->d->gate->control, p->name);
+	return relay_decide(&v, &po->budget, now);
+}
+
 static void load_step(struct poller *po, struct polled *p, const struct endpoint_status *st,
 		      int64_t now)
 {
 	struct dispatch *d = po->d;
+	enum relay_poll reason;
 	json_t *o;
 
 	if (p->load && poll_collect(p->load_queue, &p->load, &p->load_body, &o)) {
@@ -172,7 +202,15 @@
 	}
 	if (p->load || now < p->load_due_ms)
 		return;
-	p->load_due_ms = now + d->gate->settings.links.load_poll_ms * p->factor;
+	reason = poll_reason(po, p, st, now);
+	p->load_due_ms = now + d->gate->settings.links.load_poll_ms;
+	if (reason == RELAY_POLL_NONE)
+		return;
+	/* A report that is not relayed is of little use. */
+	if (relays(po) && p->mine && p->load_due_ms < now + RELAY_MS)
+		p->load_due_ms = now + RELAY_MS;
+	metric_add(METRIC_LOAD_POLLS, 1);
+	metric_add(METRIC_LOAD_POLLS_STALE, reason == RELAY_POLL_STALE);
 	p->load_sent_ms = now;
 	p->load = poll_send(d, p->load_queue, p->name, st->info.url, "/load");
 }
@@ -189,9 +227,9 @@
 			events_apply(d, p, o);
 		json_decref(o);
 	}
-	if (p->events || now < p->events_due_ms)
+	if (p->events || now < p->events_due_ms || (relays(po) && !p->mine))
 		return;
-	p->events_due_ms = now + (int64_t)EVENTS_POLL_MS * p->factor;
+	p->events_due_ms = now + EVENTS_POLL_MS;
 	snprintf(path, sizeof(path), "/cache_events?after=%" PRId64, p->next_event);
 	p->events = poll_send(d, p->events_queue, p->name, st->info.url, path);
 }
@@ -247,11 +285,28 @@
 	po->count = kept;
 }
 
-static int factor_of(const struct poller *po, const struct endpoint_info *info, int count)
+static bool is_polled(const struct endpoint_status *st)
+{
+	return st->info.engine && st->info.url[0];
+}
+
+static bool is_mine(const struct poller *po, const struct endpoint_status *st)
+{
+	if (strcmp(st->info.dc, po->d->gate->settings.instance.dc) != 0)
+		return false;
+	return po->self >= 0 && relay_poller(st->info.name, (const char(*)[MEMBER_ID_MAX])po->ids,
+					     po->id_count) == po->self;
+}
+
+static void engine_step(struct poller *po, const struct endpoint_status *st, int64_t now)
 {
-	bool far = strcmp(info->dc, po->d->gate->settings.instance.dc) != 0;
+	struct polled *p = polled_get(po, st->id, st->info.name);
 
-	return far && count > POLL_ALL_MAX ? POLL_FAR_FACTOR : 1;
+	if (!p)
+		return;
+	p->seen = true;
+	load_step(po, p, st, now);
+	events_step(po, p, st, now);
 }
 
 static void poll_all(struct poller *po)
@@ -261,25 +316,51 @@
 	int count;
 
 	st = fleet_statuses(po->d->gate->fleet, &count);
+	po->engines = 0;
+	for (int i = 0; i < count; i++)
+		po->engines += is_polled(&st[i]);
 	for (int i = 0; i < po->count; i++)
 		po->entries[i]->seen = false;
-	for (int i = 0; i < count; i++) {
-		struct polled *p;
-
-		if (!st[i].info.engine || !st[i].info.url[0])
-			continue;
-		p = polled_get(po, st[i].id, st[i].info.name);
-		if (!p)
-			continue;
-		p->seen = true;
-		p->factor = factor_of(po, &st[i].info, count);
-		load_step(po, p, &st[i], now);
-		events_step(po, p, &st[i], now);
+	/* Engines of the own data centre come first where the budget of direct polls ends. */
+	for (int far = 0; far < 2; far++) {
+		for (int i = 0; i < count; i++) {
+			bool own = strcmp(st[i].info.dc, po->d->gate->settings.instance.dc) == 0;
+
+			if (is_polled(&st[i]) && own != far)
+				engine_step(po, &st[i], now);
+		}
 	}
 	free(st);
 	polled_drop_unseen(po, false);
 }
 
+/* Chooses the pollers anew and relays the reports of the own engines. */
+static void relay_step(struct poller *po)
+{
+	struct control *control = po->d->gate->control;
+	int64_t now = clock_boot_ms();
+	struct endpoint_status *st;
+	bool *mine;
+	int count;
+
+	if (!relays(po) || now < po->relay_due_ms)
+		return;
+	po->relay_due_ms = now + RELAY_MS;
+	po->id_count = control_dc_live(control, po->ids, POLLERS_MAX, &po->self);
+	st = fleet_statuses(po->d->gate->fleet, &count);
+	mine = mem_zalloc((size_t)(count + 1) * sizeof(*mine));
+	for (int i = 0; i < count; i++) {
+		struct polled *p = is_polled(&st[i]) ? po->by_id[st[i].id] : NULL;
+
+		mine[i] = p && strcmp(p->name, st[i].info.name) == 0 && is_mine(po, &st[i]);
+		if (p)
+			p->mine = mine[i];
+	}
+	control_load_relay(control, st, mine, count);
+	free(mine);
+	free(st);
+}
+
 static void load_lag_apply(struct dispatch *d)
 {
 	struct config_scope scope = { .dc = d->gate->settings.instance.dc,
@@ -311,12 +392,13 @@
 
 int poll_run(void *ctx, struct error *err)
 {
-	struct poller po = { .d = ctx };
+	struct poller po = { .d = ctx, .self = -1 };
 
 	while (!child_sleep_ms(POLL_STEP_MS)) {
 		load_lag_apply(po.d);
 		homes_apply(&po);
 		poll_all(&po);
+		relay_step(&po);
 		child_account_cpu();
 	}
 	polled_drop_unseen(&po, true);
--- a/daemon/fleet.c
+++ b/daemon/fleet.c
@@ -4,6 +4,7 @@
 
 #include "fleet_impl.h"
 #include "ibisgate/common/clock.h"
+#include "ibisgate/net/codec.h"
 
 /* A role reported sooner than this after a change may still describe the time before it. */
 #define ROLE_SETTLE_MS 5000
@@ -65,6 +66,7 @@
 	ep->used = true;
 	ep->unlisted_ms = now;
 	str_copy(ep->info.name, sizeof(ep->info.name), str_from(name));
+	ep->tag = peer_tag(name, 0);
 	return ep;
 }
 
@@ -224,11 +226,13 @@
 
 	pthread_mutex_lock(&f->lock);
 	ep = fleet_find(f, name);
-	if (!ep)
+	/* Relayed reports may overtake each other. */
+	if (!ep || load->at_ms < ep->load.at_ms)
 		goto out;
 	if (ep->load.boot_id[0] && strcmp(ep->load.boot_id, load->boot_id) != 0)
 		prefix_index_forget(f->index, (int)(ep - f->endpoints));
-	ep->down = false;
+	if (!load->mean && load->at_ms >= ep->down_ms)
+		ep->down = false;
 	own = own_work_at(ep, load->at_ms - f->load_lag_ms);
 	foreign_note(ep, fmax(0, (double)(load->prefill_backlog - own.prefill)),
 		     fmax(0, load->decode_seqs - own.seqs), f->load_lag_ms, load->at_ms);
@@ -245,6 +249,25 @@
 	pthread_mutex_unlock(&f->lock);
 }
 
+bool fleet_load_by_tag(struct fleet *f, uint32_t tag, char name[ENDPOINT_NAME_MAX],
+		       struct endpoint_load *out)
+{
+	int found = 0;
+
+	pthread_mutex_lock(&f->lock);
+	for (int i = 0; i < f->count; i++) {
+		const struct endpoint *ep = &f->endpoints[i];
+
+		if (ep->tag != tag || !ep->listed || !ep->info.engine)
+			continue;
+		str_copy(name, ENDPOINT_NAME_MAX, str_from(ep->info.name));
+		*out = ep->load;
+		found++;
+	}
+	pthread_mutex_unlock(&f->lock);
+	return found == 1;
+}
+
 struct endpoint_status *fleet_statuses(struct fleet *f, int *count)
 {
 	struct endpoint_status *out;
@@ -267,6 +290,7 @@
 		if (ep->stop_count)
 			str_copy(st->stop_order, sizeof(st->stop_order),
 				 str_from(ep->stops[ep->stop_count - 1]));
+		st->down = ep->down;
 		st->in_flight = ep->in_flight;
 		st->in_flight_prefill = ep->own_prefill;
 		st->circuit = ep->circuit.state;
--- a/daemon/fleet_impl.h
+++ b/daemon/fleet_impl.h
@@ -27,6 +27,8 @@
  * @homeless: this instance has no home among the engines of that role
  * @usual_prefill: mean report of the engines of that role, likewise @usual_seqs
  * @down: engine that died or refused a connection and has not answered a load poll since
+ * @down_ms: since when; a report from before does not end it
+ * @tag: short name in relayed reports
  * @foreign_prefill: mean part of the reports that own attempts did not explain, likewise
  *	@foreign_seqs
  */
@@ -50,6 +52,8 @@
 	int64_t usual_prefill;
 	int usual_seqs;
 	bool down;
+	int64_t down_ms;
+	uint32_t tag;
 	struct circuit circuit;
 	struct retry_budget budget;
 	struct own_work history[FLEET_HISTORY];
--- a/daemon/fleet_use.c
+++ b/daemon/fleet_use.c
@@ -392,8 +392,10 @@
 		circuit_failure(&ep->circuit, outcome == FLEET_HARD_FAILURE, clock_boot_ms());
 	/* Load polls find out when a dead engine is back; a caller's request need not be the probe.
 	 */
-	if (ep && outcome == FLEET_HARD_FAILURE && ep->info.engine)
+	if (ep && outcome == FLEET_HARD_FAILURE && ep->info.engine) {
 		ep->down = true;
+		ep->down_ms = clock_boot_ms();
+	}
 	pthread_mutex_unlock(&f->lock);
 }
 
--- a/include/ibisgate/common/metrics.h
+++ b/include/ibisgate/common/metrics.h
@@ -35,6 +35,9 @@
 	  "Calls to the platform that failed")                                                     \
 	X(LIST_BYTES, "list_bytes_total", "counter",                                               \
 	  "Bytes of polls of the platform's list, both directions")                                \
+	X(LOAD_POLLS, "load_polls_total", "counter", "Load polls sent to engines")                 \
+	X(LOAD_POLLS_STALE, "load_polls_stale_total", "counter",                                   \
+	  "Load polls sent for want of a fresh relayed report")                                    \
 	X(PEER_BYTES_IN, "peer_bytes_in_total", "counter", "Bytes received from peers")            \
 	X(PEER_BYTES_OUT, "peer_bytes_out_total", "counter", "Bytes sent to peers")                \
 	X(PEER_MESSAGES_IN, "peer_messages_in_total", "counter", "Messages received from peers")   \
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -3,8 +3,10 @@
 
 #include <jansson.h>
 
+#include "ibisgate/daemon/fleet.h"
 #include "ibisgate/daemon/gate.h"
 #include "ibisgate/state/claim.h"
+#include "ibisgate/state/member.h"
 
 /** control_create - control plane of @gate; starts its children under gate->supervisor */
 struct control *control_create(struct gate *gate, struct error *err);
@@ -28,6 +30,23 @@
 /** control_rank - place of this instance among @count live ones in order of their ids */
 int control_rank(struct control *c, int *count);
 
+/* Load of engines in a large region. */
+
+/**
+ * control_dc_live - ids of the live instances of the own data centre
+ * @self: out: index of this instance; -1 while it is not live
+ */
+int control_dc_live(struct control *c, char (*ids)[MEMBER_ID_MAX], int max, int *self);
+
+/**
+ * control_load_relay - tell others about the engines that this instance polls; each RELAY_MS
+ * @mine: for each of the @count entries of @st, whether this instance is its poller
+ *
+ * A delegate also sends the summary of its data centre to the others. One thread only.
+ */
+void control_load_relay(struct control *c, const struct endpoint_status *st, const bool *mine,
+			int count);
+
 /* Crashing requests. */
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint);
 enum quarantine_verdict control_quarantine_charge(struct control *c, uint64_t fingerprint,
@@ -44,6 +63,9 @@
 /** control_quarantine_seen - @endpoint, asked at @asked_ms (boot clock), runs as @boot_id */
 void control_quarantine_seen(struct control *c, const char *endpoint, const char *boot_id,
 			     int64_t asked_ms);
+
+/** control_quarantine_awaits - evidence about a crash of @endpoint is awaited here */
+bool control_quarantine_awaits(struct control *c, const char *endpoint);
 void control_quarantine_clear(struct control *c, uint64_t fingerprint);
 
 /**
--- a/include/ibisgate/daemon/fleet.h
+++ b/include/ibisgate/daemon/fleet.h
@@ -30,7 +30,8 @@
 
 /**
  * struct endpoint_load - an engine's own report, late by some seconds
- * @at_ms: boot time at which it was received
+ * @at_ms: boot time at which it was received, or at which a poller asked for a relayed one
+ * @mean: of several engines; says nothing about the health of this one
  * @model: model served; "" when the report names none
  */
 struct endpoint_load {
@@ -43,6 +44,7 @@
 	struct engine_cost cost;
 	char boot_id[24];
 	char model[48];
+	bool mean;
 };
 
 /**
@@ -50,6 +52,7 @@
  * @listed: named by the platform's list
  * @stopped: this instance sends no new work (operator drain, order or platform list)
  * @in_flight: requests of this instance that run there
+ * @down: died or refused a connection and has not reported since
  */
 struct endpoint_status {
 	struct endpoint_info info;
@@ -58,6 +61,7 @@
 	bool listed;
 	bool stopped;
 	char stop_order[48];
+	bool down;
 	int in_flight;
 	int64_t in_flight_prefill;
 	enum circuit_state circuit;
@@ -85,8 +89,17 @@
 /** fleet_in_flight - requests of this instance that run on @name; 0 when unknown */
 int fleet_in_flight(struct fleet *f, const char *name);
 
+/** fleet_load - apply a report; one older than the last is ignored */
 void fleet_load(struct fleet *f, const char *name, const struct endpoint_load *load);
 
+/**
+ * fleet_load_by_tag - last report of the engine with peer_tag(name, 0) == @tag
+ *
+ * Return: false when no listed engine has the tag, or two have.
+ */
+bool fleet_load_by_tag(struct fleet *f, uint32_t tag, char name[ENDPOINT_NAME_MAX],
+		       struct endpoint_load *out);
+
 /** fleet_statuses - copy of all endpoints; caller frees */
 struct endpoint_status *fleet_statuses(struct fleet *f, int *count);
 
--- a/include/ibisgate/net/codec.h
+++ b/include/ibisgate/net/codec.h
@@ -6,6 +6,7 @@
 
 #include "ibisgate/common/error.h"
 #include "ibisgate/common/str.h"
+#include "ibisgate/net/codec_load.h"
 #include "ibisgate/state/drain.h"
 #include "ibisgate/state/member.h"
 #include "ibisgate/state/vouch.h"
@@ -33,6 +34,8 @@
 	PEER_CLAIM_STATE,
 	PEER_FLEET_FETCH,
 	PEER_FLEET_BATCH,
+	PEER_LOAD_REPORT = 16,
+	PEER_LOAD_SUMMARY = 17,
 };
 
 /** enum codec_error - codes of layer ERROR_CODEC */
@@ -150,7 +153,7 @@
  * struct peer_message - one message between instances
  * @sender: instance id, @incarnation its incarnation
  * @hlc: hybrid logical clock of the sender
- * @fleet: owned; made by peer_message_create()
+ * @fleet: owned; made by peer_message_create(); likewise @loads
  */
 struct peer_message {
 	enum peer_message_kind kind;
@@ -164,6 +167,7 @@
 		struct peer_batch batch;
 		struct peer_order order;
 		struct peer_fleet *fleet;
+		struct peer_loads *loads;
 		struct {
 			char endpoint[MEMBER_ID_MAX];
 			char order[DRAIN_ORDER_MAX];
--- a/include/ibisgate/state/quarantine.h
+++ b/include/ibisgate/state/quarantine.h
@@ -65,6 +65,9 @@
 enum quarantine_verdict quarantine_suspect(struct quarantine *q, uint64_t fingerprint,
 					   const struct quarantine_place *place, int64_t now_ms);
 
+/** quarantine_awaits - evidence about @endpoint would settle a suspicion */
+bool quarantine_awaits(const struct quarantine *q, uint64_t endpoint);
+
 /**
  * quarantine_seen - an endpoint has answered with its boot id
  * @asked_ms: when it was asked; an answer to an earlier question does not refute
--- a/net/codec.c
+++ b/net/codec.c
@@ -2,8 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "codec_impl.h"
 #include "ibisgate/common/hash.h"
-#include "ibisgate/net/codec.h"
 
 uint32_t peer_tag(const char *id, uint64_t incarnation)
 {
@@ -17,6 +17,8 @@
 	m->kind = kind;
 	if (kind == PEER_FLEET_BATCH)
 		m->u.fleet = mem_zalloc(sizeof(*m->u.fleet));
+	if (kind == PEER_LOAD_REPORT || kind == PEER_LOAD_SUMMARY)
+		m->u.loads = mem_zalloc(sizeof(*m->u.loads));
 	return m;
 }
 
@@ -33,6 +35,8 @@
 	}
 	if (m->kind == PEER_FLEET_BATCH)
 		free(m->u.fleet);
+	if (m->kind == PEER_LOAD_REPORT || m->kind == PEER_LOAD_SUMMARY)
+		free(m->u.loads);
 	free(m);
 }
 
@@ -228,6 +232,10 @@
 	case PEER_FLEET_BATCH:
 		put_fleet(b, m->u.fleet);
 		break;
+	case PEER_LOAD_REPORT:
+	case PEER_LOAD_SUMMARY:
+		codec_put_loads(b, m->u.loads);
+		break;
 	}
 }
 
@@ -247,3 +255,18 @@
 	return error_set(err, ERROR_CODEC, CODEC_TOO_LARGE, "message above %d bytes",
 			 PEER_MESSAGE_MAX);
 }
+
+void codec_put_uint(struct buf *b, uint64_t v)
+{
+	put_uint(b, v);
+}
+
+void codec_put_array(struct buf *b, int count)
+{
+	put_array(b, count);
+}
+
+void codec_put_text(struct buf *b, const char *s)
+{
+	put_text(b, s);
+}
--- /dev/null
+++ b/net/codec_impl.h
@@ -0,0 +1,25 @@
+#ifndef NET_CODEC_IMPL_H
+#define NET_CODEC_IMPL_H
+
+#include "ibisgate/net/codec.h"
+
+/* Reads item by item and keeps no stack, so that nesting and declared lengths cost nothing. */
+struct reader {
+	struct str rest;
+	bool failed;
+};
+
+/* Parts for messages whose bodies are coded in a file of their own. */
+void codec_put_uint(struct buf *b, uint64_t v);
+void codec_put_array(struct buf *b, int count);
+void codec_put_text(struct buf *b, const char *s);
+uint64_t codec_get_uint(struct reader *r, uint64_t max);
+int codec_get_count(struct reader *r, int max);
+void codec_get_tuple(struct reader *r, int size);
+void codec_get_text(struct reader *r, char *dst, size_t size);
+
+/* codec_load.c */
+void codec_put_loads(struct buf *b, const struct peer_loads *l);
+void codec_get_loads(struct reader *r, struct peer_loads *l);
+
+#endif
--- a/net/codec_read.c
+++ b/net/codec_read.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "ibisgate/net/codec.h"
+#include "codec_impl.h"
 
 enum item_type {
 	ITEM_OTHER,
@@ -18,12 +18,6 @@
 	struct str text;
 };
 
-/* Reads item by item and keeps no stack, so that nesting and declared lengths cost nothing. */
-struct reader {
-	struct str rest;
-	bool failed;
-};
-
 static void on_uint8(void *ctx, uint8_t v)
 {
 	*(struct item *)ctx = (struct item){ .type = ITEM_UINT, .number = v };
@@ -338,9 +332,19 @@
 	case PEER_FLEET_BATCH:
 		get_fleet(r, m->u.fleet);
 		break;
+	case PEER_LOAD_REPORT:
+	case PEER_LOAD_SUMMARY:
+		codec_get_loads(r, m->u.loads);
+		break;
 	}
 }
 
+static bool kind_known(uint64_t kind)
+{
+	return (kind >= PEER_HEARTBEAT && kind <= PEER_FLEET_BATCH) || kind == PEER_LOAD_REPORT ||
+	       kind == PEER_LOAD_SUMMARY;
+}
+
 struct peer_message *peer_message_decode(struct str data, struct error *err)
 {
 	struct reader r = { .rest = data };
@@ -354,7 +358,7 @@
 	}
 	get_tuple(&r, 5);
 	kind = get_uint(&r, UINT64_MAX);
-	if (!r.failed && (kind < PEER_HEARTBEAT || kind > PEER_FLEET_BATCH)) {
+	if (!r.failed && !kind_known(kind)) {
 		error_set(err, ERROR_CODEC, CODEC_UNKNOWN_TYPE, "unknown message type");
 		return NULL;
 	}
@@ -373,3 +377,23 @@
 	error_set(err, ERROR_CODEC, CODEC_MALFORMED, "malformed message");
 	return NULL;
 }
+
+uint64_t codec_get_uint(struct reader *r, uint64_t max)
+{
+	return get_uint(r, max);
+}
+
+int codec_get_count(struct reader *r, int max)
+{
+	return get_count(r, max);
+}
+
+void codec_get_tuple(struct reader *r, int size)
+{
+	get_tuple(r, size);
+}
+
+void codec_get_text(struct reader *r, char *dst, size_t size)
+{
+	get_text(r, dst, size);
+}
--- a/state/quarantine.c
+++ b/state/quarantine.c
@@ -278,6 +278,17 @@
 	return judge(q, &by, now_ms, out, max);
 }
 
+bool quarantine_awaits(const struct quarantine *q, uint64_t endpoint)
+{
+	for (int i = 0; i < q->sets * WAYS && q->open; i++) {
+		for (int k = 0; k < QUARANTINE_CRASHES; k++) {
+			if (q->entries[i].open[k].place.endpoint == endpoint)
+				return true;
+		}
+	}
+	return false;
+}
+
 int quarantine_unconfirmed(const struct quarantine *q)
 {
 	return q->open;
--- /dev/null
+++ b/state/relay.c
@@ -0,0 +1,48 @@
+#include "ibisgate/state/relay.h"
+
+#include "ibisgate/common/hash.h"
+
+int relay_poller(const char *engine, const char (*ids)[MEMBER_ID_MAX], int count)
+{
+	uint64_t key = hash_str(str_from(engine), 0);
+	uint64_t best = 0;
+	int at = -1;
+
+	for (int i = 0; i < count; i++) {
+		uint64_t score = hash_mix(key, hash_str(str_from(ids[i]), 0));
+
+		if (at >= 0 && score <= best)
+			continue;
+		best = score;
+		at = i;
+	}
+	return at;
+}
+
+static bool budget_take(struct relay_budget *b, int64_t now_ms)
+{
+	double added = (double)(now_ms - b->at_ms) * RELAY_DIRECT_PER_S / 1000.0;
+
+	b->tokens = b->at_ms ? b->tokens + added : RELAY_DIRECT_PER_S;
+	if (b->tokens > RELAY_DIRECT_PER_S)
+		b->tokens = RELAY_DIRECT_PER_S;
+	b->at_ms = now_ms;
+	if (b->tokens < 1)
+		return false;
+	b->tokens -= 1;
+	return true;
+}
+
+enum relay_poll relay_decide(const struct relay_view *v, struct relay_budget *b, int64_t now_ms)
+{
+	bool stale = v->unknown || now_ms - v->report_ms >= RELAY_FRESH_MS;
+
+	if (v->engines <= RELAY_ENGINES_MIN || v->mine)
+		return RELAY_POLL_OWN;
+	if (v->awaited)
+		return RELAY_POLL_EVIDENCE;
+	/* One that does not answer must not take the budget of the others. */
+	if (!stale || (v->asked_ms && now_ms - v->asked_ms < RELAY_FRESH_MS))
+		return RELAY_POLL_NONE;
+	return budget_take(b, now_ms) ? RELAY_POLL_STALE : RELAY_POLL_NONE;
+}
--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -4,6 +4,7 @@
 #include "daemon/control_impl.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/supervisor.h"
+#include "ibisgate/daemon/dispatch.h"
 
 #define TICKETS 16
 
@@ -40,11 +41,20 @@
 	return r;
 }
 
+void rig_poll(struct rig *r)
+{
+	struct error err = { 0 };
+
+	if (!dispatch_create(&r->gate, &err))
+		abort();
+}
+
 void rig_kill(struct rig *r)
 {
 	if (!r)
 		return;
 	supervisor_destroy(r->gate.supervisor);
+	dispatch_destroy(r->gate.dispatch);
 	control_destroy(r->gate.control);
 	fleet_destroy(r->gate.fleet);
 	platform_destroy(r->gate.platform);
--- a/tests/control_rig.h
+++ b/tests/control_rig.h
@@ -17,6 +17,9 @@
 
 struct rig *rig_create(const char *settings_text);
 
+/** rig_poll - poll engines as well, like a whole instance */
+void rig_poll(struct rig *r);
+
 /** rig_kill - stop without a word to anyone, like a killed process */
 void rig_kill(struct rig *r);
 
--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -178,6 +178,22 @@
 	return 0;
 }
 
+int control_dc_live(struct control *c, char (*ids)[MEMBER_ID_MAX], int max, int *self)
+{
+	*self = -1;
+	return 0;
+}
+
+void control_load_relay(struct control *c, const struct endpoint_status *st, const bool *mine,
+			int count)
+{
+}
+
+bool control_quarantine_awaits(struct control *c, const char *endpoint)
+{
+	return false;
+}
+
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint)
 {
 	enum quarantine_verdict v;
--- a/tests/region.h
+++ b/tests/region.h
@@ -11,6 +11,7 @@
 extern "C" {
 #include "control_rig.h"
 #include "ibisgate/common/metrics.h"
+#include "ibisgate/state/relay.h"
 }
 #undef class
 
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -37,6 +37,50 @@
 	dst[n] = '\0';
 }
 
+static int kind_at(int i)
+{
+	int kind = 1 + i % (PEER_FLEET_BATCH + 2);
+
+	return kind <= PEER_FLEET_BATCH ? kind : PEER_LOAD_REPORT + kind - PEER_FLEET_BATCH - 1;
+}
+
+static struct peer_cost cost_sample(std::mt19937_64 &rng)
+{
+	return { (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng() };
+}
+
+static void loads_sample(std::mt19937_64 &rng, struct peer_loads *l)
+{
+	text(rng, l->dc, sizeof(l->dc));
+	l->load_count = (int)(rng() % (PEER_LOADS_MAX + 1)) >> (rng() % 8);
+	for (int i = 0; i < l->load_count; i++) {
+		struct peer_load *in = &l->loads[i];
+
+		in->tag = (uint32_t)rng();
+		in->fact = (uint32_t)rng();
+		in->age_ms = (uint32_t)rng();
+		in->role = (enum endpoint_role)(rng() % 4);
+		in->changing = rng() % 2;
+		in->prefill_backlog = (uint32_t)rng();
+		in->decode_seqs = (uint32_t)rng();
+	}
+	l->fact_count = (int)(rng() % (PEER_FACTS_MAX + 1));
+	for (int i = 0; i < l->fact_count; i++) {
+		l->facts[i].tag = (uint32_t)rng();
+		l->facts[i].role = (enum endpoint_role)(rng() % 4);
+		text(rng, l->facts[i].model, sizeof(l->facts[i].model));
+		text(rng, l->facts[i].boot_id, sizeof(l->facts[i].boot_id));
+		l->facts[i].cost = cost_sample(rng);
+	}
+	l->mean_count = (int)(rng() % (PEER_MEANS_MAX + 1));
+	for (int i = 0; i < l->mean_count; i++) {
+		text(rng, l->means[i].model, sizeof(l->means[i].model));
+		l->means[i].count = (uint32_t)rng();
+		l->means[i].decode_slots = (uint32_t)rng();
+		l->means[i].cost = cost_sample(rng);
+	}
+}
+
 static struct peer_message *sample(std::mt19937_64 &rng, int kind)
 {
 	struct peer_message *m = peer_message_create((enum peer_message_kind)kind);
@@ -119,6 +163,10 @@
 		for (int i = 0; i < m->u.fleet->stop_count; i++)
 			text(rng, m->u.fleet->stops[i].order, sizeof(m->u.fleet->stops[i].order));
 		break;
+	case PEER_LOAD_REPORT:
+	case PEER_LOAD_SUMMARY:
+		loads_sample(rng, m->u.loads);
+		break;
 	case PEER_FLEET_FETCH:
 		break;
 	default:
@@ -136,7 +184,7 @@
 
 	std::cout << "seed " << seed << "\n";
 	for (int i = 0; i < 3000; i++) {
-		struct peer_message *m = sample(rng, 1 + i % PEER_FLEET_BATCH);
+		struct peer_message *m = sample(rng, kind_at(i));
 		std::string bytes = encode(m);
 		struct peer_message *copy = decode(bytes);
 
@@ -144,6 +192,8 @@
 		EXPECT_EQ(encode(copy), bytes);
 		if (m->kind == PEER_FLEET_BATCH) {
 			EXPECT_EQ(memcmp(m->u.fleet, copy->u.fleet, sizeof(*m->u.fleet)), 0);
+		} else if (m->kind == PEER_LOAD_REPORT || m->kind == PEER_LOAD_SUMMARY) {
+			EXPECT_EQ(memcmp(m->u.loads, copy->u.loads, sizeof(*m->u.loads)), 0);
 		} else if (m->kind != PEER_CONFIG_CHANGE && m->kind != PEER_CONFIG_BATCH) {
 			EXPECT_EQ(memcmp(m, copy, sizeof(*m)), 0) << "kind " << m->kind;
 		}
@@ -160,7 +210,7 @@
 
 	std::cout << "seed " << seed << "\n";
 	for (int i = 0; i < 60000; i++) {
-		struct peer_message *m = sample(rng, 1 + i % PEER_FLEET_BATCH);
+		struct peer_message *m = sample(rng, kind_at(i));
 		std::string bytes = encode(m);
 		size_t cut = rng() % bytes.size();
 
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -7,6 +7,7 @@
 extern "C" {
 #include "ibisgate/common/clock.h"
 #include "ibisgate/daemon/fleet_use.h"
+#include "ibisgate/net/codec.h"
 }
 
 namespace
@@ -209,6 +210,36 @@
 	EXPECT_NEAR((double)candidates()[0].prefill_backlog, 7060, 2);
 }
 
+/* Guards against an old relayed report that hides a newer one, or revives a dead engine. */
+TEST_F(Fleet, OlderReportChangesNothing)
+{
+	endpoint_load load = {};
+	endpoint_load known = {};
+	char name[ENDPOINT_NAME_MAX];
+	int64_t asked = clock_boot_ms();
+
+	load.role = ROLE_MIXED;
+	load.at_ms = asked;
+	load.prefill_backlog = 500;
+	fleet_load(f, "a", &load);
+	load.at_ms = asked - 1;
+	load.prefill_backlog = 9000;
+	fleet_load(f, "a", &load);
+	EXPECT_EQ(candidates()[0].prefill_backlog, 500);
+	clock_sleep_ms(5);
+	fleet_result(f, "a", FLEET_HARD_FAILURE);
+	load.at_ms = asked + 1;
+	fleet_load(f, "a", &load);
+	EXPECT_FALSE(candidates()[0].usable) << "asked before it died";
+	load.at_ms = clock_boot_ms();
+	load.mean = true;
+	fleet_load(f, "a", &load);
+	EXPECT_FALSE(candidates()[0].usable) << "a mean is no sign of life";
+	ASSERT_TRUE(fleet_load_by_tag(f, peer_tag("a", 0), name, &known));
+	EXPECT_STREQ(name, "a");
+	EXPECT_FALSE(fleet_load_by_tag(f, 12345, name, &known));
+}
+
 /* Guards against neighbours beside a suspect request, which its crash would take along. */
 TEST_F(Fleet, SuspectWaitsUntilItIsAlone)
 {
--- /dev/null
+++ b/tests/test_relay.cc
@@ -0,0 +1,87 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+
+extern "C" {
+#include "ibisgate/state/relay.h"
+}
+
+typedef char id_t_[MEMBER_ID_MAX];
+
+static int fill(id_t_ *ids, int count, int skip = -1)
+{
+	int n = 0;
+
+	for (int i = 0; i < count; i++) {
+		if (i != skip)
+			snprintf(ids[n++], MEMBER_ID_MAX, "i%d", i);
+	}
+	return n;
+}
+
+/* Guards against engines that nobody polls, and against a lost poller that moves all of them. */
+TEST(Relay, EachEngineHasOnePoller)
+{
+	id_t_ ids[18];
+	id_t_ fewer[18];
+	std::map<std::string, int> share;
+	int n = fill(ids, 18);
+	int m = fill(fewer, 18, 5);
+
+	EXPECT_EQ(relay_poller("e", ids, 0), -1);
+	for (int e = 0; e < 710; e++) {
+		std::string name = "engine-" + std::to_string(e);
+		std::string before = ids[relay_poller(name.c_str(), ids, n)];
+		std::string after = fewer[relay_poller(name.c_str(), fewer, m)];
+
+		share[before]++;
+		if (before != "i5") {
+			EXPECT_EQ(before, after) << "only the engines of the lost one move";
+		}
+	}
+	EXPECT_EQ(share.size(), 18u);
+	for (auto &s : share)
+		EXPECT_LT(s.second, 80) << s.first << " of 39 on average";
+}
+
+/* Guards against a small region that depends on relays, and a poller that waits for its own. */
+TEST(Relay, SmallRegionsAndPollersPollAtOnce)
+{
+	struct relay_budget b = {};
+	struct relay_view v = { .engines = RELAY_ENGINES_MIN, .report_ms = 9999 };
+
+	EXPECT_EQ(relay_decide(&v, &b, 10000), RELAY_POLL_OWN);
+	v.engines++;
+	EXPECT_EQ(relay_decide(&v, &b, 10000), RELAY_POLL_NONE);
+	v.awaited = true;
+	EXPECT_EQ(relay_decide(&v, &b, 10000), RELAY_POLL_EVIDENCE);
+	v.mine = true;
+	EXPECT_EQ(relay_decide(&v, &b, 10000), RELAY_POLL_OWN);
+	EXPECT_EQ(b.at_ms, 0) << "none of these takes from the budget";
+}
+
+/* Guards against routing by old reports, and against all instances that poll everything at once. */
+TEST(Relay, StaleReportsArePolledWithinTheBudget)
+{
+	struct relay_budget b = {};
+	struct relay_view v = { .engines = 200, .report_ms = 7001, .asked_ms = 1 };
+	int polls = 0;
+
+	EXPECT_EQ(relay_decide(&v, &b, 10000), RELAY_POLL_NONE);
+	EXPECT_EQ(relay_decide(&v, &b, 10001), RELAY_POLL_STALE) << "3 s old";
+	v.asked_ms = 10001;
+	EXPECT_EQ(relay_decide(&v, &b, 12000), RELAY_POLL_NONE) << "asked lately";
+	v.report_ms = 12000;
+	v.asked_ms = 1;
+	v.unknown = true;
+	EXPECT_EQ(relay_decide(&v, &b, 12000), RELAY_POLL_STALE) << "nobody knows its boot id";
+	v = { .engines = 200 };
+	for (int64_t now = 20000; now < 30000; now += 50) {
+		for (int e = 0; e < 200; e++)
+			polls += relay_decide(&v, &b, now) == RELAY_POLL_STALE;
+	}
+	EXPECT_LE(polls, RELAY_DIRECT_PER_S * 11);
+	EXPECT_GE(polls, RELAY_DIRECT_PER_S * 10);
+}
