Split the control benchmark by job

Change: control_rig.c, control_sample.c, control_point.c, control_series.c, control_config.c and control_claims.c; control.c is the command line. No line of a measurement changes.

--- /dev/null
+++ b/bench/control_point.c
@@ -0,0 +1,124 @@
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "control.h"
+#include "ibisgate/common/clock.h"
+
+int bench_measure_ms = 6000;
+
+/* Time of one accepted change of an organisation, median of five. */
+static double apply_measure(const struct harness_fleet *f)
+{
+	int64_t version = (int64_t)metric_of(f, 0, "config_version");
+	double ms[5];
+
+	for (int i = 0; i < 5; i++) {
+		int64_t begun = clock_boot_us();
+		char key[64];
+
+		snprintf(key, sizeof(key), "organisation/new-%d", i);
+		if (change_post(f, key, organisation_value(key), &version) != 200)
+			return -1;
+		ms[i] = (double)(clock_boot_us() - begun) / 1e3;
+	}
+	for (int i = 0; i < 5; i++) {
+		for (int k = i + 1; k < 5; k++) {
+			double t = ms[i];
+
+			ms[i] = ms[k] < t ? ms[k] : t;
+			ms[k] = ms[k] < t ? t : ms[k];
+		}
+	}
+	return ms[2];
+}
+
+struct reader {
+	pthread_t thread;
+	const char *url;
+};
+
+/* A stream that outlives the measurement; the engine's step decides its rate. */
+static void *reader_run(void *arg)
+{
+	const char *const headers[] = { "Authorization: Bearer " BENCH_API_KEY, NULL };
+	struct reader *reader = arg;
+	struct harness_reply reply;
+
+	harness_http("POST", reader->url, headers,
+		     "{\"model\":\"M\",\"prompt\":\"some text\",\"max_tokens\":100000,"
+		     "\"stream\":true}",
+		     BENCH_SETTLE_MS + bench_measure_ms + 2000, &reply, NULL);
+	harness_reply_free(&reply);
+	return NULL;
+}
+
+static struct reader *readers_start(const struct harness_fleet *f, int count, char *url,
+				    size_t size)
+{
+	struct reader *readers = mem_zalloc((size_t)(count + 1) * sizeof(*readers));
+
+	snprintf(url, size, "%s/v1/completions", f->instances[0].http);
+	for (int i = 0; i < count; i++) {
+		readers[i].url = url;
+		pthread_create(&readers[i].thread, NULL, reader_run, &readers[i]);
+	}
+	return readers;
+}
+
+static void readers_join(struct reader *readers, int count)
+{
+	for (int i = 0; i < count; i++)
+		pthread_join(readers[i].thread, NULL);
+	free(readers);
+}
+
+/* 20 tokens a second and stream: an engine under load. */
+static const char *const engine_args[] = {
+	"--step-base-us", "50000", "--step-per-seq-us", "0", "--slots", "1024",
+	"--threads",	  "700",   "--prefill-rate",	"0", NULL
+};
+
+int point_measure(const struct point *p, struct figures *out, struct error *err)
+{
+	static const struct harness_engine_spec engine[] = { { "mixed", true }, { NULL } };
+	struct harness_deployment d = { .region = "r",
+					.dcs = { "d0" },
+					.instances = 1,
+					.engines = p->streams ? engine : NULL,
+					.engine_args = engine_args,
+					.platform_args = bench_platform_args };
+	struct reader *readers;
+	struct sample a;
+	struct sample b;
+	char url[128];
+	struct rig r;
+	int rc = -1;
+
+	if (rig_create(&r, &d, p, err) < 0)
+		goto out;
+	if (p->streams) {
+		harness_organisation(r.fleet, "bench", BENCH_API_KEY, 1);
+		harness_model(r.fleet, "M");
+		harness_default(r.fleet, "admission.enabled", json_integer(0));
+		harness_default(r.fleet, "deadline.total_ms", json_integer(120000));
+	}
+	readers = readers_start(r.fleet, p->streams, url, sizeof(url));
+	clock_sleep_ms(BENCH_SETTLE_MS);
+	a = sample_take(&r);
+	clock_sleep_ms(bench_measure_ms);
+	b = sample_take(&r);
+	*out = figures_between(&a, &b);
+	out->rss_mb = (double)harness_rss_kb(r.fleet->instances[0].process->pid) / 1024;
+	out->start_ms = r.start_ms;
+	if (p->organisations)
+		out->apply_ms = apply_measure(r.fleet);
+	if (p->streams && metric_of(r.fleet, 0, "streams") < p->streams)
+		printf("note: only %.0f of %d streams run\n", metric_of(r.fleet, 0, "streams"),
+		       p->streams);
+	readers_join(readers, p->streams);
+	rc = 0;
+out:
+	rig_destroy(&r);
+	return rc;
+}
--- /dev/null
+++ b/bench/control_series.c
@@ -0,0 +1,139 @@
+#include <stdio.h>
+
+#include "control.h"
+
+#define TARGET_ORGANISATIONS 21000
+
+static void figures_print(const char *name, int x, const struct figures *f)
+{
+	printf("slope %s x=%d control_us_s=%.0f process_us_s=%.0f rss_mb=%.1f peer_bytes_s=%.0f "
+	       "peer_messages_s=%.1f table_reads_s=%.2f table_writes_s=%.2f poll_bytes_s=%.0f "
+	       "list_bytes_s=%.0f "
+	       "apply_ms=%.1f start_ms=%.0f\n",
+	       name, x, f->control_us, f->process_us, f->rss_mb, f->peer_bytes, f->peer_messages,
+	       f->reads, f->writes, f->poll_bytes, f->list_bytes, f->apply_ms, f->start_ms);
+}
+
+/** struct line - least squares over the points of one series */
+struct line {
+	double n, x, y, xx, xy;
+};
+
+static void line_add(struct line *l, double x, double y)
+{
+	l->n += 1;
+	l->x += x;
+	l->y += y;
+	l->xx += x * x;
+	l->xy += x * y;
+}
+
+static void line_print(const struct line *l, const char *name, const char *what)
+{
+	double det = l->n * l->xx - l->x * l->x;
+	double slope = det > 0 ? (l->n * l->xy - l->x * l->y) / det : 0;
+
+	printf("line %s %s = %.4g + %.4g x\n", name, what, (l->y - slope * l->x) / l->n, slope);
+}
+
+static int series_run(const char *name, const struct point *points, const int *x, int count,
+		      struct error *err)
+{
+	struct line control = { 0 };
+	struct line process = { 0 };
+	struct line rss = { 0 };
+	struct line bytes = { 0 };
+
+	for (int i = 0; i < count; i++) {
+		struct figures f;
+
+		if (point_measure(&points[i], &f, err) < 0)
+			return -1;
+		figures_print(name, x[i], &f);
+		line_add(&control, x[i], f.control_us);
+		line_add(&process, x[i], f.process_us);
+		line_add(&rss, x[i], f.rss_mb);
+		line_add(&bytes, x[i], f.peer_bytes + f.poll_bytes);
+	}
+	line_print(&control, name, "control_us_s");
+	line_print(&process, name, "process_us_s");
+	line_print(&rss, name, "rss_mb");
+	line_print(&bytes, name, "peer_and_poll_bytes_s");
+	return 0;
+}
+
+int nodes_series(struct error *err)
+{
+	static const struct point members[] = {
+		{ .peers = 0, .delegate = true },   { .peers = 17, .delegate = true },
+		{ .peers = 52, .delegate = true },  { .peers = 105, .delegate = true },
+		{ .peers = 210, .delegate = true },
+	};
+	static const struct point others[] = {
+		{ .peers = 3 },
+		{ .peers = 17 },
+		{ .peers = 52 },
+		{ .peers = 105 },
+	};
+	static const int x[] = { 1, 18, 53, 106, 211 };
+	static const int y[] = { 4, 18, 53, 106 };
+
+	if (series_run("nodes_delegate", members, x, 5, err) < 0)
+		return -1;
+	return series_run("nodes_other", others, y, 4, err);
+}
+
+int workers_series(struct error *err)
+{
+	static const struct point points[] = {
+		{ .peers = 52, .delegate = true },
+		{ .peers = 52, .delegate = true, .workers = 71 },
+		{ .peers = 52, .delegate = true, .workers = 214 },
+		{ .peers = 52, .delegate = true, .workers = 500 },
+		{ .peers = 52, .delegate = true, .workers = 1500 },
+	};
+	static const int x[] = { 0, 71, 214, 500, 1500 };
+
+	return series_run("workers", points, x, 5, err);
+}
+
+int organisations_series(struct error *err)
+{
+	static const struct point points[] = {
+		{ .delegate = true, .organisations = 100 },
+		{ .delegate = true, .organisations = 1000 },
+		{ .delegate = true, .organisations = 5000 },
+		{ .delegate = true, .organisations = TARGET_ORGANISATIONS },
+	};
+	static const int x[] = { 100, 1000, 5000, TARGET_ORGANISATIONS };
+
+	return series_run("organisations", points, x, 4, err);
+}
+
+int streams_series(struct error *err)
+{
+	static const struct point points[] = {
+		{ .delegate = true, .streams = 1 },
+		{ .delegate = true, .streams = 100 },
+		{ .delegate = true, .streams = 250 },
+		{ .delegate = true, .streams = 500 },
+	};
+	static const int x[] = { 1, 100, 250, 500 };
+
+	return series_run("streams", points, x, 4, err);
+}
+
+int target_measure(struct error *err)
+{
+	static const struct point target = {
+		.peers = 52, .delegate = true, .workers = 214, .organisations = TARGET_ORGANISATIONS
+	};
+	struct figures f;
+
+	if (point_measure(&target, &f, err) < 0)
+		return -1;
+	figures_print("target_region", 53, &f);
+	printf("control_core_percent=%.2f control_mb=%.1f control_kb_s=%.1f\n", f.control_us / 1e4,
+	       f.rss_mb, (f.peer_bytes + f.poll_bytes + f.list_bytes) / 1e3);
+	return 0;
+}
