Date relayed reports by the question, not by the answer

Cause: an engine that answers late and dies meanwhile was reported with the time of the answer, so that a receiver could take the report for a sign of life after the crash and refute a suspicion. Change: a load keeps when the engine was asked; the age of a relayed report counts from there, and so does the evidence. Not tested on its own: it takes an answer that is delayed across a crash.

--- a/daemon/control_load.c
+++ b/daemon/control_load.c
@@ -47,9 +47,10 @@
 	return v < (double)UINT32_MAX ? (uint32_t)lround(v) : UINT32_MAX;
 }
 
-static uint32_t age_of(int64_t at_ms, int64_t now)
+/* An engine that died on the way of a late answer must not count as alive since then. */
+static uint32_t age_of(const struct endpoint_load *load, int64_t now)
 {
-	return u32((double)(now - at_ms));
+	return u32((double)(now - (load->asked_ms ? load->asked_ms : load->at_ms)));
 }
 
 static struct peer_cost cost_out(const struct engine_cost *c)
@@ -76,7 +77,7 @@
 {
 	struct peer_fact f = {
 		.tag = tag,
-		.age_ms = age_of(load->at_ms, now),
+		.age_ms = age_of(load, now),
 		.role = load->role,
 		.decode_slots = u32(load->decode_slots),
 		.cost = cost_out(&load->cost),
@@ -328,7 +329,7 @@
 	if (peer_fact_digest(&known) != in->fact)
 		return;
 	fact_apply(&known, &load);
-	load.at_ms = now - in->age_ms;
+	load.at_ms = load.asked_ms = now - in->age_ms;
 	load.role = in->role;
 	load.changing = in->changing;
 	load.prefill_backlog = in->prefill_backlog;
@@ -346,7 +347,7 @@
 	if (!fleet_load_by_tag(c->fleet, f->tag, name, &load) || !f->boot_id[0])
 		return;
 	fact_apply(f, &load);
-	load.at_ms = now - f->age_ms;
+	load.at_ms = load.asked_ms = now - f->age_ms;
 	load.changing = false;
 	load.mean = false;
 	fleet_load(c->fleet, name, &load);
--- a/daemon/dispatch_poll.c
+++ b/daemon/dispatch_poll.c
@@ -76,6 +76,7 @@
 {
 	struct endpoint_load load = {
 		.at_ms = clock_boot_ms(),
+		.asked_ms = p->load_sent_ms,
 		.prefill_backlog = json_get_i64(o, "prefill_backlog", 0),
 		.decode_seqs = (int)json_get_i64(o, "decode_seqs", 0),
 		.decode_slots = (int)json_get_i64(o, "decode_slots", 32),
--- a/include/ibisgate/daemon/fleet.h
+++ b/include/ibisgate/daemon/fleet.h
@@ -31,11 +31,13 @@
 /**
  * struct endpoint_load - an engine's own report, late by some seconds
  * @at_ms: boot time at which it was received, or at which a poller asked for a relayed one
+ * @asked_ms: boot time at which the engine was asked, which evidence counts from; 0 when unknown
  * @mean: of several engines; says nothing about the health of this one
  * @model: model served; "" when the report names none
  */
 struct endpoint_load {
 	int64_t at_ms;
+	int64_t asked_ms;
 	int64_t prefill_backlog;
 	int decode_seqs;
 	int decode_slots;
