--- a/tests/test_relay_region.cc
+++ b/tests/test_relay_region.cc
@@ -112,8 +112,8 @@
 };
 
 /*
- * Guards against instances that poll every engine of a large region, engines without a poller, and
- * a role that only the poller learns.
+ * Guards against instances that poll every engine of a large region, engines without a poller, a
+ * role that only the poller learns, and a crash of a distant engine that stays unconfirmed.
  */
 TEST_F(RelayRegion, EachEngineIsPolledOnceAndRolesSpread)
 {
@@ -148,6 +148,11 @@
 			return one == ROLE_DECODE && two == ROLE_DECODE;
 		},
 		6000));
+	rig_quarantine(g.rigs["a1"], 7, true);
+	EXPECT_EQ(rig_suspect(g.rigs["a1"], 7, "e1"), QUARANTINE_HOLD);
+	EXPECT_TRUE(eventually(
+		[&] { return rig_quarantine(g.rigs["a1"], 7, false) == QUARANTINE_REFUSE; }, 2000))
+		<< "e1 runs with another boot id than before";
 }
 
 /* Guards against engines that stay unpolled after the loss of their poller. */
