Forget cached prefixes of engines whose events are no longer read

Cause: in a large region only the poller of an engine reads its cache events. An instance that stops being its poller would keep entries whose evictions it no longer sees. Change: the entries are dropped and reading starts from the beginning when the engine comes back. Not tested on its own.

--- a/daemon/dispatch_poll.c
+++ b/daemon/dispatch_poll.c
@@ -228,8 +228,15 @@
 			events_apply(d, p, o);
 		json_decref(o);
 	}
-	if (p->events || now < p->events_due_ms || (relays(po) && !p->mine))
+	if (p->events || now < p->events_due_ms)
 		return;
+	if (relays(po) && !p->mine) {
+		/* Evictions are not seen from now on. */
+		if (p->next_event)
+			fleet_cache_forget(d->gate->fleet, p->name);
+		p->next_event = 0;
+		return;
+	}
 	p->events_due_ms = now + EVENTS_POLL_MS;
 	snprintf(path, sizeof(path), "/cache_events?after=%" PRId64, p->next_event);
 	p->events = poll_send(d, p->events_queue, p->name, st->info.url, path);
