--- a/tests/test_standins.cc
+++ b/tests/test_standins.cc
@@ -328,7 +328,7 @@
  */
 TEST(Platform, ListIsTaggedByWhatReadersSee)
 {
-	Process p("ibisgate-platform", { "--list-lag-ms", "300" });
+	Standin p("ibisgate-platform", { "--list-lag-ms", "300" });
 	auto tag = [&] {
 		string head;
 		CURL *c = curl_easy_init();
