--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -9,8 +9,8 @@
 #include "ibisgate/net/peer.h"
 #include "ibisgate/state/drain.h"
 #include "ibisgate/state/lease.h"
-#include "ibisgate/state/snapshot.h"
 #include "ibisgate/state/reserve.h"
+#include "ibisgate/state/snapshot.h"
 
 #define CONTROL_LISTED_MAX 1024
 #define CONTROL_STOPS_MAX PEER_LEAVING_MAX
--- a/include/ibisgate/daemon/control.h
+++ b/include/ibisgate/daemon/control.h
@@ -6,8 +6,8 @@
 #include "ibisgate/daemon/fleet.h"
 #include "ibisgate/daemon/gate.h"
 #include "ibisgate/state/claim.h"
-#include "ibisgate/state/reserve.h"
 #include "ibisgate/state/member.h"
+#include "ibisgate/state/reserve.h"
 
 /** control_create - control plane of @gate; starts its children under gate->supervisor */
 struct control *control_create(struct gate *gate, struct error *err);
--- a/tests/control_rig.h
+++ b/tests/control_rig.h
@@ -7,8 +7,8 @@
 #include "ibisgate/net/platform.h"
 #include "ibisgate/state/claim.h"
 #include "ibisgate/state/config.h"
-#include "ibisgate/state/reserve.h"
 #include "ibisgate/state/quarantine.h"
+#include "ibisgate/state/reserve.h"
 
 /*
  * Control planes of several instances in one process, each with a fleet that takes no callers.
