Drop includes that moved code no longer needs

The calls to plain services and the choice of engines moved to files of their own; what they needed stayed included.

--- a/daemon/dispatch_admit.c
+++ b/daemon/dispatch_admit.c
@@ -1,4 +1,3 @@
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
--- a/daemon/dispatch_service.c
+++ b/daemon/dispatch_service.c
@@ -5,7 +5,6 @@
 #include "dispatch_impl.h"
 #include "ibisgate/common/ablation.h"
 #include "ibisgate/common/clock.h"
-#include "ibisgate/common/event.h"
 #include "ibisgate/common/metrics.h"
 
 /* While the table has not answered for this long, calls that need a claim are refused at once. */
