--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -14,7 +14,17 @@
 	KEY_URL,
 	KEY_INT,
 	KEY_INT64,
+	KEY_DOUBLE,
 	KEY_LEVEL,
+	KEY_KIND,
+};
+
+/** enum key_need - the kind of platform on which a key must be given */
+enum key_need {
+	NEED_NEVER,
+	NEED_TABLE,
+	NEED_ROWS,
+	NEED_ALWAYS,
 };
 
 /**
@@ -30,41 +40,64 @@
 	size_t size;
 	int64_t min;
 	int64_t max;
-	bool required;
+	enum key_need need;
 };
 
 #define FIELD(member) offsetof(struct settings, member), sizeof(((struct settings *)0)->member)
 
 static const struct key_spec specs[] = {
-	{ "instance", "id", KEY_NAME, FIELD(instance.id), 1, 0, true },
-	{ "instance", "data-centre", KEY_NAME, FIELD(instance.dc), 1, 0, true },
-	{ "instance", "region", KEY_NAME, FIELD(instance.region), 1, 0, true },
-	{ "instance", "log-level", KEY_LEVEL, FIELD(instance.log_level), 0, 0, false },
-	{ "http", "listen", KEY_ADDRESS, FIELD(http.listen), 0, 0, true },
-	{ "http", "advertise", KEY_ADDRESS, FIELD(http.advertise), 0, 0, false },
-	{ "http", "threads", KEY_INT, FIELD(http.threads), 1, 4096, false },
-	{ "http", "body-max-bytes", KEY_INT64, FIELD(http.body_max_bytes), 1024, 1 << 30, false },
+	{ "instance", "id", KEY_NAME, FIELD(instance.id), 1, 0, NEED_ALWAYS },
+	{ "instance", "data-centre", KEY_NAME, FIELD(instance.dc), 1, 0, NEED_ALWAYS },
+	{ "instance", "region", KEY_NAME, FIELD(instance.region), 1, 0, NEED_ALWAYS },
+	{ "instance", "log-level", KEY_LEVEL, FIELD(instance.log_level), 0, 0, NEED_NEVER },
+	{ "http", "listen", KEY_ADDRESS, FIELD(http.listen), 0, 0, NEED_ALWAYS },
+	{ "http", "advertise", KEY_ADDRESS, FIELD(http.advertise), 0, 0, NEED_NEVER },
+	{ "http", "threads", KEY_INT, FIELD(http.threads), 1, 4096, NEED_NEVER },
+	{ "http", "body-max-bytes", KEY_INT64, FIELD(http.body_max_bytes), 1024, 1 << 30, NEED_NEVER },
 	{ "http", "request-timeout-ms", KEY_INT64, FIELD(http.request_timeout_ms), 100, 600000,
-	  false },
-	{ "http", "tls-certificate", KEY_TEXT, FIELD(http.tls_certificate), 0, 0, false },
-	{ "admin", "listen", KEY_ADDRESS, FIELD(admin.listen), 0, 0, true },
-	{ "admin", "advertise", KEY_ADDRESS, FIELD(admin.advertise), 0, 0, false },
-	{ "admin", "token", KEY_TEXT, FIELD(admin.token), 16, 0, true },
-	{ "peer", "listen", KEY_ADDRESS, FIELD(peer.listen), 0, 0, true },
-	{ "peer", "advertise", KEY_ADDRESS, FIELD(peer.advertise), 0, 0, false },
-	{ "peer", "curve-public-key", KEY_TEXT, FIELD(peer.curve_public), 40, 40, false },
-	{ "peer", "curve-secret-key", KEY_TEXT, FIELD(peer.curve_secret), 40, 40, false },
-	{ "platform", "url", KEY_URL, FIELD(platform.url), 0, 0, true },
-	{ "platform", "timeout-ms", KEY_INT64, FIELD(platform.timeout_ms), 50, 60000, false },
-	{ "platform", "workers", KEY_INT, FIELD(platform.workers), 1, 64, false },
-	{ "platform", "list-poll-ms", KEY_INT64, FIELD(platform.list_poll_ms), 100, 600000, false },
+	  NEED_NEVER },
+	{ "http", "tls-certificate", KEY_TEXT, FIELD(http.tls_certificate), 0, 0, NEED_NEVER },
+	{ "admin", "listen", KEY_ADDRESS, FIELD(admin.listen), 0, 0, NEED_TABLE },
+	{ "admin", "advertise", KEY_ADDRESS, FIELD(admin.advertise), 0, 0, NEED_NEVER },
+	{ "admin", "token", KEY_TEXT, FIELD(admin.token), 16, 0, NEED_TABLE },
+	{ "peer", "listen", KEY_ADDRESS, FIELD(peer.listen), 0, 0, NEED_TABLE },
+	{ "peer", "advertise", KEY_ADDRESS, FIELD(peer.advertise), 0, 0, NEED_NEVER },
+	{ "peer", "curve-public-key", KEY_TEXT, FIELD(peer.curve_public), 40, 40, NEED_NEVER },
+	{ "peer", "curve-secret-key", KEY_TEXT, FIELD(peer.curve_secret), 40, 40, NEED_NEVER },
+	{ "platform", "kind", KEY_KIND, FIELD(platform.kind), 0, 0, NEED_NEVER },
+	{ "platform", "url", KEY_URL, FIELD(platform.url), 0, 0, NEED_ALWAYS },
+	{ "platform", "timeout-ms", KEY_INT64, FIELD(platform.timeout_ms), 50, 60000, NEED_NEVER },
+	{ "platform", "workers", KEY_INT, FIELD(platform.workers), 1, 64, NEED_NEVER },
+	{ "platform", "list-poll-ms", KEY_INT64, FIELD(platform.list_poll_ms), 100, 600000, NEED_NEVER },
 	{ "platform", "config-poll-ms", KEY_INT64, FIELD(platform.config_poll_ms), 100, 600000,
-	  false },
-	{ "links", "loops", KEY_INT, FIELD(links.loops), 1, 16, false },
+	  NEED_NEVER },
+	{ "links", "loops", KEY_INT, FIELD(links.loops), 1, 16, NEED_NEVER },
 	{ "links", "connect-timeout-ms", KEY_INT64, FIELD(links.connect_timeout_ms), 10, 60000,
-	  false },
-	{ "links", "silence-ms", KEY_INT64, FIELD(links.silence_ms), 100, 600000, false },
-	{ "links", "load-poll-ms", KEY_INT64, FIELD(links.load_poll_ms), 50, 60000, false },
+	  NEED_NEVER },
+	{ "links", "silence-ms", KEY_INT64, FIELD(links.silence_ms), 100, 600000, NEED_NEVER },
+	{ "links", "load-poll-ms", KEY_INT64, FIELD(links.load_poll_ms), 50, 60000, NEED_NEVER },
+	{ "ready", "listen", KEY_ADDRESS, FIELD(ready.listen), 0, 0, NEED_ROWS },
+	{ "metrics", "listen", KEY_ADDRESS, FIELD(metrics.listen), 0, 0, NEED_NEVER },
+	{ "bounds", "retry-ratio", KEY_DOUBLE, FIELD(bounds.retry_ratio), 0, 10, NEED_ROWS },
+	{ "bounds", "retry-fixed", KEY_DOUBLE, FIELD(bounds.retry_fixed), 0, 1000000, NEED_ROWS },
+	{ "bounds", "retry-window-ms", KEY_INT64, FIELD(bounds.retry_window_ms), 100, 3600000,
+	  NEED_ROWS },
+	{ "bounds", "instances-max", KEY_INT, FIELD(bounds.instances_max), 1, 100000, NEED_NEVER },
+	{ "bounds", "stop-grace-ms", KEY_INT64, FIELD(bounds.stop_grace_ms), 100, 3600000,
+	  NEED_ROWS },
+	{ "engines", "prefill-tokens-per-ms", KEY_DOUBLE, FIELD(engines.prefill_tokens_per_ms), 0,
+	  1000000, NEED_NEVER },
+	{ "engines", "mixed-tokens-per-ms", KEY_DOUBLE, FIELD(engines.mixed_tokens_per_ms), 0,
+	  1000000, NEED_NEVER },
+	{ "engines", "overhead-ms", KEY_DOUBLE, FIELD(engines.overhead_ms), 0, 10000, NEED_NEVER },
+	{ "engines", "transfer-tokens-per-ms", KEY_DOUBLE, FIELD(engines.transfer_tokens_per_ms), 0,
+	  100000000, NEED_NEVER },
+	{ "place", "remote-ms", KEY_DOUBLE, FIELD(place.remote_ms), 0, 10000, NEED_NEVER },
+	{ "place", "handoff-ms", KEY_DOUBLE, FIELD(place.handoff_ms), 0, 10000, NEED_NEVER },
+	{ "place", "fetch-ms", KEY_DOUBLE, FIELD(place.fetch_ms), 0, 10000, NEED_NEVER },
+	{ "place", "move-token-ms", KEY_DOUBLE, FIELD(place.move_token_ms), 0, 100, NEED_NEVER },
+	{ "place", "home-ms", KEY_DOUBLE, FIELD(place.home_ms), 0, 10000, NEED_NEVER },
+	{ "place", "work-weight", KEY_DOUBLE, FIELD(place.work_weight), 0, 1000, NEED_NEVER },
 };
 
 #define SPEC_COUNT (sizeof(specs) / sizeof(specs[0]))
@@ -96,6 +129,17 @@
 		.links.connect_timeout_ms = 500,
 		.links.silence_ms = 3000,
 		.links.load_poll_ms = 500,
+		.bounds.instances_max = 16,
+		.engines.prefill_tokens_per_ms = 45,
+		.engines.mixed_tokens_per_ms = 22,
+		.engines.overhead_ms = 30,
+		.engines.transfer_tokens_per_ms = 1500,
+		.place.remote_ms = 12,
+		.place.handoff_ms = 15,
+		.place.fetch_ms = 8,
+		.place.move_token_ms = 0.002,
+		.place.home_ms = 60,
+		.place.work_weight = 0.5,
 	};
 }
 
@@ -138,6 +182,7 @@
 {
 	char *field = (char *)p->settings + spec->offset;
 	char expected[160];
+	double fraction;
 	int64_t n;
 	int level;
 
@@ -178,6 +223,22 @@
 		else
 			*(int64_t *)(void *)field = n;
 		return 0;
+	case KEY_DOUBLE:
+		if (!str_to_double(value, &fraction) || fraction < (double)spec->min ||
+		    fraction > (double)spec->max) {
+			snprintf(expected, sizeof(expected),
+				 "expected a number from %" PRId64 " to %" PRId64, spec->min,
+				 spec->max);
+			return report(p, spec->section, spec->key, expected);
+		}
+		*(double *)(void *)field = fraction;
+		return 0;
+	case KEY_KIND:
+		if (!str_eq_cstr(value, "table") && !str_eq_cstr(value, "rows"))
+			return report(p, spec->section, spec->key, "expected table or rows");
+		*(enum platform_kind *)(void *)field =
+			str_eq_cstr(value, "rows") ? PLATFORM_ROWS : PLATFORM_TABLE;
+		return 0;
 	case KEY_LEVEL:
 		level = log_level_parse(value.data);
 		if (level < 0)
@@ -250,9 +311,11 @@
 
 static void check_required(struct parse *p)
 {
+	enum key_need kind = p->settings->platform.kind == PLATFORM_ROWS ? NEED_ROWS : NEED_TABLE;
+
 	p->line = 0;
 	for (size_t i = 0; i < SPEC_COUNT; i++) {
-		if (specs[i].required && !p->seen[i])
+		if ((specs[i].need == NEED_ALWAYS || specs[i].need == kind) && !p->seen[i])
 			report(p, specs[i].section, specs[i].key, "required, but missing");
 	}
 	if (!p->settings->peer.curve_public[0] != !p->settings->peer.curve_secret[0])
--- /dev/null
+++ b/entry/caller.c
@@ -0,0 +1,318 @@
+#include <event2/buffer.h>
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "internal.h"
+
+/* Lost bytes towards a caller end its connection after this time, in milliseconds. */
+#define CALLER_USER_TIMEOUT_MS 5000
+
+/*
+ * After a refusal that leaves unread bytes the connection stays open for this long, in
+ * milliseconds: closing it at once would reset it and lose the answer.
+ */
+#define LINGER_MS 1000
+
+/* Unparsed bytes kept of requests that follow on the same connection. */
+#define PIPELINE_MAX_BYTES 65536
+
+/* Limits in force before a configuration is known. */
+static const struct request_limits limits_default = {
+	.head_max_bytes = 16384,
+	.body_max_bytes = 4194304,
+	.head_timeout_ms = 3000,
+	.idle_timeout_ms = 15000,
+};
+
+enum caller_phase {
+	CALLER_IDLE,
+	CALLER_HEAD,
+	CALLER_BODY,
+	CALLER_BUSY,
+	CALLER_CLOSING,
+};
+
+/**
+ * struct caller - one connection from a caller
+ * @since_ms: when @phase was entered
+ * @begun_ms: when the head of the present request was complete
+ * @read_end: the caller's side has ended while its request runs
+ */
+struct caller {
+	struct cds_list_head link;
+	struct entry *entry;
+	struct bufferevent *bev;
+	struct http_reader reader;
+	struct buf body;
+	struct exchange *exchange;
+	struct request_limits limits;
+	enum caller_phase phase;
+	int64_t since_ms;
+	int64_t begun_ms;
+	bool keep;
+	bool in_begin;
+	bool oversized;
+	bool doomed;
+	int depth;
+};
+
+static void phase_set(struct caller *c, enum caller_phase phase)
+{
+	c->phase = phase;
+	c->since_ms = clock_boot_ms();
+}
+
+void caller_destroy(struct caller *c)
+{
+	if (c->exchange) {
+		struct exchange *x = c->exchange;
+
+		c->exchange = NULL;
+		exchange_cancel(x);
+	}
+	if (c->depth) {
+		c->doomed = true;
+		return;
+	}
+	cds_list_del(&c->link);
+	bufferevent_free(c->bev);
+	http_reader_free(&c->reader);
+	buf_free(&c->body);
+	free(c);
+}
+
+void caller_write(struct caller *c, struct str bytes)
+{
+	bufferevent_write(c->bev, bytes.data, bytes.len);
+}
+
+/* Close once everything written has left; what still arrives is thrown away until then. */
+static void close_gently(struct caller *c)
+{
+	phase_set(c, CALLER_CLOSING);
+	if (evbuffer_get_length(bufferevent_get_output(c->bev)) == 0 &&
+	    evbuffer_get_length(bufferevent_get_input(c->bev)) == 0 && !c->reader.begun)
+		caller_destroy(c);
+}
+
+static void refuse(struct caller *c, int status, const char *reason)
+{
+	struct buf out = { 0 };
+
+	metric_add(METRIC_BAD_REQUESTS, 1);
+	log_info("request-refused", "request=- status=%d cause=%s", status, reason);
+	wire_answer_encode(&out, &(struct own_answer){
+					 .status = status,
+					 .reason = reason,
+					 .retry_after_ms = -1,
+					 .close = true,
+				 });
+	caller_write(c, buf_str(&out));
+	buf_free(&out);
+	c->keep = false;
+	phase_set(c, CALLER_CLOSING);
+}
+
+static int on_head(void *ctx, const struct http_head *head)
+{
+	struct caller *c = ctx;
+	struct str value;
+
+	c->begun_ms = clock_boot_ms();
+	c->body.len = 0;
+	c->keep = head->keep_alive;
+	c->oversized = http_head_i64(head, "content-length", 0) > c->limits.body_max_bytes;
+	phase_set(c, CALLER_BODY);
+	if (!c->oversized && http_head_find(head, "expect", &value))
+		caller_write(c, STR_LIT("HTTP/1.1 100 Continue\r\n\r\n"));
+	return 0;
+}
+
+static void on_body(void *ctx, struct str bytes)
+{
+	struct caller *c = ctx;
+
+	if (c->oversized)
+		return;
+	if ((int64_t)(c->body.len + bytes.len) > c->limits.body_max_bytes) {
+		c->oversized = true;
+		return;
+	}
+	buf_append(&c->body, bytes.data, bytes.len);
+}
+
+static void on_end(void *ctx)
+{
+	(void)ctx;
+}
+
+static const struct http_reader_ops reader_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static void limits_refresh(struct caller *c)
+{
+	c->limits = c->entry->table ? c->entry->table->limits : limits_default;
+	c->reader.head_max = (size_t)c->limits.head_max_bytes;
+}
+
+static void refuse_fault(struct caller *c)
+{
+	if (c->reader.fault == HTTP_FAULT_HEAD_SIZE)
+		refuse(c, 431, "head too large");
+	else if (c->reader.fault == HTTP_FAULT_FRAMING)
+		refuse(c, 400, "conflicting framing");
+	else
+		refuse(c, 400, "malformed request");
+}
+
+static void run_request(struct caller *c)
+{
+	struct exchange *x;
+
+	phase_set(c, CALLER_BUSY);
+	metric_add(METRIC_REQUESTS, 1);
+	c->in_begin = true;
+	x = exchange_begin(c->entry, c, &c->reader.head, buf_str(&c->body), c->begun_ms);
+	c->in_begin = false;
+	if (x)
+		c->exchange = x;
+}
+
+static void read_some(struct caller *c)
+{
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+
+	while (c->phase != CALLER_BUSY && c->phase != CALLER_CLOSING && !c->doomed &&
+	       evbuffer_get_length(in) > 0) {
+		size_t len = evbuffer_get_contiguous_space(in);
+		struct str bytes = { .data = (char *)evbuffer_pullup(in, (ev_ssize_t)len),
+				     .len = len };
+		int64_t used;
+
+		if (c->phase == CALLER_IDLE) {
+			limits_refresh(c);
+			phase_set(c, CALLER_HEAD);
+		}
+		used = http_reader_feed(&c->reader, bytes);
+		if (used < 0) {
+			refuse_fault(c);
+			return;
+		}
+		evbuffer_drain(in, (size_t)used);
+		if (c->oversized) {
+			refuse(c, 413, "body too large");
+			return;
+		}
+		if (c->reader.ended) {
+			http_reader_next(&c->reader);
+			run_request(c);
+		}
+	}
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	struct caller *c = ctx;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	if (c->phase == CALLER_CLOSING) {
+		evbuffer_drain(in, evbuffer_get_length(in));
+		return;
+	}
+	c->depth++;
+	read_some(c);
+	if (--c->depth == 0 && c->doomed)
+		caller_destroy(c);
+}
+
+static void on_write(struct bufferevent *bev, void *ctx)
+{
+	struct caller *c = ctx;
+
+	if (c->phase == CALLER_CLOSING && !c->reader.begun && !c->oversized && !c->reader.fault)
+		caller_destroy(c);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	caller_destroy(ctx);
+}
+
+void caller_done(struct caller *c, bool keep)
+{
+	c->exchange = NULL;
+	if (!keep || !c->keep || c->entry->stopping) {
+		c->depth++;
+		close_gently(c);
+		if (--c->depth == 0 && c->doomed)
+			caller_destroy(c);
+		return;
+	}
+	phase_set(c, CALLER_IDLE);
+	c->body.len = 0;
+	if (c->in_begin || c->depth)
+		return;
+	on_read(c->bev, c);
+}
+
+void caller_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
+		   void *ctx)
+{
+	struct entry *e = ctx;
+	struct caller *c = mem_zalloc(sizeof(*c));
+
+	tcp_tune(fd, CALLER_USER_TIMEOUT_MS);
+	c->entry = e;
+	c->bev = bufferevent_socket_new(e->base, fd, BEV_OPT_CLOSE_ON_FREE);
+	http_reader_init(&c->reader, HTTP_SIDE_REQUEST, 0, &reader_ops, c);
+	phase_set(c, CALLER_IDLE);
+	cds_list_add_tail(&c->link, &e->callers);
+	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
+	bufferevent_setwatermark(c->bev, EV_READ, 0, PIPELINE_MAX_BYTES);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+}
+
+void callers_sweep(struct entry *e, int64_t now_ms)
+{
+	struct caller *c, *next;
+
+	cds_list_for_each_entry_safe(c, next, &e->callers, link) {
+		int64_t age = now_ms - c->since_ms;
+
+		switch (c->phase) {
+		case CALLER_IDLE:
+			if (age > (e->table ? e->table->limits : limits_default).idle_timeout_ms)
+				caller_destroy(c);
+			break;
+		case CALLER_HEAD:
+			if (age > c->limits.head_timeout_ms)
+				refuse(c, 408, "head too slow");
+			break;
+		case CALLER_BODY:
+			if (age > c->limits.idle_timeout_ms)
+				refuse(c, 408, "body too slow");
+			break;
+		case CALLER_CLOSING:
+			if (age > LINGER_MS)
+				caller_destroy(c);
+			break;
+		case CALLER_BUSY:
+			break;
+		}
+	}
+}
+
+void callers_destroy(struct entry *e)
+{
+	struct caller *c, *next;
+
+	cds_list_for_each_entry_safe(c, next, &e->callers, link)
+		caller_destroy(c);
+}
--- /dev/null
+++ b/entry/endpoints.c
@@ -0,0 +1,145 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/log.h"
+#include "internal.h"
+
+/* Weight of the newest attempt in an endpoint's share of failures: about the last ten count. */
+#define FAILURE_WEIGHT 0.1
+
+/* Cache assumed for an engine before the configuration has told its size, in tokens. */
+#define CACHE_TOKENS_DEFAULT 400000
+
+static const char *const change_names[] = {
+	[DIRECTORY_ADDED] = "added",	 [DIRECTORY_UPDATED] = "updated",
+	[DIRECTORY_REBORN] = "reborn",	 [DIRECTORY_LEAVING] = "leaving",
+	[DIRECTORY_REMOVED] = "removed",
+};
+
+void endpoint_put(struct endpoint *ep)
+{
+	if (--ep->refs)
+		return;
+	cache_view_destroy(ep->cache);
+	free(ep);
+}
+
+static struct endpoint *endpoint_find(struct entry *e, const char *id)
+{
+	struct endpoint *ep;
+
+	cds_list_for_each_entry(ep, &e->endpoints, link) {
+		if (strcmp(ep->entry.id, id) == 0)
+			return ep;
+	}
+	return NULL;
+}
+
+static int64_t cache_capacity(const struct entry *e, const char *service)
+{
+	int i = e->table ? routing_table_service(e->table, str_from(service)) : -1;
+
+	if (i < 0 || e->table->services[i].engine.kv_capacity <= 0)
+		return CACHE_TOKENS_DEFAULT;
+	return e->table->services[i].engine.kv_capacity;
+}
+
+static void endpoint_add(struct entry *e, const struct endpoint_entry *entry)
+{
+	struct endpoint *ep = mem_zalloc(sizeof(*ep));
+
+	ep->refs = 1;
+	ep->listed = true;
+	ep->entry = *entry;
+	ep->hash = hash_str(str_from(entry->id), 0);
+	ep->dc = entry_dc(e, entry->dc);
+	if (!http_address_parse(str_from(entry->address), &ep->address)) {
+		log_warn("endpoint-ignored", "endpoint=%s address=\"%s\" expected=IP:PORT", entry->id,
+			 entry->address);
+		free(ep);
+		return;
+	}
+	if (entry->stage != STAGE_NONE)
+		ep->cache = cache_view_create(cache_capacity(e, entry->service));
+	cds_list_add_tail(&ep->link, &e->endpoints);
+}
+
+static void endpoint_drop(struct entry *e, struct endpoint *ep)
+{
+	http_client_forget(e->endpoint_client, &ep->address);
+	cds_list_del(&ep->link);
+	ep->listed = false;
+	endpoint_put(ep);
+}
+
+void endpoint_changed(void *ctx, enum directory_change change, const struct endpoint_entry *entry)
+{
+	struct entry *e = ctx;
+	struct endpoint *ep = endpoint_find(e, entry->id);
+
+	log_info("endpoint", "endpoint=%s change=%s service=%s dc=%s address=%s stage=%d born=%lld "
+		 "list_version=%lld",
+		 entry->id, change_names[change], entry->service, entry->dc, entry->address,
+		 (int)entry->stage, (long long)entry->born, (long long)entry->version);
+	switch (change) {
+	case DIRECTORY_ADDED:
+	case DIRECTORY_REBORN:
+		if (ep)
+			endpoint_drop(e, ep);
+		endpoint_add(e, entry);
+		break;
+	case DIRECTORY_UPDATED:
+	case DIRECTORY_LEAVING:
+		if (!ep)
+			break;
+		ep->entry = *entry;
+		if (change == DIRECTORY_LEAVING)
+			http_client_forget(e->endpoint_client, &ep->address);
+		break;
+	case DIRECTORY_REMOVED:
+		if (ep)
+			endpoint_drop(e, ep);
+		break;
+	}
+}
+
+bool endpoint_open(const struct endpoint *ep, int64_t now_ms)
+{
+	return ep->listed && !ep->entry.leaving && now_ms >= ep->avoid_until_ms &&
+	       circuit_allows(&ep->circuit, now_ms);
+}
+
+void endpoint_result(struct endpoint *ep, bool ok)
+{
+	ep->failure_share += FAILURE_WEIGHT * ((ok ? 0 : 1) - ep->failure_share);
+}
+
+void endpoints_destroy(struct entry *e)
+{
+	struct endpoint *ep, *next;
+
+	cds_list_for_each_entry_safe(ep, next, &e->endpoints, link)
+		endpoint_drop(e, ep);
+}
+
+struct service *service_find(struct entry *e, const char *name)
+{
+	struct service *s;
+
+	cds_list_for_each_entry(s, &e->services, link) {
+		if (strcmp(s->name, name) == 0)
+			return s;
+	}
+	s = mem_zalloc(sizeof(*s));
+	str_copy(s->name, sizeof(s->name), str_from(name));
+	s->speed = (struct place_speed){
+		.prefill_per_ms = e->settings.engines.prefill_tokens_per_ms,
+		.mixed_per_ms = e->settings.engines.mixed_tokens_per_ms,
+		.overhead_ms = e->settings.engines.overhead_ms,
+		.transfer_per_ms = e->settings.engines.transfer_tokens_per_ms,
+	};
+	cds_list_add_tail(&s->link, &e->services);
+	return s;
+}
--- /dev/null
+++ b/entry/entry.c
@@ -0,0 +1,301 @@
+#include <errno.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/stat.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/platform/store.h"
+#include "internal.h"
+
+/* Period of the checks that no event triggers, in milliseconds. */
+#define TICK_MS 200
+
+/* How often the settings file is looked at for a change, in milliseconds. */
+#define SETTINGS_CHECK_MS 1000
+
+/*
+ * After the start of a shutdown connections are accepted for this long, in milliseconds: the
+ * platform asks each second and takes an instance out after two answers that aren't 200.
+ */
+#define STOP_ACCEPT_MS 3000
+
+/* Left of the grace period for closing what is still open, in milliseconds. */
+#define STOP_MARGIN_MS 500
+
+/* Connections kept to endpoints are used again within this time, in milliseconds. */
+#define ENDPOINT_IDLE_MS 8000
+#define STORE_IDLE_MS 20000
+
+/* Unacknowledged bytes end a connection to an endpoint or the store after this time, in ms. */
+#define USER_TIMEOUT_MS 2000
+
+#define BACKLOG 512
+
+int entry_dc(struct entry *e, const char *name)
+{
+	for (int i = 0; i < e->dc_count; i++) {
+		if (strcmp(e->dcs[i], name) == 0)
+			return i;
+	}
+	if (e->dc_count == ENTRY_DCS_MAX)
+		return ENTRY_DCS_MAX;
+	str_copy(e->dcs[e->dc_count], sizeof(e->dcs[0]), str_from(name));
+	return e->dc_count++;
+}
+
+bool entry_ready(const struct entry *e)
+{
+	return e->table && e->endpoints_known && !e->stopping;
+}
+
+static void ready_note(struct entry *e)
+{
+	bool ready = entry_ready(e);
+
+	if (ready == e->was_ready)
+		return;
+	e->was_ready = ready;
+	log_info("ready", "ready=%d config=%lld endpoints=%d stopping=%d", ready,
+		 e->table ? (long long)e->table->version : 0LL, e->directory.count, e->stopping);
+}
+
+void entry_table_set(struct entry *e, struct routing_table *t)
+{
+	if (e->table && t->version <= e->table->version) {
+		routing_table_put(t);
+		return;
+	}
+	log_info("config", "version=%lld former=%lld rules=%d services=%d", (long long)t->version,
+		 e->table ? (long long)e->table->version : 0LL, t->rule_count, t->service_count);
+	routing_table_put(e->table);
+	e->table = t;
+	metric_set(METRIC_CONFIG_VERSION, t->version);
+}
+
+struct extra_limits entry_extra_limits(const struct entry *e)
+{
+	return (struct extra_limits){
+		.window_ms = e->settings.bounds.retry_window_ms,
+		.ratio = e->settings.bounds.retry_ratio,
+		.fixed = e->settings.bounds.retry_fixed,
+		.instances = e->settings.bounds.instances_max,
+	};
+}
+
+static int64_t settings_mtime(const char *path)
+{
+	struct stat st;
+
+	if (!path[0] || stat(path, &st) < 0)
+		return 0;
+	return (int64_t)st.st_mtim.tv_sec * 1000 + st.st_mtim.tv_nsec / 1000000;
+}
+
+/* Takes over what can change without touching a connection; a broken file changes nothing. */
+static void settings_reload(struct entry *e)
+{
+	struct settings *fresh;
+	struct error err = { 0 };
+	int64_t changed = settings_mtime(e->settings_path);
+
+	if (!changed || changed == e->settings_changed)
+		return;
+	e->settings_changed = changed;
+	fresh = mem_zalloc(sizeof(*fresh));
+	if (settings_load(fresh, e->settings_path, stderr, &err) < 0) {
+		log_warn("settings-kept", "file=%s error=\"%s\"", e->settings_path, err.text);
+	} else {
+		e->settings.bounds = fresh->bounds;
+		e->settings.engines = fresh->engines;
+		e->settings.place = fresh->place;
+		e->settings.instance.log_level = fresh->instance.log_level;
+		log_info("settings-reloaded", "file=%s", e->settings_path);
+	}
+	free(fresh);
+}
+
+void entry_stop(struct entry *e, const char *why)
+{
+	if (e->stopping)
+		return;
+	e->stopping = true;
+	e->stop_ms = clock_boot_ms();
+	log_info("stopping", "cause=%s requests=%d", why, e->exchanges);
+	ready_note(e);
+}
+
+static void on_signal(evutil_socket_t number, short what, void *ctx)
+{
+	struct entry *e = ctx;
+
+	if (number == SIGHUP) {
+		e->settings_changed = 0;
+		settings_reload(e);
+		return;
+	}
+	entry_stop(e, strsignal((int)number));
+}
+
+static void stop_step(struct entry *e, int64_t now)
+{
+	int64_t age = now - e->stop_ms;
+
+	if (age >= e->settings.bounds.stop_grace_ms - STOP_MARGIN_MS ||
+	    (age >= STOP_ACCEPT_MS && e->exchanges == 0))
+		event_base_loopbreak(e->base);
+}
+
+static void on_tick(evutil_socket_t fd, short what, void *ctx)
+{
+	struct entry *e = ctx;
+	int64_t now = clock_boot_ms();
+
+	directory_step(&e->directory, now);
+	callers_sweep(e, now);
+	ready_note(e);
+	if (now - e->ticked_ms >= SETTINGS_CHECK_MS) {
+		e->ticked_ms = now;
+		settings_reload(e);
+	}
+	if (e->stopping)
+		stop_step(e, now);
+}
+
+static struct evconnlistener *listen_on(struct entry *e, const char *address, evconnlistener_cb cb,
+					struct error *err)
+{
+	struct http_address a;
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	struct evconnlistener *l;
+
+	if (!http_address_parse(str_from(address), &a)) {
+		error_set(err, ERROR_FRONT, ENTRY_LISTEN, "%s: expected IP:PORT", address);
+		return NULL;
+	}
+	sin.sin_port = htons(a.port);
+	sin.sin_addr.s_addr = htonl(a.ip);
+	l = evconnlistener_new_bind(e->base, cb, e,
+				    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
+					    LEV_OPT_CLOSE_ON_EXEC,
+				    BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+	if (!l)
+		error_set(err, ERROR_FRONT, ENTRY_LISTEN, "cannot listen on %s: %s", address,
+			  strerror(errno));
+	return l;
+}
+
+static int listen_all(struct entry *e, struct error *err)
+{
+	e->front = listen_on(e, e->settings.http.listen, caller_accept, err);
+	if (!e->front)
+		return -1;
+	e->ready = listen_on(e, e->settings.ready.listen, ready_accept, err);
+	if (!e->ready)
+		return -1;
+	if (!e->settings.metrics.listen[0])
+		return 0;
+	e->metrics = listen_on(e, e->settings.metrics.listen, metrics_accept, err);
+	return e->metrics ? 0 : -1;
+}
+
+static void start_signals(struct entry *e)
+{
+	static const int numbers[] = { SIGTERM, SIGINT, SIGHUP };
+
+	for (int i = 0; i < 3; i++) {
+		e->signals[i] = evsignal_new(e->base, numbers[i], on_signal, e);
+		event_add(e->signals[i], NULL);
+	}
+}
+
+struct entry *entry_create(const struct settings *settings, const char *path, struct error *err)
+{
+	struct entry *e = mem_zalloc(sizeof(*e));
+	struct timeval tick = { .tv_usec = TICK_MS * 1000 };
+
+	e->settings = *settings;
+	if (path)
+		str_copy(e->settings_path, sizeof(e->settings_path), str_from(path));
+	e->settings_changed = settings_mtime(e->settings_path);
+	CDS_INIT_LIST_HEAD(&e->endpoints);
+	CDS_INIT_LIST_HEAD(&e->services);
+	CDS_INIT_LIST_HEAD(&e->callers);
+	directory_init(&e->directory, endpoint_changed, e);
+	entry_dc(e, settings->instance.dc);
+	e->base = event_base_new();
+	if (!e->base) {
+		error_set(err, ERROR_FRONT, ENTRY_LOOP, "cannot make an event loop");
+		goto fail;
+	}
+	e->endpoint_client = http_client_create(
+		e->base, &(struct http_client_options){ .idle_ms = ENDPOINT_IDLE_MS,
+							.user_timeout_ms = USER_TIMEOUT_MS });
+	e->store_client = http_client_create(
+		e->base, &(struct http_client_options){ .idle_ms = STORE_IDLE_MS,
+							.user_timeout_ms = USER_TIMEOUT_MS });
+	if (listen_all(e, err) < 0)
+		goto fail;
+	start_signals(e);
+	e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
+	event_add(e->tick, &tick);
+	e->watches[0] = store_watch_create(e, STORE_TABLE_OPERATOR);
+	e->watches[1] = store_watch_create(e, STORE_TABLE_ENDPOINTS);
+	return e;
+fail:
+	entry_destroy(e);
+	return NULL;
+}
+
+void entry_run(struct entry *e)
+{
+	log_info("started", "id=%s dc=%s region=%s front=%s ready=%s store=%s",
+		 e->settings.instance.id, e->settings.instance.dc, e->settings.instance.region,
+		 e->settings.http.listen, e->settings.ready.listen, e->settings.platform.url);
+	event_base_dispatch(e->base);
+	log_info("stopped", "requests=%d", e->exchanges);
+}
+
+static void services_destroy(struct entry *e)
+{
+	struct service *s, *next;
+
+	cds_list_for_each_entry_safe(s, next, &e->services, link)
+		free(s);
+}
+
+void entry_destroy(struct entry *e)
+{
+	if (!e)
+		return;
+	callers_destroy(e);
+	store_watch_destroy(e->watches[0]);
+	store_watch_destroy(e->watches[1]);
+	if (e->endpoint_client)
+		endpoints_destroy(e);
+	services_destroy(e);
+	directory_free(&e->directory);
+	http_client_destroy(e->endpoint_client);
+	http_client_destroy(e->store_client);
+	if (e->front)
+		evconnlistener_free(e->front);
+	if (e->ready)
+		evconnlistener_free(e->ready);
+	if (e->metrics)
+		evconnlistener_free(e->metrics);
+	for (int i = 0; i < 3; i++) {
+		if (e->signals[i])
+			event_free(e->signals[i]);
+	}
+	if (e->tick)
+		event_free(e->tick);
+	routing_table_put(e->table);
+	if (e->base)
+		event_base_free(e->base);
+	free(e);
+}
--- /dev/null
+++ b/entry/exchange.c
@@ -0,0 +1,308 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "exchange.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+
+/* When a caller may come back while no endpoint is usable, in milliseconds. */
+#define RETRY_AFTER_NO_ENDPOINT_MS 300
+
+/* The same while this instance has no configuration yet. */
+#define RETRY_AFTER_STARTING_MS 500
+
+/* A request with less time left than this is not sent any more, in milliseconds. */
+#define SEND_MIN_MS 5
+
+int64_t exchange_left_ms(const struct exchange *x)
+{
+	return x->deadline_ms - clock_boot_ms();
+}
+
+bool exchange_repeatable(const struct exchange *x)
+{
+	switch (x->rule->kind) {
+	case CALL_IDEMPOTENT:
+		return true;
+	case CALL_GENERATION:
+		return x->rule->resumable;
+	case CALL_NON_IDEMPOTENT:
+		break;
+	}
+	return false;
+}
+
+void exchange_note(struct exchange *x, const struct endpoint *ep, const char *what)
+{
+	size_t len = strlen(x->trail);
+
+	snprintf(x->trail + len, sizeof(x->trail) - len, "%s%s:%s", len ? "," : "", ep->entry.id,
+		 what);
+}
+
+static void log_outcome(const struct exchange *x, const char *outcome, int status,
+			const char *cause)
+{
+	int64_t now = clock_boot_ms();
+
+	log_info("request",
+		 "request=%s rule=%s service=%s config=%" PRId64
+		 " outcome=%s status=%d cause=%s runs=%d refused=%d sends=%d events=%d "
+		 "first_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64
+		 " expected_ms=%.0f prompt=%" PRId64 " read=%" PRId64 " endpoints=%s",
+		 x->in.id, x->rule ? x->rule->name : "-", x->spec ? x->spec->name : "-",
+		 x->table ? x->table->version : 0, outcome, status, cause, x->runs, x->refused,
+		 x->sends, x->events_given, x->first_ms ? x->first_ms - x->begun_ms : -1,
+		 now - x->begun_ms, x->deadline_ms - now, x->choice.first_ms,
+		 x->in.prompt_tokens, x->choice.read_tokens, x->trail[0] ? x->trail : "-");
+}
+
+static void exchange_destroy(struct exchange *x)
+{
+	attempt_end(x);
+	generation_drop_cache(x);
+	if (x->decode)
+		endpoint_put(x->decode);
+	if (x->timer)
+		event_free(x->timer);
+	event_stream_free(&x->events);
+	buf_free(&x->attempt.body);
+	x->entry->exchanges--;
+	metric_add(METRIC_STREAMS, -1);
+	routing_table_put(x->table);
+	free(x);
+}
+
+/* The last act on an exchange: whoever calls it must not touch @x afterwards. */
+static void exchange_close(struct exchange *x, bool keep)
+{
+	struct caller *c = x->caller;
+
+	exchange_destroy(x);
+	caller_done(c, keep);
+}
+
+static void answer(struct exchange *x, int status, const char *cause, int64_t retry_after_ms)
+{
+	struct buf out = { 0 };
+
+	wire_answer_encode(&out, &(struct own_answer){
+					 .status = status,
+					 .request_id = x->in.id,
+					 .reason = cause,
+					 .retry_after_ms = retry_after_ms,
+					 .close = x->entry->stopping,
+				 });
+	caller_write(x->caller, buf_str(&out));
+	buf_free(&out);
+	exchange_close(x, true);
+}
+
+void exchange_refuse(struct exchange *x, const char *cause, int64_t retry_after_ms)
+{
+	metric_add(METRIC_REFUSED_NOT_RUN, 1);
+	log_outcome(x, "refused", 503, cause);
+	answer(x, 503, cause, retry_after_ms);
+}
+
+void exchange_fail(struct exchange *x, int status, const char *cause)
+{
+	metric_add(METRIC_OUTCOME_UNKNOWN, 1);
+	log_outcome(x, x->answer_begun ? "cut" : "failed", status, cause);
+	if (x->answer_begun) {
+		exchange_close(x, false);
+		return;
+	}
+	answer(x, status, cause, -1);
+}
+
+void exchange_give_up(struct exchange *x, const char *cause, int64_t retry_after_ms)
+{
+	if (x->runs || x->answer_begun)
+		exchange_fail(x, 502, cause);
+	else
+		exchange_refuse(x, cause, retry_after_ms);
+}
+
+void exchange_relay(struct exchange *x)
+{
+	struct buf out = { 0 };
+	bool close = x->entry->stopping;
+
+	wire_response_encode(&out, x->attempt.head, (int64_t)x->attempt.body.len, close);
+	buf_append_str(&out, buf_str(&x->attempt.body));
+	caller_write(x->caller, buf_str(&out));
+	buf_free(&out);
+	metric_add(METRIC_REQUESTS_OK, 1);
+	x->first_ms = clock_boot_ms();
+	log_outcome(x, "served", x->attempt.response.status, "-");
+	exchange_close(x, true);
+}
+
+void exchange_served(struct exchange *x)
+{
+	metric_add(METRIC_REQUESTS_OK, 1);
+	log_outcome(x, "served", 200, "-");
+	exchange_close(x, true);
+}
+
+void exchange_cancel(struct exchange *x)
+{
+	log_outcome(x, "cancelled", 0, "caller-left");
+	exchange_destroy(x);
+}
+
+static void on_deadline(evutil_socket_t fd, short what, void *ctx)
+{
+	struct exchange *x = ctx;
+
+	/* An attempt in progress may have run, whatever came before it. */
+	if (x->attempt.call && x->attempt.work == WIRE_WORK_RUN)
+		x->runs++;
+	if (x->runs || x->answer_begun)
+		exchange_fail(x, 504, "deadline");
+	else
+		exchange_refuse(x, "deadline", 0);
+}
+
+static void set_deadline(struct exchange *x)
+{
+	int64_t limit = x->rule->timeout_ms;
+	int64_t left;
+	struct timeval tv;
+
+	if (x->in.wait_ms > 0 && x->in.wait_ms < limit)
+		limit = x->in.wait_ms;
+	x->deadline_ms = x->begun_ms + limit;
+	left = exchange_left_ms(x);
+	if (left < 0)
+		left = 0;
+	tv = (struct timeval){ .tv_sec = left / 1000, .tv_usec = (left % 1000) * 1000 };
+	x->timer = evtimer_new(x->entry->base, on_deadline, x);
+	event_add(x->timer, &tv);
+}
+
+static bool tried(const struct exchange *x, const struct endpoint *ep)
+{
+	for (int i = 0; i < x->tried_count; i++) {
+		if (x->tried[i] == ep->hash)
+			return true;
+	}
+	return false;
+}
+
+/* Disadvantages in requests in progress: another data centre, and an endpoint that failed always. */
+#define CALL_REMOTE 0.7
+#define CALL_FAILING 6.0
+
+/* Endpoint of a plain service: the fewest requests for its size, near and sound ones first. */
+static struct endpoint *call_place(struct exchange *x, int64_t now_ms)
+{
+	struct endpoint *best = NULL;
+	struct endpoint *ep;
+	double least = 0;
+
+	cds_list_for_each_entry(ep, &x->entry->endpoints, link) {
+		double score;
+
+		if (strcmp(ep->entry.service, x->spec->name) != 0 ||
+		    !endpoint_open(ep, now_ms) || tried(x, ep))
+			continue;
+		score = ep->active + (ep->dc ? CALL_REMOTE : 0) + CALL_FAILING * ep->failure_share +
+			(double)(hash_mix(ep->hash, (uint64_t)x->begun_ms) & 1023) / 8192;
+		if (best && score >= least)
+			continue;
+		best = ep;
+		least = score;
+	}
+	return best;
+}
+
+void exchange_place(struct exchange *x)
+{
+	int64_t now = clock_boot_ms();
+	struct endpoint *ep;
+
+	if (x->deadline_ms - now < SEND_MIN_MS) {
+		exchange_give_up(x, "deadline", 0);
+		return;
+	}
+	if (x->rule->kind == CALL_GENERATION && x->spec->engine.present) {
+		if (!generation_place(x, now))
+			exchange_give_up(x, "no-endpoint", RETRY_AFTER_NO_ENDPOINT_MS);
+		return;
+	}
+	ep = call_place(x, now);
+	if (!ep) {
+		exchange_give_up(x, "no-endpoint", RETRY_AFTER_NO_ENDPOINT_MS);
+		return;
+	}
+	if (!attempt_start(x, ep, WIRE_WORK_RUN, NULL))
+		exchange_give_up(x, "retry-budget", RETRY_AFTER_NO_ENDPOINT_MS);
+}
+
+/* Answer that needs no endpoint, or 0. */
+static int check_request(struct exchange *x, bool has_id, const char **cause)
+{
+	struct str host = { 0 };
+	int service;
+
+	if (!x->table) {
+		*cause = "no-configuration";
+		return 503;
+	}
+	if (!has_id) {
+		*cause = "request-id-missing";
+		return 400;
+	}
+	http_head_find(x->head, "host", &host);
+	x->rule = routing_table_match(x->table, host, buf_str(&x->head->target));
+	if (!x->rule) {
+		*cause = "no-rule";
+		return 404;
+	}
+	service = routing_rule_target(x->rule, hash_str(str_from(x->in.id), 0));
+	if (service < 0) {
+		*cause = "no-service";
+		return 503;
+	}
+	x->spec = &x->table->services[service];
+	x->service = service_find(x->entry, x->spec->name);
+	return 0;
+}
+
+struct exchange *exchange_begin(struct entry *e, struct caller *c, const struct http_head *head,
+				struct str body, int64_t begun_ms)
+{
+	struct exchange *x = mem_zalloc(sizeof(*x));
+	const char *cause = "-";
+	bool has_id = wire_request_decode(head, &x->in);
+	int status;
+	int before = e->exchanges;
+
+	x->entry = e;
+	x->caller = c;
+	x->head = head;
+	x->body = body;
+	x->begun_ms = begun_ms;
+	x->deadline_ms = begun_ms;
+	x->last_event = x->in.resume_from;
+	x->table = routing_table_get(e->table);
+	e->exchanges++;
+	metric_add(METRIC_STREAMS, 1);
+	status = check_request(x, has_id, &cause);
+	if (status) {
+		metric_add(status == 503 ? METRIC_REFUSED_NOT_RUN : METRIC_BAD_REQUESTS, 1);
+		log_outcome(x, "refused", status, cause);
+		answer(x, status, cause, status == 503 ? RETRY_AFTER_STARTING_MS : -1);
+		return NULL;
+	}
+	set_deadline(x);
+	exchange_place(x);
+	/* An exchange that has answered from inside is gone. */
+	return e->exchanges > before ? x : NULL;
+}
--- /dev/null
+++ b/entry/generation.c
@@ -0,0 +1,288 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "exchange.h"
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+
+#define ENGINES_MAX 512
+
+/* Disadvantage of an engine whose attempts all failed lately, in milliseconds. */
+#define FAILING_MS 800
+
+static void write_events(struct exchange *x, struct str bytes)
+{
+	struct buf out = { 0 };
+
+	if (!x->answer_begun) {
+		wire_response_encode(&out, x->attempt.head, -1, x->entry->stopping);
+		x->answer_begun = true;
+		x->first_ms = clock_boot_ms();
+	}
+	buf_printf(&out, "%zx\r\n", bytes.len);
+	buf_append_str(&out, bytes);
+	buf_append(&out, "\r\n", 2);
+	caller_write(x->caller, buf_str(&out));
+	buf_free(&out);
+}
+
+/*
+ * Whole events with ids that follow one another are passed on; the bytes of an unfinished event
+ * are not, so that a generation can go on elsewhere after the last whole one.
+ */
+static bool take_events(struct exchange *x)
+{
+	struct stream_event ev;
+	struct buf out = { 0 };
+	bool in_order = true;
+
+	while (in_order && event_stream_next(&x->events, &ev)) {
+		if (ev.has_id) {
+			if (ev.id <= x->last_event)
+				continue;
+			in_order = x->last_event < 0 || ev.id == x->last_event + 1;
+			if (!in_order)
+				break;
+			x->last_event = ev.id;
+		}
+		x->events_given++;
+		buf_append_str(&out, ev.raw);
+	}
+	if (out.len)
+		write_events(x, buf_str(&out));
+	buf_free(&out);
+	return in_order;
+}
+
+void generation_body(struct exchange *x, struct str bytes)
+{
+	struct endpoint *ep = x->attempt.endpoint;
+
+	attempt_read(x);
+	event_stream_feed(&x->events, bytes);
+	if (take_events(x))
+		return;
+	log_warn("stream-out-of-order", "request=%s endpoint=%s last_event=%" PRId64, x->in.id,
+		 ep->entry.id, x->last_event);
+	endpoint_result(ep, false);
+	exchange_note(x, ep, "out-of-order");
+	attempt_end(x);
+	event_stream_reset(&x->events);
+	x->runs++;
+	attempt_again(x, "stream-out-of-order");
+}
+
+void generation_end(struct exchange *x)
+{
+	struct endpoint *ep = x->attempt.endpoint;
+
+	x->runs++;
+	if (event_stream_partial(&x->events) || !x->events_given) {
+		endpoint_result(ep, false);
+		exchange_note(x, ep, "truncated");
+		attempt_end(x);
+		event_stream_reset(&x->events);
+		attempt_again(x, "stream-truncated");
+		return;
+	}
+	endpoint_result(ep, true);
+	exchange_note(x, ep, "streamed");
+	caller_write(x->caller, STR_LIT("0\r\n\r\n"));
+	exchange_served(x);
+}
+
+static void learn_parts(const struct exchange *x, struct endpoint *ep)
+{
+	if (!ep->cache)
+		return;
+	for (int i = x->in.part_count - 1; i >= 0; i--)
+		cache_view_use(ep->cache, x->in.parts[i].id, x->in.parts[i].tokens);
+}
+
+void generation_prefilled(struct exchange *x)
+{
+	struct endpoint *ep = x->attempt.endpoint;
+	char handle[96];
+
+	attempt_read(x);
+	if (x->attempt.response.status != 200 ||
+	    !wire_handle_decode(buf_str(&x->attempt.body), handle, sizeof(handle))) {
+		endpoint_result(ep, false);
+		exchange_note(x, ep, "no-handle");
+		attempt_end(x);
+		attempt_again(x, "prefill-failed");
+		return;
+	}
+	endpoint_result(ep, true);
+	exchange_note(x, ep, "prefilled");
+	snprintf(x->cache_source, sizeof(x->cache_source), "%s/%s", ep->entry.address, handle);
+	snprintf(x->cache_handle, sizeof(x->cache_handle), "%s", handle);
+	x->cache_owner = ep->address;
+	attempt_end(x);
+	if (!x->decode || !endpoint_open(x->decode, clock_boot_ms())) {
+		generation_drop_cache(x);
+		attempt_again(x, "decode-engine-gone");
+		return;
+	}
+	learn_parts(x, x->decode);
+	if (!attempt_start(x, x->decode, WIRE_WORK_RUN, NULL))
+		exchange_give_up(x, "retry-budget", 0);
+}
+
+static void on_drop_head(void *ctx, const struct http_head *head)
+{
+}
+
+static void on_drop_body(void *ctx, struct str bytes)
+{
+}
+
+static void on_drop_end(void *ctx)
+{
+}
+
+static void on_drop_fail(void *ctx, enum http_failure why)
+{
+	/* The engine frees the cache by itself some seconds later. */
+	log_debug("cache-drop-failed", "cause=%s", http_failure_name(why));
+}
+
+static const struct http_exchange_ops drop_ops = {
+	.on_head = on_drop_head,
+	.on_body = on_drop_body,
+	.on_end = on_drop_end,
+	.on_fail = on_drop_fail,
+};
+
+#define DROP_CONNECT_MS 300
+#define DROP_SILENCE_MS 1000
+
+void generation_drop_cache(struct exchange *x)
+{
+	struct buf request = { 0 };
+	char address[32];
+
+	/* Events, or an answer, show that the cache has been taken. */
+	if (!x->cache_source[0] || x->answer_begun) {
+		x->cache_source[0] = '\0';
+		return;
+	}
+	x->cache_source[0] = '\0';
+	http_address_format(&x->cache_owner, address);
+	wire_handle_drop(&request, address, x->cache_handle);
+	http_exchange_start(x->entry->endpoint_client,
+			    &(struct http_exchange_spec){
+				    .to = x->cache_owner,
+				    .request = buf_str(&request),
+				    .connect_ms = DROP_CONNECT_MS,
+				    .silence_ms = DROP_SILENCE_MS,
+			    },
+			    &drop_ops, NULL);
+	buf_free(&request);
+}
+
+static int64_t cached_tokens(const struct exchange *x, const struct endpoint *ep)
+{
+	int64_t sum = 0;
+
+	if (!ep->cache)
+		return 0;
+	for (int i = 0; i < x->in.part_count; i++) {
+		int64_t kept = cache_view_has(ep->cache, x->in.parts[i].id);
+
+		if (!kept)
+			break;
+		sum += kept;
+	}
+	return sum < x->in.prompt_tokens ? sum : x->in.prompt_tokens;
+}
+
+/* The last part belongs to the request itself; the one before it is what others share. */
+static uint64_t home_key(const struct exchange *x)
+{
+	int n = x->in.part_count;
+
+	return n > 1 ? x->in.parts[n - 2].id : n ? x->in.parts[0].id : 0;
+}
+
+static int64_t shared_tokens(const struct exchange *x)
+{
+	int64_t sum = 0;
+
+	for (int i = 0; i + 1 < x->in.part_count; i++)
+		sum += x->in.parts[i].tokens;
+	return sum;
+}
+
+static bool was_tried(const struct exchange *x, const struct endpoint *ep)
+{
+	for (int i = 0; i < x->tried_count; i++) {
+		if (x->tried[i] == ep->hash)
+			return true;
+	}
+	return false;
+}
+
+static struct place_engine view(const struct exchange *x, const struct endpoint *ep, int64_t now_ms)
+{
+	return (struct place_engine){
+		.stage = ep->entry.stage,
+		.dc = ep->dc,
+		.usable = endpoint_open(ep, now_ms) && !was_tried(x, ep),
+		.backlog_tokens = ep->backlog_tokens,
+		.active = ep->active,
+		.slots = ep->entry.slots,
+		.cached_tokens = cached_tokens(x, ep),
+		.penalty_ms = FAILING_MS * ep->failure_share,
+		.home_score = hash_mix(home_key(x), ep->hash),
+	};
+}
+
+static void charge(struct exchange *x, struct endpoint *ep, int64_t tokens)
+{
+	/* attempt_start() has just made the attempt that carries the charge. */
+	x->attempt.charged_tokens = tokens;
+	ep->backlog_tokens += tokens;
+	learn_parts(x, ep);
+}
+
+bool generation_place(struct exchange *x, int64_t now_ms)
+{
+	struct place_engine engines[ENGINES_MAX];
+	struct endpoint *eps[ENGINES_MAX];
+	const struct settings *s = &x->entry->settings;
+	struct endpoint *ep, *first;
+	int count = 0;
+
+	cds_list_for_each_entry(ep, &x->entry->endpoints, link) {
+		if (count == ENGINES_MAX || strcmp(ep->entry.service, x->spec->name) != 0)
+			continue;
+		eps[count] = ep;
+		engines[count++] = view(x, ep, now_ms);
+	}
+	if (!place_pick(engines, count,
+			&(struct place_request){ .prompt_tokens = x->in.prompt_tokens,
+						 .shared_tokens = shared_tokens(x) },
+			&x->service->speed, &s->place, &x->choice))
+		return false;
+	if (!x->sends && x->choice.first_ms > (double)(x->deadline_ms - now_ms)) {
+		exchange_refuse(x, "too-late", (int64_t)x->choice.first_ms / 2);
+		return true;
+	}
+	if (x->decode)
+		endpoint_put(x->decode);
+	x->decode = eps[x->choice.decode];
+	x->decode->refs++;
+	first = x->choice.prefill >= 0 ? eps[x->choice.prefill] : x->decode;
+	if (!attempt_start(x, first, x->choice.prefill >= 0 ? WIRE_WORK_PREFILL : WIRE_WORK_RUN,
+			   x->choice.fetch >= 0 ? eps[x->choice.fetch] : NULL)) {
+		exchange_give_up(x, "retry-budget", 0);
+		return true;
+	}
+	charge(x, first, x->choice.read_tokens);
+	return true;
+}
--- /dev/null
+++ b/entry/internal.h
@@ -0,0 +1,141 @@
+#ifndef IBISGATE_ENTRY_INTERNAL_H
+#define IBISGATE_ENTRY_INTERNAL_H
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <urcu/list.h>
+
+#include "ibisgate/daemon/settings.h"
+#include "ibisgate/entry/entry.h"
+#include "ibisgate/net/event_stream.h"
+#include "ibisgate/net/http_client.h"
+#include "ibisgate/platform/wire.h"
+#include "ibisgate/policy/extra_budget.h"
+#include "ibisgate/policy/place.h"
+#include "ibisgate/policy/retry.h"
+#include "ibisgate/state/cache_view.h"
+#include "ibisgate/state/directory.h"
+#include "ibisgate/state/routing_table.h"
+
+/*
+ * One event loop carries everything in these files; nothing here takes a lock. A request reads
+ * downward: caller.c -> exchange.c -> attempt.c -> endpoints.c and net/http_client.c.
+ */
+
+/**
+ * struct endpoint - an endpoint as this instance uses it
+ * @refs: the list's reference while it is listed, and one for each attempt
+ * @dc: number of its data centre, see entry_dc()
+ * @backlog_tokens: uncached prompt tokens that this instance has sent and that are not yet read
+ * @active: requests of this instance in progress
+ * @failure_share: moving share of failed attempts, 0 to 1
+ * @avoid_until_ms: it has said that it is full or not the expected instance
+ */
+struct endpoint {
+	struct cds_list_head link;
+	struct endpoint_entry entry;
+	struct http_address address;
+	int refs;
+	bool listed;
+	int dc;
+	uint64_t hash;
+	struct circuit circuit;
+	struct cache_view *cache;
+	int64_t backlog_tokens;
+	int active;
+	double failure_share;
+	int64_t avoid_until_ms;
+};
+
+/** struct service - what this instance knows of a service beside its configuration */
+struct service {
+	struct cds_list_head link;
+	char name[DIRECTORY_NAME_MAX];
+	struct extra_budget budget;
+	struct place_speed speed;
+};
+
+#define ENTRY_DCS_MAX 32
+
+struct entry {
+	struct settings settings;
+	char settings_path[SETTINGS_TEXT_MAX];
+	int64_t settings_changed;
+	struct event_base *base;
+	struct evconnlistener *front;
+	struct evconnlistener *ready;
+	struct evconnlistener *metrics;
+	struct event *signals[3];
+	struct event *tick;
+	struct http_client *endpoint_client;
+	struct http_client *store_client;
+	struct routing_table *table;
+	struct directory directory;
+	bool endpoints_known;
+	bool was_ready;
+	struct cds_list_head endpoints;
+	struct cds_list_head services;
+	struct cds_list_head callers;
+	struct store_watch *watches[2];
+	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
+	int dc_count;
+	int exchanges;
+	bool stopping;
+	int64_t stop_ms;
+	int64_t ticked_ms;
+};
+
+/** entry_dc - number of a data centre; its own one is 0 */
+int entry_dc(struct entry *e, const char *name);
+bool entry_ready(const struct entry *e);
+void entry_table_set(struct entry *e, struct routing_table *t);
+struct extra_limits entry_extra_limits(const struct entry *e);
+
+/* endpoints.c */
+void endpoint_changed(void *ctx, enum directory_change change, const struct endpoint_entry *entry);
+void endpoint_put(struct endpoint *ep);
+bool endpoint_open(const struct endpoint *ep, int64_t now_ms);
+void endpoint_result(struct endpoint *ep, bool ok);
+void endpoints_destroy(struct entry *e);
+struct service *service_find(struct entry *e, const char *name);
+
+/* store_watch.c */
+struct store_watch;
+struct store_watch *store_watch_create(struct entry *e, const char *table);
+void store_watch_destroy(struct store_watch *w);
+
+/* caller.c */
+struct caller;
+void caller_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
+		   void *ctx);
+void caller_destroy(struct caller *c);
+void callers_sweep(struct entry *e, int64_t now_ms);
+void callers_destroy(struct entry *e);
+void caller_write(struct caller *c, struct str bytes);
+
+/** caller_done - the exchange has ended; @keep: its answer was complete */
+void caller_done(struct caller *c, bool keep);
+
+/* exchange.c */
+struct exchange;
+
+/**
+ * exchange_begin - take a whole request over
+ * @head: stays valid until caller_done() or exchange_cancel(), like @body
+ *
+ * May answer at once, from inside the call. Return: NULL then.
+ */
+struct exchange *exchange_begin(struct entry *e, struct caller *c, const struct http_head *head,
+				struct str body, int64_t begun_ms);
+
+/** exchange_cancel - the caller has gone */
+void exchange_cancel(struct exchange *x);
+
+/* probe.c */
+void ready_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
+		  void *ctx);
+void metrics_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
+		    void *ctx);
+
+#endif
--- /dev/null
+++ b/entry/store_watch.c
@@ -0,0 +1,293 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/platform/store.h"
+#include "internal.h"
+
+/* Connection set-up to the store, in milliseconds; its answers take 4 ms when it is well. */
+#define STORE_CONNECT_MS 700
+
+/* Longest silence of the store beyond the wait that was asked for, in milliseconds. */
+#define STORE_SILENCE_MS 1500
+
+/*
+ * Longest wait of a change feed, in milliseconds. A connection that has gone silent is noticed
+ * only after it, and a change must be in force within 2 s.
+ */
+#define FEED_WAIT_MS 5000
+
+/* Pause between two calls of a feed in milliseconds: changes that come together share a call. */
+#define FEED_PAUSE_MS 100
+
+/* Pause after a failed call: doubled from the first to the last value, in milliseconds. */
+#define RETRY_MIN_MS 150
+#define RETRY_MAX_MS 1000
+
+/*
+ * Endpoints write their entries again within about 2 s of the store's return; their absence
+ * counts only afterwards. In milliseconds.
+ */
+#define LAPSED_HOLD_MS 2300
+
+/**
+ * struct store_watch - keeps one table of the store up to date in this process
+ * @listing: the whole table is being read, else changes are waited for
+ * @after: last key of the pages read so far
+ * @version: the next feed goes on from here
+ * @down: the last call failed
+ */
+struct store_watch {
+	struct entry *entry;
+	char table[32];
+	char address[32];
+	struct http_address to;
+	struct http_exchange *call;
+	struct event *timer;
+	struct buf body;
+	int status;
+	bool listing;
+	char after[256];
+	int64_t version;
+	bool down;
+	int failures;
+	int64_t asked_ms;
+};
+
+static void ask_after(struct store_watch *w, int64_t ms)
+{
+	struct timeval tv = { .tv_sec = ms / 1000, .tv_usec = (ms % 1000) * 1000 };
+
+	event_add(w->timer, &tv);
+}
+
+static void watch_failed(struct store_watch *w, const char *why)
+{
+	int64_t pause = RETRY_MIN_MS << (w->failures < 4 ? w->failures : 4);
+
+	if (!w->down)
+		log_warn("dependency-lost", "dependency=store table=%s cause=%s version=%" PRId64,
+			 w->table, why, w->version);
+	w->down = true;
+	w->failures++;
+	metric_add(METRIC_PLATFORM_ERRORS, 1);
+	ask_after(w, pause < RETRY_MAX_MS ? pause : RETRY_MAX_MS);
+}
+
+static void watch_answered(struct store_watch *w)
+{
+	int64_t now = clock_boot_ms();
+
+	if (w->down) {
+		log_info("dependency-regained", "dependency=store table=%s failures=%d", w->table,
+			 w->failures);
+		directory_hold(&w->entry->directory, now + LAPSED_HOLD_MS);
+	}
+	w->down = false;
+	w->failures = 0;
+}
+
+static void apply_config(struct store_watch *w, const struct store_row *row)
+{
+	struct entry *e = w->entry;
+	struct error err = { 0 };
+	struct routing_table *t;
+
+	if (row->deleted || !store_row_is_config(row))
+		return;
+	t = store_config_decode(buf_str(&row->value), &err);
+	if (!t) {
+		log_warn("config-ignored", "row_version=%" PRId64 " error=\"%s\"", row->version,
+			 err.text);
+		return;
+	}
+	entry_table_set(e, t);
+}
+
+static void apply_endpoint(struct store_watch *w, const struct store_row *row)
+{
+	struct entry *e = w->entry;
+	struct endpoint_entry entry;
+	struct error err = { 0 };
+	int64_t now = clock_boot_ms();
+
+	if (row->deleted) {
+		directory_remove(&e->directory, str_from(row->key), row->version, now);
+		return;
+	}
+	if (store_endpoint_decode(row, &entry, &err) < 0) {
+		log_warn("endpoint-ignored", "row_version=%" PRId64 " error=\"%s\"", row->version,
+			 err.text);
+		directory_remove(&e->directory, str_from(row->key), row->version, now);
+		return;
+	}
+	directory_put(&e->directory, &entry);
+}
+
+static void apply_rows(struct store_watch *w, const struct store_rows *rows)
+{
+	bool config = strcmp(w->table, STORE_TABLE_OPERATOR) == 0;
+
+	for (int i = 0; i < rows->count; i++) {
+		if (config)
+			apply_config(w, &rows->rows[i]);
+		else
+			apply_endpoint(w, &rows->rows[i]);
+	}
+}
+
+static void list_page(struct store_watch *w, const struct store_rows *rows)
+{
+	bool endpoints = strcmp(w->table, STORE_TABLE_ENDPOINTS) == 0;
+
+	if (!w->after[0]) {
+		w->version = rows->version;
+		if (endpoints)
+			directory_list_begin(&w->entry->directory);
+	}
+	apply_rows(w, rows);
+	if (rows->more && rows->count) {
+		str_copy(w->after, sizeof(w->after), str_from(rows->rows[rows->count - 1].key));
+		return;
+	}
+	w->after[0] = '\0';
+	w->listing = false;
+	if (endpoints) {
+		directory_list_end(&w->entry->directory, w->version, clock_boot_ms());
+		w->entry->endpoints_known = true;
+	}
+}
+
+static void on_head(void *ctx, const struct http_head *head)
+{
+	struct store_watch *w = ctx;
+
+	w->status = head->status;
+}
+
+static void on_body(void *ctx, struct str bytes)
+{
+	struct store_watch *w = ctx;
+
+	buf_append(&w->body, bytes.data, bytes.len);
+}
+
+static void on_end(void *ctx)
+{
+	struct store_watch *w = ctx;
+	struct store_rows rows;
+	struct error err = { 0 };
+	int64_t age;
+
+	w->call = NULL;
+	if (w->status == 410) {
+		/* The store no longer has the changes since our version. */
+		log_warn("feed-history-lost", "table=%s version=%" PRId64, w->table, w->version);
+		watch_answered(w);
+		w->listing = true;
+		w->after[0] = '\0';
+		ask_after(w, 0);
+		return;
+	}
+	if (w->status != 200) {
+		watch_failed(w, w->status == 429 ? "rate-limit" : "status");
+		return;
+	}
+	if (store_rows_decode(buf_str(&w->body), &rows, &err) < 0) {
+		log_warn("store-response-ignored", "table=%s error=\"%s\"", w->table, err.text);
+		watch_failed(w, "malformed");
+		return;
+	}
+	watch_answered(w);
+	if (w->listing) {
+		list_page(w, &rows);
+	} else {
+		apply_rows(w, &rows);
+		if (rows.version > w->version)
+			w->version = rows.version;
+	}
+	store_rows_free(&rows);
+	age = clock_boot_ms() - w->asked_ms;
+	ask_after(w, w->listing || age >= FEED_PAUSE_MS ? 0 : FEED_PAUSE_MS - age);
+}
+
+static void on_fail(void *ctx, enum http_failure why)
+{
+	struct store_watch *w = ctx;
+
+	w->call = NULL;
+	if (why == HTTP_FAILURE_STALE) {
+		ask_after(w, 0);
+		return;
+	}
+	watch_failed(w, http_failure_name(why));
+}
+
+static const struct http_exchange_ops watch_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+	.on_fail = on_fail,
+};
+
+static void watch_ask(evutil_socket_t fd, short what, void *ctx)
+{
+	struct store_watch *w = ctx;
+	struct buf request = { 0 };
+	int wait_ms = w->listing || w->down ? 0 : FEED_WAIT_MS;
+
+	if (w->call)
+		return;
+	w->body.len = 0;
+	w->status = 0;
+	w->asked_ms = clock_boot_ms();
+	if (w->listing)
+		store_read_request(&request, w->address, w->table, w->after);
+	else
+		store_feed_request(&request, w->address, w->table, w->version, wait_ms);
+	metric_add(METRIC_PLATFORM_READS, 1);
+	w->call = http_exchange_start(w->entry->store_client,
+				      &(struct http_exchange_spec){
+					      .to = w->to,
+					      .request = buf_str(&request),
+					      .connect_ms = STORE_CONNECT_MS,
+					      .silence_ms = wait_ms + STORE_SILENCE_MS,
+				      },
+				      &watch_ops, w);
+	buf_free(&request);
+}
+
+struct store_watch *store_watch_create(struct entry *e, const char *table)
+{
+	struct store_watch *w = mem_zalloc(sizeof(*w));
+	struct str url = str_from(e->settings.platform.url);
+
+	w->entry = e;
+	str_copy(w->table, sizeof(w->table), str_from(table));
+	if (str_starts_with(url, STR_LIT("http://"))) {
+		url.data += 7;
+		url.len -= 7;
+	}
+	str_copy(w->address, sizeof(w->address), url);
+	if (!http_address_parse(url, &w->to))
+		log_error("settings", "key=platform.url value=\"%s\" expected=http://IP:PORT",
+			  e->settings.platform.url);
+	w->listing = true;
+	w->timer = evtimer_new(e->base, watch_ask, w);
+	ask_after(w, 0);
+	return w;
+}
+
+void store_watch_destroy(struct store_watch *w)
+{
+	if (!w)
+		return;
+	if (w->call)
+		http_exchange_cancel(w->call);
+	event_free(w->timer);
+	buf_free(&w->body);
+	free(w);
+}
--- a/ibisgated/main.c
+++ b/ibisgated/main.c
@@ -11,9 +11,13 @@
 #include "ibisgate/compat/ssl.h"
 #include "ibisgate/daemon/control.h"
 #include "ibisgate/daemon/gate.h"
+#include "ibisgate/entry/entry.h"
 
 #define POLL_MS 50
 
+/* Log lines a second; a request takes one or two, so this is beyond what an instance can serve. */
+#define LOG_LINES_PER_S 2000
+
 /* Exit codes; documented in ibisgated(1). */
 enum exit_code {
 	EXIT_FINE = 0,
@@ -77,16 +81,36 @@
 	return failed ? EXIT_FAILED : EXIT_FINE;
 }
 
+static int serve_rows(const struct settings *settings, const char *path)
+{
+	struct error err = { 0 };
+	struct entry *entry;
+
+	signal(SIGPIPE, SIG_IGN);
+	entry = entry_create(settings, path, &err);
+	if (!entry) {
+		log_error("start-failed", "layer=%s error=\"%s\"", error_layer_name(err.layer),
+			  err.text);
+		return EXIT_FAILED;
+	}
+	entry_run(entry);
+	entry_destroy(entry);
+	return EXIT_FINE;
+}
+
 int main(int argc, char **argv)
 {
 	struct arg_file *file =
-		arg_file1("s", "settings", "FILE", "settings of this instance; see ibisgate(5)");
+		arg_file0("s", "settings", "FILE",
+			  "settings of this instance, see ibisgate(5); "
+			  "default: the file named by $IBISGATE_SETTINGS");
 	struct arg_lit *check = arg_lit0("c", "check", "check the settings and exit");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
 	struct arg_end *end = arg_end(8);
 	void *table[] = { file, check, help, end };
 	struct settings *settings = mem_zalloc(sizeof(*settings));
 	struct error err = { 0 };
+	const char *path;
 	int code = EXIT_USAGE;
 	int problems = arg_parse(argc, argv, table);
 
@@ -101,16 +125,29 @@
 		arg_print_errors(stderr, end, "ibisgated");
 		goto out;
 	}
+	path = file->count ? file->filename[0] : getenv("IBISGATE_SETTINGS");
+	if (!path) {
+		fprintf(stderr, "ibisgated: give --settings FILE or set IBISGATE_SETTINGS\n");
+		goto out;
+	}
 	code = EXIT_SETTINGS;
-	if (settings_load(settings, file->filename[0], stderr, &err) < 0)
+	if (settings_load(settings, path, stderr, &err) < 0)
 		goto out;
 	code = EXIT_FINE;
 	if (check->count) {
-		printf("%s: valid\n", file->filename[0]);
+		printf("%s: valid\n", path);
 		goto out;
 	}
 	log_init(settings->instance.log_level, settings->instance.id);
-	code = serve(settings);
+	switch (settings->platform.kind) {
+	case PLATFORM_TABLE:
+		code = serve(settings);
+		break;
+	case PLATFORM_ROWS:
+		log_to_stdout(LOG_LINES_PER_S);
+		code = serve_rows(settings, path);
+		break;
+	}
 out:
 	free(settings);
 	arg_freetable(table, sizeof(table) / sizeof(table[0]));
--- a/include/ibisgate/common/log.h
+++ b/include/ibisgate/common/log.h
@@ -13,6 +13,15 @@
 /** log_init - set the least level written and the program's name; lines go to standard error */
 void log_init(enum log_level least, const char *program);
 
+/**
+ * log_to_stdout - write to standard output without ever blocking
+ * @lines_per_s: greatest number of lines a second
+ *
+ * Lines beyond the limit, or while the reader is behind, are dropped and counted; the next line
+ * that gets through is preceded by one "log-dropped lines=N".
+ */
+void log_to_stdout(int lines_per_s);
+
 /** log_level_parse - level named "debug", "info", "warn" or "error"; -1 for any other text */
 int log_level_parse(const char *name);
 
--- a/include/ibisgate/daemon/settings.h
+++ b/include/ibisgate/daemon/settings.h
@@ -7,11 +7,22 @@
 
 #include "ibisgate/common/error.h"
 #include "ibisgate/common/log.h"
+#include "ibisgate/policy/place.h"
 
 #define SETTINGS_ROUTES_MAX 512
 #define SETTINGS_SEEDS_MAX 64
 #define SETTINGS_TEXT_MAX 256
 
+/**
+ * enum platform_kind - what the instance runs on
+ * @PLATFORM_TABLE: the project's own protocol: API keys, cluster state, claims
+ * @PLATFORM_ROWS: the platform with a store of rows, on which nothing else is kept
+ */
+enum platform_kind {
+	PLATFORM_TABLE,
+	PLATFORM_ROWS,
+};
+
 /** struct settings_pair - one "key = value" of a free-form section */
 struct settings_pair {
 	char key[64];
@@ -48,6 +59,7 @@
 		char curve_secret[48];
 	} peer;
 	struct {
+		enum platform_kind kind;
 		char url[128];
 		int64_t timeout_ms;
 		int workers;
@@ -60,6 +72,30 @@
 		int64_t silence_ms;
 		int64_t load_poll_ms;
 	} links;
+	/* [ready], [metrics]: addresses of an instance on PLATFORM_ROWS */
+	struct {
+		char listen[64];
+	} ready;
+	struct {
+		char listen[64];
+	} metrics;
+	/* [bounds]: limits that the platform sets */
+	struct {
+		double retry_ratio;
+		double retry_fixed;
+		int64_t retry_window_ms;
+		int instances_max;
+		int64_t stop_grace_ms;
+	} bounds;
+	/* [engines]: speeds assumed until requests have been measured, see struct place_speed */
+	struct {
+		double prefill_tokens_per_ms;
+		double mixed_tokens_per_ms;
+		double overhead_ms;
+		double transfer_tokens_per_ms;
+	} engines;
+	/* [place] */
+	struct place_costs place;
 	/* [distance] data centre = microseconds one way */
 	struct settings_pair distance[32];
 	int distance_count;
--- /dev/null
+++ b/include/ibisgate/state/cache_view.h
@@ -0,0 +1,27 @@
+#ifndef IBISGATE_STATE_CACHE_VIEW_H
+#define IBISGATE_STATE_CACHE_VIEW_H
+
+#include <stdint.h>
+
+/**
+ * struct cache_view - what this instance believes to be in one engine's KV cache
+ *
+ * Parts of prompts with their sizes, least recently used first out, as the engines do it.
+ */
+struct cache_view;
+
+/** cache_view_create - @capacity: tokens that fit the engine */
+struct cache_view *cache_view_create(int64_t capacity);
+void cache_view_destroy(struct cache_view *v);
+
+/** cache_view_use - a part was read or used there; @tokens: its size */
+void cache_view_use(struct cache_view *v, uint64_t part, int64_t tokens);
+void cache_view_drop(struct cache_view *v, uint64_t part);
+
+/** cache_view_clear - the engine has started again or its contents are unknown */
+void cache_view_clear(struct cache_view *v);
+
+/** cache_view_has - tokens of a part that are kept; 0 when it is not */
+int64_t cache_view_has(const struct cache_view *v, uint64_t part);
+
+#endif
--- /dev/null
+++ b/net/event_stream.c
@@ -0,0 +1,74 @@
+#include <string.h>
+
+#include "ibisgate/net/event_stream.h"
+
+void event_stream_feed(struct event_stream *s, struct str bytes)
+{
+	if (s->pos) {
+		buf_consume(&s->buf, s->pos);
+		s->pos = 0;
+	}
+	buf_append(&s->buf, bytes.data, bytes.len);
+}
+
+static struct str line_trim(struct str line)
+{
+	if (line.len && line.data[line.len - 1] == '\r')
+		line.len--;
+	return line;
+}
+
+static void read_id(struct str line, struct stream_event *out)
+{
+	struct str name = str_split(&line, ':');
+
+	if (!str_eq_cstr(name, "id"))
+		return;
+	if (line.len && line.data[0] == ' ') {
+		line.data++;
+		line.len--;
+	}
+	out->has_id = str_to_i64(line, &out->id);
+}
+
+bool event_stream_next(struct event_stream *s, struct stream_event *out)
+{
+	size_t at = s->pos;
+
+	*out = (struct stream_event){ 0 };
+	while (at < s->buf.len) {
+		const char *start = s->buf.data + at;
+		const char *end = memchr(start, '\n', s->buf.len - at);
+		struct str line;
+
+		if (!end)
+			return false;
+		line = line_trim((struct str){ .data = start, .len = (size_t)(end - start) });
+		at = (size_t)(end - s->buf.data) + 1;
+		if (!line.len) {
+			out->raw = (struct str){ .data = s->buf.data + s->pos,
+						 .len = at - s->pos };
+			s->pos = at;
+			return true;
+		}
+		read_id(line, out);
+	}
+	return false;
+}
+
+bool event_stream_partial(const struct event_stream *s)
+{
+	return s->pos < s->buf.len;
+}
+
+void event_stream_reset(struct event_stream *s)
+{
+	s->buf.len = 0;
+	s->pos = 0;
+}
+
+void event_stream_free(struct event_stream *s)
+{
+	buf_free(&s->buf);
+	s->pos = 0;
+}
--- /dev/null
+++ b/net/http_client.c
@@ -0,0 +1,487 @@
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <urcu/list.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/net/http_client.h"
+
+/* Kept connections to one address; more idle ones than this save nothing. */
+#define IDLE_PER_ADDRESS 24
+
+/* Seconds before the first and between keep-alive probes, and lost probes that end a connection. */
+#define KEEPALIVE_IDLE_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_COUNT 2
+
+/* Share of the peer's announced idle time during which a kept connection is used again. */
+#define KEEP_ALIVE_SHARE 0.7
+
+struct http_exchange {
+	const struct http_exchange_ops *ops;
+	void *ctx;
+	struct connection *conn;
+	char match_name[48];
+	char match_value[80];
+	int silence_ms;
+	bool head_seen;
+};
+
+/**
+ * struct connection - one TCP connection to an endpoint
+ * @idle: entry in client->idle while no exchange uses it
+ * @exchange: the exchange that uses it, or NULL
+ * @skipping: the response being read answers an earlier request
+ * @busy: depth of callbacks; the connection is freed when it is back at zero
+ */
+struct connection {
+	struct cds_list_head idle;
+	struct http_client *client;
+	struct http_address to;
+	struct bufferevent *bev;
+	struct http_reader reader;
+	struct http_exchange *exchange;
+	int64_t idle_since_ms;
+	int64_t idle_limit_ms;
+	bool connected;
+	bool reused;
+	bool reusable;
+	bool any_byte;
+	bool skipping;
+	bool doomed;
+	int busy;
+};
+
+struct http_client {
+	struct event_base *base;
+	struct http_client_options options;
+	struct cds_list_head idle;
+	struct event *sweep;
+	int64_t connects;
+};
+
+static const char *const failure_names[] = {
+	[HTTP_FAILURE_CONNECT] = "connect",	[HTTP_FAILURE_STALE] = "stale-connection",
+	[HTTP_FAILURE_CLOSED] = "closed",	[HTTP_FAILURE_MALFORMED] = "malformed",
+	[HTTP_FAILURE_TIMEOUT] = "timeout",
+};
+
+const char *http_failure_name(enum http_failure f)
+{
+	return failure_names[f];
+}
+
+bool http_address_parse(struct str text, struct http_address *out)
+{
+	struct str host = str_split(&text, ':');
+	char ip[32];
+	struct in_addr in;
+	int64_t port;
+
+	if (!str_copy(ip, sizeof(ip), host) || inet_pton(AF_INET, ip, &in) != 1)
+		return false;
+	if (!str_to_i64(text, &port) || port < 1 || port > 65535)
+		return false;
+	out->ip = ntohl(in.s_addr);
+	out->port = (uint16_t)port;
+	return true;
+}
+
+void http_address_format(const struct http_address *a, char out[32])
+{
+	snprintf(out, 32, "%u.%u.%u.%u:%u", a->ip >> 24, (a->ip >> 16) & 255, (a->ip >> 8) & 255,
+		 a->ip & 255, a->port);
+}
+
+void tcp_tune(int fd, int user_timeout_ms)
+{
+	unsigned int timeout = (unsigned int)user_timeout_ms;
+	int on = 1;
+	int idle = KEEPALIVE_IDLE_S;
+	int interval = KEEPALIVE_INTERVAL_S;
+	int count = KEEPALIVE_COUNT;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof(count));
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout, sizeof(timeout));
+}
+
+static void connection_free(struct connection *c)
+{
+	cds_list_del(&c->idle);
+	bufferevent_free(c->bev);
+	http_reader_free(&c->reader);
+	free(c);
+}
+
+/* Ends a connection now, or after the callback that is running on it. */
+static void connection_drop(struct connection *c)
+{
+	cds_list_del(&c->idle);
+	CDS_INIT_LIST_HEAD(&c->idle);
+	c->doomed = true;
+	if (!c->busy)
+		connection_free(c);
+}
+
+static void connection_enter(struct connection *c)
+{
+	c->busy++;
+}
+
+static void connection_leave(struct connection *c)
+{
+	if (--c->busy == 0 && c->doomed)
+		connection_free(c);
+}
+
+static void exchange_fail(struct connection *c, enum http_failure why)
+{
+	struct http_exchange *x = c->exchange;
+
+	c->exchange = NULL;
+	if (x) {
+		x->ops->on_fail(x->ctx, why);
+		free(x);
+	}
+	c->doomed = true;
+}
+
+/* Time that the peer keeps an idle connection, from its Keep-Alive field; in milliseconds. */
+static int64_t keep_alive_ms(const struct http_head *head, int64_t fallback)
+{
+	struct str value;
+
+	if (!http_head_find(head, "keep-alive", &value))
+		return fallback;
+	while (value.len) {
+		struct str part = str_split(&value, ',');
+		int64_t seconds;
+
+		while (part.len && part.data[0] == ' ') {
+			part.data++;
+			part.len--;
+		}
+		if (!str_starts_with(part, STR_LIT("timeout=")))
+			continue;
+		part.data += 8;
+		part.len -= 8;
+		if (str_to_i64(part, &seconds) && seconds >= 0)
+			return (int64_t)((double)seconds * 1000 * KEEP_ALIVE_SHARE);
+	}
+	return fallback;
+}
+
+static int on_head(void *ctx, const struct http_head *head)
+{
+	struct connection *c = ctx;
+	struct http_exchange *x = c->exchange;
+	struct str value;
+	int64_t limit;
+
+	if (!x)
+		return 0;
+	if (head->status < 200) {
+		c->skipping = true;
+		return 0;
+	}
+	c->skipping = x->match_name[0] && (!http_head_find(head, x->match_name, &value) ||
+					   !str_eq_cstr(value, x->match_value));
+	if (c->skipping) {
+		/* A connection that has delivered a foreign response is not used again. */
+		c->reusable = false;
+		return 0;
+	}
+	limit = keep_alive_ms(head, c->client->options.idle_ms);
+	c->idle_limit_ms =
+		limit < c->client->options.idle_ms ? limit : c->client->options.idle_ms;
+	c->reusable = c->reusable && head->keep_alive && c->idle_limit_ms > 0;
+	x->head_seen = true;
+	x->ops->on_head(x->ctx, head);
+	return 0;
+}
+
+static void on_body(void *ctx, struct str bytes)
+{
+	struct connection *c = ctx;
+
+	if (c->exchange && !c->skipping)
+		c->exchange->ops->on_body(c->exchange->ctx, bytes);
+}
+
+static void on_end(void *ctx)
+{
+	(void)ctx;
+}
+
+static const struct http_reader_ops reader_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+};
+
+static int idle_count(const struct http_client *client, const struct http_address *to)
+{
+	struct connection *c;
+	int n = 0;
+
+	cds_list_for_each_entry(c, &client->idle, idle) {
+		if (c->to.ip == to->ip && c->to.port == to->port)
+			n++;
+	}
+	return n;
+}
+
+static void exchange_end(struct connection *c)
+{
+	struct http_exchange *x = c->exchange;
+	struct evbuffer *in = bufferevent_get_input(c->bev);
+
+	c->exchange = NULL;
+	/* Bytes behind a complete response belong to no request. */
+	if (c->reusable && !c->doomed && evbuffer_get_length(in) == 0 &&
+	    idle_count(c->client, &c->to) < IDLE_PER_ADDRESS) {
+		c->idle_since_ms = clock_boot_ms();
+		bufferevent_set_timeouts(c->bev, NULL, NULL);
+		cds_list_add(&c->idle, &c->client->idle);
+	} else {
+		c->doomed = true;
+	}
+	if (x) {
+		x->ops->on_end(x->ctx);
+		free(x);
+	}
+}
+
+static void on_read(struct bufferevent *bev, void *ctx)
+{
+	struct connection *c = ctx;
+	struct evbuffer *in = bufferevent_get_input(bev);
+
+	connection_enter(c);
+	if (!c->exchange) {
+		c->doomed = true;
+		goto out;
+	}
+	while (c->exchange && evbuffer_get_length(in) > 0) {
+		size_t len = evbuffer_get_contiguous_space(in);
+		struct str bytes = { .data = (char *)evbuffer_pullup(in, (ev_ssize_t)len),
+				     .len = len };
+		int64_t used;
+
+		c->any_byte = true;
+		used = http_reader_feed(&c->reader, bytes);
+		if (!c->exchange)
+			goto out;
+		if (used < 0) {
+			exchange_fail(c, HTTP_FAILURE_MALFORMED);
+			goto out;
+		}
+		evbuffer_drain(in, (size_t)used);
+		if (!c->reader.ended)
+			continue;
+		http_reader_next(&c->reader);
+		if (!c->skipping) {
+			exchange_end(c);
+			goto out;
+		}
+	}
+out:
+	connection_leave(c);
+}
+
+static enum http_failure failure_of(const struct connection *c, short what)
+{
+	if (!c->connected)
+		return HTTP_FAILURE_CONNECT;
+	if (what & BEV_EVENT_TIMEOUT)
+		return HTTP_FAILURE_TIMEOUT;
+	if (c->reused && !c->any_byte)
+		return HTTP_FAILURE_STALE;
+	return HTTP_FAILURE_CLOSED;
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	struct connection *c = ctx;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		c->connected = true;
+		if (c->exchange && c->exchange->silence_ms) {
+			struct timeval tv = { .tv_sec = c->exchange->silence_ms / 1000,
+					      .tv_usec =
+						      (c->exchange->silence_ms % 1000) * 1000L };
+
+			bufferevent_set_timeouts(bev, &tv, NULL);
+		} else {
+			bufferevent_set_timeouts(bev, NULL, NULL);
+		}
+		return;
+	}
+	connection_enter(c);
+	if ((what & BEV_EVENT_EOF) && c->exchange && !c->skipping &&
+	    http_reader_eof(&c->reader) && c->exchange) {
+		c->reusable = false;
+		exchange_end(c);
+	} else if (c->exchange) {
+		exchange_fail(c, failure_of(c, what));
+	} else {
+		c->doomed = true;
+	}
+	connection_leave(c);
+}
+
+static void sweep_idle(evutil_socket_t fd, short what, void *ctx)
+{
+	struct http_client *client = ctx;
+	struct connection *c, *next;
+	int64_t now = clock_boot_ms();
+
+	cds_list_for_each_entry_safe(c, next, &client->idle, idle) {
+		if (now - c->idle_since_ms > c->idle_limit_ms)
+			connection_drop(c);
+	}
+}
+
+struct http_client *http_client_create(struct event_base *base,
+				       const struct http_client_options *options)
+{
+	struct http_client *c = mem_zalloc(sizeof(*c));
+	struct timeval second = { .tv_sec = 1 };
+
+	c->base = base;
+	c->options = *options;
+	CDS_INIT_LIST_HEAD(&c->idle);
+	c->sweep = event_new(base, -1, EV_PERSIST, sweep_idle, c);
+	event_add(c->sweep, &second);
+	return c;
+}
+
+void http_client_destroy(struct http_client *client)
+{
+	struct connection *c, *next;
+
+	if (!client)
+		return;
+	cds_list_for_each_entry_safe(c, next, &client->idle, idle)
+		connection_drop(c);
+	event_free(client->sweep);
+	free(client);
+}
+
+void http_client_forget(struct http_client *client, const struct http_address *to)
+{
+	struct connection *c, *next;
+
+	cds_list_for_each_entry_safe(c, next, &client->idle, idle) {
+		if (c->to.ip == to->ip && c->to.port == to->port)
+			connection_drop(c);
+	}
+}
+
+int64_t http_client_connects(const struct http_client *c)
+{
+	return c->connects;
+}
+
+static struct connection *take_idle(struct http_client *client, const struct http_address *to)
+{
+	struct connection *c, *next;
+	int64_t now = clock_boot_ms();
+
+	cds_list_for_each_entry_safe(c, next, &client->idle, idle) {
+		if (c->to.ip != to->ip || c->to.port != to->port)
+			continue;
+		if (now - c->idle_since_ms > c->idle_limit_ms) {
+			connection_drop(c);
+			continue;
+		}
+		cds_list_del(&c->idle);
+		CDS_INIT_LIST_HEAD(&c->idle);
+		c->reused = true;
+		c->any_byte = false;
+		return c;
+	}
+	return NULL;
+}
+
+static struct connection *connection_create(struct http_client *client,
+					    const struct http_address *to, int connect_ms)
+{
+	struct connection *c = mem_zalloc(sizeof(*c));
+	struct timeval tv = { .tv_sec = connect_ms / 1000,
+			      .tv_usec = (connect_ms % 1000) * 1000L };
+	struct sockaddr_in sin = { .sin_family = AF_INET,
+				   .sin_port = htons(to->port),
+				   .sin_addr.s_addr = htonl(to->ip) };
+	evutil_socket_t fd;
+
+	c->client = client;
+	c->to = *to;
+	c->reusable = true;
+	CDS_INIT_LIST_HEAD(&c->idle);
+	http_reader_init(&c->reader, HTTP_SIDE_RESPONSE, 0, &reader_ops, c);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd >= 0)
+		tcp_tune(fd, client->options.user_timeout_ms);
+	/* Deferred callbacks: a failure of connect() must not be reported from inside a start. */
+	c->bev = bufferevent_socket_new(client->base, fd,
+					BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+	bufferevent_setcb(c->bev, on_read, NULL, on_event, c);
+	bufferevent_set_timeouts(c->bev, &tv, &tv);
+	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
+	client->connects++;
+	bufferevent_socket_connect(c->bev, (struct sockaddr *)&sin, sizeof(sin));
+	return c;
+}
+
+struct http_exchange *http_exchange_start(struct http_client *client,
+					  const struct http_exchange_spec *spec,
+					  const struct http_exchange_ops *ops, void *ctx)
+{
+	struct http_exchange *x = mem_zalloc(sizeof(*x));
+	struct connection *c = NULL;
+
+	x->ops = ops;
+	x->ctx = ctx;
+	x->silence_ms = spec->silence_ms;
+	if (spec->match_name) {
+		str_copy(x->match_name, sizeof(x->match_name), str_from(spec->match_name));
+		str_copy(x->match_value, sizeof(x->match_value), spec->match_value);
+	}
+	if (!spec->fresh)
+		c = take_idle(client, &spec->to);
+	if (!c) {
+		c = connection_create(client, &spec->to, spec->connect_ms);
+	} else if (spec->silence_ms) {
+		struct timeval tv = { .tv_sec = spec->silence_ms / 1000,
+				      .tv_usec = (spec->silence_ms % 1000) * 1000L };
+
+		bufferevent_set_timeouts(c->bev, &tv, NULL);
+	}
+	c->exchange = x;
+	x->conn = c;
+	bufferevent_write(c->bev, spec->request.data, spec->request.len);
+	return x;
+}
+
+void http_exchange_cancel(struct http_exchange *x)
+{
+	struct connection *c = x->conn;
+
+	c->exchange = NULL;
+	connection_drop(c);
+	free(x);
+}
+
+bool http_exchange_sent(const struct http_exchange *x)
+{
+	return x->conn->connected;
+}
--- /dev/null
+++ b/net/http_message.c
@@ -0,0 +1,269 @@
+#include <string.h>
+#include <strings.h>
+
+#include "ibisgate/net/http_message.h"
+
+/* Default limit of a head in bytes; the usual limit of HTTP servers is 8 to 64 KiB. */
+#define HEAD_MAX_DEFAULT 65536
+
+static const char *const hop_fields[] = {
+	"connection", "keep-alive", "proxy-connection",  "proxy-authenticate", "proxy-authorization",
+	"te",	      "trailer",    "transfer-encoding", "upgrade",	       "content-length",
+};
+
+bool str_ieq(struct str a, const char *b)
+{
+	return strlen(b) == a.len && strncasecmp(a.data, b, a.len) == 0;
+}
+
+struct str http_field_name(const struct http_head *h, int i)
+{
+	return (struct str){ .data = h->text.data + h->fields[i].name,
+			     .len = h->fields[i].name_len };
+}
+
+struct str http_field_value(const struct http_head *h, int i)
+{
+	return (struct str){ .data = h->text.data + h->fields[i].value,
+			     .len = h->fields[i].value_len };
+}
+
+bool http_head_find(const struct http_head *h, const char *name, struct str *value)
+{
+	for (int i = 0; i < h->count; i++) {
+		if (!str_ieq(http_field_name(h, i), name))
+			continue;
+		*value = http_field_value(h, i);
+		return true;
+	}
+	return false;
+}
+
+int64_t http_head_i64(const struct http_head *h, const char *name, int64_t fallback)
+{
+	struct str value;
+	int64_t n;
+
+	if (!http_head_find(h, name, &value) || !str_to_i64(value, &n))
+		return fallback;
+	return n;
+}
+
+static bool connection_names(const struct http_head *h, struct str name)
+{
+	for (int i = 0; i < h->count; i++) {
+		struct str rest = http_field_value(h, i);
+
+		if (!str_ieq(http_field_name(h, i), "connection"))
+			continue;
+		while (rest.len) {
+			struct str part = str_split(&rest, ',');
+
+			while (part.len && part.data[0] == ' ') {
+				part.data++;
+				part.len--;
+			}
+			while (part.len && part.data[part.len - 1] == ' ')
+				part.len--;
+			if (part.len == name.len &&
+			    strncasecmp(part.data, name.data, name.len) == 0)
+				return true;
+		}
+	}
+	return false;
+}
+
+bool http_field_is_hop(const struct http_head *h, int i)
+{
+	struct str name = http_field_name(h, i);
+
+	for (size_t k = 0; k < sizeof(hop_fields) / sizeof(hop_fields[0]); k++) {
+		if (str_ieq(name, hop_fields[k]))
+			return true;
+	}
+	return connection_names(h, name);
+}
+
+static int fail(struct http_reader *r, enum http_fault fault)
+{
+	r->fault = fault;
+	return -1;
+}
+
+static int count_head(struct http_reader *r, size_t len)
+{
+	r->head_bytes += len;
+	return r->head_bytes > r->head_max ? fail(r, HTTP_FAULT_HEAD_SIZE) : 0;
+}
+
+static int on_begin(http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->head.count = 0;
+	r->head.text.len = 0;
+	r->head.target.len = 0;
+	r->head_bytes = 0;
+	r->in_value = true;
+	r->begun = true;
+	r->ended = false;
+	return 0;
+}
+
+static int on_target(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	buf_append(&r->head.target, at, len);
+	return count_head(r, len);
+}
+
+static int on_field(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+	struct http_head *h = &r->head;
+
+	if (r->in_value) {
+		if (h->count == HTTP_FIELDS_MAX)
+			return fail(r, HTTP_FAULT_HEAD_SIZE);
+		h->fields[h->count++] = (struct http_field){ .name = (uint32_t)h->text.len };
+		r->in_value = false;
+	}
+	buf_append(&h->text, at, len);
+	h->fields[h->count - 1].name_len += (uint32_t)len;
+	h->fields[h->count - 1].value = (uint32_t)h->text.len;
+	return count_head(r, len + 2);
+}
+
+static int on_value(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+	struct http_head *h = &r->head;
+
+	if (!h->count)
+		return fail(r, HTTP_FAULT_MALFORMED);
+	r->in_value = true;
+	buf_append(&h->text, at, len);
+	h->fields[h->count - 1].value_len += (uint32_t)len;
+	return count_head(r, len + 2);
+}
+
+/*
+ * A message with both framings, with two lengths or with an unknown transfer coding means
+ * different things to different readers; that is how requests are smuggled (RFC 9112, 6.3).
+ */
+static bool framing_sound(const struct http_head *h)
+{
+	int lengths = 0;
+	int codings = 0;
+
+	for (int i = 0; i < h->count; i++) {
+		struct str name = http_field_name(h, i);
+
+		if (str_ieq(name, "content-length")) {
+			lengths++;
+		} else if (str_ieq(name, "transfer-encoding")) {
+			codings++;
+			if (!str_ieq(http_field_value(h, i), "chunked"))
+				return false;
+		}
+	}
+	return lengths + codings <= 1;
+}
+
+static int on_headers(http_parser *p)
+{
+	struct http_reader *r = p->data;
+	struct http_head *h = &r->head;
+
+	if (!framing_sound(h))
+		return fail(r, HTTP_FAULT_FRAMING);
+	h->method = (enum http_method)p->method;
+	h->status = (int)p->status_code;
+	h->keep_alive = http_should_keep_alive(p);
+	return r->ops->on_head(r->ctx, h);
+}
+
+static int on_body(http_parser *p, const char *at, size_t len)
+{
+	struct http_reader *r = p->data;
+
+	r->ops->on_body(r->ctx, (struct str){ .data = at, .len = len });
+	return 0;
+}
+
+static int on_complete(http_parser *p)
+{
+	struct http_reader *r = p->data;
+
+	r->begun = false;
+	r->ended = true;
+	http_parser_pause(p, 1);
+	return 0;
+}
+
+static const http_parser_settings parser_settings = {
+	.on_message_begin = on_begin,
+	.on_url = on_target,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_headers,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void http_reader_init(struct http_reader *r, enum http_side side, size_t head_max,
+		      const struct http_reader_ops *ops, void *ctx)
+{
+	memset(r, 0, sizeof(*r));
+	http_parser_init(&r->parser, side == HTTP_SIDE_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
+	r->parser.data = r;
+	r->head_max = head_max ? head_max : HEAD_MAX_DEFAULT;
+	r->ops = ops;
+	r->ctx = ctx;
+}
+
+void http_reader_free(struct http_reader *r)
+{
+	buf_free(&r->head.text);
+	buf_free(&r->head.target);
+}
+
+int64_t http_reader_feed(struct http_reader *r, struct str bytes)
+{
+	size_t used;
+
+	if (r->ended)
+		return 0;
+	used = http_parser_execute(&r->parser, &parser_settings, bytes.data, bytes.len);
+	if (r->fault)
+		return -1;
+	if (r->ended) {
+		if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED)
+			http_parser_pause(&r->parser, 0);
+		r->ops->on_end(r->ctx);
+		return (int64_t)used;
+	}
+	if (HTTP_PARSER_ERRNO(&r->parser) != HPE_OK || r->parser.upgrade)
+		return fail(r, HTTP_FAULT_MALFORMED);
+	return (int64_t)used;
+}
+
+void http_reader_next(struct http_reader *r)
+{
+	r->ended = false;
+	r->begun = false;
+}
+
+bool http_reader_eof(struct http_reader *r)
+{
+	if (!r->begun)
+		return false;
+	http_parser_execute(&r->parser, &parser_settings, "", 0);
+	if (!r->ended)
+		return false;
+	if (HTTP_PARSER_ERRNO(&r->parser) == HPE_PAUSED)
+		http_parser_pause(&r->parser, 0);
+	r->ops->on_end(r->ctx);
+	return true;
+}
--- /dev/null
+++ b/policy/place.c
@@ -0,0 +1,161 @@
+#include <float.h>
+
+#include "ibisgate/policy/place.h"
+
+/*
+ * Share of the slots in use from which an engine's delay grows, and the delay of an engine that
+ * is full, in milliseconds: a full engine makes a request wait for a whole generation.
+ */
+#define SLOTS_EASY 0.5
+#define SLOTS_FULL_MS 400.0
+
+/* A fetch that saves fewer tokens than this costs more calls than it saves work. */
+#define FETCH_MIN_TOKENS 512
+
+/** struct reading - how one engine would get a prompt into its cache */
+struct reading {
+	int fetch;
+	int64_t read_tokens;
+	double ms;
+	double cost;
+};
+
+static int find_home(const struct place_engine *e, int count)
+{
+	int home = -1;
+
+	for (int i = 0; i < count; i++) {
+		if (e[i].usable && (home < 0 || e[i].home_score > e[home].home_score))
+			home = i;
+	}
+	return home;
+}
+
+/* The engine that keeps most of the prompt; of equals one in data centre @dc. */
+static int find_source(const struct place_engine *e, int count, int dc)
+{
+	int best = -1;
+
+	for (int i = 0; i < count; i++) {
+		if (!e[i].usable || !e[i].cached_tokens)
+			continue;
+		if (best < 0 || e[i].cached_tokens > e[best].cached_tokens ||
+		    (e[i].cached_tokens == e[best].cached_tokens && e[i].dc == dc &&
+		     e[best].dc != dc))
+			best = i;
+	}
+	return best;
+}
+
+static double crowd_ms(const struct place_engine *e)
+{
+	double used = e->slots > 0 ? (double)e->active / e->slots : 1;
+
+	if (used <= SLOTS_EASY)
+		return 0;
+	return SLOTS_FULL_MS * (used - SLOTS_EASY) / (1 - SLOTS_EASY);
+}
+
+static struct reading read_at(const struct place_engine *e, int count, int at, int source,
+			      const struct place_request *r, const struct place_speed *s,
+			      const struct place_costs *c)
+{
+	double rate = e[at].stage == STAGE_PREFILL ? s->prefill_per_ms : s->mixed_per_ms;
+	int64_t missing = r->prompt_tokens - e[at].cached_tokens;
+	struct reading out = { .fetch = -1, .read_tokens = missing > 0 ? missing : 0 };
+	int64_t gain = source >= 0 ? e[source].cached_tokens - e[at].cached_tokens : 0;
+	double hops = source >= 0 && e[source].dc != e[at].dc ? 2 : 1;
+	double move_ms = c->fetch_ms + (double)gain * hops / s->transfer_per_ms;
+	double move_cost = (double)gain * hops * c->move_token_ms;
+	double work;
+
+	if (gain >= FETCH_MIN_TOKENS && move_ms + move_cost < (double)gain / rate) {
+		out.fetch = source;
+		out.read_tokens -= gain;
+		out.ms += move_ms;
+		out.cost += move_cost;
+	}
+	work = (double)out.read_tokens / rate;
+	out.ms += (double)e[at].backlog_tokens / rate + work + crowd_ms(&e[at]);
+	out.cost += out.ms + work * c->work_weight + e[at].penalty_ms;
+	return out;
+}
+
+/* Engine that takes over a filled cache: near the one that filled it, with few requests. */
+static int find_decode(const struct place_engine *e, int count, const struct place_request *r,
+		       const struct place_speed *s, const struct place_costs *c, int prefill,
+		       double *ms, double *cost)
+{
+	int best = -1;
+
+	*cost = DBL_MAX;
+	for (int i = 0; i < count; i++) {
+		double hops = e[i].dc != e[prefill].dc ? 2 : 1;
+		double wait, sum;
+
+		if (!e[i].usable || e[i].stage != STAGE_DECODE)
+			continue;
+		wait = (double)r->prompt_tokens * hops / s->transfer_per_ms + crowd_ms(&e[i]);
+		sum = wait + (double)r->prompt_tokens * hops * c->move_token_ms +
+		      (e[i].dc != r->dc ? c->remote_ms : 0) + e[i].penalty_ms +
+		      /* Prefill between the tokens of others slows the generation. */
+		      (double)e[i].backlog_tokens / s->mixed_per_ms / 4;
+		if (sum >= *cost)
+			continue;
+		best = i;
+		*ms = wait;
+		*cost = sum;
+	}
+	return best;
+}
+
+bool place_pick(const struct place_engine *engines, int count, const struct place_request *r,
+		const struct place_speed *speed, const struct place_costs *costs,
+		struct place_choice *out)
+{
+	int home = find_home(engines, count);
+	double best = DBL_MAX;
+
+	for (int i = 0; i < count; i++) {
+		const struct place_engine *e = &engines[i];
+		int source = find_source(engines, count, e->dc);
+		bool kept = source >= 0 && engines[source].cached_tokens * 2 >= r->shared_tokens;
+		struct reading reading;
+		double cost;
+
+		if (!e->usable || e->stage == STAGE_NONE)
+			continue;
+		reading = read_at(engines, count, i, source, r, speed, costs);
+		cost = reading.cost + (e->dc != r->dc ? costs->remote_ms : 0);
+		if (i == home && !kept)
+			cost -= costs->home_ms;
+		if (e->stage == STAGE_DECODE) {
+			if (cost >= best)
+				continue;
+			best = cost;
+			*out = (struct place_choice){
+				.prefill = -1,
+				.decode = i,
+				.fetch = reading.fetch,
+				.read_tokens = reading.read_tokens,
+				.first_ms = reading.ms + speed->overhead_ms,
+			};
+		} else {
+			double ms = 0, more = 0;
+			int decode = find_decode(engines, count, r, speed, costs, i, &ms, &more);
+
+			cost += more + costs->handoff_ms;
+			if (decode < 0 || cost >= best)
+				continue;
+			best = cost;
+			*out = (struct place_choice){
+				.prefill = i,
+				.decode = decode,
+				.fetch = reading.fetch,
+				.read_tokens = reading.read_tokens,
+				.first_ms = reading.ms + ms + speed->overhead_ms,
+			};
+		}
+	}
+	return best < DBL_MAX;
+}
--- /dev/null
+++ b/state/cache_view.c
@@ -0,0 +1,102 @@
+#include <stdlib.h>
+#include <urcu/list.h>
+
+#include "ibisgate/common/str.h"
+#include "ibisgate/state/cache_view.h"
+
+#define BUCKETS 256
+
+struct part_entry {
+	struct cds_list_head recent;
+	struct cds_list_head bucket;
+	uint64_t part;
+	int64_t tokens;
+};
+
+struct cache_view {
+	struct cds_list_head recent;
+	struct cds_list_head buckets[BUCKETS];
+	int64_t capacity;
+	int64_t used;
+};
+
+struct cache_view *cache_view_create(int64_t capacity)
+{
+	struct cache_view *v = mem_zalloc(sizeof(*v));
+
+	v->capacity = capacity;
+	CDS_INIT_LIST_HEAD(&v->recent);
+	for (int i = 0; i < BUCKETS; i++)
+		CDS_INIT_LIST_HEAD(&v->buckets[i]);
+	return v;
+}
+
+static void entry_free(struct cache_view *v, struct part_entry *e)
+{
+	v->used -= e->tokens;
+	cds_list_del(&e->recent);
+	cds_list_del(&e->bucket);
+	free(e);
+}
+
+void cache_view_clear(struct cache_view *v)
+{
+	struct part_entry *e, *next;
+
+	cds_list_for_each_entry_safe(e, next, &v->recent, recent)
+		entry_free(v, e);
+}
+
+void cache_view_destroy(struct cache_view *v)
+{
+	if (!v)
+		return;
+	cache_view_clear(v);
+	free(v);
+}
+
+static struct part_entry *entry_find(const struct cache_view *v, uint64_t part)
+{
+	struct part_entry *e;
+
+	cds_list_for_each_entry(e, &v->buckets[part % BUCKETS], bucket) {
+		if (e->part == part)
+			return e;
+	}
+	return NULL;
+}
+
+void cache_view_use(struct cache_view *v, uint64_t part, int64_t tokens)
+{
+	struct part_entry *e = entry_find(v, part);
+
+	if (e) {
+		v->used += tokens - e->tokens;
+		e->tokens = tokens;
+		cds_list_del(&e->recent);
+	} else {
+		e = mem_zalloc(sizeof(*e));
+		e->part = part;
+		e->tokens = tokens;
+		v->used += tokens;
+		cds_list_add(&e->bucket, &v->buckets[part % BUCKETS]);
+	}
+	cds_list_add(&e->recent, &v->recent);
+	while (v->used > v->capacity && v->recent.prev != &e->recent)
+		entry_free(v, cds_list_entry(v->recent.prev, struct part_entry, recent));
+}
+
+void cache_view_drop(struct cache_view *v, uint64_t part)
+{
+	struct part_entry *e = entry_find(v, part);
+
+	if (e)
+		entry_free(v, e);
+}
+
+int64_t cache_view_has(const struct cache_view *v, uint64_t part)
+{
+	struct part_entry *e = entry_find(v, part);
+
+	return e ? e->tokens : 0;
+}
--- /dev/null
+++ b/state/directory.c
@@ -0,0 +1,141 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/state/directory.h"
+
+struct directory_slot {
+	struct endpoint_entry entry;
+	bool listed;
+	bool removal_pending;
+};
+
+void directory_init(struct directory *d,
+		    void (*changed)(void *ctx, enum directory_change change,
+				    const struct endpoint_entry *e),
+		    void *ctx)
+{
+	*d = (struct directory){ .changed = changed, .ctx = ctx };
+}
+
+void directory_free(struct directory *d)
+{
+	free(d->slots);
+	d->slots = NULL;
+	d->count = 0;
+	d->cap = 0;
+}
+
+static struct directory_slot *slot_find(const struct directory *d, struct str id)
+{
+	for (int i = 0; i < d->count; i++) {
+		if (str_eq_cstr(id, d->slots[i].entry.id))
+			return &d->slots[i];
+	}
+	return NULL;
+}
+
+const struct endpoint_entry *directory_find(const struct directory *d, struct str id)
+{
+	struct directory_slot *s = slot_find(d, id);
+
+	return s ? &s->entry : NULL;
+}
+
+static struct directory_slot *slot_add(struct directory *d)
+{
+	if (d->count == d->cap) {
+		d->cap = d->cap ? d->cap * 2 : 32;
+		d->slots = mem_resize(d->slots, sizeof(*d->slots) * (size_t)d->cap);
+	}
+	d->slots[d->count] = (struct directory_slot){ 0 };
+	return &d->slots[d->count++];
+}
+
+static enum directory_change change_between(const struct endpoint_entry *old,
+					    const struct endpoint_entry *e)
+{
+	if (e->born != old->born || strcmp(e->address, old->address) != 0)
+		return DIRECTORY_REBORN;
+	if (e->leaving && !old->leaving)
+		return DIRECTORY_LEAVING;
+	return DIRECTORY_UPDATED;
+}
+
+void directory_put(struct directory *d, const struct endpoint_entry *e)
+{
+	struct directory_slot *s = slot_find(d, str_from(e->id));
+	enum directory_change change = DIRECTORY_ADDED;
+
+	if (s) {
+		s->listed = true;
+		/* A late write of a former process under the same id says nothing of this one. */
+		if (e->version < s->entry.version || e->born < s->entry.born)
+			return;
+		s->removal_pending = false;
+		if (e->version == s->entry.version)
+			return;
+		change = change_between(&s->entry, e);
+	} else {
+		s = slot_add(d);
+		s->listed = true;
+	}
+	s->entry = *e;
+	d->changed(d->ctx, change, &s->entry);
+}
+
+static void slot_drop(struct directory *d, struct directory_slot *s)
+{
+	struct endpoint_entry gone = s->entry;
+
+	*s = d->slots[--d->count];
+	d->changed(d->ctx, DIRECTORY_REMOVED, &gone);
+}
+
+static void slot_remove(struct directory *d, struct directory_slot *s, int64_t now_ms)
+{
+	if (now_ms < d->hold_until_ms) {
+		s->removal_pending = true;
+		return;
+	}
+	slot_drop(d, s);
+}
+
+void directory_remove(struct directory *d, struct str id, int64_t version, int64_t now_ms)
+{
+	struct directory_slot *s = slot_find(d, id);
+
+	if (s && version >= s->entry.version)
+		slot_remove(d, s, now_ms);
+}
+
+void directory_list_begin(struct directory *d)
+{
+	for (int i = 0; i < d->count; i++)
+		d->slots[i].listed = false;
+}
+
+void directory_list_end(struct directory *d, int64_t version, int64_t now_ms)
+{
+	for (int i = d->count - 1; i >= 0; i--) {
+		struct directory_slot *s = &d->slots[i];
+
+		if (!s->listed && !s->removal_pending && version >= s->entry.version)
+			slot_remove(d, s, now_ms);
+	}
+}
+
+void directory_hold(struct directory *d, int64_t until_ms)
+{
+	if (until_ms > d->hold_until_ms)
+		d->hold_until_ms = until_ms;
+}
+
+void directory_step(struct directory *d, int64_t now_ms)
+{
+	if (now_ms < d->hold_until_ms)
+		return;
+	for (int i = d->count - 1; i >= 0; i--) {
+		if (d->slots[i].removal_pending)
+			slot_drop(d, &d->slots[i]);
+	}
+}
