--- a/daemon/control.c
+++ b/daemon/control.c
@@ -100,6 +100,9 @@
 	case PEER_LOAD_SUMMARY:
 		control_on_load(c, m);
 		break;
+	case PEER_SHARING:
+		/* Only instances on the platform with a store of rows send it. */
+		break;
 	}
 }
 
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -18,6 +18,9 @@
 /* Silence after which an idempotent call goes to another endpoint, as a multiple of its target. */
 #define CALL_SILENCE_TARGETS 2
 
+/* Silence before the first token after which a generation goes elsewhere, as a multiple of it. */
+#define FIRST_SILENCE_TARGETS 3
+
 /* Silence inside a generation that may be continued elsewhere, as a multiple of its gap target. */
 #define STREAM_SILENCE_GAPS 3
 #define STREAM_SILENCE_MIN_MS 800
@@ -147,7 +150,7 @@
 	}
 	if (why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_CONNECT)
 		http_client_forget(x->entry->endpoint_client, &ep->address);
-	if (a->charged_tokens && ep->cache)
+	if (why == HTTP_FAILURE_CONNECT && ep->cache)
 		cache_view_clear(ep->cache);
 	attempt_end(x);
 	if (sent && work == WIRE_WORK_RUN)
@@ -185,8 +188,10 @@
 		limit = CALL_SILENCE_TARGETS * x->rule->target_ms;
 	} else {
 		limit = STREAM_SILENCE_GAPS * x->rule->gap_ms;
-		if (limit < x->rule->target_ms + (int64_t)x->choice.first_ms)
-			limit = x->rule->target_ms + (int64_t)x->choice.first_ms;
+		if (limit < FIRST_SILENCE_TARGETS * x->rule->target_ms)
+			limit = FIRST_SILENCE_TARGETS * x->rule->target_ms;
+		if (limit < x->rule->target_ms + (int64_t)(2 * x->choice.first_ms))
+			limit = x->rule->target_ms + (int64_t)(2 * x->choice.first_ms);
 		if (limit < STREAM_SILENCE_MIN_MS)
 			limit = STREAM_SILENCE_MIN_MS;
 	}
@@ -228,6 +233,7 @@
 	a->endpoint = ep;
 	ep->refs++;
 	ep->active++;
+	peers_note_load(x->entry->peers);
 	a->work = work;
 	a->sent_ms = now;
 	circuit_sent(&ep->circuit, now);
@@ -285,6 +291,7 @@
 		a->call = NULL;
 	}
 	a->endpoint->active--;
+	peers_note_load(x->entry->peers);
 	endpoint_put(a->endpoint);
 	a->endpoint = NULL;
 	a->responded = false;
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -4,6 +4,7 @@
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/hash.h"
 #include "ibisgate/common/log.h"
+#include "ibisgate/net/codec.h"
 #include "internal.h"
 
 /* Weight of the newest attempt in an endpoint's share of failures: about the last ten count. */
@@ -54,6 +55,7 @@
 	ep->listed = true;
 	ep->entry = *entry;
 	ep->hash = hash_str(str_from(entry->id), 0);
+	ep->tag = peer_tag(entry->id, 0);
 	ep->dc = entry_dc(e, entry->dc);
 	if (!http_address_parse(str_from(entry->address), &ep->address)) {
 		log_warn("endpoint-ignored", "endpoint=%s address=\"%s\" expected=IP:PORT", entry->id,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -241,6 +241,9 @@
 							.user_timeout_ms = USER_TIMEOUT_MS });
 	if (listen_all(e, err) < 0)
 		goto fail;
+	e->peers = peers_create(e, err);
+	if (!e->peers)
+		goto fail;
 	start_signals(e);
 	e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
 	event_add(e->tick, &tick);
@@ -274,6 +277,7 @@
 	if (!e)
 		return;
 	callers_destroy(e);
+	peers_destroy(e->peers);
 	store_watch_destroy(e->watches[0]);
 	store_watch_destroy(e->watches[1]);
 	if (e->endpoint_client)
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -99,8 +99,10 @@
 {
 	if (!ep->cache)
 		return;
-	for (int i = x->in.part_count - 1; i >= 0; i--)
+	for (int i = x->in.part_count - 1; i >= 0; i--) {
 		cache_view_use(ep->cache, x->in.parts[i].id, x->in.parts[i].tokens);
+		peers_note_part(x->entry->peers, ep, x->in.parts[i].id, x->in.parts[i].tokens);
+	}
 }
 
 void generation_prefilled(struct exchange *x)
@@ -233,8 +235,8 @@
 		.stage = ep->entry.stage,
 		.dc = ep->dc,
 		.usable = endpoint_open(ep, now_ms) && !was_tried(x, ep),
-		.backlog_tokens = ep->backlog_tokens,
-		.active = ep->active,
+		.backlog_tokens = ep->backlog_tokens + ep->others_backlog,
+		.active = ep->active + ep->others_active,
 		.slots = ep->entry.slots,
 		.cached_tokens = cached_tokens(x, ep),
 		.penalty_ms = FAILING_MS * ep->failure_share,
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -29,6 +29,8 @@
  * @dc: number of its data centre, see entry_dc()
  * @backlog_tokens: uncached prompt tokens that this instance has sent and that are not yet read
  * @active: requests of this instance in progress
+ * @others_backlog: @backlog_tokens of the other instances as they told last, like @others_active
+ * @tag: short name in messages between instances
  * @failure_share: moving share of failed attempts, 0 to 1
  * @avoid_until_ms: it has said that it is full or not the expected instance
  */
@@ -40,10 +42,13 @@
 	bool listed;
 	int dc;
 	uint64_t hash;
+	uint32_t tag;
 	struct circuit circuit;
 	struct cache_view *cache;
 	int64_t backlog_tokens;
 	int active;
+	int64_t others_backlog;
+	int others_active;
 	double failure_share;
 	int64_t avoid_until_ms;
 };
@@ -78,6 +83,7 @@
 	struct cds_list_head services;
 	struct cds_list_head callers;
 	struct store_watch *watches[2];
+	struct peers *peers;
 	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
 	int dc_count;
 	int exchanges;
@@ -105,6 +111,20 @@
 struct store_watch *store_watch_create(struct entry *e, const char *table);
 void store_watch_destroy(struct store_watch *w);
 
+/* peers.c */
+struct peers;
+struct peers *peers_create(struct entry *e, struct error *err);
+void peers_destroy(struct peers *p);
+
+/** peers_note_part - tell the others that an engine will keep a part */
+void peers_note_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens);
+
+/** peers_note_load - the loads of this instance have changed */
+void peers_note_load(struct peers *p);
+
+/** peers_count - instances heard lately, this one included */
+int peers_count(const struct peers *p);
+
 /* caller.c */
 struct caller;
 void caller_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
--- a/include/ibisgate/net/codec.h
+++ b/include/ibisgate/net/codec.h
@@ -7,6 +7,7 @@
 #include "ibisgate/common/error.h"
 #include "ibisgate/common/str.h"
 #include "ibisgate/net/codec_load.h"
+#include "ibisgate/net/codec_sharing.h"
 #include "ibisgate/state/drain.h"
 #include "ibisgate/state/member.h"
 #include "ibisgate/state/reserve.h"
@@ -40,6 +41,7 @@
 	PEER_RESERVE_RELEASE = 15,
 	PEER_LOAD_REPORT = 16,
 	PEER_LOAD_SUMMARY = 17,
+	PEER_SHARING = 18,
 	PEER_CONFIG_PART = 24,
 };
 
@@ -181,7 +183,7 @@
  * struct peer_message - one message between instances
  * @sender: instance id, @incarnation its incarnation
  * @hlc: hybrid logical clock of the sender
- * @fleet: owned; made by peer_message_create(); likewise @loads
+ * @fleet: owned; made by peer_message_create(); likewise @loads and @sharing
  */
 struct peer_message {
 	enum peer_message_kind kind;
@@ -197,6 +199,7 @@
 		struct peer_order order;
 		struct peer_fleet *fleet;
 		struct peer_loads *loads;
+		struct peer_sharing *sharing;
 		struct {
 			char endpoint[MEMBER_ID_MAX];
 			char order[DRAIN_ORDER_MAX];
--- /dev/null
+++ b/include/ibisgate/net/codec_sharing.h
@@ -0,0 +1,70 @@
+#ifndef IBISGATE_NET_CODEC_SHARING_H
+#define IBISGATE_NET_CODEC_SHARING_H
+
+#include <stdint.h>
+
+#include "ibisgate/state/member.h"
+
+#define SHARING_HEARD_MAX 128
+#define SHARING_MEMBERS_MAX 16
+#define SHARING_LOADS_MAX 512
+#define SHARING_PARTS_MAX 512
+#define SHARING_SUSPECTS_MAX 32
+#define SHARING_LEAVING_MAX 64
+
+/** struct shared_member - an instance that the sender hears */
+struct shared_member {
+	char id[MEMBER_ID_MAX];
+	char dc[MEMBER_DC_MAX];
+	char peer[MEMBER_ADDR_MAX];
+};
+
+/**
+ * struct shared_load - requests of the sender at one engine
+ * @tag: peer_tag() of the endpoint's id with incarnation 0
+ * @backlog_tokens: uncached prompt tokens sent and not yet read
+ */
+struct shared_load {
+	uint32_t tag;
+	uint32_t backlog_tokens;
+	uint32_t active;
+};
+
+/** struct shared_part - part of a prompt that the sender has sent to an engine */
+struct shared_part {
+	uint32_t tag;
+	uint64_t part;
+	uint32_t tokens;
+};
+
+/** struct shared_suspect - request that was running when endpoints crashed */
+struct shared_suspect {
+	uint64_t fingerprint;
+	uint32_t crashes;
+};
+
+/**
+ * struct peer_sharing - what an instance tells the others several times a second
+ * @heard: peer_tag() of the instances that the sender hears
+ * @leaving: tags of endpoints that the sender knows to be leaving
+ */
+struct peer_sharing {
+	char dc[MEMBER_DC_MAX];
+	char peer[MEMBER_ADDR_MAX];
+	enum member_state state;
+	int64_t config_version;
+	int heard_count;
+	uint32_t heard[SHARING_HEARD_MAX];
+	int member_count;
+	struct shared_member members[SHARING_MEMBERS_MAX];
+	int load_count;
+	struct shared_load loads[SHARING_LOADS_MAX];
+	int part_count;
+	struct shared_part parts[SHARING_PARTS_MAX];
+	int suspect_count;
+	struct shared_suspect suspects[SHARING_SUSPECTS_MAX];
+	int leaving_count;
+	uint32_t leaving[SHARING_LEAVING_MAX];
+};
+
+#endif
--- a/net/codec.c
+++ b/net/codec.c
@@ -19,6 +19,8 @@
 		m->u.fleet = mem_zalloc(sizeof(*m->u.fleet));
 	if (kind == PEER_LOAD_REPORT || kind == PEER_LOAD_SUMMARY)
 		m->u.loads = mem_zalloc(sizeof(*m->u.loads));
+	if (kind == PEER_SHARING)
+		m->u.sharing = mem_zalloc(sizeof(*m->u.sharing));
 	return m;
 }
 
@@ -38,6 +40,8 @@
 		free(m->u.fleet);
 	if (m->kind == PEER_LOAD_REPORT || m->kind == PEER_LOAD_SUMMARY)
 		free(m->u.loads);
+	if (m->kind == PEER_SHARING)
+		free(m->u.sharing);
 	free(m);
 }
 
@@ -289,6 +293,9 @@
 	case PEER_RESERVE_RELEASE:
 		put_reserve_release(b, &m->u.reserve);
 		break;
+	case PEER_SHARING:
+		codec_put_sharing(b, m->u.sharing);
+		break;
 	case PEER_LOAD_REPORT:
 	case PEER_LOAD_SUMMARY:
 		codec_put_loads(b, m->u.loads);
--- a/net/codec_read.c
+++ b/net/codec_read.c
@@ -389,12 +389,15 @@
 	case PEER_LOAD_SUMMARY:
 		codec_get_loads(r, m->u.loads);
 		break;
+	case PEER_SHARING:
+		codec_get_sharing(r, m->u.sharing);
+		break;
 	}
 }
 
 static bool kind_known(uint64_t kind)
 {
-	return (kind >= PEER_HEARTBEAT && kind <= PEER_LOAD_SUMMARY) || kind == PEER_CONFIG_PART;
+	return (kind >= PEER_HEARTBEAT && kind <= PEER_SHARING) || kind == PEER_CONFIG_PART;
 }
 
 struct peer_message *peer_message_decode(struct str data, struct error *err)
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -30,9 +30,9 @@
 
 static int kind_at(int i)
 {
-	int k = 1 + i % (PEER_LOAD_SUMMARY + 1);
+	int k = 1 + i % (PEER_SHARING + 1);
 
-	return k > PEER_LOAD_SUMMARY ? PEER_CONFIG_PART : k;
+	return k > PEER_SHARING ? PEER_CONFIG_PART : k;
 }
 
 static void text(std::mt19937_64 &rng, char *dst, size_t size)
@@ -49,6 +49,35 @@
 	return { (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng() };
 }
 
+static void sharing_sample(std::mt19937_64 &rng, struct peer_sharing *s)
+{
+	text(rng, s->dc, sizeof(s->dc));
+	text(rng, s->peer, sizeof(s->peer));
+	s->state = (enum member_state)(rng() % (MEMBER_GONE + 1));
+	s->config_version = (int64_t)(rng() >> 1);
+	s->heard_count = (int)(rng() % (SHARING_HEARD_MAX + 1));
+	for (int i = 0; i < s->heard_count; i++)
+		s->heard[i] = (uint32_t)rng();
+	s->member_count = (int)(rng() % (SHARING_MEMBERS_MAX + 1));
+	for (int i = 0; i < s->member_count; i++) {
+		text(rng, s->members[i].id, sizeof(s->members[i].id));
+		text(rng, s->members[i].dc, sizeof(s->members[i].dc));
+		text(rng, s->members[i].peer, sizeof(s->members[i].peer));
+	}
+	s->load_count = (int)(rng() % (SHARING_LOADS_MAX + 1)) >> (rng() % 8);
+	for (int i = 0; i < s->load_count; i++)
+		s->loads[i] = { (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng() };
+	s->part_count = (int)(rng() % (SHARING_PARTS_MAX + 1)) >> (rng() % 8);
+	for (int i = 0; i < s->part_count; i++)
+		s->parts[i] = { (uint32_t)rng(), rng(), (uint32_t)rng() };
+	s->suspect_count = (int)(rng() % (SHARING_SUSPECTS_MAX + 1));
+	for (int i = 0; i < s->suspect_count; i++)
+		s->suspects[i] = { rng(), (uint32_t)rng() };
+	s->leaving_count = (int)(rng() % (SHARING_LEAVING_MAX + 1));
+	for (int i = 0; i < s->leaving_count; i++)
+		s->leaving[i] = (uint32_t)rng();
+}
+
 static void loads_sample(std::mt19937_64 &rng, struct peer_loads *l)
 {
 	text(rng, l->dc, sizeof(l->dc));
@@ -172,6 +201,9 @@
 	case PEER_LOAD_SUMMARY:
 		loads_sample(rng, m->u.loads);
 		break;
+	case PEER_SHARING:
+		sharing_sample(rng, m->u.sharing);
+		break;
 	case PEER_FLEET_FETCH:
 		break;
 	case PEER_RESERVE:
