Charge prompts read on decode engines with the generations that they delay

Cause: an engine that reads a prompt between the tokens of others makes each of them wait; fitter-ask streams took 4 s for 13 tokens.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -98,6 +98,7 @@
 	{ "place", "move-token-ms", KEY_DOUBLE, FIELD(place.move_token_ms), 0, 100, NEED_NEVER },
 	{ "place", "home-ms", KEY_DOUBLE, FIELD(place.home_ms), 0, 10000, NEED_NEVER },
 	{ "place", "work-weight", KEY_DOUBLE, FIELD(place.work_weight), 0, 1000, NEED_NEVER },
+	{ "place", "disturb-weight", KEY_DOUBLE, FIELD(place.disturb_weight), 0, 1000, NEED_NEVER },
 };
 
 #define SPEC_COUNT (sizeof(specs) / sizeof(specs[0]))
@@ -140,6 +141,7 @@
 		.place.move_token_ms = 0.002,
 		.place.home_ms = 60,
 		.place.work_weight = 0.5,
+		.place.disturb_weight = 0.15,
 	};
 }
 
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -230,6 +230,8 @@
 	}
 	*a = (struct attempt){ .body = a->body };
 	a->body.len = 0;
+	/* The unfinished event of an earlier attempt is no beginning of this one's first. */
+	event_stream_reset(&x->events);
 	a->endpoint = ep;
 	ep->refs++;
 	ep->active++;
--- a/include/ibisgate/policy/place.h
+++ b/include/ibisgate/policy/place.h
@@ -28,6 +28,7 @@
  * @move_token_ms: one token of KV cache moved inside a data centre; twice that between two
  * @home_ms: advantage of the engine that all instances agree on for a prompt cached nowhere
  * @work_weight: weight of the engine time spent, beside the delay of this request
+ * @disturb_weight: weight of the engine time that each generation in progress loses to it
  */
 struct place_costs {
 	double remote_ms;
@@ -36,6 +37,7 @@
 	double move_token_ms;
 	double home_ms;
 	double work_weight;
+	double disturb_weight;
 };
 
 /**
--- a/policy/place.c
+++ b/policy/place.c
@@ -78,6 +78,9 @@
 	work = (double)out.read_tokens / rate;
 	out.ms += (double)e[at].backlog_tokens / rate + work + crowd_ms(&e[at]);
 	out.cost += out.ms + work * c->work_weight + e[at].penalty_ms;
+	/* Each token of the generations in progress waits for a piece of the prompt. */
+	if (e[at].stage == STAGE_DECODE)
+		out.cost += work * c->disturb_weight * e[at].active;
 	return out;
 }
 
