Change stages of engines by orders under a lease, before callers come

Cause: a third of the engines prefill at the start; prompts were read on engines that generate, at half speed and between everybody's tokens.

--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -81,6 +81,7 @@
 	struct entry *e = ctx;
 	struct endpoint *ep = endpoint_find(e, entry->id);
 
+	e->listed_ms = clock_boot_ms();
 	log_info("endpoint", "endpoint=%s change=%s service=%s dc=%s address=%s stage=%d born=%lld "
 		 "list_version=%lld",
 		 entry->id, change_names[change], entry->service, entry->dc, entry->address,
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -159,6 +159,7 @@
 	directory_step(&e->directory, now);
 	callers_sweep(e, now);
 	ready_note(e);
+	stages_step(e->stages, now);
 	if (now - e->ticked_ms >= SETTINGS_CHECK_MS) {
 		e->ticked_ms = now;
 		settings_reload(e);
@@ -247,6 +248,7 @@
 	start_signals(e);
 	e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
 	event_add(e->tick, &tick);
+	e->stages = stages_create(e);
 	e->watches[0] = store_watch_create(e, STORE_TABLE_OPERATOR);
 	e->watches[1] = store_watch_create(e, STORE_TABLE_ENDPOINTS);
 	return e;
@@ -277,6 +279,7 @@
 	if (!e)
 		return;
 	callers_destroy(e);
+	stages_destroy(e->stages);
 	peers_destroy(e->peers);
 	store_watch_destroy(e->watches[0]);
 	store_watch_destroy(e->watches[1]);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -33,6 +33,7 @@
  * @tag: short name in messages between instances
  * @failure_share: moving share of failed attempts, 0 to 1
  * @avoid_until_ms: it has said that it is full or not the expected instance
+ * @order_until_ms: an order to it is under way until its list entry shows it, or until then
  */
 struct endpoint {
 	struct cds_list_head link;
@@ -51,6 +52,8 @@
 	int others_active;
 	double failure_share;
 	int64_t avoid_until_ms;
+	int64_t order_until_ms;
+	enum engine_stage ordered_stage;
 };
 
 /** struct service - what this instance knows of a service beside its configuration */
@@ -78,12 +81,14 @@
 	struct routing_table *table;
 	struct directory directory;
 	bool endpoints_known;
+	int64_t listed_ms;
 	bool was_ready;
 	struct cds_list_head endpoints;
 	struct cds_list_head services;
 	struct cds_list_head callers;
 	struct store_watch *watches[2];
 	struct peers *peers;
+	struct stages *stages;
 	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
 	int dc_count;
 	int exchanges;
@@ -106,6 +111,39 @@
 void endpoints_destroy(struct entry *e);
 struct service *service_find(struct entry *e, const char *name);
 
+/**
+ * struct store_result - outcome of a call to the platform's store
+ * @status: of the response; 0 when there was none, for the reason in @failure
+ * @body: valid during the callback
+ */
+struct store_result {
+	int status;
+	struct str body;
+	enum http_failure failure;
+};
+
+/* store_call.c */
+struct store_call;
+
+/**
+ * store_call_start - send a whole request to the store
+ * @wait_ms: time for which the store was asked to wait
+ * @done: called once, later, unless the call is cancelled
+ */
+struct store_call *store_call_start(struct entry *e, struct str request, int wait_ms,
+				    void (*done)(void *ctx, const struct store_result *r),
+				    void *ctx);
+void store_call_cancel(struct store_call *c);
+void store_address(const struct entry *e, char out[32]);
+
+/* stages.c */
+struct stages;
+struct stages *stages_create(struct entry *e);
+void stages_destroy(struct stages *s);
+
+/** stages_step - change stages of engines where another number of each serves better */
+void stages_step(struct stages *s, int64_t now_ms);
+
 /* store_watch.c */
 struct store_watch;
 struct store_watch *store_watch_create(struct entry *e, const char *table);
@@ -125,6 +163,9 @@
 /** peers_count - instances heard lately, this one included */
 int peers_count(const struct peers *p);
 
+/** peers_first - no live instance has a lower name */
+bool peers_first(const struct peers *p);
+
 /* caller.c */
 struct caller;
 void caller_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -395,6 +395,19 @@
 	return p ? member_live(p->members, NULL) : 1;
 }
 
+bool peers_first(const struct peers *p)
+{
+	const char *self = p->entry->settings.instance.id;
+
+	for (int i = 1; i < member_count(p->members); i++) {
+		const struct member *m = member_at(p->members, i);
+
+		if (m->incarnation && m->state == MEMBER_LIVE && strcmp(m->id, self) < 0)
+			return false;
+	}
+	return true;
+}
+
 struct peers *peers_create(struct entry *e, struct error *err)
 {
 	struct peers *p = mem_zalloc(sizeof(*p));
--- /dev/null
+++ b/entry/stages.c
@@ -0,0 +1,410 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/hash.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/platform/store.h"
+#include "ibisgate/policy/stage_plan.h"
+#include "ibisgate/state/lease.h"
+#include "internal.h"
+
+/* Table and row of the lease under which engines get orders. */
+#define LEASE_TABLE "ibisgate"
+#define LEASE_KEY "stages"
+
+/* The list must be without news for this long before a first plan is made, in milliseconds. */
+#define SETTLE_MS 700
+
+/* An instance that isn't the first by name waits this long for the first to act, in ms. */
+#define SECOND_WAIT_MS 4000
+
+/* Orders under way at the same time, and the pause between two once callers are served, in ms. */
+#define ORDERS_AT_ONCE 8
+#define ORDER_PAUSE_MS 5000
+
+/* An order whose effect the list doesn't show is thought of as under way this long, in ms. */
+#define ORDER_PENDING_MS 15000
+
+/* Limits of the call that carries an order, in milliseconds. */
+#define ORDER_CONNECT_MS 300
+#define ORDER_SILENCE_MS 1000
+
+#define ENGINES_MAX 1024
+
+/**
+ * struct stages - the instance's part in changing the stages of engines
+ * @wanted_ms: since when another number of engines should prefill; 0 when the plan is met
+ * @action: the lease's call in progress
+ * @served: callers have been served, so that changes cost them something
+ */
+struct stages {
+	struct entry *entry;
+	struct lease lease;
+	struct lease_action action;
+	struct store_call *call;
+	int64_t wanted_ms;
+	int64_t ordered_ms;
+	int64_t checked_ms;
+	bool served;
+};
+
+/**
+ * struct order - one order on its way: the engine is asked for its state, then told
+ * @asking: the report is being read
+ */
+struct order {
+	struct stages *stages;
+	char endpoint[DIRECTORY_ID_MAX];
+	char address[32];
+	struct http_address to;
+	enum engine_stage stage;
+	int64_t fencing;
+	bool asking;
+	int status;
+	struct buf body;
+};
+
+static void encode_lease(const struct lease_row *row, struct buf *out)
+{
+	json_t *json = json_pack("{s:s,s:I,s:s}", "holder", row->holder, "incarnation",
+				 (json_int_t)row->incarnation, "token", row->token);
+
+	json_append(out, json);
+	json_decref(json);
+}
+
+static void decode_lease(const struct store_row *stored, struct lease_row *row)
+{
+	json_t *json = json_parse(buf_str(&stored->value));
+
+	*row = (struct lease_row){ .version = stored->version };
+	str_copy(row->holder, sizeof(row->holder), json_get_str(json, "holder"));
+	str_copy(row->token, sizeof(row->token), json_get_str(json, "token"));
+	row->incarnation = (uint64_t)json_get_i64(json, "incarnation", 0);
+	json_decref(json);
+}
+
+static void lease_log(const struct stages *s, const char *change)
+{
+	log_info("lease", "change=%s holder=%s version=%" PRId64 " fencing=%" PRId64, change,
+		 s->lease.seen.holder, s->lease.seen.version, s->lease.fencing);
+}
+
+static void on_written(struct stages *s, const struct store_result *r, int64_t now)
+{
+	struct lease_row row = s->action.row;
+	struct error err = { 0 };
+	bool held = lease_held(&s->lease, now);
+
+	if (r->status == 200 && store_put_decode(r->body, &row.version, &err) == 0) {
+		lease_report(&s->lease, LEASE_WRITE_OK, &row, now);
+		if (!held)
+			lease_log(s, "acquired");
+	} else if (r->status == 412) {
+		/* The row as it is now is read next. */
+		lease_report(&s->lease, LEASE_WRITE_CONFLICT, NULL, now);
+		lease_log(s, "conflict");
+	} else if (r->status == 429 || r->status == 503 ||
+		   (!r->status && r->failure == HTTP_FAILURE_CONNECT)) {
+		lease_report(&s->lease, LEASE_WRITE_NOT_SENT, NULL, now);
+	} else {
+		lease_report(&s->lease, LEASE_WRITE_DOUBTFUL, NULL, now);
+		lease_log(s, "doubtful");
+	}
+}
+
+static void on_read(struct stages *s, const struct store_result *r, int64_t now)
+{
+	struct store_rows rows;
+	struct lease_row row;
+	struct error err = { 0 };
+
+	if (r->status != 200 || store_rows_decode(r->body, &rows, &err) < 0) {
+		lease_report(&s->lease, LEASE_READ_FAILED, NULL, now);
+		return;
+	}
+	if (rows.count && strcmp(rows.rows[0].key, LEASE_KEY) == 0) {
+		decode_lease(&rows.rows[0], &row);
+		lease_report(&s->lease, LEASE_READ_OK, &row, now);
+	} else {
+		lease_report(&s->lease, LEASE_READ_NONE, NULL, now);
+	}
+	store_rows_free(&rows);
+}
+
+static void on_result(void *ctx, const struct store_result *r)
+{
+	struct stages *s = ctx;
+	int64_t now = clock_boot_ms();
+
+	s->call = NULL;
+	if (s->action.kind == LEASE_DO_WRITE)
+		on_written(s, r, now);
+	else
+		on_read(s, r, now);
+}
+
+/* Makes the next call that the lease needs; true while the lease is held. */
+static bool lease_step(struct stages *s, int64_t now)
+{
+	struct buf request = { 0 };
+	struct buf value = { 0 };
+	char address[32];
+	char token[LEASE_TOKEN_MAX];
+
+	if (s->call)
+		return lease_held(&s->lease, now);
+	snprintf(token, sizeof(token), "%016" PRIx64, random_u64());
+	s->action = lease_next(&s->lease, !s->entry->stopping, token, now);
+	if (s->action.kind == LEASE_DO_NOTHING)
+		return lease_held(&s->lease, now);
+	store_address(s->entry, address);
+	if (s->action.kind == LEASE_DO_WRITE) {
+		encode_lease(&s->action.row, &value);
+		store_put_request(&request, address, LEASE_TABLE, LEASE_KEY, s->action.if_version,
+				  buf_str(&value));
+		metric_add(METRIC_PLATFORM_WRITES, 1);
+	} else {
+		store_row_request(&request, address, LEASE_TABLE, LEASE_KEY);
+		metric_add(METRIC_PLATFORM_READS, 1);
+	}
+	s->call = store_call_start(s->entry, buf_str(&request), 0, on_result, s);
+	buf_free(&request);
+	buf_free(&value);
+	return lease_held(&s->lease, now);
+}
+
+static void order_free(struct order *o)
+{
+	buf_free(&o->body);
+	free(o);
+}
+
+static void on_order_head(void *ctx, const struct http_head *head)
+{
+	struct order *o = ctx;
+
+	o->status = head->status;
+}
+
+static void on_order_body(void *ctx, struct str bytes)
+{
+	struct order *o = ctx;
+
+	buf_append(&o->body, bytes.data, bytes.len);
+}
+
+static void on_order_end(void *ctx);
+static void on_order_fail(void *ctx, enum http_failure why);
+
+static const struct http_exchange_ops order_ops = {
+	.on_head = on_order_head,
+	.on_body = on_order_body,
+	.on_end = on_order_end,
+	.on_fail = on_order_fail,
+};
+
+static void order_call(struct order *o, const struct buf *request)
+{
+	o->body.len = 0;
+	o->status = 0;
+	http_exchange_start(o->stages->entry->endpoint_client,
+			    &(struct http_exchange_spec){
+				    .to = o->to,
+				    .request = buf_str(request),
+				    .fresh = true,
+				    .connect_ms = ORDER_CONNECT_MS,
+				    .silence_ms = ORDER_SILENCE_MS,
+			    },
+			    &order_ops, o);
+}
+
+/* The engine has told how many orders it has accepted: only the next one is meant. */
+static void order_tell(struct order *o)
+{
+	struct stages *s = o->stages;
+	struct engine_report report;
+	struct buf request = { 0 };
+	int64_t now = clock_boot_ms();
+
+	if (o->status != 200 || !wire_report_decode(buf_str(&o->body), &report)) {
+		log_warn("order-dropped", "endpoint=%s cause=no-report status=%d", o->endpoint,
+			 o->status);
+		order_free(o);
+		return;
+	}
+	/* The lease is looked at last, right before the order leaves. */
+	if (report.busy || report.stage == o->stage ||
+	    !lease_held_as(&s->lease, o->fencing, now)) {
+		log_info("order-dropped", "endpoint=%s busy=%d stage=%d lease=%d", o->endpoint,
+			 report.busy, (int)report.stage, lease_held(&s->lease, now));
+		order_free(o);
+		return;
+	}
+	log_info("order",
+		 "endpoint=%s stage=%d former=%d fencing=%" PRId64 " order_seq=%" PRId64
+		 " lease_left_ms=%" PRId64,
+		 o->endpoint, (int)o->stage, (int)report.stage, o->fencing, report.order_seq,
+		 s->lease.valid_until_ms - now);
+	wire_order_encode(&request, &(struct stage_order){ .address = o->address,
+							   .expected_id = o->endpoint,
+							   .stage = o->stage,
+							   .holder = s->lease.self,
+							   .fencing = o->fencing,
+							   .order_seq = report.order_seq });
+	metric_add(METRIC_ROLE_CHANGES, 1);
+	o->asking = false;
+	order_call(o, &request);
+	buf_free(&request);
+}
+
+static void on_order_end(void *ctx)
+{
+	struct order *o = ctx;
+
+	if (o->asking) {
+		order_tell(o);
+		return;
+	}
+	log_info("order-answered", "endpoint=%s status=%d", o->endpoint, o->status);
+	order_free(o);
+}
+
+static void on_order_fail(void *ctx, enum http_failure why)
+{
+	struct order *o = ctx;
+
+	/* An order may still be carried out: the list entry of the engine will tell. */
+	log_warn("order-unanswered", "endpoint=%s told=%d cause=%s", o->endpoint, !o->asking,
+		 http_failure_name(why));
+	order_free(o);
+}
+
+static void order_begin(struct stages *s, struct endpoint *ep, enum engine_stage to, int64_t now)
+{
+	struct order *o = mem_zalloc(sizeof(*o));
+	struct buf request = { 0 };
+
+	o->stages = s;
+	str_copy(o->endpoint, sizeof(o->endpoint), str_from(ep->entry.id));
+	str_copy(o->address, sizeof(o->address), str_from(ep->entry.address));
+	o->to = ep->address;
+	o->stage = to;
+	o->fencing = s->lease.fencing;
+	o->asking = true;
+	ep->order_until_ms = now + ORDER_PENDING_MS;
+	ep->ordered_stage = to;
+	s->ordered_ms = now;
+	wire_report_request(&request, o->address);
+	order_call(o, &request);
+	buf_free(&request);
+}
+
+static bool order_pending(const struct endpoint *ep, int64_t now)
+{
+	return now < ep->order_until_ms && ep->entry.stage != ep->ordered_stage;
+}
+
+/** struct plan_view - engines of one service, as the plan sees them */
+struct plan_view {
+	struct endpoint *eps[ENGINES_MAX];
+	struct stage_engine engines[ENGINES_MAX];
+	int count;
+	int pending;
+};
+
+static void view_service(const struct stages *s, const char *service, int64_t now,
+			 struct plan_view *v)
+{
+	struct endpoint *ep;
+
+	v->count = 0;
+	v->pending = 0;
+	cds_list_for_each_entry(ep, &s->entry->endpoints, link) {
+		bool pending = order_pending(ep, now);
+
+		if (v->count == ENGINES_MAX || strcmp(ep->entry.service, service) != 0 ||
+		    ep->entry.leaving || ep->entry.stage == STAGE_NONE)
+			continue;
+		v->eps[v->count] = ep;
+		v->engines[v->count++] = (struct stage_engine){
+			.stage = pending ? ep->ordered_stage : ep->entry.stage,
+			.dc = ep->dc,
+			.busy = pending || !endpoint_open(ep, now),
+		};
+		v->pending += pending;
+	}
+}
+
+/* Whether the plan of some service is not met; gives one order where the lease is held. */
+static bool plan_step(struct stages *s, int64_t now, bool held)
+{
+	static struct plan_view v;
+	const struct routing_table *t = s->entry->table;
+	bool wanted = false;
+
+	for (int i = 0; i < t->service_count; i++) {
+		enum engine_stage to;
+		int at;
+
+		if (!t->services[i].engine.present)
+			continue;
+		view_service(s, t->services[i].name, now, &v);
+		at = stage_plan_next(v.engines, v.count, s->entry->settings.stages.prefill_share,
+				     &to);
+		if (at < 0)
+			continue;
+		wanted = true;
+		while (held && at >= 0 && v.pending < ORDERS_AT_ONCE &&
+		       (!s->served || now - s->ordered_ms >= ORDER_PAUSE_MS)) {
+			order_begin(s, v.eps[at], to, now);
+			view_service(s, t->services[i].name, now, &v);
+			at = stage_plan_next(v.engines, v.count,
+					     s->entry->settings.stages.prefill_share, &to);
+		}
+	}
+	return wanted;
+}
+
+void stages_step(struct stages *s, int64_t now)
+{
+	bool held = lease_held(&s->lease, now);
+
+	if (!entry_ready(s->entry) || s->entry->settings.stages.prefill_share < 0)
+		return;
+	if (metric_get(METRIC_ATTEMPTS) > 0)
+		s->served = true;
+	if (now - s->entry->listed_ms < SETTLE_MS)
+		return;
+	if (!plan_step(s, now, held)) {
+		s->wanted_ms = 0;
+		return;
+	}
+	if (!s->wanted_ms)
+		s->wanted_ms = now;
+	if (!peers_first(s->entry->peers) && now - s->wanted_ms < SECOND_WAIT_MS)
+		return;
+	lease_step(s, now);
+}
+
+struct stages *stages_create(struct entry *e)
+{
+	struct stages *s = mem_zalloc(sizeof(*s));
+
+	s->entry = e;
+	lease_init(&s->lease, e->settings.instance.id, (uint64_t)clock_wall_ms());
+	return s;
+}
+
+void stages_destroy(struct stages *s)
+{
+	if (!s)
+		return;
+	store_call_cancel(s->call);
+	free(s);
+}
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -8,12 +8,6 @@
 #include "ibisgate/platform/store.h"
 #include "internal.h"
 
-/* Connection set-up to the store, in milliseconds; its answers take 4 ms when it is well. */
-#define STORE_CONNECT_MS 700
-
-/* Longest silence of the store beyond the wait that was asked for, in milliseconds. */
-#define STORE_SILENCE_MS 1500
-
 /*
  * Longest wait of a change feed, in milliseconds. A connection that has gone silent is noticed
  * only after it, and a change must be in force within 2 s.
@@ -44,11 +38,8 @@
 	struct entry *entry;
 	char table[32];
 	char address[32];
-	struct http_address to;
-	struct http_exchange *call;
+	struct store_call *call;
 	struct event *timer;
-	struct buf body;
-	int status;
 	bool listing;
 	char after[256];
 	int64_t version;
@@ -161,42 +152,13 @@
 	}
 }
 
-static void on_head(void *ctx, const struct http_head *head)
-{
-	struct store_watch *w = ctx;
-
-	w->status = head->status;
-}
-
-static void on_body(void *ctx, struct str bytes)
-{
-	struct store_watch *w = ctx;
-
-	buf_append(&w->body, bytes.data, bytes.len);
-}
-
-static void on_end(void *ctx)
+static void on_rows(struct store_watch *w, struct str body)
 {
-	struct store_watch *w = ctx;
 	struct store_rows rows;
 	struct error err = { 0 };
 	int64_t age;
 
-	w->call = NULL;
-	if (w->status == 410) {
-		/* The store no longer has the changes since our version. */
-		log_warn("feed-history-lost", "table=%s version=%" PRId64, w->table, w->version);
-		watch_answered(w);
-		w->listing = true;
-		w->after[0] = '\0';
-		ask_after(w, 0);
-		return;
-	}
-	if (w->status != 200) {
-		watch_failed(w, w->status == 429 ? "rate-limit" : "status");
-		return;
-	}
-	if (store_rows_decode(buf_str(&w->body), &rows, &err) < 0) {
+	if (store_rows_decode(body, &rows, &err) < 0) {
 		log_warn("store-response-ignored", "table=%s error=\"%s\"", w->table, err.text);
 		watch_failed(w, "malformed");
 		return;
@@ -214,25 +176,29 @@
 	ask_after(w, w->listing || age >= FEED_PAUSE_MS ? 0 : FEED_PAUSE_MS - age);
 }
 
-static void on_fail(void *ctx, enum http_failure why)
+static void on_result(void *ctx, const struct store_result *r)
 {
 	struct store_watch *w = ctx;
 
 	w->call = NULL;
-	if (why == HTTP_FAILURE_STALE) {
+	if (!r->status && r->failure == HTTP_FAILURE_STALE) {
 		ask_after(w, 0);
-		return;
+	} else if (!r->status) {
+		watch_failed(w, http_failure_name(r->failure));
+	} else if (r->status == 410) {
+		/* The store no longer has the changes since our version. */
+		log_warn("feed-history-lost", "table=%s version=%" PRId64, w->table, w->version);
+		watch_answered(w);
+		w->listing = true;
+		w->after[0] = '\0';
+		ask_after(w, 0);
+	} else if (r->status != 200) {
+		watch_failed(w, r->status == 429 ? "rate-limit" : "status");
+	} else {
+		on_rows(w, r->body);
 	}
-	watch_failed(w, http_failure_name(why));
 }
 
-static const struct http_exchange_ops watch_ops = {
-	.on_head = on_head,
-	.on_body = on_body,
-	.on_end = on_end,
-	.on_fail = on_fail,
-};
-
 static void watch_ask(evutil_socket_t fd, short what, void *ctx)
 {
 	struct store_watch *w = ctx;
@@ -241,40 +207,23 @@
 
 	if (w->call)
 		return;
-	w->body.len = 0;
-	w->status = 0;
 	w->asked_ms = clock_boot_ms();
 	if (w->listing)
 		store_read_request(&request, w->address, w->table, w->after);
 	else
 		store_feed_request(&request, w->address, w->table, w->version, wait_ms);
 	metric_add(METRIC_PLATFORM_READS, 1);
-	w->call = http_exchange_start(w->entry->store_client,
-				      &(struct http_exchange_spec){
-					      .to = w->to,
-					      .request = buf_str(&request),
-					      .connect_ms = STORE_CONNECT_MS,
-					      .silence_ms = wait_ms + STORE_SILENCE_MS,
-				      },
-				      &watch_ops, w);
+	w->call = store_call_start(w->entry, buf_str(&request), wait_ms, on_result, w);
 	buf_free(&request);
 }
 
 struct store_watch *store_watch_create(struct entry *e, const char *table)
 {
 	struct store_watch *w = mem_zalloc(sizeof(*w));
-	struct str url = str_from(e->settings.platform.url);
 
 	w->entry = e;
 	str_copy(w->table, sizeof(w->table), str_from(table));
-	if (str_starts_with(url, STR_LIT("http://"))) {
-		url.data += 7;
-		url.len -= 7;
-	}
-	str_copy(w->address, sizeof(w->address), url);
-	if (!http_address_parse(url, &w->to))
-		log_error("settings", "key=platform.url value=\"%s\" expected=http://IP:PORT",
-			  e->settings.platform.url);
+	store_address(e, w->address);
 	w->listing = true;
 	w->timer = evtimer_new(e->base, watch_ask, w);
 	ask_after(w, 0);
@@ -285,9 +234,7 @@
 {
 	if (!w)
 		return;
-	if (w->call)
-		http_exchange_cancel(w->call);
+	store_call_cancel(w->call);
 	event_free(w->timer);
-	buf_free(&w->body);
 	free(w);
 }
--- a/include/ibisgate/daemon/settings.h
+++ b/include/ibisgate/daemon/settings.h
@@ -94,6 +94,10 @@
 		double overhead_ms;
 		double transfer_tokens_per_ms;
 	} engines;
+	/* [stages] share of the engines that should prefill; -1 leaves all stages alone */
+	struct {
+		double prefill_share;
+	} stages;
 	/* [place] */
 	struct place_costs place;
 	/* [distance] data centre = microseconds one way */
--- a/include/ibisgate/platform/store.h
+++ b/include/ibisgate/platform/store.h
@@ -58,6 +58,19 @@
 int store_rows_decode(struct str body, struct store_rows *out, struct error *err);
 void store_rows_free(struct store_rows *r);
 
+/**
+ * store_put_request - append a write of one row of a table's empty part under a condition
+ * @version: that the row must have; 0 means that it must not exist
+ */
+void store_put_request(struct buf *out, const char *address, const char *table, const char *key,
+		       int64_t version, struct str value);
+
+/** store_row_request - append a read of one row of a table's empty part */
+void store_row_request(struct buf *out, const char *address, const char *table, const char *key);
+
+/** store_put_decode - version that a successful write gave its row; -1 with STORE_BAD_RESPONSE */
+int store_put_decode(struct str body, int64_t *version, struct error *err);
+
 /** store_row_is_config - whether the row holds the operator's configuration */
 bool store_row_is_config(const struct store_row *row);
 
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -141,6 +141,24 @@
 void wire_report_request(struct buf *out, const char *address);
 bool wire_report_decode(struct str body, struct engine_report *out);
 
+/**
+ * struct stage_order - tells an engine to change its stage
+ * @expected_id: the only engine that may take it
+ * @holder: instance that gives it
+ * @fencing: number of the lease under which it is given
+ * @order_seq: orders that the engine must have accepted before
+ */
+struct stage_order {
+	const char *address;
+	const char *expected_id;
+	enum engine_stage stage;
+	const char *holder;
+	int64_t fencing;
+	int64_t order_seq;
+};
+
+void wire_order_encode(struct buf *out, const struct stage_order *o);
+
 /** wire_health_request - append a health check of an endpoint */
 void wire_health_request(struct buf *out, const char *address, const char *path);
 
--- a/include/ibisgate/state/directory.h
+++ b/include/ibisgate/state/directory.h
@@ -19,7 +19,6 @@
  * struct endpoint_entry - what an endpoint says of itself in the platform's list
  * @id: unique to the endpoint's registration; another @born under the same id is another process
  * @born: Unix milliseconds of its start
- * @order_seq: orders that it has accepted since it was born
  * @version: of the row that said so; higher is newer
  */
 struct endpoint_entry {
@@ -31,7 +30,6 @@
 	bool leaving;
 	enum engine_stage stage;
 	int64_t born;
-	int64_t order_seq;
 	int64_t version;
 };
 
