Copy parts only from engines that have read them; a queue is no silence

Change: parts are sent, ready or dropped; the silence limits grow with the expected first token and distinguish engines that answer others.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -18,12 +18,19 @@
 /* Silence after which an idempotent call goes to another endpoint, as a multiple of its target. */
 #define CALL_SILENCE_TARGETS 2
 
-/* Silence before the first token after which a generation goes elsewhere, as a multiple of it. */
-#define FIRST_SILENCE_TARGETS 3
-
-/* Silence inside a generation that may be continued elsewhere, as a multiple of its gap target. */
-#define STREAM_SILENCE_GAPS 3
-#define STREAM_SILENCE_MIN_MS 800
+/*
+ * Silence after which a generation that may be repeated goes elsewhere: a multiple of the target,
+ * or the target and a multiple of the expected first token, whichever is longer. The first pair
+ * holds where the engine says nothing to anybody. Where it answers others the request may only
+ * wait in its queue, and what has been read of it would be lost.
+ */
+#define DARK_SILENCE_TARGETS 2
+#define DARK_SILENCE_EXPECTED 2
+#define HUNG_SILENCE_TARGETS 4
+#define HUNG_SILENCE_EXPECTED 4
+
+/* The same between two tokens, as a multiple of the gap target. */
+#define GAP_SILENCE_GAPS 3
 
 /* Greatest response that is kept in memory until it is complete, in bytes. */
 #define RESPONSE_MAX_BYTES (4 << 20)
@@ -34,6 +41,8 @@
 	struct attempt *a = &x->attempt;
 
 	a->responded = true;
+	a->heard_ms = clock_boot_ms();
+	a->endpoint->heard_ms = a->heard_ms;
 	a->head = head;
 	wire_response_decode(head, &a->response);
 }
@@ -51,6 +60,8 @@
 	struct exchange *x = ctx;
 	struct attempt *a = &x->attempt;
 
+	a->heard_ms = clock_boot_ms();
+	a->endpoint->heard_ms = a->heard_ms;
 	if (streams(x)) {
 		generation_body(x, bytes);
 		return;
@@ -158,6 +169,42 @@
 	attempt_again(x, http_failure_name(why));
 }
 
+static int64_t larger(int64_t a, int64_t b)
+{
+	return a > b ? a : b;
+}
+
+/* Whether the endpoint has been silent too long for this request; false for what runs once. */
+static bool silent(const struct exchange *x, int64_t now)
+{
+	const struct attempt *a = &x->attempt;
+	const struct routing_rule *r = x->rule;
+	int64_t quiet = now - a->heard_ms;
+	int64_t dark = now - larger(a->heard_ms, a->endpoint->heard_ms);
+	int64_t expected = (int64_t)x->choice.first_ms;
+
+	if (r->kind == CALL_IDEMPOTENT)
+		return quiet >= CALL_SILENCE_TARGETS * r->target_ms;
+	if (!exchange_repeatable(x) && a->work == WIRE_WORK_RUN)
+		return false;
+	if (a->responded && a->work == WIRE_WORK_RUN)
+		return dark >= larger(r->target_ms, GAP_SILENCE_GAPS * r->gap_ms);
+	return dark >= larger(DARK_SILENCE_TARGETS * r->target_ms,
+			      r->target_ms + DARK_SILENCE_EXPECTED * expected) ||
+	       quiet >= larger(HUNG_SILENCE_TARGETS * r->target_ms,
+			       r->target_ms + HUNG_SILENCE_EXPECTED * expected);
+}
+
+void attempt_check_silence(struct exchange *x, int64_t now_ms)
+{
+	struct http_exchange *call = x->attempt.call;
+
+	if (!call || !silent(x, now_ms))
+		return;
+	http_exchange_cancel(call);
+	on_fail(x, HTTP_FAILURE_TIMEOUT);
+}
+
 static const struct http_exchange_ops attempt_ops = {
 	.on_head = on_head,
 	.on_body = on_body,
@@ -178,26 +225,6 @@
 	exchange_place(x);
 }
 
-static int silence_ms(const struct exchange *x, enum wire_work work)
-{
-	int64_t limit;
-
-	if (!exchange_repeatable(x) && work == WIRE_WORK_RUN)
-		return 0;
-	if (x->rule->kind == CALL_IDEMPOTENT) {
-		limit = CALL_SILENCE_TARGETS * x->rule->target_ms;
-	} else {
-		limit = STREAM_SILENCE_GAPS * x->rule->gap_ms;
-		if (limit < FIRST_SILENCE_TARGETS * x->rule->target_ms)
-			limit = FIRST_SILENCE_TARGETS * x->rule->target_ms;
-		if (limit < x->rule->target_ms + (int64_t)(2 * x->choice.first_ms))
-			limit = x->rule->target_ms + (int64_t)(2 * x->choice.first_ms);
-		if (limit < STREAM_SILENCE_MIN_MS)
-			limit = STREAM_SILENCE_MIN_MS;
-	}
-	return (int)limit;
-}
-
 /* Fast engines' order of admission follows the rule's priority: 0 is the most urgent. */
 static int urgency(const struct exchange *x)
 {
@@ -238,6 +265,7 @@
 	peers_note_load(x->entry->peers);
 	a->work = work;
 	a->sent_ms = now;
+	a->heard_ms = now;
 	circuit_sent(&ep->circuit, now);
 	if (x->tried_count < TRIED_MAX)
 		x->tried[x->tried_count++] = ep->hash;
@@ -264,7 +292,6 @@
 					      .match_name = wire_request_id_field,
 					      .match_value = str_from(x->in.id),
 					      .connect_ms = CONNECT_MS,
-					      .silence_ms = silence_ms(x, work),
 				      },
 				      &attempt_ops, x);
 	buf_free(&request);
@@ -287,6 +314,7 @@
 
 	if (!a->endpoint)
 		return;
+	generation_unread(x);
 	attempt_read(x);
 	if (a->call) {
 		http_exchange_cancel(a->call);
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -309,6 +309,16 @@
 	}
 }
 
+void callers_close_idle(struct entry *e)
+{
+	struct caller *c, *next;
+
+	cds_list_for_each_entry_safe(c, next, &e->callers, link) {
+		if (c->phase == CALLER_IDLE)
+			caller_destroy(c);
+	}
+}
+
 void callers_destroy(struct entry *e)
 {
 	struct caller *c, *next;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -14,7 +14,7 @@
 #include "internal.h"
 
 /* Period of the checks that no event triggers, in milliseconds. */
-#define TICK_MS 200
+#define TICK_MS 100
 
 /* How often the settings file is looked at for a change, in milliseconds. */
 #define SETTINGS_CHECK_MS 1000
@@ -146,6 +146,13 @@
 {
 	int64_t age = now - e->stop_ms;
 
+	if (age >= STOP_ACCEPT_MS) {
+		/* A request that came now could not be finished within the grace period. */
+		if (e->front)
+			evconnlistener_free(e->front);
+		e->front = NULL;
+		callers_close_idle(e);
+	}
 	if (age >= e->settings.bounds.stop_grace_ms - STOP_MARGIN_MS ||
 	    (age >= STOP_ACCEPT_MS && e->exchanges == 0))
 		event_base_loopbreak(e->base);
@@ -157,6 +164,7 @@
 	int64_t now = clock_boot_ms();
 
 	directory_step(&e->directory, now);
+	exchanges_sweep(e, now);
 	callers_sweep(e, now);
 	ready_note(e);
 	stages_step(e->stages, now);
@@ -227,6 +235,7 @@
 	CDS_INIT_LIST_HEAD(&e->endpoints);
 	CDS_INIT_LIST_HEAD(&e->services);
 	CDS_INIT_LIST_HEAD(&e->callers);
+	CDS_INIT_LIST_HEAD(&e->exchange_list);
 	directory_init(&e->directory, endpoint_changed, e);
 	entry_dc(e, settings->instance.dc);
 	e->base = event_base_new();
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -71,6 +71,7 @@
 		event_free(x->timer);
 	event_stream_free(&x->events);
 	buf_free(&x->attempt.body);
+	cds_list_del(&x->link);
 	x->entry->exchanges--;
 	metric_add(METRIC_STREAMS, -1);
 	routing_table_put(x->table);
@@ -292,6 +293,7 @@
 	x->deadline_ms = begun_ms;
 	x->last_event = x->in.resume_from;
 	x->table = routing_table_get(e->table);
+	cds_list_add_tail(&x->link, &e->exchange_list);
 	e->exchanges++;
 	metric_add(METRIC_STREAMS, 1);
 	status = check_request(x, has_id, &cause);
@@ -306,3 +308,11 @@
 	/* An exchange that has answered from inside is gone. */
 	return e->exchanges > before ? x : NULL;
 }
+
+void exchanges_sweep(struct entry *e, int64_t now_ms)
+{
+	struct exchange *x, *next;
+
+	cds_list_for_each_entry_safe(x, next, &e->exchange_list, link)
+		attempt_check_silence(x, now_ms);
+}
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -9,6 +9,8 @@
 /**
  * struct attempt - one sending of a request to one endpoint
  * @charged_tokens: prompt tokens counted in the endpoint's backlog until they are read
+ * @heard_ms: when bytes of its response came last, at first when it was sent
+ * @reading: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded
  * @head: the response's head, valid while @call is
  */
@@ -18,6 +20,8 @@
 	enum wire_work work;
 	int64_t charged_tokens;
 	int64_t sent_ms;
+	int64_t heard_ms;
+	bool reading;
 	bool responded;
 	struct endpoint_response response;
 	const struct http_head *head;
@@ -37,6 +41,7 @@
  * @cache_source: filled KV cache that waits for its taker, or ""
  */
 struct exchange {
+	struct cds_list_head link;
 	struct entry *entry;
 	struct caller *caller;
 	const struct http_head *head;
@@ -103,6 +108,9 @@
 /** attempt_end - forget the attempt; closes its connection when it is still open */
 void attempt_end(struct exchange *x);
 
+/** attempt_check_silence - move on from an endpoint that says nothing any more */
+void attempt_check_silence(struct exchange *x, int64_t now_ms);
+
 /** attempt_again - try once more after a failure, or give up with @cause */
 void attempt_again(struct exchange *x, const char *cause);
 
@@ -114,6 +122,12 @@
 /** generation_place - choose engines; false when none is usable */
 bool generation_place(struct exchange *x, int64_t now_ms);
 
+/** generation_read - the engine has read the prompt: it keeps the parts */
+void generation_read(struct exchange *x);
+
+/** generation_unread - the attempt ends before the prompt was read */
+void generation_unread(struct exchange *x);
+
 /** generation_drop_cache - free a filled cache that nobody will take */
 void generation_drop_cache(struct exchange *x);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -14,6 +14,43 @@
 /* Disadvantage of an engine whose attempts all failed lately, in milliseconds. */
 #define FAILING_MS 800
 
+/* Notes for this and the other instances what an engine has of a prompt. */
+static void note_parts(const struct exchange *x, struct endpoint *ep, enum shared_part_state state)
+{
+	if (!ep->cache)
+		return;
+	for (int i = x->in.part_count - 1; i >= 0; i--) {
+		const struct prompt_part *p = &x->in.parts[i];
+
+		if (state == PART_DROPPED)
+			cache_view_forget_sent(ep->cache, p->id);
+		else
+			cache_view_use(ep->cache, p->id, p->tokens, state == PART_READY);
+		peers_note_part(x->entry->peers, ep, p->id, p->tokens, state);
+	}
+}
+
+void generation_read(struct exchange *x)
+{
+	struct attempt *a = &x->attempt;
+
+	if (!a->reading)
+		return;
+	a->reading = false;
+	attempt_read(x);
+	note_parts(x, a->endpoint, PART_READY);
+}
+
+void generation_unread(struct exchange *x)
+{
+	struct attempt *a = &x->attempt;
+
+	if (!a->reading)
+		return;
+	a->reading = false;
+	note_parts(x, a->endpoint, PART_DROPPED);
+}
+
 static void write_events(struct exchange *x, struct str bytes)
 {
 	struct buf out = { 0 };
@@ -62,7 +99,7 @@
 {
 	struct endpoint *ep = x->attempt.endpoint;
 
-	attempt_read(x);
+	generation_read(x);
 	event_stream_feed(&x->events, bytes);
 	if (take_events(x))
 		return;
@@ -95,22 +132,13 @@
 	exchange_served(x);
 }
 
-static void learn_parts(const struct exchange *x, struct endpoint *ep)
-{
-	if (!ep->cache)
-		return;
-	for (int i = x->in.part_count - 1; i >= 0; i--) {
-		cache_view_use(ep->cache, x->in.parts[i].id, x->in.parts[i].tokens);
-		peers_note_part(x->entry->peers, ep, x->in.parts[i].id, x->in.parts[i].tokens);
-	}
-}
-
 void generation_prefilled(struct exchange *x)
 {
 	struct endpoint *ep = x->attempt.endpoint;
 	char handle[96];
 
-	attempt_read(x);
+	if (x->attempt.response.status == 200)
+		generation_read(x);
 	if (x->attempt.response.status != 200 ||
 	    !wire_handle_decode(buf_str(&x->attempt.body), handle, sizeof(handle))) {
 		endpoint_result(ep, false);
@@ -130,9 +158,12 @@
 		attempt_again(x, "decode-engine-gone");
 		return;
 	}
-	learn_parts(x, x->decode);
-	if (!attempt_start(x, x->decode, WIRE_WORK_RUN, NULL))
+	if (!attempt_start(x, x->decode, WIRE_WORK_RUN, NULL)) {
 		exchange_give_up(x, "retry-budget", 0);
+		return;
+	}
+	x->attempt.reading = true;
+	note_parts(x, x->decode, PART_SENT);
 }
 
 static void on_drop_head(void *ctx, const struct http_head *head)
@@ -187,20 +218,29 @@
 	buf_free(&request);
 }
 
-static int64_t cached_tokens(const struct exchange *x, const struct endpoint *ep)
+/* Leading tokens of the prompt at an engine: kept or on their way, and kept now. */
+static void cached_tokens(const struct exchange *x, const struct endpoint *ep,
+			  struct place_engine *out)
 {
-	int64_t sum = 0;
+	bool all_ready = true;
 
-	if (!ep->cache)
-		return 0;
-	for (int i = 0; i < x->in.part_count; i++) {
-		int64_t kept = cache_view_has(ep->cache, x->in.parts[i].id);
+	out->cached_tokens = 0;
+	out->ready_tokens = 0;
+	for (int i = 0; ep->cache && i < x->in.part_count; i++) {
+		bool ready;
+		int64_t kept = cache_view_has(ep->cache, x->in.parts[i].id, &ready);
 
 		if (!kept)
 			break;
-		sum += kept;
+		all_ready = all_ready && ready;
+		out->cached_tokens += kept;
+		if (all_ready)
+			out->ready_tokens += kept;
 	}
-	return sum < x->in.prompt_tokens ? sum : x->in.prompt_tokens;
+	if (out->cached_tokens > x->in.prompt_tokens)
+		out->cached_tokens = x->in.prompt_tokens;
+	if (out->ready_tokens > x->in.prompt_tokens)
+		out->ready_tokens = x->in.prompt_tokens;
 }
 
 /* The last part belongs to the request itself; the one before it is what others share. */
@@ -231,17 +271,19 @@
 
 static struct place_engine view(const struct exchange *x, const struct endpoint *ep, int64_t now_ms)
 {
-	return (struct place_engine){
+	struct place_engine v = {
 		.stage = ep->entry.stage,
 		.dc = ep->dc,
 		.usable = endpoint_open(ep, now_ms) && !was_tried(x, ep),
 		.backlog_tokens = ep->backlog_tokens + ep->others_backlog,
 		.active = ep->active + ep->others_active,
 		.slots = ep->entry.slots,
-		.cached_tokens = cached_tokens(x, ep),
 		.penalty_ms = FAILING_MS * ep->failure_share,
 		.home_score = hash_mix(home_key(x), ep->hash),
 	};
+
+	cached_tokens(x, ep, &v);
+	return v;
 }
 
 static void charge(struct exchange *x, struct endpoint *ep, int64_t tokens)
@@ -249,7 +291,8 @@
 	/* attempt_start() has just made the attempt that carries the charge. */
 	x->attempt.charged_tokens = tokens;
 	ep->backlog_tokens += tokens;
-	learn_parts(x, ep);
+	x->attempt.reading = true;
+	note_parts(x, ep, PART_SENT);
 }
 
 bool generation_place(struct exchange *x, int64_t now_ms)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -8,6 +8,7 @@
 
 #include "ibisgate/daemon/settings.h"
 #include "ibisgate/entry/entry.h"
+#include "ibisgate/net/codec_sharing.h"
 #include "ibisgate/net/event_stream.h"
 #include "ibisgate/net/http_client.h"
 #include "ibisgate/platform/wire.h"
@@ -33,6 +34,7 @@
  * @tag: short name in messages between instances
  * @failure_share: moving share of failed attempts, 0 to 1
  * @avoid_until_ms: it has said that it is full or not the expected instance
+ * @heard_ms: when bytes of any response came from it last
  * @order_until_ms: an order to it is under way until its list entry shows it, or until then
  */
 struct endpoint {
@@ -52,6 +54,7 @@
 	int others_active;
 	double failure_share;
 	int64_t avoid_until_ms;
+	int64_t heard_ms;
 	int64_t order_until_ms;
 	enum engine_stage ordered_stage;
 };
@@ -91,6 +94,7 @@
 	struct stages *stages;
 	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
 	int dc_count;
+	struct cds_list_head exchange_list;
 	int exchanges;
 	bool stopping;
 	int64_t stop_ms;
@@ -154,8 +158,9 @@
 struct peers *peers_create(struct entry *e, struct error *err);
 void peers_destroy(struct peers *p);
 
-/** peers_note_part - tell the others that an engine will keep a part */
-void peers_note_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens);
+/** peers_note_part - tell the others what an engine keeps, or will keep, of a prompt */
+void peers_note_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens,
+		     enum shared_part_state state);
 
 /** peers_note_load - the loads of this instance have changed */
 void peers_note_load(struct peers *p);
@@ -172,6 +177,9 @@
 		   void *ctx);
 void caller_destroy(struct caller *c);
 void callers_sweep(struct entry *e, int64_t now_ms);
+
+/** callers_close_idle - close connections on which no request has begun */
+void callers_close_idle(struct entry *e);
 void callers_destroy(struct entry *e);
 void caller_write(struct caller *c, struct str bytes);
 
@@ -193,6 +201,9 @@
 /** exchange_cancel - the caller has gone */
 void exchange_cancel(struct exchange *x);
 
+/** exchanges_sweep - notice endpoints that have fallen silent */
+void exchanges_sweep(struct entry *e, int64_t now_ms);
+
 /* probe.c */
 void ready_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
 		  void *ctx);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -158,8 +158,13 @@
 	for (int i = 0; i < s->part_count; i++) {
 		struct endpoint *ep = endpoint_by_tag(e, s->parts[i].tag);
 
-		if (ep && ep->cache)
-			cache_view_use(ep->cache, s->parts[i].part, s->parts[i].tokens);
+		if (!ep || !ep->cache)
+			continue;
+		if (s->parts[i].state == PART_DROPPED)
+			cache_view_forget_sent(ep->cache, s->parts[i].part);
+		else
+			cache_view_use(ep->cache, s->parts[i].part, s->parts[i].tokens,
+				       s->parts[i].state == PART_READY);
 	}
 }
 
@@ -372,7 +377,8 @@
 	log_error("peer-bus-gave-up", "instance=%s", p->entry->settings.instance.id);
 }
 
-void peers_note_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens)
+void peers_note_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens,
+		     enum shared_part_state state)
 {
 	if (!p || p->part_count == SHARING_PARTS_MAX)
 		return;
@@ -380,6 +386,7 @@
 		.tag = ep->tag,
 		.part = part,
 		.tokens = (uint32_t)tokens,
+		.state = state,
 	};
 	p->changed = true;
 }
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -30,11 +30,19 @@
 	uint32_t active;
 };
 
+enum shared_part_state {
+	PART_SENT,
+	PART_READY,
+	/* Sent, but not read: the attempt ended before. */
+	PART_DROPPED,
+};
+
 /** struct shared_part - part of a prompt that the sender has sent to an engine */
 struct shared_part {
 	uint32_t tag;
 	uint64_t part;
 	uint32_t tokens;
+	enum shared_part_state state;
 };
 
 /** struct shared_suspect - request that was running when endpoints crashed */
--- a/include/ibisgate/policy/place.h
+++ b/include/ibisgate/policy/place.h
@@ -47,7 +47,8 @@
  * @backlog_tokens: uncached prompt tokens sent there and not yet read
  * @active: requests in progress
  * @slots: requests that it runs at once
- * @cached_tokens: leading tokens of this prompt that it keeps
+ * @cached_tokens: leading tokens of this prompt that it keeps, or will once what waits there is read
+ * @ready_tokens: those of them that it keeps now, and that can be copied from there
  * @penalty_ms: disadvantage after recent failures
  * @home_score: the same on all instances; the highest is the home of the prompt's shared parts
  */
@@ -59,6 +60,7 @@
 	int active;
 	int slots;
 	int64_t cached_tokens;
+	int64_t ready_tokens;
 	double penalty_ms;
 	uint64_t home_score;
 };
--- a/net/codec_sharing.c
+++ b/net/codec_sharing.c
@@ -55,10 +55,11 @@
 {
 	codec_put_array(b, s->part_count);
 	for (int i = 0; i < s->part_count; i++) {
-		codec_put_array(b, 3);
+		codec_put_array(b, 4);
 		codec_put_uint(b, s->parts[i].tag);
 		codec_put_uint(b, s->parts[i].part);
 		codec_put_uint(b, s->parts[i].tokens);
+		codec_put_uint(b, s->parts[i].state);
 	}
 }
 
@@ -66,10 +67,12 @@
 {
 	s->part_count = codec_get_count(r, SHARING_PARTS_MAX);
 	for (int i = 0; i < s->part_count && !r->failed; i++) {
-		codec_get_tuple(r, 3);
+		codec_get_tuple(r, 4);
 		s->parts[i].tag = get_u32(r);
 		s->parts[i].part = codec_get_uint(r, UINT64_MAX);
 		s->parts[i].tokens = get_u32(r);
+		s->parts[i].state =
+			(enum shared_part_state)codec_get_uint(r, PART_DROPPED);
 	}
 }
 
--- a/policy/place.c
+++ b/policy/place.c
@@ -37,10 +37,10 @@
 	int best = -1;
 
 	for (int i = 0; i < count; i++) {
-		if (!e[i].usable || !e[i].cached_tokens)
+		if (!e[i].usable || !e[i].ready_tokens)
 			continue;
-		if (best < 0 || e[i].cached_tokens > e[best].cached_tokens ||
-		    (e[i].cached_tokens == e[best].cached_tokens && e[i].dc == dc &&
+		if (best < 0 || e[i].ready_tokens > e[best].ready_tokens ||
+		    (e[i].ready_tokens == e[best].ready_tokens && e[i].dc == dc &&
 		     e[best].dc != dc))
 			best = i;
 	}
@@ -63,7 +63,7 @@
 	double rate = e[at].stage == STAGE_PREFILL ? s->prefill_per_ms : s->mixed_per_ms;
 	int64_t missing = r->prompt_tokens - e[at].cached_tokens;
 	struct reading out = { .fetch = -1, .read_tokens = missing > 0 ? missing : 0 };
-	int64_t gain = source >= 0 ? e[source].cached_tokens - e[at].cached_tokens : 0;
+	int64_t gain = source >= 0 ? e[source].ready_tokens - e[at].cached_tokens : 0;
 	double hops = source >= 0 && e[source].dc != e[at].dc ? 2 : 1;
 	double move_ms = c->fetch_ms + (double)gain * hops / s->transfer_per_ms;
 	double move_cost = (double)gain * hops * c->move_token_ms;
@@ -122,7 +122,7 @@
 	for (int i = 0; i < count; i++) {
 		const struct place_engine *e = &engines[i];
 		int source = find_source(engines, count, e->dc);
-		bool kept = source >= 0 && engines[source].cached_tokens * 2 >= r->shared_tokens;
+		bool kept = source >= 0 && engines[source].ready_tokens * 2 >= r->shared_tokens;
 		struct reading reading;
 		double cost;
 
--- a/state/cache_view.c
+++ b/state/cache_view.c
@@ -11,6 +11,7 @@
 	struct cds_list_head bucket;
 	uint64_t part;
 	int64_t tokens;
+	bool ready;
 };
 
 struct cache_view {
@@ -66,7 +67,7 @@
 	return NULL;
 }
 
-void cache_view_use(struct cache_view *v, uint64_t part, int64_t tokens)
+void cache_view_use(struct cache_view *v, uint64_t part, int64_t tokens, bool ready)
 {
 	struct part_entry *e = entry_find(v, part);
 
@@ -81,22 +82,24 @@
 		v->used += tokens;
 		cds_list_add(&e->bucket, &v->buckets[part % BUCKETS]);
 	}
+	e->ready = e->ready || ready;
 	cds_list_add(&e->recent, &v->recent);
 	while (v->used > v->capacity && v->recent.prev != &e->recent)
 		entry_free(v, cds_list_entry(v->recent.prev, struct part_entry, recent));
 }
 
-void cache_view_drop(struct cache_view *v, uint64_t part)
+void cache_view_forget_sent(struct cache_view *v, uint64_t part)
 {
 	struct part_entry *e = entry_find(v, part);
 
-	if (e)
+	if (e && !e->ready)
 		entry_free(v, e);
 }
 
-int64_t cache_view_has(const struct cache_view *v, uint64_t part)
+int64_t cache_view_has(const struct cache_view *v, uint64_t part, bool *ready)
 {
 	struct part_entry *e = entry_find(v, part);
 
+	*ready = e && e->ready;
 	return e ? e->tokens : 0;
 }
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -69,7 +69,8 @@
 		s->loads[i] = { (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng() };
 	s->part_count = (int)(rng() % (SHARING_PARTS_MAX + 1)) >> (rng() % 8);
 	for (int i = 0; i < s->part_count; i++)
-		s->parts[i] = { (uint32_t)rng(), rng(), (uint32_t)rng() };
+		s->parts[i] = { (uint32_t)rng(), rng(), (uint32_t)rng(),
+				(enum shared_part_state)(rng() % 3) };
 	s->suspect_count = (int)(rng() % (SHARING_SUSPECTS_MAX + 1));
 	for (int i = 0; i < s->suspect_count; i++)
 		s->suspects[i] = { rng(), (uint32_t)rng() };
