tests: decisions, formats and parsing of the platform path

Found: http_parser takes a space before the colon of a field name, so "Transfer-Encoding : chunked" passed as an unknown field. Such messages are refused now.

--- a/net/http_message.c
+++ b/net/http_message.c
@@ -7,8 +7,16 @@
 #define HEAD_MAX_DEFAULT 65536
 
 static const char *const hop_fields[] = {
-	"connection", "keep-alive", "proxy-connection",  "proxy-authenticate", "proxy-authorization",
-	"te",	      "trailer",    "transfer-encoding", "upgrade",	       "content-length",
+	"connection",
+	"keep-alive",
+	"proxy-connection",
+	"proxy-authenticate",
+	"proxy-authorization",
+	"te",
+	"trailer",
+	"transfer-encoding",
+	"upgrade",
+	"content-length",
 };
 
 bool str_ieq(struct str a, const char *b)
@@ -160,6 +168,9 @@
 	for (int i = 0; i < h->count; i++) {
 		struct str name = http_field_name(h, i);
 
+		/* http_parser takes a space before the colon; RFC 9112, 5.1 forbids it. */
+		if (memchr(name.data, ' ', name.len))
+			return false;
 		if (str_ieq(name, "content-length")) {
 			lengths++;
 		} else if (str_ieq(name, "transfer-encoding")) {
--- /dev/null
+++ b/tests/test_cache_view.cc
@@ -0,0 +1,46 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "ibisgate/state/cache_view.h"
+}
+
+/* Guards against placement on an engine that has long given a part up. */
+TEST(CacheView, LeastRecentlyUsedPartsGoFirst)
+{
+	struct cache_view *v = cache_view_create(100);
+	bool ready;
+
+	cache_view_use(v, 1, 40, true);
+	cache_view_use(v, 2, 40, true);
+	cache_view_use(v, 1, 40, true);
+	cache_view_use(v, 3, 40, true);
+	EXPECT_EQ(cache_view_has(v, 1, &ready), 40);
+	EXPECT_EQ(cache_view_has(v, 2, &ready), 0);
+	EXPECT_EQ(cache_view_has(v, 3, &ready), 40);
+	/* A part larger than the engine is the only one left. */
+	cache_view_use(v, 4, 500, true);
+	EXPECT_EQ(cache_view_has(v, 1, &ready), 0);
+	EXPECT_EQ(cache_view_has(v, 4, &ready), 500);
+	cache_view_clear(v);
+	EXPECT_EQ(cache_view_has(v, 4, &ready), 0);
+	cache_view_destroy(v);
+}
+
+/* Guards against copies from an engine that has not read the part, which is then read again. */
+TEST(CacheView, PartsAreReadyOnlyOnceRead)
+{
+	struct cache_view *v = cache_view_create(1000);
+	bool ready = true;
+
+	cache_view_use(v, 1, 40, false);
+	EXPECT_EQ(cache_view_has(v, 1, &ready), 40);
+	EXPECT_FALSE(ready);
+	cache_view_forget_sent(v, 1);
+	EXPECT_EQ(cache_view_has(v, 1, &ready), 0);
+	cache_view_use(v, 1, 40, true);
+	cache_view_use(v, 1, 40, false);
+	cache_view_forget_sent(v, 1);
+	EXPECT_EQ(cache_view_has(v, 1, &ready), 40);
+	EXPECT_TRUE(ready);
+	cache_view_destroy(v);
+}
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -68,12 +68,18 @@
 	for (int i = 0; i < s->load_count; i++)
 		s->loads[i] = { (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng() };
 	s->part_count = (int)(rng() % (SHARING_PARTS_MAX + 1)) >> (rng() % 8);
-	for (int i = 0; i < s->part_count; i++)
-		s->parts[i] = { (uint32_t)rng(), rng(), (uint32_t)rng(),
-				(enum shared_part_state)(rng() % 3) };
+	for (int i = 0; i < s->part_count; i++) {
+		/* Field by field: the padding between them stays zero for memcmp(). */
+		s->parts[i].tag = (uint32_t)rng();
+		s->parts[i].part = rng();
+		s->parts[i].tokens = (uint32_t)rng();
+		s->parts[i].state = (enum shared_part_state)(rng() % 3);
+	}
 	s->suspect_count = (int)(rng() % (SHARING_SUSPECTS_MAX + 1));
-	for (int i = 0; i < s->suspect_count; i++)
-		s->suspects[i] = { rng(), (uint32_t)rng() };
+	for (int i = 0; i < s->suspect_count; i++) {
+		s->suspects[i].fingerprint = rng();
+		s->suspects[i].crashes = (uint32_t)rng();
+	}
 	s->leaving_count = (int)(rng() % (SHARING_LEAVING_MAX + 1));
 	for (int i = 0; i < s->leaving_count; i++)
 		s->leaving[i] = (uint32_t)rng();
@@ -252,6 +258,8 @@
 			EXPECT_STREQ(m->u.part.text, copy->u.part.text);
 		} else if (m->kind == PEER_LOAD_REPORT || m->kind == PEER_LOAD_SUMMARY) {
 			EXPECT_EQ(memcmp(m->u.loads, copy->u.loads, sizeof(*m->u.loads)), 0);
+		} else if (m->kind == PEER_SHARING) {
+			EXPECT_EQ(memcmp(m->u.sharing, copy->u.sharing, sizeof(*m->u.sharing)), 0);
 		} else if (m->kind != PEER_CONFIG_CHANGE && m->kind != PEER_CONFIG_BATCH) {
 			EXPECT_EQ(memcmp(m, copy, sizeof(*m)), 0) << "kind " << m->kind;
 		}
--- /dev/null
+++ b/tests/test_extra_budget.cc
@@ -0,0 +1,70 @@
+#include <gtest/gtest.h>
+
+#include <deque>
+#include <random>
+
+extern "C" {
+#include "ibisgate/policy/extra_budget.h"
+}
+
+static const struct extra_limits limits = {
+	.window_ms = 10000, .ratio = 0.2, .fixed = 58, .instances = 5
+};
+
+/*
+ * Load: a service that rejects everything, so that every request wants to be sent again at once.
+ * Guards against instances that together send more than the service allows in some window.
+ */
+TEST(ExtraBudget, AllInstancesTogetherStayBelowTheAllowanceInEveryWindow)
+{
+	for (unsigned seed = 1; seed <= 20; seed++) {
+		std::mt19937_64 rng(seed);
+		struct extra_budget b[5] = {};
+		std::deque<std::pair<int64_t, int>> sent;
+
+		for (int64_t now = 1000; now < 60000; now += 20) {
+			struct extra_budget *mine = &b[rng() % 5];
+
+			extra_budget_first(mine, &limits, now);
+			sent.push_back({ now, 0 });
+			for (int again = 0; again < 3; again++) {
+				if (extra_budget_take(mine, &limits, now))
+					sent.push_back({ now, 1 });
+			}
+			while (sent.front().first <= now - limits.window_ms)
+				sent.pop_front();
+			int first = 0, extra = 0;
+			for (const auto &s : sent)
+				s.second ? extra++ : first++;
+			ASSERT_LE(extra, limits.ratio * first + limits.fixed) << seed;
+		}
+	}
+}
+
+/* Guards against a budget that is never given back. */
+TEST(ExtraBudget, ComesBackAfterTheWindow)
+{
+	struct extra_budget b = {};
+	int taken = 0;
+
+	while (extra_budget_take(&b, &limits, 1000))
+		taken++;
+	EXPECT_GT(taken, 5);
+	EXPECT_LE(taken, 58 / 5);
+	EXPECT_FALSE(extra_budget_take(&b, &limits, 10500));
+	EXPECT_TRUE(extra_budget_take(&b, &limits, 12500));
+}
+
+/* Guards against a restarted instance that starts with a full allowance of its own. */
+TEST(ExtraBudget, StartsWithoutCreditBeyondItsPart)
+{
+	struct extra_limits l = limits;
+	struct extra_budget b = {};
+
+	l.fixed = 0;
+	EXPECT_FALSE(extra_budget_take(&b, &l, 1000));
+	for (int i = 0; i < 10; i++)
+		extra_budget_first(&b, &l, 1000);
+	EXPECT_TRUE(extra_budget_take(&b, &l, 1000));
+	EXPECT_FALSE(extra_budget_take(&b, &l, 1000));
+}
--- /dev/null
+++ b/tests/test_wire.cc
@@ -0,0 +1,355 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "ibisgate/platform/store.h"
+#include "ibisgate/platform/wire.h"
+}
+
+namespace
+{
+
+int on_head(void *, const struct http_head *)
+{
+	return 0;
+}
+
+void on_body(void *, struct str)
+{
+}
+
+void on_end(void *)
+{
+}
+
+const struct http_reader_ops ops = { on_head, on_body, on_end };
+
+/* A parsed head. */
+struct parsed {
+	struct http_reader r;
+
+	explicit parsed(const std::string &text, enum http_side side = HTTP_SIDE_REQUEST)
+	{
+		http_reader_init(&r, side, 0, &ops, this);
+		EXPECT_GE(http_reader_feed(&r, str{ text.data(), text.size() }), 0);
+	}
+
+	~parsed()
+	{
+		http_reader_free(&r);
+	}
+};
+
+std::string take(struct buf *b)
+{
+	std::string s(b->data ? b->data : "", b->len);
+
+	buf_free(b);
+	return s;
+}
+
+bool has(const std::string &text, const std::string &what)
+{
+	return text.find(what) != std::string::npos;
+}
+
+struct store_row row(const std::string &key, const std::string &value, int64_t version = 9)
+{
+	struct store_row r = {};
+
+	str_copy(r.key, sizeof(r.key), str_from(key.c_str()));
+	buf_append(&r.value, value.data(), value.size());
+	r.version = version;
+	return r;
+}
+
+} // namespace
+
+TEST(Wire, RequestIsDecodedIntoOurNames)
+{
+	struct parsed p("POST /a/ HTTP/1.1\r\nX-Ibisgate-Request-Id: 9c41\r\nLast-Event-Id: 12\r\n"
+			"X-Ibisgate-Model: m\r\nX-Ibisgate-Token-Count: 1460, 80\r\n"
+			"X-Ibisgate-Prefix-Hash: 5c1e07a2:800, 91bd3f06:410,zz:250\r\n"
+			"X-Ibisgate-Length-Hint: 33\r\nX-Ibisgate-Deadline-Ms: 5000\r\n\r\n");
+	struct inbound_request in;
+
+	ASSERT_TRUE(wire_request_decode(&p.r.head, &in));
+	EXPECT_STREQ(in.id, "9c41");
+	EXPECT_STREQ(in.model, "m");
+	EXPECT_EQ(in.prompt_tokens, 1460);
+	EXPECT_EQ(in.output_tokens, 80);
+	EXPECT_EQ(in.output_hint, 33);
+	EXPECT_EQ(in.wait_ms, 5000);
+	EXPECT_EQ(in.resume_from, 12);
+	ASSERT_EQ(in.part_count, 3);
+	EXPECT_EQ(in.parts[0].id, 0x5c1e07a2u);
+	EXPECT_EQ(in.parts[1].tokens, 410);
+	EXPECT_NE(in.parts[2].id, 0u);
+}
+
+/* Guards against fields of a caller that crash the decoder or are taken for numbers. */
+TEST(Wire, MalformedFieldsCountAsAbsent)
+{
+	struct parsed p("GET / HTTP/1.1\r\nX-Ibisgate-Request-Id: a\r\n"
+			"X-Ibisgate-Token-Count: many,-3\r\nX-Ibisgate-Prefix-Hash: :,x:y,1:-4\r\n"
+			"X-Ibisgate-Deadline-Ms: soon\r\nLast-Event-Id: \r\n\r\n");
+	struct parsed none("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+	struct inbound_request in;
+
+	ASSERT_TRUE(wire_request_decode(&p.r.head, &in));
+	EXPECT_EQ(in.prompt_tokens, 0);
+	EXPECT_EQ(in.output_tokens, 0);
+	EXPECT_EQ(in.part_count, 0);
+	EXPECT_EQ(in.wait_ms, 0);
+	EXPECT_EQ(in.resume_from, -1);
+	EXPECT_FALSE(wire_request_decode(&none.r.head, &in));
+}
+
+/* Guards against callers that reserve or take over engine memory with fields of their own. */
+TEST(Wire, FieldsThatOnlyThisProcessSetsAreReplaced)
+{
+	struct parsed p(
+		"POST /x?y HTTP/1.1\r\nHost: h\r\nX-Ibisgate-Request-Id: a\r\n"
+		"X-Ibisgate-Kv-Hold: 1\r\nX-Ibisgate-Pin-Ms: 9\r\nX-Ibisgate-Kv-Backup: 2\r\n"
+		"X-Ibisgate-Kv-Source: 3\r\nKv-Fetch: 4\r\nX-Ibisgate-Serving-Stage: prefill\r\n"
+		"X-Ibisgate-Expect-Instance: z\r\nX-Ibisgate-Deadline-Ms: 99999\r\n"
+		"X-Ibisgate-Request-Priority: 0\r\nConnection: x-own\r\nX-Own: 1\r\n"
+		"Content-Length: 2\r\nX-Kept: yes\r\n\r\nhi");
+	struct outbound_request add = {};
+	struct buf out = {};
+
+	add.remaining_ms = 400;
+	add.expected_id = "i-1";
+	add.urgency = 2;
+	add.resume_from = -1;
+	wire_request_encode(&out, &p.r.head, STR_LIT("hi"), &add);
+	std::string text = take(&out);
+	EXPECT_TRUE(has(text, "POST /x?y HTTP/1.1\r\n"));
+	EXPECT_TRUE(has(text, "X-Kept: yes\r\n"));
+	EXPECT_TRUE(has(text, "X-Ibisgate-Deadline-Ms: 400\r\n"));
+	EXPECT_TRUE(has(text, "X-Ibisgate-Expect-Instance: i-1\r\n"));
+	EXPECT_TRUE(has(text, "X-Ibisgate-Request-Priority: 2\r\n"));
+	EXPECT_TRUE(has(text, "Content-Length: 2\r\n\r\nhi"));
+	for (const char *gone : { "Kv-Hold", "Pin-Ms", "Kv-Backup", "Kv-Source", "Kv-Fetch",
+				  "Serving-Stage", "99999", "Expect-Instance: z", "X-Own" })
+		EXPECT_FALSE(has(text, gone)) << gone;
+}
+
+TEST(Wire, PrefillHandOverAndContinuationAreEncoded)
+{
+	struct parsed p("POST / HTTP/1.1\r\nX-Ibisgate-Request-Id: a\r\nLast-Event-Id: 1\r\n\r\n");
+	struct outbound_request add = {};
+	struct buf out = {};
+
+	add.work = WIRE_WORK_PREFILL;
+	add.expected_id = "i-1";
+	add.urgency = -1;
+	add.resume_from = 7;
+	add.cache_source = "10.0.0.1:80/abc";
+	add.fetch_from = "10.0.0.2:80";
+	wire_request_encode(&out, &p.r.head, str{}, &add);
+	std::string text = take(&out);
+	EXPECT_TRUE(has(text, "X-Ibisgate-Serving-Stage: prefill\r\n"));
+	EXPECT_TRUE(has(text, "Last-Event-Id: 7\r\n"));
+	EXPECT_FALSE(has(text, "Last-Event-Id: 1\r\n"));
+	EXPECT_TRUE(has(text, "X-Ibisgate-Kv-Source: 10.0.0.1:80/abc\r\n"));
+	EXPECT_TRUE(has(text, "Kv-Fetch: 10.0.0.2:80\r\n"));
+	EXPECT_FALSE(has(text, "Request-Priority"));
+	EXPECT_FALSE(has(text, "Content-Length"));
+}
+
+/* Guards against refusals that are taken for runs, and the reverse. */
+TEST(Wire, ResponsesSayWhetherTheRequestRan)
+{
+	struct {
+		const char *head;
+		bool not_run, moved, own;
+	} cases[] = {
+		{ "200 OK\r\nX-Ibisgate-Server-Signature: s", false, false, true },
+		{ "503 Full\r\nX-Ibisgate-Not-Executed: 1", true, false, false },
+		{ "503 Full", false, false, false },
+		{ "421 Misdirected\r\nX-Ibisgate-Instance-Id: i", true, true, false },
+		{ "500 Oops\r\nX-Ibisgate-Server-Signature: s", false, false, true },
+	};
+
+	for (const auto &c : cases) {
+		struct parsed p(std::string("HTTP/1.1 ") + c.head + "\r\nContent-Length: 0\r\n\r\n",
+				HTTP_SIDE_RESPONSE);
+		struct endpoint_response r;
+
+		wire_response_decode(&p.r.head, &r);
+		EXPECT_EQ(r.not_run, c.not_run) << c.head;
+		EXPECT_EQ(r.other_instance, c.moved) << c.head;
+		EXPECT_EQ(r.signed_by_endpoint, c.own) << c.head;
+		EXPECT_FALSE(r.encoded);
+	}
+	struct parsed z("HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n"
+			"Content-Type: text/event-stream\r\nContent-Length: 0\r\n\r\n",
+			HTTP_SIDE_RESPONSE);
+	struct endpoint_response r;
+	wire_response_decode(&z.r.head, &r);
+	EXPECT_TRUE(r.encoded);
+	EXPECT_TRUE(r.event_stream);
+}
+
+TEST(Wire, OwnAnswerTellsWhenToComeBack)
+{
+	struct own_answer a = {};
+	struct buf out = {};
+
+	a.status = 503;
+	a.request_id = "r1";
+	a.reason = "no-endpoint";
+	a.retry_after_ms = 1250;
+	wire_answer_encode(&out, &a);
+	std::string text = take(&out);
+	EXPECT_TRUE(has(text, "HTTP/1.1 503 "));
+	EXPECT_TRUE(has(text, "Retry-After: 1.250\r\n"));
+	EXPECT_TRUE(has(text, "X-Ibisgate-Request-Id: r1\r\n"));
+	EXPECT_FALSE(has(text, "Server-Signature"));
+}
+
+TEST(Store, RowsOfReadsAndFeeds)
+{
+	std::string body =
+		"{\"rows\":[{\"table\":\"t\",\"part\":\"\",\"key\":\"a\",\"value\":"
+		"\"aGk=\",\"schemaVersion\":4},{\"key\":\"b\",\"deleted\":true,"
+		"\"schemaVersion\":5}],\"hasMore\":true,\"schemaVersion\":7,\"nowMs\":1}";
+	struct store_rows rows;
+	struct error err = {};
+
+	ASSERT_EQ(store_rows_decode(str{ body.data(), body.size() }, &rows, &err), 0);
+	ASSERT_EQ(rows.count, 2);
+	EXPECT_STREQ(rows.rows[0].key, "a");
+	EXPECT_EQ(std::string(rows.rows[0].value.data, rows.rows[0].value.len), "hi");
+	EXPECT_TRUE(rows.rows[1].deleted);
+	EXPECT_EQ(rows.version, 7);
+	EXPECT_TRUE(rows.more);
+	store_rows_free(&rows);
+	for (const char *bad :
+	     { "", "[]", "{}", "{\"rows\":3,\"schemaVersion\":1}", "{\"rows\":[]}" })
+		EXPECT_EQ(store_rows_decode(str_from(bad), &rows, &err), -1) << bad;
+	EXPECT_EQ(err.layer, ERROR_PLATFORM);
+}
+
+TEST(Store, ConditionalWriteNamesTheRowTwice)
+{
+	struct buf out = {};
+	int64_t version = 0;
+	struct error err = {};
+
+	store_put_request(&out, "10.0.0.1:80", "t", "k", 12, STR_LIT("hi"));
+	std::string text = take(&out);
+	EXPECT_TRUE(has(text, "POST /rows-tx HTTP/1.1\r\n"));
+	EXPECT_TRUE(has(text, "\"schemaVersion\":12"));
+	EXPECT_TRUE(has(text, "\"value\":\"aGk=\""));
+	EXPECT_TRUE(has(text, "\"remove\":[]"));
+	EXPECT_EQ(store_put_decode(STR_LIT("{\"schemaVersion\":412}"), &version, &err), 0);
+	EXPECT_EQ(version, 412);
+	EXPECT_EQ(store_put_decode(STR_LIT("oops"), &version, &err), -1);
+}
+
+/* Guards against one unreadable entry that hides the endpoints beside it, or is used itself. */
+TEST(Store, EntriesThatNameNoEndpointAreErrors)
+{
+	struct endpoint_entry e;
+	struct error err = {};
+	std::string good = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+			   "\"slots\":64,\"state\":\"ready\",\"stage\":\"prefill\",\"seq\":4,"
+			   "\"born\":1700000000000}";
+	struct store_row r = row("i-1", good);
+
+	ASSERT_EQ(store_endpoint_decode(&r, &e, &err), 0);
+	EXPECT_STREQ(e.id, "i-1");
+	EXPECT_STREQ(e.dc, "z");
+	EXPECT_EQ(e.stage, STAGE_PREFILL);
+	EXPECT_EQ(e.born, 1700000000000);
+	EXPECT_FALSE(e.leaving);
+	buf_free(&r.value);
+	for (const char *bad :
+	     { "", "{", "[]", "{\"service\":\"s\"}",
+	       "{\"service\":3,\"address\":\"a\",\"zone\":\"z\",\"slots\":1,\"state\":\"ready\"}",
+	       "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"slots\":\"x\",\"state\":"
+	       "\"ready\"}",
+	       "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"slots\":1,\"state\":\"odd\"}",
+	       "{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\",\"slots\":1,\"state\":"
+	       "\"ready\","
+	       "\"born\":1.5}" }) {
+		r = row("i-2", bad);
+		EXPECT_EQ(store_endpoint_decode(&r, &e, &err), -1) << bad;
+		buf_free(&r.value);
+	}
+}
+
+TEST(Store, ConfigurationIsDecodedIntoRules)
+{
+	std::string text =
+		"{\"version\":7,\"routes\":[{\"name\":\"r1\",\"host\":\"h\",\"prefix\":\"/p/\","
+		"\"routeKind\":\"streaming\",\"timeoutMs\":5000,\"latencyTargetMs\":800,"
+		"\"priority\":2,\"split\":[{\"service\":\"a\",\"weight\":90},{\"service\":\"b\","
+		"\"weight\":10}],\"maxAttempts\":2,\"sticky\":true,\"resumable\":true,"
+		"\"gapTargetMs\":400},{\"name\":\"r2\",\"host\":\"h\",\"prefix\":\"/q/\","
+		"\"routeKind\":\"odd\",\"service\":\"b\"},{\"name\":\"r3\",\"host\":\"h\","
+		"\"prefix\":\"/n/\",\"routeKind\":\"idempotent\",\"service\":\"none\"}],"
+		"\"services\":[{\"name\":\"a\",\"maxConns\":370,\"engine\":{\"slots\":64,"
+		"\"kvCapacity\":461856,\"kvTokenBytes\":18432,\"linkMbps\":370000.0}},"
+		"{\"name\":\"b\",\"maxConns\":110}],\"limits\":{\"maxHeaderBytes\":100,"
+		"\"maxBodyBytes\":200,\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}}";
+	struct error err = {};
+	struct routing_table *t = store_config_decode(str{ text.data(), text.size() }, &err);
+
+	ASSERT_NE(t, nullptr);
+	EXPECT_EQ(t->version, 7);
+	ASSERT_EQ(t->rule_count, 3);
+	EXPECT_EQ(t->rules[0].kind, CALL_GENERATION);
+	EXPECT_TRUE(t->rules[0].resumable);
+	EXPECT_EQ(t->rules[0].gap_ms, 400);
+	EXPECT_EQ(t->rules[0].target_count, 2);
+	EXPECT_EQ(t->rules[0].targets[1].service, 1);
+	/* What may do harm when repeated is the safe reading of an unknown kind. */
+	EXPECT_EQ(t->rules[1].kind, CALL_NON_IDEMPOTENT);
+	EXPECT_EQ(t->rules[2].target_count, 0);
+	EXPECT_TRUE(t->services[0].engine.present);
+	EXPECT_EQ(t->services[0].engine.kv_capacity, 461856);
+	EXPECT_FALSE(t->services[1].engine.present);
+	EXPECT_EQ(t->limits.idle_timeout_ms, 400);
+	routing_table_put(t);
+	for (const char *bad : { "", "{}", "{\"version\":\"x\",\"routes\":[],\"services\":[]}" })
+		EXPECT_EQ(store_config_decode(str_from(bad), &err), nullptr) << bad;
+}
+
+TEST(Wire, ReportsHandlesAndOrders)
+{
+	struct engine_report r = {};
+	char handle[32];
+	struct buf out = {};
+	struct stage_order o = {};
+
+	EXPECT_TRUE(wire_report_decode(STR_LIT("{\"stage\":\"decode\",\"busy\":true,\"seq\":2,"
+					       "\"queued\":1,\"active\":12,\"kvUsed\":41,"
+					       "\"kvTotal\":90}"),
+				       &r));
+	EXPECT_EQ(r.stage, STAGE_DECODE);
+	EXPECT_TRUE(r.busy);
+	EXPECT_EQ(r.order_seq, 2);
+	EXPECT_EQ(r.kv_total, 90);
+	EXPECT_FALSE(wire_report_decode(STR_LIT("[1]"), &r));
+	EXPECT_TRUE(wire_handle_decode(STR_LIT("{\"kvHandle\":\"3fa0\",\"tokens\":5}"), handle,
+				       sizeof(handle)));
+	EXPECT_STREQ(handle, "3fa0");
+	EXPECT_FALSE(wire_handle_decode(STR_LIT("{}"), handle, sizeof(handle)));
+	o.address = "10.0.0.1:80";
+	o.expected_id = "i-1";
+	o.stage = STAGE_PREFILL;
+	o.holder = "edge-1";
+	o.fencing = 41;
+	o.order_seq = 3;
+	wire_order_encode(&out, &o);
+	std::string text = take(&out);
+	EXPECT_TRUE(has(text, "POST /order HTTP/1.1\r\n"));
+	EXPECT_TRUE(has(text, "X-Ibisgate-Expect-Instance: i-1\r\n"));
+	EXPECT_TRUE(has(text, "\"stage\":\"prefill\""));
+	EXPECT_TRUE(has(text, "\"fencingToken\":41"));
+	EXPECT_TRUE(has(text, "\"precondition\":3"));
+}
