--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -52,7 +52,8 @@
 	const struct attempt *a = &x->attempt;
 
 	return x->rule->kind == CALL_GENERATION && a->work == WIRE_WORK_RUN &&
-	       a->response.status == 200 && a->response.signed_by_endpoint && !a->response.encoded;
+	       a->response.status == 200 && a->response.identified &&
+	       a->response.signed_by_endpoint && !a->response.encoded;
 }
 
 static void on_body(void *ctx, struct str bytes)
@@ -74,6 +75,7 @@
 static void attempt_refused(struct exchange *x)
 {
 	struct endpoint *ep = x->attempt.endpoint;
+	struct extra_limits limits = entry_extra_limits(x->entry);
 	int64_t now = clock_boot_ms();
 	bool moved = x->attempt.response.other_instance;
 
@@ -82,7 +84,11 @@
 	exchange_note(x, ep, moved ? "moved" : "full");
 	ep->avoid_until_ms = now + (moved ? MOVED_AVOID_MS : FULL_AVOID_MS);
 	x->refused++;
+	if (x->attempt.free_send)
+		extra_budget_charge(&x->service->budget, &limits, now);
 	attempt_end(x);
+	if (!moved && generation_other_decode(x))
+		return;
 	generation_drop_cache(x);
 	attempt_again(x, moved ? "endpoint-moved" : "endpoint-full");
 }
@@ -93,7 +99,7 @@
 
 	if (r->encoded || x->attempt.body.len > RESPONSE_MAX_BYTES)
 		return false;
-	return r->signed_by_endpoint || r->status >= 400;
+	return (r->identified && r->signed_by_endpoint) || r->status >= 400;
 }
 
 static void call_end(struct exchange *x)
@@ -113,6 +119,7 @@
 	if (r->status >= 500 && exchange_repeatable(x) && x->runs + 1 < x->rule->max_attempts &&
 	    x->tried_count < TRIED_MAX) {
 		exchange_note(x, ep, "error");
+		exchange_keep_failure(x);
 		attempt_end(x);
 		x->runs++;
 		attempt_again(x, "endpoint-error");
@@ -242,12 +249,11 @@
 	struct extra_limits limits = entry_extra_limits(x->entry);
 	int64_t now = clock_boot_ms();
 	struct buf request = { 0 };
-	bool extra = x->first_counted;
+	/* The first prefill of a request is not counted, unless the engine rejects it. */
+	bool free_send = work == WIRE_WORK_PREFILL && x->sends == 0;
+	bool extra = !free_send && (x->first_counted || work == WIRE_WORK_PREFILL);
 
-	if (work == WIRE_WORK_PREFILL && x->sends == 0) {
-		/* The first prefill of a request is not counted as a send beyond the first. */
-		extra = false;
-	} else if (!extra) {
+	if (!extra && !free_send) {
 		extra_budget_first(&x->service->budget, &limits, now);
 		x->first_counted = true;
 	}
@@ -264,6 +270,7 @@
 	ep->active++;
 	peers_note_load(x->entry->peers);
 	a->work = work;
+	a->free_send = free_send;
 	a->sent_ms = now;
 	a->heard_ms = now;
 	circuit_sent(&ep->circuit, now);
@@ -278,22 +285,22 @@
 				    .expected_id = ep->entry.id,
 				    .urgency = urgency(x),
 				    .resume_from = x->events_given ? x->last_event : -1,
-				    .cache_source = work == WIRE_WORK_RUN && x->cache_source[0] ?
-							    x->cache_source :
-							    NULL,
+				    .cache_source = work == WIRE_WORK_RUN && x->cache_source[0]
+							    ? x->cache_source
+							    : NULL,
 				    .fetch_from = fetch_from ? fetch_from->entry.address : NULL,
 			    });
-	a->call = http_exchange_start(x->entry->endpoint_client,
-				      &(struct http_exchange_spec){
-					      .to = ep->address,
-					      .request = buf_str(&request),
-					      .fresh = x->rule->kind == CALL_NON_IDEMPOTENT ||
-						       extra,
-					      .match_name = wire_request_id_field,
-					      .match_value = str_from(x->in.id),
-					      .connect_ms = CONNECT_MS,
-				      },
-				      &attempt_ops, x);
+	a->call =
+		http_exchange_start(x->entry->endpoint_client,
+				    &(struct http_exchange_spec){
+					    .to = ep->address,
+					    .request = buf_str(&request),
+					    .fresh = x->rule->kind == CALL_NON_IDEMPOTENT || extra,
+					    .match_name = wire_request_id_field,
+					    .match_value = str_from(x->in.id),
+					    .connect_ms = CONNECT_MS,
+				    },
+				    &attempt_ops, x);
 	buf_free(&request);
 	return true;
 }
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -58,8 +58,8 @@
 	ep->tag = peer_tag(entry->id, 0);
 	ep->dc = entry_dc(e, entry->dc);
 	if (!http_address_parse(str_from(entry->address), &ep->address)) {
-		log_warn("endpoint-ignored", "endpoint=%s address=\"%s\" expected=IP:PORT", entry->id,
-			 entry->address);
+		log_warn("endpoint-ignored", "endpoint=%s address=\"%s\" expected=IP:PORT",
+			 entry->id, entry->address);
 		free(ep);
 		return;
 	}
@@ -82,7 +82,8 @@
 	struct endpoint *ep = endpoint_find(e, entry->id);
 
 	e->listed_ms = clock_boot_ms();
-	log_info("endpoint", "endpoint=%s change=%s service=%s dc=%s address=%s stage=%d born=%lld "
+	log_info("endpoint",
+		 "endpoint=%s change=%s service=%s dc=%s address=%s stage=%d born=%lld "
 		 "list_version=%lld",
 		 entry->id, change_names[change], entry->service, entry->dc, entry->address,
 		 (int)entry->stage, (long long)entry->born, (long long)entry->version);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -3,6 +3,7 @@
 #include <event2/listener.h>
 #include <netinet/in.h>
 #include <signal.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/stat.h>
@@ -78,13 +79,21 @@
 	metric_set(METRIC_CONFIG_VERSION, t->version);
 }
 
+/*
+ * What all instances share is divided by the greatest number ever heard: those that can't be
+ * heard at the moment go on sending.
+ */
 struct extra_limits entry_extra_limits(const struct entry *e)
 {
+	int most = peers_most(e->peers);
+
 	return (struct extra_limits){
 		.window_ms = e->settings.bounds.retry_window_ms,
 		.ratio = e->settings.bounds.retry_ratio,
 		.fixed = e->settings.bounds.retry_fixed,
-		.instances = e->settings.bounds.instances_max,
+		.instances = most > e->settings.bounds.instances_min
+				     ? most
+				     : e->settings.bounds.instances_min,
 	};
 }
 
@@ -176,6 +185,33 @@
 		stop_step(e, now);
 }
 
+static bool listen_any(const char *address, struct http_address *a)
+{
+	char text[64];
+	size_t len = strlen(address);
+
+	if (len < 3 || strcmp(address + len - 2, ":0") != 0 || len >= sizeof(text))
+		return false;
+	str_copy(text, sizeof(text), (struct str){ .data = address, .len = len - 1 });
+	text[len - 1] = '1';
+	text[len] = '\0';
+	if (!http_address_parse(str_from(text), a))
+		return false;
+	a->port = 0;
+	return true;
+}
+
+static int entry_port(const struct evconnlistener *l)
+{
+	struct sockaddr_in sin = { 0 };
+	socklen_t len = sizeof(sin);
+
+	if (!l || getsockname(evconnlistener_get_fd((struct evconnlistener *)l),
+			      (struct sockaddr *)&sin, &len) < 0)
+		return 0;
+	return ntohs(sin.sin_port);
+}
+
 static struct evconnlistener *listen_on(struct entry *e, const char *address, evconnlistener_cb cb,
 					struct error *err)
 {
@@ -183,16 +219,16 @@
 	struct sockaddr_in sin = { .sin_family = AF_INET };
 	struct evconnlistener *l;
 
-	if (!http_address_parse(str_from(address), &a)) {
+	/* Port 0 lets the kernel choose; it is printed at the start. */
+	if (!http_address_parse(str_from(address), &a) && !listen_any(address, &a)) {
 		error_set(err, ERROR_FRONT, ENTRY_LISTEN, "%s: expected IP:PORT", address);
 		return NULL;
 	}
 	sin.sin_port = htons(a.port);
 	sin.sin_addr.s_addr = htonl(a.ip);
-	l = evconnlistener_new_bind(e->base, cb, e,
-				    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE |
-					    LEV_OPT_CLOSE_ON_EXEC,
-				    BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
+	l = evconnlistener_new_bind(
+		e->base, cb, e, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
+		BACKLOG, (struct sockaddr *)&sin, sizeof(sin));
 	if (!l)
 		error_set(err, ERROR_FRONT, ENTRY_LISTEN, "cannot listen on %s: %s", address,
 			  strerror(errno));
@@ -268,6 +304,10 @@
 
 void entry_run(struct entry *e)
 {
+	printf("listening http=%d ready=%d metrics=%d peer=%s\n", entry_port(e->front),
+	       entry_port(e->ready), entry_port(e->metrics),
+	       strchr(e->settings.peer.listen, ':') + 1);
+	fflush(stdout);
 	log_info("started", "id=%s dc=%s region=%s front=%s ready=%s store=%s",
 		 e->settings.instance.id, e->settings.instance.dc, e->settings.instance.region,
 		 e->settings.http.listen, e->settings.ready.listen, e->settings.platform.url);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -57,8 +57,8 @@
 		 x->in.id, x->rule ? x->rule->name : "-", x->spec ? x->spec->name : "-",
 		 x->table ? x->table->version : 0, outcome, status, cause, x->runs, x->refused,
 		 x->sends, x->events_given, x->first_ms ? x->first_ms - x->begun_ms : -1,
-		 now - x->begun_ms, x->deadline_ms - now, x->choice.first_ms,
-		 x->in.prompt_tokens, x->choice.read_tokens, x->trail[0] ? x->trail : "-");
+		 now - x->begun_ms, x->deadline_ms - now, x->choice.first_ms, x->in.prompt_tokens,
+		 x->choice.read_tokens, x->trail[0] ? x->trail : "-");
 }
 
 static void exchange_destroy(struct exchange *x)
@@ -70,6 +70,7 @@
 	if (x->timer)
 		event_free(x->timer);
 	event_stream_free(&x->events);
+	buf_free(&x->fallback);
 	buf_free(&x->attempt.body);
 	cds_list_del(&x->link);
 	x->entry->exchanges--;
@@ -110,8 +111,22 @@
 	answer(x, 503, cause, retry_after_ms);
 }
 
+void exchange_keep_failure(struct exchange *x)
+{
+	x->fallback.len = 0;
+	wire_response_encode(&x->fallback, x->attempt.head, (int64_t)x->attempt.body.len,
+			     x->entry->stopping);
+	buf_append_str(&x->fallback, buf_str(&x->attempt.body));
+}
+
 void exchange_fail(struct exchange *x, int status, const char *cause)
 {
+	if (x->fallback.len && !x->answer_begun) {
+		log_outcome(x, "failed", status, cause);
+		caller_write(x->caller, buf_str(&x->fallback));
+		exchange_close(x, true);
+		return;
+	}
 	metric_add(METRIC_OUTCOME_UNKNOWN, 1);
 	log_outcome(x, x->answer_begun ? "cut" : "failed", status, cause);
 	if (x->answer_begun) {
@@ -196,7 +211,8 @@
 	return false;
 }
 
-/* Disadvantages in requests in progress: another data centre, and an endpoint that failed always. */
+/* Disadvantages in requests in progress: another data centre, and an endpoint that failed always.
+ */
 #define CALL_REMOTE 0.7
 #define CALL_FAILING 6.0
 
@@ -210,8 +226,8 @@
 	cds_list_for_each_entry(ep, &x->entry->endpoints, link) {
 		double score;
 
-		if (strcmp(ep->entry.service, x->spec->name) != 0 ||
-		    !endpoint_open(ep, now_ms) || tried(x, ep))
+		if (strcmp(ep->entry.service, x->spec->name) != 0 || !endpoint_open(ep, now_ms) ||
+		    tried(x, ep))
 			continue;
 		score = ep->active + (ep->dc ? CALL_REMOTE : 0) + CALL_FAILING * ep->failure_share +
 			(double)(hash_mix(ep->hash, (uint64_t)x->begun_ms) & 1023) / 8192;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -8,6 +8,7 @@
 
 /**
  * struct attempt - one sending of a request to one endpoint
+ * @free_send: not counted in the budget of repeated sends
  * @charged_tokens: prompt tokens counted in the endpoint's backlog until they are read
  * @heard_ms: when bytes of its response came last, at first when it was sent
  * @reading: the endpoint is an engine that has not read the prompt yet
@@ -18,6 +19,7 @@
 	struct endpoint *endpoint;
 	struct http_exchange *call;
 	enum wire_work work;
+	bool free_send;
 	int64_t charged_tokens;
 	int64_t sent_ms;
 	int64_t heard_ms;
@@ -38,6 +40,8 @@
  * @last_event: id of the last event given to the caller; -1 for none
  * @events_given: number of them
  * @first_ms: time of the first byte of the answer; 0 before
+ * @fallback: an endpoint's own failure, passed on if trying elsewhere brings nothing better
+ * @cache_offers: engines that the filled cache was offered to
  * @cache_source: filled KV cache that waits for its taker, or ""
  */
 struct exchange {
@@ -68,6 +72,8 @@
 	int events_given;
 	int64_t first_ms;
 	struct event_stream events;
+	struct buf fallback;
+	int cache_offers;
 	char cache_source[128];
 	char cache_handle[96];
 	struct http_address cache_owner;
@@ -91,6 +97,9 @@
 /** exchange_give_up - refuse when nothing can have run, else fail */
 void exchange_give_up(struct exchange *x, const char *cause, int64_t retry_after_ms);
 
+/** exchange_keep_failure - keep the endpoint's whole response as the fallback */
+void exchange_keep_failure(struct exchange *x);
+
 /** exchange_relay - pass a whole response of the endpoint on */
 void exchange_relay(struct exchange *x);
 
@@ -128,6 +137,9 @@
 /** generation_unread - the attempt ends before the prompt was read */
 void generation_unread(struct exchange *x);
 
+/** generation_other_decode - hand a filled cache to another engine than the one that refused it */
+bool generation_other_decode(struct exchange *x);
+
 /** generation_drop_cache - free a filled cache that nobody will take */
 void generation_drop_cache(struct exchange *x);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -11,6 +11,9 @@
 
 #define ENGINES_MAX 512
 
+/* Engines that a filled cache is offered to before the prompt is read again. */
+#define CACHE_OFFERS_MAX 3
+
 /* Disadvantage of an engine whose attempts all failed lately, in milliseconds. */
 #define FAILING_MS 800
 
@@ -132,40 +135,6 @@
 	exchange_served(x);
 }
 
-void generation_prefilled(struct exchange *x)
-{
-	struct endpoint *ep = x->attempt.endpoint;
-	char handle[96];
-
-	if (x->attempt.response.status == 200)
-		generation_read(x);
-	if (x->attempt.response.status != 200 ||
-	    !wire_handle_decode(buf_str(&x->attempt.body), handle, sizeof(handle))) {
-		endpoint_result(ep, false);
-		exchange_note(x, ep, "no-handle");
-		attempt_end(x);
-		attempt_again(x, "prefill-failed");
-		return;
-	}
-	endpoint_result(ep, true);
-	exchange_note(x, ep, "prefilled");
-	snprintf(x->cache_source, sizeof(x->cache_source), "%s/%s", ep->entry.address, handle);
-	snprintf(x->cache_handle, sizeof(x->cache_handle), "%s", handle);
-	x->cache_owner = ep->address;
-	attempt_end(x);
-	if (!x->decode || !endpoint_open(x->decode, clock_boot_ms())) {
-		generation_drop_cache(x);
-		attempt_again(x, "decode-engine-gone");
-		return;
-	}
-	if (!attempt_start(x, x->decode, WIRE_WORK_RUN, NULL)) {
-		exchange_give_up(x, "retry-budget", 0);
-		return;
-	}
-	x->attempt.reading = true;
-	note_parts(x, x->decode, PART_SENT);
-}
-
 static void on_drop_head(void *ctx, const struct http_head *head)
 {
 }
@@ -295,12 +264,11 @@
 	note_parts(x, ep, PART_SENT);
 }
 
-bool generation_place(struct exchange *x, int64_t now_ms)
+/* Engines of the request's service as they look to it; @eps gets the endpoints in order. */
+static int view_all(const struct exchange *x, int64_t now_ms, struct place_engine *engines,
+		    struct endpoint **eps)
 {
-	struct place_engine engines[ENGINES_MAX];
-	struct endpoint *eps[ENGINES_MAX];
-	const struct settings *s = &x->entry->settings;
-	struct endpoint *ep, *first;
+	struct endpoint *ep;
 	int count = 0;
 
 	cds_list_for_each_entry(ep, &x->entry->endpoints, link) {
@@ -309,10 +277,57 @@
 		eps[count] = ep;
 		engines[count++] = view(x, ep, now_ms);
 	}
-	if (!place_pick(engines, count,
-			&(struct place_request){ .prompt_tokens = x->in.prompt_tokens,
-						 .shared_tokens = shared_tokens(x) },
-			&x->service->speed, &s->place, &x->choice))
+	return count;
+}
+
+static struct place_request request_of(const struct exchange *x)
+{
+	return (struct place_request){ .prompt_tokens = x->in.prompt_tokens,
+				       .shared_tokens = shared_tokens(x) };
+}
+
+static bool start_decode(struct exchange *x, struct endpoint *ep)
+{
+	if (!attempt_start(x, ep, WIRE_WORK_RUN, NULL))
+		return false;
+	x->cache_offers++;
+	x->attempt.reading = true;
+	note_parts(x, ep, PART_SENT);
+	return true;
+}
+
+bool generation_other_decode(struct exchange *x)
+{
+	struct place_engine engines[ENGINES_MAX];
+	struct endpoint *eps[ENGINES_MAX];
+	struct place_request r = request_of(x);
+	int count, prefill = -1, at;
+
+	if (!x->cache_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs)
+		return false;
+	count = view_all(x, clock_boot_ms(), engines, eps);
+	for (int i = 0; i < count; i++) {
+		if (eps[i]->address.ip == x->cache_owner.ip &&
+		    eps[i]->address.port == x->cache_owner.port)
+			prefill = i;
+	}
+	if (prefill < 0)
+		return false;
+	at = place_decode(engines, count, &r, &x->service->speed, &x->entry->settings.place,
+			  prefill);
+	return at >= 0 && start_decode(x, eps[at]);
+}
+
+bool generation_place(struct exchange *x, int64_t now_ms)
+{
+	struct place_engine engines[ENGINES_MAX];
+	struct endpoint *eps[ENGINES_MAX];
+	const struct settings *s = &x->entry->settings;
+	struct place_request r = request_of(x);
+	struct endpoint *first;
+	int count = view_all(x, now_ms, engines, eps);
+
+	if (!place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice))
 		return false;
 	if (!x->sends && x->choice.first_ms > (double)(x->deadline_ms - now_ms)) {
 		exchange_refuse(x, "too-late", (int64_t)x->choice.first_ms / 2);
@@ -331,3 +346,34 @@
 	charge(x, first, x->choice.read_tokens);
 	return true;
 }
+
+void generation_prefilled(struct exchange *x)
+{
+	struct endpoint *ep = x->attempt.endpoint;
+	char handle[96];
+
+	if (x->attempt.response.status == 200)
+		generation_read(x);
+	if (x->attempt.response.status != 200 ||
+	    !wire_handle_decode(buf_str(&x->attempt.body), handle, sizeof(handle))) {
+		endpoint_result(ep, false);
+		exchange_note(x, ep, "no-handle");
+		attempt_end(x);
+		attempt_again(x, "prefill-failed");
+		return;
+	}
+	endpoint_result(ep, true);
+	exchange_note(x, ep, "prefilled");
+	snprintf(x->cache_source, sizeof(x->cache_source), "%s/%s", ep->entry.address, handle);
+	snprintf(x->cache_handle, sizeof(x->cache_handle), "%s", handle);
+	x->cache_owner = ep->address;
+	attempt_end(x);
+	if (!x->decode || !endpoint_open(x->decode, clock_boot_ms())) {
+		generation_drop_cache(x);
+		attempt_again(x, "decode-engine-gone");
+		return;
+	}
+	x->cache_offers = 0;
+	if (!start_decode(x, x->decode))
+		exchange_give_up(x, "retry-budget", 0);
+}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -165,8 +165,8 @@
 /** peers_note_load - the loads of this instance have changed */
 void peers_note_load(struct peers *p);
 
-/** peers_count - instances heard lately, this one included */
-int peers_count(const struct peers *p);
+/** peers_most - greatest number of instances heard at the same time, this one included */
+int peers_most(const struct peers *p);
 
 /** peers_first - no live instance has a lower name */
 bool peers_first(const struct peers *p);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -54,6 +54,7 @@
  * @lock: guards @first, @last and @waiting, which the bus thread fills
  * @wake: event descriptor that tells the loop of new messages
  * @parts: sent to engines since the last message
+ * @most: greatest number of instances heard at the same time, this one included
  */
 struct peers {
 	struct entry *entry;
@@ -74,6 +75,7 @@
 	struct shared_part parts[SHARING_PARTS_MAX];
 	struct peer_view *views;
 	int view_count;
+	int most;
 };
 
 /* Bus thread. */
@@ -277,8 +279,7 @@
 			continue;
 		s->loads[s->load_count++] = (struct shared_load){
 			.tag = ep->tag,
-			.backlog_tokens =
-				ep->backlog_tokens > 0 ? (uint32_t)ep->backlog_tokens : 0,
+			.backlog_tokens = ep->backlog_tokens > 0 ? (uint32_t)ep->backlog_tokens : 0,
 			.active = (uint32_t)ep->active,
 		};
 	}
@@ -347,6 +348,8 @@
 	struct timeval tv;
 
 	member_tick(p->members, now);
+	if (member_live(p->members, NULL) > p->most)
+		p->most = member_live(p->members, NULL);
 	if (now - p->sent_ms >= SHARE_IDLE_MS) {
 		list_seeds(p, now);
 		loads_sum(p, now);
@@ -397,9 +400,9 @@
 		p->changed = true;
 }
 
-int peers_count(const struct peers *p)
+int peers_most(const struct peers *p)
 {
-	return p ? member_live(p->members, NULL) : 1;
+	return p->most;
 }
 
 bool peers_first(const struct peers *p)
@@ -449,10 +452,9 @@
 	p->timer = evtimer_new(e->base, on_timer, p);
 	event_add(p->timer, &now);
 	p->supervisor = supervisor_create(BUS_RESTARTS, BUS_WINDOW_MS, bus_gave_up, p);
-	supervisor_start(p->supervisor, &(struct child_spec){ .name = "peer",
-							      .run = bus_body,
-							      .ctx = p,
-							      .control = true });
+	supervisor_start(
+		p->supervisor,
+		&(struct child_spec){ .name = "peer", .run = bus_body, .ctx = p, .control = true });
 	return p;
 }
 
--- a/entry/probe.c
+++ b/entry/probe.c
@@ -37,7 +37,8 @@
 	} else if (wire_ready_path(head)) {
 		status = entry_ready(p->entry) ? 200 : 503;
 	}
-	buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n\r\n",
+	buf_printf(&out,
+		   "HTTP/1.1 %d %s\r\nContent-Type: text/plain\r\nContent-Length: %zu\r\n\r\n",
 		   status, http_status_str((enum http_status)status), body.len);
 	buf_append_str(&out, buf_str(&body));
 	bufferevent_write(p->bev, out.data, out.len);
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -23,10 +23,15 @@
 /* An instance that isn't the first by name waits this long for the first to act, in ms. */
 #define SECOND_WAIT_MS 4000
 
-/* Orders under way at the same time, and the pause between two once callers are served, in ms. */
-#define ORDERS_AT_ONCE 8
+/* Orders under way at the same time before callers are served. */
+#define ORDERS_AT_ONCE 64
+
+/* Pause between two orders once callers are served, in milliseconds. */
 #define ORDER_PAUSE_MS 5000
 
+/* Pause between two calls for a lease that another instance holds, in milliseconds. */
+#define LEASE_PAUSE_MS 1000
+
 /* An order whose effect the list doesn't show is thought of as under way this long, in ms. */
 #define ORDER_PENDING_MS 15000
 
@@ -49,7 +54,7 @@
 	struct store_call *call;
 	int64_t wanted_ms;
 	int64_t ordered_ms;
-	int64_t checked_ms;
+	int64_t called_ms;
 	bool served;
 };
 
@@ -157,7 +162,8 @@
 	char address[32];
 	char token[LEASE_TOKEN_MAX];
 
-	if (s->call)
+	if (s->call || (!lease_held(&s->lease, now) && now - s->called_ms < LEASE_PAUSE_MS &&
+			s->lease.seen_any && s->lease.seen.holder[0]))
 		return lease_held(&s->lease, now);
 	snprintf(token, sizeof(token), "%016" PRIx64, random_u64());
 	s->action = lease_next(&s->lease, !s->entry->stopping, token, now);
@@ -173,6 +179,7 @@
 		store_row_request(&request, address, LEASE_TABLE, LEASE_KEY);
 		metric_add(METRIC_PLATFORM_READS, 1);
 	}
+	s->called_ms = now;
 	s->call = store_call_start(s->entry, buf_str(&request), 0, on_result, s);
 	buf_free(&request);
 	buf_free(&value);
@@ -239,8 +246,7 @@
 		return;
 	}
 	/* The lease is looked at last, right before the order leaves. */
-	if (report.busy || report.stage == o->stage ||
-	    !lease_held_as(&s->lease, o->fencing, now)) {
+	if (report.busy || report.stage == o->stage || !lease_held_as(&s->lease, o->fencing, now)) {
 		log_info("order-dropped", "endpoint=%s busy=%d stage=%d lease=%d", o->endpoint,
 			 report.busy, (int)report.stage, lease_held(&s->lease, now));
 		order_free(o);
@@ -387,7 +393,9 @@
 	}
 	if (!s->wanted_ms)
 		s->wanted_ms = now;
-	if (!peers_first(s->entry->peers) && now - s->wanted_ms < SECOND_WAIT_MS)
+	/* A list that changes shows that the first one acts. */
+	if (!peers_first(s->entry->peers) &&
+	    (now - s->wanted_ms < SECOND_WAIT_MS || now - s->entry->listed_ms < SECOND_WAIT_MS))
 		return;
 	lease_step(s, now);
 }
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -9,13 +9,19 @@
 #include "internal.h"
 
 /*
- * Longest wait of a change feed, in milliseconds. A connection that has gone silent is noticed
- * only after it, and a change must be in force within 2 s.
+ * Longest wait of a change feed, in milliseconds. A connection that has gone silent is noticed by
+ * keep-alive probes before, see tcp_tune().
  */
-#define FEED_WAIT_MS 5000
+#define FEED_WAIT_MS 20000
 
-/* Pause between two calls of a feed in milliseconds: changes that come together share a call. */
+/*
+ * Pause between two calls of a feed in milliseconds, and its growth with each instance: changes
+ * that come together share a call, and all instances together ask a bounded number of times. A
+ * change must be in force within 2 s.
+ */
 #define FEED_PAUSE_MS 100
+#define FEED_PAUSE_PER_INSTANCE_MS 10
+#define FEED_PAUSE_MAX_MS 700
 
 /* Pause after a failed call: doubled from the first to the last value, in milliseconds. */
 #define RETRY_MIN_MS 150
@@ -156,7 +162,7 @@
 {
 	struct store_rows rows;
 	struct error err = { 0 };
-	int64_t age;
+	int64_t age, pause;
 
 	if (store_rows_decode(body, &rows, &err) < 0) {
 		log_warn("store-response-ignored", "table=%s error=\"%s\"", w->table, err.text);
@@ -172,8 +178,11 @@
 			w->version = rows.version;
 	}
 	store_rows_free(&rows);
+	pause = FEED_PAUSE_MS + (int64_t)peers_most(w->entry->peers) * FEED_PAUSE_PER_INSTANCE_MS;
+	if (pause > FEED_PAUSE_MAX_MS)
+		pause = FEED_PAUSE_MAX_MS;
 	age = clock_boot_ms() - w->asked_ms;
-	ask_after(w, w->listing || age >= FEED_PAUSE_MS ? 0 : FEED_PAUSE_MS - age);
+	ask_after(w, w->listing || age >= pause ? 0 : pause - age);
 }
 
 static void on_result(void *ctx, const struct store_result *r)
--- a/include/ibisgate/daemon/settings.h
+++ b/include/ibisgate/daemon/settings.h
@@ -84,7 +84,7 @@
 		double retry_ratio;
 		double retry_fixed;
 		int64_t retry_window_ms;
-		int instances_max;
+		int instances_min;
 		int64_t stop_grace_ms;
 	} bounds;
 	/* [engines]: speeds assumed until requests have been measured, see struct place_speed */
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -55,9 +55,9 @@
  * struct http_exchange_spec - one request
  * @request: whole request as sent; copied
  * @fresh: don't use a kept connection
- * @match_name: field that a response must carry, or NULL; other responses are dropped as answers
- *              to earlier requests of the connection
- * @match_value: its value
+ * @match_name: field that names the request that a response answers, or NULL
+ * @match_value: its value; a response with another one is dropped as the answer to an earlier
+ *               request of the connection
  * @connect_ms: limit of the connection set-up in milliseconds
  * @silence_ms: longest time without a received byte in milliseconds; 0 for none
  */
--- a/include/ibisgate/platform/store.h
+++ b/include/ibisgate/platform/store.h
@@ -47,8 +47,7 @@
 };
 
 /** store_read_request - append a read of a table's empty part; @after: last key read, or "" */
-void store_read_request(struct buf *out, const char *address, const char *table,
-			const char *after);
+void store_read_request(struct buf *out, const char *address, const char *table, const char *after);
 
 /** store_feed_request - append a wait of up to @wait_ms for changes after @version */
 void store_feed_request(struct buf *out, const char *address, const char *table, int64_t version,
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -80,6 +80,7 @@
 
 /**
  * struct endpoint_response - head of an endpoint's response
+ * @identified: names the request that it answers
  * @signed_by_endpoint: carries the signature that shows which endpoint made it
  * @not_run: the endpoint states that it has not run the request
  * @other_instance: the address now belongs to another endpoint
@@ -87,6 +88,7 @@
  */
 struct endpoint_response {
 	int status;
+	bool identified;
 	bool signed_by_endpoint;
 	bool not_run;
 	bool other_instance;
--- a/include/ibisgate/policy/place.h
+++ b/include/ibisgate/policy/place.h
@@ -47,7 +47,8 @@
  * @backlog_tokens: uncached prompt tokens sent there and not yet read
  * @active: requests in progress
  * @slots: requests that it runs at once
- * @cached_tokens: leading tokens of this prompt that it keeps, or will once what waits there is read
+ * @cached_tokens: leading tokens of this prompt that it keeps, or will once what waits there is
+ * read
  * @ready_tokens: those of them that it keeps now, and that can be copied from there
  * @penalty_ms: disadvantage after recent failures
  * @home_score: the same on all instances; the highest is the home of the prompt's shared parts
@@ -106,4 +107,13 @@
 		const struct place_speed *speed, const struct place_costs *costs,
 		struct place_choice *out);
 
+/**
+ * place_decode - engine that takes over a prompt's filled cache
+ * @prefill: engine that has filled it
+ *
+ * Return: its index, or -1 when no usable engine generates.
+ */
+int place_decode(const struct place_engine *engines, int count, const struct place_request *r,
+		 const struct place_speed *speed, const struct place_costs *costs, int prefill);
+
 #endif
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -192,8 +192,8 @@
 		c->skipping = true;
 		return 0;
 	}
-	c->skipping = x->match_name[0] && (!http_head_find(head, x->match_name, &value) ||
-					   !str_eq_cstr(value, x->match_value));
+	c->skipping = x->match_name[0] && http_head_find(head, x->match_name, &value) &&
+		      !str_eq_cstr(value, x->match_value);
 	if (c->skipping) {
 		/* A connection that has delivered a foreign response is not used again. */
 		c->reusable = false;
--- a/policy/extra_budget.c
+++ b/policy/extra_budget.c
@@ -52,3 +52,9 @@
 	b->extra[b->slot]++;
 	return true;
 }
+
+void extra_budget_charge(struct extra_budget *b, const struct extra_limits *l, int64_t now_ms)
+{
+	advance(b, l, now_ms);
+	b->extra[b->slot]++;
+}
--- a/policy/place.c
+++ b/policy/place.c
@@ -162,3 +162,11 @@
 	}
 	return best < DBL_MAX;
 }
+
+int place_decode(const struct place_engine *engines, int count, const struct place_request *r,
+		 const struct place_speed *speed, const struct place_costs *costs, int prefill)
+{
+	double ms, cost;
+
+	return find_decode(engines, count, r, speed, costs, prefill, &ms, &cost);
+}
--- a/policy/stage_plan.c
+++ b/policy/stage_plan.c
@@ -51,8 +51,8 @@
 		have = donor == STAGE_DECODE ? d->decode : d->prefill;
 		if (donor == STAGE_DECODE && have <= 1)
 			continue;
-		surplus = have - (donor == STAGE_DECODE ? 1 - share : share) *
-					 (d->prefill + d->decode);
+		surplus = have -
+			  (donor == STAGE_DECODE ? 1 - share : share) * (d->prefill + d->decode);
 		if (best >= 0 && surplus <= most)
 			continue;
 		best = i;
--- /dev/null
+++ b/standins/grid_main.c
@@ -0,0 +1,215 @@
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/json.h"
+#include "ibisgate/standins/grid.h"
+
+#define BODY_MAX (1 << 20)
+#define NODE_THREADS 24
+
+static const char *const fault_names[] = {
+	[GRID_OK] = "ok",
+	[GRID_FULL] = "full",
+	[GRID_LOSE_ANSWER] = "lose-answer",
+	[GRID_TRUNCATE] = "truncate",
+	[GRID_SILENT] = "silent",
+	[GRID_GARBLE] = "garble",
+	[GRID_EXTRA] = "extra",
+	[GRID_CUT_STREAM] = "cut-stream",
+	[GRID_ERROR] = "error",
+	[GRID_MOVED] = "moved",
+	[GRID_SKIP_EVENT] = "skip-event",
+};
+
+static const char *const mode_names[] = {
+	[GRID_STORE_UP] = "up",
+	[GRID_STORE_BUSY] = "busy",
+	[GRID_STORE_RESET] = "reset",
+};
+
+static int name_index(const char *const *names, size_t count, const char *name)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (strcmp(names[i], name) == 0)
+			return (int)i;
+	}
+	return 0;
+}
+
+/* A row {"table","key","value"}: text is written as it is, anything else as JSON. */
+static void put_row(struct grid *g, const json_t *req)
+{
+	const json_t *value = json_object_get(req, "value");
+	const char *table = json_get_cstr(req, "table", "");
+	const char *key = json_get_cstr(req, "key", "");
+	struct buf text = { 0 };
+
+	if (json_is_string(value)) {
+		grid_row_put(g, table, key, json_string_value(value));
+	} else if (value) {
+		json_append(&text, value);
+		grid_row_put(g, table, key, text.data);
+	} else {
+		grid_row_put(g, table, key, NULL);
+	}
+	buf_free(&text);
+}
+
+static void set_store(struct grid *g, const json_t *req)
+{
+	const char *mode = json_get_cstr(req, "mode", "");
+
+	if (mode[0])
+		g->mode = (enum grid_store_mode)name_index(
+			mode_names, sizeof(mode_names) / sizeof(mode_names[0]), mode);
+	if (json_get_bool(req, "compact", false))
+		g->oldest = g->version + 1;
+	pthread_cond_broadcast(&g->changed);
+}
+
+/*
+ * {"id", "fault", "left", "event_ms", "state"}; an empty id means all nodes, or with "left" the
+ * nodes that are asked next.
+ */
+static void set_nodes(struct grid *g, const json_t *req)
+{
+	const char *id = json_get_cstr(req, "id", "");
+	const char *fault = json_get_cstr(req, "fault", "");
+	const char *state = json_get_cstr(req, "state", "");
+
+	if (!id[0] && json_get_i64(req, "left", -1) >= 0) {
+		g->fault = (enum grid_fault)name_index(
+			fault_names, sizeof(fault_names) / sizeof(fault_names[0]), fault);
+		g->fault_left = (int)json_get_i64(req, "left", 0);
+		return;
+	}
+	for (int i = 0; i < g->node_count; i++) {
+		struct grid_node *n = &g->nodes[i];
+
+		if (id[0] && strcmp(id, n->id) != 0)
+			continue;
+		if (fault[0]) {
+			n->fault = (enum grid_fault)name_index(
+				fault_names, sizeof(fault_names) / sizeof(fault_names[0]), fault);
+			n->fault_left = (int)json_get_i64(req, "left", -1);
+		}
+		n->event_ms = json_get_i64(req, "event_ms", n->event_ms);
+		if (strcmp(state, "gone") == 0)
+			grid_row_put(g, "servers", n->id, NULL);
+		else if (state[0])
+			grid_node_register(n, state);
+	}
+}
+
+static json_t *runs_json(const struct grid *g)
+{
+	json_t *runs = json_array();
+
+	for (int i = 0; i < g->run_count; i++) {
+		const struct grid_run *r = &g->runs[i];
+
+		json_array_append_new(runs, json_pack("{s:s,s:s,s:s,s:s,s:b}", "node", r->node,
+						      "id", r->id, "work", r->work, "detail",
+						      r->detail, "cancelled", r->cancelled));
+	}
+	return json_pack("{s:o,s:I}", "runs", runs, "store_calls", (json_int_t)g->store_calls);
+}
+
+static int handle_control(struct mg_connection *conn, void *ctx)
+{
+	struct grid *g = ctx;
+	json_t *req = NULL;
+	json_t *out;
+
+	if (!http_is(conn, "GET", "/runs")) {
+		req = http_body_json(conn, BODY_MAX);
+		if (!req)
+			return http_reply_error(conn, 400, "invalid_request", "bad_json");
+	}
+	pthread_mutex_lock(&g->lock);
+	if (!req) {
+		out = runs_json(g);
+	} else {
+		out = json_object();
+		if (http_is(conn, "POST", "/row"))
+			put_row(g, req);
+		else if (http_is(conn, "POST", "/store"))
+			set_store(g, req);
+		else if (http_is(conn, "POST", "/node"))
+			set_nodes(g, req);
+	}
+	pthread_mutex_unlock(&g->lock);
+	json_decref(req);
+	return http_reply(conn, 200, out);
+}
+
+static bool node_start(struct grid *g, const char *id, const char *service, bool engine,
+		       const char *stage, int dc)
+{
+	struct grid_node *n = &g->nodes[g->node_count++];
+
+	n->grid = g;
+	n->engine = engine;
+	n->event_ms = 2;
+	str_copy(n->id, sizeof(n->id), str_from(id));
+	str_copy(n->service, sizeof(n->service), str_from(service));
+	str_copy(n->stage, sizeof(n->stage), str_from(stage));
+	snprintf(n->dc, sizeof(n->dc), "dc%d", dc);
+	n->http = http_start("127.0.0.1", &n->port, NODE_THREADS, grid_node_handle, n);
+	if (!n->http)
+		return false;
+	pthread_mutex_lock(&g->lock);
+	grid_node_register(n, "ready");
+	pthread_mutex_unlock(&g->lock);
+	return true;
+}
+
+static bool nodes_start(struct grid *g, int64_t engines, int64_t prefill, int64_t services)
+{
+	char id[32];
+
+	for (int i = 0; i < engines && g->node_count < GRID_NODES_MAX; i++) {
+		snprintf(id, sizeof(id), "e%d", i);
+		if (!node_start(g, id, "models", true, i < prefill ? "prefill" : "decode", i % 2))
+			return false;
+	}
+	for (int i = 0; i < services && g->node_count < GRID_NODES_MAX; i++) {
+		snprintf(id, sizeof(id), "s%d", i);
+		if (!node_start(g, id, "orders", false, "", i % 2))
+			return false;
+	}
+	return true;
+}
+
+int main(int argc, char **argv)
+{
+	static struct grid g;
+	int64_t engines = 3, prefill = 1, services = 2;
+	const struct option_spec specs[] = {
+		{ "engines", &engines, .help = "engines e0, e1, ... of service models" },
+		{ "prefill", &prefill, .help = "of them, the first ones that prefill" },
+		{ "services", &services, .help = "nodes s0, s1, ... of service orders" },
+	};
+	struct mg_context *store, *control;
+	int store_port = 0, control_port = 0;
+
+	if (options_parse(argc, argv, specs, sizeof(specs) / sizeof(specs[0])) != 0)
+		return 2;
+	if (sodium_init() < 0)
+		return 1;
+	signals_block();
+	pthread_mutex_init(&g.lock, NULL);
+	cond_init_mono(&g.changed);
+	g.runs = mem_zalloc(sizeof(*g.runs) * GRID_RUNS_MAX);
+	store = http_start("127.0.0.1", &store_port, NODE_THREADS, grid_store_handle, &g);
+	control = http_start("127.0.0.1", &control_port, 4, handle_control, &g);
+	if (!store || !control || !nodes_start(&g, engines, prefill, services))
+		return 1;
+	printf("listening %d store=%d\n", control_port, store_port);
+	fflush(stdout);
+	signals_wait();
+	/* Long waits and streams end with the process. */
+	_Exit(0);
+}
--- /dev/null
+++ b/standins/grid_node.c
@@ -0,0 +1,249 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "ibisgate/common/json.h"
+#include "ibisgate/standins/grid.h"
+
+#define BODY_MAX (1 << 20)
+
+/* Milliseconds that a silent node holds a request. */
+#define SILENT_MS 4000
+
+void grid_node_register(struct grid_node *n, const char *state)
+{
+	char value[512];
+
+	snprintf(value, sizeof(value),
+		 "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":"
+		 "\"v1\",\"slots\":64,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":1,\"born\":1000%s%"
+		 "s%s}",
+		 n->service, n->port, n->dc, state, n->engine ? ",\"stage\":\"" : "",
+		 n->engine ? n->stage : "", n->engine ? "\"" : "");
+	grid_row_put(n->grid, "servers", n->id, value);
+}
+
+static const char *field(struct mg_connection *conn, const char *name)
+{
+	const char *value = mg_get_header(conn, name);
+
+	return value ? value : "";
+}
+
+/* Notes a run; its index, for marking it as cancelled. */
+static int run_note(struct grid_node *n, const char *id, const char *work, const char *detail)
+{
+	struct grid *g = n->grid;
+	int at = -1;
+
+	pthread_mutex_lock(&g->lock);
+	if (g->run_count < GRID_RUNS_MAX) {
+		struct grid_run *r = &g->runs[at = g->run_count++];
+
+		str_copy(r->node, sizeof(r->node), str_from(n->id));
+		str_copy(r->id, sizeof(r->id), str_from(id));
+		str_copy(r->work, sizeof(r->work), str_from(work));
+		str_copy(r->detail, sizeof(r->detail), str_from(detail));
+	}
+	pthread_mutex_unlock(&g->lock);
+	return at;
+}
+
+static enum grid_fault fault_take(struct grid_node *n)
+{
+	enum grid_fault f;
+
+	pthread_mutex_lock(&n->grid->lock);
+	f = n->fault_left ? n->fault : GRID_OK;
+	if (n->fault_left > 0)
+		n->fault_left--;
+	if (f == GRID_OK && n->grid->fault_left > 0) {
+		n->grid->fault_left--;
+		f = n->grid->fault;
+	}
+	pthread_mutex_unlock(&n->grid->lock);
+	return f;
+}
+
+static void head_print(struct mg_connection *conn, const struct grid_node *n, const char *id,
+		       int status, const char *more)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %d Status\r\nX-Ibisgate-Request-Id: %s\r\n"
+		  "X-Ibisgate-Server-Signature: sig.%s.%s\r\n%s\r\n",
+		  status, id, n->id, id, more);
+}
+
+static int answer_not_run(struct mg_connection *conn, int status)
+{
+	mg_printf(conn,
+		  "HTTP/1.1 %d Status\r\nX-Ibisgate-Request-Id: %s\r\n"
+		  "X-Ibisgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		  status, field(conn, "X-Ibisgate-Request-Id"));
+	return status;
+}
+
+/* Events "id: K, data: ID.K" from @from + 1 to the number of output tokens asked for. */
+static int stream(struct grid_node *n, struct mg_connection *conn, const char *id, int64_t from,
+		  int64_t count, enum grid_fault fault, int run)
+{
+	char event[160];
+	int sent = 0;
+
+	head_print(conn, n, id, 200,
+		   "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n");
+	for (int64_t k = from + 1; k <= count; k++) {
+		int len = snprintf(event, sizeof(event),
+				   "id: %" PRId64 "\ndata: %s.%" PRId64 "\n\n", k, id, k);
+
+		usleep((useconds_t)(n->event_ms * 1000));
+		if (fault == GRID_CUT_STREAM && sent == 2) {
+			mg_printf(conn, "%x\r\nid: %" PRId64 "\nda", len, k);
+			return http_abort(conn);
+		}
+		if (fault == GRID_SKIP_EVENT && sent == 2) {
+			sent++;
+			continue;
+		}
+		if (mg_printf(conn, "%x\r\n%s\r\n", len, event) <= 0) {
+			pthread_mutex_lock(&n->grid->lock);
+			if (run >= 0)
+				n->grid->runs[run].cancelled = true;
+			pthread_mutex_unlock(&n->grid->lock);
+			return http_abort(conn);
+		}
+		sent++;
+	}
+	mg_printf(conn, "0\r\n\r\n");
+	return 200;
+}
+
+static int prefill(struct grid_node *n, struct mg_connection *conn, const char *id)
+{
+	char body[96];
+	int handle;
+
+	pthread_mutex_lock(&n->grid->lock);
+	handle = ++n->grid->handles;
+	pthread_mutex_unlock(&n->grid->lock);
+	run_note(n, id, "prefill", field(conn, "Kv-Fetch"));
+	snprintf(body, sizeof(body), "{\"kvHandle\":\"h%d\",\"tokens\":1,\"version\":1}", handle);
+	mg_printf(conn,
+		  "HTTP/1.1 200 OK\r\nX-Ibisgate-Request-Id: %s\r\nContent-Type: application/json"
+		  "\r\nContent-Length: %zu\r\n\r\n%s",
+		  id, strlen(body), body);
+	return 200;
+}
+
+static int answer_plain(struct grid_node *n, struct mg_connection *conn, const char *id,
+			enum grid_fault fault)
+{
+	char body[160];
+	char more[64];
+
+	snprintf(body, sizeof(body), "{\"id\":\"%s\",\"node\":\"%s\"}", id, n->id);
+	snprintf(more, sizeof(more), "Content-Length: %zu\r\n", strlen(body));
+	if (fault == GRID_GARBLE) {
+		mg_printf(conn, "\x01\x02 this is no response\r\n\r\n");
+		return http_abort(conn);
+	}
+	if (fault == GRID_TRUNCATE) {
+		head_print(conn, n, id, 200, more);
+		mg_printf(conn, "{\"id\"");
+		return http_abort(conn);
+	}
+	if (fault == GRID_EXTRA) {
+		head_print(conn, n, "another", 200, more);
+		mg_printf(conn, "%s", body);
+	}
+	head_print(conn, n, id, fault == GRID_ERROR ? 500 : 200, more);
+	mg_printf(conn, "%s", body);
+	return 200;
+}
+
+static int handle_order(struct grid_node *n, struct mg_connection *conn)
+{
+	json_t *req = http_body_json(conn, BODY_MAX);
+	char detail[128];
+	int status = 202;
+
+	if (!req)
+		return http_reply(conn, 400, json_object());
+	snprintf(detail, sizeof(detail), "%s %s %" PRId64, json_get_cstr(req, "stage", ""),
+		 json_get_cstr(req, "holder", ""), json_get_i64(req, "fencingToken", 0));
+	pthread_mutex_lock(&n->grid->lock);
+	if (json_get_i64(req, "precondition", -1) != n->orders) {
+		status = 409;
+	} else {
+		n->orders++;
+		str_copy(n->stage, sizeof(n->stage), json_get_str(req, "stage"));
+		grid_node_register(n, "ready");
+	}
+	pthread_mutex_unlock(&n->grid->lock);
+	json_decref(req);
+	run_note(n, "", status == 202 ? "order" : "order-409", detail);
+	return http_reply(conn, status, json_object());
+}
+
+static int handle_report(struct grid_node *n, struct mg_connection *conn)
+{
+	json_t *out;
+
+	pthread_mutex_lock(&n->grid->lock);
+	out = json_pack("{s:s,s:[],s:b,s:i,s:i,s:i,s:i,s:i,s:i}", "stage", n->stage, "models",
+			"busy", 0, "seq", n->orders, "queued", 0, "active", 0, "kvUsed", 0,
+			"kvTotal", 400000, "kvHandles", 0);
+	pthread_mutex_unlock(&n->grid->lock);
+	return http_reply(conn, 200, out);
+}
+
+int grid_node_handle(struct mg_connection *conn, void *ctx)
+{
+	struct grid_node *n = ctx;
+	const char *id = field(conn, "X-Ibisgate-Request-Id");
+	const char *expected = field(conn, "X-Ibisgate-Expect-Instance");
+	const char *last = field(conn, "Last-Event-Id");
+	const char *tokens = strchr(field(conn, "X-Ibisgate-Token-Count"), ',');
+	enum grid_fault fault;
+	struct buf body = { 0 };
+	char detail[128];
+	int run;
+
+	if (http_is(conn, "GET", "/report"))
+		return handle_report(n, conn);
+	if (expected[0] && strcmp(expected, n->id) != 0)
+		return answer_not_run(conn, 421);
+	if (http_is(conn, "POST", "/order"))
+		return handle_order(n, conn);
+	if (str_starts_with(http_path(conn), STR_LIT("/kv-handle/")))
+		return http_reply(conn, 200, json_object());
+	http_body(conn, BODY_MAX, &body);
+	buf_free(&body);
+	fault = fault_take(n);
+	if (fault == GRID_FULL)
+		return answer_not_run(conn, 503);
+	if (fault == GRID_MOVED)
+		return answer_not_run(conn, 421);
+	if (strcmp(field(conn, "X-Ibisgate-Serving-Stage"), "prefill") == 0) {
+		if (strcmp(n->stage, "prefill") != 0)
+			return answer_not_run(conn, 421);
+		return prefill(n, conn, id);
+	}
+	if (n->engine && strcmp(n->stage, "decode") != 0)
+		return answer_not_run(conn, 421);
+	snprintf(detail, sizeof(detail), "%s %s", field(conn, "X-Ibisgate-Deadline-Ms"),
+		 field(conn, "X-Ibisgate-Kv-Source"));
+	run = run_note(n, id, n->engine ? "stream" : "call", detail);
+	if (fault == GRID_LOSE_ANSWER)
+		return http_abort(conn);
+	if (fault == GRID_SILENT) {
+		usleep(SILENT_MS * 1000);
+		return http_abort(conn);
+	}
+	if (n->engine)
+		return stream(n, conn, id, last[0] ? strtoll(last, NULL, 10) : 0,
+			      tokens ? strtoll(tokens + 1, NULL, 10) : 3, fault, run);
+	return answer_plain(n, conn, id, fault);
+}
--- /dev/null
+++ b/tests/entry_fixture.h
@@ -0,0 +1,367 @@
+#ifndef IBISGATE_TESTS_ENTRY_FIXTURE_H
+#define IBISGATE_TESTS_ENTRY_FIXTURE_H
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standin_process.h"
+
+extern "C" {
+#include "ibisgate/harness/harness.h"
+}
+
+/* An answer as a caller reads it from its socket. */
+struct Answer {
+	int status = 0;
+	std::string head;
+	/* Without chunk framing. */
+	std::string body;
+	/* All of the announced body, or the last chunk, has come. */
+	bool whole = false;
+	bool closed = false;
+
+	std::string field(const std::string &name) const
+	{
+		size_t at = head.find("\r\n" + name + ": ");
+
+		if (at == std::string::npos)
+			return "";
+		at += name.size() + 4;
+		return head.substr(at, head.find("\r\n", at) - at);
+	}
+};
+
+/* A caller's connection. */
+class Caller
+{
+      public:
+	explicit Caller(int port, const char *ip = "127.0.0.1")
+	{
+		struct sockaddr_in sin = {};
+
+		fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		sin.sin_family = AF_INET;
+		sin.sin_port = htons((uint16_t)port);
+		inet_pton(AF_INET, ip, &sin.sin_addr);
+		EXPECT_EQ(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0) << port;
+	}
+	~Caller()
+	{
+		leave();
+	}
+	Caller(const Caller &) = delete;
+	Caller &operator=(const Caller &) = delete;
+
+	void leave()
+	{
+		if (fd >= 0)
+			close(fd);
+		fd = -1;
+	}
+	void send_text(const std::string &text)
+	{
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL), (ssize_t)text.size());
+	}
+	/* Reads until the body is complete, the connection ends or the time is over. */
+	Answer read_answer(int timeout_ms = 5000)
+	{
+		int64_t until = clock_boot_ms() + timeout_ms;
+		Answer a;
+
+		while (!parse(&a) && clock_boot_ms() < until) {
+			struct pollfd p = { fd, POLLIN, 0 };
+			char data[65536];
+
+			if (poll(&p, 1, (int)(until - clock_boot_ms())) <= 0)
+				break;
+			ssize_t n = recv(fd, data, sizeof(data), 0);
+			if (n <= 0) {
+				a.closed = true;
+				parse(&a);
+				break;
+			}
+			in.append(data, (size_t)n);
+		}
+		return a;
+	}
+	/* Waits until at least @text has come. */
+	bool wait_for(const std::string &text, int timeout_ms = 3000)
+	{
+		int64_t until = clock_boot_ms() + timeout_ms;
+
+		while (in.find(text) == std::string::npos && clock_boot_ms() < until) {
+			struct pollfd p = { fd, POLLIN, 0 };
+			char data[4096];
+
+			if (poll(&p, 1, 50) <= 0)
+				continue;
+			ssize_t n = recv(fd, data, sizeof(data), 0);
+			if (n <= 0)
+				return false;
+			in.append(data, (size_t)n);
+		}
+		return in.find(text) != std::string::npos;
+	}
+	int fd = -1;
+	std::string in;
+
+      private:
+	bool parse(Answer *a)
+	{
+		size_t end = in.find("\r\n\r\n");
+
+		a->body.clear();
+		if (end == std::string::npos)
+			return false;
+		a->head = in.substr(0, end + 2);
+		a->status = atoi(a->head.c_str() + 9);
+		std::string rest = in.substr(end + 4);
+		if (a->field("Transfer-Encoding") != "chunked") {
+			size_t len = (size_t)atoi(a->field("Content-Length").c_str());
+
+			a->body = rest.substr(0, len);
+			a->whole = a->body.size() == len;
+			if (a->whole)
+				in = rest.substr(len);
+			return a->whole;
+		}
+		for (size_t at = 0;;) {
+			size_t line = rest.find("\r\n", at);
+
+			if (line == std::string::npos)
+				return false;
+			size_t len = strtoul(rest.c_str() + at, nullptr, 16);
+			if (rest.size() < line + 4 + len)
+				return false;
+			if (!len) {
+				a->whole = true;
+				in = rest.substr(line + 4);
+				return true;
+			}
+			a->body += rest.substr(line + 2, len);
+			at = line + 4 + len;
+		}
+	}
+};
+
+/* Stand-in of the platform, and instances before it. */
+class EntryTest : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct error err = {};
+
+		h = harness_create(&err);
+		ASSERT_NE(h, nullptr) << err.text;
+	}
+	void TearDown() override
+	{
+		harness_destroy(h);
+	}
+	void start_grid(int engines = 4, int prefill = 2, int services = 2)
+	{
+		grid = std::make_unique<Standin>(
+			"ibisgate-grid",
+			std::vector<std::string>{ "--engines", std::to_string(engines), "--prefill",
+						  std::to_string(prefill), "--services",
+						  std::to_string(services) });
+	}
+	static std::string rule(const std::string &name, const std::string &kind,
+				const std::string &service, int attempts, bool resumable,
+				int timeout_ms = 3000)
+	{
+		return "{\"name\":\"" + name + "\",\"host\":\"h.example\",\"prefix\":\"/" + name +
+		       "/\",\"routeKind\":\"" + kind +
+		       "\",\"timeoutMs\":" + std::to_string(timeout_ms) +
+		       ",\"latencyTargetMs\":200,\"priority\":1,\"service\":\"" + service +
+		       "\",\"maxAttempts\":" + std::to_string(attempts) +
+		       ",\"resumable\":" + (resumable ? "true" : "false") + ",\"gapTargetMs\":100}";
+	}
+	static std::string config(int version, const std::string &more = "")
+	{
+		return "{\"version\":" + std::to_string(version) + ",\"routes\":[" +
+		       rule("stream", "streaming", "models", 2, true) + "," +
+		       rule("once", "streaming", "models", 1, false) + "," +
+		       rule("order", "non_idempotent", "orders", 1, false) + "," +
+		       rule("peek", "idempotent", "orders", 2, false) + "," +
+		       rule("brief", "streaming", "models", 1, false, 400) +
+		       (more.empty() ? "" : "," + more) +
+		       "],\"services\":[{\"name\":\"models\",\"maxConns\":370,\"engine\":{"
+		       "\"slots\":"
+		       "64,\"kvCapacity\":400000,\"kvTokenBytes\":18432,\"linkMbps\":370000.0}},"
+		       "{\"name\":\"orders\",\"maxConns\":110}],\"limits\":{\"maxHeaderBytes\":"
+		       "4096,"
+		       "\"maxBodyBytes\":100000,\"headerTimeoutMs\":700,\"idleTimeoutMs\":5000}}";
+	}
+	void put_config(const std::string &text)
+	{
+		grid->tell("/row", "{\"table\":\"op\",\"key\":\"config\",\"value\":" + text + "}");
+	}
+	void node(const std::string &id, const std::string &fault, int left = -1)
+	{
+		grid->tell("/node", "{\"id\":\"" + id + "\",\"fault\":\"" + fault +
+					    "\",\"left\":" + std::to_string(left) + "}");
+	}
+	void node_state(const std::string &id, const std::string &state)
+	{
+		grid->tell("/node", "{\"id\":\"" + id + "\",\"state\":\"" + state + "\"}");
+	}
+	void store(const std::string &mode)
+	{
+		grid->tell("/store", "{\"mode\":\"" + mode + "\"}");
+	}
+	std::string settings_text(int index, double prefill_share)
+	{
+		std::string ip = "127.0.0." + std::to_string(11 + index);
+		std::string text =
+			"[instance]\nid = a-" + std::to_string(index) +
+			"\ndata-centre = dc0\nregion = r\n[platform]\nkind = rows\nurl = "
+			"http://127.0.0.1:" +
+			std::to_string(grid->route("store")) + "\n[http]\nlisten = " + ip +
+			":0\n[ready]\nlisten = " + ip + ":0\n[metrics]\nlisten = " + ip +
+			":0\n[peer]\nlisten = " + ip + ":" + std::to_string(peer_port()) +
+			"\n[seeds]\nseed-0 = 127.0.0.11:1\n[bounds]\nretry-ratio = 0.2\n"
+			"retry-fixed = 58\nretry-window-ms = 10000\nstop-grace-ms = 8000\n"
+			"instances-min = 2\n[stages]\nprefill-share = " +
+			std::to_string(prefill_share) + "\n";
+
+		return text;
+	}
+	struct harness_process *start_instance(int index = 0, double prefill_share = -1)
+	{
+		std::string name = "a-" + std::to_string(index);
+		std::string path = std::string(h->dir) + "/" + name + ".ini";
+		struct error err = {};
+		FILE *f = fopen(path.c_str(), "w");
+
+		fputs(settings_text(index, prefill_share).c_str(), f);
+		fclose(f);
+		const char *const argv[] = { "--settings", path.c_str(), nullptr };
+		struct harness_process *p = harness_start(h, name.c_str(), "ibisgated", argv, &err);
+		EXPECT_NE(p, nullptr) << err.text;
+		return p;
+	}
+	static std::string ip(const struct harness_process *p)
+	{
+		return "127.0.0." + std::to_string(11 + atoi(p->name + 2));
+	}
+	int ready_status(const struct harness_process *p)
+	{
+		Caller c(harness_port(p, "ready"), ip(p).c_str());
+
+		c.send_text("GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n");
+		return c.read_answer(1000).status;
+	}
+	/* The grid with a configuration and one instance that is ready. */
+	struct harness_process *start_all(int engines = 4, int prefill = 2, int services = 2)
+	{
+		start_grid(engines, prefill, services);
+		put_config(config(1));
+		struct harness_process *p = start_instance();
+		EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+		return p;
+	}
+	std::string request_text(const std::string &target, const std::string &method = "POST",
+				 const std::string &fields = "", const std::string &body = "x")
+	{
+		std::string id = "r" + std::to_string(++last_request);
+		std::string text = method + " /" + target + " HTTP/1.1\r\nHost: h.example\r\n" +
+				   "X-Ibisgate-Request-Id: " + id +
+				   "\r\nX-Ibisgate-Deadline-Ms: 3000\r\n" + fields;
+
+		if (method == "POST")
+			text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+		return text + "\r\n" + (method == "POST" ? body : "");
+	}
+	std::string stream_text(const std::string &target, int events = 5)
+	{
+		return request_text(target, "POST",
+				    "X-Ibisgate-Model: m\r\nX-Ibisgate-Token-Count: 1460," +
+					    std::to_string(events) +
+					    "\r\nX-Ibisgate-Prefix-Hash: a1:800,b2:410,c" +
+					    std::to_string(last_request) + ":250\r\n");
+	}
+	std::string last_id() const
+	{
+		return "r" + std::to_string(last_request);
+	}
+	Answer ask(const struct harness_process *p, const std::string &text, int timeout_ms = 5000)
+	{
+		Caller c(harness_port(p, "http"), ip(p).c_str());
+
+		c.send_text(text);
+		return c.read_answer(timeout_ms);
+	}
+	std::string events(const std::string &id, int count, int from = 1)
+	{
+		std::string text;
+
+		for (int k = from; k <= count; k++)
+			text += "id: " + std::to_string(k) + "\ndata: " + id + "." +
+				std::to_string(k) + "\n\n";
+		return text;
+	}
+	struct Run {
+		std::string node, id, work, detail;
+		bool cancelled;
+	};
+	std::vector<Run> runs(const std::string &id = "")
+	{
+		json_t *o = grid->send("GET", "/runs");
+		std::vector<Run> out;
+		json_t *r;
+		size_t i;
+
+		json_array_foreach(json_object_get(o, "runs"), i, r) {
+			Run run = { json_get_cstr(r, "node", ""), json_get_cstr(r, "id", ""),
+				    json_get_cstr(r, "work", ""), json_get_cstr(r, "detail", ""),
+				    json_get_bool(r, "cancelled", false) };
+
+			if (id.empty() || run.id == id)
+				out.push_back(run);
+		}
+		json_decref(o);
+		return out;
+	}
+	/* Runs that generate or call, without prefills. */
+	int run_count(const std::string &id)
+	{
+		int n = 0;
+
+		for (const Run &r : runs(id))
+			n += r.work == "stream" || r.work == "call";
+		return n;
+	}
+	int peer_port()
+	{
+		struct sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+
+		if (chosen_port)
+			return chosen_port;
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		sin.sin_family = AF_INET;
+		inet_pton(AF_INET, "127.0.0.11", &sin.sin_addr);
+		EXPECT_EQ(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+		getsockname(fd, (struct sockaddr *)&sin, &len);
+		close(fd);
+		chosen_port = ntohs(sin.sin_port);
+		return chosen_port;
+	}
+
+	struct harness *h = nullptr;
+	std::unique_ptr<Standin> grid;
+	int last_request = 0;
+	int chosen_port = 0;
+};
+
+#endif
