--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -166,6 +166,10 @@
 		endpoint_result(ep, false);
 		circuit_failure(&ep->circuit, why == HTTP_FAILURE_CONNECT, clock_boot_ms());
 	}
+	if (why == HTTP_FAILURE_CLOSED && work == WIRE_WORK_RUN)
+		suspect_cut(x, ep);
+	if (why == HTTP_FAILURE_CONNECT)
+		suspect_endpoint_down(x->entry, ep);
 	if (why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_CONNECT)
 		http_client_forget(x->entry->endpoint_client, &ep->address);
 	if (why == HTTP_FAILURE_CONNECT && ep->cache)
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -90,6 +90,8 @@
 	switch (change) {
 	case DIRECTORY_ADDED:
 	case DIRECTORY_REBORN:
+		if (ep)
+			suspect_endpoint_down(e, ep);
 		if (ep)
 			endpoint_drop(e, ep);
 		endpoint_add(e, entry);
@@ -98,11 +100,15 @@
 	case DIRECTORY_LEAVING:
 		if (!ep)
 			break;
+		if (ep->entry.stage != entry->stage)
+			ep->changing_until_ms = 0;
 		ep->entry = *entry;
 		if (change == DIRECTORY_LEAVING)
 			http_client_forget(e->endpoint_client, &ep->address);
 		break;
 	case DIRECTORY_REMOVED:
+		if (ep && !ep->entry.leaving)
+			suspect_endpoint_down(e, ep);
 		if (ep)
 			endpoint_drop(e, ep);
 		break;
@@ -112,7 +118,12 @@
 bool endpoint_open(const struct endpoint *ep, int64_t now_ms)
 {
 	return ep->listed && !ep->entry.leaving && now_ms >= ep->avoid_until_ms &&
-	       circuit_allows(&ep->circuit, now_ms);
+	       now_ms >= ep->changing_until_ms && circuit_allows(&ep->circuit, now_ms);
+}
+
+bool endpoint_changing(const struct endpoint *ep, int64_t now_ms)
+{
+	return now_ms < ep->changing_until_ms && now_ms < ep->order_until_ms;
 }
 
 void endpoint_result(struct endpoint *ep, bool ok)
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -36,6 +36,9 @@
 /* Unacknowledged bytes end a connection to an endpoint or the store after this time, in ms. */
 #define USER_TIMEOUT_MS 2000
 
+/* Requests remembered as suspected of crashing endpoints. */
+#define SUSPECTS_MAX 1024
+
 #define BACKLOG 512
 
 int entry_dc(struct entry *e, const char *name)
@@ -272,6 +275,7 @@
 	CDS_INIT_LIST_HEAD(&e->services);
 	CDS_INIT_LIST_HEAD(&e->callers);
 	CDS_INIT_LIST_HEAD(&e->exchange_list);
+	e->suspects = quarantine_create(SUSPECTS_MAX);
 	directory_init(&e->directory, endpoint_changed, e);
 	entry_dc(e, settings->instance.dc);
 	e->base = event_base_new();
@@ -336,6 +340,7 @@
 		endpoints_destroy(e);
 	services_destroy(e);
 	directory_free(&e->directory);
+	quarantine_destroy(e->suspects);
 	http_client_destroy(e->endpoint_client);
 	http_client_destroy(e->store_client);
 	if (e->front)
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -6,6 +6,7 @@
 #include "exchange.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/hash.h"
+#include "ibisgate/common/histogram.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
 
@@ -107,6 +108,7 @@
 void exchange_refuse(struct exchange *x, const char *cause, int64_t retry_after_ms)
 {
 	metric_add(METRIC_REFUSED_NOT_RUN, 1);
+	histogram_add(HISTOGRAM_REFUSAL, clock_boot_ms() - x->begun_ms);
 	log_outcome(x, "refused", 503, cause);
 	answer(x, 503, cause, retry_after_ms);
 }
@@ -155,6 +157,7 @@
 	buf_free(&out);
 	metric_add(METRIC_REQUESTS_OK, 1);
 	x->first_ms = clock_boot_ms();
+	histogram_add(HISTOGRAM_CALL, x->first_ms - x->begun_ms);
 	log_outcome(x, "served", x->attempt.response.status, "-");
 	exchange_close(x, true);
 }
@@ -320,7 +323,10 @@
 		return NULL;
 	}
 	set_deadline(x);
-	exchange_place(x);
+	if (suspect_refused(x))
+		exchange_refuse(x, "crashes-endpoints", -1);
+	else
+		exchange_place(x);
 	/* An exchange that has answered from inside is gone. */
 	return e->exchanges > before ? x : NULL;
 }
@@ -329,6 +335,11 @@
 {
 	struct exchange *x, *next;
 
-	cds_list_for_each_entry_safe(x, next, &e->exchange_list, link)
-		attempt_check_silence(x, now_ms);
+	cds_list_for_each_entry_safe(x, next, &e->exchange_list, link) {
+		/* Timers stand still while the machine is suspended; the deadline does not. */
+		if (now_ms >= x->deadline_ms)
+			on_deadline(-1, 0, x);
+		else
+			attempt_check_silence(x, now_ms);
+	}
 }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -10,6 +10,8 @@
  * struct attempt - one sending of a request to one endpoint
  * @free_send: not counted in the budget of repeated sends
  * @charged_tokens: prompt tokens counted in the endpoint's backlog until they are read
+ * @read_tokens: prompt tokens that the engine had to read
+ * @waited_tokens: backlog in front of them when it was sent
  * @heard_ms: when bytes of its response came last, at first when it was sent
  * @reading: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded
@@ -21,6 +23,8 @@
 	enum wire_work work;
 	bool free_send;
 	int64_t charged_tokens;
+	int64_t read_tokens;
+	int64_t waited_tokens;
 	int64_t sent_ms;
 	int64_t heard_ms;
 	bool reading;
@@ -41,6 +45,7 @@
  * @events_given: number of them
  * @first_ms: time of the first byte of the answer; 0 before
  * @fallback: an endpoint's own failure, passed on if trying elsewhere brings nothing better
+ * @fingerprint: the same for the same request sent again; 0 for none
  * @cache_offers: engines that the filled cache was offered to
  * @cache_source: filled KV cache that waits for its taker, or ""
  */
@@ -73,6 +78,7 @@
 	int64_t first_ms;
 	struct event_stream events;
 	struct buf fallback;
+	uint64_t fingerprint;
 	int cache_offers;
 	char cache_source[128];
 	char cache_handle[96];
@@ -123,6 +129,14 @@
 /** attempt_again - try once more after a failure, or give up with @cause */
 void attempt_again(struct exchange *x, const char *cause);
 
+/* suspects.c */
+
+/** suspect_refused - whether the request was running at too many crashes; sets its fingerprint */
+bool suspect_refused(struct exchange *x);
+
+/** suspect_cut - the connection broke while the request ran at @ep */
+void suspect_cut(const struct exchange *x, struct endpoint *ep);
+
 /* generation.c */
 void generation_body(struct exchange *x, struct str bytes);
 void generation_end(struct exchange *x);
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -6,8 +6,10 @@
 #include "exchange.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/hash.h"
+#include "ibisgate/common/histogram.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
+#include "ibisgate/policy/engine_speed.h"
 
 #define ENGINES_MAX 512
 
@@ -40,6 +42,14 @@
 	if (!a->reading)
 		return;
 	a->reading = false;
+	if (a->read_tokens)
+		engine_speed_learn(&x->service->speed,
+				   &(struct speed_sample){
+					   .prefill = a->work == WIRE_WORK_PREFILL,
+					   .read_tokens = a->read_tokens,
+					   .waited_tokens = a->waited_tokens,
+					   .elapsed_ms = clock_boot_ms() - a->sent_ms,
+				   });
 	attempt_read(x);
 	note_parts(x, a->endpoint, PART_READY);
 }
@@ -62,6 +72,7 @@
 		wire_response_encode(&out, x->attempt.head, -1, x->entry->stopping);
 		x->answer_begun = true;
 		x->first_ms = clock_boot_ms();
+		histogram_add(HISTOGRAM_FIRST_TOKEN, x->first_ms - x->begun_ms);
 	}
 	buf_printf(&out, "%zx\r\n", bytes.len);
 	buf_append_str(&out, bytes);
@@ -259,6 +270,8 @@
 {
 	/* attempt_start() has just made the attempt that carries the charge. */
 	x->attempt.charged_tokens = tokens;
+	x->attempt.read_tokens = tokens;
+	x->attempt.waited_tokens = ep->backlog_tokens + ep->others_backlog;
 	ep->backlog_tokens += tokens;
 	x->attempt.reading = true;
 	note_parts(x, ep, PART_SENT);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -16,7 +16,9 @@
 #include "ibisgate/policy/place.h"
 #include "ibisgate/policy/retry.h"
 #include "ibisgate/state/cache_view.h"
+#include "ibisgate/state/crash_watch.h"
 #include "ibisgate/state/directory.h"
+#include "ibisgate/state/quarantine.h"
 #include "ibisgate/state/routing_table.h"
 
 /*
@@ -36,6 +38,8 @@
  * @avoid_until_ms: it has said that it is full or not the expected instance
  * @heard_ms: when bytes of any response came from it last
  * @order_until_ms: an order to it is under way until its list entry shows it, or until then
+ * @ordered_stage: the stage that the order gives it
+ * @changing_until_ms: it carries out an order of some instance and rejects requests until then
  */
 struct endpoint {
 	struct cds_list_head link;
@@ -47,6 +51,7 @@
 	uint64_t hash;
 	uint32_t tag;
 	struct circuit circuit;
+	struct crash_watch crash_watch;
 	struct cache_view *cache;
 	int64_t backlog_tokens;
 	int active;
@@ -57,6 +62,7 @@
 	int64_t heard_ms;
 	int64_t order_until_ms;
 	enum engine_stage ordered_stage;
+	int64_t changing_until_ms;
 };
 
 /** struct service - what this instance knows of a service beside its configuration */
@@ -90,6 +96,7 @@
 	struct cds_list_head services;
 	struct cds_list_head callers;
 	struct store_watch *watches[2];
+	struct quarantine *suspects;
 	struct peers *peers;
 	struct stages *stages;
 	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
@@ -111,6 +118,9 @@
 void endpoint_changed(void *ctx, enum directory_change change, const struct endpoint_entry *entry);
 void endpoint_put(struct endpoint *ep);
 bool endpoint_open(const struct endpoint *ep, int64_t now_ms);
+
+/** endpoint_changing - an order of this instance is being carried out there */
+bool endpoint_changing(const struct endpoint *ep, int64_t now_ms);
 void endpoint_result(struct endpoint *ep, bool ok);
 void endpoints_destroy(struct entry *e);
 struct service *service_find(struct entry *e, const char *name);
@@ -140,6 +150,14 @@
 void store_call_cancel(struct store_call *c);
 void store_address(const struct entry *e, char out[32]);
 
+/* suspects.c */
+
+/** suspect_endpoint_down - the endpoint has crashed: blame what was running there */
+void suspect_endpoint_down(struct entry *e, struct endpoint *ep);
+
+/** suspect_learn - another instance has counted crashes of a request */
+void suspect_learn(struct entry *e, uint64_t fingerprint, int crashes);
+
 /* stages.c */
 struct stages;
 struct stages *stages_create(struct entry *e);
@@ -165,6 +183,9 @@
 /** peers_note_load - the loads of this instance have changed */
 void peers_note_load(struct peers *p);
 
+/** peers_note_suspect - tell the others of a request that was running at crashes */
+void peers_note_suspect(struct peers *p, uint64_t fingerprint, int crashes);
+
 /** peers_most - greatest number of instances heard at the same time, this one included */
 int peers_most(const struct peers *p);
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -25,6 +25,9 @@
 /* A message is sent at least this often, in milliseconds; also the heartbeat. */
 #define SHARE_IDLE_MS 500
 
+/* How long an engine that is said to carry out an order is left alone; the holder says it again. */
+#define CHANGING_TOLD_MS 700
+
 /* Messages that wait for the event loop; more are dropped, as each is soon followed by another. */
 #define INBOX_MAX 512
 
@@ -53,6 +56,7 @@
  * struct peers - exchange with the other instances
  * @lock: guards @first, @last and @waiting, which the bus thread fills
  * @wake: event descriptor that tells the loop of new messages
+ * @suspects: counted since the last message
  * @parts: sent to engines since the last message
  * @most: greatest number of instances heard at the same time, this one included
  */
@@ -71,6 +75,8 @@
 	struct event *timer;
 	int64_t sent_ms;
 	bool changed;
+	int suspect_count;
+	struct shared_suspect suspects[SHARING_SUSPECTS_MAX];
 	int part_count;
 	struct shared_part parts[SHARING_PARTS_MAX];
 	struct peer_view *views;
@@ -205,6 +211,8 @@
 
 	take_members(p, in, now);
 	take_parts(p->entry, s);
+	for (int i = 0; i < s->suspect_count; i++)
+		suspect_learn(p->entry, s->suspects[i].fingerprint, (int)s->suspects[i].crashes);
 	for (int i = 0; i < s->leaving_count; i++) {
 		struct endpoint *ep = endpoint_by_tag(p->entry, s->leaving[i]);
 
@@ -214,6 +222,12 @@
 			ep->entry.leaving = true;
 		}
 	}
+	for (int i = 0; i < s->changing_count; i++) {
+		struct endpoint *ep = endpoint_by_tag(p->entry, s->changing[i]);
+
+		if (ep && ep->changing_until_ms < now + CHANGING_TOLD_MS)
+			ep->changing_until_ms = now + CHANGING_TOLD_MS;
+	}
 	v = view_of(p, in->sender);
 	if (!v)
 		return;
@@ -268,13 +282,15 @@
 	}
 }
 
-static void fill_loads(const struct entry *e, struct peer_sharing *s)
+static void fill_loads(const struct entry *e, struct peer_sharing *s, int64_t now)
 {
 	const struct endpoint *ep;
 
 	cds_list_for_each_entry(ep, &e->endpoints, link) {
 		if (ep->entry.leaving && s->leaving_count < SHARING_LEAVING_MAX)
 			s->leaving[s->leaving_count++] = ep->tag;
+		if (endpoint_changing(ep, now) && s->changing_count < SHARING_LEAVING_MAX)
+			s->changing[s->changing_count++] = ep->tag;
 		if ((!ep->active && !ep->backlog_tokens) || s->load_count == SHARING_LOADS_MAX)
 			continue;
 		s->loads[s->load_count++] = (struct shared_load){
@@ -307,9 +323,11 @@
 	s->state = e->stopping ? MEMBER_DRAINING : MEMBER_LIVE;
 	s->config_version = e->table ? e->table->version : 0;
 	fill_members(p, s, now);
-	fill_loads(e, s);
+	fill_loads(e, s, now);
 	s->part_count = p->part_count;
 	memcpy(s->parts, p->parts, sizeof(*p->parts) * (size_t)p->part_count);
+	s->suspect_count = p->suspect_count;
+	memcpy(s->suspects, p->suspects, sizeof(*p->suspects) * (size_t)p->suspect_count);
 	for (int i = 1; i < member_count(p->members); i++) {
 		const struct member *to = member_at(p->members, i);
 
@@ -319,6 +337,7 @@
 	}
 	peer_message_destroy(m);
 	p->part_count = 0;
+	p->suspect_count = 0;
 	p->changed = false;
 	p->sent_ms = now;
 }
@@ -394,6 +413,17 @@
 	p->changed = true;
 }
 
+void peers_note_suspect(struct peers *p, uint64_t fingerprint, int crashes)
+{
+	if (p->suspect_count == SHARING_SUSPECTS_MAX)
+		return;
+	p->suspects[p->suspect_count++] = (struct shared_suspect){
+		.fingerprint = fingerprint,
+		.crashes = (uint32_t)crashes,
+	};
+	p->changed = true;
+}
+
 void peers_note_load(struct peers *p)
 {
 	if (p)
--- a/entry/probe.c
+++ b/entry/probe.c
@@ -1,6 +1,7 @@
 #include <event2/buffer.h>
 #include <stdlib.h>
 
+#include "ibisgate/common/histogram.h"
 #include "ibisgate/common/metrics.h"
 #include "internal.h"
 
@@ -33,6 +34,7 @@
 	p->keep = head->keep_alive;
 	if (p->metrics) {
 		metrics_format(&body, p->entry->settings.instance.id);
+		histograms_format(&body, p->entry->settings.instance.id);
 		status = 200;
 	} else if (wire_ready_path(head)) {
 		status = entry_ready(p->entry) ? 200 : 503;
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -35,6 +35,9 @@
 /* An order whose effect the list doesn't show is thought of as under way this long, in ms. */
 #define ORDER_PENDING_MS 15000
 
+/* Longest time that an engine is left alone after it has accepted an order, in milliseconds. */
+#define CHANGING_MAX_MS 8000
+
 /* Limits of the call that carries an order, in milliseconds. */
 #define ORDER_CONNECT_MS 300
 #define ORDER_SILENCE_MS 1000
@@ -269,6 +272,19 @@
 	buf_free(&request);
 }
 
+/* The engine rejects requests until it has changed, which the list then shows. */
+static void mark_changing(const struct order *o)
+{
+	struct endpoint *ep;
+
+	cds_list_for_each_entry(ep, &o->stages->entry->endpoints, link) {
+		if (strcmp(ep->entry.id, o->endpoint) != 0 || ep->entry.stage == o->stage)
+			continue;
+		ep->changing_until_ms = clock_boot_ms() + CHANGING_MAX_MS;
+		peers_note_load(o->stages->entry->peers);
+	}
+}
+
 static void on_order_end(void *ctx)
 {
 	struct order *o = ctx;
@@ -278,6 +294,8 @@
 		return;
 	}
 	log_info("order-answered", "endpoint=%s status=%d", o->endpoint, o->status);
+	if (o->status == 202)
+		mark_changing(o);
 	order_free(o);
 }
 
--- a/entry/store_call.c
+++ b/entry/store_call.c
@@ -1,6 +1,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/histogram.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
 #include "internal.h"
@@ -15,6 +17,8 @@
 	struct http_exchange *exchange;
 	struct buf body;
 	int status;
+	int wait_ms;
+	int64_t sent_ms;
 	void (*done)(void *ctx, const struct store_result *r);
 	void *ctx;
 };
@@ -35,7 +39,11 @@
 
 static void finish(struct store_call *c, const struct store_result *r)
 {
+	int64_t elapsed = clock_boot_ms() - c->sent_ms;
+
 	c->exchange = NULL;
+	if (r->status && !c->wait_ms)
+		histogram_add(HISTOGRAM_STORE, elapsed);
 	c->done(c->ctx, r);
 	buf_free(&c->body);
 	free(c);
@@ -84,6 +92,8 @@
 		log_error("settings", "key=platform.url value=\"%s\" expected=http://IP:PORT",
 			  e->settings.platform.url);
 	c->done = done;
+	c->wait_ms = wait_ms;
+	c->sent_ms = clock_boot_ms();
 	c->ctx = ctx;
 	c->exchange = http_exchange_start(e->store_client,
 					  &(struct http_exchange_spec){
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -55,6 +55,7 @@
  * struct peer_sharing - what an instance tells the others several times a second
  * @heard: peer_tag() of the instances that the sender hears
  * @leaving: tags of endpoints that the sender knows to be leaving
+ * @changing: tags of engines that carry out an order of the sender
  */
 struct peer_sharing {
 	char dc[MEMBER_DC_MAX];
@@ -73,6 +74,8 @@
 	struct shared_suspect suspects[SHARING_SUSPECTS_MAX];
 	int leaving_count;
 	uint32_t leaving[SHARING_LEAVING_MAX];
+	int changing_count;
+	uint32_t changing[SHARING_LEAVING_MAX];
 };
 
 #endif
--- a/net/codec_sharing.c
+++ b/net/codec_sharing.c
@@ -71,8 +71,7 @@
 		s->parts[i].tag = get_u32(r);
 		s->parts[i].part = codec_get_uint(r, UINT64_MAX);
 		s->parts[i].tokens = get_u32(r);
-		s->parts[i].state =
-			(enum shared_part_state)codec_get_uint(r, PART_DROPPED);
+		s->parts[i].state = (enum shared_part_state)codec_get_uint(r, PART_DROPPED);
 	}
 }
 
@@ -94,7 +93,7 @@
 
 void codec_put_sharing(struct buf *b, const struct peer_sharing *s)
 {
-	codec_put_array(b, 10);
+	codec_put_array(b, 11);
 	codec_put_text(b, s->dc);
 	codec_put_text(b, s->peer);
 	codec_put_uint(b, s->state);
@@ -110,11 +109,12 @@
 		codec_put_uint(b, s->suspects[i].crashes);
 	}
 	put_tags(b, s->leaving, s->leaving_count);
+	put_tags(b, s->changing, s->changing_count);
 }
 
 void codec_get_sharing(struct reader *r, struct peer_sharing *s)
 {
-	codec_get_tuple(r, 10);
+	codec_get_tuple(r, 11);
 	codec_get_text(r, s->dc, sizeof(s->dc));
 	codec_get_text(r, s->peer, sizeof(s->peer));
 	s->state = (enum member_state)codec_get_uint(r, MEMBER_GONE);
@@ -130,4 +130,5 @@
 		s->suspects[i].crashes = get_u32(r);
 	}
 	s->leaving_count = get_tags(r, s->leaving, SHARING_LEAVING_MAX);
+	s->changing_count = get_tags(r, s->changing, SHARING_LEAVING_MAX);
 }
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -83,6 +83,9 @@
 	s->leaving_count = (int)(rng() % (SHARING_LEAVING_MAX + 1));
 	for (int i = 0; i < s->leaving_count; i++)
 		s->leaving[i] = (uint32_t)rng();
+	s->changing_count = (int)(rng() % (SHARING_LEAVING_MAX + 1));
+	for (int i = 0; i < s->changing_count; i++)
+		s->changing[i] = (uint32_t)rng();
 }
 
 static void loads_sample(std::mt19937_64 &rng, struct peer_loads *l)
--- /dev/null
+++ b/tests/test_crash_watch.cc
@@ -0,0 +1,21 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "ibisgate/state/crash_watch.h"
+}
+
+/* Guards against requests that are blamed for a broken connection, or not for a crash. */
+TEST(CrashWatch, OnlyWhatRanShortlyBeforeACrashIsNamed)
+{
+	struct crash_watch w = {};
+	uint64_t out[CRASH_WATCH_SLOTS];
+
+	crash_watch_note(&w, 7, 1000);
+	crash_watch_note(&w, 8, 5000);
+	ASSERT_EQ(crash_watch_confirm(&w, 5500, out), 1);
+	EXPECT_EQ(out[0], 8u);
+	EXPECT_EQ(crash_watch_confirm(&w, 5500, out), 0);
+	for (uint64_t f = 1; f <= 20; f++)
+		crash_watch_note(&w, f, 6000);
+	EXPECT_EQ(crash_watch_confirm(&w, 6000, out), CRASH_WATCH_SLOTS);
+}
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -449,3 +449,52 @@
 	node("", "ok");
 	EXPECT_TRUE(eventually([&] { return ask(p, stream_text("stream/x")).whole; }, 3000));
 }
+
+/* Guards against a request that takes down one endpoint after the other (BUDGET). */
+TEST_F(EntryTest, RequestThatWasRunningAtThreeCrashesIsRefusedByAllInstances)
+{
+	start_grid(2, 1, 4);
+	put_config(config(1));
+	struct harness_process *a = start_instance(0);
+	struct harness_process *b = start_instance(1);
+	auto crash = [&] {
+		Answer got = ask(a, request_text("order/x", "POST", "", "poison"));
+		auto r = runs(last_id());
+
+		EXPECT_EQ(got.status, 502);
+		ASSERT_EQ(r.size(), 1u);
+		node_state(r[0].node, "gone");
+		usleep(700000);
+	};
+
+	ASSERT_TRUE(
+		eventually([&] { return ready_status(a) == 200 && ready_status(b) == 200; }, 5000));
+	usleep(1200000);
+	node("", "lose-answer");
+	for (int i = 0; i < 3; i++)
+		crash();
+	node("", "ok");
+	for (struct harness_process *p : { a, b }) {
+		EXPECT_EQ(ask(p, request_text("order/x", "POST", "", "poison")).status, 503);
+		EXPECT_EQ(run_count(last_id()), 0);
+		EXPECT_EQ(ask(p, request_text("order/x", "POST", "", "innocent")).status, 200);
+	}
+}
+
+/* Guards against figures that on-call engineers can't read. */
+TEST_F(EntryTest, MetricsShowCountersAndHistograms)
+{
+	struct harness_process *p = start_all();
+
+	ask(p, request_text("order/x"));
+	ask(p, stream_text("stream/x"));
+	Caller c(harness_port(p, "metrics"), "127.0.0.11");
+	c.send_text("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+	Answer a = c.read_answer(1000);
+	EXPECT_NE(a.body.find("ibisgate_requests_ok_total{instance=\"a-0\"} 2\n"),
+		  std::string::npos);
+	EXPECT_NE(a.body.find("ibisgate_call_ms_count{instance=\"a-0\"} 1\n"), std::string::npos);
+	EXPECT_NE(a.body.find("ibisgate_first_token_ms_count{instance=\"a-0\"} 1\n"),
+		  std::string::npos);
+	EXPECT_NE(a.body.find("le=\"+Inf\""), std::string::npos);
+}
