--- /dev/null
+++ b/entry/cache_sync.c
@@ -0,0 +1,147 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/log.h"
+#include "internal.h"
+
+/* Engines that are asked at the same time; each answer may carry thousands of events. */
+#define ASKED_AT_ONCE 6
+
+/* Limits of one call, and the pause before it is repeated, in milliseconds. */
+#define ASK_CONNECT_MS 300
+#define ASK_SILENCE_MS 1000
+#define ASK_AGAIN_MS 1500
+
+/* An answer with fewer events than this is the last one: engines send some hundred at once. */
+#define PAGE_MIN 100
+
+/**
+ * struct cache_ask - calls for the contents of an engine's cache
+ * @since: number of the next event
+ * @events: received so far
+ */
+struct cache_ask {
+	struct entry *entry;
+	struct endpoint *endpoint;
+	struct buf body;
+	int status;
+	int64_t since;
+	int events;
+};
+
+static void ask_free(struct cache_ask *a)
+{
+	a->entry->cache_asks--;
+	endpoint_put(a->endpoint);
+	buf_free(&a->body);
+	free(a);
+}
+
+static void send_ask(struct cache_ask *a);
+
+static void on_head(void *ctx, const struct http_head *head)
+{
+	struct cache_ask *a = ctx;
+
+	a->status = head->status;
+}
+
+static void on_body(void *ctx, struct str bytes)
+{
+	struct cache_ask *a = ctx;
+
+	buf_append(&a->body, bytes.data, bytes.len);
+}
+
+static void on_end(void *ctx)
+{
+	struct cache_ask *a = ctx;
+	struct endpoint *ep = a->endpoint;
+	struct cache_events events;
+
+	if (a->status != 200 || !wire_cache_decode(buf_str(&a->body), &events)) {
+		log_warn("cache-unknown", "endpoint=%s status=%d", ep->entry.id, a->status);
+		ask_free(a);
+		return;
+	}
+	for (int i = 0; i < events.count; i++) {
+		const struct cache_event *e = &events.events[i];
+
+		if (e->tokens)
+			cache_view_use(ep->cache, e->part, e->tokens, true);
+		else
+			cache_view_drop(ep->cache, e->part);
+	}
+	a->events += events.count;
+	a->since = events.next;
+	if (events.count >= PAGE_MIN && ep->listed) {
+		wire_cache_free(&events);
+		send_ask(a);
+		return;
+	}
+	ep->cache_known = true;
+	log_info("cache-known", "endpoint=%s events=%d lost=%d epoch=%s", ep->entry.id, a->events,
+		 events.lost, events.epoch);
+	wire_cache_free(&events);
+	ask_free(a);
+}
+
+static void on_fail(void *ctx, enum http_failure why)
+{
+	struct cache_ask *a = ctx;
+
+	log_warn("cache-unknown", "endpoint=%s cause=%s", a->endpoint->entry.id,
+		 http_failure_name(why));
+	ask_free(a);
+}
+
+static const struct http_exchange_ops ask_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+	.on_fail = on_fail,
+};
+
+static void send_ask(struct cache_ask *a)
+{
+	struct buf request = { 0 };
+
+	a->body.len = 0;
+	a->status = 0;
+	wire_cache_request(&request, a->endpoint->entry.address, a->since);
+	http_exchange_start(a->entry->endpoint_client,
+			    &(struct http_exchange_spec){
+				    .to = a->endpoint->address,
+				    .request = buf_str(&request),
+				    .connect_ms = ASK_CONNECT_MS,
+				    .silence_ms = ASK_SILENCE_MS,
+			    },
+			    &ask_ops, a);
+	buf_free(&request);
+}
+
+static void ask(struct entry *e, struct endpoint *ep, int64_t now)
+{
+	struct cache_ask *a = mem_zalloc(sizeof(*a));
+
+	a->entry = e;
+	a->endpoint = ep;
+	ep->refs++;
+	ep->cache_asked_ms = now;
+	e->cache_asks++;
+	send_ask(a);
+}
+
+void cache_sync_step(struct entry *e, int64_t now_ms)
+{
+	struct endpoint *ep;
+
+	cds_list_for_each_entry(ep, &e->endpoints, link) {
+		if (e->cache_asks >= ASKED_AT_ONCE)
+			return;
+		if (ep->cache && !ep->cache_known && endpoint_open(ep, now_ms) &&
+		    (!ep->cache_asked_ms || now_ms - ep->cache_asked_ms >= ASK_AGAIN_MS))
+			ask(e, ep, now_ms);
+	}
+}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -35,6 +35,8 @@
  * @others_backlog: @backlog_tokens of the other instances as they told last, like @others_active
  * @tag: short name in messages between instances
  * @failure_share: moving share of failed attempts, 0 to 1
+ * @cache_known: the engine has told what it kept before this instance knew it
+ * @cache_asked_ms: when it was asked last
  * @avoid_until_ms: it has said that it is full or not the expected instance
  * @heard_ms: when bytes of any response came from it last
  * @order_until_ms: an order to it is under way until its list entry shows it, or until then
@@ -58,6 +60,8 @@
 	int64_t others_backlog;
 	int others_active;
 	double failure_share;
+	bool cache_known;
+	int64_t cache_asked_ms;
 	int64_t avoid_until_ms;
 	int64_t heard_ms;
 	int64_t order_until_ms;
@@ -103,6 +107,7 @@
 	int dc_count;
 	struct cds_list_head exchange_list;
 	int exchanges;
+	int cache_asks;
 	bool stopping;
 	int64_t stop_ms;
 	int64_t ticked_ms;
@@ -158,6 +163,16 @@
 /** suspect_learn - another instance has counted crashes of a request */
 void suspect_learn(struct entry *e, uint64_t fingerprint, int crashes);
 
+/* cache_sync.c */
+
+/**
+ * cache_sync_step - learn what engines keep from before this instance knew them
+ *
+ * Load: all instances start again while engines keep their caches. Without it every prompt looks
+ * uncached, is read again, and is refused as too late.
+ */
+void cache_sync_step(struct entry *e, int64_t now_ms);
+
 /* stages.c */
 struct stages;
 struct stages *stages_create(struct entry *e);
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -161,6 +161,33 @@
 
 void wire_order_encode(struct buf *out, const struct stage_order *o);
 
+/** struct cache_event - a change of what an engine keeps; @tokens: kept now, 0 when given up */
+struct cache_event {
+	uint64_t part;
+	int64_t tokens;
+};
+
+/**
+ * struct cache_events - changes in order
+ * @epoch: differs after a restart of the engine
+ * @next: where the next call goes on
+ * @lost: earlier changes are no longer known there
+ */
+struct cache_events {
+	char epoch[WIRE_ID_MAX];
+	int64_t next;
+	bool lost;
+	struct cache_event *events;
+	int count;
+};
+
+/** wire_cache_request - append a call for the changes of an engine's cache after @since */
+void wire_cache_request(struct buf *out, const char *address, int64_t since);
+
+/** wire_cache_decode - false when the body is no list of changes; free with wire_cache_free() */
+bool wire_cache_decode(struct str body, struct cache_events *out);
+void wire_cache_free(struct cache_events *e);
+
 /** wire_health_request - append a health check of an endpoint */
 void wire_health_request(struct buf *out, const char *address, const char *path);
 
--- a/include/ibisgate/state/cache_view.h
+++ b/include/ibisgate/state/cache_view.h
@@ -28,6 +28,9 @@
 /** cache_view_forget_sent - a part that was sent there will not be read after all */
 void cache_view_forget_sent(struct cache_view *v, uint64_t part);
 
+/** cache_view_drop - the engine has given a part up */
+void cache_view_drop(struct cache_view *v, uint64_t part);
+
 /** cache_view_clear - the engine has started again or its contents are unknown */
 void cache_view_clear(struct cache_view *v);
 
--- a/state/cache_view.c
+++ b/state/cache_view.c
@@ -96,6 +96,14 @@
 		entry_free(v, e);
 }
 
+void cache_view_drop(struct cache_view *v, uint64_t part)
+{
+	struct part_entry *e = entry_find(v, part);
+
+	if (e)
+		entry_free(v, e);
+}
+
 int64_t cache_view_has(const struct cache_view *v, uint64_t part, bool *ready)
 {
 	struct part_entry *e = entry_find(v, part);
