--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -8,10 +8,16 @@
 /* Engines that are asked at the same time; each answer may carry thousands of events. */
 #define ASKED_AT_ONCE 6
 
-/* Limits of one call, and the pause before it is repeated, in milliseconds. */
+/* Limits of one call in milliseconds. */
 #define ASK_CONNECT_MS 300
 #define ASK_SILENCE_MS 1000
-#define ASK_AGAIN_MS 1500
+
+/*
+ * Pause between two calls to an engine in milliseconds, for each instance: an engine is asked as
+ * often however many instances there are. What they send themselves they tell each other sooner.
+ */
+#define ASK_PAUSE_PER_INSTANCE_MS 400
+#define ASK_PAUSE_MIN_MS 1500
 
 /* An answer with fewer events than this is the last one: engines send some hundred at once. */
 #define PAGE_MIN 100
@@ -65,6 +71,17 @@
 		ask_free(a);
 		return;
 	}
+	if (ep->cache_known && strcmp(ep->cache_epoch, events.epoch) != 0) {
+		/* The engine has started again and keeps nothing of before. */
+		cache_view_clear(ep->cache);
+		ep->cache_known = false;
+		ep->cache_next = 0;
+		ep->cache_asked_ms = 0;
+		wire_cache_free(&events);
+		ask_free(a);
+		return;
+	}
+	str_copy(ep->cache_epoch, sizeof(ep->cache_epoch), str_from(events.epoch));
 	for (int i = 0; i < events.count; i++) {
 		const struct cache_event *e = &events.events[i];
 
@@ -75,14 +92,16 @@
 	}
 	a->events += events.count;
 	a->since = events.next;
+	ep->cache_next = events.next;
 	if (events.count >= PAGE_MIN && ep->listed) {
 		wire_cache_free(&events);
 		send_ask(a);
 		return;
 	}
+	if (!ep->cache_known || events.lost)
+		log_info("cache-known", "endpoint=%s events=%d lost=%d epoch=%s", ep->entry.id,
+			 a->events, events.lost, events.epoch);
 	ep->cache_known = true;
-	log_info("cache-known", "endpoint=%s events=%d lost=%d epoch=%s", ep->entry.id, a->events,
-		 events.lost, events.epoch);
 	wire_cache_free(&events);
 	ask_free(a);
 }
@@ -127,6 +146,7 @@
 
 	a->entry = e;
 	a->endpoint = ep;
+	a->since = ep->cache_next;
 	ep->refs++;
 	ep->cache_asked_ms = now;
 	e->cache_asks++;
@@ -135,13 +155,16 @@
 
 void cache_sync_step(struct entry *e, int64_t now_ms)
 {
+	int64_t pause = (int64_t)peers_most(e->peers) * ASK_PAUSE_PER_INSTANCE_MS;
 	struct endpoint *ep;
 
+	if (pause < ASK_PAUSE_MIN_MS)
+		pause = ASK_PAUSE_MIN_MS;
 	cds_list_for_each_entry(ep, &e->endpoints, link) {
 		if (e->cache_asks >= ASKED_AT_ONCE)
 			return;
-		if (ep->cache && !ep->cache_known && endpoint_open(ep, now_ms) &&
-		    (!ep->cache_asked_ms || now_ms - ep->cache_asked_ms >= ASK_AGAIN_MS))
+		if (ep->cache && endpoint_open(ep, now_ms) &&
+		    (!ep->cache_asked_ms || now_ms - ep->cache_asked_ms >= pause))
 			ask(e, ep, now_ms);
 	}
 }
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -37,6 +37,7 @@
  * @failure_share: moving share of failed attempts, 0 to 1
  * @cache_known: the engine has told what it kept before this instance knew it
  * @cache_asked_ms: when it was asked last
+ * @cache_next: number of the first change that it has not told yet, in @cache_epoch
  * @avoid_until_ms: it has said that it is full or not the expected instance
  * @heard_ms: when bytes of any response came from it last
  * @order_until_ms: an order to it is under way until its list entry shows it, or until then
@@ -61,6 +62,8 @@
 	int others_active;
 	double failure_share;
 	bool cache_known;
+	int64_t cache_next;
+	char cache_epoch[WIRE_ID_MAX];
 	int64_t cache_asked_ms;
 	int64_t avoid_until_ms;
 	int64_t heard_ms;
