Start during an outage of the store with what another instance knows

Change: an instance without a configuration for 0.5 s gets configuration and endpoints from the first one that has them; the store's own news go before it. Test: EntryTest.StartsDuringAnOutageWithWhatAnotherInstanceKnows (fails without: 503 until the end).

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -69,17 +69,24 @@
 		 e->table ? (long long)e->table->version : 0LL, e->directory.count, e->stopping);
 }
 
-void entry_table_set(struct entry *e, struct routing_table *t)
+int entry_config_set(struct entry *e, struct str text, struct error *err)
 {
+	struct routing_table *t = store_config_decode(text, err);
+
+	if (!t)
+		return -1;
 	if (e->table && t->version <= e->table->version) {
 		routing_table_put(t);
-		return;
+		return 0;
 	}
+	e->config_text.len = 0;
+	buf_append_str(&e->config_text, text);
 	log_info("config", "version=%lld former=%lld rules=%d services=%d", (long long)t->version,
 		 e->table ? (long long)e->table->version : 0LL, t->rule_count, t->service_count);
 	routing_table_put(e->table);
 	e->table = t;
 	metric_set(METRIC_CONFIG_VERSION, t->version);
+	return 0;
 }
 
 /*
@@ -357,6 +364,7 @@
 	if (e->tick)
 		event_free(e->tick);
 	routing_table_put(e->table);
+	buf_free(&e->config_text);
 	if (e->base)
 		event_base_free(e->base);
 	free(e);
--- /dev/null
+++ b/entry/handover.c
@@ -0,0 +1,91 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "ibisgate/common/clock.h"
+#include "ibisgate/common/json.h"
+#include "ibisgate/common/log.h"
+#include "ibisgate/platform/store.h"
+#include "internal.h"
+
+/*
+ * What an instance knows from the store, as text for one that starts while the store is away:
+ * {"config": the operator's text, "endpoints": [[id, service, address, data centre, slots, leaving,
+ * stage, born, version], ...]}.
+ */
+
+#define ENDPOINT_FIELDS 9
+
+static json_t *encode_endpoint(const struct endpoint_entry *e)
+{
+	return json_pack("[s,s,s,s,i,b,i,I,I]", e->id, e->service, e->address, e->dc, e->slots,
+			 e->leaving, (int)e->stage, (json_int_t)e->born, (json_int_t)e->version);
+}
+
+void handover_encode(const struct entry *e, struct buf *out)
+{
+	json_t *endpoints = json_array();
+	const struct endpoint *ep;
+	json_t *json;
+
+	cds_list_for_each_entry(ep, &e->endpoints, link)
+		json_array_append_new(endpoints, encode_endpoint(&ep->entry));
+	json = json_pack("{s:s#,s:o}", "config", e->config_text.data, (int)e->config_text.len,
+			 "endpoints", endpoints);
+	json_append(out, json);
+	json_decref(json);
+}
+
+static bool text_at(const json_t *list, size_t i, char *out, size_t size)
+{
+	const json_t *s = json_array_get(list, i);
+
+	return json_is_string(s) &&
+	       str_copy(out, size,
+			(struct str){ .data = json_string_value(s), .len = json_string_length(s) });
+}
+
+static bool decode_endpoint(const json_t *list, struct endpoint_entry *e)
+{
+	int64_t stage = json_integer_value(json_array_get(list, 6));
+
+	*e = (struct endpoint_entry){
+		.slots = (int)json_integer_value(json_array_get(list, 4)),
+		.leaving = json_is_true(json_array_get(list, 5)),
+		.born = json_integer_value(json_array_get(list, 7)),
+		.version = json_integer_value(json_array_get(list, 8)),
+	};
+	if (stage == STAGE_PREFILL || stage == STAGE_DECODE)
+		e->stage = (enum engine_stage)stage;
+	return json_array_size(list) == ENDPOINT_FIELDS && e->slots > 0 &&
+	       text_at(list, 0, e->id, sizeof(e->id)) &&
+	       text_at(list, 1, e->service, sizeof(e->service)) &&
+	       text_at(list, 2, e->address, sizeof(e->address)) &&
+	       text_at(list, 3, e->dc, sizeof(e->dc));
+}
+
+void handover_apply(struct entry *e, struct str text, const char *from)
+{
+	json_t *json = json_parse(text);
+	struct str config = json ? json_get_str(json, "config") : (struct str){ 0 };
+	struct endpoint_entry entry;
+	struct error err = { 0 };
+	json_t *item;
+	size_t i;
+
+	/* The store's own answers go before what another instance remembers. */
+	if (e->table && e->endpoints_known)
+		goto out;
+	if (!config.len || entry_config_set(e, config, &err) < 0) {
+		log_warn("handover-ignored", "peer=%s error=\"%s\"", from, err.text);
+		goto out;
+	}
+	json_array_foreach(json_object_get(json, "endpoints"), i, item) {
+		if (decode_endpoint(item, &entry))
+			directory_put(&e->directory, &entry);
+	}
+	e->endpoints_known = true;
+	log_info("handover", "peer=%s config=%lld endpoints=%d", from,
+		 e->table ? (long long)e->table->version : 0LL, e->directory.count);
+out:
+	json_decref(json);
+}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -95,6 +95,7 @@
 	struct http_client *endpoint_client;
 	struct http_client *store_client;
 	struct routing_table *table;
+	struct buf config_text;
 	struct directory directory;
 	bool endpoints_known;
 	int64_t listed_ms;
@@ -119,7 +120,9 @@
 /** entry_dc - number of a data centre; its own one is 0 */
 int entry_dc(struct entry *e, const char *name);
 bool entry_ready(const struct entry *e);
-void entry_table_set(struct entry *e, struct routing_table *t);
+
+/** entry_config_set - take over a newer configuration; -1 when @text can't be read */
+int entry_config_set(struct entry *e, struct str text, struct error *err);
 struct extra_limits entry_extra_limits(const struct entry *e);
 
 /* endpoints.c */
@@ -189,6 +192,14 @@
 struct store_watch *store_watch_create(struct entry *e, const char *table);
 void store_watch_destroy(struct store_watch *w);
 
+/* handover.c */
+
+/** handover_encode - append what this instance knows of configuration and endpoints */
+void handover_encode(const struct entry *e, struct buf *out);
+
+/** handover_apply - take that over from @from, unless the store has told it already */
+void handover_apply(struct entry *e, struct str text, const char *from);
+
 /* peers.c */
 struct peers;
 struct peers *peers_create(struct entry *e, struct error *err);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -28,6 +28,12 @@
 /* How long an engine that is said to carry out an order is left alone; the holder says it again. */
 #define CHANGING_TOLD_MS 700
 
+/* An instance without a configuration gets it from another one after this time, in ms. */
+#define HANDOVER_AFTER_MS 500
+
+/* Greatest text of a handover in bytes; one message of the bus holds 1 MiB. */
+#define HANDOVER_MAX_BYTES 900000
+
 /* Messages that wait for the event loop; more are dropped, as each is soon followed by another. */
 #define INBOX_MAX 512
 
@@ -35,19 +41,25 @@
 #define BUS_RESTARTS 5
 #define BUS_WINDOW_MS 10000
 
-#define VIEWS_MAX 1024
-
+/** struct inbox_entry - message for the loop; @text of a handover, else @sharing */
 struct inbox_entry {
 	struct inbox_entry *next;
 	char sender[MEMBER_ID_MAX];
 	uint64_t incarnation;
+	bool is_handover;
+	struct buf text;
 	struct peer_sharing sharing;
 };
 
-/** struct peer_view - latest loads that one instance has told */
+/**
+ * struct peer_view - what one instance has told
+ * @loads: its latest loads
+ * @without_since_ms: it has no configuration since then; 0 when it has one
+ */
 struct peer_view {
 	char id[MEMBER_ID_MAX];
 	int64_t heard_ms;
+	int64_t without_since_ms;
 	int count;
 	struct shared_load *loads;
 };
@@ -84,6 +96,14 @@
 	int most;
 };
 
+static void inbox_free(struct inbox_entry *in)
+{
+	if (!in)
+		return;
+	buf_free(&in->text);
+	free(in);
+}
+
 /* Bus thread. */
 static void on_message(void *ctx, const struct peer_message *m)
 {
@@ -91,13 +111,16 @@
 	struct inbox_entry *in;
 	uint64_t one = 1;
 
-	if (m->kind != PEER_SHARING)
+	if (m->kind != PEER_SHARING && m->kind != PEER_CONFIG_PART)
 		return;
-	in = mem_alloc(sizeof(*in));
-	in->next = NULL;
+	in = mem_zalloc(sizeof(*in));
 	str_copy(in->sender, sizeof(in->sender), str_from(m->sender));
 	in->incarnation = m->incarnation;
-	in->sharing = *m->u.sharing;
+	in->is_handover = m->kind == PEER_CONFIG_PART;
+	if (in->is_handover)
+		buf_append_str(&in->text, str_from(m->u.part.text));
+	else
+		in->sharing = *m->u.sharing;
 	pthread_mutex_lock(&p->lock);
 	if (p->waiting < INBOX_MAX) {
 		*p->last = in;
@@ -106,7 +129,7 @@
 		in = NULL;
 	}
 	pthread_mutex_unlock(&p->lock);
-	free(in);
+	inbox_free(in);
 	if (write(p->wake, &one, sizeof(one)) < 0 && errno != EAGAIN)
 		log_warn("peer-wake-failed", "error=\"%s\"", strerror(errno));
 }
@@ -117,8 +140,6 @@
 		if (strcmp(p->views[i].id, id) == 0)
 			return &p->views[i];
 	}
-	if (p->view_count == VIEWS_MAX)
-		return NULL;
 	p->views = mem_resize(p->views, sizeof(*p->views) * (size_t)(p->view_count + 1));
 	p->views[p->view_count] = (struct peer_view){ 0 };
 	str_copy(p->views[p->view_count].id, MEMBER_ID_MAX, str_from(id));
@@ -176,6 +197,49 @@
 	}
 }
 
+/* Whether this instance is the first by name among those that have a configuration. */
+static bool first_with_config(const struct peers *p)
+{
+	for (int i = 1; i < member_count(p->members); i++) {
+		const struct member *m = member_at(p->members, i);
+
+		if (m->incarnation && m->state == MEMBER_LIVE && m->config_version > 0 &&
+		    strcmp(m->id, p->entry->settings.instance.id) < 0)
+			return false;
+	}
+	return true;
+}
+
+/* Tells an instance that starts without the store what this one knows. */
+static void hand_over(struct peers *p, const struct member *to, int64_t now)
+{
+	struct peer_view *v = view_of(p, to->id);
+	struct peer_message *m;
+	struct buf text = { 0 };
+
+	if (!v->without_since_ms)
+		v->without_since_ms = now;
+	if (!entry_ready(p->entry) || now - v->without_since_ms < HANDOVER_AFTER_MS ||
+	    !first_with_config(p))
+		return;
+	v->without_since_ms = now;
+	handover_encode(p->entry, &text);
+	if (text.len > HANDOVER_MAX_BYTES) {
+		log_warn("handover-too-large", "peer=%s bytes=%zu", to->id, text.len);
+		buf_free(&text);
+		return;
+	}
+	m = peer_message_create(PEER_CONFIG_PART);
+	m->u.part.version = p->entry->table->version;
+	m->u.part.total = text.len;
+	/* The message owns its text. */
+	m->u.part.text = text.data;
+	log_info("handover-sent", "peer=%s config=%lld bytes=%zu", to->id,
+		 (long long)p->entry->table->version, text.len);
+	peer_bus_send(p->bus, to->peer, to->peer, m);
+	peer_message_destroy(m);
+}
+
 static void take_members(struct peers *p, const struct inbox_entry *in, int64_t now)
 {
 	const struct peer_sharing *s = &in->sharing;
@@ -196,6 +260,10 @@
 	if (m.hears_us)
 		peer_bus_confirm(p->bus, m.peer);
 	member_heard(p->members, &m, true, now);
+	if (m.state == MEMBER_LIVE && m.config_version == 0)
+		hand_over(p, &m, now);
+	else
+		view_of(p, m.id)->without_since_ms = 0;
 	for (int i = 0; i < s->member_count; i++)
 		member_listed(p->members, s->members[i].id, s->members[i].dc, s->members[i].peer,
 			      now);
@@ -229,8 +297,6 @@
 			ep->changing_until_ms = now + CHANGING_TOLD_MS;
 	}
 	v = view_of(p, in->sender);
-	if (!v)
-		return;
 	v->heard_ms = now;
 	v->count = s->load_count;
 	v->loads = mem_resize(v->loads, sizeof(*v->loads) * (size_t)(s->load_count + 1));
@@ -255,8 +321,11 @@
 	while (in) {
 		struct inbox_entry *next = in->next;
 
-		take_one(p, in, now);
-		free(in);
+		if (in->is_handover)
+			handover_apply(p->entry, buf_str(&in->text), in->sender);
+		else
+			take_one(p, in, now);
+		inbox_free(in);
 		in = next;
 	}
 	loads_sum(p, now);
@@ -508,7 +577,7 @@
 		struct inbox_entry *in = p->first;
 
 		p->first = in->next;
-		free(in);
+		inbox_free(in);
 	}
 	for (int i = 0; i < p->view_count; i++)
 		free(p->views[i].loads);
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -91,17 +91,12 @@
 {
 	struct entry *e = w->entry;
 	struct error err = { 0 };
-	struct routing_table *t;
 
 	if (row->deleted || !store_row_is_config(row))
 		return;
-	t = store_config_decode(buf_str(&row->value), &err);
-	if (!t) {
+	if (entry_config_set(e, buf_str(&row->value), &err) < 0)
 		log_warn("config-ignored", "row_version=%" PRId64 " error=\"%s\"", row->version,
 			 err.text);
-		return;
-	}
-	entry_table_set(e, t);
 }
 
 static void apply_endpoint(struct store_watch *w, const struct store_row *row)
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -498,3 +498,24 @@
 		  std::string::npos);
 	EXPECT_NE(a.body.find("le=\"+Inf\""), std::string::npos);
 }
+
+/* Guards against an instance that can't start while the store is away, though others know all. */
+TEST_F(EntryTest, StartsDuringAnOutageWithWhatAnotherInstanceKnows)
+{
+	struct harness_process *a = start_all();
+
+	store("reset");
+	usleep(300000);
+	struct harness_process *b = start_instance(1);
+	EXPECT_EQ(ready_status(b), 503);
+	EXPECT_TRUE(eventually([&] { return ready_status(b) == 200; }, 4000));
+	EXPECT_EQ(ask(b, request_text("order/x")).status, 200);
+	EXPECT_EQ(ask(b, stream_text("stream/x")).status, 200);
+	EXPECT_EQ(ask(b, request_text("unknown/x")).status, 404);
+	/* The store's own news go before it. */
+	store("up");
+	put_config(config(3, rule("fresh", "idempotent", "orders", 2, false)));
+	EXPECT_TRUE(eventually([&] { return ask(b, request_text("fresh/x", "GET")).status == 200; },
+			       4000));
+	EXPECT_EQ(ask(a, request_text("fresh/x", "GET")).status, 200);
+}
