--- a/entry/caller.c
+++ b/entry/caller.c
@@ -90,13 +90,15 @@
 	bufferevent_write(c->bev, bytes.data, bytes.len);
 }
 
-/* Close once everything written has left; what still arrives is thrown away until then. */
-static void close_gently(struct caller *c)
+/*
+ * Closes once everything written has left; what still arrives is thrown away until then. True when
+ * nothing is left to wait for.
+ */
+static bool close_begin(struct caller *c)
 {
 	phase_set(c, CALLER_CLOSING);
-	if (evbuffer_get_length(bufferevent_get_output(c->bev)) == 0 &&
-	    evbuffer_get_length(bufferevent_get_input(c->bev)) == 0 && !c->reader.begun)
-		caller_destroy(c);
+	return evbuffer_get_length(bufferevent_get_output(c->bev)) == 0 &&
+	       evbuffer_get_length(bufferevent_get_input(c->bev)) == 0 && !c->reader.begun;
 }
 
 static void refuse(struct caller *c, int status, const char *reason)
@@ -174,15 +176,11 @@
 
 static void run_request(struct caller *c)
 {
-	struct exchange *x;
-
 	phase_set(c, CALLER_BUSY);
 	metric_add(METRIC_REQUESTS, 1);
 	c->in_begin = true;
-	x = exchange_begin(c->entry, c, &c->reader.head, buf_str(&c->body), c->begun_ms);
+	exchange_begin(c->entry, c, &c->reader.head, buf_str(&c->body), c->begun_ms, &c->exchange);
 	c->in_begin = false;
-	if (x)
-		c->exchange = x;
 }
 
 static void read_some(struct caller *c)
@@ -249,9 +247,7 @@
 {
 	c->exchange = NULL;
 	if (!keep || !c->keep || c->entry->stopping) {
-		c->depth++;
-		close_gently(c);
-		if (--c->depth == 0 && c->doomed)
+		if (close_begin(c))
 			caller_destroy(c);
 		return;
 	}
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -295,15 +295,15 @@
 	return 0;
 }
 
-struct exchange *exchange_begin(struct entry *e, struct caller *c, const struct http_head *head,
-				struct str body, int64_t begun_ms)
+void exchange_begin(struct entry *e, struct caller *c, const struct http_head *head,
+		    struct str body, int64_t begun_ms, struct exchange **out)
 {
 	struct exchange *x = mem_zalloc(sizeof(*x));
 	const char *cause = "-";
 	bool has_id = wire_request_decode(head, &x->in);
 	int status;
-	int before = e->exchanges;
 
+	*out = x;
 	x->entry = e;
 	x->caller = c;
 	x->head = head;
@@ -320,15 +320,13 @@
 		metric_add(status == 503 ? METRIC_REFUSED_NOT_RUN : METRIC_BAD_REQUESTS, 1);
 		log_outcome(x, "refused", status, cause);
 		answer(x, status, cause, status == 503 ? RETRY_AFTER_STARTING_MS : -1);
-		return NULL;
+		return;
 	}
 	set_deadline(x);
 	if (suspect_refused(x))
 		exchange_refuse(x, "crashes-endpoints", -1);
 	else
 		exchange_place(x);
-	/* An exchange that has answered from inside is gone. */
-	return e->exchanges > before ? x : NULL;
 }
 
 void exchanges_sweep(struct entry *e, int64_t now_ms)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -243,10 +243,10 @@
  * exchange_begin - take a whole request over
  * @head: stays valid until caller_done() or exchange_cancel(), like @body
  *
- * May answer at once, from inside the call. Return: NULL then.
+ * @out: set to the exchange; caller_done() may be called from inside, and clears it then
  */
-struct exchange *exchange_begin(struct entry *e, struct caller *c, const struct http_head *head,
-				struct str body, int64_t begun_ms);
+void exchange_begin(struct entry *e, struct caller *c, const struct http_head *head,
+		    struct str body, int64_t begun_ms, struct exchange **out);
 
 /** exchange_cancel - the caller has gone */
 void exchange_cancel(struct exchange *x);
--- a/ibisgated/main.c
+++ b/ibisgated/main.c
@@ -100,10 +100,9 @@
 
 int main(int argc, char **argv)
 {
-	struct arg_file *file =
-		arg_file0("s", "settings", "FILE",
-			  "settings of this instance, see ibisgate(5); "
-			  "default: the file named by $IBISGATE_SETTINGS");
+	struct arg_file *file = arg_file0("s", "settings", "FILE",
+					  "settings of this instance, see ibisgate(5); "
+					  "default: the file named by $IBISGATE_SETTINGS");
 	struct arg_lit *check = arg_lit0("c", "check", "check the settings and exit");
 	struct arg_lit *help = arg_lit0("h", "help", "print this help and exit");
 	struct arg_end *end = arg_end(8);
--- a/net/event_stream.c
+++ b/net/event_stream.c
@@ -46,8 +46,7 @@
 		line = line_trim((struct str){ .data = start, .len = (size_t)(end - start) });
 		at = (size_t)(end - s->buf.data) + 1;
 		if (!line.len) {
-			out->raw = (struct str){ .data = s->buf.data + s->pos,
-						 .len = at - s->pos };
+			out->raw = (struct str){ .data = s->buf.data + s->pos, .len = at - s->pos };
 			s->pos = at;
 			return true;
 		}
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -65,8 +65,8 @@
 };
 
 static const char *const failure_names[] = {
-	[HTTP_FAILURE_CONNECT] = "connect",	[HTTP_FAILURE_STALE] = "stale-connection",
-	[HTTP_FAILURE_CLOSED] = "closed",	[HTTP_FAILURE_MALFORMED] = "malformed",
+	[HTTP_FAILURE_CONNECT] = "connect", [HTTP_FAILURE_STALE] = "stale-connection",
+	[HTTP_FAILURE_CLOSED] = "closed",   [HTTP_FAILURE_MALFORMED] = "malformed",
 	[HTTP_FAILURE_TIMEOUT] = "timeout",
 };
 
@@ -200,8 +200,7 @@
 		return 0;
 	}
 	limit = keep_alive_ms(head, c->client->options.idle_ms);
-	c->idle_limit_ms =
-		limit < c->client->options.idle_ms ? limit : c->client->options.idle_ms;
+	c->idle_limit_ms = limit < c->client->options.idle_ms ? limit : c->client->options.idle_ms;
 	c->reusable = c->reusable && head->keep_alive && c->idle_limit_ms > 0;
 	x->head_seen = true;
 	x->ops->on_head(x->ctx, head);
@@ -316,8 +315,7 @@
 		c->connected = true;
 		if (c->exchange && c->exchange->silence_ms) {
 			struct timeval tv = { .tv_sec = c->exchange->silence_ms / 1000,
-					      .tv_usec =
-						      (c->exchange->silence_ms % 1000) * 1000L };
+					      .tv_usec = (c->exchange->silence_ms % 1000) * 1000L };
 
 			bufferevent_set_timeouts(bev, &tv, NULL);
 		} else {
@@ -326,8 +324,8 @@
 		return;
 	}
 	connection_enter(c);
-	if ((what & BEV_EVENT_EOF) && c->exchange && !c->skipping &&
-	    http_reader_eof(&c->reader) && c->exchange) {
+	if ((what & BEV_EVENT_EOF) && c->exchange && !c->skipping && http_reader_eof(&c->reader) &&
+	    c->exchange) {
 		c->reusable = false;
 		exchange_end(c);
 	} else if (c->exchange) {
@@ -416,8 +414,7 @@
 					    const struct http_address *to, int connect_ms)
 {
 	struct connection *c = mem_zalloc(sizeof(*c));
-	struct timeval tv = { .tv_sec = connect_ms / 1000,
-			      .tv_usec = (connect_ms % 1000) * 1000L };
+	struct timeval tv = { .tv_sec = connect_ms / 1000, .tv_usec = (connect_ms % 1000) * 1000L };
 	struct sockaddr_in sin = { .sin_family = AF_INET,
 				   .sin_port = htons(to->port),
 				   .sin_addr.s_addr = htonl(to->ip) };
--- a/standins/grid_store.c
+++ b/standins/grid_store.c
@@ -83,7 +83,7 @@
 		if (!r->deleted && strcmp(r->table, table) == 0 && strcmp(r->key, source) >= 0)
 			found[count++] = r;
 	}
-	qsort(found, (size_t)count, sizeof(found[0]), row_order);
+	qsort(found, (size_t)count, sizeof(void *), row_order);
 	for (int i = 0; i < count && i < limit; i++)
 		json_array_append_new(rows, row_json(found[i]));
 	out = rows_reply(g, rows);
--- a/state/cache_view.c
+++ b/state/cache_view.c
@@ -67,6 +67,18 @@
 	return NULL;
 }
 
+/* Gives up the least recently used parts, which come first, until the others fit. */
+static void evict(struct cache_view *v, const struct part_entry *keep)
+{
+	struct part_entry *e, *next;
+
+	cds_list_for_each_entry_safe(e, next, &v->recent, recent) {
+		if (v->used <= v->capacity || e == keep)
+			break;
+		entry_free(v, e);
+	}
+}
+
 void cache_view_use(struct cache_view *v, uint64_t part, int64_t tokens, bool ready)
 {
 	struct part_entry *e = entry_find(v, part);
@@ -83,9 +95,8 @@
 		cds_list_add(&e->bucket, &v->buckets[part % BUCKETS]);
 	}
 	e->ready = e->ready || ready;
-	cds_list_add(&e->recent, &v->recent);
-	while (v->used > v->capacity && v->recent.prev != &e->recent)
-		entry_free(v, cds_list_entry(v->recent.prev, struct part_entry, recent));
+	cds_list_add_tail(&e->recent, &v->recent);
+	evict(v, e);
 }
 
 void cache_view_forget_sent(struct cache_view *v, uint64_t part)
