--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -86,6 +86,8 @@
 
 struct http_client *http_client_create(struct event_base *base,
 				       const struct http_client_options *options);
+
+/** http_client_destroy - fail the exchanges in progress and close all connections */
 void http_client_destroy(struct http_client *c);
 
 /** http_client_forget - close the kept connections to an address */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -33,13 +33,13 @@
 
 /**
  * struct connection - one TCP connection to an endpoint
- * @idle: entry in client->idle while no exchange uses it
+ * @link: entry in client->idle, or in client->used while an exchange uses it
  * @exchange: the exchange that uses it, or NULL
  * @skipping: the response being read answers an earlier request
  * @busy: depth of callbacks; the connection is freed when it is back at zero
  */
 struct connection {
-	struct cds_list_head idle;
+	struct cds_list_head link;
 	struct http_client *client;
 	struct http_address to;
 	struct bufferevent *bev;
@@ -60,6 +60,7 @@
 	struct event_base *base;
 	struct http_client_options options;
 	struct cds_list_head idle;
+	struct cds_list_head used;
 	struct event *sweep;
 	int64_t connects;
 };
@@ -115,7 +116,7 @@
 
 static void connection_free(struct connection *c)
 {
-	cds_list_del(&c->idle);
+	cds_list_del(&c->link);
 	bufferevent_free(c->bev);
 	http_reader_free(&c->reader);
 	free(c);
@@ -124,8 +125,8 @@
 /* Ends a connection now, or after the callback that is running on it. */
 static void connection_drop(struct connection *c)
 {
-	cds_list_del(&c->idle);
-	CDS_INIT_LIST_HEAD(&c->idle);
+	cds_list_del(&c->link);
+	CDS_INIT_LIST_HEAD(&c->link);
 	c->doomed = true;
 	if (!c->busy)
 		connection_free(c);
@@ -231,7 +232,7 @@
 	struct connection *c;
 	int n = 0;
 
-	cds_list_for_each_entry(c, &client->idle, idle) {
+	cds_list_for_each_entry(c, &client->idle, link) {
 		if (c->to.ip == to->ip && c->to.port == to->port)
 			n++;
 	}
@@ -249,7 +250,8 @@
 	    idle_count(c->client, &c->to) < IDLE_PER_ADDRESS) {
 		c->idle_since_ms = clock_boot_ms();
 		bufferevent_set_timeouts(c->bev, NULL, NULL);
-		cds_list_add(&c->idle, &c->client->idle);
+		cds_list_del(&c->link);
+		cds_list_add(&c->link, &c->client->idle);
 	} else {
 		c->doomed = true;
 	}
@@ -342,7 +344,7 @@
 	struct connection *c, *next;
 	int64_t now = clock_boot_ms();
 
-	cds_list_for_each_entry_safe(c, next, &client->idle, idle) {
+	cds_list_for_each_entry_safe(c, next, &client->idle, link) {
 		if (now - c->idle_since_ms > c->idle_limit_ms)
 			connection_drop(c);
 	}
@@ -357,6 +359,7 @@
 	c->base = base;
 	c->options = *options;
 	CDS_INIT_LIST_HEAD(&c->idle);
+	CDS_INIT_LIST_HEAD(&c->used);
 	c->sweep = event_new(base, -1, EV_PERSIST, sweep_idle, c);
 	event_add(c->sweep, &second);
 	return c;
@@ -368,7 +371,11 @@
 
 	if (!client)
 		return;
-	cds_list_for_each_entry_safe(c, next, &client->idle, idle)
+	cds_list_for_each_entry_safe(c, next, &client->used, link) {
+		exchange_fail(c, HTTP_FAILURE_CLOSED);
+		connection_free(c);
+	}
+	cds_list_for_each_entry_safe(c, next, &client->idle, link)
 		connection_drop(c);
 	event_free(client->sweep);
 	free(client);
@@ -378,7 +385,7 @@
 {
 	struct connection *c, *next;
 
-	cds_list_for_each_entry_safe(c, next, &client->idle, idle) {
+	cds_list_for_each_entry_safe(c, next, &client->idle, link) {
 		if (c->to.ip == to->ip && c->to.port == to->port)
 			connection_drop(c);
 	}
@@ -394,15 +401,15 @@
 	struct connection *c, *next;
 	int64_t now = clock_boot_ms();
 
-	cds_list_for_each_entry_safe(c, next, &client->idle, idle) {
+	cds_list_for_each_entry_safe(c, next, &client->idle, link) {
 		if (c->to.ip != to->ip || c->to.port != to->port)
 			continue;
 		if (now - c->idle_since_ms > c->idle_limit_ms) {
 			connection_drop(c);
 			continue;
 		}
-		cds_list_del(&c->idle);
-		CDS_INIT_LIST_HEAD(&c->idle);
+		cds_list_del(&c->link);
+		cds_list_add(&c->link, &client->used);
 		c->reused = true;
 		c->any_byte = false;
 		return c;
@@ -423,7 +430,7 @@
 	c->client = client;
 	c->to = *to;
 	c->reusable = true;
-	CDS_INIT_LIST_HEAD(&c->idle);
+	cds_list_add(&c->link, &client->used);
 	http_reader_init(&c->reader, HTTP_SIDE_RESPONSE, 0, &reader_ops, c);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd >= 0)
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -29,6 +29,30 @@
 	return got;
 }
 
+static const char *const rows = "[instance]\nid = a1\ndata-centre = abertawe\n"
+				"region = de-cymru\n"
+				"[http]\nlisten = 127.0.0.1:0\n"
+				"[ready]\nlisten = 127.0.0.1:0\n"
+				"[platform]\nkind = rows\nurl = http://127.0.0.1:9\n"
+				"[bounds]\nretry-ratio = 0.2\nretry-fixed = 58\n"
+				"retry-window-ms = 10000\nstop-grace-ms = 8000\n";
+
+/* Guards against keys that are asked for on the wrong kind of platform. */
+TEST(Settings, EachKindOfPlatformHasItsOwnRequiredKeys)
+{
+	EXPECT_EQ(problems_of(rows), "");
+	std::string got = problems_of(std::string(minimal) + "kind = rows\n");
+	EXPECT_NE(got.find("[ready] listen: required"), std::string::npos) << got;
+	EXPECT_NE(got.find("[bounds] retry-ratio: required"), std::string::npos) << got;
+	EXPECT_EQ(got.find("[admin]"), std::string::npos) << got;
+	got = problems_of(std::string(rows) + "[stages]\nprefill-share = much\n");
+	EXPECT_NE(got.find("x.ini:18: [stages] prefill-share: expected a number from -1 to 1"),
+		  std::string::npos)
+		<< got;
+	got = problems_of(std::string(rows) + "[platform]\nkind = log\n");
+	EXPECT_NE(got.find("[platform] kind"), std::string::npos) << got;
+}
+
 TEST(Settings, MinimalFileIsValid)
 {
 	EXPECT_EQ(problems_of(minimal), "");
