--- a/entry/generation.c
+++ b/entry/generation.c
@@ -356,6 +356,15 @@
 		exchange_give_up(x, "retry-budget", 0);
 		return true;
 	}
+	log_info("placed",
+		 "request=%s endpoint=%s decode=%s fetch=%s prompt=%" PRId64 " read=%" PRId64
+		 " backlog=%" PRId64 " others_backlog=%" PRId64 " active=%d expected_ms=%.0f "
+		 "left_ms=%" PRId64 " list_version=%" PRId64,
+		 x->in.id, first->entry.id, x->decode->entry.id,
+		 x->choice.fetch >= 0 ? eps[x->choice.fetch]->entry.id : "-", x->in.prompt_tokens,
+		 x->choice.read_tokens, first->backlog_tokens, first->others_backlog,
+		 first->active + first->others_active, x->choice.first_ms, x->deadline_ms - now_ms,
+		 first->entry.version);
 	charge(x, first, x->choice.read_tokens);
 	return true;
 }
--- a/ibisgatectl/command.c
+++ b/ibisgatectl/command.c
@@ -6,6 +6,7 @@
 const struct command command_table[] = {
 	{ "status", "instances, endpoints, leases and configuration version", cmd_status },
 	{ "timeline", "events of all instances, merged and filtered", cmd_timeline },
+	{ "trace", "log lines of one request, endpoint or instance, in order of time", cmd_trace },
 	{ "config-show", "the whole configuration", cmd_config_show },
 	{ "organisation-create", "create or replace an organisation", cmd_organisation_create },
 	{ "service-create", "create or replace a service", cmd_service_create },
--- a/include/ibisgate/ibisgatectl/command.h
+++ b/include/ibisgate/ibisgatectl/command.h
@@ -81,6 +81,7 @@
 int cmd_service_create(struct ctl *ctl, int argc, char **argv);
 int cmd_status(struct ctl *ctl, int argc, char **argv);
 int cmd_timeline(struct ctl *ctl, int argc, char **argv);
+int cmd_trace(struct ctl *ctl, int argc, char **argv);
 
 /**
  * command_parse - parse the arguments of a command with argtable
--- a/tests/test_ctl.cc
+++ b/tests/test_ctl.cc
@@ -260,6 +260,28 @@
 	json_decref(status);
 }
 
+/* Guards against lines of other requests, and against an order by file instead of by time. */
+TEST_F(CtlTest, TraceFollowsOneIdThroughAllLogs)
+{
+	write_file("a.log", "2026-12-04T10:00:01.500Z info a request request=r1 outcome=served\n"
+			    "2026-12-04T10:00:01.100Z info a placed request=r1 endpoint=e1\n"
+			    "2026-12-04T10:00:01.200Z info a placed request=r11 endpoint=e1\n");
+	write_file("b.log",
+		   "   1.2 b 2026-12-04T10:00:01.300Z info b order endpoint=e1 stage=1\n"
+		   "2026-12-04T10:00:01.400Z info b request endpoints=e1:full,e2:streamed\n");
+	std::string files = " " + std::string(h->dir) + "/a.log " + h->dir + "/b.log";
+
+	ASSERT_EQ(ctl("trace r1" + files), OK) << text;
+	EXPECT_LT(text.find("placed request=r1 "), text.find("outcome=served"));
+	EXPECT_FALSE(says("r11"));
+	ASSERT_EQ(ctl("trace e1" + files), OK) << text;
+	EXPECT_LT(text.find("placed request=r11"), text.find("order endpoint=e1"));
+	EXPECT_TRUE(says("e1:full"));
+	EXPECT_EQ(ctl("trace r9" + files), REFUSED);
+	EXPECT_EQ(ctl("trace r1 /nowhere.log"), USAGE);
+	EXPECT_TRUE(says("/nowhere.log"));
+}
+
 /* Guards against commands without help; the table is the only list of them. */
 TEST_F(CtlTest, EveryCommandHasHelp)
 {
