--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -30,8 +30,6 @@
 struct cache_ask {
 	struct entry *entry;
 	struct endpoint *endpoint;
-	struct buf body;
-	int status;
 	int64_t since;
 	int events;
 };
@@ -40,103 +38,78 @@
 {
 	a->entry->cache_asks--;
 	endpoint_put(a->endpoint);
-	buf_free(&a->body);
 	free(a);
 }
 
 static void send_ask(struct cache_ask *a);
 
-static void on_head(void *ctx, const struct http_head *head)
+/* Takes over one page; true when another one follows. */
+static bool take_page(struct cache_ask *a, const struct cache_events *events)
 {
-	struct cache_ask *a = ctx;
-
-	a->status = head->status;
-}
-
-static void on_body(void *ctx, struct str bytes)
-{
-	struct cache_ask *a = ctx;
-
-	buf_append(&a->body, bytes.data, bytes.len);
-}
-
-static void on_end(void *ctx)
-{
-	struct cache_ask *a = ctx;
 	struct endpoint *ep = a->endpoint;
-	struct cache_events events;
 
-	if (a->status != 200 || !wire_cache_decode(buf_str(&a->body), &events)) {
-		log_warn("cache-unknown", "endpoint=%s status=%d", ep->entry.id, a->status);
-		ask_free(a);
-		return;
-	}
-	if (ep->cache_known && strcmp(ep->cache_epoch, events.epoch) != 0) {
+	if (ep->cache_known && strcmp(ep->cache_epoch, events->epoch) != 0) {
 		/* The engine has started again and keeps nothing of before. */
 		cache_view_clear(ep->cache);
 		ep->cache_known = false;
 		ep->cache_next = 0;
 		ep->cache_asked_ms = 0;
-		wire_cache_free(&events);
-		ask_free(a);
-		return;
+		return false;
 	}
-	str_copy(ep->cache_epoch, sizeof(ep->cache_epoch), str_from(events.epoch));
-	for (int i = 0; i < events.count; i++) {
-		const struct cache_event *e = &events.events[i];
+	str_copy(ep->cache_epoch, sizeof(ep->cache_epoch), str_from(events->epoch));
+	for (int i = 0; i < events->count; i++) {
+		const struct cache_event *e = &events->events[i];
 
 		if (e->tokens)
 			cache_view_use(ep->cache, e->part, e->tokens, true);
 		else
 			cache_view_drop(ep->cache, e->part);
 	}
-	a->events += events.count;
-	a->since = events.next;
-	ep->cache_next = events.next;
-	if (events.count >= PAGE_MIN && ep->listed) {
-		wire_cache_free(&events);
-		send_ask(a);
-		return;
-	}
-	if (!ep->cache_known || events.lost)
+	a->events += events->count;
+	a->since = events->next;
+	ep->cache_next = events->next;
+	if (events->count >= PAGE_MIN && ep->listed)
+		return true;
+	if (!ep->cache_known || events->lost)
 		log_info("cache-known", "endpoint=%s events=%d lost=%d epoch=%s", ep->entry.id,
-			 a->events, events.lost, events.epoch);
+			 a->events, events->lost, events->epoch);
 	ep->cache_known = true;
-	wire_cache_free(&events);
-	ask_free(a);
+	return false;
 }
 
-static void on_fail(void *ctx, enum http_failure why)
+static void on_done(void *ctx, const struct http_result *r)
 {
 	struct cache_ask *a = ctx;
+	struct cache_events events;
+	bool more;
 
-	log_warn("cache-unknown", "endpoint=%s cause=%s", a->endpoint->entry.id,
-		 http_failure_name(why));
-	ask_free(a);
+	if (r->status != 200 || !wire_cache_decode(r->body, &events)) {
+		log_warn("cache-unknown", "endpoint=%s status=%d cause=%s", a->endpoint->entry.id,
+			 r->status, r->status ? "-" : http_failure_name(r->failure));
+		ask_free(a);
+		return;
+	}
+	more = take_page(a, &events);
+	wire_cache_free(&events);
+	if (more)
+		send_ask(a);
+	else
+		ask_free(a);
 }
 
-static const struct http_exchange_ops ask_ops = {
-	.on_head = on_head,
-	.on_body = on_body,
-	.on_end = on_end,
-	.on_fail = on_fail,
-};
-
 static void send_ask(struct cache_ask *a)
 {
 	struct buf request = { 0 };
 
-	a->body.len = 0;
-	a->status = 0;
 	wire_cache_request(&request, a->endpoint->entry.address, a->since);
-	http_exchange_start(a->entry->endpoint_client,
-			    &(struct http_exchange_spec){
-				    .to = a->endpoint->address,
-				    .request = buf_str(&request),
-				    .connect_ms = ASK_CONNECT_MS,
-				    .silence_ms = ASK_SILENCE_MS,
-			    },
-			    &ask_ops, a);
+	http_collect_start(a->entry->endpoint_client,
+			   &(struct http_exchange_spec){
+				   .to = a->endpoint->address,
+				   .request = buf_str(&request),
+				   .connect_ms = ASK_CONNECT_MS,
+				   .silence_ms = ASK_SILENCE_MS,
+			   },
+			   on_done, a);
 	buf_free(&request);
 }
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -146,31 +146,14 @@
 	exchange_served(x);
 }
 
-static void on_drop_head(void *ctx, const struct http_head *head)
-{
-}
-
-static void on_drop_body(void *ctx, struct str bytes)
-{
-}
-
-static void on_drop_end(void *ctx)
-{
-}
-
-static void on_drop_fail(void *ctx, enum http_failure why)
+static void on_dropped(void *ctx, const struct http_result *r)
 {
 	/* The engine frees the cache by itself some seconds later. */
-	log_debug("cache-drop-failed", "cause=%s", http_failure_name(why));
+	if (r->status != 200)
+		log_debug("cache-drop-failed", "status=%d", r->status);
 }
 
-static const struct http_exchange_ops drop_ops = {
-	.on_head = on_drop_head,
-	.on_body = on_drop_body,
-	.on_end = on_drop_end,
-	.on_fail = on_drop_fail,
-};
-
+/* Limits of the call that frees a cache, in milliseconds. */
 #define DROP_CONNECT_MS 300
 #define DROP_SILENCE_MS 1000
 
@@ -187,14 +170,14 @@
 	x->cache_source[0] = '\0';
 	http_address_format(&x->cache_owner, address);
 	wire_handle_drop(&request, address, x->cache_handle);
-	http_exchange_start(x->entry->endpoint_client,
-			    &(struct http_exchange_spec){
-				    .to = x->cache_owner,
-				    .request = buf_str(&request),
-				    .connect_ms = DROP_CONNECT_MS,
-				    .silence_ms = DROP_SILENCE_MS,
-			    },
-			    &drop_ops, NULL);
+	http_collect_start(x->entry->endpoint_client,
+			   &(struct http_exchange_spec){
+				   .to = x->cache_owner,
+				   .request = buf_str(&request),
+				   .connect_ms = DROP_CONNECT_MS,
+				   .silence_ms = DROP_SILENCE_MS,
+			   },
+			   on_dropped, NULL);
 	buf_free(&request);
 }
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -11,6 +11,7 @@
 #include "ibisgate/net/codec_sharing.h"
 #include "ibisgate/net/event_stream.h"
 #include "ibisgate/net/http_client.h"
+#include "ibisgate/net/http_collect.h"
 #include "ibisgate/platform/wire.h"
 #include "ibisgate/policy/extra_budget.h"
 #include "ibisgate/policy/place.h"
@@ -136,17 +137,6 @@
 void endpoints_destroy(struct entry *e);
 struct service *service_find(struct entry *e, const char *name);
 
-/**
- * struct store_result - outcome of a call to the platform's store
- * @status: of the response; 0 when there was none, for the reason in @failure
- * @body: valid during the callback
- */
-struct store_result {
-	int status;
-	struct str body;
-	enum http_failure failure;
-};
-
 /* store_call.c */
 struct store_call;
 
@@ -156,7 +146,7 @@
  * @done: called once, later, unless the call is cancelled
  */
 struct store_call *store_call_start(struct entry *e, struct str request, int wait_ms,
-				    void (*done)(void *ctx, const struct store_result *r),
+				    void (*done)(void *ctx, const struct http_result *r),
 				    void *ctx);
 void store_call_cancel(struct store_call *c);
 void store_address(const struct entry *e, char out[32]);
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -73,8 +73,6 @@
 	enum engine_stage stage;
 	int64_t fencing;
 	bool asking;
-	int status;
-	struct buf body;
 };
 
 static void encode_lease(const struct lease_row *row, struct buf *out)
@@ -103,7 +101,7 @@
 		 s->lease.seen.holder, s->lease.seen.version, s->lease.fencing);
 }
 
-static void on_written(struct stages *s, const struct store_result *r, int64_t now)
+static void on_written(struct stages *s, const struct http_result *r, int64_t now)
 {
 	struct lease_row row = s->action.row;
 	struct error err = { 0 };
@@ -126,7 +124,7 @@
 	}
 }
 
-static void on_read(struct stages *s, const struct store_result *r, int64_t now)
+static void on_read(struct stages *s, const struct http_result *r, int64_t now)
 {
 	struct store_rows rows;
 	struct lease_row row;
@@ -145,7 +143,7 @@
 	store_rows_free(&rows);
 }
 
-static void on_result(void *ctx, const struct store_result *r)
+static void on_result(void *ctx, const struct http_result *r)
 {
 	struct stages *s = ctx;
 	int64_t now = clock_boot_ms();
@@ -189,70 +187,41 @@
 	return lease_held(&s->lease, now);
 }
 
-static void order_free(struct order *o)
-{
-	buf_free(&o->body);
-	free(o);
-}
-
-static void on_order_head(void *ctx, const struct http_head *head)
-{
-	struct order *o = ctx;
-
-	o->status = head->status;
-}
-
-static void on_order_body(void *ctx, struct str bytes)
-{
-	struct order *o = ctx;
-
-	buf_append(&o->body, bytes.data, bytes.len);
-}
-
-static void on_order_end(void *ctx);
-static void on_order_fail(void *ctx, enum http_failure why);
-
-static const struct http_exchange_ops order_ops = {
-	.on_head = on_order_head,
-	.on_body = on_order_body,
-	.on_end = on_order_end,
-	.on_fail = on_order_fail,
-};
+static void on_order_done(void *ctx, const struct http_result *r);
 
 static void order_call(struct order *o, const struct buf *request)
 {
-	o->body.len = 0;
-	o->status = 0;
-	http_exchange_start(o->stages->entry->endpoint_client,
-			    &(struct http_exchange_spec){
-				    .to = o->to,
-				    .request = buf_str(request),
-				    .fresh = true,
-				    .connect_ms = ORDER_CONNECT_MS,
-				    .silence_ms = ORDER_SILENCE_MS,
-			    },
-			    &order_ops, o);
+	http_collect_start(o->stages->entry->endpoint_client,
+			   &(struct http_exchange_spec){
+				   .to = o->to,
+				   .request = buf_str(request),
+				   .fresh = true,
+				   .connect_ms = ORDER_CONNECT_MS,
+				   .silence_ms = ORDER_SILENCE_MS,
+			   },
+			   on_order_done, o);
 }
 
 /* The engine has told how many orders it has accepted: only the next one is meant. */
-static void order_tell(struct order *o)
+static void order_tell(struct order *o, const struct http_result *r)
 {
 	struct stages *s = o->stages;
 	struct engine_report report;
 	struct buf request = { 0 };
 	int64_t now = clock_boot_ms();
 
-	if (o->status != 200 || !wire_report_decode(buf_str(&o->body), &report)) {
+	if (r->status != 200 || !wire_report_decode(r->body, &report)) {
 		log_warn("order-dropped", "endpoint=%s cause=no-report status=%d", o->endpoint,
-			 o->status);
-		order_free(o);
+			 r->status);
+		free(o);
 		return;
 	}
-	/* The lease is looked at last, right before the order leaves. */
-	if (report.busy || report.stage == o->stage || !lease_held_as(&s->lease, o->fencing, now)) {
+	/* The lease is looked at last, and has to outlast the set-up of the order's connection. */
+	if (report.busy || report.stage == o->stage ||
+	    !lease_held_as(&s->lease, o->fencing, now + ORDER_CONNECT_MS)) {
 		log_info("order-dropped", "endpoint=%s busy=%d stage=%d lease=%d", o->endpoint,
 			 report.busy, (int)report.stage, lease_held(&s->lease, now));
-		order_free(o);
+		free(o);
 		return;
 	}
 	log_info("order",
@@ -285,28 +254,25 @@
 	}
 }
 
-static void on_order_end(void *ctx)
+static void on_order_done(void *ctx, const struct http_result *r)
 {
 	struct order *o = ctx;
 
+	if (!r->status) {
+		/* An order may still be carried out: the list entry of the engine will tell. */
+		log_warn("order-unanswered", "endpoint=%s told=%d cause=%s", o->endpoint,
+			 !o->asking, http_failure_name(r->failure));
+		free(o);
+		return;
+	}
 	if (o->asking) {
-		order_tell(o);
+		order_tell(o, r);
 		return;
 	}
-	log_info("order-answered", "endpoint=%s status=%d", o->endpoint, o->status);
-	if (o->status == 202)
+	log_info("order-answered", "endpoint=%s status=%d", o->endpoint, r->status);
+	if (r->status == 202)
 		mark_changing(o);
-	order_free(o);
-}
-
-static void on_order_fail(void *ctx, enum http_failure why)
-{
-	struct order *o = ctx;
-
-	/* An order may still be carried out: the list entry of the engine will tell. */
-	log_warn("order-unanswered", "endpoint=%s told=%d cause=%s", o->endpoint, !o->asking,
-		 http_failure_name(why));
-	order_free(o);
+	free(o);
 }
 
 static void order_begin(struct stages *s, struct endpoint *ep, enum engine_stage to, int64_t now)
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -180,7 +180,7 @@
 	ask_after(w, w->listing || age >= pause ? 0 : pause - age);
 }
 
-static void on_result(void *ctx, const struct store_result *r)
+static void on_result(void *ctx, const struct http_result *r)
 {
 	struct store_watch *w = ctx;
 
--- /dev/null
+++ b/net/http_collect.c
@@ -0,0 +1,73 @@
+#include <stdlib.h>
+
+#include "ibisgate/net/http_collect.h"
+
+struct http_collect {
+	struct http_exchange *exchange;
+	struct buf body;
+	int status;
+	void (*done)(void *ctx, const struct http_result *r);
+	void *ctx;
+};
+
+static void on_head(void *ctx, const struct http_head *head)
+{
+	struct http_collect *call = ctx;
+
+	call->status = head->status;
+}
+
+static void on_body(void *ctx, struct str bytes)
+{
+	struct http_collect *call = ctx;
+
+	buf_append(&call->body, bytes.data, bytes.len);
+}
+
+static void finish(struct http_collect *call, const struct http_result *r)
+{
+	call->done(call->ctx, r);
+	buf_free(&call->body);
+	free(call);
+}
+
+static void on_end(void *ctx)
+{
+	struct http_collect *call = ctx;
+
+	finish(call, &(struct http_result){ .status = call->status, .body = buf_str(&call->body) });
+}
+
+static void on_fail(void *ctx, enum http_failure why)
+{
+	finish(ctx, &(struct http_result){ .failure = why });
+}
+
+static const struct http_exchange_ops collect_ops = {
+	.on_head = on_head,
+	.on_body = on_body,
+	.on_end = on_end,
+	.on_fail = on_fail,
+};
+
+struct http_collect *http_collect_start(struct http_client *c,
+					const struct http_exchange_spec *spec,
+					void (*done)(void *ctx, const struct http_result *r),
+					void *ctx)
+{
+	struct http_collect *call = mem_zalloc(sizeof(*call));
+
+	call->done = done;
+	call->ctx = ctx;
+	call->exchange = http_exchange_start(c, spec, &collect_ops, call);
+	return call;
+}
+
+void http_collect_cancel(struct http_collect *call)
+{
+	if (!call)
+		return;
+	http_exchange_cancel(call->exchange);
+	buf_free(&call->body);
+	free(call);
+}
