Refuse generations that can't be complete in time

Change: the time from first to last token is learned by urgency, also from streams that ended early, and counts in the refusal. Sustained overload stays a weak point: engines that generate still read prompts then.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -236,16 +236,6 @@
 	exchange_place(x);
 }
 
-/* Fast engines' order of admission follows the rule's priority: 0 is the most urgent. */
-static int urgency(const struct exchange *x)
-{
-	int p = x->rule->priority;
-
-	if (!x->spec->engine.present)
-		return -1;
-	return p < 0 ? 0 : p > 9 ? 9 : p;
-}
-
 bool attempt_start(struct exchange *x, struct endpoint *ep, enum wire_work work,
 		   struct endpoint *fetch_from)
 {
@@ -287,7 +277,7 @@
 				    .work = work,
 				    .remaining_ms = x->deadline_ms - now,
 				    .expected_id = ep->entry.id,
-				    .urgency = urgency(x),
+				    .urgency = x->spec->engine.present ? exchange_urgency(x) : -1,
 				    .resume_from = x->events_given ? x->last_event : -1,
 				    .cache_source = work == WIRE_WORK_RUN && x->cache_source[0]
 							    ? x->cache_source
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -37,6 +37,13 @@
 	return false;
 }
 
+int exchange_urgency(const struct exchange *x)
+{
+	int p = x->rule->priority;
+
+	return p < 0 ? 0 : p >= SERVICE_URGENCIES ? SERVICE_URGENCIES - 1 : p;
+}
+
 void exchange_note(struct exchange *x, const struct endpoint *ep, const char *what)
 {
 	size_t len = strlen(x->trail);
@@ -169,8 +176,17 @@
 	exchange_close(x, true);
 }
 
+/* A generation that ran out of time shows how long generations take as well as a whole one does. */
+static void learn_unfinished(struct exchange *x)
+{
+	if (x->answer_begun && x->rule->kind == CALL_GENERATION)
+		finish_learn_unfinished(&x->service->finish[exchange_urgency(x)],
+					(double)(clock_boot_ms() - x->first_ms));
+}
+
 void exchange_cancel(struct exchange *x)
 {
+	learn_unfinished(x);
 	log_outcome(x, "cancelled", 0, "caller-left");
 	exchange_destroy(x);
 }
@@ -179,6 +195,7 @@
 {
 	struct exchange *x = ctx;
 
+	learn_unfinished(x);
 	/* An attempt in progress may have run, whatever came before it. */
 	if (x->attempt.call && x->attempt.work == WIRE_WORK_RUN)
 		x->runs++;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -113,6 +113,9 @@
 void exchange_served(struct exchange *x);
 void exchange_note(struct exchange *x, const struct endpoint *ep, const char *what);
 
+/** exchange_urgency - priority of its rule, 0 (first) to 9 */
+int exchange_urgency(const struct exchange *x);
+
 /* attempt.c */
 bool attempt_start(struct exchange *x, struct endpoint *ep, enum wire_work work,
 		   struct endpoint *fetch_from);
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -143,6 +143,8 @@
 	endpoint_result(ep, true);
 	exchange_note(x, ep, "streamed");
 	caller_write(x->caller, STR_LIT("0\r\n\r\n"));
+	finish_learn(&x->service->finish[exchange_urgency(x)],
+		     (double)(clock_boot_ms() - x->first_ms));
 	exchange_served(x);
 }
 
@@ -325,7 +327,8 @@
 
 	if (!place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice))
 		return false;
-	if (!x->sends && x->choice.first_ms > (double)(x->deadline_ms - now_ms)) {
+	if (!x->sends && !finish_fits(&x->service->finish[exchange_urgency(x)], x->choice.first_ms,
+				      (double)(x->deadline_ms - now_ms))) {
 		exchange_refuse(x, "too-late", (int64_t)x->choice.first_ms / 2);
 		return true;
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -14,6 +14,7 @@
 #include "ibisgate/net/http_collect.h"
 #include "ibisgate/platform/wire.h"
 #include "ibisgate/policy/extra_budget.h"
+#include "ibisgate/policy/finish.h"
 #include "ibisgate/policy/place.h"
 #include "ibisgate/policy/retry.h"
 #include "ibisgate/state/cache_view.h"
@@ -73,12 +74,19 @@
 	int64_t changing_until_ms;
 };
 
-/** struct service - what this instance knows of a service beside its configuration */
+/* Urgencies of rules that are told apart; the platform's priorities are 0 to 9. */
+#define SERVICE_URGENCIES 10
+
+/**
+ * struct service - what this instance knows of a service beside its configuration
+ * @finish: time from first to last token, by the urgency of the rule
+ */
 struct service {
 	struct cds_list_head link;
 	char name[DIRECTORY_NAME_MAX];
 	struct extra_budget budget;
 	struct place_speed speed;
+	struct finish_estimate finish[SERVICE_URGENCIES];
 };
 
 #define ENTRY_DCS_MAX 32
