--- a/entry/entry.c
+++ b/entry/entry.c
@@ -33,6 +33,13 @@
 #define ENDPOINT_IDLE_MS 8000
 #define STORE_IDLE_MS 20000
 
+/*
+ * Connections kept to one endpoint: at most this many, and all instances together at most this
+ * share of the connections that the endpoint accepts. Calls that run once leave one behind each.
+ */
+#define ENDPOINT_KEEP_MAX 6
+#define ENDPOINT_KEEP_SHARE 0.3
+
 /* Unacknowledged bytes end a connection to an endpoint or the store after this time, in ms. */
 #define USER_TIMEOUT_MS 2000
 
@@ -177,6 +184,21 @@
 		event_base_loopbreak(e->base);
 }
 
+/* The service with the fewest connections decides; one is always kept. */
+static void keep_set(struct entry *e)
+{
+	int keep = ENDPOINT_KEEP_MAX;
+
+	for (int i = 0; e->table && i < e->table->service_count; i++) {
+		int accepted = e->table->services[i].max_connections;
+		int part = (int)(ENDPOINT_KEEP_SHARE * accepted / peers_most(e->peers));
+
+		if (accepted > 0 && part < keep)
+			keep = part > 1 ? part : 1;
+	}
+	http_client_keep(e->endpoint_client, keep);
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	struct entry *e = ctx;
@@ -190,6 +212,7 @@
 	stages_step(e->stages, now);
 	if (now - e->ticked_ms >= SETTINGS_CHECK_MS) {
 		e->ticked_ms = now;
+		keep_set(e);
 		settings_reload(e);
 	}
 	if (e->stopping)
@@ -293,9 +316,11 @@
 	}
 	e->endpoint_client = http_client_create(
 		e->base, &(struct http_client_options){ .idle_ms = ENDPOINT_IDLE_MS,
+							.idle_per_address = ENDPOINT_KEEP_MAX,
 							.user_timeout_ms = USER_TIMEOUT_MS });
 	e->store_client = http_client_create(
 		e->base, &(struct http_client_options){ .idle_ms = STORE_IDLE_MS,
+							.idle_per_address = ENDPOINT_KEEP_MAX,
 							.user_timeout_ms = USER_TIMEOUT_MS });
 	if (listen_all(e, err) < 0)
 		goto fail;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -524,6 +524,7 @@
 	struct timeval now = { 0 };
 
 	p->entry = e;
+	p->most = 1;
 	p->last = &p->first;
 	p->wake = -1;
 	p->incarnation = (uint64_t)clock_wall_ms();
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -77,10 +77,12 @@
 /**
  * struct http_client_options - limits of a client
  * @idle_ms: kept connections are closed after this time without use, in milliseconds
+ * @idle_per_address: connections to one address that are kept without use
  * @user_timeout_ms: unacknowledged bytes end a connection after this time, in milliseconds
  */
 struct http_client_options {
 	int idle_ms;
+	int idle_per_address;
 	int user_timeout_ms;
 };
 
@@ -93,6 +95,9 @@
 /** http_client_forget - close the kept connections to an address */
 void http_client_forget(struct http_client *c, const struct http_address *to);
 
+/** http_client_keep - change the number of connections kept to one address */
+void http_client_keep(struct http_client *c, int idle_per_address);
+
 /** http_client_connects - connections opened so far */
 int64_t http_client_connects(const struct http_client *c);
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -10,9 +10,6 @@
 #include "ibisgate/common/clock.h"
 #include "ibisgate/net/http_client.h"
 
-/* Kept connections to one address; more idle ones than this save nothing. */
-#define IDLE_PER_ADDRESS 24
-
 /* Seconds before the first and between keep-alive probes, and lost probes that end a connection. */
 #define KEEPALIVE_IDLE_S 1
 #define KEEPALIVE_INTERVAL_S 1
@@ -247,7 +244,7 @@
 	c->exchange = NULL;
 	/* Bytes behind a complete response belong to no request. */
 	if (c->reusable && !c->doomed && evbuffer_get_length(in) == 0 &&
-	    idle_count(c->client, &c->to) < IDLE_PER_ADDRESS) {
+	    idle_count(c->client, &c->to) < c->client->options.idle_per_address) {
 		c->idle_since_ms = clock_boot_ms();
 		bufferevent_set_timeouts(c->bev, NULL, NULL);
 		cds_list_del(&c->link);
@@ -391,6 +388,11 @@
 	}
 }
 
+void http_client_keep(struct http_client *client, int idle_per_address)
+{
+	client->options.idle_per_address = idle_per_address;
+}
+
 int64_t http_client_connects(const struct http_client *c)
 {
 	return c->connects;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -299,6 +299,21 @@
 	{
 		return "r" + std::to_string(last_request);
 	}
+	/* Established connections to a port on loopback, from the kernel's table. */
+	static int connections_to(pid_t pid, int port)
+	{
+		std::string path = "/proc/" + std::to_string(pid) + "/net/tcp";
+		FILE *f = fopen(path.c_str(), "re");
+		char line[512], want[32];
+		int n = 0;
+
+		snprintf(want, sizeof(want), " 0100007F:%04X 01 ", port);
+		while (f && fgets(line, sizeof(line), f))
+			n += strstr(line, want) != nullptr;
+		if (f)
+			fclose(f);
+		return n;
+	}
 	Answer ask(const struct harness_process *p, const std::string &text, int timeout_ms = 5000)
 	{
 		Caller c(harness_port(p, "http"), ip(p).c_str());
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -481,6 +481,23 @@
 	}
 }
 
+/*
+ * Load: calls that run once, each on a connection of its own. Guards against connections that pile
+ * up until the endpoint takes no more (soak seed 9: calls waited seconds for a free one).
+ */
+TEST_F(EntryTest, FreshConnectionsDoNotPileUpAtAnEndpoint)
+{
+	struct harness_process *p = start_all(2, 1, 1);
+
+	usleep(1200000);
+	for (int i = 0; i < 60; i++)
+		ASSERT_EQ(ask(p, request_text("order/x")).status, 200);
+	json_t *o = grid->send("GET", "/ports");
+	int port = (int)json_get_i64(o, "s0", 0);
+	json_decref(o);
+	EXPECT_LE(connections_to(p->pid, port), 6);
+}
+
 /* Guards against figures that on-call engineers can't read. */
 TEST_F(EntryTest, MetricsShowCountersAndHistograms)
 {
