--- a/entry/caller.c
+++ b/entry/caller.c
@@ -40,7 +40,6 @@
  * struct caller - one connection from a caller
  * @since_ms: when @phase was entered
  * @begun_ms: when the head of the present request was complete
- * @read_end: the caller's side has ended while its request runs
  */
 struct caller {
 	struct cds_list_head link;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -39,7 +39,7 @@
  * @deadline_ms: earlier of the caller's own limit and the rule's time-out
  * @runs: attempts that an endpoint may have run
  * @refused: attempts that an endpoint has stated not to have run
- * @sends: attempts in all, without those whose connection failed
+ * @sends: attempts in all
  * @answer_begun: bytes of an answer have gone to the caller
  * @last_event: id of the last event given to the caller; -1 for none
  * @events_given: number of them
