--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -222,7 +222,7 @@
 	event_add(x->timer, &tv);
 }
 
-static bool tried(const struct exchange *x, const struct endpoint *ep)
+bool exchange_tried(const struct exchange *x, const struct endpoint *ep)
 {
 	for (int i = 0; i < x->tried_count; i++) {
 		if (x->tried[i] == ep->hash)
@@ -247,7 +247,7 @@
 		double score;
 
 		if (strcmp(ep->entry.service, x->spec->name) != 0 || !endpoint_open(ep, now_ms) ||
-		    tried(x, ep))
+		    exchange_tried(x, ep))
 			continue;
 		score = ep->active + (ep->dc ? CALL_REMOTE : 0) + CALL_FAILING * ep->failure_share +
 			(double)(hash_mix(ep->hash, (uint64_t)x->begun_ms) & 1023) / 8192;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -91,6 +91,9 @@
 /** exchange_repeatable - whether it may run more than once */
 bool exchange_repeatable(const struct exchange *x);
 
+/** exchange_tried - whether the request has been sent to @ep already */
+bool exchange_tried(const struct exchange *x, const struct endpoint *ep);
+
 /** exchange_place - choose an endpoint and send, or answer when there is none */
 void exchange_place(struct exchange *x);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -225,21 +225,12 @@
 	return sum;
 }
 
-static bool was_tried(const struct exchange *x, const struct endpoint *ep)
-{
-	for (int i = 0; i < x->tried_count; i++) {
-		if (x->tried[i] == ep->hash)
-			return true;
-	}
-	return false;
-}
-
 static struct place_engine view(const struct exchange *x, const struct endpoint *ep, int64_t now_ms)
 {
 	struct place_engine v = {
 		.stage = ep->entry.stage,
 		.dc = ep->dc,
-		.usable = endpoint_open(ep, now_ms) && !was_tried(x, ep),
+		.usable = endpoint_open(ep, now_ms) && !exchange_tried(x, ep),
 		.backlog_tokens = ep->backlog_tokens + ep->others_backlog,
 		.active = ep->active + ep->others_active,
 		.slots = ep->entry.slots,
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -98,9 +98,6 @@
 /** http_client_keep - change the number of connections kept to one address */
 void http_client_keep(struct http_client *c, int idle_per_address);
 
-/** http_client_connects - connections opened so far */
-int64_t http_client_connects(const struct http_client *c);
-
 /**
  * http_exchange_start - send a request
  *
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -188,9 +188,6 @@
 bool wire_cache_decode(struct str body, struct cache_events *out);
 void wire_cache_free(struct cache_events *e);
 
-/** wire_health_request - append a health check of an endpoint */
-void wire_health_request(struct buf *out, const char *address, const char *path);
-
 /** wire_ready_path - whether a call of the platform asks for readiness */
 bool wire_ready_path(const struct http_head *head);
 
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -393,11 +393,6 @@
 	client->options.idle_per_address = idle_per_address;
 }
 
-int64_t http_client_connects(const struct http_client *c)
-{
-	return c->connects;
-}
-
 static struct connection *take_idle(struct http_client *client, const struct http_address *to)
 {
 	struct connection *c, *next;
