harness: started processes inherit no descriptors

An open idle connection occupies a thread of the stand-in for 20 s; after a few restarts all eight threads of the proxy's control port waited, and calls got no answer within 3 s.

Started processes now close everything above standard error. HarnessTest.ProcessesInheritNoDescriptors failed before the change.

--- a/bench/harness/process.c
+++ b/bench/harness/process.c
@@ -87,6 +87,8 @@
 	sigprocmask(SIG_SETMASK, &none, NULL);
 	dup2(out, STDOUT_FILENO);
 	dup2(log, STDERR_FILENO);
+	/* libcurl's connections of the parent, among others, are not marked close-on-exec. */
+	close_range(STDERR_FILENO + 1, ~0U, 0);
 	execv(path, argv);
 	_exit(127);
 }
--- a/tests/standin_process.h
+++ b/tests/standin_process.h
@@ -36,7 +36,7 @@
 		EXPECT_EQ(pipe(out), 0);
 		posix_spawn_file_actions_init(&actions);
 		posix_spawn_file_actions_adddup2(&actions, out[1], 1);
-		posix_spawn_file_actions_addclose(&actions, out[0]);
+		posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
 		EXPECT_EQ(posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ),
 			  0);
 		posix_spawn_file_actions_destroy(&actions);
--- a/tests/test_harness.cc
+++ b/tests/test_harness.cc
@@ -1,9 +1,12 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <poll.h>
 #include <string>
 #include <unistd.h>
 
+#include "standin_process.h"
+
 extern "C" {
 #include "ibisgate/harness/harness.h"
 }
@@ -48,6 +51,25 @@
 	EXPECT_EQ(kill(pid, 0), -1);
 }
 
+/*
+ * Guards against connections of a test that a started process holds open: their peers never see
+ * the test close them, and a stand-in with a thread a connection runs out of threads.
+ */
+TEST_F(HarnessTest, ProcessesInheritNoDescriptors)
+{
+	int ends[2];
+	char c;
+
+	ASSERT_EQ(pipe(ends), 0);
+	ASSERT_NE(engine("a"), nullptr) << err.text;
+	Standin grid("ibisgate-grid", {});
+	close(ends[1]);
+	struct pollfd p = { ends[0], POLLIN, 0 };
+	ASSERT_EQ(poll(&p, 1, 2000), 1) << "a started process holds the other end";
+	EXPECT_EQ(read(ends[0], &c, 1), 0);
+	close(ends[0]);
+}
+
 /* Guards against a start that hangs when the program cannot run. */
 TEST_F(HarnessTest, FailedStartIsAnError)
 {
