stages: the share of engines that prefill follows what callers ask for

Cause: the share was a setting (0.6) tuned on two sites.

Change: each instance prices what it is asked for in engine time of both stages (policy/stage_demand.c): prompts by what has to be read, answers by the tokens that callers allow and the pace of an undisturbed engine.

--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -155,6 +155,7 @@
 		.overhead_ms = e->settings.engines.overhead_ms,
 		.transfer_per_ms = e->settings.engines.transfer_tokens_per_ms,
 	};
+	s->prefill_share = -1;
 	cds_list_add_tail(&s->link, &e->services);
 	return s;
 }
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -145,6 +145,8 @@
 	caller_write(x->caller, STR_LIT("0\r\n\r\n"));
 	finish_learn(&x->service->finish[exchange_urgency(x)],
 		     (double)(clock_boot_ms() - x->first_ms));
+	stage_demand_learn(&x->service->demand, x->in.output_tokens, x->events_given,
+			   (double)(clock_boot_ms() - x->first_ms));
 	exchange_served(x);
 }
 
@@ -318,6 +320,11 @@
 
 	if (!place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice))
 		return false;
+	if (!x->sends)
+		stage_demand_arrival(&x->service->demand,
+				     (double)x->choice.read_tokens /
+					     x->service->speed.prefill_per_ms,
+				     x->in.output_tokens, x->spec->engine.slots, now_ms);
 	if (!x->sends && !finish_fits(&x->service->finish[exchange_urgency(x)], x->choice.first_ms,
 				      (double)(x->deadline_ms - now_ms))) {
 		exchange_refuse(x, "too-late", (int64_t)x->choice.first_ms / 2);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -17,6 +17,7 @@
 #include "ibisgate/policy/finish.h"
 #include "ibisgate/policy/place.h"
 #include "ibisgate/policy/retry.h"
+#include "ibisgate/policy/stage_demand.h"
 #include "ibisgate/state/cache_view.h"
 #include "ibisgate/state/crash_watch.h"
 #include "ibisgate/state/directory.h"
@@ -80,6 +81,8 @@
 /**
  * struct service - what this instance knows of a service beside its configuration
  * @finish: time from first to last token, by the urgency of the rule
+ * @demand: work of the two stages that callers ask for
+ * @prefill_share: share of the engines that is to prefill; negative while none is aimed at
  */
 struct service {
 	struct cds_list_head link;
@@ -87,6 +90,8 @@
 	struct extra_budget budget;
 	struct place_speed speed;
 	struct finish_estimate finish[SERVICE_URGENCIES];
+	struct stage_demand demand;
+	double prefill_share;
 };
 
 #define ENTRY_DCS_MAX 32
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -26,8 +26,12 @@
 /* Orders under way at the same time before callers are served. */
 #define ORDERS_AT_ONCE 64
 
-/* Pause between two orders once callers are served, in milliseconds. */
-#define ORDER_PAUSE_MS 5000
+/*
+ * Pause between orders once callers are served, in milliseconds, and part of the engines that get
+ * one together: a change takes an engine away for seconds, longer than most swings of the mix.
+ */
+#define ORDER_PAUSE_MS 4000
+#define ORDER_PART 0.05
 
 /* Pause between two calls for a lease that another instance holds, in milliseconds. */
 #define LEASE_PAUSE_MS 1000
@@ -331,32 +335,90 @@
 	}
 }
 
-/* Whether the plan of some service is not met; gives one order where the lease is held. */
-static bool plan_step(struct stages *s, int64_t now, bool held)
+static int prefill_count(const struct plan_view *v)
+{
+	int n = 0;
+
+	for (int i = 0; i < v->count; i++)
+		n += v->engines[i].stage == STAGE_PREFILL;
+	return n;
+}
+
+/*
+ * Share of the engines that should prefill; negative when all stay as they are. Before callers
+ * come that of the settings, afterwards what they ask for. An instance that starts later first
+ * has to see requests: until then the present share may well be the right one.
+ */
+static double share_aimed(const struct stages *s, struct service *service,
+			  const struct plan_view *v)
+{
+	const struct stage_demand *d = &service->demand;
+	double aimed = service->prefill_share;
+	double next;
+
+	if (aimed < 0 && !s->served && s->entry->settings.stages.order_at_start)
+		aimed = service->prefill_share = s->entry->settings.stages.prefill_share;
+	if (!v->count || !stage_demand_known(d))
+		return aimed;
+	if (aimed < 0)
+		aimed = (double)prefill_count(v) / v->count;
+	next = stage_demand_settle(stage_demand_share(d), aimed, v->count);
+	if (next != service->prefill_share)
+		log_info("stage-share",
+			 "service=%s share=%.2f former=%.2f engines=%d prefill=%d "
+			 "asked_prefill_ms=%.0f "
+			 "asked_decode_ms=%.0f requests=%.0f pace_ms=%.1f events=%.1f",
+			 service->name, next, service->prefill_share, v->count, prefill_count(v),
+			 d->prefill, d->decode, d->samples, d->pace_ms, d->events);
+	service->prefill_share = next;
+	return next;
+}
+
+/* Orders that may be under way together. */
+static int orders_at_once(const struct stages *s, int engines)
+{
+	int part = (int)(ORDER_PART * engines);
+
+	if (!s->served)
+		return ORDERS_AT_ONCE;
+	/* One that is answered late must not hold up the rest. */
+	return part > 2 ? part : 2;
+}
+
+/* Whether the plan of a service is not met; gives orders where the lease is held. */
+static bool plan_service(struct stages *s, struct service *service, int64_t now, bool held)
 {
 	static struct plan_view v;
+	enum engine_stage to;
+	bool due = !s->served || now - s->ordered_ms >= ORDER_PAUSE_MS;
+	double share;
+	int at;
+
+	view_service(s, service->name, now, &v);
+	share = share_aimed(s, service, &v);
+	/* Instances see slightly different shares, and would undo each other's changes. */
+	if (share < 0 || (s->served && !peers_first(s->entry->peers)))
+		return false;
+	at = stage_plan_next(v.engines, v.count, share, &to);
+	if (at < 0)
+		return false;
+	while (held && due && at >= 0 && v.pending < orders_at_once(s, v.count)) {
+		order_begin(s, v.eps[at], to, now);
+		view_service(s, service->name, now, &v);
+		at = stage_plan_next(v.engines, v.count, share, &to);
+	}
+	return true;
+}
+
+static bool plan_step(struct stages *s, int64_t now, bool held)
+{
 	const struct routing_table *t = s->entry->table;
 	bool wanted = false;
 
 	for (int i = 0; i < t->service_count; i++) {
-		enum engine_stage to;
-		int at;
-
-		if (!t->services[i].engine.present)
-			continue;
-		view_service(s, t->services[i].name, now, &v);
-		at = stage_plan_next(v.engines, v.count, s->entry->settings.stages.prefill_share,
-				     &to);
-		if (at < 0)
-			continue;
-		wanted = true;
-		while (held && at >= 0 && v.pending < ORDERS_AT_ONCE &&
-		       (!s->served || now - s->ordered_ms >= ORDER_PAUSE_MS)) {
-			order_begin(s, v.eps[at], to, now);
-			view_service(s, t->services[i].name, now, &v);
-			at = stage_plan_next(v.engines, v.count,
-					     s->entry->settings.stages.prefill_share, &to);
-		}
+		if (t->services[i].engine.present)
+			wanted |= plan_service(s, service_find(s->entry, t->services[i].name), now,
+					       held);
 	}
 	return wanted;
 }
--- a/include/ibisgate/daemon/settings.h
+++ b/include/ibisgate/daemon/settings.h
@@ -94,9 +94,13 @@
 		double overhead_ms;
 		double transfer_tokens_per_ms;
 	} engines;
-	/* [stages] share of the engines that should prefill; -1 leaves all stages alone */
+	/*
+	 * [stages] share of the engines that should prefill until requests have been seen; -1
+	 * leaves all stages alone. Without order_at_start (0) engines keep their stages till then.
+	 */
 	struct {
 		double prefill_share;
+		int order_at_start;
 	} stages;
 	/* [place] */
 	struct place_costs place;
