Refuse generations whose caller will have left before the first token

Callers leave after four first-token targets, well before the deadline, which alone was compared. The expected first token was also too early for the less urgent: more urgent requests pass them in the engines' queues.

Change: finish_fits() compares with the caller's patience too, and expects first tokens later by the ratio learned for each urgency, from first tokens and from requests that ended without one.

--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -179,9 +179,15 @@
 /* A generation that ran out of time shows how long generations take as well as a whole one does. */
 static void learn_unfinished(struct exchange *x)
 {
-	if (x->answer_begun && x->rule->kind == CALL_GENERATION)
-		finish_learn_unfinished(&x->service->finish[exchange_urgency(x)],
-					(double)(clock_boot_ms() - x->first_ms));
+	int64_t now = clock_boot_ms();
+
+	if (!x->service || x->rule->kind != CALL_GENERATION)
+		return;
+	if (x->answer_begun)
+		finish_learn_unfinished(generation_finish(x), (double)(now - x->first_ms));
+	else if (x->sends && !x->runs && !x->refused)
+		finish_learn_no_first(generation_finish(x), x->choice.first_ms,
+				      (double)(now - x->begun_ms));
 }
 
 void exchange_cancel(struct exchange *x)
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -148,6 +148,9 @@
 void generation_end(struct exchange *x);
 void generation_prefilled(struct exchange *x);
 
+/** generation_finish - what is known of the times of generations of the request's urgency */
+struct finish_estimate *generation_finish(const struct exchange *x);
+
 /** generation_place - choose engines; false when none is usable */
 bool generation_place(struct exchange *x, int64_t now_ms);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -1,4 +1,5 @@
 #include <inttypes.h>
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -19,6 +20,14 @@
 /* Disadvantage of an engine whose attempts all failed lately, in milliseconds. */
 #define FAILING_MS 800
 
+/*
+ * Callers leave a generation whose first token, or next one, takes longer than the greatest of
+ * these: a time in milliseconds, and multiples of the rule's targets (the platform's protocol).
+ */
+#define PATIENCE_MIN_MS 2000.0
+#define PATIENCE_TARGETS 4
+#define PATIENCE_GAPS 8
+
 /* Notes for this and the other instances what an engine has of a prompt. */
 static void note_parts(const struct exchange *x, struct endpoint *ep, enum shared_part_state state)
 {
@@ -64,6 +73,11 @@
 	note_parts(x, a->endpoint, PART_DROPPED);
 }
 
+struct finish_estimate *generation_finish(const struct exchange *x)
+{
+	return &x->service->finish[exchange_urgency(x)];
+}
+
 static void write_events(struct exchange *x, struct str bytes)
 {
 	struct buf out = { 0 };
@@ -72,6 +86,9 @@
 		wire_response_encode(&out, x->attempt.head, -1, x->entry->stopping);
 		x->answer_begun = true;
 		x->first_ms = clock_boot_ms();
+		if (!x->runs && !x->refused)
+			finish_learn_first(generation_finish(x), x->choice.first_ms,
+					   (double)(x->first_ms - x->begun_ms));
 		histogram_add(HISTOGRAM_FIRST_TOKEN, x->first_ms - x->begun_ms);
 	}
 	buf_printf(&out, "%zx\r\n", bytes.len);
@@ -143,8 +160,7 @@
 	endpoint_result(ep, true);
 	exchange_note(x, ep, "streamed");
 	caller_write(x->caller, STR_LIT("0\r\n\r\n"));
-	finish_learn(&x->service->finish[exchange_urgency(x)],
-		     (double)(clock_boot_ms() - x->first_ms));
+	finish_learn(generation_finish(x), (double)(clock_boot_ms() - x->first_ms));
 	stage_demand_learn(&x->service->demand, x->in.output_tokens, x->events_given,
 			   (double)(clock_boot_ms() - x->first_ms));
 	exchange_served(x);
@@ -309,6 +325,16 @@
 	return at >= 0 && start_decode(x, eps[at]);
 }
 
+static bool in_time(const struct exchange *x, int64_t now_ms)
+{
+	const struct routing_rule *r = x->rule;
+	struct finish_limits limits = { .left_ms = (double)(x->deadline_ms - now_ms) };
+
+	limits.patience_ms = fmax(PATIENCE_MIN_MS, (double)(PATIENCE_TARGETS * r->target_ms));
+	limits.patience_ms = fmax(limits.patience_ms, (double)(PATIENCE_GAPS * r->gap_ms));
+	return finish_fits(generation_finish(x), x->choice.first_ms, &limits);
+}
+
 bool generation_place(struct exchange *x, int64_t now_ms)
 {
 	struct place_engine engines[ENGINES_MAX];
@@ -325,8 +351,7 @@
 				     (double)x->choice.read_tokens /
 					     x->service->speed.prefill_per_ms,
 				     x->in.output_tokens, x->spec->engine.slots, now_ms);
-	if (!x->sends && !finish_fits(&x->service->finish[exchange_urgency(x)], x->choice.first_ms,
-				      (double)(x->deadline_ms - now_ms))) {
+	if (!x->sends && !in_time(x, now_ms)) {
 		exchange_refuse(x, "too-late", (int64_t)x->choice.first_ms / 2);
 		return true;
 	}
