Large deployments: a data centre uses its own engines first

Change: from 64 instances and 24 engines a data centre on ([place] near-instances, near-engines) instances place on the engines of their data centre, on others only when those are gone or late; parts and events of caches stay inside it, other data centres get loads, members and suspects once or twice a second. Endpoints are found by tag through uthash, and a message changes only the sums of its sender.

EntryTest.NearEnginesAreUsedFirstAndOthersWhenTheyAreGone fails 12 times with near-instances above the number of instances.

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -103,6 +103,8 @@
 	{ "place", "home-ms", KEY_DOUBLE, FIELD(place.home_ms), 0, 10000, NEED_NEVER },
 	{ "place", "work-weight", KEY_DOUBLE, FIELD(place.work_weight), 0, 1000, NEED_NEVER },
 	{ "place", "disturb-weight", KEY_DOUBLE, FIELD(place.disturb_weight), 0, 1000, NEED_NEVER },
+	{ "place", "near-engines", KEY_INT, FIELD(scope.engines_min), 1, 1000000, NEED_NEVER },
+	{ "place", "near-instances", KEY_INT, FIELD(scope.instances_min), 1, 1000000, NEED_NEVER },
 };
 
 #define SPEC_COUNT (sizeof(specs) / sizeof(specs[0]))
@@ -148,6 +150,13 @@
 		.place.home_ms = 60,
 		.place.work_weight = 0.5,
 		.place.disturb_weight = 0.15,
+		/*
+		 * With 29 instances before 140 engines (darnau-gw-grown) the bytes between data
+		 * centres that are saved are worth a third of the shared parts that each of them
+		 * then reads.
+		 */
+		.scope.engines_min = 24,
+		.scope.instances_min = 64,
 	};
 }
 
--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -126,17 +126,25 @@
 	send_ask(a);
 }
 
+/* Only the instances that place on an engine ask it, in turn. */
+static int64_t pause_of(const struct entry *e, bool near)
+{
+	int instances = near ? peers_near(e->peers) : peers_most(e->peers);
+	int64_t pause = (int64_t)instances * ASK_PAUSE_PER_INSTANCE_MS;
+
+	return pause < ASK_PAUSE_MIN_MS ? ASK_PAUSE_MIN_MS : pause;
+}
+
 void cache_sync_step(struct entry *e, int64_t now_ms)
 {
-	int64_t pause = (int64_t)peers_most(e->peers) * ASK_PAUSE_PER_INSTANCE_MS;
+	bool near = service_any_near(e);
+	int64_t pause = pause_of(e, near);
 	struct endpoint *ep;
 
-	if (pause < ASK_PAUSE_MIN_MS)
-		pause = ASK_PAUSE_MIN_MS;
 	cds_list_for_each_entry(ep, &e->endpoints, link) {
 		if (e->cache_asks >= ASKED_AT_ONCE)
 			return;
-		if (ep->cache && endpoint_open(ep, now_ms) &&
+		if (ep->cache && !(near && ep->dc) && endpoint_open(ep, now_ms) &&
 		    (!ep->cache_asked_ms || now_ms - ep->cache_asked_ms >= pause))
 			ask(e, ep, now_ms);
 	}
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -27,10 +27,21 @@
 	free(ep);
 }
 
-static struct endpoint *endpoint_find(struct entry *e, const char *id)
+struct endpoint *endpoint_by_tag(const struct entry *e, uint32_t tag)
 {
 	struct endpoint *ep;
 
+	HASH_FIND(by_tag, e->by_tag, &tag, sizeof(tag), ep);
+	return ep;
+}
+
+static struct endpoint *endpoint_find(struct entry *e, const char *id)
+{
+	struct endpoint *ep = endpoint_by_tag(e, peer_tag(id, 0));
+
+	if (!ep || strcmp(ep->entry.id, id) == 0)
+		return ep;
+	/* Two ids with one tag: the index has the other one. */
 	cds_list_for_each_entry(ep, &e->endpoints, link) {
 		if (strcmp(ep->entry.id, id) == 0)
 			return ep;
@@ -66,12 +77,33 @@
 	if (entry->stage != STAGE_NONE)
 		ep->cache = cache_view_create(cache_capacity(e, entry->service));
 	cds_list_add_tail(&ep->link, &e->endpoints);
+	if (!endpoint_by_tag(e, ep->tag))
+		HASH_ADD(by_tag, e->by_tag, tag, sizeof(ep->tag), ep);
+	/* What the others have told of it, or of an earlier process under its id. */
+	peers_sum_loads(e->peers, clock_boot_ms());
+}
+
+/* Another endpoint with the same tag takes the place of @ep in the index. */
+static void endpoint_unindex(struct entry *e, struct endpoint *ep)
+{
+	struct endpoint *other;
+
+	if (endpoint_by_tag(e, ep->tag) != ep)
+		return;
+	HASH_DELETE(by_tag, e->by_tag, ep);
+	cds_list_for_each_entry(other, &e->endpoints, link) {
+		if (other->tag != ep->tag)
+			continue;
+		HASH_ADD(by_tag, e->by_tag, tag, sizeof(other->tag), other);
+		return;
+	}
 }
 
 static void endpoint_drop(struct entry *e, struct endpoint *ep)
 {
 	http_client_forget(e->endpoint_client, &ep->address);
 	cds_list_del(&ep->link);
+	endpoint_unindex(e, ep);
 	ep->listed = false;
 	endpoint_put(ep);
 }
@@ -139,6 +171,40 @@
 		endpoint_drop(e, ep);
 }
 
+bool service_any_near(const struct entry *e)
+{
+	const struct service *s;
+
+	cds_list_for_each_entry(s, &e->services, link) {
+		if (s->near)
+			return true;
+	}
+	return false;
+}
+
+void services_near(struct entry *e)
+{
+	struct service *s;
+
+	cds_list_for_each_entry(s, &e->services, link) {
+		const struct endpoint *ep;
+		int near = 0, total = 0;
+		bool former = s->near;
+
+		cds_list_for_each_entry(ep, &e->endpoints, link) {
+			if (!ep->cache || ep->entry.leaving ||
+			    strcmp(ep->entry.service, s->name) != 0)
+				continue;
+			total++;
+			near += ep->dc == 0;
+		}
+		s->near = place_near(&e->settings.scope, near, total, peers_most(e->peers));
+		if (s->near != former)
+			log_info("service-near", "service=%s near=%d engines_here=%d engines=%d",
+				 s->name, s->near, near, total);
+	}
+}
+
 struct service *service_find(struct entry *e, const char *name)
 {
 	struct service *s;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -208,6 +208,7 @@
 	exchanges_sweep(e, now);
 	callers_sweep(e, now);
 	ready_note(e);
+	services_near(e);
 	cache_sync_step(e, now);
 	stages_step(e->stages, now);
 	if (now - e->ticked_ms >= SETTINGS_CHECK_MS) {
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -271,15 +271,19 @@
 	note_parts(x, ep, PART_SENT);
 }
 
-/* Engines of the request's service as they look to it; @eps gets the endpoints in order. */
-static int view_all(const struct exchange *x, int64_t now_ms, struct place_engine *engines,
-		    struct endpoint **eps)
+/*
+ * Engines of the request's service as they look to it, with @near only those of this data centre;
+ * @eps gets the endpoints in order.
+ */
+static int view_all(const struct exchange *x, bool near, int64_t now_ms,
+		    struct place_engine *engines, struct endpoint **eps)
 {
 	struct endpoint *ep;
 	int count = 0;
 
 	cds_list_for_each_entry(ep, &x->entry->endpoints, link) {
-		if (count == ENGINES_MAX || strcmp(ep->entry.service, x->spec->name) != 0)
+		if (count == ENGINES_MAX || (near && ep->dc) ||
+		    strcmp(ep->entry.service, x->spec->name) != 0)
 			continue;
 		eps[count] = ep;
 		engines[count++] = view(x, ep, now_ms);
@@ -312,7 +316,8 @@
 
 	if (!x->cache_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs)
 		return false;
-	count = view_all(x, clock_boot_ms(), engines, eps);
+	count = view_all(x, x->service->near && x->decode && !x->decode->dc, clock_boot_ms(),
+			 engines, eps);
 	for (int i = 0; i < count; i++) {
 		if (eps[i]->address.ip == x->cache_owner.ip &&
 		    eps[i]->address.port == x->cache_owner.port)
@@ -342,9 +347,16 @@
 	const struct settings *s = &x->entry->settings;
 	struct place_request r = request_of(x);
 	struct endpoint *first;
-	int count = view_all(x, now_ms, engines, eps);
-
-	if (!place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice))
+	bool near = x->service->near;
+	int count = view_all(x, near, now_ms, engines, eps);
+	bool placed = place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice);
+
+	/* The other data centres help out when the engines here are behind or gone. */
+	if (near && (!placed || !in_time(x, now_ms))) {
+		count = view_all(x, false, now_ms, engines, eps);
+		placed = place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice);
+	}
+	if (!placed)
 		return false;
 	if (!x->sends)
 		stage_demand_arrival(&x->service->demand,
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <urcu/list.h>
+#include <uthash.h>
 
 #include "ibisgate/daemon/settings.h"
 #include "ibisgate/entry/entry.h"
@@ -37,6 +38,7 @@
  * @active: requests of this instance in progress
  * @others_backlog: @backlog_tokens of the other instances as they told last, like @others_active
  * @tag: short name in messages between instances
+ * @by_tag: index of the listed endpoints, struct entry.by_tag
  * @failure_share: moving share of failed attempts, 0 to 1
  * @cache_known: the engine has told what it kept before this instance knew it
  * @cache_asked_ms: when it was asked last
@@ -56,6 +58,7 @@
 	int dc;
 	uint64_t hash;
 	uint32_t tag;
+	UT_hash_handle by_tag;
 	struct circuit circuit;
 	struct crash_watch crash_watch;
 	struct cache_view *cache;
@@ -82,6 +85,7 @@
  * struct service - what this instance knows of a service beside its configuration
  * @finish: time from first to last token, by the urgency of the rule
  * @demand: work of the two stages that callers ask for
+ * @near: this data centre has engines enough to serve its callers, see place_near()
  * @prefill_share: share of the engines that is to prefill; negative while none is aimed at
  */
 struct service {
@@ -91,6 +95,7 @@
 	struct place_speed speed;
 	struct finish_estimate finish[SERVICE_URGENCIES];
 	struct stage_demand demand;
+	bool near;
 	double prefill_share;
 };
 
@@ -115,6 +120,7 @@
 	int64_t listed_ms;
 	bool was_ready;
 	struct cds_list_head endpoints;
+	struct endpoint *by_tag;
 	struct cds_list_head services;
 	struct cds_list_head callers;
 	struct store_watch *watches[2];
@@ -142,6 +148,9 @@
 /* endpoints.c */
 void endpoint_changed(void *ctx, enum directory_change change, const struct endpoint_entry *entry);
 void endpoint_put(struct endpoint *ep);
+
+/** endpoint_by_tag - listed endpoint with that short name; NULL when there is none */
+struct endpoint *endpoint_by_tag(const struct entry *e, uint32_t tag);
 bool endpoint_open(const struct endpoint *ep, int64_t now_ms);
 
 /** endpoint_changing - an order of this instance is being carried out there */
@@ -150,6 +159,12 @@
 void endpoints_destroy(struct entry *e);
 struct service *service_find(struct entry *e, const char *name);
 
+/** service_any_near - some service is served by the engines of this data centre */
+bool service_any_near(const struct entry *e);
+
+/** services_near - look which services have engines enough in this data centre */
+void services_near(struct entry *e);
+
 /* store_call.c */
 struct store_call;
 
@@ -212,6 +227,9 @@
 void peers_note_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens,
 		     enum shared_part_state state);
 
+/** peers_sum_loads - sum what the instances heard lately have told of each endpoint */
+void peers_sum_loads(struct peers *p, int64_t now_ms);
+
 /** peers_note_load - the loads of this instance have changed */
 void peers_note_load(struct peers *p);
 
@@ -221,6 +239,9 @@
 /** peers_most - greatest number of instances heard at the same time, this one included */
 int peers_most(const struct peers *p);
 
+/** peers_near - live instances of this data centre, this one included */
+int peers_near(const struct peers *p);
+
 /** peers_first - no live instance has a lower name */
 bool peers_first(const struct peers *p);
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -25,6 +25,14 @@
 /* A message is sent at least this often, in milliseconds; also the heartbeat. */
 #define SHARE_IDLE_MS 500
 
+/*
+ * Instances of other data centres get messages without parts while each data centre uses its own
+ * engines: at this pause for each of them, and within these bounds, in milliseconds. The upper one
+ * leaves room for a lost message before a member counts as suspect.
+ */
+#define SHARE_PER_FAR_MS 10
+#define SHARE_FAR_MAX_MS 900
+
 /* How long an engine that is said to carry out an order is left alone; the holder says it again. */
 #define CHANGING_TOLD_MS 700
 
@@ -54,12 +62,14 @@
 /**
  * struct peer_view - what one instance has told
  * @loads: its latest loads
+ * @summed: they are part of the sums of the endpoints
  * @without_since_ms: it has no configuration since then; 0 when it has one
  */
 struct peer_view {
 	char id[MEMBER_ID_MAX];
 	int64_t heard_ms;
 	int64_t without_since_ms;
+	bool summed;
 	int count;
 	struct shared_load *loads;
 };
@@ -70,6 +80,9 @@
  * @wake: event descriptor that tells the loop of new messages
  * @suspects: counted since the last message
  * @parts: sent to engines since the last message
+ * @summed_ms: when the loads of all were summed last
+ * @far_ms: when the instances of other data centres were told last
+ * @far_suspects: counted since then
  * @most: greatest number of instances heard at the same time, this one included
  */
 struct peers {
@@ -91,6 +104,10 @@
 	struct shared_suspect suspects[SHARING_SUSPECTS_MAX];
 	int part_count;
 	struct shared_part parts[SHARING_PARTS_MAX];
+	int64_t summed_ms;
+	int64_t far_ms;
+	int far_suspect_count;
+	struct shared_suspect far_suspects[SHARING_SUSPECTS_MAX];
 	struct peer_view *views;
 	int view_count;
 	int most;
@@ -146,40 +163,45 @@
 	return &p->views[p->view_count++];
 }
 
-static struct endpoint *endpoint_by_tag(struct entry *e, uint32_t tag)
+/* Adds what one instance has told to the sums of the endpoints, or takes it away. */
+static void loads_add(struct entry *e, const struct peer_view *v, int sign)
 {
-	struct endpoint *ep;
+	for (int k = 0; k < v->count; k++) {
+		struct endpoint *ep = endpoint_by_tag(e, v->loads[k].tag);
 
-	cds_list_for_each_entry(ep, &e->endpoints, link) {
-		if (ep->tag == tag)
-			return ep;
+		if (!ep)
+			continue;
+		ep->others_backlog += sign * (int64_t)v->loads[k].backlog_tokens;
+		ep->others_active += sign * (int)v->loads[k].active;
 	}
-	return NULL;
 }
 
-/* Sums what the instances heard lately have told of each endpoint. */
-static void loads_sum(struct peers *p, int64_t now)
+static bool view_fresh(const struct peer_view *v, int64_t now)
 {
-	struct entry *e = p->entry;
+	return now - v->heard_ms <= MEMBER_SUSPECT_MS;
+}
+
+/* Between two sums each message changes only what its sender had told before. */
+void peers_sum_loads(struct peers *p, int64_t now)
+{
+	struct entry *e;
 	struct endpoint *ep;
 
+	if (!p)
+		return;
+	e = p->entry;
 	cds_list_for_each_entry(ep, &e->endpoints, link) {
 		ep->others_backlog = 0;
 		ep->others_active = 0;
 	}
 	for (int i = 0; i < p->view_count; i++) {
-		const struct peer_view *v = &p->views[i];
+		struct peer_view *v = &p->views[i];
 
-		if (now - v->heard_ms > MEMBER_SUSPECT_MS)
-			continue;
-		for (int k = 0; k < v->count; k++) {
-			ep = endpoint_by_tag(e, v->loads[k].tag);
-			if (!ep)
-				continue;
-			ep->others_backlog += v->loads[k].backlog_tokens;
-			ep->others_active += (int)v->loads[k].active;
-		}
+		v->summed = view_fresh(v, now);
+		if (v->summed)
+			loads_add(e, v, 1);
 	}
+	p->summed_ms = now;
 }
 
 static void take_parts(struct entry *e, const struct peer_sharing *s)
@@ -297,10 +319,14 @@
 			ep->changing_until_ms = now + CHANGING_TOLD_MS;
 	}
 	v = view_of(p, in->sender);
+	if (v->summed)
+		loads_add(p->entry, v, -1);
 	v->heard_ms = now;
 	v->count = s->load_count;
 	v->loads = mem_resize(v->loads, sizeof(*v->loads) * (size_t)(s->load_count + 1));
 	memcpy(v->loads, s->loads, sizeof(*v->loads) * (size_t)s->load_count);
+	v->summed = true;
+	loads_add(p->entry, v, 1);
 }
 
 static void on_wake(evutil_socket_t fd, short what, void *ctx)
@@ -328,7 +354,6 @@
 		inbox_free(in);
 		in = next;
 	}
-	loads_sum(p, now);
 }
 
 static void fill_members(struct peers *p, struct peer_sharing *s, int64_t now)
@@ -381,11 +406,48 @@
 	return false;
 }
 
+static bool member_is_far(const struct peers *p, const struct member *m)
+{
+	return m->dc[0] && strcmp(m->dc, p->entry->settings.instance.dc) != 0;
+}
+
+/* @far: to the instances of other data centres, else to those of this one and unknown ones. */
+static void send_to(struct peers *p, struct peer_message *m, bool far)
+{
+	for (int i = 1; i < member_count(p->members); i++) {
+		const struct member *to = member_at(p->members, i);
+
+		if (member_is_far(p, to) != far || to->state == MEMBER_GONE ||
+		    (!to->incarnation && address_heard(p, to)))
+			continue;
+		peer_bus_send(p->bus, to->peer, to->peer, m);
+	}
+}
+
+static int far_count(const struct peers *p)
+{
+	int n = 0;
+
+	for (int i = 1; i < member_count(p->members); i++)
+		n += member_is_far(p, member_at(p->members, i));
+	return n;
+}
+
+static int64_t far_pause(const struct peers *p)
+{
+	int64_t pause = (int64_t)far_count(p) * SHARE_PER_FAR_MS;
+
+	if (pause < SHARE_IDLE_MS)
+		return SHARE_IDLE_MS;
+	return pause < SHARE_FAR_MAX_MS ? pause : SHARE_FAR_MAX_MS;
+}
+
 static void share(struct peers *p, int64_t now)
 {
 	struct entry *e = p->entry;
 	struct peer_message *m = peer_message_create(PEER_SHARING);
 	struct peer_sharing *s = m->u.sharing;
+	bool near = service_any_near(e);
 
 	str_copy(s->dc, sizeof(s->dc), str_from(e->settings.instance.dc));
 	str_copy(s->peer, sizeof(s->peer), str_from(e->settings.peer.listen));
@@ -397,12 +459,16 @@
 	memcpy(s->parts, p->parts, sizeof(*p->parts) * (size_t)p->part_count);
 	s->suspect_count = p->suspect_count;
 	memcpy(s->suspects, p->suspects, sizeof(*p->suspects) * (size_t)p->suspect_count);
-	for (int i = 1; i < member_count(p->members); i++) {
-		const struct member *to = member_at(p->members, i);
-
-		if (to->state == MEMBER_GONE || (!to->incarnation && address_heard(p, to)))
-			continue;
-		peer_bus_send(p->bus, to->peer, to->peer, m);
+	send_to(p, m, false);
+	if (!near || now - p->far_ms >= far_pause(p)) {
+		if (near)
+			s->part_count = 0;
+		s->suspect_count = p->far_suspect_count;
+		memcpy(s->suspects, p->far_suspects,
+		       sizeof(*p->far_suspects) * (size_t)p->far_suspect_count);
+		send_to(p, m, true);
+		p->far_ms = now;
+		p->far_suspect_count = 0;
 	}
 	peer_message_destroy(m);
 	p->part_count = 0;
@@ -433,20 +499,22 @@
 	struct peers *p = ctx;
 	int64_t now = clock_boot_ms();
 	int64_t pause = SHARE_MS;
+	int heard = service_any_near(p->entry) ? peers_near(p) : member_count(p->members);
 	struct timeval tv;
 
 	member_tick(p->members, now);
 	if (member_live(p->members, NULL) > p->most)
 		p->most = member_live(p->members, NULL);
+	if (now - p->summed_ms >= SHARE_IDLE_MS)
+		peers_sum_loads(p, now);
 	if (now - p->sent_ms >= SHARE_IDLE_MS) {
 		list_seeds(p, now);
-		loads_sum(p, now);
 		share(p, now);
 	} else if (p->changed) {
 		share(p, now);
 	}
-	if (pause < (int64_t)member_count(p->members) * SHARE_PER_PEER_MS)
-		pause = (int64_t)member_count(p->members) * SHARE_PER_PEER_MS;
+	if (pause < (int64_t)heard * SHARE_PER_PEER_MS)
+		pause = (int64_t)heard * SHARE_PER_PEER_MS;
 	tv = (struct timeval){ .tv_usec = pause * 1000 };
 	if (pause >= 1000)
 		tv = (struct timeval){ .tv_sec = pause / 1000, .tv_usec = pause % 1000 * 1000 };
@@ -484,12 +552,12 @@
 
 void peers_note_suspect(struct peers *p, uint64_t fingerprint, int crashes)
 {
-	if (p->suspect_count == SHARING_SUSPECTS_MAX)
-		return;
-	p->suspects[p->suspect_count++] = (struct shared_suspect){
-		.fingerprint = fingerprint,
-		.crashes = (uint32_t)crashes,
-	};
+	struct shared_suspect s = { .fingerprint = fingerprint, .crashes = (uint32_t)crashes };
+
+	if (p->suspect_count < SHARING_SUSPECTS_MAX)
+		p->suspects[p->suspect_count++] = s;
+	if (p->far_suspect_count < SHARING_SUSPECTS_MAX)
+		p->far_suspects[p->far_suspect_count++] = s;
 	p->changed = true;
 }
 
@@ -504,6 +572,18 @@
 	return p->most;
 }
 
+int peers_near(const struct peers *p)
+{
+	int n = 1;
+
+	for (int i = 1; i < member_count(p->members); i++) {
+		const struct member *m = member_at(p->members, i);
+
+		n += m->incarnation && m->state == MEMBER_LIVE && !member_is_far(p, m);
+	}
+	return n;
+}
+
 bool peers_first(const struct peers *p)
 {
 	const char *self = p->entry->settings.instance.id;
--- a/include/ibisgate/daemon/settings.h
+++ b/include/ibisgate/daemon/settings.h
@@ -104,6 +104,7 @@
 	} stages;
 	/* [place] */
 	struct place_costs place;
+	struct place_scope scope;
 	/* [distance] data centre = microseconds one way */
 	struct settings_pair distance[32];
 	int distance_count;
--- a/include/ibisgate/policy/place.h
+++ b/include/ibisgate/policy/place.h
@@ -94,6 +94,28 @@
 	double first_ms;
 };
 
+/**
+ * struct place_scope - from when on a data centre uses its own engines first
+ * @engines_min: engines of a service in the data centre
+ * @instances_min: instances of the whole deployment
+ */
+struct place_scope {
+	int engines_min;
+	int instances_min;
+};
+
+/**
+ * place_near - whether the engines of one data centre serve its callers without the others
+ * @near: engines of the service in the own data centre
+ * @total: engines of the service
+ * @instances: instances of the whole deployment
+ *
+ * Load: hundreds of instances before thousands of engines. An instance that uses all engines needs
+ * the loads and parts of all of them from every other instance, which grows with the square. The
+ * price is that each data centre reads each shared part once by itself.
+ */
+bool place_near(const struct place_scope *s, int near, int total, int instances);
+
 /**
  * place_pick - choose by expected first token, engine time and bytes moved
  *
--- a/policy/place.c
+++ b/policy/place.c
@@ -20,6 +20,11 @@
 	double cost;
 };
 
+bool place_near(const struct place_scope *s, int near, int total, int instances)
+{
+	return instances >= s->instances_min && near >= s->engines_min && near < total;
+}
+
 static int find_home(const struct place_engine *e, int count)
 {
 	int home = -1;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -237,7 +237,7 @@
 			"\n[seeds]\nseed-0 = 127.0.0.11:1\n[bounds]\nretry-ratio = 0.2\n"
 			"retry-fixed = 58\nretry-window-ms = 10000\nstop-grace-ms = 8000\n"
 			"instances-min = 2\n[stages]\nprefill-share = " +
-			std::to_string(prefill_share) + "\n";
+			std::to_string(prefill_share) + "\n" + more_settings;
 
 		return text;
 	}
@@ -387,6 +387,8 @@
 	int chosen_port = 0;
 	/* Of a proxy before the store; 0 for the store itself. */
 	int store_port = 0;
+	/* Further sections of the settings of instances that start. */
+	std::string more_settings;
 };
 
 #endif
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -264,6 +264,33 @@
 	EXPECT_EQ(ask(p, request_text("order/x")).status, 200);
 }
 
+/*
+ * Guards against a data centre with engines enough that uses those of another one, and against one
+ * whose engines are gone that refuses while others could serve.
+ */
+TEST_F(EntryTest, NearEnginesAreUsedFirstAndOthersWhenTheyAreGone)
+{
+	more_settings = "[place]\nnear-engines = 2\nnear-instances = 1\n";
+	struct harness_process *p = start_all(4, 0);
+
+	/* Engines e0 and e2 are in the data centre of the instance, which it sees within a tick. */
+	node("e0", "full", -1);
+	node("e2", "full", -1);
+	usleep(400000);
+	EXPECT_TRUE(eventually([&] { return ask(p, stream_text("stream/x")).whole; }, 3000));
+	/* Now another data centre keeps the parts; near engines read them all the same. */
+	node("e0", "ok");
+	node("e2", "ok");
+	usleep(400000);
+	size_t before = runs().size();
+	for (int i = 0; i < 12; i++)
+		EXPECT_TRUE(ask(p, stream_text("stream/x")).whole);
+	std::vector<Run> all = runs();
+	ASSERT_GT(all.size(), before);
+	for (size_t i = before; i < all.size(); i++)
+		EXPECT_TRUE(all[i].node == "e0" || all[i].node == "e2") << all[i].node;
+}
+
 /* Guards against one unreadable entry that hides the others. */
 TEST_F(EntryTest, UnreadableEntriesAreIgnored)
 {
--- a/tests/test_place.cc
+++ b/tests/test_place.cc
@@ -154,3 +154,17 @@
 	e[1].home_score = 1;
 	EXPECT_EQ(pick(e, small).decode, 1);
 }
+
+/* Guards against a small deployment that can't use what other data centres keep, and the reverse.
+ */
+TEST(Place, LargeDeploymentsKeepToTheEnginesOfTheirDataCentre)
+{
+	const struct place_scope scope = { .engines_min = 24, .instances_min = 64 };
+
+	EXPECT_FALSE(place_near(&scope, 5, 18, 5));
+	EXPECT_FALSE(place_near(&scope, 35, 140, 29));
+	EXPECT_TRUE(place_near(&scope, 75, 300, 100));
+	EXPECT_FALSE(place_near(&scope, 5, 300, 100));
+	/* A single data centre has no others to keep away from. */
+	EXPECT_FALSE(place_near(&scope, 140, 140, 100));
+}
