stages: a data centre that has lost its last decode engine gets one at once

The plan only kept such an engine from being changed and did not replace it, and the lease of a holder that had died 20 s before was waited for from its first sight, 5 s.

Change: such a data centre comes first in the plan, whatever the share; the first instance looks at the lease each 3 s while nothing is to change, so that the term of a dead holder has passed when it is needed.

StagePlan.DataCentreWithout... and EntryTest.LostDecodeEngine... failed before (the latter also without the look at the lease).

--- a/entry/stages.c
+++ b/entry/stages.c
@@ -36,6 +36,12 @@
 /* Pause between two calls for a lease that another instance holds, in milliseconds. */
 #define LEASE_PAUSE_MS 1000
 
+/*
+ * The first instance looks at the lease this often while nothing is to change, in milliseconds: a
+ * holder that has died would else be waited for once an order is needed, for a whole term.
+ */
+#define LEASE_WATCH_MS 3000
+
 /* An order whose effect the list doesn't show is thought of as under way this long, in ms. */
 #define ORDER_PENDING_MS 15000
 
@@ -159,21 +165,20 @@
 		on_read(s, r, now);
 }
 
-/* Makes the next call that the lease needs; true while the lease is held. */
-static bool lease_step(struct stages *s, int64_t now)
+/* Makes the next call that the lease needs; @wanted: to hold it, else only to know its holder. */
+static void lease_step(struct stages *s, bool wanted, int64_t now)
 {
 	struct buf request = { 0 };
 	struct buf value = { 0 };
 	char address[32];
 	char token[LEASE_TOKEN_MAX];
 
-	if (s->call || (!lease_held(&s->lease, now) && now - s->called_ms < LEASE_PAUSE_MS &&
-			s->lease.seen_any && s->lease.seen.holder[0]))
-		return lease_held(&s->lease, now);
+	if (s->call)
+		return;
 	snprintf(token, sizeof(token), "%016" PRIx64, random_u64());
-	s->action = lease_next(&s->lease, !s->entry->stopping, token, now);
+	s->action = lease_next(&s->lease, wanted && !s->entry->stopping, token, now);
 	if (s->action.kind == LEASE_DO_NOTHING)
-		return lease_held(&s->lease, now);
+		return;
 	store_address(s->entry, address);
 	if (s->action.kind == LEASE_DO_WRITE) {
 		encode_lease(&s->action.row, &value);
@@ -188,7 +193,16 @@
 	s->call = store_call_start(s->entry, buf_str(&request), 0, on_result, s);
 	buf_free(&request);
 	buf_free(&value);
-	return lease_held(&s->lease, now);
+}
+
+static bool lease_due(const struct stages *s, bool wanted, int64_t now)
+{
+	if (!wanted)
+		return s->served && peers_first(s->entry->peers) && !lease_held(&s->lease, now) &&
+		       now - s->called_ms >= LEASE_WATCH_MS;
+	/* One that another instance holds is not to be had sooner for being asked for often. */
+	return lease_held(&s->lease, now) || now - s->called_ms >= LEASE_PAUSE_MS ||
+	       !s->lease.seen_any || !s->lease.seen.holder[0];
 }
 
 static void on_order_done(void *ctx, const struct http_result *r);
@@ -344,10 +358,15 @@
 	return n;
 }
 
+static double share_present(const struct plan_view *v)
+{
+	return v->count ? (double)prefill_count(v) / v->count : 0;
+}
+
 /*
- * Share of the engines that should prefill; negative when all stay as they are. Before callers
- * come that of the settings, afterwards what they ask for. An instance that starts later first
- * has to see requests: until then the present share may well be the right one.
+ * Share of the engines that should prefill. Before callers come that of the settings, afterwards
+ * what they ask for. An instance that starts later first has to see requests: until then the
+ * present share may well be the right one.
  */
 static double share_aimed(const struct stages *s, struct service *service,
 			  const struct plan_view *v)
@@ -358,10 +377,10 @@
 
 	if (aimed < 0 && !s->served && s->entry->settings.stages.order_at_start)
 		aimed = service->prefill_share = s->entry->settings.stages.prefill_share;
+	if (aimed < 0)
+		aimed = share_present(v);
 	if (!v->count || !stage_demand_known(d))
 		return aimed;
-	if (aimed < 0)
-		aimed = (double)prefill_count(v) / v->count;
 	next = stage_demand_settle(stage_demand_share(d), aimed, v->count);
 	if (next != service->prefill_share)
 		log_info("stage-share",
@@ -397,7 +416,7 @@
 	view_service(s, service->name, now, &v);
 	share = share_aimed(s, service, &v);
 	/* Instances see slightly different shares, and would undo each other's changes. */
-	if (share < 0 || (s->served && !peers_first(s->entry->peers)))
+	if (s->served && !peers_first(s->entry->peers))
 		return false;
 	at = stage_plan_next(v.engines, v.count, share, &to);
 	if (at < 0)
@@ -435,6 +454,8 @@
 		return;
 	if (!plan_step(s, now, held)) {
 		s->wanted_ms = 0;
+		if (lease_due(s, false, now))
+			lease_step(s, false, now);
 		return;
 	}
 	if (!s->wanted_ms)
@@ -443,7 +464,8 @@
 	if (!peers_first(s->entry->peers) &&
 	    (now - s->wanted_ms < SECOND_WAIT_MS || now - s->entry->listed_ms < SECOND_WAIT_MS))
 		return;
-	lease_step(s, now);
+	if (lease_due(s, true, now))
+		lease_step(s, true, now);
 }
 
 struct stages *stages_create(struct entry *e)
--- a/include/ibisgate/policy/stage_plan.h
+++ b/include/ibisgate/policy/stage_plan.h
@@ -18,7 +18,8 @@
  *
  * Load: prompts long against answers, or the reverse, on engines that start with a fixed share.
  * Every data centre keeps an engine that generates, since it may be cut off and has to answer
- * alone. The data centre with the largest surplus of the donor stage gives first.
+ * alone; one that has lost its last gets one first of all, whatever the share. The data centre with
+ * the largest surplus of the donor stage gives first.
  *
  * Return: index of the engine, with the stage it should get in @to; -1 when nothing is to change.
  */
--- a/policy/stage_plan.c
+++ b/policy/stage_plan.c
@@ -15,6 +15,19 @@
 	return s == STAGE_PREFILL ? STAGE_DECODE : STAGE_PREFILL;
 }
 
+/* An engine of a data centre where none generates; -1 when there is no such data centre. */
+static int find_lone(const struct stage_engine *engines, int count, const struct dc_count *dcs)
+{
+	for (int i = 0; i < count; i++) {
+		const struct stage_engine *e = &engines[i];
+
+		if (e->stage == STAGE_PREFILL && !e->busy && e->dc >= 0 && e->dc < DCS_MAX &&
+		    !dcs[e->dc].decode)
+			return i;
+	}
+	return -1;
+}
+
 int stage_plan_next(const struct stage_engine *engines, int count, double share,
 		    enum engine_stage *to)
 {
@@ -35,6 +48,11 @@
 			dcs[engines[i].dc].decode++;
 		}
 	}
+	best = find_lone(engines, count, dcs);
+	if (best >= 0) {
+		*to = STAGE_DECODE;
+		return best;
+	}
 	want = (int)lround(share * total);
 	if (prefill == want)
 		return -1;
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -309,6 +309,34 @@
 		EXPECT_TRUE(all[i].node == "e0" || all[i].node == "e2") << all[i].node;
 }
 
+/*
+ * Guards against a data centre that stays without an engine that generates while the lease of a
+ * holder that died long ago is waited for (darnau-gw, inc-e179: it was cut off meanwhile).
+ */
+TEST_F(EntryTest, LostDecodeEngineIsReplacedAtOnceAfterTheHolderDied)
+{
+	start_grid(4, 2, 1);
+	put_config(config(1));
+	grid->tell("/row", "{\"table\":\"ibisgate\",\"key\":\"stages\",\"value\":{\"holder\":"
+			   "\"a-9\",\"incarnation\":1,\"token\":\"t\"}}");
+	struct harness_process *p = start_instance(0, 0.5);
+	auto ordered = [&] {
+		for (const Run &r : runs()) {
+			if (r.work == "order")
+				return true;
+		}
+		return false;
+	};
+
+	ASSERT_TRUE(eventually([&] { return ask(p, stream_text("stream/x")).whole; }, 5000));
+	/* The term of the dead holder passes while nothing is to change: 6 s and the pause. */
+	std::this_thread::sleep_for(std::chrono::milliseconds(9500));
+	EXPECT_FALSE(ordered());
+	/* Of e1 and e3 in the second data centre, only e3 generates. */
+	node_state("e3", "gone");
+	EXPECT_TRUE(eventually(ordered, 3000));
+}
+
 /* Guards against one unreadable entry that hides the others. */
 TEST_F(EntryTest, UnreadableEntriesAreIgnored)
 {
--- a/tests/test_stage_plan.cc
+++ b/tests/test_stage_plan.cc
@@ -83,3 +83,31 @@
 	EXPECT_EQ(stage_plan_next(e.data(), 2, 0.5, &to), 1);
 	EXPECT_EQ(to, STAGE_PREFILL);
 }
+
+/*
+ * Load: the engines of a data centre that generate have crashed, and it is cut off seconds later
+ * (darnau-gw, inc-e179). Guards against callers there that find engines, but none that generates.
+ */
+TEST(StagePlan, DataCentreWithoutAnEngineThatGeneratesGetsOneFirst)
+{
+	engines e = { { STAGE_PREFILL, 0, false }, { STAGE_DECODE, 0, false },
+		      { STAGE_PREFILL, 1, false }, { STAGE_PREFILL, 1, false },
+		      { STAGE_DECODE, 2, false },  { STAGE_DECODE, 2, false } };
+	enum engine_stage to = STAGE_NONE;
+	/* The share is met already. */
+	int at = stage_plan_next(e.data(), (int)e.size(), 0.5, &to);
+
+	ASSERT_TRUE(at == 2 || at == 3) << at;
+	EXPECT_EQ(to, STAGE_DECODE);
+	e[(size_t)at].stage = to;
+	settle(e, 0.5);
+	for (int dc = 0; dc < 3; dc++)
+		EXPECT_GE(count(e, STAGE_DECODE, dc), 1) << dc;
+	EXPECT_EQ(count(e, STAGE_PREFILL), 3);
+	/* One that can't be changed now does not keep the others from the plan. */
+	engines busy = { { STAGE_PREFILL, 0, true },
+			 { STAGE_DECODE, 1, false },
+			 { STAGE_DECODE, 1, false } };
+	at = stage_plan_next(busy.data(), 3, 0.67, &to);
+	EXPECT_TRUE(at == 1 || at == 2) << at;
+}
