A data centre that is cut off counts as such; unsent repeats are returned

Change: connections that fail count against the data centre too, and its engines and plain endpoints come last while the share, which decays within seconds, is high (state/dc_health.c). A repeat whose connection failed is returned to the allowance: nothing arrived.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -43,6 +43,7 @@
 	a->responded = true;
 	a->heard_ms = clock_boot_ms();
 	a->endpoint->heard_ms = a->heard_ms;
+	dc_health_note(entry_dc_health(x->entry, a->endpoint->dc), true, a->heard_ms);
 	a->head = head;
 	wire_response_decode(head, &a->response);
 }
@@ -166,6 +167,11 @@
 		endpoint_result(ep, false);
 		circuit_failure(&ep->circuit, why == HTTP_FAILURE_CONNECT, clock_boot_ms());
 	}
+	if (why == HTTP_FAILURE_CONNECT) {
+		dc_health_note(entry_dc_health(x->entry, ep->dc), false, clock_boot_ms());
+		if (a->extra)
+			extra_budget_return(&x->service->budget);
+	}
 	if (why == HTTP_FAILURE_CLOSED && work == WIRE_WORK_RUN)
 		suspect_cut(x, ep);
 	if (why == HTTP_FAILURE_CONNECT)
@@ -265,6 +271,7 @@
 	peers_note_load(x->entry->peers);
 	a->work = work;
 	a->free_send = free_send;
+	a->extra = extra;
 	a->sent_ms = now;
 	a->heard_ms = now;
 	circuit_sent(&ep->circuit, now);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -68,6 +68,11 @@
 	return e->dc_count++;
 }
 
+struct dc_health *entry_dc_health(struct entry *e, int dc)
+{
+	return &e->dc_health[dc < ENTRY_DCS_MAX ? dc : ENTRY_DCS_MAX];
+}
+
 bool entry_ready(const struct entry *e)
 {
 	return e->table && e->endpoints_known && !e->stopping;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -255,7 +255,10 @@
 		if (strcmp(ep->entry.service, x->spec->name) != 0 || !endpoint_open(ep, now_ms) ||
 		    exchange_tried(x, ep))
 			continue;
-		score = ep->active + (ep->dc ? CALL_REMOTE : 0) + CALL_FAILING * ep->failure_share +
+		score = ep->active + (ep->dc ? CALL_REMOTE : 0) +
+			CALL_FAILING *
+				(ep->failure_share +
+				 dc_health_share(entry_dc_health(x->entry, ep->dc), now_ms)) +
 			(double)(hash_mix(ep->hash, (uint64_t)x->begun_ms) & 1023) / 8192;
 		if (best && score >= least)
 			continue;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -9,6 +9,7 @@
 /**
  * struct attempt - one sending of a request to one endpoint
  * @free_send: not counted in the budget of repeated sends
+ * @extra: counted there, as long as it may reach the endpoint
  * @charged_tokens: prompt tokens counted in the endpoint's backlog until they are read
  * @read_tokens: prompt tokens that the engine had to read
  * @waited_tokens: backlog in front of them when it was sent
@@ -22,6 +23,7 @@
 	struct http_exchange *call;
 	enum wire_work work;
 	bool free_send;
+	bool extra;
 	int64_t charged_tokens;
 	int64_t read_tokens;
 	int64_t waited_tokens;
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -17,7 +17,10 @@
 /* Engines that a filled cache is offered to before the prompt is read again. */
 #define CACHE_OFFERS_MAX 3
 
-/* Disadvantage of an engine whose attempts all failed lately, in milliseconds. */
+/*
+ * Disadvantage of an engine whose attempts all failed lately, or in whose data centre nothing was
+ * reached lately, in milliseconds.
+ */
 #define FAILING_MS 800
 
 /*
@@ -252,7 +255,9 @@
 		.backlog_tokens = ep->backlog_tokens + ep->others_backlog,
 		.active = ep->active + ep->others_active,
 		.slots = ep->entry.slots,
-		.penalty_ms = FAILING_MS * ep->failure_share,
+		.penalty_ms =
+			FAILING_MS * (ep->failure_share +
+				      dc_health_share(entry_dc_health(x->entry, ep->dc), now_ms)),
 		.home_score = hash_mix(home_key(x), ep->hash),
 	};
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -21,6 +21,7 @@
 #include "ibisgate/policy/stage_demand.h"
 #include "ibisgate/state/cache_view.h"
 #include "ibisgate/state/crash_watch.h"
+#include "ibisgate/state/dc_health.h"
 #include "ibisgate/state/directory.h"
 #include "ibisgate/state/quarantine.h"
 #include "ibisgate/state/routing_table.h"
@@ -131,6 +132,7 @@
 	struct stages *stages;
 	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
 	int dc_count;
+	struct dc_health dc_health[ENTRY_DCS_MAX + 1];
 	struct cds_list_head exchange_list;
 	int exchanges;
 	int cache_asks;
@@ -141,6 +143,9 @@
 
 /** entry_dc - number of a data centre; its own one is 0 */
 int entry_dc(struct entry *e, const char *name);
+
+/** entry_dc_health - health of a data centre by its number; those beyond the last share one */
+struct dc_health *entry_dc_health(struct entry *e, int dc);
 bool entry_ready(const struct entry *e);
 
 /** entry_config_set - take over a newer configuration; -1 when @text can't be read */
--- a/include/ibisgate/policy/extra_budget.h
+++ b/include/ibisgate/policy/extra_budget.h
@@ -39,6 +39,9 @@
 /** extra_budget_take - count one more send; false when the window has no room for it */
 bool extra_budget_take(struct extra_budget *b, const struct extra_limits *l, int64_t now_ms);
 
+/** extra_budget_return - a send that was taken never reached its endpoint */
+void extra_budget_return(struct extra_budget *b);
+
 /** extra_budget_charge - count a send that turned out to be one more; it has already left */
 void extra_budget_charge(struct extra_budget *b, const struct extra_limits *l, int64_t now_ms);
 
--- a/policy/extra_budget.c
+++ b/policy/extra_budget.c
@@ -53,6 +53,18 @@
 	return true;
 }
 
+void extra_budget_return(struct extra_budget *b)
+{
+	for (int i = 0; i < EXTRA_BUDGET_SLOTS; i++) {
+		int at = (b->slot + EXTRA_BUDGET_SLOTS - i) % EXTRA_BUDGET_SLOTS;
+
+		if (!b->extra[at])
+			continue;
+		b->extra[at]--;
+		return;
+	}
+}
+
 void extra_budget_charge(struct extra_budget *b, const struct extra_limits *l, int64_t now_ms)
 {
 	advance(b, l, now_ms);
--- /dev/null
+++ b/tests/test_dc_health.cc
@@ -0,0 +1,35 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "ibisgate/state/dc_health.h"
+}
+
+/* Guards against one attempt after the other into a data centre that is cut off. */
+TEST(DcHealth, CutShowsWithinAFewAttempts)
+{
+	struct dc_health h = {};
+
+	for (int i = 0; i < 6; i++)
+		dc_health_note(&h, false, i * 10);
+	EXPECT_GT(dc_health_share(&h, 60), 0.75);
+}
+
+/* Guards against a data centre that is left alone because one of its engines has crashed. */
+TEST(DcHealth, OneDeadEngineAmongOthersIsNoCut)
+{
+	struct dc_health h = {};
+
+	for (int i = 0; i < 100; i++)
+		dc_health_note(&h, i % 10 != 0, i * 10);
+	EXPECT_LT(dc_health_share(&h, 1000), 0.3);
+}
+
+/* Guards against a data centre that is never tried again after a cut. */
+TEST(DcHealth, ForgetsWithoutAttempts)
+{
+	struct dc_health h = {};
+
+	for (int i = 0; i < 20; i++)
+		dc_health_note(&h, false, i * 10);
+	EXPECT_LT(dc_health_share(&h, 200 + 4000), 0.2);
+}
--- a/tests/test_extra_budget.cc
+++ b/tests/test_extra_budget.cc
@@ -68,3 +68,28 @@
 	EXPECT_TRUE(extra_budget_take(&b, &l, 1000));
 	EXPECT_FALSE(extra_budget_take(&b, &l, 1000));
 }
+
+/*
+ * Load: a data centre is cut off, and attempts at its endpoints are refused at once. Guards against
+ * an allowance used up by sends that reached nobody.
+ */
+TEST(ExtraBudget, SendsThatReachedNobodyAreReturned)
+{
+	struct extra_budget b = {};
+	struct extra_limits l = { .window_ms = 10000, .ratio = 0.2, .fixed = 58, .instances = 5 };
+	int64_t now = 100000;
+	int taken = 0;
+
+	for (int i = 0; i < 500; i++, now += 10) {
+		ASSERT_TRUE(extra_budget_take(&b, &l, now)) << i;
+		extra_budget_return(&b);
+	}
+	while (extra_budget_take(&b, &l, now))
+		taken++;
+	EXPECT_LE(taken, 58 / 5);
+	EXPECT_GT(taken, 0);
+	/* Nothing is returned that was not taken. */
+	struct extra_budget empty = {};
+	extra_budget_return(&empty);
+	EXPECT_EQ(empty.extra[0], 0);
+}
