store_watch: end waits for changes after 3 s in small deployments

A leaving endpoint was not noticed. Ruled out: keep-alive probes, which the proxy's kernel answers.

Change: the wait is 3 s, and grows by 250 ms an instance so that all instances together ask about 8 times a second.

Before: EntryTest.SilentConnectionToTheStoreIsGivenUpSoon fails after 5 s.

--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -9,10 +9,15 @@
 #include "internal.h"
 
 /*
- * Longest wait of a change feed, in milliseconds. A connection that has gone silent is noticed by
- * keep-alive probes before, see tcp_tune().
+ * Longest wait of a change feed, in milliseconds, with few instances and with many, and its growth
+ * with each instance: all together ask about 8 times a second when nothing changes. A wait can go
+ * on over a connection that delivers nothing while TCP stays alive. With few instances its end and
+ * STORE_SILENCE_MS fit the 5 s that the platform leaves between a fault and the first change that
+ * has to be known.
  */
-#define FEED_WAIT_MS 20000
+#define FEED_WAIT_MS 3000
+#define FEED_WAIT_PER_INSTANCE_MS 250
+#define FEED_WAIT_MAX_MS 20000
 
 /*
  * Pause between two calls of a feed in milliseconds, and its growth with each instance: changes
@@ -203,11 +208,22 @@
 	}
 }
 
+static int feed_wait(const struct store_watch *w)
+{
+	int ms = peers_most(w->entry->peers) * FEED_WAIT_PER_INSTANCE_MS;
+
+	if (w->listing || w->down)
+		return 0;
+	if (ms < FEED_WAIT_MS)
+		return FEED_WAIT_MS;
+	return ms < FEED_WAIT_MAX_MS ? ms : FEED_WAIT_MAX_MS;
+}
+
 static void watch_ask(evutil_socket_t fd, short what, void *ctx)
 {
 	struct store_watch *w = ctx;
 	struct buf request = { 0 };
-	int wait_ms = w->listing || w->down ? 0 : FEED_WAIT_MS;
+	int wait_ms = feed_wait(w);
 
 	if (w->call)
 		return;
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -395,6 +395,36 @@
 			       4000));
 }
 
+/*
+ * Guards against a wait for changes that outlives its connection: the way to the store falls silent
+ * for a moment while TCP stays alive, and what was open then delivers nothing any more.
+ */
+TEST_F(EntryTest, SilentConnectionToTheStoreIsGivenUpSoon)
+{
+	start_grid();
+	put_config(config(1));
+	Standin proxy("ibisgate-faultproxy", {});
+	json_t *o = proxy.send("POST", "/routes",
+			       "{\"name\":\"store\",\"target\":\"127.0.0.1:" +
+				       std::to_string(grid->route("store")) + "\"}");
+	store_port = (int)json_get_i64(o, "port", 0);
+	json_decref(o);
+	struct harness_process *p = start_instance();
+	ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+	sleep(1);
+	proxy.tell("/faults", "{\"route\":\"store\",\"mode\":\"silent\"}");
+	/* What the store says of these changes is lost on the way. */
+	put_config(config(2, rule("fresh", "idempotent", "orders", 2, false)));
+	node_state("s0", "draining");
+	node_state("s1", "draining");
+	usleep(300000);
+	proxy.tell("/faults", "{\"route\":\"store\",\"mode\":\"pass\"}");
+	/* The platform allows 3 s for the fault to settle and 2 s for the change. */
+	EXPECT_TRUE(eventually([&] { return ask(p, request_text("fresh/x", "GET")).status == 503; },
+			       5000));
+	EXPECT_EQ(ask(p, request_text("order/x")).status, 503);
+}
+
 /* Guards against requests that a planned stop cuts off (LOST), and against a slow stop. */
 TEST_F(EntryTest, StopFinishesWhatRunsAndTakesNoMore)
 {
