mesh: data centres of large deployments talk through delegates

Cause: from 64 instances on each one still told every other one loads and members. Found on the way: members that were gone for 6 s were never tried again, so that a cut of more than 26 s, after which nothing waits on a connection any more, left two sides apart for good.

Change: state/mesh.c decides whom to tell and what to tell of instances, without sockets. In large deployments each instance tells those of its data centre; the first by name tells the delegates of the others the sum of its data centre's loads, suspects, and engines under order. Members that are gone are tried in turn, one a second. The member table has an index by id.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -38,6 +38,7 @@
  * @backlog_tokens: uncached prompt tokens that this instance has sent and that are not yet read
  * @active: requests of this instance in progress
  * @others_backlog: @backlog_tokens of the other instances as they told last, like @others_active
+ * @far_backlog: part of @others_backlog that other data centres told of, like @far_active
  * @tag: short name in messages between instances
  * @by_tag: index of the listed endpoints, struct entry.by_tag
  * @failure_share: moving share of failed attempts, 0 to 1
@@ -49,6 +50,7 @@
  * @order_until_ms: an order to it is under way until its list entry shows it, or until then
  * @ordered_stage: the stage that the order gives it
  * @changing_until_ms: it carries out an order of some instance and rejects requests until then
+ * @changing_far: an instance of another data centre told so
  */
 struct endpoint {
 	struct cds_list_head link;
@@ -67,6 +69,8 @@
 	int active;
 	int64_t others_backlog;
 	int others_active;
+	int64_t far_backlog;
+	int far_active;
 	double failure_share;
 	bool cache_known;
 	int64_t cache_next;
@@ -77,6 +81,7 @@
 	int64_t order_until_ms;
 	enum engine_stage ordered_stage;
 	int64_t changing_until_ms;
+	bool changing_far;
 };
 
 /* Urgencies of rules that are told apart; the platform's priorities are 0 to 9. */
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -92,11 +92,6 @@
 	}
 }
 
-bool peers_is_far(const struct peers *p, const struct member *m)
-{
-	return m->dc[0] && strcmp(m->dc, p->entry->settings.instance.dc) != 0;
-}
-
 /* Seeds name the control address of an instance; its peer port is the same as the own one. */
 static void list_seeds(struct peers *p, int64_t now)
 {
@@ -109,8 +104,7 @@
 		char address[MEMBER_ADDR_MAX];
 
 		snprintf(address, sizeof(address), "%.*s%s", (int)host.len, host.data, port);
-		if (strcmp(address, s->peer.listen) != 0)
-			member_listed(p->members, s->seeds[i].key, "", address, now);
+		mesh_seed(p->mesh, s->seeds[i].key, address, now);
 	}
 }
 
@@ -119,12 +113,13 @@
 	struct peers *p = ctx;
 	int64_t now = clock_boot_ms();
 	int64_t pause = SHARE_MS;
-	int heard = service_any_near(p->entry) ? peers_near(p) : member_count(p->members);
+	int heard =
+		mesh_is_large(p->mesh) ? mesh_near(p->mesh) : member_count(mesh_members(p->mesh));
 	struct timeval tv;
 
-	member_tick(p->members, now);
-	if (member_live(p->members, NULL) > p->most)
-		p->most = member_live(p->members, NULL);
+	mesh_tick(p->mesh, now);
+	if (mesh_total(p->mesh) > p->most)
+		p->most = mesh_total(p->mesh);
 	if (now - p->summed_ms >= SHARE_IDLE_MS)
 		peers_sum_loads(p, now);
 	if (now - p->sent_ms >= SHARE_IDLE_MS) {
@@ -194,27 +189,12 @@
 
 int peers_near(const struct peers *p)
 {
-	int n = 1;
-
-	for (int i = 1; i < member_count(p->members); i++) {
-		const struct member *m = member_at(p->members, i);
-
-		n += m->incarnation && m->state == MEMBER_LIVE && !peers_is_far(p, m);
-	}
-	return n;
+	return mesh_near(p->mesh);
 }
 
 bool peers_first(const struct peers *p)
 {
-	const char *self = p->entry->settings.instance.id;
-
-	for (int i = 1; i < member_count(p->members); i++) {
-		const struct member *m = member_at(p->members, i);
-
-		if (m->incarnation && m->state == MEMBER_LIVE && strcmp(m->id, self) < 0)
-			return false;
-	}
-	return true;
+	return mesh_first(p->mesh);
 }
 
 struct peers *peers_create(struct entry *e, struct error *err)
@@ -233,7 +213,7 @@
 	str_copy(self.dc, sizeof(self.dc), str_from(e->settings.instance.dc));
 	str_copy(self.peer, sizeof(self.peer), str_from(e->settings.peer.listen));
 	self.incarnation = p->incarnation;
-	p->members = member_table_create(&self);
+	p->mesh = mesh_create(&self, e->settings.scope.instances_min);
 	p->bus = peer_bus_create(&(struct peer_options){ .id = e->settings.instance.id,
 							 .incarnation = p->incarnation,
 							 .listen = e->settings.peer.listen,
@@ -273,7 +253,7 @@
 	if (p->wake >= 0)
 		close(p->wake);
 	peer_bus_destroy(p->bus);
-	member_table_destroy(p->members);
+	mesh_destroy(p->mesh);
 	while (p->first) {
 		struct inbox_entry *in = p->first;
 
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -4,7 +4,7 @@
 #include <pthread.h>
 
 #include "ibisgate/net/peer.h"
-#include "ibisgate/state/member.h"
+#include "ibisgate/state/mesh.h"
 #include "internal.h"
 
 /*
@@ -27,8 +27,9 @@
 
 /**
  * struct peer_view - what one instance has told
- * @loads: its latest loads
+ * @loads: its latest loads; of a delegate of another data centre those of all its instances
  * @summed: they are part of the sums of the endpoints
+ * @far: of another data centre
  * @without_since_ms: it has no configuration since then; 0 when it has one
  */
 struct peer_view {
@@ -36,6 +37,7 @@
 	int64_t heard_ms;
 	int64_t without_since_ms;
 	bool summed;
+	bool far;
 	int count;
 	struct shared_load *loads;
 };
@@ -55,7 +57,7 @@
 	struct entry *entry;
 	struct peer_bus *bus;
 	struct supervisor *supervisor;
-	struct member_table *members;
+	struct mesh *mesh;
 	uint64_t incarnation;
 	pthread_mutex_t lock;
 	struct inbox_entry *first;
@@ -79,9 +81,6 @@
 	int most;
 };
 
-/** peers_is_far - the instance is known to be in another data centre */
-bool peers_is_far(const struct peers *p, const struct member *m);
-
 /* peers_take.c */
 
 /** peers_take - take over one message of another instance */
--- a/entry/peers_share.c
+++ b/entry/peers_share.c
@@ -10,112 +10,110 @@
 #define SHARE_PER_FAR_MS 10
 #define SHARE_FAR_MAX_MS 900
 
-static void fill_members(struct peers *p, struct peer_sharing *s, int64_t now)
-{
-	for (int i = 1; i < member_count(p->members); i++) {
-		const struct member *m = member_at(p->members, i);
-		struct shared_member *out;
-
-		if (!m->direct || now - m->heard_ms > MEMBER_SUSPECT_MS)
-			continue;
-		if (s->heard_count < SHARING_HEARD_MAX)
-			s->heard[s->heard_count++] = peer_tag(m->id, m->incarnation);
-		/* Every instance is among those that some member tells of. */
-		if (s->member_count == SHARING_MEMBERS_MAX)
-			continue;
-		out = &s->members[s->member_count++];
-		str_copy(out->id, sizeof(out->id), str_from(m->id));
-		str_copy(out->dc, sizeof(out->dc), str_from(m->dc));
-		str_copy(out->peer, sizeof(out->peer), str_from(m->peer));
-	}
-}
+/* Most instances that one message goes to. */
+#define TARGETS_MAX 1024
 
-static void fill_loads(const struct entry *e, struct peer_sharing *s, int64_t now)
+/* An instance tells its own loads; a delegate adds, to either side, what the other side tells. */
+static struct shared_load load_of(const struct endpoint *ep, bool delegate, bool far)
 {
-	const struct endpoint *ep;
+	int64_t backlog = ep->backlog_tokens;
+	int active = ep->active;
 
-	cds_list_for_each_entry(ep, &e->endpoints, link) {
-		if (ep->entry.leaving && s->leaving_count < SHARING_LEAVING_MAX)
-			s->leaving[s->leaving_count++] = ep->tag;
-		if (endpoint_changing(ep, now) && s->changing_count < SHARING_LEAVING_MAX)
-			s->changing[s->changing_count++] = ep->tag;
-		if ((!ep->active && !ep->backlog_tokens) || s->load_count == SHARING_LOADS_MAX)
-			continue;
-		s->loads[s->load_count++] = (struct shared_load){
-			.tag = ep->tag,
-			.backlog_tokens = ep->backlog_tokens > 0 ? (uint32_t)ep->backlog_tokens : 0,
-			.active = (uint32_t)ep->active,
-		};
+	if (delegate) {
+		backlog += far ? ep->others_backlog - ep->far_backlog : ep->far_backlog;
+		active += far ? ep->others_active - ep->far_active : ep->far_active;
 	}
+	return (struct shared_load){
+		.tag = ep->tag,
+		.backlog_tokens = backlog > 0 ? (uint32_t)backlog : 0,
+		.active = active > 0 ? (uint32_t)active : 0,
+	};
 }
 
-static bool address_heard(const struct peers *p, const struct member *m)
+static bool tells_changing(const struct endpoint *ep, bool delegate, bool far, int64_t now)
 {
-	for (int i = 0; i < member_count(p->members); i++) {
-		const struct member *other = member_at(p->members, i);
-
-		if (other != m && other->incarnation && strcmp(other->peer, m->peer) == 0)
-			return true;
-	}
-	return false;
+	if (endpoint_changing(ep, now))
+		return true;
+	return delegate && now < ep->changing_until_ms && ep->changing_far != far;
 }
 
-/* @far: to the instances of other data centres, else to those of this one and unknown ones. */
-static void send_to(struct peers *p, struct peer_message *m, bool far)
+static void fill_endpoints(const struct peers *p, struct peer_sharing *s, bool far, int64_t now)
 {
-	for (int i = 1; i < member_count(p->members); i++) {
-		const struct member *to = member_at(p->members, i);
+	bool delegate = mesh_delegate(p->mesh);
+	const struct endpoint *ep;
 
-		if (peers_is_far(p, to) != far || to->state == MEMBER_GONE ||
-		    (!to->incarnation && address_heard(p, to)))
-			continue;
-		peer_bus_send(p->bus, to->peer, to->peer, m);
+	s->leaving_count = 0;
+	s->changing_count = 0;
+	s->load_count = 0;
+	cds_list_for_each_entry(ep, &p->entry->endpoints, link) {
+		struct shared_load load = load_of(ep, delegate, far);
+
+		if (ep->entry.leaving && s->leaving_count < SHARING_LEAVING_MAX)
+			s->leaving[s->leaving_count++] = ep->tag;
+		if (tells_changing(ep, delegate, far, now) &&
+		    s->changing_count < SHARING_LEAVING_MAX)
+			s->changing[s->changing_count++] = ep->tag;
+		if ((load.active || load.backlog_tokens) && s->load_count < SHARING_LOADS_MAX)
+			s->loads[s->load_count++] = load;
 	}
 }
 
-static int far_count(const struct peers *p)
+static void fill_suspects(struct peer_sharing *s, const struct shared_suspect *list, int count)
 {
-	int n = 0;
-
-	for (int i = 1; i < member_count(p->members); i++)
-		n += peers_is_far(p, member_at(p->members, i));
-	return n;
+	s->suspect_count = count;
+	memcpy(s->suspects, list, sizeof(*list) * (size_t)count);
 }
 
 static int64_t far_pause(const struct peers *p)
 {
-	int64_t pause = (int64_t)far_count(p) * SHARE_PER_FAR_MS;
+	const struct member_table *t = mesh_members(p->mesh);
+	int64_t pause = 0;
 
+	/* Delegates tell each other alone. */
+	if (mesh_is_large(p->mesh))
+		return SHARE_IDLE_MS;
+	for (int i = 1; i < member_count(t); i++)
+		pause += mesh_is_far(p->mesh, member_at(t, i)) ? SHARE_PER_FAR_MS : 0;
 	if (pause < SHARE_IDLE_MS)
 		return SHARE_IDLE_MS;
 	return pause < SHARE_FAR_MAX_MS ? pause : SHARE_FAR_MAX_MS;
 }
 
+/* Tells one side, of the own data centre and of others, unless there is nobody to tell. */
+static void share_side(struct peers *p, struct peer_message *m, bool far, int64_t now)
+{
+	const struct member *to[TARGETS_MAX];
+	int count = mesh_targets(p->mesh, far, to, TARGETS_MAX, now);
+
+	if (!count)
+		return;
+	mesh_tell(p->mesh, far, &m->u.sharing->news, now);
+	fill_endpoints(p, m->u.sharing, far, now);
+	for (int i = 0; i < count; i++)
+		peer_bus_send(p->bus, to[i]->peer, to[i]->peer, m);
+}
+
 void peers_share(struct peers *p, int64_t now)
 {
 	struct entry *e = p->entry;
 	struct peer_message *m = peer_message_create(PEER_SHARING);
 	struct peer_sharing *s = m->u.sharing;
-	bool near = service_any_near(e);
-
-	str_copy(s->dc, sizeof(s->dc), str_from(e->settings.instance.dc));
-	str_copy(s->peer, sizeof(s->peer), str_from(e->settings.peer.listen));
-	s->state = e->stopping ? MEMBER_DRAINING : MEMBER_LIVE;
-	s->config_version = e->table ? e->table->version : 0;
-	fill_members(p, s, now);
-	fill_loads(e, s, now);
+	struct mesh_news *n = &s->news;
+	bool apart = mesh_is_large(p->mesh) || service_any_near(e);
+
+	str_copy(n->dc, sizeof(n->dc), str_from(e->settings.instance.dc));
+	str_copy(n->peer, sizeof(n->peer), str_from(e->settings.peer.listen));
+	n->state = e->stopping ? MEMBER_DRAINING : MEMBER_LIVE;
+	n->config_version = e->table ? e->table->version : 0;
 	s->part_count = p->part_count;
 	memcpy(s->parts, p->parts, sizeof(*p->parts) * (size_t)p->part_count);
-	s->suspect_count = p->suspect_count;
-	memcpy(s->suspects, p->suspects, sizeof(*p->suspects) * (size_t)p->suspect_count);
-	send_to(p, m, false);
-	if (!near || now - p->far_ms >= far_pause(p)) {
-		if (near)
+	fill_suspects(s, p->suspects, p->suspect_count);
+	share_side(p, m, false, now);
+	if (!apart || now - p->far_ms >= far_pause(p)) {
+		if (apart)
 			s->part_count = 0;
-		s->suspect_count = p->far_suspect_count;
-		memcpy(s->suspects, p->far_suspects,
-		       sizeof(*p->far_suspects) * (size_t)p->far_suspect_count);
-		send_to(p, m, true);
+		fill_suspects(s, p->far_suspects, p->far_suspect_count);
+		share_side(p, m, true, now);
 		p->far_ms = now;
 		p->far_suspect_count = 0;
 	}
--- a/entry/peers_take.c
+++ b/entry/peers_take.c
@@ -36,6 +36,10 @@
 			continue;
 		ep->others_backlog += sign * (int64_t)v->loads[k].backlog_tokens;
 		ep->others_active += sign * (int)v->loads[k].active;
+		if (!v->far)
+			continue;
+		ep->far_backlog += sign * (int64_t)v->loads[k].backlog_tokens;
+		ep->far_active += sign * (int)v->loads[k].active;
 	}
 }
 
@@ -56,6 +60,8 @@
 	cds_list_for_each_entry(ep, &e->endpoints, link) {
 		ep->others_backlog = 0;
 		ep->others_active = 0;
+		ep->far_backlog = 0;
+		ep->far_active = 0;
 	}
 	for (int i = 0; i < p->view_count; i++) {
 		struct peer_view *v = &p->views[i];
@@ -82,13 +88,20 @@
 	}
 }
 
-/* Whether this instance is the first by name among those that have a configuration. */
-static bool first_with_config(const struct peers *p)
+/*
+ * Whether this instance is the first by name among those with a configuration that hear @to: in a
+ * large deployment other data centres don't hear an instance of this one.
+ */
+static bool first_with_config(const struct peers *p, const struct member *to)
 {
-	for (int i = 1; i < member_count(p->members); i++) {
-		const struct member *m = member_at(p->members, i);
+	const struct member_table *t = mesh_members(p->mesh);
+	bool apart = mesh_is_large(p->mesh) && !mesh_is_far(p->mesh, to);
+
+	for (int i = 1; i < member_count(t); i++) {
+		const struct member *m = member_at(t, i);
 
 		if (m->incarnation && m->state == MEMBER_LIVE && m->config_version > 0 &&
+		    !(apart && mesh_is_far(p->mesh, m)) &&
 		    strcmp(m->id, p->entry->settings.instance.id) < 0)
 			return false;
 	}
@@ -105,7 +118,7 @@
 	if (!v->without_since_ms)
 		v->without_since_ms = now;
 	if (!entry_ready(p->entry) || now - v->without_since_ms < HANDOVER_AFTER_MS ||
-	    !first_with_config(p))
+	    !first_with_config(p, to))
 		return;
 	v->without_since_ms = now;
 	handover_encode(p->entry, &text);
@@ -125,47 +138,51 @@
 	peer_message_destroy(m);
 }
 
-static void take_members(struct peers *p, const struct inbox_entry *in, int64_t now)
+static void take_news(struct peers *p, const struct inbox_entry *in, int64_t now)
 {
-	const struct peer_sharing *s = &in->sharing;
-	uint32_t self = peer_tag(p->entry->settings.instance.id, p->incarnation);
-	struct member m = { .incarnation = in->incarnation,
-			    .state = s->state,
-			    .config_version = s->config_version };
-	const struct member *known = member_find(p->members, in->sender);
-	bool news = !known || known->incarnation != in->incarnation;
-
-	str_copy(m.id, sizeof(m.id), str_from(in->sender));
-	str_copy(m.dc, sizeof(m.dc), str_from(s->dc));
-	str_copy(m.peer, sizeof(m.peer), str_from(s->peer));
-	for (int i = 0; i < s->heard_count; i++) {
-		if (s->heard[i] == self)
-			m.hears_us = true;
-	}
-	if (m.hears_us)
-		peer_bus_confirm(p->bus, m.peer);
-	member_heard(p->members, &m, true, now);
-	if (m.state == MEMBER_LIVE && m.config_version == 0)
-		hand_over(p, &m, now);
+	const struct mesh_news *n = &in->sharing.news;
+	bool fresh = mesh_hear(p->mesh, in->sender, in->incarnation, n, now);
+	const struct member *m = member_find(mesh_members(p->mesh), in->sender);
+
+	/* The table is full. */
+	if (!m)
+		return;
+	if (m->hears_us)
+		peer_bus_confirm(p->bus, m->peer);
+	if (m->state == MEMBER_LIVE && m->config_version == 0)
+		hand_over(p, m, now);
 	else
-		view_of(p, m.id)->without_since_ms = 0;
-	for (int i = 0; i < s->member_count; i++)
-		member_listed(p->members, s->members[i].id, s->members[i].dc, s->members[i].peer,
-			      now);
-	if (news)
-		log_info("peer", "peer=%s change=heard dc=%s address=%s config=%lld", m.id, m.dc,
-			 m.peer, (long long)m.config_version);
+		view_of(p, m->id)->without_since_ms = 0;
+	if (fresh)
+		log_info("peer", "peer=%s change=heard dc=%s address=%s config=%lld", m->id, m->dc,
+			 m->peer, (long long)m->config_version);
+}
+
+/* What one side tells of requests that crash endpoints, a delegate tells the other side. */
+static void take_suspects(struct peers *p, const struct peer_sharing *s, bool far)
+{
+	for (int i = 0; i < s->suspect_count; i++) {
+		const struct shared_suspect *one = &s->suspects[i];
+
+		suspect_learn(p->entry, one->fingerprint, (int)one->crashes);
+		if (!mesh_delegate(p->mesh))
+			continue;
+		if (far && p->suspect_count < SHARING_SUSPECTS_MAX)
+			p->suspects[p->suspect_count++] = *one;
+		if (!far && p->far_suspect_count < SHARING_SUSPECTS_MAX)
+			p->far_suspects[p->far_suspect_count++] = *one;
+	}
 }
 
 void peers_take(struct peers *p, const struct inbox_entry *in, int64_t now)
 {
 	const struct peer_sharing *s = &in->sharing;
+	bool far = strcmp(s->news.dc, p->entry->settings.instance.dc) != 0;
 	struct peer_view *v;
 
-	take_members(p, in, now);
+	take_news(p, in, now);
 	take_parts(p->entry, s);
-	for (int i = 0; i < s->suspect_count; i++)
-		suspect_learn(p->entry, s->suspects[i].fingerprint, (int)s->suspects[i].crashes);
+	take_suspects(p, s, far);
 	for (int i = 0; i < s->leaving_count; i++) {
 		struct endpoint *ep = endpoint_by_tag(p->entry, s->leaving[i]);
 
@@ -178,16 +195,22 @@
 	for (int i = 0; i < s->changing_count; i++) {
 		struct endpoint *ep = endpoint_by_tag(p->entry, s->changing[i]);
 
-		if (ep && ep->changing_until_ms < now + CHANGING_TOLD_MS)
-			ep->changing_until_ms = now + CHANGING_TOLD_MS;
+		if (!ep || ep->changing_until_ms >= now + CHANGING_TOLD_MS)
+			continue;
+		ep->changing_until_ms = now + CHANGING_TOLD_MS;
+		ep->changing_far = far;
 	}
 	v = view_of(p, in->sender);
 	if (v->summed)
 		loads_add(p->entry, v, -1);
 	v->heard_ms = now;
+	v->far = far;
 	v->count = s->load_count;
-	v->loads = mem_resize(v->loads, sizeof(*v->loads) * (size_t)(s->load_count + 1));
-	memcpy(v->loads, s->loads, sizeof(*v->loads) * (size_t)s->load_count);
+	/* Two that speak for one data centre would count its loads twice. */
+	if (far && mesh_is_large(p->mesh) && !mesh_speaks_for_dc(p->mesh, in->sender))
+		v->count = 0;
+	v->loads = mem_resize(v->loads, sizeof(*v->loads) * (size_t)(v->count + 1));
+	memcpy(v->loads, s->loads, sizeof(*v->loads) * (size_t)v->count);
 	v->summed = true;
 	loads_add(p->entry, v, 1);
 }
--- a/include/ibisgate/net/codec.h
+++ b/include/ibisgate/net/codec.h
@@ -221,9 +221,6 @@
 	} u;
 };
 
-/** peer_tag - short name of one incarnation of an instance in heartbeats */
-uint32_t peer_tag(const char *id, uint64_t incarnation);
-
 /** peer_message_create - zeroed message of @kind; release with peer_message_destroy() */
 struct peer_message *peer_message_create(enum peer_message_kind kind);
 void peer_message_destroy(struct peer_message *m);
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -3,22 +3,13 @@
 
 #include <stdint.h>
 
-#include "ibisgate/state/member.h"
+#include "ibisgate/state/mesh.h"
 
-#define SHARING_HEARD_MAX 128
-#define SHARING_MEMBERS_MAX 16
 #define SHARING_LOADS_MAX 512
 #define SHARING_PARTS_MAX 512
 #define SHARING_SUSPECTS_MAX 32
 #define SHARING_LEAVING_MAX 64
 
-/** struct shared_member - an instance that the sender hears */
-struct shared_member {
-	char id[MEMBER_ID_MAX];
-	char dc[MEMBER_DC_MAX];
-	char peer[MEMBER_ADDR_MAX];
-};
-
 /**
  * struct shared_load - requests of the sender at one engine
  * @tag: peer_tag() of the endpoint's id with incarnation 0
@@ -53,19 +44,13 @@
 
 /**
  * struct peer_sharing - what an instance tells the others several times a second
- * @heard: peer_tag() of the instances that the sender hears
+ * @list_version: newest row of the list of endpoints that the sender has seen
  * @leaving: tags of endpoints that the sender knows to be leaving
  * @changing: tags of engines that carry out an order of the sender
  */
 struct peer_sharing {
-	char dc[MEMBER_DC_MAX];
-	char peer[MEMBER_ADDR_MAX];
-	enum member_state state;
-	int64_t config_version;
-	int heard_count;
-	uint32_t heard[SHARING_HEARD_MAX];
-	int member_count;
-	struct shared_member members[SHARING_MEMBERS_MAX];
+	struct mesh_news news;
+	int64_t list_version;
 	int load_count;
 	struct shared_load loads[SHARING_LOADS_MAX];
 	int part_count;
--- a/include/ibisgate/state/member.h
+++ b/include/ibisgate/state/member.h
@@ -47,6 +47,9 @@
 	int64_t config_version;
 };
 
+/** peer_tag - short name of one incarnation of an instance in messages */
+uint32_t peer_tag(const char *id, uint64_t incarnation);
+
 /**
  * struct member_table - members known to one instance; not thread-safe
  */
--- a/net/codec.c
+++ b/net/codec.c
@@ -3,12 +3,6 @@
 #include <string.h>
 
 #include "codec_impl.h"
-#include "ibisgate/common/hash.h"
-
-uint32_t peer_tag(const char *id, uint64_t incarnation)
-{
-	return (uint32_t)hash_mix(hash_str(str_from(id), 0), incarnation);
-}
 
 struct peer_message *peer_message_create(enum peer_message_kind kind)
 {
--- a/net/codec_sharing.c
+++ b/net/codec_sharing.c
@@ -5,28 +5,68 @@
 	return (uint32_t)codec_get_uint(r, UINT32_MAX);
 }
 
-static void put_members(struct buf *b, const struct peer_sharing *s)
+static void put_tags(struct buf *b, const uint32_t *tags, int count)
+{
+	codec_put_array(b, count);
+	for (int i = 0; i < count; i++)
+		codec_put_uint(b, tags[i]);
+}
+
+static int get_tags(struct reader *r, uint32_t *tags, int max)
+{
+	int count = codec_get_count(r, max);
+
+	for (int i = 0; i < count && !r->failed; i++)
+		tags[i] = get_u32(r);
+	return count;
+}
+
+static void put_news(struct buf *b, const struct mesh_news *n)
 {
-	codec_put_array(b, s->member_count);
-	for (int i = 0; i < s->member_count; i++) {
+	codec_put_array(b, 7);
+	codec_put_text(b, n->dc);
+	codec_put_text(b, n->peer);
+	codec_put_uint(b, n->state);
+	codec_put_uint(b, (uint64_t)n->config_version);
+	put_tags(b, n->heard, n->heard_count);
+	codec_put_array(b, n->member_count);
+	for (int i = 0; i < n->member_count; i++) {
 		codec_put_array(b, 3);
-		codec_put_text(b, s->members[i].id);
-		codec_put_text(b, s->members[i].dc);
-		codec_put_text(b, s->members[i].peer);
+		codec_put_text(b, n->members[i].id);
+		codec_put_text(b, n->members[i].dc);
+		codec_put_text(b, n->members[i].peer);
+	}
+	codec_put_array(b, n->dc_count);
+	for (int i = 0; i < n->dc_count; i++) {
+		codec_put_array(b, 2);
+		codec_put_text(b, n->dcs[i].dc);
+		codec_put_uint(b, n->dcs[i].instances);
 	}
 }
 
-static void get_members(struct reader *r, struct peer_sharing *s)
+static void get_news(struct reader *r, struct mesh_news *n)
 {
-	s->member_count = codec_get_count(r, SHARING_MEMBERS_MAX);
-	for (int i = 0; i < s->member_count && !r->failed; i++) {
-		struct shared_member *m = &s->members[i];
+	codec_get_tuple(r, 7);
+	codec_get_text(r, n->dc, sizeof(n->dc));
+	codec_get_text(r, n->peer, sizeof(n->peer));
+	n->state = (enum member_state)codec_get_uint(r, MEMBER_GONE);
+	n->config_version = (int64_t)codec_get_uint(r, INT64_MAX);
+	n->heard_count = get_tags(r, n->heard, MESH_HEARD_MAX);
+	n->member_count = codec_get_count(r, MESH_MEMBERS_MAX);
+	for (int i = 0; i < n->member_count && !r->failed; i++) {
+		struct mesh_member *m = &n->members[i];
 
 		codec_get_tuple(r, 3);
 		codec_get_text(r, m->id, sizeof(m->id));
 		codec_get_text(r, m->dc, sizeof(m->dc));
 		codec_get_text(r, m->peer, sizeof(m->peer));
 	}
+	n->dc_count = codec_get_count(r, MESH_DCS_MAX);
+	for (int i = 0; i < n->dc_count && !r->failed; i++) {
+		codec_get_tuple(r, 2);
+		codec_get_text(r, n->dcs[i].dc, sizeof(n->dcs[i].dc));
+		n->dcs[i].instances = get_u32(r);
+	}
 }
 
 static void put_loads(struct buf *b, const struct peer_sharing *s)
@@ -75,31 +115,11 @@
 	}
 }
 
-static void put_tags(struct buf *b, const uint32_t *tags, int count)
-{
-	codec_put_array(b, count);
-	for (int i = 0; i < count; i++)
-		codec_put_uint(b, tags[i]);
-}
-
-static int get_tags(struct reader *r, uint32_t *tags, int max)
-{
-	int count = codec_get_count(r, max);
-
-	for (int i = 0; i < count && !r->failed; i++)
-		tags[i] = get_u32(r);
-	return count;
-}
-
 void codec_put_sharing(struct buf *b, const struct peer_sharing *s)
 {
-	codec_put_array(b, 11);
-	codec_put_text(b, s->dc);
-	codec_put_text(b, s->peer);
-	codec_put_uint(b, s->state);
-	codec_put_uint(b, (uint64_t)s->config_version);
-	put_tags(b, s->heard, s->heard_count);
-	put_members(b, s);
+	codec_put_array(b, 7);
+	put_news(b, &s->news);
+	codec_put_uint(b, (uint64_t)s->list_version);
 	put_loads(b, s);
 	put_parts(b, s);
 	codec_put_array(b, s->suspect_count);
@@ -114,13 +134,9 @@
 
 void codec_get_sharing(struct reader *r, struct peer_sharing *s)
 {
-	codec_get_tuple(r, 11);
-	codec_get_text(r, s->dc, sizeof(s->dc));
-	codec_get_text(r, s->peer, sizeof(s->peer));
-	s->state = (enum member_state)codec_get_uint(r, MEMBER_GONE);
-	s->config_version = (int64_t)codec_get_uint(r, INT64_MAX);
-	s->heard_count = get_tags(r, s->heard, SHARING_HEARD_MAX);
-	get_members(r, s);
+	codec_get_tuple(r, 7);
+	get_news(r, &s->news);
+	s->list_version = (int64_t)codec_get_uint(r, INT64_MAX);
 	get_loads(r, s);
 	get_parts(r, s);
 	s->suspect_count = codec_get_count(r, SHARING_SUSPECTS_MAX);
--- a/state/member.c
+++ b/state/member.c
@@ -1,7 +1,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <uthash.h>
 
+#include "ibisgate/common/hash.h"
 #include "ibisgate/common/str.h"
 #include "ibisgate/state/member.h"
 
@@ -11,28 +13,51 @@
 /* A summary passes two hops, each with its own period, before it vouches for a member. */
 #define INDIRECT_SLACK_MS (MEMBER_SUMMARY_MS + MEMBER_HEARTBEAT_MS)
 
+/** struct slot - entry of the table and of its index by id */
+struct slot {
+	struct member member;
+	UT_hash_handle hh;
+};
+
 /* Entry 0 is this instance. */
 struct member_table {
 	int count;
-	struct member *members[MEMBERS_MAX];
+	struct slot *slots[MEMBERS_MAX];
+	struct slot *by_id;
 };
 
-static struct member *add(struct member_table *t, const struct member *m)
+uint32_t peer_tag(const char *id, uint64_t incarnation)
 {
-	struct member *copy;
+	return (uint32_t)hash_mix(hash_str(str_from(id), 0), incarnation);
+}
 
-	for (int i = 1; t->count == MEMBERS_MAX && i < t->count; i++) {
-		if (t->members[i]->state != MEMBER_GONE)
+/* The slot of a member that is gone, taken out of the index; NULL when there is none. */
+static struct slot *slot_reuse(struct member_table *t)
+{
+	for (int i = 1; i < t->count; i++) {
+		if (t->slots[i]->member.state != MEMBER_GONE)
 			continue;
-		*t->members[i] = *m;
-		return t->members[i];
+		HASH_DEL(t->by_id, t->slots[i]);
+		return t->slots[i];
 	}
-	if (t->count == MEMBERS_MAX)
-		return NULL;
-	copy = mem_alloc(sizeof(*copy));
-	*copy = *m;
-	t->members[t->count++] = copy;
-	return copy;
+	return NULL;
+}
+
+static struct member *add(struct member_table *t, const struct member *m)
+{
+	struct slot *s;
+
+	if (t->count == MEMBERS_MAX) {
+		s = slot_reuse(t);
+		if (!s)
+			return NULL;
+	} else {
+		s = mem_zalloc(sizeof(*s));
+		t->slots[t->count++] = s;
+	}
+	s->member = *m;
+	HASH_ADD_STR(t->by_id, member.id, s);
+	return &s->member;
 }
 
 struct member_table *member_table_create(const struct member *self)
@@ -49,18 +74,18 @@
 {
 	if (!t)
 		return;
+	HASH_CLEAR(hh, t->by_id);
 	for (int i = 0; i < t->count; i++)
-		free(t->members[i]);
+		free(t->slots[i]);
 	free(t);
 }
 
 static struct member *find(const struct member_table *t, const char *id)
 {
-	for (int i = 0; i < t->count; i++) {
-		if (strcmp(t->members[i]->id, id) == 0)
-			return t->members[i];
-	}
-	return NULL;
+	struct slot *s;
+
+	HASH_FIND_STR(t->by_id, id, s);
+	return s ? &s->member : NULL;
 }
 
 const struct member *member_find(const struct member_table *t, const char *id)
@@ -101,7 +126,7 @@
 			return false;
 		return add(t, &next) != NULL;
 	}
-	if (known == t->members[0] && !direct)
+	if (known == &t->slots[0]->member && !direct)
 		return false;
 	if (m->incarnation < known->incarnation)
 		return false;
@@ -132,7 +157,7 @@
 	if (known) {
 		if (!known->incarnation)
 			known->heard_ms = now_ms;
-		if (known != t->members[0] && !known->incarnation && peer[0])
+		if (known != &t->slots[0]->member && !known->incarnation && peer[0])
 			str_copy(known->peer, sizeof(known->peer), str_from(peer));
 		if (!known->dc[0])
 			str_copy(known->dc, sizeof(known->dc), str_from(dc));
@@ -154,7 +179,7 @@
 	int changed = 0;
 
 	for (int i = 1; i < t->count; i++) {
-		struct member *m = t->members[i];
+		struct member *m = &t->slots[i]->member;
 		int64_t age = now_ms - m->heard_ms - (m->direct ? 0 : INDIRECT_SLACK_MS);
 		enum member_state state = m->state;
 
@@ -170,10 +195,11 @@
 			m->hears_us = false;
 	}
 	for (int i = t->count - 1; i > 0; i--) {
-		if (!forgotten(t->members[i], now_ms))
+		if (!forgotten(&t->slots[i]->member, now_ms))
 			continue;
-		free(t->members[i]);
-		t->members[i] = t->members[--t->count];
+		HASH_DEL(t->by_id, t->slots[i]);
+		free(t->slots[i]);
+		t->slots[i] = t->slots[--t->count];
 	}
 	return changed;
 }
@@ -185,7 +211,7 @@
 
 const struct member *member_at(const struct member_table *t, int i)
 {
-	return i >= 0 && i < t->count ? t->members[i] : NULL;
+	return i >= 0 && i < t->count ? &t->slots[i]->member : NULL;
 }
 
 static bool serves(const struct member *m)
@@ -198,7 +224,8 @@
 	int n = 0;
 
 	for (int i = 0; i < t->count; i++)
-		n += serves(t->members[i]) && (!dc || strcmp(t->members[i]->dc, dc) == 0);
+		n += serves(&t->slots[i]->member) &&
+		     (!dc || strcmp(t->slots[i]->member.dc, dc) == 0);
 	return n;
 }
 
@@ -207,7 +234,7 @@
 	const struct member *best = NULL;
 
 	for (int i = 0; i < t->count; i++) {
-		const struct member *m = t->members[i];
+		const struct member *m = &t->slots[i]->member;
 
 		if (serves(m) && strcmp(m->dc, dc) == 0 && (!best || strcmp(m->id, best->id) < 0))
 			best = m;
@@ -217,7 +244,7 @@
 
 bool member_sends_to(const struct member_table *t, const struct member *m)
 {
-	const struct member *self = t->members[0];
+	const struct member *self = &t->slots[0]->member;
 
 	if (strcmp(m->id, self->id) == 0 || !m->peer[0])
 		return false;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -227,8 +227,9 @@
 	{
 		std::string ip = "127.0.0." + std::to_string(11 + index);
 		std::string text =
-			"[instance]\nid = a-" + std::to_string(index) +
-			"\ndata-centre = dc0\nregion = r\n[platform]\nkind = rows\nurl = "
+			"[instance]\nid = a-" + std::to_string(index) + "\ndata-centre = dc" +
+			std::to_string(index % data_centres) +
+			"\nregion = r\n[platform]\nkind = rows\nurl = "
 			"http://127.0.0.1:" +
 			std::to_string(store_port ? store_port : grid->route("store")) +
 			"\n[http]\nlisten = " + ip + ":0\n[ready]\nlisten = " + ip +
@@ -387,6 +388,8 @@
 	int chosen_port = 0;
 	/* Of a proxy before the store; 0 for the store itself. */
 	int store_port = 0;
+	/* Instances are spread over so many. */
+	int data_centres = 1;
 	/* Further sections of the settings of instances that start. */
 	std::string more_settings;
 };
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -51,19 +51,27 @@
 
 static void sharing_sample(std::mt19937_64 &rng, struct peer_sharing *s)
 {
-	text(rng, s->dc, sizeof(s->dc));
-	text(rng, s->peer, sizeof(s->peer));
-	s->state = (enum member_state)(rng() % (MEMBER_GONE + 1));
-	s->config_version = (int64_t)(rng() >> 1);
-	s->heard_count = (int)(rng() % (SHARING_HEARD_MAX + 1));
-	for (int i = 0; i < s->heard_count; i++)
-		s->heard[i] = (uint32_t)rng();
-	s->member_count = (int)(rng() % (SHARING_MEMBERS_MAX + 1));
-	for (int i = 0; i < s->member_count; i++) {
-		text(rng, s->members[i].id, sizeof(s->members[i].id));
-		text(rng, s->members[i].dc, sizeof(s->members[i].dc));
-		text(rng, s->members[i].peer, sizeof(s->members[i].peer));
+	struct mesh_news *n = &s->news;
+
+	text(rng, n->dc, sizeof(n->dc));
+	text(rng, n->peer, sizeof(n->peer));
+	n->state = (enum member_state)(rng() % (MEMBER_GONE + 1));
+	n->config_version = (int64_t)(rng() >> 1);
+	n->heard_count = (int)(rng() % (MESH_HEARD_MAX + 1));
+	for (int i = 0; i < n->heard_count; i++)
+		n->heard[i] = (uint32_t)rng();
+	n->member_count = (int)(rng() % (MESH_MEMBERS_MAX + 1));
+	for (int i = 0; i < n->member_count; i++) {
+		text(rng, n->members[i].id, sizeof(n->members[i].id));
+		text(rng, n->members[i].dc, sizeof(n->members[i].dc));
+		text(rng, n->members[i].peer, sizeof(n->members[i].peer));
+	}
+	n->dc_count = (int)(rng() % (MESH_DCS_MAX + 1));
+	for (int i = 0; i < n->dc_count; i++) {
+		text(rng, n->dcs[i].dc, sizeof(n->dcs[i].dc));
+		n->dcs[i].instances = (uint32_t)rng();
 	}
+	s->list_version = (int64_t)(rng() >> 1);
 	s->load_count = (int)(rng() % (SHARING_LOADS_MAX + 1)) >> (rng() % 8);
 	for (int i = 0; i < s->load_count; i++)
 		s->loads[i] = { (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng() };
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -584,6 +584,65 @@
 	}
 }
 
+/*
+ * Load: a large deployment, whose data centres talk through delegates. Guards against what one
+ * instance has learned and that never reaches those of another data centre.
+ */
+TEST_F(EntryTest, DelegatesTellOtherDataCentresOfRequestsThatCrashEndpoints)
+{
+	data_centres = 2;
+	more_settings = "[place]\nnear-instances = 2\n";
+	start_grid(2, 1, 4);
+	put_config(config(1));
+	std::vector<struct harness_process *> all;
+	for (int i = 0; i < 4; i++)
+		all.push_back(start_instance(i));
+	for (struct harness_process *p : all)
+		ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+	/* Neither of the two instances that are asked is the first of its data centre. */
+	sleep(3);
+	node("", "lose-answer");
+	for (int i = 0; i < 3; i++) {
+		EXPECT_EQ(ask(all[2], request_text("order/x", "POST", "", "poison")).status, 502);
+		auto r = runs(last_id());
+		ASSERT_EQ(r.size(), 1u);
+		node_state(r[0].node, "gone");
+		usleep(700000);
+	}
+	node("", "ok");
+	EXPECT_TRUE(eventually(
+		[&] {
+			return ask(all[3], request_text("order/x", "POST", "", "poison")).status ==
+			       503;
+		},
+		2000));
+	EXPECT_EQ(ask(all[3], request_text("order/x", "POST", "", "innocent")).status, 200);
+	/* The delegates die; what the others learn still gets through. */
+	for (int i : { 0, 1 }) {
+		harness_signal(all[(size_t)i], SIGKILL);
+		harness_wait(all[(size_t)i], 2000);
+	}
+	sleep(5);
+	for (const char *id : { "s0", "s1", "s2", "s3" })
+		node_state(id, "ready");
+	usleep(800000);
+	node("", "lose-answer");
+	for (int i = 0; i < 3; i++) {
+		EXPECT_EQ(ask(all[3], request_text("order/x", "POST", "", "second")).status, 502);
+		auto r = runs(last_id());
+		ASSERT_EQ(r.size(), 1u);
+		node_state(r[0].node, "gone");
+		usleep(700000);
+	}
+	node("", "ok");
+	EXPECT_TRUE(eventually(
+		[&] {
+			return ask(all[2], request_text("order/x", "POST", "", "second")).status ==
+			       503;
+		},
+		2000));
+}
+
 /*
  * Load: calls that run once, each on a connection of its own. Guards against connections that pile
  * up until the endpoint takes no more (soak seed 9: calls waited seconds for a free one).
--- /dev/null
+++ b/tests/test_mesh.cc
@@ -0,0 +1,317 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "ibisgate/state/mesh.h"
+}
+
+namespace
+{
+
+/* Virtual time: each instance tells the others each STEP_MS, and messages arrive within a step. */
+constexpr int64_t STEP_MS = 500;
+
+struct Instance {
+	std::string id, dc, address;
+	struct mesh *mesh = nullptr;
+	uint64_t incarnation = 1;
+	bool up = true;
+	int sent = 0;
+};
+
+class Deployment
+{
+      public:
+	/* @dcs data centres of @each instances; the first instances of the first three are seeds.
+	 */
+	Deployment(int dcs, int each, int large_from) : large_from(large_from)
+	{
+		for (int d = 0; d < dcs; d++) {
+			for (int i = 0; i < each; i++)
+				add("dc" + std::to_string(d), i);
+		}
+		for (int d = 0; d < dcs && d < 3; d++)
+			seeds.push_back(all[(size_t)(d * each)]->address);
+		for (auto &i : all)
+			start(*i);
+	}
+	~Deployment()
+	{
+		for (auto &i : all)
+			mesh_destroy(i->mesh);
+	}
+	Instance &add(const std::string &dc, int number)
+	{
+		char name[32];
+
+		snprintf(name, sizeof(name), "%s-%03d", dc.c_str(), number);
+		all.push_back(std::make_unique<Instance>());
+		all.back()->id = name;
+		all.back()->dc = dc;
+		all.back()->address = "10.0.0.1:" + std::to_string(all.size());
+		by_address[all.back()->address] = all.back().get();
+		return *all.back();
+	}
+	void start(Instance &i)
+	{
+		struct member self = {};
+
+		mesh_destroy(i.mesh);
+		snprintf(self.id, sizeof(self.id), "%s", i.id.c_str());
+		snprintf(self.dc, sizeof(self.dc), "%s", i.dc.c_str());
+		snprintf(self.peer, sizeof(self.peer), "%s", i.address.c_str());
+		self.state = MEMBER_LIVE;
+		self.incarnation = i.incarnation;
+		i.mesh = mesh_create(&self, large_from);
+		i.up = true;
+	}
+	Instance &at(const std::string &id)
+	{
+		for (auto &i : all) {
+			if (i->id == id)
+				return *i;
+		}
+		ADD_FAILURE() << id;
+		return *all[0];
+	}
+	void run(int64_t ms)
+	{
+		for (int64_t end = now + ms; now < end; now += STEP_MS) {
+			for (auto &i : all) {
+				if (i->up)
+					step(*i);
+			}
+		}
+	}
+	void step(Instance &i)
+	{
+		for (size_t s = 0; s < seeds.size(); s++)
+			mesh_seed(i.mesh, ("seed-" + std::to_string(s)).c_str(), seeds[s].c_str(),
+				  now);
+		mesh_tick(i.mesh, now);
+		for (bool far : { false, true }) {
+			const struct member *to[512];
+			struct mesh_news news = {};
+			int n = mesh_targets(i.mesh, far, to, 512, now);
+
+			snprintf(news.dc, sizeof(news.dc), "%s", i.dc.c_str());
+			snprintf(news.peer, sizeof(news.peer), "%s", i.address.c_str());
+			news.state = MEMBER_LIVE;
+			news.config_version = 1;
+			mesh_tell(i.mesh, far, &news, now);
+			for (int k = 0; k < n; k++) {
+				Instance *peer = by_address[to[k]->peer];
+
+				i.sent++;
+				if (peer && peer->up && !cut(i, *peer))
+					mesh_hear(peer->mesh, i.id.c_str(), i.incarnation, &news,
+						  now);
+			}
+		}
+	}
+	/* Live instances that don't know of @total in all. */
+	int unaware(int total)
+	{
+		int n = 0;
+
+		for (auto &i : all)
+			n += i->up && mesh_total(i->mesh) != total;
+		return n;
+	}
+	std::vector<std::string> delegates()
+	{
+		std::vector<std::string> out;
+
+		for (auto &i : all) {
+			if (i->up && mesh_delegate(i->mesh))
+				out.push_back(i->id);
+		}
+		return out;
+	}
+	std::vector<std::string> first()
+	{
+		std::vector<std::string> out;
+
+		for (auto &i : all) {
+			if (i->up && mesh_first(i->mesh))
+				out.push_back(i->id);
+		}
+		return out;
+	}
+
+	int large_from;
+	int64_t now = 1000000;
+	std::vector<std::unique_ptr<Instance>> all;
+	std::vector<std::string> seeds;
+	std::map<std::string, Instance *> by_address;
+	std::function<bool(const Instance &, const Instance &)> cut =
+		[](const Instance &, const Instance &) { return false; };
+};
+
+using Names = std::vector<std::string>;
+
+} // namespace
+
+/* Guards against an instance that the others don't know in a small deployment. */
+TEST(Mesh, FewInstancesAllTellEachOther)
+{
+	Deployment d(3, 3, 64);
+
+	d.run(4000);
+	EXPECT_EQ(d.unaware(9), 0);
+	EXPECT_EQ(d.first(), Names{ "dc0-000" });
+	EXPECT_TRUE(d.delegates().empty());
+	for (auto &i : d.all)
+		i->sent = 0;
+	d.run(STEP_MS * 4);
+	for (auto &i : d.all)
+		EXPECT_GE(i->sent, 8 * 4) << i->id;
+}
+
+/*
+ * Guards against a cut that lasts longer than what waits on connections (26 s on the platform) and
+ * after which neither side tells the other one anything again.
+ */
+TEST(Mesh, FindsTheOthersAgainAfterALongCut)
+{
+	for (int large_from : { 64, 2 }) {
+		Deployment d(3, 3, large_from);
+
+		d.run(5000);
+		ASSERT_EQ(d.unaware(9), 0) << large_from;
+		d.cut = [](const Instance &a, const Instance &b) {
+			return (a.dc == "dc2") != (b.dc == "dc2");
+		};
+		d.run(240000);
+		EXPECT_EQ(d.first(), (Names{ "dc0-000", "dc2-000" })) << large_from;
+		d.cut = [](const Instance &, const Instance &) { return false; };
+		d.run(10000);
+		EXPECT_EQ(d.unaware(9), 0) << large_from;
+		EXPECT_EQ(d.first(), Names{ "dc0-000" }) << large_from;
+	}
+}
+
+/*
+ * Load: 300 instances in 4 data centres that start together. Guards against messages and
+ * connections that grow with the square of the deployment.
+ */
+TEST(Mesh, LargeDeploymentsTalkThroughDelegates)
+{
+	Deployment d(4, 75, 64);
+
+	d.run(15000);
+	EXPECT_EQ(d.unaware(300), 0);
+	EXPECT_EQ(d.delegates(), (Names{ "dc0-000", "dc1-000", "dc2-000", "dc3-000" }));
+	EXPECT_EQ(d.first(), Names{ "dc0-000" });
+	for (auto &i : d.all)
+		i->sent = 0;
+	d.run(STEP_MS * 8);
+	for (auto &i : d.all) {
+		/* 74 of its own data centre; a delegate also 3 others, and some that it tries. */
+		EXPECT_LE(i->sent, 8 * 74 + (mesh_delegate(i->mesh) ? 8 * 3 + 6 : 0)) << i->id;
+	}
+}
+
+/* Guards against a data centre that is unheard once its delegate has died. */
+TEST(Mesh, AnotherInstanceSpeaksForADataCentreWhoseDelegateDied)
+{
+	Deployment d(4, 20, 64);
+
+	d.run(10000);
+	ASSERT_EQ(d.unaware(80), 0);
+	d.at("dc0-000").up = false;
+	d.at("dc3-000").up = false;
+	d.run(12000);
+	EXPECT_EQ(d.delegates(), (Names{ "dc0-001", "dc1-000", "dc2-000", "dc3-001" }));
+	EXPECT_EQ(d.first(), Names{ "dc0-001" });
+	EXPECT_EQ(d.unaware(78), 0);
+	/* With two data centres nobody else could tell them of each other. */
+	Deployment two(2, 40, 64);
+	two.run(15000);
+	two.at("dc0-000").up = false;
+	two.at("dc1-000").up = false;
+	two.run(20000);
+	EXPECT_EQ(two.delegates(), (Names{ "dc0-001", "dc1-001" }));
+	EXPECT_EQ(two.unaware(78), 0);
+}
+
+/* Guards against a new instance that stays alone when its seeds are in other data centres. */
+TEST(Mesh, NewInstanceJoinsThroughSeedsOfOtherDataCentres)
+{
+	Deployment d(4, 20, 64);
+
+	d.run(10000);
+	Instance &i = d.add("dc3", 50);
+	d.start(i);
+	d.run(8000);
+	EXPECT_EQ(mesh_near(i.mesh), 21);
+	EXPECT_EQ(d.unaware(81), 0);
+	EXPECT_FALSE(mesh_delegate(i.mesh));
+	EXPECT_TRUE(mesh_is_large(i.mesh));
+	/* One whose name comes first speaks for its data centre. */
+	Instance &first = d.add("dc3", -1);
+	first.id = "dc2-999-first";
+	d.start(first);
+	d.run(10000);
+	EXPECT_EQ(d.delegates(), (Names{ "dc0-000", "dc1-000", "dc2-000", "dc2-999-first" }));
+	EXPECT_EQ(d.unaware(82), 0);
+}
+
+/*
+ * Guards against instances that lose each other for good under kills, restarts and cuts that
+ * overlap. Prints the seed.
+ */
+TEST(Mesh, ConvergesAfterRandomKillsAndCuts)
+{
+	unsigned first = std::random_device{}() % 100000;
+
+	for (unsigned seed = first; seed < first + 4; seed++) {
+		std::mt19937 rng(seed);
+		Deployment d(4, 17, seed % 2 ? 64 : 1000);
+		std::set<std::string> apart;
+
+		d.cut = [&apart](const Instance &a, const Instance &b) {
+			return a.dc != b.dc && (apart.count(a.dc) || apart.count(b.dc));
+		};
+		for (int k = 0; k < 60; k++) {
+			Instance &i = *d.all[rng() % d.all.size()];
+			std::string dc = "dc" + std::to_string(rng() % 4);
+
+			switch (rng() % 4) {
+			case 0:
+				i.up = false;
+				break;
+			case 1:
+				i.incarnation++;
+				d.start(i);
+				break;
+			case 2:
+				apart.insert(dc);
+				break;
+			case 3:
+				apart.erase(dc);
+				break;
+			}
+			d.run((int64_t)(rng() % 8) * 1000);
+		}
+		apart.clear();
+		int live = 0;
+		std::string lowest = "z";
+		for (auto &i : d.all) {
+			live += i->up;
+			if (i->up && i->id < lowest)
+				lowest = i->id;
+		}
+		/* Gone members are tried one a second. */
+		d.run(90000);
+		EXPECT_EQ(d.unaware(live), 0) << "seed " << seed;
+		EXPECT_EQ(d.first(), Names{ lowest }) << "seed " << seed;
+	}
+}
