store_watch: ask again for changes that other instances have seen

Change: messages between instances tell the newest change seen of each table. An instance that lacks one for longer than its feed's pause and 500 ms gives up its wait and asks on a new connection.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -218,6 +218,8 @@
 	int64_t now = clock_boot_ms();
 
 	directory_step(&e->directory, now);
+	for (int i = 0; i < SHARING_TABLES; i++)
+		store_watch_step(e->watches[i], now);
 	exchanges_sweep(e, now);
 	callers_sweep(e, now);
 	ready_note(e);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -131,7 +131,7 @@
 	struct endpoint *by_tag;
 	struct cds_list_head services;
 	struct cds_list_head callers;
-	struct store_watch *watches[2];
+	struct store_watch *watches[SHARING_TABLES];
 	struct quarantine *suspects;
 	struct peers *peers;
 	struct stages *stages;
@@ -222,6 +222,15 @@
 struct store_watch *store_watch_create(struct entry *e, const char *table);
 void store_watch_destroy(struct store_watch *w);
 
+/** store_watch_newest - version of the newest change of the table that has been seen */
+int64_t store_watch_newest(const struct store_watch *w);
+
+/** store_watch_told - another instance has seen a change of @version */
+void store_watch_told(struct store_watch *w, int64_t version);
+
+/** store_watch_step - give up a wait for changes that others have seen and this one has not */
+void store_watch_step(struct store_watch *w, int64_t now_ms);
+
 /* handover.c */
 
 /** handover_encode - append what this instance knows of configuration and endpoints */
--- a/entry/peers_share.c
+++ b/entry/peers_share.c
@@ -105,6 +105,8 @@
 	str_copy(n->peer, sizeof(n->peer), str_from(e->settings.peer.listen));
 	n->state = e->stopping ? MEMBER_DRAINING : MEMBER_LIVE;
 	n->config_version = e->table ? e->table->version : 0;
+	for (int i = 0; i < SHARING_TABLES; i++)
+		s->row_versions[i] = e->watches[i] ? store_watch_newest(e->watches[i]) : 0;
 	s->part_count = p->part_count;
 	memcpy(s->parts, p->parts, sizeof(*p->parts) * (size_t)p->part_count);
 	fill_suspects(s, p->suspects, p->suspect_count);
--- a/entry/peers_take.c
+++ b/entry/peers_take.c
@@ -181,6 +181,8 @@
 	struct peer_view *v;
 
 	take_news(p, in, now);
+	for (int i = 0; i < SHARING_TABLES; i++)
+		store_watch_told(p->entry->watches[i], s->row_versions[i]);
 	take_parts(p->entry, s);
 	take_suspects(p, s, far);
 	for (int i = 0; i < s->leaving_count; i++) {
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -28,6 +28,12 @@
 #define FEED_PAUSE_PER_INSTANCE_MS 10
 #define FEED_PAUSE_MAX_MS 700
 
+/*
+ * An instance whose wait is well learns of a change within the pause of the feed and this time, in
+ * milliseconds. One that has not while another one has waits on a connection that has gone silent.
+ */
+#define BEHIND_MARGIN_MS 500
+
 /* Pause after a failed call: doubled from the first to the last value, in milliseconds. */
 #define RETRY_MIN_MS 150
 #define RETRY_MAX_MS 1000
@@ -43,6 +49,9 @@
  * @listing: the whole table is being read, else changes are waited for
  * @after: last key of the pages read so far
  * @version: the next feed goes on from here
+ * @newest: version of the newest change seen
+ * @told: the same as other instances have told
+ * @behind_ms: changes that others have seen are missing since then; 0 when none are
  * @down: the last call failed
  */
 struct store_watch {
@@ -54,6 +63,9 @@
 	bool listing;
 	char after[256];
 	int64_t version;
+	int64_t newest;
+	int64_t told;
+	int64_t behind_ms;
 	bool down;
 	int failures;
 	int64_t asked_ms;
@@ -129,6 +141,8 @@
 	bool config = strcmp(w->table, STORE_TABLE_OPERATOR) == 0;
 
 	for (int i = 0; i < rows->count; i++) {
+		if (rows->rows[i].version > w->newest)
+			w->newest = rows->rows[i].version;
 		if (config)
 			apply_config(w, &rows->rows[i]);
 		else
@@ -158,11 +172,20 @@
 	}
 }
 
+static int64_t feed_pause(const struct store_watch *w)
+{
+	int64_t pause =
+		FEED_PAUSE_MS + (int64_t)peers_most(w->entry->peers) * FEED_PAUSE_PER_INSTANCE_MS;
+
+	return pause < FEED_PAUSE_MAX_MS ? pause : FEED_PAUSE_MAX_MS;
+}
+
 static void on_rows(struct store_watch *w, struct str body)
 {
 	struct store_rows rows;
 	struct error err = { 0 };
-	int64_t age, pause;
+	int64_t pause = feed_pause(w);
+	int64_t age;
 
 	if (store_rows_decode(body, &rows, &err) < 0) {
 		log_warn("store-response-ignored", "table=%s error=\"%s\"", w->table, err.text);
@@ -178,9 +201,6 @@
 			w->version = rows.version;
 	}
 	store_rows_free(&rows);
-	pause = FEED_PAUSE_MS + (int64_t)peers_most(w->entry->peers) * FEED_PAUSE_PER_INSTANCE_MS;
-	if (pause > FEED_PAUSE_MAX_MS)
-		pause = FEED_PAUSE_MAX_MS;
 	age = clock_boot_ms() - w->asked_ms;
 	ask_after(w, w->listing || age >= pause ? 0 : pause - age);
 }
@@ -237,6 +257,36 @@
 	buf_free(&request);
 }
 
+int64_t store_watch_newest(const struct store_watch *w)
+{
+	return w->newest;
+}
+
+void store_watch_told(struct store_watch *w, int64_t version)
+{
+	if (version > w->told)
+		w->told = version;
+}
+
+void store_watch_step(struct store_watch *w, int64_t now_ms)
+{
+	bool behind = w->told > w->version && w->call && !w->listing && !w->down;
+
+	if (!behind)
+		w->behind_ms = 0;
+	else if (!w->behind_ms)
+		w->behind_ms = now_ms;
+	if (!behind || now_ms - w->behind_ms < feed_pause(w) + BEHIND_MARGIN_MS)
+		return;
+	log_warn("feed-behind", "table=%s version=%" PRId64 " told=%" PRId64 " waited_ms=%" PRId64,
+		 w->table, w->version, w->told, now_ms - w->asked_ms);
+	w->behind_ms = 0;
+	/* Closes the connection; the next call makes a new one. */
+	store_call_cancel(w->call);
+	w->call = NULL;
+	ask_after(w, 0);
+}
+
 struct store_watch *store_watch_create(struct entry *e, const char *table)
 {
 	struct store_watch *w = mem_zalloc(sizeof(*w));
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -9,6 +9,7 @@
 #define SHARING_PARTS_MAX 512
 #define SHARING_SUSPECTS_MAX 32
 #define SHARING_LEAVING_MAX 64
+#define SHARING_TABLES 2
 
 /**
  * struct shared_load - requests of the sender at one engine
@@ -44,13 +45,13 @@
 
 /**
  * struct peer_sharing - what an instance tells the others several times a second
- * @list_version: newest row of the list of endpoints that the sender has seen
+ * @row_versions: newest change that the sender has seen of each table of the store it follows
  * @leaving: tags of endpoints that the sender knows to be leaving
  * @changing: tags of engines that carry out an order of the sender
  */
 struct peer_sharing {
 	struct mesh_news news;
-	int64_t list_version;
+	int64_t row_versions[SHARING_TABLES];
 	int load_count;
 	struct shared_load loads[SHARING_LOADS_MAX];
 	int part_count;
--- a/net/codec_sharing.c
+++ b/net/codec_sharing.c
@@ -119,7 +119,9 @@
 {
 	codec_put_array(b, 7);
 	put_news(b, &s->news);
-	codec_put_uint(b, (uint64_t)s->list_version);
+	codec_put_array(b, SHARING_TABLES);
+	for (int i = 0; i < SHARING_TABLES; i++)
+		codec_put_uint(b, (uint64_t)s->row_versions[i]);
 	put_loads(b, s);
 	put_parts(b, s);
 	codec_put_array(b, s->suspect_count);
@@ -136,7 +138,9 @@
 {
 	codec_get_tuple(r, 7);
 	get_news(r, &s->news);
-	s->list_version = (int64_t)codec_get_uint(r, INT64_MAX);
+	codec_get_tuple(r, SHARING_TABLES);
+	for (int i = 0; i < SHARING_TABLES; i++)
+		s->row_versions[i] = (int64_t)codec_get_uint(r, INT64_MAX);
 	get_loads(r, s);
 	get_parts(r, s);
 	s->suspect_count = codec_get_count(r, SHARING_SUSPECTS_MAX);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -210,6 +210,17 @@
 	{
 		grid->tell("/row", "{\"table\":\"op\",\"key\":\"config\",\"value\":" + text + "}");
 	}
+	/* Port of a proxy's way "store" to the store. */
+	int proxied_store(Standin &proxy)
+	{
+		json_t *o = proxy.send("POST", "/routes",
+				       "{\"name\":\"store\",\"target\":\"127.0.0.1:" +
+					       std::to_string(grid->route("store")) + "\"}");
+		int port = (int)json_get_i64(o, "port", 0);
+
+		json_decref(o);
+		return port;
+	}
 	void node(const std::string &id, const std::string &fault, int left = -1)
 	{
 		grid->tell("/node", "{\"id\":\"" + id + "\",\"fault\":\"" + fault +
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -71,7 +71,8 @@
 		text(rng, n->dcs[i].dc, sizeof(n->dcs[i].dc));
 		n->dcs[i].instances = (uint32_t)rng();
 	}
-	s->list_version = (int64_t)(rng() >> 1);
+	for (int64_t &v : s->row_versions)
+		v = (int64_t)(rng() >> 1);
 	s->load_count = (int)(rng() % (SHARING_LOADS_MAX + 1)) >> (rng() % 8);
 	for (int i = 0; i < s->load_count; i++)
 		s->loads[i] = { (uint32_t)rng(), (uint32_t)rng(), (uint32_t)rng() };
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -404,11 +404,7 @@
 	start_grid();
 	put_config(config(1));
 	Standin proxy("ibisgate-faultproxy", {});
-	json_t *o = proxy.send("POST", "/routes",
-			       "{\"name\":\"store\",\"target\":\"127.0.0.1:" +
-				       std::to_string(grid->route("store")) + "\"}");
-	store_port = (int)json_get_i64(o, "port", 0);
-	json_decref(o);
+	store_port = proxied_store(proxy);
 	struct harness_process *p = start_instance();
 	ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
 	sleep(1);
@@ -425,6 +421,32 @@
 	EXPECT_EQ(ask(p, request_text("order/x")).status, 503);
 }
 
+/*
+ * Load: a large deployment, where waits for changes are long. Guards against an instance that
+ * does not notice a change that the others have seen, since its wait has gone silent.
+ */
+TEST_F(EntryTest, ChangesThatOthersHaveSeenAreAskedForAgain)
+{
+	start_grid();
+	put_config(config(1));
+	struct harness_process *a = start_instance(0);
+	Standin proxy("ibisgate-faultproxy", {});
+	store_port = proxied_store(proxy);
+	struct harness_process *b = start_instance(1);
+	for (struct harness_process *p : { a, b })
+		ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+	sleep(2);
+	proxy.tell("/faults", "{\"route\":\"store\",\"mode\":\"silent\"}");
+	put_config(config(2, rule("fresh", "idempotent", "orders", 2, false)));
+	node_state("s0", "gone");
+	node_state("s1", "draining");
+	usleep(200000);
+	proxy.tell("/faults", "{\"route\":\"store\",\"mode\":\"pass\"}");
+	/* The platform's time for a change in force; the wait itself would last 3 s. */
+	EXPECT_TRUE(eventually([&] { return ask(b, request_text("fresh/x", "GET")).status == 503; },
+			       2000));
+}
+
 /* Guards against requests that a planned stop cuts off (LOST), and against a slow stop. */
 TEST_F(EntryTest, StopFinishesWhatRunsAndTakesNoMore)
 {
