peer bus: encode once for all receivers, no heartbeats of ZeroMQ's own

Cause: a message to 28 instances was encoded 28 times, each connection carried heartbeats of the library beside the confirmations that check_conns() already goes by, and each message woke the loop.

Change: peer_bus_send_all() shares one encoded packet; keep-alive probes free dead incoming connections; the loop is woken for the first message of a batch.

--- a/entry/peers.c
+++ b/entry/peers.c
@@ -41,6 +41,7 @@
 	struct peers *p = ctx;
 	struct inbox_entry *in;
 	uint64_t one = 1;
+	bool first;
 
 	if (m->kind != PEER_SHARING && m->kind != PEER_CONFIG_PART)
 		return;
@@ -53,6 +54,7 @@
 	else
 		in->sharing = *m->u.sharing;
 	pthread_mutex_lock(&p->lock);
+	first = !p->waiting;
 	if (p->waiting < INBOX_MAX) {
 		*p->last = in;
 		p->last = &in->next;
@@ -61,7 +63,7 @@
 	}
 	pthread_mutex_unlock(&p->lock);
 	inbox_free(in);
-	if (write(p->wake, &one, sizeof(one)) < 0 && errno != EAGAIN)
+	if (first && write(p->wake, &one, sizeof(one)) < 0 && errno != EAGAIN)
 		log_warn("peer-wake-failed", "error=\"%s\"", strerror(errno));
 }
 
--- a/entry/peers_share.c
+++ b/entry/peers_share.c
@@ -82,15 +82,18 @@
 /* Tells one side, of the own data centre and of others, unless there is nobody to tell. */
 static void share_side(struct peers *p, struct peer_message *m, bool far, int64_t now)
 {
-	const struct member *to[TARGETS_MAX];
-	int count = mesh_targets(p->mesh, far, to, TARGETS_MAX, now);
+	const struct member *members[TARGETS_MAX];
+	struct peer_target to[TARGETS_MAX];
+	int count = mesh_targets(p->mesh, far, members, TARGETS_MAX, now);
 
 	if (!count)
 		return;
 	mesh_tell(p->mesh, far, &m->u.sharing->news, now);
 	fill_endpoints(p, m->u.sharing, far, now);
+	/* Connections are kept by address: seeds have no other name. */
 	for (int i = 0; i < count; i++)
-		peer_bus_send(p->bus, to[i]->peer, to[i]->peer, m);
+		to[i] = (struct peer_target){ .id = members[i]->peer, .address = members[i]->peer };
+	peer_bus_send_all(p->bus, to, count, m);
 }
 
 void peers_share(struct peers *p, int64_t now)
--- a/include/ibisgate/net/peer.h
+++ b/include/ibisgate/net/peer.h
@@ -56,6 +56,16 @@
 void peer_bus_send(struct peer_bus *bus, const char *id, const char *address,
 		   struct peer_message *m);
 
+/** struct peer_target - instance @id at @address ("ip:port"); borrowed texts */
+struct peer_target {
+	const char *id;
+	const char *address;
+};
+
+/** peer_bus_send_all - as peer_bus_send() to @count instances, encoding the message once */
+void peer_bus_send_all(struct peer_bus *bus, const struct peer_target *to, int count,
+		       struct peer_message *m);
+
 /** peer_bus_confirm - @id has said that it hears this instance; any thread */
 void peer_bus_confirm(struct peer_bus *bus, const char *id);
 
--- a/net/peer.c
+++ b/net/peer.c
@@ -16,6 +16,10 @@
 #define SEND_HWM 256
 #define RECEIVE_HWM 4096
 #define POLL_MS 100
+/* Keep-alive of incoming connections: seconds until the first probe, between probes, and probes. */
+#define ROUTER_IDLE_S 10
+#define ROUTER_PROBE_S 5
+#define ROUTER_PROBES 3
 #define KEY_TEXT_SIZE 41
 #define KEY_SIZE 32
 #define ZAP_ADDRESS "inproc://zeromq.zap.01"
@@ -32,11 +36,17 @@
 	_Atomic int64_t confirmed_ms;
 };
 
+/** struct packet - an encoded message; @refs: of the destinations that it still waits for */
+struct packet {
+	_Atomic int refs;
+	struct buf data;
+};
+
 struct outgoing {
 	struct outgoing *next;
 	char id[MEMBER_ID_MAX];
 	char address[MEMBER_ADDR_MAX];
-	struct buf data;
+	struct packet *packet;
 };
 
 struct admitted {
@@ -102,8 +112,11 @@
 	bus->router = zmq_socket(bus->context, ZMQ_ROUTER);
 	set_int(bus->router, ZMQ_LINGER, 0);
 	set_int(bus->router, ZMQ_RCVHWM, RECEIVE_HWM);
-	set_int(bus->router, ZMQ_HEARTBEAT_IVL, (int)bus->suspect_ms);
-	set_int(bus->router, ZMQ_HEARTBEAT_TIMEOUT, (int)bus->suspect_ms * 2);
+	/* Frees what peers have left behind; check_conns() finds silent connections sooner. */
+	set_int(bus->router, ZMQ_TCP_KEEPALIVE, 1);
+	set_int(bus->router, ZMQ_TCP_KEEPALIVE_IDLE, ROUTER_IDLE_S);
+	set_int(bus->router, ZMQ_TCP_KEEPALIVE_INTVL, ROUTER_PROBE_S);
+	set_int(bus->router, ZMQ_TCP_KEEPALIVE_CNT, ROUTER_PROBES);
 	zmq_setsockopt(bus->router, ZMQ_MAXMSGSIZE, &max, sizeof(max));
 	if (bus->curve_secret[0]) {
 		set_int(bus->router, ZMQ_CURVE_SERVER, 1);
@@ -160,9 +173,17 @@
 	return bus;
 }
 
+static void packet_put(struct packet *p)
+{
+	if (atomic_fetch_sub(&p->refs, 1) > 1)
+		return;
+	buf_free(&p->data);
+	free(p);
+}
+
 static void outgoing_destroy(struct outgoing *out)
 {
-	buf_free(&out->data);
+	packet_put(out->packet);
 	free(out);
 }
 
@@ -202,21 +223,19 @@
 	return bus->port;
 }
 
-void peer_bus_send(struct peer_bus *bus, const char *id, const char *address,
-		   struct peer_message *m)
+static struct outgoing *outgoing_create(struct packet *packet, const char *id, const char *address)
 {
 	struct outgoing *out = mem_zalloc(sizeof(*out));
-	struct error err = { 0 };
 
-	str_copy(m->sender, sizeof(m->sender), str_from(bus->id));
-	m->incarnation = bus->incarnation;
-	m->hlc = hlc_now();
 	str_copy(out->id, sizeof(out->id), str_from(id));
 	str_copy(out->address, sizeof(out->address), str_from(address));
-	if (!address[0] || peer_message_encode(m, &out->data, &err)) {
-		outgoing_destroy(out);
-		return;
-	}
+	atomic_fetch_add(&packet->refs, 1);
+	out->packet = packet;
+	return out;
+}
+
+static void enqueue(struct peer_bus *bus, struct outgoing *out)
+{
 	pthread_mutex_lock(&bus->lock);
 	if (bus->queued < QUEUE_MAX) {
 		*bus->last = out;
@@ -230,6 +249,31 @@
 		outgoing_destroy(out);
 }
 
+void peer_bus_send_all(struct peer_bus *bus, const struct peer_target *to, int count,
+		       struct peer_message *m)
+{
+	struct packet *packet = mem_zalloc(sizeof(*packet));
+	struct error err = { 0 };
+
+	packet->refs = 1;
+	str_copy(m->sender, sizeof(m->sender), str_from(bus->id));
+	m->incarnation = bus->incarnation;
+	m->hlc = hlc_now();
+	if (peer_message_encode(m, &packet->data, &err) == 0) {
+		for (int i = 0; i < count; i++) {
+			if (to[i].address[0])
+				enqueue(bus, outgoing_create(packet, to[i].id, to[i].address));
+		}
+	}
+	packet_put(packet);
+}
+
+void peer_bus_send(struct peer_bus *bus, const char *id, const char *address,
+		   struct peer_message *m)
+{
+	peer_bus_send_all(bus, &(struct peer_target){ .id = id, .address = address }, 1, m);
+}
+
 static struct peer_conn *conn_find(struct peer_bus *bus, const char *id)
 {
 	for (int i = 0; i < bus->conn_count; i++) {
@@ -276,8 +320,6 @@
 	set_int(c->dealer, ZMQ_SNDHWM, SEND_HWM);
 	set_int(c->dealer, ZMQ_RECONNECT_IVL, 100);
 	set_int(c->dealer, ZMQ_RECONNECT_IVL_MAX, 1000);
-	set_int(c->dealer, ZMQ_HEARTBEAT_IVL, (int)bus->suspect_ms);
-	set_int(c->dealer, ZMQ_HEARTBEAT_TIMEOUT, (int)bus->suspect_ms * 2);
 	if (key) {
 		zmq_setsockopt(c->dealer, ZMQ_CURVE_SERVERKEY, key, KEY_TEXT_SIZE);
 		zmq_setsockopt(c->dealer, ZMQ_CURVE_PUBLICKEY, bus->curve_public, KEY_TEXT_SIZE);
@@ -321,14 +363,15 @@
 static void send_one(struct peer_bus *bus, struct outgoing *out, int64_t now)
 {
 	struct peer_conn *c = conn_for(bus, out, now);
+	const struct buf *data = &out->packet->data;
 
 	if (!c)
 		return;
 	c->used_ms = now;
-	if (!c->dealer || zmq_send(c->dealer, out->data.data, out->data.len, ZMQ_DONTWAIT) < 0)
+	if (!c->dealer || zmq_send(c->dealer, data->data, data->len, ZMQ_DONTWAIT) < 0)
 		return;
 	metric_add(METRIC_PEER_MESSAGES_OUT, 1);
-	metric_add(METRIC_PEER_BYTES_OUT, (int64_t)out->data.len);
+	metric_add(METRIC_PEER_BYTES_OUT, (int64_t)data->len);
 }
 
 static void send_queued(struct peer_bus *bus)
