--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -135,17 +135,27 @@
 	return pause < ASK_PAUSE_MIN_MS ? ASK_PAUSE_MIN_MS : pause;
 }
 
+static void ask_if_due(struct entry *e, struct endpoint *ep, int64_t pause, int64_t now_ms)
+{
+	if (e->cache_asks < ASKED_AT_ONCE && ep->cache && endpoint_open(ep, now_ms) &&
+	    (!ep->cache_asked_ms || now_ms - ep->cache_asked_ms >= pause))
+		ask(e, ep, now_ms);
+}
+
 void cache_sync_step(struct entry *e, int64_t now_ms)
 {
-	bool near = service_any_near(e);
-	int64_t pause = pause_of(e, near);
-	struct endpoint *ep;
-
-	cds_list_for_each_entry(ep, &e->endpoints, link) {
-		if (e->cache_asks >= ASKED_AT_ONCE)
-			return;
-		if (ep->cache && !(near && ep->dc) && endpoint_open(ep, now_ms) &&
-		    (!ep->cache_asked_ms || now_ms - ep->cache_asked_ms >= pause))
-			ask(e, ep, now_ms);
+	const struct service *s;
+
+	cds_list_for_each_entry(s, &e->services, link) {
+		int64_t pause = pause_of(e, s->near);
+		struct endpoint *ep;
+
+		if (s->near) {
+			cds_list_for_each_entry(ep, &s->here, here)
+				ask_if_due(e, ep, pause, now_ms);
+		} else {
+			cds_list_for_each_entry(ep, &s->endpoints, of_service)
+				ask_if_due(e, ep, pause, now_ms);
+		}
 	}
 }
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -76,11 +76,17 @@
 	}
 	if (entry->stage != STAGE_NONE)
 		ep->cache = cache_view_create(cache_capacity(e, entry->service));
+	ep->service = service_find(e, entry->service);
 	cds_list_add_tail(&ep->link, &e->endpoints);
+	cds_list_add_tail(&ep->of_service, &ep->service->endpoints);
+	if (ep->dc)
+		CDS_INIT_LIST_HEAD(&ep->here);
+	else
+		cds_list_add_tail(&ep->here, &ep->service->here);
 	if (!endpoint_by_tag(e, ep->tag))
 		HASH_ADD(by_tag, e->by_tag, tag, sizeof(ep->tag), ep);
 	/* What the others have told of it, or of an earlier process under its id. */
-	peers_sum_loads(e->peers, clock_boot_ms());
+	peers_sum_endpoint(e->peers, ep);
 }
 
 /* Another endpoint with the same tag takes the place of @ep in the index. */
@@ -103,6 +109,8 @@
 {
 	http_client_forget(e->endpoint_client, &ep->address);
 	cds_list_del(&ep->link);
+	cds_list_del(&ep->of_service);
+	cds_list_del(&ep->here);
 	endpoint_unindex(e, ep);
 	ep->listed = false;
 	endpoint_put(ep);
@@ -114,6 +122,12 @@
 	struct endpoint *ep = endpoint_find(e, entry->id);
 
 	e->listed_ms = clock_boot_ms();
+	e->near_stale = true;
+	/* Lists of services hold an endpoint by what its first entry said. */
+	if (change == DIRECTORY_UPDATED && ep &&
+	    (strcmp(ep->entry.service, entry->service) != 0 ||
+	     strcmp(ep->entry.dc, entry->dc) != 0))
+		change = DIRECTORY_REBORN;
 	log_info("endpoint",
 		 "endpoint=%s change=%s service=%s dc=%s address=%s stage=%d born=%lld "
 		 "list_version=%lld",
@@ -182,22 +196,35 @@
 	return false;
 }
 
+static int engines_in(const struct cds_list_head *list, bool here)
+{
+	const struct cds_list_head *link;
+	int n = 0;
+
+	cds_list_for_each(link, list)
+	{
+		const struct endpoint *ep =
+			here ? cds_list_entry(link, struct endpoint, here)
+			     : cds_list_entry(link, struct endpoint, of_service);
+
+		n += ep->cache && !ep->entry.leaving;
+	}
+	return n;
+}
+
 void services_near(struct entry *e)
 {
 	struct service *s;
 
+	if (!e->near_stale && e->near_instances == peers_most(e->peers))
+		return;
+	e->near_stale = false;
+	e->near_instances = peers_most(e->peers);
 	cds_list_for_each_entry(s, &e->services, link) {
-		const struct endpoint *ep;
-		int near = 0, total = 0;
+		int near = engines_in(&s->here, true);
+		int total = engines_in(&s->endpoints, false);
 		bool former = s->near;
 
-		cds_list_for_each_entry(ep, &e->endpoints, link) {
-			if (!ep->cache || ep->entry.leaving ||
-			    strcmp(ep->entry.service, s->name) != 0)
-				continue;
-			total++;
-			near += ep->dc == 0;
-		}
 		s->near = place_near(&e->settings.scope, near, total, peers_most(e->peers));
 		if (s->near != former)
 			log_info("service-near", "service=%s near=%d engines_here=%d engines=%d",
@@ -205,6 +232,16 @@
 	}
 }
 
+double endpoint_failing(struct entry *e, const struct endpoint *ep, int64_t now_ms)
+{
+	if (now_ms != e->dc_failing_ms) {
+		for (int i = 0; i <= ENTRY_DCS_MAX; i++)
+			e->dc_failing[i] = dc_health_share(&e->dc_health[i], now_ms);
+		e->dc_failing_ms = now_ms;
+	}
+	return ep->failure_share + e->dc_failing[ep->dc < ENTRY_DCS_MAX ? ep->dc : ENTRY_DCS_MAX];
+}
+
 struct service *service_find(struct entry *e, const char *name)
 {
 	struct service *s;
@@ -215,6 +252,8 @@
 	}
 	s = mem_zalloc(sizeof(*s));
 	str_copy(s->name, sizeof(s->name), str_from(name));
+	CDS_INIT_LIST_HEAD(&s->endpoints);
+	CDS_INIT_LIST_HEAD(&s->here);
 	s->speed = (struct place_speed){
 		.prefill_per_ms = e->settings.engines.prefill_tokens_per_ms,
 		.mixed_per_ms = e->settings.engines.mixed_tokens_per_ms,
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -249,16 +249,13 @@
 	struct endpoint *ep;
 	double least = 0;
 
-	cds_list_for_each_entry(ep, &x->entry->endpoints, link) {
+	cds_list_for_each_entry(ep, &x->service->endpoints, of_service) {
 		double score;
 
-		if (strcmp(ep->entry.service, x->spec->name) != 0 || !endpoint_open(ep, now_ms) ||
-		    exchange_tried(x, ep))
+		if (!endpoint_open(ep, now_ms) || exchange_tried(x, ep))
 			continue;
 		score = ep->active + (ep->dc ? CALL_REMOTE : 0) +
-			CALL_FAILING *
-				(ep->failure_share +
-				 dc_health_share(entry_dc_health(x->entry, ep->dc), now_ms)) +
+			CALL_FAILING * endpoint_failing(x->entry, ep, now_ms) +
 			(double)(hash_mix(ep->hash, (uint64_t)x->begun_ms) & 1023) / 8192;
 		if (best && score >= least)
 			continue;
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -255,9 +255,7 @@
 		.backlog_tokens = ep->backlog_tokens + ep->others_backlog,
 		.active = ep->active + ep->others_active,
 		.slots = ep->entry.slots,
-		.penalty_ms =
-			FAILING_MS * (ep->failure_share +
-				      dc_health_share(entry_dc_health(x->entry, ep->dc), now_ms)),
+		.penalty_ms = FAILING_MS * endpoint_failing(x->entry, ep, now_ms),
 		.home_score = hash_mix(home_key(x), ep->hash),
 	};
 
@@ -283,13 +281,17 @@
 static int view_all(const struct exchange *x, bool near, int64_t now_ms,
 		    struct place_engine *engines, struct endpoint **eps)
 {
-	struct endpoint *ep;
+	struct cds_list_head *list = near ? &x->service->here : &x->service->endpoints;
+	struct cds_list_head *link;
 	int count = 0;
 
-	cds_list_for_each_entry(ep, &x->entry->endpoints, link) {
-		if (count == ENGINES_MAX || (near && ep->dc) ||
-		    strcmp(ep->entry.service, x->spec->name) != 0)
-			continue;
+	cds_list_for_each(link, list)
+	{
+		struct endpoint *ep = near ? cds_list_entry(link, struct endpoint, here)
+					   : cds_list_entry(link, struct endpoint, of_service);
+
+		if (count == ENGINES_MAX)
+			break;
 		eps[count] = ep;
 		engines[count++] = view(x, ep, now_ms);
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -31,8 +31,12 @@
  * downward: caller.c -> exchange.c -> attempt.c -> endpoints.c and net/http_client.c.
  */
 
+struct service;
+
 /**
  * struct endpoint - an endpoint as this instance uses it
+ * @service: the service that it is of, which lists it while it is listed
+ * @here: link among those of its service in this data centre
  * @refs: the list's reference while it is listed, and one for each attempt
  * @dc: number of its data centre, see entry_dc()
  * @backlog_tokens: uncached prompt tokens that this instance has sent and that are not yet read
@@ -54,6 +58,9 @@
  */
 struct endpoint {
 	struct cds_list_head link;
+	struct service *service;
+	struct cds_list_head of_service;
+	struct cds_list_head here;
 	struct endpoint_entry entry;
 	struct http_address address;
 	int refs;
@@ -89,6 +96,8 @@
 
 /**
  * struct service - what this instance knows of a service beside its configuration
+ * @endpoints: those that are listed
+ * @here: those of them in this data centre
  * @finish: time from first to last token, by the urgency of the rule
  * @demand: work of the two stages that callers ask for
  * @near: this data centre has engines enough to serve its callers, see place_near()
@@ -97,6 +106,8 @@
 struct service {
 	struct cds_list_head link;
 	char name[DIRECTORY_NAME_MAX];
+	struct cds_list_head endpoints;
+	struct cds_list_head here;
 	struct extra_budget budget;
 	struct place_speed speed;
 	struct finish_estimate finish[SERVICE_URGENCIES];
@@ -125,6 +136,8 @@
 	struct buf config_text;
 	struct directory directory;
 	bool endpoints_known;
+	bool near_stale;
+	int near_instances;
 	int64_t listed_ms;
 	bool was_ready;
 	struct cds_list_head endpoints;
@@ -138,6 +151,8 @@
 	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
 	int dc_count;
 	struct dc_health dc_health[ENTRY_DCS_MAX + 1];
+	double dc_failing[ENTRY_DCS_MAX + 1];
+	int64_t dc_failing_ms;
 	struct cds_list_head exchange_list;
 	int exchanges;
 	int cache_asks;
@@ -174,9 +189,15 @@
 /** service_any_near - some service is served by the engines of this data centre */
 bool service_any_near(const struct entry *e);
 
-/** services_near - look which services have engines enough in this data centre */
+/** services_near - look which services have engines enough in this data centre, after changes */
 void services_near(struct entry *e);
 
+/**
+ * endpoint_failing - share of attempts that failed lately, of those to the endpoint and of those
+ * to its data centre: 0 to 2
+ */
+double endpoint_failing(struct entry *e, const struct endpoint *ep, int64_t now_ms);
+
 /* store_call.c */
 struct store_call;
 
@@ -248,8 +269,8 @@
 void peers_note_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens,
 		     enum shared_part_state state);
 
-/** peers_sum_loads - sum what the instances heard lately have told of each endpoint */
-void peers_sum_loads(struct peers *p, int64_t now_ms);
+/** peers_sum_endpoint - what the others have told of an endpoint that has just been listed */
+void peers_sum_endpoint(const struct peers *p, struct endpoint *ep);
 
 /** peers_note_load - the loads of this instance have changed */
 void peers_note_load(struct peers *p);
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -83,6 +83,9 @@
 
 /* peers_take.c */
 
+/** peers_sum_loads - sum what the instances heard lately have told of each endpoint */
+void peers_sum_loads(struct peers *p, int64_t now_ms);
+
 /** peers_take - take over one message of another instance */
 void peers_take(struct peers *p, const struct inbox_entry *in, int64_t now_ms);
 
--- a/entry/peers_take.c
+++ b/entry/peers_take.c
@@ -26,20 +26,36 @@
 	return &p->views[p->view_count++];
 }
 
+static void load_add(struct endpoint *ep, const struct shared_load *load, bool far, int sign)
+{
+	ep->others_backlog += sign * (int64_t)load->backlog_tokens;
+	ep->others_active += sign * (int)load->active;
+	if (!far)
+		return;
+	ep->far_backlog += sign * (int64_t)load->backlog_tokens;
+	ep->far_active += sign * (int)load->active;
+}
+
 /* Adds what one instance has told to the sums of the endpoints, or takes it away. */
 static void loads_add(struct entry *e, const struct peer_view *v, int sign)
 {
 	for (int k = 0; k < v->count; k++) {
 		struct endpoint *ep = endpoint_by_tag(e, v->loads[k].tag);
 
-		if (!ep)
-			continue;
-		ep->others_backlog += sign * (int64_t)v->loads[k].backlog_tokens;
-		ep->others_active += sign * (int)v->loads[k].active;
-		if (!v->far)
-			continue;
-		ep->far_backlog += sign * (int64_t)v->loads[k].backlog_tokens;
-		ep->far_active += sign * (int)v->loads[k].active;
+		if (ep)
+			load_add(ep, &v->loads[k], v->far, sign);
+	}
+}
+
+void peers_sum_endpoint(const struct peers *p, struct endpoint *ep)
+{
+	for (int i = 0; p && i < p->view_count; i++) {
+		const struct peer_view *v = &p->views[i];
+
+		for (int k = 0; v->summed && k < v->count; k++) {
+			if (v->loads[k].tag == ep->tag)
+				load_add(ep, &v->loads[k], v->far, 1);
+		}
 	}
 }
 
@@ -51,12 +67,9 @@
 /* Between two sums each message changes only what its sender had told before. */
 void peers_sum_loads(struct peers *p, int64_t now)
 {
-	struct entry *e;
+	struct entry *e = p->entry;
 	struct endpoint *ep;
 
-	if (!p)
-		return;
-	e = p->entry;
 	cds_list_for_each_entry(ep, &e->endpoints, link) {
 		ep->others_backlog = 0;
 		ep->others_active = 0;
