mesh: tell all where data centres use each other's engines

Cause: with 64 instances or more before fewer than 24 engines a data centre the engines of all are used, but the parts that they keep were told inside the data centre only since delegates exist.

Change: instances that know their endpoints and whose services need the engines of other data centres tell all, as before.

Test: LargeDeploymentsOfFewEnginesTellAll.

--- a/state/mesh.c
+++ b/state/mesh.c
@@ -20,6 +20,7 @@
 	struct member_table *members;
 	int large_from;
 	bool large;
+	bool tell_all;
 	/* Where the next message goes on in the table with the members that it tells of. */
 	unsigned int tell_turn;
 	/* The same for members to probe, near ones and far ones, and when one was probed last. */
@@ -56,9 +57,14 @@
 	return member_at(m->members, 0);
 }
 
+void mesh_tell_all(struct mesh *m, bool all)
+{
+	m->tell_all = all;
+}
+
 bool mesh_is_large(const struct mesh *m)
 {
-	return m->large;
+	return m->large && !m->tell_all;
 }
 
 bool mesh_is_far(const struct mesh *m, const struct member *other)
@@ -68,7 +74,7 @@
 
 bool mesh_delegate(const struct mesh *m)
 {
-	return m->large && member_delegate(m->members, self_of(m)->dc) == self_of(m);
+	return mesh_is_large(m) && member_delegate(m->members, self_of(m)->dc) == self_of(m);
 }
 
 bool mesh_speaks_for_dc(const struct mesh *m, const char *id)
@@ -102,7 +108,7 @@
 
 	for (int i = 0; i < m->dc_count; i++)
 		told += (int)m->dcs[i].instances;
-	return m->large && told > heard ? told : heard;
+	return mesh_is_large(m) && told > heard ? told : heard;
 }
 
 bool mesh_first(const struct mesh *m)
@@ -288,9 +294,9 @@
 
 static bool wants(const struct mesh *m, const struct member *other, bool far, int64_t now_ms)
 {
-	bool apart = m->large && far;
+	bool apart = mesh_is_large(m) && far;
 
-	if (!other->peer[0] || other->state == MEMBER_GONE || (m->large && is_seed(other)))
+	if (!other->peer[0] || other->state == MEMBER_GONE || (mesh_is_large(m) && is_seed(other)))
 		return false;
 	/* One that has heard of nobody else yet is answered. */
 	if (apart && !(is_heard(other, now_ms) && !other->hears_us) &&
@@ -305,10 +311,11 @@
 	if (other == self_of(m) || !other->peer[0] || mesh_is_far(m, other) != far)
 		return false;
 	/* Of a data centre from which somebody is heard, its delegate is enough. */
-	if (far && m->large && (!mesh_delegate(m) || member_delegate(m->members, other->dc)))
+	if (far && mesh_is_large(m) &&
+	    (!mesh_delegate(m) || member_delegate(m->members, other->dc)))
 		return false;
 	if (is_seed(other))
-		return m->large && mesh_delegate(m) && !address_heard(m, other);
+		return mesh_delegate(m) && !address_heard(m, other);
 	return other->state == MEMBER_GONE;
 }
 
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -613,7 +613,7 @@
 TEST_F(EntryTest, DelegatesTellOtherDataCentresOfRequestsThatCrashEndpoints)
 {
 	data_centres = 2;
-	more_settings = "[place]\nnear-instances = 2\n";
+	more_settings = "[place]\nnear-engines = 1\nnear-instances = 2\n";
 	start_grid(2, 1, 4);
 	put_config(config(1));
 	std::vector<struct harness_process *> all;
--- a/tests/test_mesh.cc
+++ b/tests/test_mesh.cc
@@ -219,6 +219,25 @@
 	}
 }
 
+/* Guards against data centres that use each other's engines and learn late what those keep. */
+TEST(Mesh, LargeDeploymentsOfFewEnginesTellAll)
+{
+	Deployment d(4, 20, 64);
+
+	/* An instance knows its engines some seconds after the start of all at the latest. */
+	d.run(3000);
+	for (auto &i : d.all)
+		mesh_tell_all(i->mesh, true);
+	d.run(10000);
+	EXPECT_TRUE(d.delegates().empty());
+	EXPECT_EQ(d.unaware(80), 0);
+	for (auto &i : d.all)
+		i->sent = 0;
+	d.run(STEP_MS);
+	for (auto &i : d.all)
+		EXPECT_GE(i->sent, 79) << i->id;
+}
+
 /* Guards against a data centre that is unheard once its delegate has died. */
 TEST(Mesh, AnotherInstanceSpeaksForADataCentreWhoseDelegateDied)
 {
