tests: loopback addresses of their own for each test process

Cause (soak seed 119 beside another soak, seen once): all deployments of the tests used 127.0.0.11 to 13 and a peer port that nobody holds while an instance is down. The other run's instance listened there, and the restarted one ended with 'Address already in use', status 1.

Change: the addresses follow from the process id.

--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -236,7 +236,7 @@
 	}
 	std::string settings_text(int index, double prefill_share)
 	{
-		std::string ip = "127.0.0." + std::to_string(11 + index);
+		std::string ip = ip_of(index);
 		std::string text =
 			"[instance]\nid = a-" + std::to_string(index) + "\ndata-centre = dc" +
 			std::to_string(index % data_centres) +
@@ -245,8 +245,8 @@
 			std::to_string(store_port ? store_port : grid->route("store")) +
 			"\n[http]\nlisten = " + ip + ":0\n[ready]\nlisten = " + ip +
 			":0\n[metrics]\nlisten = " + ip + ":0\n[peer]\nlisten = " + ip + ":" +
-			std::to_string(peer_port()) +
-			"\n[seeds]\nseed-0 = 127.0.0.11:1\n[bounds]\nretry-ratio = 0.2\n"
+			std::to_string(peer_port()) + "\n[seeds]\nseed-0 = " + ip_of(0) +
+			":1\n[bounds]\nretry-ratio = 0.2\n"
 			"retry-fixed = 58\nretry-window-ms = 10000\nstop-grace-ms = 8000\n"
 			"instances-min = 2\n[stages]\nprefill-share = " +
 			std::to_string(prefill_share) + "\n" + more_settings;
@@ -269,7 +269,18 @@
 	}
 	static std::string ip(const struct harness_process *p)
 	{
-		return "127.0.0." + std::to_string(11 + atoi(p->name + 2));
+		return ip_of(atoi(p->name + 2));
+	}
+	/*
+	 * Loopback addresses of this test process alone: the peer port is not held while an
+	 * instance is down, and another run could listen there (soak seed 119 beside seed 103).
+	 */
+	static std::string ip_of(int index)
+	{
+		int pid = (int)getpid();
+
+		return "127." + std::to_string(1 + pid / 250 % 250) + "." +
+		       std::to_string(pid % 250) + "." + std::to_string(11 + index);
 	}
 	int ready_status(const struct harness_process *p)
 	{
@@ -385,7 +396,7 @@
 			return chosen_port;
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 		sin.sin_family = AF_INET;
-		inet_pton(AF_INET, "127.0.0.11", &sin.sin_addr);
+		inet_pton(AF_INET, ip_of(0).c_str(), &sin.sin_addr);
 		EXPECT_EQ(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 		getsockname(fd, (struct sockaddr *)&sin, &len);
 		close(fd);
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -29,7 +29,7 @@
 TEST_F(EntryTest, KeptConnectionsAndChunkedBodies)
 {
 	struct harness_process *p = start_all();
-	Caller c(harness_port(p, "http"), "127.0.0.11");
+	Caller c(harness_port(p, "http"), ip(p).c_str());
 
 	for (int i = 0; i < 3; i++) {
 		c.send_text(request_text("order/x", "POST", "", std::string(5000, 'b')));
@@ -64,7 +64,7 @@
 	EXPECT_EQ(ask(p, base + "X-Big: " + std::string(5000, 'x') + "\r\n\r\n").status, 431);
 	EXPECT_EQ(ask(p, base + "Content-Length: 200000\r\n\r\n").status, 413);
 	/* A head that never ends. */
-	Caller slow(harness_port(p, "http"), "127.0.0.11");
+	Caller slow(harness_port(p, "http"), ip(p).c_str());
 	slow.send_text("POST /order/x HTTP/1.1\r\nHost: h.exa");
 	EXPECT_EQ(slow.read_answer(3000).status, 408);
 	EXPECT_EQ(run_count("bad") + run_count("hidden"), 0);
@@ -187,7 +187,7 @@
 TEST_F(EntryTest, EngineStopsSoonAfterTheCallerHasLeft)
 {
 	struct harness_process *p = start_all(2, 0);
-	Caller c(harness_port(p, "http"), "127.0.0.11");
+	Caller c(harness_port(p, "http"), ip(p).c_str());
 
 	grid->tell("/node", "{\"id\":\"\",\"event_ms\":20}");
 	c.send_text(stream_text("stream/x", 500));
@@ -451,8 +451,8 @@
 TEST_F(EntryTest, StopFinishesWhatRunsAndTakesNoMore)
 {
 	struct harness_process *p = start_all(2, 0);
-	Caller running(harness_port(p, "http"), "127.0.0.11");
-	Caller kept(harness_port(p, "http"), "127.0.0.11");
+	Caller running(harness_port(p, "http"), ip(p).c_str());
+	Caller kept(harness_port(p, "http"), ip(p).c_str());
 
 	grid->tell("/node", "{\"id\":\"\",\"event_ms\":20}");
 	kept.send_text(request_text("order/x"));
@@ -560,7 +560,7 @@
 TEST_F(EntryTest, PausedInstanceAnswersWhatHasExpiredAndGoesOn)
 {
 	struct harness_process *p = start_all(2, 0);
-	Caller c(harness_port(p, "http"), "127.0.0.11");
+	Caller c(harness_port(p, "http"), ip(p).c_str());
 
 	node("", "silent");
 	c.send_text(stream_text("brief/x"));
@@ -689,7 +689,7 @@
 
 	ask(p, request_text("order/x"));
 	ask(p, stream_text("stream/x"));
-	Caller c(harness_port(p, "metrics"), "127.0.0.11");
+	Caller c(harness_port(p, "metrics"), ip(p).c_str());
 	c.send_text("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
 	Answer a = c.read_answer(1000);
 	EXPECT_NE(a.body.find("ibisgate_requests_ok_total{instance=\"a-0\"} 2\n"),
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -105,9 +105,7 @@
 
 			if (!c || rng() % 20 == 0) {
 				at = (int)(rng() % INSTANCES);
-				c = std::make_unique<Caller>(
-					ports[at], ("127.0.0." + std::to_string(11 + at)).c_str(),
-					true);
+				c = std::make_unique<Caller>(ports[at], ip_of(at).c_str(), true);
 			}
 			{
 				std::lock_guard<std::mutex> hold(lock);
