--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -151,12 +151,20 @@
 	send_ask(a);
 }
 
-/* The one that has waited longest; of those never asked each instance takes another one first. */
+/*
+ * Those of this data centre, then the one that has waited longest; of those never asked each
+ * instance takes another one first. Before an instance knows how many others there are, it would
+ * else ask engines of other data centres that it will not use.
+ */
 static bool goes_before(const struct entry *e, const struct endpoint *ep,
 			const struct endpoint *other)
 {
-	if (!other || ep->cache_due_ms != other->cache_due_ms)
-		return !other || ep->cache_due_ms < other->cache_due_ms;
+	if (!other)
+		return true;
+	if (!ep->dc != !other->dc)
+		return !ep->dc;
+	if (ep->cache_due_ms != other->cache_due_ms)
+		return ep->cache_due_ms < other->cache_due_ms;
 	return hash_mix(ep->hash, e->self_hash) > hash_mix(other->hash, e->self_hash);
 }
 
--- a/include/ibisgate/state/mesh.h
+++ b/include/ibisgate/state/mesh.h
@@ -83,11 +83,11 @@
 int mesh_targets(struct mesh *m, bool far, const struct member **out, int max, int64_t now_ms);
 
 /**
- * mesh_tell_all - tell all instances also in a large deployment
+ * mesh_keep_flat - let all instances tell each other also in a large deployment
  *
  * For data centres that use each other's engines and have to know soon what those keep.
  */
-void mesh_tell_all(struct mesh *m, bool all);
+void mesh_keep_flat(struct mesh *m, bool flat);
 
 /** mesh_is_large - data centres talk through delegates */
 bool mesh_is_large(const struct mesh *m);
--- a/net/peer.c
+++ b/net/peer.c
@@ -36,17 +36,11 @@
 	_Atomic int64_t confirmed_ms;
 };
 
-/** struct packet - an encoded message; @refs: of the destinations that it still waits for */
-struct packet {
-	_Atomic int refs;
-	struct buf data;
-};
-
 struct outgoing {
 	struct outgoing *next;
 	char id[MEMBER_ID_MAX];
 	char address[MEMBER_ADDR_MAX];
-	struct packet *packet;
+	struct buf data;
 };
 
 struct admitted {
@@ -173,17 +167,9 @@
 	return bus;
 }
 
-static void packet_put(struct packet *p)
-{
-	if (atomic_fetch_sub(&p->refs, 1) > 1)
-		return;
-	buf_free(&p->data);
-	free(p);
-}
-
 static void outgoing_destroy(struct outgoing *out)
 {
-	packet_put(out->packet);
+	buf_free(&out->data);
 	free(out);
 }
 
@@ -223,14 +209,13 @@
 	return bus->port;
 }
 
-static struct outgoing *outgoing_create(struct packet *packet, const char *id, const char *address)
+static struct outgoing *outgoing_create(const struct peer_target *to, struct str data)
 {
 	struct outgoing *out = mem_zalloc(sizeof(*out));
 
-	str_copy(out->id, sizeof(out->id), str_from(id));
-	str_copy(out->address, sizeof(out->address), str_from(address));
-	atomic_fetch_add(&packet->refs, 1);
-	out->packet = packet;
+	str_copy(out->id, sizeof(out->id), str_from(to->id));
+	str_copy(out->address, sizeof(out->address), str_from(to->address));
+	buf_append_str(&out->data, data);
 	return out;
 }
 
@@ -252,20 +237,19 @@
 void peer_bus_send_all(struct peer_bus *bus, const struct peer_target *to, int count,
 		       struct peer_message *m)
 {
-	struct packet *packet = mem_zalloc(sizeof(*packet));
+	struct buf data = { 0 };
 	struct error err = { 0 };
 
-	packet->refs = 1;
 	str_copy(m->sender, sizeof(m->sender), str_from(bus->id));
 	m->incarnation = bus->incarnation;
 	m->hlc = hlc_now();
-	if (peer_message_encode(m, &packet->data, &err) == 0) {
+	if (peer_message_encode(m, &data, &err) == 0) {
 		for (int i = 0; i < count; i++) {
 			if (to[i].address[0])
-				enqueue(bus, outgoing_create(packet, to[i].id, to[i].address));
+				enqueue(bus, outgoing_create(&to[i], buf_str(&data)));
 		}
 	}
-	packet_put(packet);
+	buf_free(&data);
 }
 
 void peer_bus_send(struct peer_bus *bus, const char *id, const char *address,
@@ -363,15 +347,14 @@
 static void send_one(struct peer_bus *bus, struct outgoing *out, int64_t now)
 {
 	struct peer_conn *c = conn_for(bus, out, now);
-	const struct buf *data = &out->packet->data;
 
 	if (!c)
 		return;
 	c->used_ms = now;
-	if (!c->dealer || zmq_send(c->dealer, data->data, data->len, ZMQ_DONTWAIT) < 0)
+	if (!c->dealer || zmq_send(c->dealer, out->data.data, out->data.len, ZMQ_DONTWAIT) < 0)
 		return;
 	metric_add(METRIC_PEER_MESSAGES_OUT, 1);
-	metric_add(METRIC_PEER_BYTES_OUT, (int64_t)data->len);
+	metric_add(METRIC_PEER_BYTES_OUT, (int64_t)out->data.len);
 }
 
 static void send_queued(struct peer_bus *bus)
--- a/state/directory.c
+++ b/state/directory.c
@@ -93,11 +93,18 @@
 	d->changed(d->ctx, change, &s->entry);
 }
 
+/* The static analyser does not see that an index with @s in it is not empty. */
+static void slot_unindex(struct directory *d, struct directory_slot *s)
+{
+	if (d->by_id)
+		HASH_DEL(d->by_id, s);
+}
+
 static void slot_drop(struct directory *d, struct directory_slot *s)
 {
 	d->slots[s->at] = d->slots[--d->count];
 	d->slots[s->at]->at = s->at;
-	HASH_DEL(d->by_id, s);
+	slot_unindex(d, s);
 	d->changed(d->ctx, DIRECTORY_REMOVED, &s->entry);
 	free(s);
 }
--- a/state/member.c
+++ b/state/member.c
@@ -31,13 +31,20 @@
 	return (uint32_t)hash_mix(hash_str(str_from(id), 0), incarnation);
 }
 
+/* The static analyser does not see that an index with @s in it is not empty. */
+static void slot_unindex(struct member_table *t, struct slot *s)
+{
+	if (t->by_id)
+		HASH_DEL(t->by_id, s);
+}
+
 /* The slot of a member that is gone, taken out of the index; NULL when there is none. */
 static struct slot *slot_reuse(struct member_table *t)
 {
 	for (int i = 1; i < t->count; i++) {
 		if (t->slots[i]->member.state != MEMBER_GONE)
 			continue;
-		HASH_DEL(t->by_id, t->slots[i]);
+		slot_unindex(t, t->slots[i]);
 		return t->slots[i];
 	}
 	return NULL;
@@ -197,7 +204,7 @@
 	for (int i = t->count - 1; i > 0; i--) {
 		if (!forgotten(&t->slots[i]->member, now_ms))
 			continue;
-		HASH_DEL(t->by_id, t->slots[i]);
+		slot_unindex(t, t->slots[i]);
 		free(t->slots[i]);
 		t->slots[i] = t->slots[--t->count];
 	}
--- a/state/mesh.c
+++ b/state/mesh.c
@@ -16,14 +16,21 @@
 /* Instances of a data centre from which nobody is heard that are tried at the same time. */
 #define PROBES_FAR 2
 
+/**
+ * struct mesh - see mesh.h
+ * @large: there are or were @large_from instances
+ * @flat: all tell each other all the same
+ * @tell_turn: where in the table the next message goes on with the members that it tells of
+ * @probe_turn: the same for members to probe, near ones and far ones
+ * @probed_ms: when one of either was probed last
+ * @dcs: the other data centres, as delegates told last
+ */
 struct mesh {
 	struct member_table *members;
 	int large_from;
 	bool large;
-	bool tell_all;
-	/* Where the next message goes on in the table with the members that it tells of. */
+	bool flat;
 	unsigned int tell_turn;
-	/* The same for members to probe, near ones and far ones, and when one was probed last. */
 	unsigned int probe_turn[2];
 	int64_t probed_ms[2];
 	int dc_count;
@@ -57,14 +64,14 @@
 	return member_at(m->members, 0);
 }
 
-void mesh_tell_all(struct mesh *m, bool all)
+void mesh_keep_flat(struct mesh *m, bool flat)
 {
-	m->tell_all = all;
+	m->flat = flat;
 }
 
 bool mesh_is_large(const struct mesh *m)
 {
-	return m->large && !m->tell_all;
+	return m->large && !m->flat;
 }
 
 bool mesh_is_far(const struct mesh *m, const struct member *other)
@@ -162,7 +169,7 @@
 void mesh_tick(struct mesh *m, int64_t now_ms)
 {
 	member_tick(m->members, now_ms);
-	/* Known instances, heard or not: a start of all must not connect each one to every other.
+	/* Instances that are only known count: all start together, and each would connect to all.
 	 */
 	if (!m->large && (count_known(m) >= m->large_from || mesh_total(m) >= m->large_from))
 		m->large = true;
@@ -172,8 +179,6 @@
 {
 	int i = 0;
 
-	if (strcmp(d->dc, self_of(m)->dc) == 0)
-		return;
 	while (i < m->dc_count && strcmp(m->dcs[i].dc, d->dc) != 0)
 		i++;
 	if (i == MESH_DCS_MAX)
@@ -183,6 +188,14 @@
 		m->dc_count++;
 }
 
+static void dcs_set(struct mesh *m, const struct mesh_news *news)
+{
+	for (int i = 0; i < news->dc_count; i++) {
+		if (strcmp(news->dcs[i].dc, self_of(m)->dc) != 0)
+			dc_set(m, &news->dcs[i]);
+	}
+}
+
 bool mesh_hear(struct mesh *m, const char *id, uint64_t incarnation, const struct mesh_news *news,
 	       int64_t now_ms)
 {
@@ -205,10 +218,8 @@
 			      news->members[i].peer, now_ms);
 	/* Only delegates of a large deployment tell of data centres. */
 	m->large = m->large || news->dc_count > 0;
-	if (news->dc_count && !mesh_speaks_for_dc(m, id))
-		return fresh;
-	for (int i = 0; i < news->dc_count; i++)
-		dc_set(m, &news->dcs[i]);
+	if (news->dc_count && mesh_speaks_for_dc(m, id))
+		dcs_set(m, news);
 	return fresh;
 }
 
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -651,23 +651,31 @@
 		all.push_back(start_instance(i));
 	for (struct harness_process *p : all)
 		ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+	/* Three endpoints crash one after the other while they run @body, sent through @p. */
+	auto crash_three = [&](struct harness_process *p, const std::string &body) {
+		node("", "lose-answer");
+		for (int i = 0; i < 3; i++) {
+			EXPECT_EQ(ask(p, request_text("order/x", "POST", "", body)).status, 502);
+			auto r = runs(last_id());
+			ASSERT_EQ(r.size(), 1u);
+			node_state(r[0].node, "gone");
+			usleep(700000);
+		}
+		node("", "ok");
+	};
+	auto refuses = [&](struct harness_process *p, const std::string &body) {
+		return eventually(
+			[&] {
+				return ask(p, request_text("order/x", "POST", "", body)).status ==
+				       503;
+			},
+			2000);
+	};
+
 	/* Neither of the two instances that are asked is the first of its data centre. */
 	sleep(3);
-	node("", "lose-answer");
-	for (int i = 0; i < 3; i++) {
-		EXPECT_EQ(ask(all[2], request_text("order/x", "POST", "", "poison")).status, 502);
-		auto r = runs(last_id());
-		ASSERT_EQ(r.size(), 1u);
-		node_state(r[0].node, "gone");
-		usleep(700000);
-	}
-	node("", "ok");
-	EXPECT_TRUE(eventually(
-		[&] {
-			return ask(all[3], request_text("order/x", "POST", "", "poison")).status ==
-			       503;
-		},
-		2000));
+	crash_three(all[2], "poison");
+	EXPECT_TRUE(refuses(all[3], "poison"));
 	EXPECT_EQ(ask(all[3], request_text("order/x", "POST", "", "innocent")).status, 200);
 	/* The delegates die; what the others learn still gets through. */
 	for (int i : { 0, 1 }) {
@@ -678,21 +686,8 @@
 	for (const char *id : { "s0", "s1", "s2", "s3" })
 		node_state(id, "ready");
 	usleep(800000);
-	node("", "lose-answer");
-	for (int i = 0; i < 3; i++) {
-		EXPECT_EQ(ask(all[3], request_text("order/x", "POST", "", "second")).status, 502);
-		auto r = runs(last_id());
-		ASSERT_EQ(r.size(), 1u);
-		node_state(r[0].node, "gone");
-		usleep(700000);
-	}
-	node("", "ok");
-	EXPECT_TRUE(eventually(
-		[&] {
-			return ask(all[2], request_text("order/x", "POST", "", "second")).status ==
-			       503;
-		},
-		2000));
+	crash_three(all[3], "second");
+	EXPECT_TRUE(refuses(all[2], "second"));
 }
 
 /*
--- a/tests/test_mesh.cc
+++ b/tests/test_mesh.cc
@@ -227,7 +227,7 @@
 	/* An instance knows its engines some seconds after the start of all at the latest. */
 	d.run(3000);
 	for (auto &i : d.all)
-		mesh_tell_all(i->mesh, true);
+		mesh_keep_flat(i->mesh, true);
 	d.run(10000);
 	EXPECT_TRUE(d.delegates().empty());
 	EXPECT_EQ(d.unaware(80), 0);
