cache_sync: few engines of other data centres a tick where the own ones may do

Change: where the own data centre has engines enough, those of others are asked at most 6 a tick, as before; in small deployments all are asked at the new rate.

--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -15,6 +15,10 @@
  */
 #define ASKS_PER_TICK 30
 
+/* Of these, calls to engines of other data centres: a large deployment turns out not to use them.
+ */
+#define FAR_ASKS_PER_TICK 6
+
 /* Limits of one call in milliseconds. */
 #define ASK_CONNECT_MS 300
 #define ASK_SILENCE_MS 1000
@@ -153,8 +157,7 @@
 
 /*
  * Those of this data centre, then the one that has waited longest; of those never asked each
- * instance takes another one first. Before an instance knows how many others there are, it would
- * else ask engines of other data centres that it will not use.
+ * instance takes another one first.
  */
 static bool goes_before(const struct entry *e, const struct endpoint *ep,
 			const struct endpoint *other)
@@ -170,6 +173,7 @@
 
 static struct endpoint *next_due(const struct entry *e, int64_t now_ms)
 {
+	bool some_far = e->cache_asks_left > ASKS_PER_TICK - FAR_ASKS_PER_TICK;
 	struct endpoint *best = NULL;
 	const struct service *s;
 
@@ -183,8 +187,8 @@
 				s->near ? cds_list_entry(link, struct endpoint, here)
 					: cds_list_entry(link, struct endpoint, of_service);
 
-			if (ep->cache && now_ms >= ep->cache_due_ms && endpoint_open(ep, now_ms) &&
-			    goes_before(e, ep, best))
+			if (ep->cache && (far || !ep->dc) && now_ms >= ep->cache_due_ms &&
+			    endpoint_open(ep, now_ms) && goes_before(e, ep, best))
 				best = ep;
 		}
 	}
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -1,3 +1,4 @@
+#include <limits.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -226,6 +227,7 @@
 		bool former = s->near;
 
 		s->near = place_near(&e->settings.scope, near, total, peers_most(e->peers));
+		s->may_be_near = place_near(&e->settings.scope, near, total, INT_MAX);
 		if (s->near != former)
 			log_info("service-near", "service=%s near=%d engines_here=%d engines=%d",
 				 s->name, s->near, near, total);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -101,6 +101,7 @@
  * @finish: time from first to last token, by the urgency of the rule
  * @demand: work of the two stages that callers ask for
  * @near: this data centre has engines enough to serve its callers, see place_near()
+ * @may_be_near: @near, if the deployment has instances enough
  * @prefill_share: share of the engines that is to prefill; negative while none is aimed at
  */
 struct service {
@@ -113,6 +114,7 @@
 	struct finish_estimate finish[SERVICE_URGENCIES];
 	struct stage_demand demand;
 	bool near;
+	bool may_be_near;
 	double prefill_share;
 };
 
