--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -180,6 +180,7 @@
 	cds_list_for_each_entry(s, &e->services, link) {
 		const struct cds_list_head *list = s->near ? &s->here : &s->endpoints;
 		struct cds_list_head *link;
+		bool far = some_far || !s->may_be_near;
 
 		cds_list_for_each(link, list)
 		{
