peers: no mesh of all at a start where data centres may do with their own engines

Cause: instances that know their endpoints told all others while no service was near, which at a start is so until 64 instances are heard.

Change: all tell each other only where no data centre has engines enough, however many instances there are.

--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -182,8 +182,7 @@
 		struct cds_list_head *link;
 		bool far = some_far || !s->may_be_near;
 
-		cds_list_for_each(link, list)
-		{
+		cds_list_for_each(link, list) {
 			struct endpoint *ep =
 				s->near ? cds_list_entry(link, struct endpoint, here)
 					: cds_list_entry(link, struct endpoint, of_service);
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -197,13 +197,25 @@
 	return false;
 }
 
+bool services_share_engines(const struct entry *e)
+{
+	const struct service *s;
+
+	if (!e->endpoints_known || e->near_stale)
+		return false;
+	cds_list_for_each_entry(s, &e->services, link) {
+		if (s->may_be_near)
+			return false;
+	}
+	return true;
+}
+
 static int engines_in(const struct cds_list_head *list, bool here)
 {
 	const struct cds_list_head *link;
 	int n = 0;
 
-	cds_list_for_each(link, list)
-	{
+	cds_list_for_each(link, list) {
 		const struct endpoint *ep =
 			here ? cds_list_entry(link, struct endpoint, here)
 			     : cds_list_entry(link, struct endpoint, of_service);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -200,6 +200,9 @@
 /** service_any_near - some service is served by the engines of this data centre */
 bool service_any_near(const struct entry *e);
 
+/** services_share_engines - no data centre has engines enough, however many instances there are */
+bool services_share_engines(const struct entry *e);
+
 /** services_near - look which services have engines enough in this data centre, after changes */
 void services_near(struct entry *e);
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -119,7 +119,7 @@
 		mesh_is_large(p->mesh) ? mesh_near(p->mesh) : member_count(mesh_members(p->mesh));
 	struct timeval tv;
 
-	mesh_keep_flat(p->mesh, p->entry->endpoints_known && !service_any_near(p->entry));
+	mesh_keep_flat(p->mesh, services_share_engines(p->entry));
 	mesh_tick(p->mesh, now);
 	if (mesh_total(p->mesh) > p->most)
 		p->most = mesh_total(p->mesh);
