--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -15,7 +15,9 @@
  */
 #define ASKS_PER_TICK 30
 
-/* Of these, calls to engines of other data centres: a large deployment turns out not to use them.
+/*
+ * Of these, calls to engines of other data centres while the own one may have engines enough:
+ * whether the deployment is a large one, which does without them, shows seconds after a start.
  */
 #define FAR_ASKS_PER_TICK 6
 
@@ -183,9 +185,7 @@
 		bool far = some_far || !s->may_be_near;
 
 		cds_list_for_each(link, list) {
-			struct endpoint *ep =
-				s->near ? cds_list_entry(link, struct endpoint, here)
-					: cds_list_entry(link, struct endpoint, of_service);
+			struct endpoint *ep = service_endpoint(link, s->near);
 
 			if (ep->cache && (far || !ep->dc) && now_ms >= ep->cache_due_ms &&
 			    endpoint_open(ep, now_ms) && goes_before(e, ep, best))
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -210,15 +210,13 @@
 	return true;
 }
 
-static int engines_in(const struct cds_list_head *list, bool here)
+static int engines_in(struct cds_list_head *list, bool here)
 {
-	const struct cds_list_head *link;
+	struct cds_list_head *link;
 	int n = 0;
 
 	cds_list_for_each(link, list) {
-		const struct endpoint *ep =
-			here ? cds_list_entry(link, struct endpoint, here)
-			     : cds_list_entry(link, struct endpoint, of_service);
+		const struct endpoint *ep = service_endpoint(link, here);
 
 		n += ep->cache && !ep->entry.leaving;
 	}
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -286,8 +286,7 @@
 	int count = 0;
 
 	cds_list_for_each(link, list) {
-		struct endpoint *ep = near ? cds_list_entry(link, struct endpoint, here)
-					   : cds_list_entry(link, struct endpoint, of_service);
+		struct endpoint *ep = service_endpoint(link, near);
 
 		if (count == ENGINES_MAX)
 			break;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -118,6 +118,13 @@
 	double prefill_share;
 };
 
+/** service_endpoint - endpoint of a link in a service's list @here, else in its list of all */
+static inline struct endpoint *service_endpoint(struct cds_list_head *link, bool here)
+{
+	return here ? cds_list_entry(link, struct endpoint, here)
+		    : cds_list_entry(link, struct endpoint, of_service);
+}
+
 #define ENTRY_DCS_MAX 32
 
 /**
