Weigh pauses of running generations when a prompt is placed

The placement knew only a small weight for a disturbed generation.

- policy/place.c: if the prompts waiting on a decode engine, with this one, would stretch an event beyond the limit of the rule, the placement costs the target time once for each generation there.
- policy/stage_demand.c: how much a full batch slows an engine down is measured instead of assumed to be 2.

--- a/entry/generation.c
+++ b/entry/generation.c
@@ -151,6 +151,13 @@
 	attempt_retry(x, "stream-out-of-order");
 }
 
+static double endpoint_used_fraction(const struct endpoint *ep)
+{
+	if (ep->entry.slots <= 0)
+		return 0;
+	return (double)(ep->active + ep->peer_active) / ep->entry.slots;
+}
+
 void generation_on_end(struct exchange *x)
 {
 	struct endpoint *ep = x->attempt.endpoint;
@@ -169,8 +176,14 @@
 	caller_write(x->caller, STR_LIT("0\r\n\r\n"));
 	finish_add_completed(generation_finish_estimate(x),
 			     (double)(clock_boot_ms() - x->first_byte_ms));
-	stage_demand_add_generation(&x->service->demand, x->in.output_tokens, x->events_sent,
-				    (double)(clock_boot_ms() - x->first_byte_ms));
+	stage_demand_add_generation(&x->service->demand,
+				    &(struct stage_generation){
+					    .tokens = x->in.output_tokens,
+					    .events = x->events_sent,
+					    .ms = (double)(clock_boot_ms() - x->first_byte_ms),
+					    .used_fraction = endpoint_used_fraction(ep),
+				    });
+	x->service->speed.event_interval_ms = x->service->demand.event_interval_ms;
 	exchange_stream_done(x);
 }
 
@@ -310,8 +323,12 @@
 
 static struct place_request place_request_of(const struct exchange *x)
 {
-	return (struct place_request){ .prompt_tokens = x->in.prompt_tokens,
-				       .shared_tokens = count_shared_tokens(x) };
+	return (struct place_request){
+		.prompt_tokens = x->in.prompt_tokens,
+		.shared_tokens = count_shared_tokens(x),
+		.target_ms = (double)x->rule->target_ms,
+		.gap_ms = (double)x->rule->gap_ms,
+	};
 }
 
 static bool generation_start_decode(struct exchange *x, struct endpoint *ep)
--- a/include/ibisgate/policy/place.h
+++ b/include/ibisgate/policy/place.h
@@ -12,12 +12,15 @@
  * @mixed_per_ms: the same for an engine that also decodes
  * @overhead_ms: time to first token of a fully cached prompt on an idle engine
  * @transfer_per_ms: tokens of KV cache moved per millisecond between two engines
+ * @event_interval_ms: time between two events of a generation that no prefill slows down; 0 when
+ *	unknown
  */
 struct place_speed {
 	double prefill_per_ms;
 	double mixed_per_ms;
 	double overhead_ms;
 	double transfer_per_ms;
+	double event_interval_ms;
 };
 
 /**
@@ -73,11 +76,15 @@
  * @prompt_tokens: length of the prompt
  * @shared_tokens: length of the prefix that other requests share
  * @dc: index of the data centre of this instance
+ * @target_ms: target time to first token; 0 when not given
+ * @gap_ms: longest time between two events that callers accept as in time; 0 when not given
  */
 struct place_request {
 	int64_t prompt_tokens;
 	int64_t shared_tokens;
 	int dc;
+	double target_ms;
+	double gap_ms;
 };
 
 /**
@@ -123,7 +130,8 @@
  *
  * Intended for prompts with long shared prefixes and engines of both stages with uneven backlogs.
  * Prefers engines that have the prefix cached; when they are busy, the cached KV blocks are copied
- * to another engine instead of being prefilled again.
+ * to another engine instead of being prefilled again. Long prompts are kept away from engines whose
+ * running generations they would stall for longer than callers accept.
  *
  * Return: true with @out set; false when no usable engine can decode.
  */
--- a/include/ibisgate/policy/stage_demand.h
+++ b/include/ibisgate/policy/stage_demand.h
@@ -13,6 +13,7 @@
  * @events: moving mean of the number of stream events of a generation
  * @events_per_token: moving mean of the events per token that the caller allows
  * @event_interval_ms: time between events on an engine with few generations; 0 without samples
+ * @busy_interval_ms: the same on an engine with at least DECODE_UTILISATION of its slots in use
  *
  * Each instance receives a sample of the same traffic, so the instances get the same ratio of the
  * stages without exchanging messages.
@@ -25,6 +26,21 @@
 	double events;
 	double events_per_token;
 	double event_interval_ms;
+	double busy_interval_ms;
+};
+
+/**
+ * struct stage_generation - a completed generation
+ * @tokens: maximum number of tokens that the caller allowed; 0 without a limit
+ * @events: number of events
+ * @ms: time from the first to the last event in milliseconds
+ * @used_fraction: part of the engine's slots in use when the generation ended
+ */
+struct stage_generation {
+	int64_t tokens;
+	int events;
+	double ms;
+	double used_fraction;
 };
 
 /**
@@ -38,14 +54,12 @@
 
 /**
  * stage_demand_add_generation - add a completed generation
- * @tokens: maximum number of tokens that the caller allowed; 0 without a limit
- * @events: number of events of the generation
- * @ms: time from the first to the last event in milliseconds
  *
  * While engines are overloaded, short generations complete more often than long ones, which biases
  * the mean. The work of a request is therefore estimated from the tokens that its caller allows.
+ * How much a full batch slows a generation down differs between models and is measured.
  */
-void stage_demand_add_generation(struct stage_demand *d, int64_t tokens, int events, double ms);
+void stage_demand_add_generation(struct stage_demand *d, const struct stage_generation *g);
 
 /** stage_demand_has_enough_samples - whether enough requests were counted to compute a share */
 bool stage_demand_has_enough_samples(const struct stage_demand *d);
--- a/policy/place.c
+++ b/policy/place.c
@@ -99,6 +99,20 @@
 	return SLOTS_FULL_MS * (used_fraction - SLOTS_FREE_FRACTION) / (1 - SLOTS_FREE_FRACTION);
 }
 
+/*
+ * Number of generations on a decode engine that would pause for too long if it prefilled
+ * @read_tokens. An event waits for all prefill work that comes before its last token.
+ */
+static int stalled_generations(const struct place_engine *e, int64_t read_tokens,
+			       const struct place_request *r, const struct place_speed *s)
+{
+	double prefill_ms = (double)(e->backlog_tokens + read_tokens) / s->mixed_per_ms;
+
+	if (r->gap_ms <= 0 || s->event_interval_ms + prefill_ms <= r->gap_ms)
+		return 0;
+	return e->active_requests;
+}
+
 static struct prefill_plan prefill_plan_for(const struct place_engine *e, int count, int engine,
 					    int source, const struct place_request *r,
 					    const struct place_speed *s,
@@ -127,7 +141,8 @@
 	out.cost += out.ms + work_ms * c->work_weight + e[engine].penalty_ms;
 	/* The prefill delays each token of the generations in progress. */
 	if (e[engine].stage == STAGE_DECODE)
-		out.cost += work_ms * c->disturb_weight * e[engine].active_requests;
+		out.cost += work_ms * c->disturb_weight * e[engine].active_requests +
+			    r->target_ms * stalled_generations(&e[engine], out.read_tokens, r, s);
 	return out;
 }
 
--- a/policy/stage_demand.c
+++ b/policy/stage_demand.c
@@ -12,8 +12,11 @@
 #define PREFILL_UTILISATION 0.7
 #define DECODE_UTILISATION 0.5
 
-/* At this utilisation, decode takes about twice as long per event as with a small batch. */
-#define DECODE_SLOWDOWN 2.0
+/*
+ * Time per event at this utilisation relative to that with a small batch: assumed while no
+ * generation has ended on such an engine, and the maximum, because longer times come from prefill.
+ */
+#define DECODE_SLOWDOWN_MAX 2.0
 
 /*
  * Bounds of the share. The upper bound keeps decode engines, which also take over prefill when
@@ -51,6 +54,15 @@
 	d->at_ms = now_ms;
 }
 
+static double decode_slowdown(const struct stage_demand *d)
+{
+	double slowdown = d->busy_interval_ms / d->event_interval_ms;
+
+	if (d->busy_interval_ms <= 0 || slowdown > DECODE_SLOWDOWN_MAX)
+		return DECODE_SLOWDOWN_MAX;
+	return slowdown < 1 ? 1 : slowdown;
+}
+
 void stage_demand_add_request(struct stage_demand *d, double prefill_ms, int64_t tokens, int slots,
 			      int64_t now_ms)
 {
@@ -59,29 +71,36 @@
 	decay(d, now_ms);
 	d->samples += 1;
 	d->prefill += prefill_ms / PREFILL_UTILISATION;
-	if (slots > 0)
-		d->decode += events * d->event_interval_ms * DECODE_SLOWDOWN /
+	if (slots > 0 && d->event_interval_ms > 0)
+		d->decode += events * d->event_interval_ms * decode_slowdown(d) /
 			     (slots * DECODE_UTILISATION);
 }
 
-void stage_demand_add_generation(struct stage_demand *d, int64_t tokens, int events, double ms)
+/* Follows the lowest samples, since prefill work on the same engine only makes them longer. */
+static void interval_add(double *interval_ms, double sample_ms)
 {
-	double per_token = tokens > 0 ? (double)events / (double)tokens : d->events_per_token;
-	double interval_ms;
+	if (*interval_ms <= 0 || sample_ms < *interval_ms)
+		*interval_ms = sample_ms;
+	else
+		*interval_ms += EVENT_INTERVAL_RISE * (sample_ms - *interval_ms);
+}
+
+void stage_demand_add_generation(struct stage_demand *d, const struct stage_generation *g)
+{
+	double per_token =
+		g->tokens > 0 ? (double)g->events / (double)g->tokens : d->events_per_token;
 
 	if (d->events <= 0)
-		d->events = events;
+		d->events = g->events;
 	if (d->events_per_token <= 0)
 		d->events_per_token = per_token;
-	d->events += EVENTS_WEIGHT * (events - d->events);
+	d->events += EVENTS_WEIGHT * (g->events - d->events);
 	d->events_per_token += EVENTS_WEIGHT * (per_token - d->events_per_token);
-	if (events < EVENT_INTERVAL_MIN_EVENTS)
+	if (g->events < EVENT_INTERVAL_MIN_EVENTS)
 		return;
-	interval_ms = ms / (events - 1);
-	if (d->event_interval_ms <= 0 || interval_ms < d->event_interval_ms)
-		d->event_interval_ms = interval_ms;
-	else
-		d->event_interval_ms += EVENT_INTERVAL_RISE * (interval_ms - d->event_interval_ms);
+	interval_add(&d->event_interval_ms, g->ms / (g->events - 1));
+	if (g->used_fraction >= DECODE_UTILISATION)
+		interval_add(&d->busy_interval_ms, g->ms / (g->events - 1));
 }
 
 bool stage_demand_has_enough_samples(const struct stage_demand *d)
--- a/tests/test_stage_demand.cc
+++ b/tests/test_stage_demand.cc
@@ -29,7 +29,12 @@
 
 	for (double t = (double)now; t < (double)until; t += 1000 / m.per_s) {
 		stage_demand_add_request(d, m.read_ms, m.tokens, SLOTS, (int64_t)t);
-		stage_demand_add_generation(d, m.tokens, m.events, (m.events - 1) * m.pace_ms);
+		struct stage_generation g = {};
+
+		g.tokens = m.tokens;
+		g.events = m.events;
+		g.ms = (m.events - 1) * m.pace_ms;
+		stage_demand_add_generation(d, &g);
 	}
 	return until;
 }
@@ -121,3 +126,30 @@
 		stage_demand_add_request(&d, 60, 8 * 120, SLOTS, 20000 + t);
 	EXPECT_LT(stage_demand_share(&d), 0.45);
 }
+
+/*
+ * Guards against decode engines that idle while prompts queue, in a fleet whose engines generate
+ * almost as fast with a full batch as with a small one.
+ */
+TEST(StageDemand, MeasuredSlowdownSetsDecodeDemand)
+{
+	struct stage_demand assumed = {};
+	struct stage_demand flat = {};
+	struct stage_demand steep = {};
+
+	for (int t = 0; t < 20000; t += 50) {
+		struct stage_generation idle = { 0, 9, 8 * 40.0, 0.1 };
+		struct stage_generation busy_flat = { 0, 9, 8 * 46.0, 0.6 };
+		struct stage_generation busy_steep = { 0, 9, 8 * 140.0, 0.6 };
+
+		for (struct stage_demand *d : { &assumed, &flat, &steep }) {
+			stage_demand_add_request(d, 20, 0, 48, t);
+			stage_demand_add_generation(d, &idle);
+		}
+		stage_demand_add_generation(&flat, &busy_flat);
+		stage_demand_add_generation(&steep, &busy_steep);
+	}
+	EXPECT_GT(stage_demand_share(&flat), stage_demand_share(&assumed) + 0.1);
+	/* Beyond the maximum, prefill on the same engines made the generations slow. */
+	EXPECT_NEAR(stage_demand_share(&steep), stage_demand_share(&assumed), 0.01);
+}
