Bound answers that are too large, never end or make no progress

Found while looking for what went wrong at similar systems: - A call's answer above 4 MiB was cut there and delivered as a complete success with the shorter length. It now fails (502, or another endpoint). - An event without an end was buffered until the deadline. An event is limited to 1 MiB; the stream continues on another engine or is visibly cut. - Comments and bytes kept a stalled resumable stream on its engine until the deadline.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -49,6 +49,7 @@
 
 	a->responded = true;
 	a->last_receive_ms = clock_boot_ms();
+	a->progress_ms = a->last_receive_ms;
 	a->endpoint->last_receive_ms = a->last_receive_ms;
 	dc_health_record(entry_dc_health(x->entry, a->endpoint->dc), true, a->last_receive_ms);
 	a->head = head;
@@ -64,6 +65,46 @@
 	       a->response.has_signature && !a->response.has_content_encoding;
 }
 
+static void attempt_fail(struct exchange *x, enum http_failure why)
+{
+	struct attempt *a = &x->attempt;
+	struct endpoint *ep = a->endpoint;
+	bool sent = why != HTTP_FAILURE_CONNECT;
+	enum wire_work work = a->work;
+
+	a->call = NULL;
+	log_info("attempt-failed", "request=%s endpoint=%s work=%d cause=%s sent=%d age_ms=%lld",
+		 x->in.id, ep->entry.id, (int)work, http_failure_name(why), sent,
+		 (long long)(clock_boot_ms() - a->sent_ms));
+	exchange_trail_add(x, ep, http_failure_name(why));
+	if (why != HTTP_FAILURE_STALE) {
+		endpoint_record_result(ep, false);
+		circuit_failure(&ep->circuit, why == HTTP_FAILURE_CONNECT, clock_boot_ms());
+	}
+	if (why == HTTP_FAILURE_CONNECT) {
+		dc_health_record(entry_dc_health(x->entry, ep->dc), false, clock_boot_ms());
+		if (a->budget_charged)
+			extra_budget_refund(&x->service->budget);
+	}
+	if (why == HTTP_FAILURE_CLOSED && work == WIRE_WORK_RUN)
+		suspect_connection_lost(x, ep);
+	if (why == HTTP_FAILURE_CONNECT)
+		suspect_endpoint_crashed(x->entry, ep);
+	if (why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_CONNECT)
+		http_client_close_idle(x->entry->endpoint_client, &ep->address);
+	if (why == HTTP_FAILURE_CONNECT && ep->cache)
+		cache_view_clear(ep->cache);
+	attempt_end(x);
+	if (sent && work == WIRE_WORK_RUN)
+		x->runs++;
+	attempt_retry(x, http_failure_name(why));
+}
+
+static void on_fail(void *ctx, enum http_failure why)
+{
+	attempt_fail(ctx, why);
+}
+
 static void on_body(void *ctx, struct str bytes)
 {
 	struct exchange *x = ctx;
@@ -75,8 +116,12 @@
 		generation_on_body(x, bytes);
 		return;
 	}
-	if (a->body.len + bytes.len <= RESPONSE_MAX_BYTES)
-		buf_append(&a->body, bytes.data, bytes.len);
+	if (a->body.len + bytes.len > RESPONSE_MAX_BYTES) {
+		http_exchange_cancel(a->call);
+		attempt_fail(x, HTTP_FAILURE_MALFORMED);
+		return;
+	}
+	buf_append(&a->body, bytes.data, bytes.len);
 }
 
 /* Handles a response which states that the endpoint did not run the request. */
@@ -105,7 +150,7 @@
 {
 	const struct endpoint_response *r = &x->attempt.response;
 
-	if (r->has_content_encoding || x->attempt.body.len > RESPONSE_MAX_BYTES)
+	if (r->has_content_encoding)
 		return false;
 	return (r->has_request_id && r->has_signature) || r->status >= 400;
 }
@@ -157,42 +202,6 @@
 		call_on_end(x);
 }
 
-static void on_fail(void *ctx, enum http_failure why)
-{
-	struct exchange *x = ctx;
-	struct attempt *a = &x->attempt;
-	struct endpoint *ep = a->endpoint;
-	bool sent = why != HTTP_FAILURE_CONNECT;
-	enum wire_work work = a->work;
-
-	a->call = NULL;
-	log_info("attempt-failed", "request=%s endpoint=%s work=%d cause=%s sent=%d age_ms=%lld",
-		 x->in.id, ep->entry.id, (int)work, http_failure_name(why), sent,
-		 (long long)(clock_boot_ms() - a->sent_ms));
-	exchange_trail_add(x, ep, http_failure_name(why));
-	if (why != HTTP_FAILURE_STALE) {
-		endpoint_record_result(ep, false);
-		circuit_failure(&ep->circuit, why == HTTP_FAILURE_CONNECT, clock_boot_ms());
-	}
-	if (why == HTTP_FAILURE_CONNECT) {
-		dc_health_record(entry_dc_health(x->entry, ep->dc), false, clock_boot_ms());
-		if (a->budget_charged)
-			extra_budget_refund(&x->service->budget);
-	}
-	if (why == HTTP_FAILURE_CLOSED && work == WIRE_WORK_RUN)
-		suspect_connection_lost(x, ep);
-	if (why == HTTP_FAILURE_CONNECT)
-		suspect_endpoint_crashed(x->entry, ep);
-	if (why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_CONNECT)
-		http_client_close_idle(x->entry->endpoint_client, &ep->address);
-	if (why == HTTP_FAILURE_CONNECT && ep->cache)
-		cache_view_clear(ep->cache);
-	attempt_end(x);
-	if (sent && work == WIRE_WORK_RUN)
-		x->runs++;
-	attempt_retry(x, http_failure_name(why));
-}
-
 static int64_t max_i64(int64_t a, int64_t b)
 {
 	return a > b ? a : b;
@@ -216,7 +225,8 @@
 		return false;
 	if (a->responded && a->work == WIRE_WORK_RUN)
 		return engine_silent_ms >=
-		       max_i64(r->target_ms, TOKEN_SILENCE_GAP_FACTOR * r->gap_ms);
+			       max_i64(r->target_ms, TOKEN_SILENCE_GAP_FACTOR * r->gap_ms) ||
+		       now - a->progress_ms >= generation_patience_ms(x);
 	return engine_silent_ms >=
 		       max_i64(ENGINE_SILENCE_TARGET_FACTOR * r->target_ms,
 			       r->target_ms + ENGINE_SILENCE_EXPECTED_FACTOR * expected_ms) ||
@@ -232,7 +242,7 @@
 	if (!call || !is_silent(x, now_ms))
 		return;
 	http_exchange_cancel(call);
-	on_fail(x, HTTP_FAILURE_TIMEOUT);
+	attempt_fail(x, HTTP_FAILURE_TIMEOUT);
 }
 
 static const struct http_exchange_ops attempt_ops = {
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -16,6 +16,7 @@
  * @read_tokens: prompt tokens that the engine had to read
  * @queue_ahead_tokens: backlog ahead of them when the request was sent
  * @last_receive_ms: when bytes of its response last arrived; initially when it was sent
+ * @progress_ms: when the head or the last event with a new id arrived
  * @prompt_pending: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded is set
  * @head: head of the response; valid while @call is
@@ -31,6 +32,7 @@
 	int64_t queue_ahead_tokens;
 	int64_t sent_ms;
 	int64_t last_receive_ms;
+	int64_t progress_ms;
 	bool prompt_pending;
 	bool responded;
 	struct endpoint_response response;
@@ -164,6 +166,12 @@
 void generation_on_end(struct exchange *x);
 void generation_on_prefilled(struct exchange *x);
 
+/**
+ * generation_patience_ms - time without a first or a next event after which callers give up, in
+ * milliseconds
+ */
+int64_t generation_patience_ms(const struct exchange *x);
+
 /**
  * generation_finish_estimate - statistics on the duration of generations with the request's
  * priority
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -14,6 +14,9 @@
 
 #define ENGINES_MAX 512
 
+/* Maximum size of one event in bytes; an engine may send one that never ends. */
+#define EVENT_MAX_BYTES (1 << 20)
+
 /* Number of engines that a filled KV cache is offered to before the prompt is read again. */
 #define CACHE_OFFERS_MAX 3
 
@@ -123,6 +126,7 @@
 			if (!in_order)
 				break;
 			x->last_event = ev.id;
+			x->attempt.progress_ms = clock_boot_ms();
 		}
 		x->events_sent++;
 		buf_append_str(&out, ev.raw);
@@ -133,22 +137,29 @@
 	return in_order;
 }
 
-void generation_on_body(struct exchange *x, struct str bytes)
+/* Ends an attempt whose bytes are not the expected events, and continues on another engine. */
+static void stream_abandon(struct exchange *x, const char *cause)
 {
 	struct endpoint *ep = x->attempt.endpoint;
 
-	generation_on_prompt_read(x);
-	event_stream_feed(&x->events, bytes);
-	if (relay_events(x))
-		return;
-	log_warn("stream-out-of-order", "request=%s endpoint=%s last_event=%" PRId64, x->in.id,
-		 ep->entry.id, x->last_event);
+	log_warn(cause, "request=%s endpoint=%s last_event=%" PRId64, x->in.id, ep->entry.id,
+		 x->last_event);
 	endpoint_record_result(ep, false);
-	exchange_trail_add(x, ep, "out-of-order");
+	exchange_trail_add(x, ep, cause);
 	attempt_end(x);
 	event_stream_reset(&x->events);
 	x->runs++;
-	attempt_retry(x, "stream-out-of-order");
+	attempt_retry(x, cause);
+}
+
+void generation_on_body(struct exchange *x, struct str bytes)
+{
+	generation_on_prompt_read(x);
+	event_stream_feed(&x->events, bytes);
+	if (!relay_events(x))
+		stream_abandon(x, "stream-out-of-order");
+	else if (event_stream_partial_bytes(&x->events) > EVENT_MAX_BYTES)
+		stream_abandon(x, "event-too-large");
 }
 
 static double endpoint_used_fraction(const struct endpoint *ep)
@@ -364,15 +375,21 @@
 	return at >= 0 && generation_start_decode(x, eps[at]);
 }
 
-static bool fits_deadline(const struct exchange *x, int64_t now_ms)
+int64_t generation_patience_ms(const struct exchange *x)
 {
 	const struct routing_rule *r = x->rule;
-	struct finish_limits limits = { .deadline_left_ms = (double)(x->deadline_ms - now_ms) };
 
-	limits.first_token_wait_ms =
-		fmax(PATIENCE_MIN_MS, (double)(PATIENCE_TARGET_FACTOR * r->target_ms));
-	limits.first_token_wait_ms =
-		fmax(limits.first_token_wait_ms, (double)(PATIENCE_GAP_FACTOR * r->gap_ms));
+	return (int64_t)fmax(PATIENCE_MIN_MS, fmax((double)(PATIENCE_TARGET_FACTOR * r->target_ms),
+						   (double)(PATIENCE_GAP_FACTOR * r->gap_ms)));
+}
+
+static bool fits_deadline(const struct exchange *x, int64_t now_ms)
+{
+	struct finish_limits limits = {
+		.deadline_left_ms = (double)(x->deadline_ms - now_ms),
+		.first_token_wait_ms = (double)generation_patience_ms(x),
+	};
+
 	return finish_is_in_time(generation_finish_estimate(x), x->choice.expected_first_token_ms,
 				 &limits);
 }
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -26,8 +26,10 @@
  * @HTTP_FAILURE_CONNECT: the connection could not be established; nothing was sent
  * @HTTP_FAILURE_STALE: a reused connection was closed before any byte of a response arrived
  * @HTTP_FAILURE_CLOSED: the connection was closed before or during the response
- * @HTTP_FAILURE_MALFORMED: the bytes received are not a valid response
- * @HTTP_FAILURE_TIMEOUT: no byte arrived within the read timeout of the exchange
+ * @HTTP_FAILURE_MALFORMED: the bytes received are not a valid response, or too many of them
+ *	belong to no response to this request
+ * @HTTP_FAILURE_TIMEOUT: no byte arrived within the read timeout of the exchange, or the response
+ *	was not complete within its total timeout
  */
 enum http_failure {
 	HTTP_FAILURE_CONNECT,
@@ -62,6 +64,7 @@
  *               belongs to an earlier request on the same connection
  * @connect_ms: timeout for establishing the connection, in milliseconds
  * @read_timeout_ms: read timeout in milliseconds, restarted by each received byte; 0 for none
+ * @total_ms: time until the response must be complete, in milliseconds; 0 for no limit
  */
 struct http_exchange_spec {
 	struct http_address to;
@@ -71,6 +74,7 @@
 	struct str match_value;
 	int connect_ms;
 	int read_timeout_ms;
+	int total_ms;
 };
 
 struct http_client;
--- a/include/ibisgate/net/http_collect.h
+++ b/include/ibisgate/net/http_collect.h
@@ -19,6 +19,7 @@
 
 /**
  * http_collect_start - send a request and collect the complete response
+ * @spec: without a total timeout, a multiple of the read timeout is used
  * @done: called once, after this function has returned, unless the call is cancelled; the call is
  *        freed afterwards
  * @ctx: argument of @done
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -18,6 +18,19 @@
 /* Fraction of the peer's Keep-Alive timeout for which an idle connection is reused. */
 #define KEEP_ALIVE_FRACTION 0.7
 
+/*
+ * Limits for interim responses and responses to earlier requests that arrive during one exchange.
+ * An endpoint may send them without end.
+ */
+#define SKIPPED_RESPONSES_MAX 8
+#define SKIPPED_BYTES_MAX (1 << 20)
+
+/**
+ * struct http_exchange - request in flight
+ * @until_ms: when the response must be complete; 0 for no limit
+ * @skipped_responses: responses skipped so far
+ * @skipped_bytes: size of their bodies
+ */
 struct http_exchange {
 	const struct http_exchange_ops *ops;
 	void *ctx;
@@ -25,6 +38,9 @@
 	char match_name[48];
 	char match_value[80];
 	int read_timeout_ms;
+	int64_t until_ms;
+	int skipped_responses;
+	size_t skipped_bytes;
 	bool head_seen;
 };
 
@@ -182,6 +198,12 @@
 	return fallback;
 }
 
+/* Returns -1, which ends the exchange, when there are too many. */
+static int skipped_response_count(struct http_exchange *x)
+{
+	return ++x->skipped_responses > SKIPPED_RESPONSES_MAX ? -1 : 0;
+}
+
 static int on_head(void *ctx, const struct http_head *head)
 {
 	struct connection *c = ctx;
@@ -193,14 +215,14 @@
 		return 0;
 	if (head->status < 200) {
 		c->is_skipping = true;
-		return 0;
+		return skipped_response_count(x);
 	}
 	c->is_skipping = x->match_name[0] && http_head_find(head, x->match_name, &value) &&
 			 !str_eq_cstr(value, x->match_value);
 	if (c->is_skipping) {
 		/* A connection that returned a response to another request is not reused. */
 		c->is_reusable = false;
-		return 0;
+		return skipped_response_count(x);
 	}
 	limit = keep_alive_ms(head, c->client->options.idle_ms);
 	c->idle_limit_ms = limit < c->client->options.idle_ms ? limit : c->client->options.idle_ms;
@@ -214,7 +236,11 @@
 {
 	struct connection *c = ctx;
 
-	if (c->exchange && !c->is_skipping)
+	if (!c->exchange)
+		return;
+	if (c->is_skipping)
+		c->exchange->skipped_bytes += bytes.len;
+	else
 		c->exchange->ops->on_body(c->exchange->ctx, bytes);
 }
 
@@ -273,6 +299,10 @@
 		c->is_closing = true;
 		goto out;
 	}
+	if (c->exchange->until_ms && clock_boot_ms() >= c->exchange->until_ms) {
+		exchange_fail(c, HTTP_FAILURE_TIMEOUT);
+		goto out;
+	}
 	while (c->exchange && evbuffer_get_length(in) > 0) {
 		size_t len = evbuffer_get_contiguous_space(in);
 		struct str bytes = { .data = (char *)evbuffer_pullup(in, (ev_ssize_t)len),
@@ -283,7 +313,7 @@
 		consumed = http_reader_feed(&c->reader, bytes);
 		if (!c->exchange)
 			goto out;
-		if (consumed < 0) {
+		if (consumed < 0 || c->exchange->skipped_bytes > SKIPPED_BYTES_MAX) {
 			exchange_fail(c, HTTP_FAILURE_MALFORMED);
 			goto out;
 		}
@@ -461,6 +491,7 @@
 	x->ops = ops;
 	x->ctx = ctx;
 	x->read_timeout_ms = spec->read_timeout_ms;
+	x->until_ms = spec->total_ms ? clock_boot_ms() + spec->total_ms : 0;
 	if (spec->match_name) {
 		str_copy(x->match_name, sizeof(x->match_name), str_from(spec->match_name));
 		str_copy(x->match_value, sizeof(x->match_value), spec->match_value);
--- a/net/http_collect.c
+++ b/net/http_collect.c
@@ -2,6 +2,12 @@
 
 #include "ibisgate/net/http_collect.h"
 
+/* Maximum size of a response in bytes; the largest ones are whole tables of the store. */
+#define COLLECT_MAX_BYTES (16 << 20)
+
+/* Time for the whole response, as a multiple of the read timeout. */
+#define COLLECT_TOTAL_FACTOR 4
+
 struct http_collect {
 	struct http_exchange *exchange;
 	struct buf body;
@@ -17,13 +23,6 @@
 	call->status = head->status;
 }
 
-static void on_body(void *ctx, struct str bytes)
-{
-	struct http_collect *call = ctx;
-
-	buf_append(&call->body, bytes.data, bytes.len);
-}
-
 static void collect_finish(struct http_collect *call, const struct http_result *r)
 {
 	call->done(call->ctx, r);
@@ -31,6 +30,18 @@
 	free(call);
 }
 
+static void on_body(void *ctx, struct str bytes)
+{
+	struct http_collect *call = ctx;
+
+	if (call->body.len + bytes.len <= COLLECT_MAX_BYTES) {
+		buf_append(&call->body, bytes.data, bytes.len);
+		return;
+	}
+	http_exchange_cancel(call->exchange);
+	collect_finish(call, &(struct http_result){ .failure = HTTP_FAILURE_MALFORMED });
+}
+
 static void on_end(void *ctx)
 {
 	struct http_collect *call = ctx;
@@ -57,10 +68,13 @@
 					void *ctx)
 {
 	struct http_collect *call = mem_zalloc(sizeof(*call));
+	struct http_exchange_spec bounded = *spec;
 
+	if (!bounded.total_ms)
+		bounded.total_ms = COLLECT_TOTAL_FACTOR * spec->read_timeout_ms;
 	call->done = done;
 	call->ctx = ctx;
-	call->exchange = http_exchange_start(c, spec, &collect_ops, call);
+	call->exchange = http_exchange_start(c, &bounded, &collect_ops, call);
 	return call;
 }
 
--- /dev/null
+++ b/tests/test_http_client.cc
@@ -0,0 +1,258 @@
+#include <gtest/gtest.h>
+
+#include <event2/event.h>
+
+#include "tiny_server.h"
+
+extern "C" {
+#include "ibisgate/common/clock.h"
+#include "ibisgate/net/http_client.h"
+#include "ibisgate/net/http_collect.h"
+}
+
+namespace
+{
+
+constexpr int READ_TIMEOUT_MS = 200;
+
+std::string request_id(const std::string &request)
+{
+	size_t at = request.find("X-Id: ");
+
+	return request.substr(at + 6, request.find("\r\n", at) - at - 6);
+}
+
+std::string response(const std::string &id, const std::string &body)
+{
+	return "HTTP/1.1 200 OK\r\nX-Id: " + id +
+	       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+struct answer {
+	bool done = false;
+	int status = 0;
+	std::string body;
+	enum http_failure failure = HTTP_FAILURE_CONNECT;
+	int64_t took_ms = 0;
+};
+
+class HttpClient : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		struct http_client_options options = { 5000, 2, 2000 };
+
+		base = event_base_new();
+		client = http_client_create(base, &options);
+	}
+	void TearDown() override
+	{
+		http_client_destroy(client);
+		event_base_free(base);
+	}
+	void run_for(int ms)
+	{
+		struct timeval tv = { ms / 1000, ms % 1000 * 1000 };
+
+		event_base_loopexit(base, &tv);
+		event_base_dispatch(base);
+	}
+	struct answer fetch(const TinyServer &server, const std::string &id, int limit_ms = 3000)
+	{
+		std::string text = "GET / HTTP/1.1\r\nHost: x\r\nX-Id: " + id + "\r\n\r\n";
+		struct http_exchange_spec spec = {};
+		struct answer out;
+		int64_t from = clock_boot_ms();
+
+		spec.to = { 0x7f000001, (uint16_t)server.port };
+		spec.request = { text.data(), text.size() };
+		spec.match_name = "X-Id";
+		spec.match_value = { id.data(), id.size() };
+		spec.connect_ms = 1000;
+		spec.read_timeout_ms = READ_TIMEOUT_MS;
+		struct http_collect *call = http_collect_start(client, &spec, on_done, &out);
+		while (!out.done && clock_boot_ms() - from < limit_ms)
+			run_for(5);
+		if (!out.done)
+			http_collect_cancel(call);
+		out.took_ms = clock_boot_ms() - from;
+		return out;
+	}
+	static void on_done(void *ctx, const struct http_result *r)
+	{
+		struct answer *out = static_cast<struct answer *>(ctx);
+
+		out->done = true;
+		out->status = r->status;
+		out->failure = r->failure;
+		if (r->status)
+			out->body.assign(r->body.data, r->body.len);
+	}
+
+	struct event_base *base = nullptr;
+	struct http_client *client = nullptr;
+};
+
+/* Sends @text again and again until the client closes; returns the number of bytes sent. */
+size_t send_endlessly(int fd, const std::string &text)
+{
+	int64_t until = clock_boot_ms() + 3000;
+	size_t sent = 0;
+
+	while (clock_boot_ms() < until) {
+		ssize_t n = send(fd, text.data(), text.size(), MSG_NOSIGNAL);
+
+		if (n <= 0)
+			break;
+		sent += (size_t)n;
+	}
+	return sent;
+}
+
+} // namespace
+
+/*
+ * Guards against the next request getting a second copy of an earlier answer that arrives late on a
+ * connection in use again: before the request, between it and its answer, or after its answer.
+ */
+TEST_F(HttpClient, LateSecondCopiesAreNotTheNextAnswer)
+{
+	for (int when = 0; when < 4; when++) {
+		std::string previous;
+		TinyServer server([&](int fd, const std::string &request) {
+			std::string id = request_id(request);
+			std::string own = response(id, "answer " + id);
+
+			if (when == 1 && !previous.empty())
+				TinyServer::send_bytes(fd, previous);
+			TinyServer::send_bytes(fd, own);
+			if (when == 0)
+				TinyServer::send_bytes(fd, own);
+			if (when == 2 && !previous.empty())
+				TinyServer::send_bytes(fd, previous);
+			if (when == 3) {
+				usleep(20000);
+				TinyServer::send_bytes(fd, own);
+			}
+			previous = own;
+			return true;
+		});
+
+		for (int i = 0; i < 8; i++) {
+			std::string id = "r" + std::to_string(when * 10 + i);
+			struct answer a = fetch(server, id);
+
+			EXPECT_EQ(a.status, 200) << when << " " << id;
+			EXPECT_EQ(a.body, "answer " + id) << when;
+			run_for(i % 2 ? 40 : 0);
+		}
+	}
+}
+
+/* Guards against an answer that broke off being taken as complete. */
+TEST_F(HttpClient, BrokenOffAnswersFail)
+{
+	static const char *const shapes[] = {
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 10\r\n\r\nabc",
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n"
+		"X-Trailer: t",
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 3\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n",
+	};
+
+	for (const char *shape : shapes) {
+		TinyServer server([&](int fd, const std::string &) {
+			TinyServer::send_bytes(fd, shape);
+			return false;
+		});
+		struct answer a = fetch(server, "r");
+
+		EXPECT_TRUE(a.done) << shape;
+		EXPECT_EQ(a.status, 0) << shape;
+	}
+	/* Without a length, the end of the connection completes the answer, a reset doesn't. */
+	for (bool reset : { false, true }) {
+		TinyServer server([&](int fd, const std::string &) {
+			TinyServer::send_bytes(fd, "HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\nabc");
+			usleep(20000);
+			if (reset)
+				TinyServer::reset(fd);
+			return false;
+		});
+
+		EXPECT_EQ(fetch(server, "r").status, reset ? 0 : 200);
+	}
+}
+
+/* Guards against endless bytes that are no answer: each shape ends soon and in bounded memory. */
+TEST_F(HttpClient, EndlessBytesEndTheExchange)
+{
+	const std::string start = "HTTP/1.1 200 OK\r\nX-Id: r\r\n";
+	const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+	const std::string kib(1024, 'a');
+	const std::string shapes[][2] = {
+		{ "", kib },
+		{ "HTTP/1.1 200 ", kib },
+		{ start + "X-Long: ", kib },
+		{ start, "X-Many: a\r\n" },
+		{ "", "HTTP/1.1 102 Processing\r\n\r\n" },
+		{ chunked + "3;x=", kib },
+		{ chunked, std::string(1024, '0') },
+		{ chunked + "0\r\nX-Trailer: ", kib },
+		{ chunked + "0\r\n", "X-Trailer: a\r\n" },
+		{ "", response("other", "late") },
+		{ "HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n",
+		  "400\r\n" + kib + "\r\n" },
+		{ chunked, "400\r\n" + kib + "\r\n" },
+		{ start + "\r\n", kib },
+		{ start + "Content-Length: 1000000000000\r\n\r\n", kib },
+	};
+
+	for (const auto &shape : shapes) {
+		std::atomic<size_t> sent{ 0 };
+		TinyServer server([&](int fd, const std::string &) {
+			TinyServer::send_bytes(fd, shape[0]);
+			sent = send_endlessly(fd, shape[1]);
+			return false;
+		});
+		struct answer a = fetch(server, "r", 2500);
+
+		EXPECT_TRUE(a.done) << shape[0] << shape[1].substr(0, 40);
+		EXPECT_EQ(a.status, 0) << shape[0] << shape[1].substr(0, 40);
+		server.stop();
+		/* The limit of a body and what the sockets buffer. */
+		EXPECT_LT(sent, (size_t)32 << 20) << shape[0] << shape[1].substr(0, 40);
+	}
+}
+
+/* Guards against a server that keeps an exchange open with a byte now and then. */
+TEST_F(HttpClient, TricklingBytesEndTheExchange)
+{
+	static const char *const starts[] = {
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nContent-Length: 100000\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nX-Id: r\r\nX-Slow: ",
+		"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 100000\r\n\r\n",
+	};
+
+	for (const char *start : starts) {
+		std::atomic<bool> closed{ false };
+		TinyServer server([&](int fd, const std::string &) {
+			int64_t until = clock_boot_ms() + 3000;
+
+			TinyServer::send_bytes(fd, start);
+			while (!closed && clock_boot_ms() < until) {
+				usleep(READ_TIMEOUT_MS * 250);
+				closed = send(fd, "a", 1, MSG_NOSIGNAL) <= 0;
+			}
+			return false;
+		});
+		struct answer a = fetch(server, "r", 2500);
+
+		EXPECT_TRUE(a.done) << start;
+		EXPECT_EQ(a.status, 0) << start;
+		EXPECT_LE(a.took_ms, 5 * READ_TIMEOUT_MS) << start;
+	}
+}
