Copy shared prefixes from other data centres in large deployments

From 64 instances on, each data centre places only on its own engines and knew only their caches.

Delegates now report, at most once in 4 s for each part, which engine of their data centre has prefilled a shared part, and forward the reports of the others. An instance keeps the last report for each part (state/part_sources.c) and offers that engine to the placement as a source to copy from. A part that only another data centre has still goes to its home engine, so that the next request finds the copy. Messages of type sharing have a new state of a part: instances of earlier versions drop a message that contains it.

--- a/entry/generation.c
+++ b/entry/generation.c
@@ -43,13 +43,17 @@
 		return;
 	for (int i = x->in.part_count - 1; i >= 0; i--) {
 		const struct prompt_part *p = &x->in.parts[i];
+		bool is_shared = i + 1 < x->in.part_count;
 
 		if (state == PROMPT_PART_DROPPED)
 			cache_view_cancel_sent(ep->cache, p->id);
 		else
 			cache_view_record(ep->cache, p->id, p->tokens,
 					  state == PROMPT_PART_PREFILLED);
-		peers_queue_part(x->entry->peers, ep, p->id, p->tokens, state);
+		peers_queue_part(x->entry->peers, ep, p->id, p->tokens,
+				 is_shared && state == PROMPT_PART_PREFILLED
+					 ? PROMPT_PART_PREFILLED_SHARED
+					 : state);
 	}
 }
 
@@ -332,6 +336,33 @@
 	return count;
 }
 
+/*
+ * Adds the engine of another data centre that last prefilled the shared part of the prompt, to copy
+ * it from. An engine that has a part also has those before it.
+ */
+static int remote_source_add(const struct exchange *x, int64_t now_ms, struct place_engine *engines,
+			     struct endpoint **eps, int count)
+{
+	int64_t tokens = count_shared_tokens(x);
+
+	if (count == ENGINES_MAX)
+		return count;
+	for (int i = x->in.part_count - 2; i >= 0; i--) {
+		struct endpoint *ep =
+			peers_find_remote_source(x->entry->peers, x->in.parts[i].id, now_ms);
+
+		if (ep && ep->service == x->service && endpoint_is_available(ep, now_ms)) {
+			eps[count] = ep;
+			engines[count] = (struct place_engine){ .dc = ep->dc,
+								.fetch_only = true,
+								.ready_tokens = tokens };
+			return count + 1;
+		}
+		tokens -= x->in.parts[i].tokens;
+	}
+	return count;
+}
+
 static struct place_request place_request_of(const struct exchange *x)
 {
 	return (struct place_request){
@@ -403,8 +434,11 @@
 	struct endpoint *first;
 	bool local = x->service->prefers_local;
 	int count = engine_views_collect(x, local, now_ms, engines, eps);
-	bool placed = place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice);
+	bool placed;
 
+	if (local)
+		count = remote_source_add(x, now_ms, engines, eps, count);
+	placed = place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice);
 	/*
 	 * Engines of other data centres are used when the local ones are overloaded or unavailable.
 	 */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -325,6 +325,13 @@
 void peers_queue_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens,
 		      enum shared_prompt_part_state state);
 
+/**
+ * peers_find_remote_source - engine of another data centre that has prefilled a shared part lately
+ *
+ * Return: NULL when none is known or its data centre is not heard from.
+ */
+struct endpoint *peers_find_remote_source(const struct peers *p, uint64_t part, int64_t now_ms);
+
 /**
  * peers_restore_endpoint_load - set the sums of a newly listed endpoint from the loads that the
  * other instances have reported
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -167,15 +167,18 @@
 void peers_queue_part(struct peers *p, const struct endpoint *ep, uint64_t part, int64_t tokens,
 		      enum shared_prompt_part_state state)
 {
-	if (!p || p->part_count == SHARING_PROMPT_PARTS_MAX)
-		return;
-	p->parts[p->part_count++] = (struct shared_prompt_part){
+	struct shared_prompt_part added = {
 		.tag = ep->tag,
 		.part = part,
 		.tokens = (uint32_t)tokens,
 		.state = state,
 	};
+
+	if (!p || p->part_count == SHARING_PROMPT_PARTS_MAX)
+		return;
+	p->parts[p->part_count++] = added;
 	p->share_pending = true;
+	peers_relay_part(p, &added, clock_boot_ms());
 }
 
 void peers_queue_suspect(struct peers *p, uint64_t fingerprint, int crashes)
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -5,6 +5,7 @@
 
 #include "ibisgate/net/peer.h"
 #include "ibisgate/state/mesh.h"
+#include "ibisgate/state/part_sources.h"
 #include "internal.h"
 
 /*
@@ -54,6 +55,10 @@
  * @share_pending: there is something to send before the next heartbeat
  * @suspects: suspects to include in the next message
  * @parts: prompt parts sent to engines since the last message
+ * @remote_parts: shared parts of this data centre's engines to report to the other data centres
+ * @part_reports: as a delegate, parts reported to the other data centres
+ * @remote_sources: engines of other data centres that have prefilled shared parts
+ * @dc_parts_ms: when a part of an engine of each data centre was last reported
  * @loads_summed_ms: when the loads of all instances were last summed
  * @remote_sent_ms: when a message was last sent to the other data centres
  * @remote_suspects: suspects recorded since then
@@ -78,6 +83,11 @@
 	struct shared_crash_suspect suspects[SHARING_SUSPECTS_MAX];
 	int part_count;
 	struct shared_prompt_part parts[SHARING_PROMPT_PARTS_MAX];
+	int remote_part_count;
+	struct shared_prompt_part remote_parts[SHARING_PROMPT_PARTS_MAX];
+	struct part_sources part_reports;
+	struct part_sources remote_sources;
+	int64_t dc_parts_ms[ENTRY_DCS_MAX + 1];
 	int64_t loads_summed_ms;
 	int64_t remote_sent_ms;
 	int remote_suspect_count;
@@ -100,6 +110,14 @@
 
 /* peers_share.c */
 
+/**
+ * peers_relay_part - as a delegate, report a part of an engine of this data centre to the others
+ *
+ * One copy in each data centre is enough to copy from, so a part is reported once in a while,
+ * whichever engine has it.
+ */
+void peers_relay_part(struct peers *p, const struct shared_prompt_part *part, int64_t now_ms);
+
 /** peers_share - send loads, prompt parts, suspects and membership to the other instances */
 void peers_share(struct peers *p, int64_t now_ms);
 
--- a/entry/peers_receive.c
+++ b/entry/peers_receive.c
@@ -11,6 +11,13 @@
  */
 #define STAGE_CHANGE_REPORT_MS 700
 
+/*
+ * Age above which an engine of another data centre is no longer expected to have a part, and time
+ * without reports after which its data centre may be unreachable, in milliseconds.
+ */
+#define SOURCE_MAX_AGE_MS 15000
+#define DC_SILENCE_MS 2000
+
 /* Delay before an instance without a configuration gets it from another one, in milliseconds. */
 #define HANDOVER_DELAY_MS 500
 
@@ -90,18 +97,60 @@
 	p->loads_summed_ms = now;
 }
 
-static void apply_parts(struct entry *e, const struct peer_sharing *s)
+struct endpoint *peers_find_remote_source(const struct peers *p, uint64_t part, int64_t now_ms)
 {
-	for (int i = 0; i < s->part_count; i++) {
-		struct endpoint *ep = endpoint_by_tag(e, s->parts[i].tag);
+	const struct part_source *found = p ? part_sources_find(&p->remote_sources, part) : NULL;
+	struct endpoint *ep;
+	int64_t heard_ms;
 
-		if (!ep || !ep->cache)
-			continue;
-		if (s->parts[i].state == PROMPT_PART_DROPPED)
-			cache_view_cancel_sent(ep->cache, s->parts[i].part);
-		else
-			cache_view_record(ep->cache, s->parts[i].part, s->parts[i].tokens,
-					  s->parts[i].state == PROMPT_PART_PREFILLED);
+	if (!found || now_ms - found->at_ms > SOURCE_MAX_AGE_MS)
+		return NULL;
+	ep = endpoint_by_tag(p->entry, found->engine);
+	if (!ep)
+		return NULL;
+	heard_ms = p->dc_parts_ms[ep->dc < ENTRY_DCS_MAX ? ep->dc : ENTRY_DCS_MAX];
+	return now_ms - heard_ms < DC_SILENCE_MS ? ep : NULL;
+}
+
+static void apply_part(struct peers *p, const struct shared_prompt_part *part, int64_t now)
+{
+	struct endpoint *ep = endpoint_by_tag(p->entry, part->tag);
+
+	if (!ep || !ep->cache)
+		return;
+	if (ep->dc && part->state == PROMPT_PART_PREFILLED) {
+		part_sources_record(&p->remote_sources, part->part, part->tag, now);
+		p->dc_parts_ms[ep->dc < ENTRY_DCS_MAX ? ep->dc : ENTRY_DCS_MAX] = now;
+	}
+	switch (part->state) {
+	case PROMPT_PART_DROPPED:
+		cache_view_cancel_sent(ep->cache, part->part);
+		break;
+	case PROMPT_PART_SENT:
+		cache_view_record(ep->cache, part->part, part->tokens, false);
+		break;
+	case PROMPT_PART_PREFILLED:
+	case PROMPT_PART_PREFILLED_SHARED:
+		cache_view_record(ep->cache, part->part, part->tokens, true);
+		break;
+	}
+}
+
+/*
+ * Applies reports of what engines have cached. A delegate forwards those of one side to the other
+ * side.
+ */
+static void apply_parts(struct peers *p, const struct peer_sharing *s, bool remote, int64_t now)
+{
+	bool forward = remote && mesh_is_delegate(p->mesh);
+
+	for (int i = 0; i < s->part_count; i++) {
+		apply_part(p, &s->parts[i], now);
+		if (!remote)
+			peers_relay_part(p, &s->parts[i], now);
+		if (forward && p->part_count < SHARING_PROMPT_PARTS_MAX)
+			p->parts[p->part_count++] = s->parts[i];
+		p->share_pending = p->share_pending || forward;
 	}
 }
 
@@ -203,7 +252,7 @@
 	apply_news(p, in, now);
 	for (int i = 0; i < SHARING_STORE_TABLES; i++)
 		store_watch_note_peer_version(p->entry->watches[i], s->store_table_versions[i]);
-	apply_parts(p->entry, s);
+	apply_parts(p, s, remote, now);
 	apply_suspects(p, s, remote);
 	for (int i = 0; i < s->leaving_count; i++) {
 		struct endpoint *ep = endpoint_by_tag(p->entry, s->leaving[i]);
--- a/entry/peers_share.c
+++ b/entry/peers_share.c
@@ -10,6 +10,9 @@
 #define SHARE_REMOTE_PER_PEER_MS 10
 #define SHARE_REMOTE_MAX_MS 900
 
+/* Interval between two reports of the same part to other data centres, in milliseconds. */
+#define PART_REPORT_INTERVAL_MS 4000
+
 /* Maximum number of instances that one message goes to. */
 #define TARGETS_MAX 1024
 
@@ -104,6 +107,21 @@
 	peer_bus_send_all(p->bus, to, count, m);
 }
 
+void peers_relay_part(struct peers *p, const struct shared_prompt_part *part, int64_t now)
+{
+	const struct endpoint *ep = endpoint_by_tag(p->entry, part->tag);
+	const struct part_source *last = part_sources_find(&p->part_reports, part->part);
+
+	if (part->state != PROMPT_PART_PREFILLED_SHARED || !mesh_is_delegate(p->mesh) || !ep ||
+	    ep->dc || p->remote_part_count == SHARING_PROMPT_PARTS_MAX)
+		return;
+	if (last && now - last->at_ms < PART_REPORT_INTERVAL_MS)
+		return;
+	part_sources_record(&p->part_reports, part->part, part->tag, now);
+	p->remote_parts[p->remote_part_count] = *part;
+	p->remote_parts[p->remote_part_count++].state = PROMPT_PART_PREFILLED;
+}
+
 void peers_share(struct peers *p, int64_t now)
 {
 	struct entry *e = p->entry;
@@ -124,8 +142,12 @@
 	fill_suspects(s, p->suspects, p->suspect_count);
 	share_with_side(p, m, false, now);
 	if (!split_by_dc || now - p->remote_sent_ms >= remote_interval_ms(p)) {
-		if (split_by_dc)
-			s->part_count = 0;
+		if (split_by_dc) {
+			s->part_count = p->remote_part_count;
+			memcpy(s->parts, p->remote_parts,
+			       sizeof(*p->remote_parts) * (size_t)p->remote_part_count);
+			p->remote_part_count = 0;
+		}
 		fill_suspects(s, p->remote_suspects, p->remote_suspect_count);
 		share_with_side(p, m, true, now);
 		p->remote_sent_ms = now;
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -28,6 +28,8 @@
 	PROMPT_PART_PREFILLED,
 	/* The attempt ended before the engine had prefilled the part. */
 	PROMPT_PART_DROPPED,
+	/* Prefilled, and other requests share the part. */
+	PROMPT_PART_PREFILLED_SHARED,
 };
 
 /**
--- a/include/ibisgate/policy/place.h
+++ b/include/ibisgate/policy/place.h
@@ -48,6 +48,7 @@
  * @stage: STAGE_PREFILL engines only prefill; STAGE_DECODE engines can run whole requests
  * @dc: index of its data centre
  * @usable: requests may be sent to it
+ * @fetch_only: it is only a source of cached KV blocks; @usable is false
  * @backlog_tokens: uncached prompt tokens sent to it and not yet prefilled
  * @active_requests: requests in progress
  * @request_slots: maximum number of concurrent requests
@@ -62,6 +63,7 @@
 	enum engine_stage stage;
 	int dc;
 	bool usable;
+	bool fetch_only;
 	int64_t backlog_tokens;
 	int active_requests;
 	int request_slots;
@@ -121,7 +123,8 @@
  *
  * Bounds the state exchange in deployments with hundreds of instances and thousands of engines. An
  * instance that uses all engines needs their load and cache contents from every other instance,
- * which grows quadratically. In return, each data centre prefills every shared prefix once itself.
+ * which grows quadratically. Delegates still report which engines have a shared prefix cached, so
+ * that it can be copied from another data centre.
  */
 bool place_is_local_only(const struct place_local_limits *s, int near, int total, int instances);
 
--- a/net/codec_sharing.c
+++ b/net/codec_sharing.c
@@ -111,8 +111,8 @@
 		s->parts[i].tag = get_u32(r);
 		s->parts[i].part = codec_get_uint(r, UINT64_MAX);
 		s->parts[i].tokens = get_u32(r);
-		s->parts[i].state =
-			(enum shared_prompt_part_state)codec_get_uint(r, PROMPT_PART_DROPPED);
+		s->parts[i].state = (enum shared_prompt_part_state)codec_get_uint(
+			r, PROMPT_PART_PREFILLED_SHARED);
 	}
 }
 
--- a/policy/place.c
+++ b/policy/place.c
@@ -78,7 +78,7 @@
 	int best = -1;
 
 	for (int i = 0; i < count; i++) {
-		if (!e[i].usable || !e[i].ready_tokens)
+		if (!(e[i].usable || e[i].fetch_only) || !e[i].ready_tokens)
 			continue;
 		if (best < 0 || e[i].ready_tokens > e[best].ready_tokens ||
 		    (e[i].ready_tokens == e[best].ready_tokens && e[i].dc == dc &&
@@ -210,7 +210,9 @@
 			continue;
 		shared = dc_plan_get(dc_plans, engines, count, r, speed, costs, e->dc);
 		source = shared->source;
-		is_cached = source >= 0 && engines[source].ready_tokens * 2 >= r->shared_tokens;
+		/* The home engine is where a prefix from elsewhere is found again. */
+		is_cached = source >= 0 && !engines[source].fetch_only &&
+			    engines[source].ready_tokens * 2 >= r->shared_tokens;
 		plan = prefill_plan_for(engines, count, i, source, r, speed, costs);
 		cost = plan.cost + (e->dc != r->dc ? costs->remote_ms : 0);
 		if (i == home && !is_cached)
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -82,7 +82,7 @@
 		s->parts[i].tag = (uint32_t)rng();
 		s->parts[i].part = rng();
 		s->parts[i].tokens = (uint32_t)rng();
-		s->parts[i].state = (enum shared_prompt_part_state)(rng() % 3);
+		s->parts[i].state = (enum shared_prompt_part_state)(rng() % 4);
 	}
 	s->suspect_count = (int)(rng() % (SHARING_SUSPECTS_MAX + 1));
 	for (int i = 0; i < s->suspect_count; i++) {
