Finish slow and late answers before a connection or an instance ends

- A connection that was to be closed after an answer was closed after 1 s even while its caller was still reading: a caller that reads slowly got a cut answer.
The time now starts when the output is sent; without progress it is closed after the idle timeout of the limits.
- A stop ended as soon as no request was running, 3 s after SIGTERM, and closed connections on which a request was arriving, had unsent output, or had been accepted by the kernel only.
It now accepts these, leaves a connection 300 ms for its first request, and waits for output, within the grace period.

Tests in test-broken_answers.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -42,6 +42,7 @@
  * @begun_ms: when the head of the current request was complete
  * @in_exchange_begin: exchange_begin() is on the stack
  * @oversized: the body exceeds the limit
+ * @unsent_bytes: output left to send at the last check of a connection that is closing
  * @destroy_pending: free the connection once no callback runs on it
  * @callback_depth: number of read callbacks on the stack
  */
@@ -59,6 +60,7 @@
 	bool keep_open;
 	bool in_exchange_begin;
 	bool oversized;
+	size_t unsent_bytes;
 	bool destroy_pending;
 	int callback_depth;
 };
@@ -279,6 +281,19 @@
 	bufferevent_enable(c->bev, EV_READ | EV_WRITE);
 }
 
+/* A caller that reads slowly gets its whole answer; one that stops reading is given up. */
+static void caller_check_closing(struct caller *c, int64_t now_ms)
+{
+	size_t unsent = evbuffer_get_length(bufferevent_get_output(c->bev));
+
+	if (unsent != c->unsent_bytes) {
+		c->unsent_bytes = unsent;
+		c->phase_since_ms = now_ms;
+	}
+	if (now_ms - c->phase_since_ms > (unsent ? c->limits.idle_timeout_ms : CLOSE_LINGER_MS))
+		caller_destroy(c);
+}
+
 void callers_check_timeouts(struct entry *e, int64_t now_ms)
 {
 	struct caller *c, *next;
@@ -300,8 +315,7 @@
 				caller_refuse(c, 408, "body too slow");
 			break;
 		case CALLER_CLOSING:
-			if (age > CLOSE_LINGER_MS)
-				caller_destroy(c);
+			caller_check_closing(c, now_ms);
 			break;
 		case CALLER_BUSY:
 			break;
@@ -309,16 +323,28 @@
 	}
 }
 
-void callers_close_idle(struct entry *e)
+void callers_close_idle(struct entry *e, int64_t idle_ms, int64_t now_ms)
 {
 	struct caller *c, *next;
 
 	cds_list_for_each_entry_safe(c, next, &e->callers, link) {
-		if (c->phase == CALLER_IDLE)
+		if (c->phase == CALLER_IDLE && now_ms - c->phase_since_ms >= idle_ms)
 			caller_destroy(c);
 	}
 }
 
+bool callers_are_active(const struct entry *e)
+{
+	const struct caller *c;
+
+	cds_list_for_each_entry(c, &e->callers, link) {
+		if (c->phase != CALLER_CLOSING ||
+		    evbuffer_get_length(bufferevent_get_output(c->bev)))
+			return true;
+	}
+	return false;
+}
+
 void callers_destroy(struct entry *e)
 {
 	struct caller *c, *next;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -6,6 +6,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 
 #include "ibisgate/common/clock.h"
@@ -36,6 +37,12 @@
  */
 #define STOP_ACCEPT_MS 3000
 
+/*
+ * From then on, a connection without a request is closed after this time, in milliseconds; the
+ * first request of one that was just accepted may be on its way.
+ */
+#define STOP_IDLE_MS 300
+
 /* Part of the grace period reserved for closing what is still open, in milliseconds. */
 #define STOP_MARGIN_MS 500
 
@@ -187,19 +194,31 @@
 	entry_stop(e, strsignal((int)number));
 }
 
+/* Connections that the kernel has already accepted would be reset with the listener. */
+static void listener_close(struct entry *e)
+{
+	evutil_socket_t fd;
+
+	if (!e->http_listener)
+		return;
+	while ((fd = accept4(evconnlistener_get_fd(e->http_listener), NULL, NULL,
+			     SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+		caller_accept(e->http_listener, fd, NULL, 0, e);
+	evconnlistener_free(e->http_listener);
+	e->http_listener = NULL;
+}
+
 static void shutdown_step(struct entry *e, int64_t now)
 {
 	int64_t age = now - e->stop_begun_ms;
 
 	if (age >= STOP_ACCEPT_MS) {
 		/* A new request could not finish within the grace period. */
-		if (e->http_listener)
-			evconnlistener_free(e->http_listener);
-		e->http_listener = NULL;
-		callers_close_idle(e);
+		listener_close(e);
+		callers_close_idle(e, STOP_IDLE_MS, now);
 	}
 	if (age >= e->settings.bounds.stop_grace_ms - STOP_MARGIN_MS ||
-	    (age >= STOP_ACCEPT_MS && e->exchange_count == 0))
+	    (age >= STOP_ACCEPT_MS && e->exchange_count == 0 && !callers_are_active(e)))
 		event_base_loopbreak(e->base);
 }
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -362,8 +362,12 @@
 void caller_destroy(struct caller *c);
 void callers_check_timeouts(struct entry *e, int64_t now_ms);
 
-/** callers_close_idle - close the connections that have no request in progress */
-void callers_close_idle(struct entry *e);
+
+/** callers_close_idle - close the connections that have had no request for @idle_ms */
+void callers_close_idle(struct entry *e, int64_t idle_ms, int64_t now_ms);
+
+/** callers_are_active - whether a connection may bring a request or has an answer left to send */
+bool callers_are_active(const struct entry *e);
 void callers_destroy(struct entry *e);
 void caller_write(struct caller *c, struct str bytes);
 
--- a/tests/test_broken_answers.cc
+++ b/tests/test_broken_answers.cc
@@ -1,6 +1,7 @@
 #include "entry_fixture.h"
 
 #include <fstream>
+#include <thread>
 
 #include "tiny_server.h"
 
@@ -220,3 +221,186 @@
 	}
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
+
+/* An endpoint "s0" with large answers, for callers that read slowly. */
+class SlowCallerTest : public BrokenAnswersTest
+{
+      protected:
+	void start()
+	{
+		process = start_all(1, 0, 1);
+		server = std::make_unique<TinyServer>([this](int fd, const std::string &request) {
+			TinyServer::send_bytes(
+				fd, "HTTP/1.1 200 OK\r\n"
+				    "X-Ibisgate-Server-Signature: s\r\n"
+				    "X-Ibisgate-Request-Id: " +
+					    request_id(request) + "\r\nContent-Length: " +
+					    std::to_string(body.size()) + "\r\n\r\n" + body);
+			return true;
+		});
+		replace_endpoint("s0", *server);
+	}
+	/* A connection whose buffers hold only a small part of the answer. */
+	std::unique_ptr<Caller> connect_slow_caller()
+	{
+		auto c = std::make_unique<Caller>(harness_process_port(process, "http"),
+						  process_ip(process).c_str());
+		int bytes = 131072;
+
+		setsockopt(c->fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+		return c;
+	}
+	/* Reads a part of the answer every 100 ms for @ms, and the rest at once. */
+	Response read_slowly(Caller &c, int ms)
+	{
+		for (int i = 0; i < ms / 100; i++) {
+			char data[65536];
+			ssize_t n = recv(c.fd, data, sizeof(data), MSG_DONTWAIT);
+
+			if (n > 0)
+				c.received.append(data, (size_t)n);
+			usleep(100000);
+		}
+		return c.read_response(5000);
+	}
+
+	const std::string body = std::string(3900000, 'b');
+	struct harness_process *process = nullptr;
+	std::unique_ptr<TinyServer> server;
+};
+
+/* Guards against an answer that is cut because its caller reads it slowly. */
+TEST_F(SlowCallerTest, GetsTheWholeAnswerOnAConnectionToBeClosed)
+{
+	start();
+	auto c = connect_slow_caller();
+
+	c->send_text(request_text("order/x", "POST", "Connection: close\r\n"));
+	Response a = read_slowly(*c, 3000);
+	EXPECT_EQ(a.status, 200);
+	EXPECT_TRUE(a.complete);
+	EXPECT_EQ(a.body.size(), body.size());
+	EXPECT_EQ(harness_process_stop(process, 8000), 0);
+}
+
+/* Guards against a planned stop that cuts the unsent rest of an answer. */
+TEST_F(SlowCallerTest, GetsTheWholeAnswerDuringAPlannedStop)
+{
+	start();
+	auto c = connect_slow_caller();
+
+	c->send_text(request_text("order/x"));
+	ASSERT_TRUE(c->wait_for_text("HTTP/1.1 200"));
+	harness_process_signal(process, SIGTERM);
+	Response a = read_slowly(*c, 4500);
+	EXPECT_EQ(a.status, 200);
+	EXPECT_TRUE(a.complete);
+	EXPECT_EQ(a.body.size(), body.size());
+	EXPECT_EQ(harness_process_wait(process, 6000), 0);
+}
+
+class PlannedStopTest : public EntryTest
+{
+};
+
+/*
+ * Guards against a planned stop that cuts off requests that were just accepted: those whose bytes
+ * are still coming, and those on connections that the kernel has accepted.
+ */
+TEST_F(PlannedStopTest, RequestsAcceptedAtTheEndOfAPlannedStopAreAnswered)
+{
+	struct harness_process *p = start_all(2, 0);
+	int port = harness_process_port(p, "http");
+	std::vector<std::unique_ptr<Caller>> callers;
+	std::vector<std::string> ids;
+	std::string text = request_text("order/x", "POST", "", std::string(2000, 'b'));
+	int64_t from = clock_boot_ms();
+
+	/* One has sent half of its request when connections are no longer accepted after 3 s. */
+	auto half = std::make_unique<Caller>(port, process_ip(p).c_str());
+	std::string half_id = last_id();
+	harness_process_signal(p, SIGTERM);
+	while (clock_boot_ms() - from < 2500)
+		usleep(1000);
+	half->send_text(text.substr(0, 1200));
+	/* The others connect and send until then, a millisecond apart. */
+	while (clock_boot_ms() - from < 3300) {
+		auto c = std::make_unique<Caller>(port, process_ip(p).c_str(), true);
+
+		if (clock_boot_ms() - from >= 2700) {
+			c->send_text(request_text("order/x"), true);
+			ids.push_back(last_id());
+			callers.push_back(std::move(c));
+		}
+		usleep(1000);
+	}
+	half->send_text(text.substr(1200));
+	Response a = half->read_response(2000);
+	EXPECT_EQ(a.status, 200);
+	EXPECT_TRUE(a.complete);
+	EXPECT_EQ(run_count(half_id), 1);
+	int answered = 0;
+	for (size_t i = 0; i < callers.size(); i++) {
+		Response r = callers[i]->read_response(2000);
+
+		answered += r.complete;
+		if (r.complete)
+			continue;
+		EXPECT_EQ(run_count(ids[i]), 0) << ids[i] << " of " << ids.size();
+	}
+	EXPECT_GT(answered, 10);
+	EXPECT_EQ(harness_process_wait(p, 6000), 0);
+	EXPECT_EQ(WEXITSTATUS(p->status), 0);
+}
+
+/* Guards against running requests that are cut when an instance stops under load. */
+TEST_F(PlannedStopTest, RunningRequestsAreNotCutUnderLoad)
+{
+	struct harness_process *p[2];
+
+	p[0] = start_all(2, 0);
+	p[1] = start_instance(1);
+	ASSERT_TRUE(eventually([&] { return ready_status(p[1]) == 200; }, 5000));
+	for (int turn = 0; turn < 2; turn++) {
+		struct harness_process *stopped = p[turn];
+		int port = harness_process_port(stopped, "http");
+		std::string ip = process_ip(stopped);
+		std::vector<std::vector<std::string>> unanswered(8);
+		std::vector<std::thread> threads;
+
+		for (int k = 0; k < 8; k++) {
+			threads.emplace_back([&, k] {
+				Caller c(port, ip.c_str());
+				int64_t until = clock_boot_ms() + 6000;
+
+				for (int i = 0; clock_boot_ms() < until; i++) {
+					std::string id = "t" + std::to_string(turn * 10 + k) + "-" +
+							 std::to_string(i);
+
+					c.send_text("POST /order/x HTTP/1.1\r\nHost: h.example\r\n"
+						    "X-Ibisgate-Request-Id: " +
+							    id +
+							    "\r\nX-Ibisgate-Deadline-Ms: 3000\r\n"
+							    "Content-Length: 1\r\n\r\nx",
+						    true);
+					Response r = c.read_response(3000);
+					if (!r.complete)
+						unanswered[(size_t)k].push_back(id);
+					if (!r.complete || r.field("Connection") == "close")
+						break;
+					usleep((useconds_t)(k * 700));
+				}
+			});
+		}
+		usleep((useconds_t)(300000 + turn * 1000));
+		harness_process_signal(stopped, SIGTERM);
+		for (std::thread &t : threads)
+			t.join();
+		for (const auto &list : unanswered) {
+			for (const std::string &id : list)
+				EXPECT_EQ(run_count(id), 0) << id;
+		}
+		EXPECT_EQ(harness_process_wait(stopped, 8000), 0);
+		EXPECT_EQ(WEXITSTATUS(stopped->status), 0);
+	}
+}
