--- a/tests/test_broken_answers.cc
+++ b/tests/test_broken_answers.cc
@@ -404,3 +404,63 @@
 		EXPECT_EQ(WEXITSTATUS(stopped->status), 0);
 	}
 }
+
+class EndpointLossTest : public EntryTest
+{
+};
+
+/*
+ * Guards against work that is given up or started again because its engine was silent for a while
+ * towards the store only, so that its entry lapsed.
+ */
+TEST_F(EndpointLossTest, RunningWorkSurvivesALapsedEntry)
+{
+	struct harness_process *p = start_all(2, 0, 1);
+
+	grid->post_json("/node", "{\"id\":\"\",\"event_ms\":50}");
+	for (const char *target : { "stream/x", "once/x" }) {
+		Caller c(harness_process_port(p, "http"), process_ip(p).c_str());
+
+		c.send_text(generation_text(target, 40));
+		ASSERT_TRUE(c.wait_for_text("id: 2\n"));
+		for (const char *id : { "e0", "e1" })
+			set_endpoint_state(id, "gone");
+		Response a = c.read_response();
+		EXPECT_TRUE(a.complete) << target;
+		EXPECT_EQ(a.body, event_text(last_id(), 40)) << target;
+		EXPECT_EQ(run_count(last_id()), 1) << target;
+		for (const char *id : { "e0", "e1" })
+			set_endpoint_state(id, "ready");
+		EXPECT_TRUE(eventually(
+			[&] { return send_request(p, generation_text("stream/x", 1)).complete; },
+			3000));
+	}
+}
+
+/* Guards against a server that has left being used again after a restart without the store. */
+TEST_F(EndpointLossTest, RestartWithoutStoreDoesNotBringBackEndpointsThatLeft)
+{
+	start_all(1, 0, 2);
+	struct harness_process *p = start_instance(1);
+
+	EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+	set_endpoint_state("s0", "gone");
+	usleep(2500000);
+	set_store_mode("reset");
+	harness_process_signal(p, SIGKILL);
+	harness_process_wait(p, 2000);
+	p = start_instance(1);
+	ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 8000));
+	for (int i = 0; i < 8; i++) {
+		EXPECT_EQ(send_request(p, request_text("order/x")).status, 200);
+		for (const Run &r : runs(last_id()))
+			EXPECT_EQ(r.node, "s1");
+	}
+	set_store_mode("up");
+	usleep(3000000);
+	for (int i = 0; i < 8; i++) {
+		EXPECT_EQ(send_request(p, request_text("order/x")).status, 200);
+		for (const Run &r : runs(last_id()))
+			EXPECT_EQ(r.node, "s1");
+	}
+}
