Prefill engines are the homes of shared prefixes

The home of a prefix was the engine with the highest score of either stage. A decode engine rarely takes a new prefix, so prompts with such a home went to the first of the cheapest engines.

--- a/policy/place.c
+++ b/policy/place.c
@@ -58,12 +58,20 @@
 	return instances >= s->instances_min && near >= s->engines_min && near < total;
 }
 
+/* Prefill engines come first: on a decode engine, reading a new prefix would take twice as long. */
+static bool is_better_home(const struct place_engine *e, const struct place_engine *home)
+{
+	if (e->stage != home->stage)
+		return e->stage == STAGE_PREFILL;
+	return e->home_score > home->home_score;
+}
+
 static int find_home(const struct place_engine *e, int count)
 {
 	int home = -1;
 
 	for (int i = 0; i < count; i++) {
-		if (e[i].usable && (home < 0 || e[i].home_score > e[home].home_score))
+		if (e[i].usable && (home < 0 || is_better_home(&e[i], &e[home])))
 			home = i;
 	}
 	return home;
--- a/tests/test_place.cc
+++ b/tests/test_place.cc
@@ -169,6 +169,31 @@
 	}
 }
 
+/*
+ * Guards against homes that are decode engines, which take new prefixes only when nothing else is
+ * cheaper, so that these prefixes are found nowhere in particular.
+ */
+TEST(Place, HomesArePrefillEnginesWhereThereAreAny)
+{
+	std::vector<struct place_engine> e = { engine(STAGE_PREFILL), engine(STAGE_DECODE),
+					       engine(STAGE_PREFILL), engine(STAGE_DECODE) };
+
+	e[1].home_score = 9;
+	e[2].home_score = 5;
+	EXPECT_EQ(pick(e).prefill, 2);
+	/* A prefix that only another data centre has is copied to its home. */
+	e.push_back(engine(STAGE_NONE, 1));
+	e[4].usable = false;
+	e[4].fetch_only = true;
+	e[4].ready_tokens = 13300;
+	struct place_choice c = pick(e);
+	EXPECT_EQ(c.prefill, 2);
+	EXPECT_EQ(c.fetch_source, 4);
+	EXPECT_EQ(c.read_tokens, 3700);
+	e[0].usable = e[2].usable = false;
+	EXPECT_EQ(pick(e).decode, 1);
+}
+
 /* Guards against requests to engines that are leaving, failing or full. */
 TEST(Place, AvoidsUnusableFailingAndFullEngines)
 {
