Read changes less often where they may take longer; transfer speed from the configuration

- The interval between two reads of changes grew with the number of instances up to 700 ms, whatever the platform allows.
- Copies of caches were taken to go at 1500 tokens a ms.

--- a/entry/generation.c
+++ b/entry/generation.c
@@ -373,6 +373,15 @@
 	};
 }
 
+static struct place_speed place_speed_of(const struct exchange *x)
+{
+	struct place_speed s = x->service->speed;
+
+	s.transfer_per_ms = engine_transfer_per_ms(
+		x->spec->engine.link_mbps, x->spec->engine.kv_token_bytes, s.transfer_per_ms);
+	return s;
+}
+
 static bool generation_start_decode(struct exchange *x, struct endpoint *ep)
 {
 	if (!attempt_start(x, ep, WIRE_WORK_RUN, NULL))
@@ -388,6 +397,7 @@
 	struct place_engine engines[ENGINES_MAX];
 	struct endpoint *eps[ENGINES_MAX];
 	struct place_request r = place_request_of(x);
+	struct place_speed speed = place_speed_of(x);
 	int count, prefill = -1, at;
 
 	if (!x->kv_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs)
@@ -401,8 +411,7 @@
 	}
 	if (prefill < 0)
 		return false;
-	at = place_choose_decode(engines, count, &r, &x->service->speed, &x->entry->settings.place,
-				 prefill);
+	at = place_choose_decode(engines, count, &r, &speed, &x->entry->settings.place, prefill);
 	return at >= 0 && generation_start_decode(x, eps[at]);
 }
 
@@ -431,6 +440,7 @@
 	struct endpoint *eps[ENGINES_MAX];
 	const struct settings *s = &x->entry->settings;
 	struct place_request r = place_request_of(x);
+	struct place_speed speed = place_speed_of(x);
 	struct endpoint *first;
 	bool local = x->service->prefers_local;
 	int count = engine_views_collect(x, local, now_ms, engines, eps);
@@ -438,13 +448,13 @@
 
 	if (local)
 		count = remote_source_add(x, now_ms, engines, eps, count);
-	placed = place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice);
+	placed = place_pick(engines, count, &r, &speed, &s->place, &x->choice);
 	/*
 	 * Engines of other data centres are used when the local ones are overloaded or unavailable.
 	 */
 	if (local && (!placed || !fits_deadline(x, now_ms))) {
 		count = engine_views_collect(x, false, now_ms, engines, eps);
-		placed = place_pick(engines, count, &r, &x->service->speed, &s->place, &x->choice);
+		placed = place_pick(engines, count, &r, &speed, &s->place, &x->choice);
 	}
 	if (!placed)
 		return false;
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -21,12 +21,12 @@
 
 /*
  * Interval between two feed requests, in milliseconds: minimum, increment for each instance, and
- * maximum. Changes that come close together share a request, and the request rate of all instances
- * together is bounded. A change must be in force within 2 s.
+ * maximum as a share of the time in which a change must be in force. Changes that come close
+ * together share a request, and the request rate of all instances together is bounded.
  */
 #define FEED_INTERVAL_MS 100
 #define FEED_INTERVAL_PER_INSTANCE_MS 10
-#define FEED_INTERVAL_MAX_MS 700
+#define FEED_INTERVAL_MAX_SHARE 0.35
 
 /*
  * With a working connection, an instance receives a change within the feed interval plus this time,
@@ -180,8 +180,10 @@
 {
 	int64_t interval_ms = FEED_INTERVAL_MS + (int64_t)peers_max_instances(w->entry->peers) *
 							 FEED_INTERVAL_PER_INSTANCE_MS;
+	int64_t max_ms =
+		(int64_t)(FEED_INTERVAL_MAX_SHARE * (double)w->entry->settings.bounds.change_ms);
 
-	return interval_ms < FEED_INTERVAL_MAX_MS ? interval_ms : FEED_INTERVAL_MAX_MS;
+	return interval_ms < max_ms ? interval_ms : max_ms;
 }
 
 static void on_rows(struct store_watch *w, struct str body)
--- a/include/ibisgate/daemon/settings.h
+++ b/include/ibisgate/daemon/settings.h
@@ -87,6 +87,7 @@
 		int64_t retry_window_ms;
 		int instances_min;
 		int64_t stop_grace_ms;
+		int64_t change_ms;
 	} bounds;
 	/* [engines]: speeds assumed until requests have been measured; see struct place_speed */
 	struct {
--- a/include/ibisgate/policy/engine_speed.h
+++ b/include/ibisgate/policy/engine_speed.h
@@ -29,4 +29,12 @@
  */
 void engine_speed_add_sample(struct place_speed *speed, const struct engine_speed_sample *s);
 
+/**
+ * engine_transfer_per_ms - tokens of KV cache that two engines can move per millisecond
+ * @link_mbps: bandwidth between engines in Mbit/s; 0 when not configured
+ * @token_bytes: KV cache size of one token in bytes; 0 when not configured
+ * @assumed: result without both
+ */
+double engine_transfer_per_ms(double link_mbps, int64_t token_bytes, double assumed);
+
 #endif
--- a/policy/engine_speed.c
+++ b/policy/engine_speed.c
@@ -27,3 +27,10 @@
 		measured_rate = *mean_rate / SAMPLE_CLAMP_FACTOR;
 	*mean_rate += SAMPLE_WEIGHT * (measured_rate - *mean_rate);
 }
+
+double engine_transfer_per_ms(double link_mbps, int64_t token_bytes, double assumed)
+{
+	double bytes_per_ms = link_mbps * 1e6 / 8 / 1000;
+
+	return link_mbps > 0 && token_bytes > 0 ? bytes_per_ms / (double)token_bytes : assumed;
+}
--- a/tests/test_engine_speed.cc
+++ b/tests/test_engine_speed.cc
@@ -49,3 +49,12 @@
 	}
 	EXPECT_EQ(s.prefill_per_ms, 45);
 }
+
+/* Guards against one assumed speed for models whose tokens differ ninefold in size. */
+TEST(EngineSpeed, TransferSpeedFollowsFromTheConfiguration)
+{
+	EXPECT_NEAR(engine_transfer_per_ms(370000, 18432, 1500), 2509, 1);
+	EXPECT_NEAR(engine_transfer_per_ms(740000, 163840, 1500), 564.6, 1);
+	EXPECT_EQ(engine_transfer_per_ms(0, 18432, 1500), 1500);
+	EXPECT_EQ(engine_transfer_per_ms(370000, 0, 1500), 1500);
+}
