--- a/entry/internal.h
+++ b/entry/internal.h
@@ -362,7 +362,6 @@
 void caller_destroy(struct caller *c);
 void callers_check_timeouts(struct entry *e, int64_t now_ms);
 
-
 /** callers_close_idle - close the connections that have had no request for @idle_ms */
 void callers_close_idle(struct entry *e, int64_t idle_ms, int64_t now_ms);
 
