Bound headers and bodies of responses in the own protocol

An engine or service that sends headers or a body without end was read until the deadline: 1.8 GB in 5 s in the test. A transfer fails above 1 MiB of headers, interim responses included, or 64 MiB of body.

Link.EndlessBytesEndTheTransfer failed before with three of four shapes.

--- a/include/ibisgate/net/link.h
+++ b/include/ibisgate/net/link.h
@@ -8,6 +8,10 @@
 #include "ibisgate/common/str.h"
 #include "ibisgate/policy/retry.h"
 
+/* Maximum size of the headers and of the body of a response; a longer one fails the transfer. */
+#define LINK_HEADERS_MAX_BYTES ((size_t)1 << 20)
+#define LINK_BODY_MAX_BYTES ((size_t)64 << 20)
+
 enum link_error {
 	LINK_OK,
 	LINK_INIT_FAILED,
--- a/net/link_impl.h
+++ b/net/link_impl.h
@@ -15,6 +15,8 @@
  * struct transfer - one attempt; owned by its loop thread once it is in the list of starts
  * @last_activity_ms: time of the last activity on the boot clock
  * @target_hash: hash of the address or host that the transfer connects to
+ * @header_bytes: bytes of headers received, those of interim responses included
+ * @body_bytes: bytes of the body received
  * @maybe_written: a connection was ready, so bytes of the request may have been written
  * @resent: libcurl tried to send the request a second time
  */
@@ -31,6 +33,8 @@
 	int64_t silence_ms;
 	int64_t last_activity_ms;
 	uint32_t target_hash;
+	size_t header_bytes;
+	size_t body_bytes;
 	bool maybe_written;
 	bool resent;
 	bool responded;
--- a/net/link_transfer.c
+++ b/net/link_transfer.c
@@ -31,6 +31,9 @@
 	long status = 0;
 
 	t->last_activity_ms = clock_boot_ms();
+	t->header_bytes += len;
+	if (t->header_bytes > LINK_HEADERS_MAX_BYTES)
+		return 0;
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	/* An empty line ends the headers; after a 1xx response another header block follows. */
 	if (len <= 2 && (data[0] == '\r' || data[0] == '\n') && status >= 200)
@@ -47,6 +50,9 @@
 	t->last_activity_ms = clock_boot_ms();
 	if (t->cancelled)
 		return len;
+	t->body_bytes += len;
+	if (t->body_bytes > LINK_BODY_MAX_BYTES)
+		return 0;
 	buf_append(&ev.data, data, len);
 	link_queue_push(t->queue, ev);
 	return len;
--- a/tests/test_link.cc
+++ b/tests/test_link.cc
@@ -198,6 +198,36 @@
 	EXPECT_TRUE(fetch("http://127.0.0.1:1/x", 500, false, address.c_str()).ok);
 }
 
+/* Guards against memory that grows with headers or a body without end. */
+TEST_F(Link, EndlessBytesEndTheTransfer)
+{
+	const std::string shapes[][2] = {
+		{ "HTTP/1.1 200 OK\r\n", "X-Many: " + std::string(1000, 'a') + "\r\n" },
+		{ "", "HTTP/1.1 102 Processing\r\n\r\n" },
+		{ "HTTP/1.1 200 OK\r\n\r\n", std::string(65536, 'a') },
+		{ "HTTP/1.1 500 X\r\nContent-Length: 1000000000000\r\n\r\n",
+		  std::string(65536, 'a') },
+	};
+
+	for (const auto &shape : shapes) {
+		TinyServer s([&](int fd, const std::string &) {
+			int64_t until = clock_boot_ms() + 3000;
+
+			TinyServer::send_bytes(fd, shape[0]);
+			while (clock_boot_ms() < until &&
+			       send(fd, shape[1].data(), shape[1].size(), MSG_NOSIGNAL) > 0)
+				;
+			return false;
+		});
+		int64_t from = clock_boot_ms();
+		FetchResult r = fetch(s.url());
+
+		EXPECT_FALSE(r.ok) << shape[0];
+		EXPECT_LE(r.body.size(), (size_t)LINK_BODY_MAX_BYTES) << shape[0];
+		EXPECT_LT(clock_boot_ms() - from, 2500) << shape[0];
+	}
+}
+
 /* Guards against splitting, merging or losing events when a chunk ends at an arbitrary byte. */
 TEST(Sse, EventsDoNotDependOnChunkBoundaries)
 {
