--- a/tests/test_place.cc
+++ b/tests/test_place.cc
@@ -5,6 +5,8 @@
 #include <random>
 #include <vector>
 
+#include "place_costs.h"
+
 extern "C" {
 #include "ibisgate/policy/place.h"
 }
@@ -15,15 +17,6 @@
 const struct place_speed speed = {
 	.prefill_per_ms = 48, .mixed_per_ms = 24, .overhead_ms = 30, .transfer_per_ms = 1500
 };
-const struct place_costs costs = {
-	.remote_ms = 12,
-	.handoff_ms = 15,
-	.fetch_ms = 8,
-	.move_token_ms = 0.002,
-	.home_ms = 60,
-	.work_weight = 0.5,
-	.disturb_weight = 0.15,
-};
 const struct place_request prompt = { .prompt_tokens = 17000, .shared_tokens = 13300, .dc = 0 };
 
 struct place_engine engine(enum engine_stage stage, int dc = 0)
@@ -42,7 +35,7 @@
 {
 	struct place_choice c = { -1, -1, -1, -1, -1 };
 
-	EXPECT_TRUE(place_pick(e.data(), (int)e.size(), &r, &speed, &costs, &c));
+	EXPECT_TRUE(place_pick(e.data(), (int)e.size(), &r, &speed, &PLACE_COSTS, &c));
 	return c;
 }
 
@@ -207,10 +200,10 @@
 	EXPECT_EQ(pick(e).decode, 3);
 	for (auto &x : e)
 		x.usable = false;
-	EXPECT_FALSE(place_pick(e.data(), 4, &prompt, &speed, &costs, &c));
+	EXPECT_FALSE(place_pick(e.data(), 4, &prompt, &speed, &PLACE_COSTS, &c));
 	/* Engines that only prefill can't run a whole request. */
 	std::vector<struct place_engine> p = { engine(STAGE_PREFILL) };
-	EXPECT_FALSE(place_pick(p.data(), 1, &prompt, &speed, &costs, &c));
+	EXPECT_FALSE(place_pick(p.data(), 1, &prompt, &speed, &PLACE_COSTS, &c));
 }
 
 /* Guards against an isolated data centre that waits for engines that it can't reach. */
--- a/tests/test_place_fleet.cc
+++ b/tests/test_place_fleet.cc
@@ -7,6 +7,8 @@
 #include <random>
 #include <vector>
 
+#include "place_costs.h"
+
 extern "C" {
 #include "ibisgate/policy/place.h"
 #include "ibisgate/state/cache_view.h"
@@ -34,15 +36,6 @@
 const struct place_speed SPEED = {
 	.prefill_per_ms = 48, .mixed_per_ms = 24, .overhead_ms = 30, .transfer_per_ms = 1000
 };
-const struct place_costs COSTS = {
-	.remote_ms = 12,
-	.handoff_ms = 15,
-	.fetch_ms = 8,
-	.move_token_ms = 0.002,
-	.home_ms = 60,
-	.work_weight = 0.5,
-	.disturb_weight = 0.15,
-};
 
 using cache = std::unique_ptr<struct cache_view, decltype(&cache_view_destroy)>;
 
@@ -155,7 +148,7 @@
 
 		r.prompt_tokens = PREFIX_TOKENS + OWN_TOKENS;
 		r.shared_tokens = PREFIX_TOKENS;
-		ASSERT_TRUE(place_pick(v.data(), (int)v.size(), &r, &SPEED, &COSTS, &c));
+		ASSERT_TRUE(place_pick(v.data(), (int)v.size(), &r, &SPEED, &PLACE_COSTS, &c));
 		int chosen = at[(size_t)c.decode];
 		struct engine &e = engines[(size_t)chosen];
 		bool cached = has(*e.contents, prefix);
--- a/tests/test_place_load.cc
+++ b/tests/test_place_load.cc
@@ -6,6 +6,8 @@
 #include <random>
 #include <vector>
 
+#include "place_costs.h"
+
 extern "C" {
 #include "ibisgate/policy/place.h"
 }
@@ -23,15 +25,6 @@
 				   .overhead_ms = 16,
 				   .transfer_per_ms = 1000,
 				   .event_interval_ms = 42 };
-const struct place_costs COSTS = {
-	.remote_ms = 12,
-	.handoff_ms = 15,
-	.fetch_ms = 8,
-	.move_token_ms = 0.002,
-	.home_ms = 60,
-	.work_weight = 0.5,
-	.disturb_weight = 0.15,
-};
 constexpr int SLOTS = 48;
 constexpr int TOKENS_PER_EVENT = 7;
 constexpr int64_t MIXED_CHUNK_TOKENS = 1024;
@@ -138,7 +131,8 @@
 		for (const struct engine &e : engines)
 			views.push_back(view(e, k));
 		outcomes[(size_t)kind].asked++;
-		ASSERT_TRUE(place_pick(views.data(), (int)views.size(), &r, &SPEED, &COSTS, &c));
+		ASSERT_TRUE(
+			place_pick(views.data(), (int)views.size(), &r, &SPEED, &PLACE_COSTS, &c));
 		struct engine &e = engines[(size_t)(c.prefill >= 0 ? c.prefill : c.decode)];
 		e.reading.push_back({ kind, now, c.read_tokens, 0, 0, 0, 0 });
 		e.free_ms = std::max(e.free_ms, now);
