Start the threads of the data plane after the control plane

Cause: dispatch_create() started the poll thread, which asks the control plane for the instance's rank after 50 ms, and control_create() ran after it. On a busy machine the creation takes longer. A /readyz probe during a start read the same pointer.

Change: dispatch_start() starts the threads once the control plane exists; /readyz doesn't look at it before. Front.StartsWithoutTheControlPlane failed before.

--- a/daemon/dispatch.c
+++ b/daemon/dispatch.c
@@ -147,8 +147,6 @@
 		.connect_timeout_ms = gate->settings.links.connect_timeout_ms,
 	};
 	struct dispatch *d = mem_zalloc(sizeof(*d));
-	struct child_spec pump = { .name = "pump", .run = pump_run, .ctx = d };
-	struct child_spec poll = { .name = "poll", .run = poll_run, .ctx = d, .is_control = true };
 
 	d->gate = gate;
 	pthread_mutex_init(&d->lock, NULL);
@@ -158,11 +156,18 @@
 		return NULL;
 	}
 	gate->dispatch = d;
-	supervisor_start(gate->supervisor, &pump);
-	supervisor_start(gate->supervisor, &poll);
 	return d;
 }
 
+void dispatch_start(struct dispatch *d)
+{
+	struct child_spec pump = { .name = "pump", .run = pump_run, .ctx = d };
+	struct child_spec poll = { .name = "poll", .run = poll_run, .ctx = d, .is_control = true };
+
+	supervisor_start(d->gate->supervisor, &pump);
+	supervisor_start(d->gate->supervisor, &poll);
+}
+
 void dispatch_destroy(struct dispatch *d)
 {
 	if (!d)
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -106,9 +106,13 @@
 
 static void reply_not_ready(struct exchange *x)
 {
-	const char *missing = control_missing_state(x->front->gate->control);
+	const struct gate *gate = x->front->gate;
+	const char *missing = NULL;
 	struct buf text = { 0 };
 
+	/* The listener is bound before the control plane exists. */
+	if (atomic_load(&gate->state) != GATE_CREATING)
+		missing = control_missing_state(gate->control);
 	buf_printf(&text, "not ready");
 	if (missing)
 		buf_printf(&text, ": no %s from the platform or a ready peer", missing);
--- a/daemon/gate.c
+++ b/daemon/gate.c
@@ -80,6 +80,7 @@
 		return -1;
 	advertise_set_default(s->peer.advertise, sizeof(s->peer.advertise), s->peer.listen,
 			      control_peer_port(gate->control));
+	dispatch_start(gate->dispatch);
 	return 0;
 }
 
--- a/include/ibisgate/daemon/dispatch.h
+++ b/include/ibisgate/daemon/dispatch.h
@@ -6,11 +6,18 @@
 #include "ibisgate/daemon/gate.h"
 
 /**
- * dispatch_create - start the data plane of @gate: admission queues, routing, links, load polling
+ * dispatch_create - create the data plane of @gate: admission queues, routing, links
  *
  * Return: the data plane; NULL with @err.
  */
 struct dispatch *dispatch_create(struct gate *gate, struct error *err);
+
+/**
+ * dispatch_start - start the threads that poll engines and admit waiting requests
+ *
+ * They use the control plane, so it must exist.
+ */
+void dispatch_start(struct dispatch *d);
 void dispatch_destroy(struct dispatch *d);
 
 /** front_create - start the HTTP listener for callers; NULL with @err */
--- a/tests/control_rig.c
+++ b/tests/control_rig.c
@@ -47,6 +47,7 @@
 
 	if (!dispatch_create(&r->gate, &err))
 		abort();
+	dispatch_start(r->gate.dispatch);
 }
 
 void rig_kill(struct rig *r)
--- a/tests/fake_control.c
+++ b/tests/fake_control.c
@@ -48,7 +48,7 @@
 	return json_pack("{s:i,s:o}", "version", 1, "items", items);
 }
 
-struct fake_gate *fake_gate_create(const char *default_setting, int default_value)
+static struct fake_gate *gate_alloc(const char *default_setting, int default_value)
 {
 	struct fake_gate *g = mem_zalloc(sizeof(*g));
 	json_t *config = config_build(default_setting, default_value);
@@ -65,19 +65,46 @@
 	s->links.silence_ms = 400;
 	pthread_mutex_init(&g->control.lock, NULL);
 	g->control.quarantine = quarantine_create(64);
-	g->gate.control = &g->control;
 	g->gate.fleet = fleet_create();
 	g->gate.config = config_from_json(config, &err);
 	json_decref(config);
-	g->gate.state = GATE_READY;
 	g->gate.supervisor = supervisor_create(5, 60000, on_restart_limit, NULL);
-	if (!g->gate.config || !dispatch_create(&g->gate, &err) || !front_create(&g->gate, &err)) {
+	if (!g->gate.config) {
 		fprintf(stderr, "%s\n", err.text);
 		abort();
 	}
 	return g;
 }
 
+static void gate_start(struct fake_gate *g)
+{
+	struct error err = { 0 };
+
+	if (!dispatch_create(&g->gate, &err) || !front_create(&g->gate, &err)) {
+		fprintf(stderr, "%s\n", err.text);
+		abort();
+	}
+}
+
+struct fake_gate *fake_gate_create(const char *default_setting, int default_value)
+{
+	struct fake_gate *g = gate_alloc(default_setting, default_value);
+
+	g->gate.control = &g->control;
+	g->gate.state = GATE_READY;
+	gate_start(g);
+	dispatch_start(g->gate.dispatch);
+	return g;
+}
+
+struct fake_gate *fake_gate_create_without_control(void)
+{
+	struct fake_gate *g = gate_alloc(NULL, 0);
+
+	gate_start(g);
+	return g;
+}
+
 static enum endpoint_role role_from_name(const char *role)
 {
 	if (strcmp(role, "prefill") == 0)
@@ -171,6 +198,8 @@
 
 const char *control_missing_state(struct control *c)
 {
+	if (!c)
+		abort();
 	return NULL;
 }
 
@@ -186,6 +215,8 @@
 
 int control_instance_rank(struct control *c, int *count)
 {
+	if (!c)
+		abort();
 	*count = 1;
 	return 0;
 }
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -36,6 +36,9 @@
  */
 struct fake_gate *fake_gate_create(const char *default_setting, int default_value);
 
+/** fake_gate_create_without_control - as during a start: listening, but without the control plane */
+struct fake_gate *fake_gate_create_without_control(void);
+
 /** fake_gate_add_endpoint - list an endpoint; @role is mixed, prefill, decode or service */
 void fake_gate_add_endpoint(struct fake_gate *g, const char *name, const char *url,
 			    const char *role, const char *model);
--- a/tests/test_front.cc
+++ b/tests/test_front.cc
@@ -588,6 +588,24 @@
 	close(fd);
 }
 
+/*
+ * An instance that starts listens before its control plane exists. On a busy machine the creation
+ * takes longer than the first polls, and probes arrive at once after a restart on the same port.
+ */
+TEST_F(Front, StartsWithoutTheControlPlane)
+{
+	std::string host = " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+
+	g = fake_gate_create_without_control();
+	for (int i = 0; i < 4; i++) {
+		EXPECT_EQ(status(send_raw("GET /readyz" + host)), 503) << i;
+		EXPECT_EQ(status(send_raw("GET /healthz" + host)), 200) << i;
+		EXPECT_EQ(status(send_raw("GET /v1/models" + host)), 503) << i;
+		EXPECT_EQ(status(post("/v1/services/stock", "{}")), 503) << i;
+		usleep(50000);
+	}
+}
+
 /* Guards against idle connections that occupy all threads, so that a new caller waits for 30 s. */
 TEST_F(Front, IdleConnectionsDoNotOccupyAllThreads)
 {
