--- a/standins/grid_main.c
+++ b/standins/grid_main.c
@@ -7,7 +7,12 @@
 #include "ibisgate/standins/grid.h"
 
 #define BODY_MAX_BYTES (1 << 20)
-#define NODE_THREADS 24
+/*
+ * An open connection occupies a thread until it has been idle for 20 s. Clients that lose the path
+ * to the store or to a node leave several connections behind each second.
+ */
+#define NODE_THREADS 64
+#define STORE_THREADS 256
 
 /*
  * An idle connection occupies a thread, so this exceeds the number of connections that a test opens
@@ -231,7 +236,7 @@
 	pthread_mutex_init(&g.lock, NULL);
 	cond_init_mono(&g.rows_changed);
 	g.runs = mem_zalloc(sizeof(*g.runs) * GRID_RUNS_MAX);
-	store = http_start("127.0.0.1", &store_port, NODE_THREADS, grid_store_handle, &g);
+	store = http_start("127.0.0.1", &store_port, STORE_THREADS, grid_store_handle, &g);
 	control = http_start("127.0.0.1", &control_port, CONTROL_THREADS, handle_control, &g);
 	if (!store || !control || !nodes_start(&g, engines, prefill, services))
 		return 1;
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -36,7 +36,8 @@
  */
 struct fake_gate *fake_gate_create(const char *default_setting, int default_value);
 
-/** fake_gate_create_without_control - as during a start: listening, but without the control plane */
+/** fake_gate_create_without_control - as during a start: listening, but without the control plane
+ */
 struct fake_gate *fake_gate_create_without_control(void);
 
 /** fake_gate_add_endpoint - list an endpoint; @role is mixed, prefill, decode or service */
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -489,6 +489,38 @@
 		2000));
 }
 
+/*
+ * Guards against instances that don't regain the store (soak violation DRAIN of seed 2041): the
+ * path to it is silent for longer than many attempts take, and their connections stay open at the
+ * store.
+ */
+TEST_F(EntryTest, StoreIsRegainedAfterALongSilence)
+{
+	static constexpr int INSTANCES = 3;
+	std::vector<struct harness_process *> instances;
+
+	start_grid();
+	put_config(config_json(1));
+	StandinProcess proxy("ibisgate-faultproxy", {});
+	store_port = proxy_store_route(proxy);
+	for (int i = 0; i < INSTANCES; i++)
+		instances.push_back(start_instance(i));
+	for (struct harness_process *p : instances)
+		ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+	proxy.post_json("/faults", "{\"route\":\"store\",\"mode\":\"silent\"}");
+	sleep(12);
+	proxy.post_json("/faults", "{\"route\":\"store\",\"mode\":\"pass\"}");
+	put_config(config_json(2, rule_json("fresh", "idempotent", "orders", 2, false)));
+	/* The platform allows 3 s for recovery from the fault and 2 s for the change. */
+	for (struct harness_process *p : instances)
+		EXPECT_TRUE(eventually(
+			[&] {
+				return send_request(p, request_text("fresh/x", "GET")).status ==
+				       200;
+			},
+			5000));
+}
+
 /*
  * Guards against requests that are cut off by a graceful shutdown (soak violation LOST), and
  * against a slow shutdown.
