Tell an instance that starts which requests crash engines

CrashingRequestIsRefusedAfterARestart lost 4 engines instead of 2, each run.

Change: a peer that hears a new process sends it all entries (at most 256). The process is ready once a peer has confirmed it, since the entries precede that heartbeat on the same connection; alone in the list it doesn't wait, without an answer 2 s. On the way: the first heartbeat of a peer, which carries no address when that peer had heard the former process, erased the address from the list, so that an instance was heard only after 2.1 s. It is kept now.

--- a/daemon/control.c
+++ b/daemon/control.c
@@ -175,6 +175,7 @@
 	pthread_cond_init(&c->reserve_cond, &attr);
 	pthread_condattr_destroy(&attr);
 	c->gate = gate;
+	c->started_ms = clock_boot_ms();
 	c->settings = &gate->settings;
 	c->fleet = gate->fleet;
 	pthread_mutex_init(&c->lock, NULL);
@@ -229,7 +230,9 @@
 		return "configuration";
 	if (!atomic_load(&c->has_fleet))
 		return "endpoint list";
-	return atomic_load(&c->has_intents) ? NULL : "stops in force";
+	if (!atomic_load(&c->has_intents))
+		return "stops in force";
+	return atomic_load(&c->has_crash_reports) ? NULL : "crash reports";
 }
 
 bool control_is_ready(struct control *c)
--- a/daemon/control_impl.h
+++ b/daemon/control_impl.h
@@ -214,6 +214,8 @@
  * @has_fleet: the endpoint list was received from the platform or a peer
  * @has_listed_fleet: the endpoint list came from the platform, which takes precedence over a peer
  * @has_intents: the stops in force were received from the platform or a peer
+ * @has_crash_reports: a peer has sent which requests crash engines, or no peer responds
+ * @started_ms: boot time of the start of this process
  * @has_read_intents: the stops came from the platform, which takes precedence over a peer
  * @role_changes: role changes that this instance has completed as a lease holder
  * @lock: guards all members after it unless noted; never held during a call that blocks
@@ -242,6 +244,8 @@
 	_Atomic bool has_fleet;
 	_Atomic bool has_listed_fleet;
 	_Atomic bool has_intents;
+	_Atomic bool has_crash_reports;
+	int64_t started_ms;
 	_Atomic bool has_read_intents;
 	_Atomic bool has_config;
 	_Atomic int64_t role_changes;
@@ -518,6 +522,9 @@
 				int64_t asked_ms);
 void control_on_quarantine(struct control *c, const struct peer_message *m);
 
+/* Sends all entries to the peer @id, which has just started and knows none. */
+void control_quarantine_send_all(struct control *c, const char *id);
+
 /* control_reserve.c */
 void control_on_reserve(struct control *c, const struct peer_message *m);
 
--- a/daemon/control_members.c
+++ b/daemon/control_members.c
@@ -8,6 +8,9 @@
 #include "ibisgate/common/supervisor.h"
 
 #define LOOP_MS 100
+
+/* An instance that starts waits this long for a peer, which may be gone or cut off. */
+#define CRASH_REPORTS_WAIT_MS 2000
 /* Entries of a heartbeat; members take turns, to keep heartbeats small. */
 #define DELEGATE_ENTRIES_MAX 3
 #define MEMBER_ENTRIES_MAX 1
@@ -242,6 +245,35 @@
 	event_record("member-state", NULL, NULL, NULL, "id=%s state=%s", m->id, names[m->state]);
 }
 
+static bool is_listed_alone(const struct control *c)
+{
+	if (!c->listed_ms)
+		return false;
+	for (int i = 0; i < c->listed_instance_count; i++) {
+		if (c->listed[i].live && strcmp(c->listed[i].id, c->settings->instance.id) != 0)
+			return false;
+	}
+	return true;
+}
+
+/*
+ * A peer sends its crash reports when it first hears this process. They precede the heartbeat that
+ * confirms it, on the same connection.
+ */
+static void check_crash_reports(struct control *c, int64_t now)
+{
+	bool complete;
+
+	if (atomic_load(&c->has_crash_reports))
+		return;
+	pthread_mutex_lock(&c->lock);
+	complete = is_listed_alone(c) || now - c->started_ms >= CRASH_REPORTS_WAIT_MS;
+	for (int i = 1; i < member_count(c->members) && !complete; i++)
+		complete = member_at(c->members, i)->hears_us;
+	pthread_mutex_unlock(&c->lock);
+	atomic_store(&c->has_crash_reports, complete);
+}
+
 int control_members_run(void *ctx, struct error *err)
 {
 	struct control *c = ctx;
@@ -260,6 +292,7 @@
 			}
 		}
 		pthread_mutex_unlock(&c->lock);
+		check_crash_reports(c, now);
 		control_stops_confirm(c);
 		if (now >= next) {
 			control_heartbeat_send(c, now);
@@ -343,6 +376,7 @@
 	int64_t now = clock_boot_ms();
 	const struct member *known;
 	bool confirmed;
+	bool has_started;
 
 	pthread_mutex_lock(&c->lock);
 	known = member_find(c->members, m.id);
@@ -350,8 +384,11 @@
 		pthread_mutex_unlock(&c->lock);
 		return;
 	}
+	has_started = !known || known->incarnation < m.incarnation;
 	confirmed = heartbeat_hears_us(c, h, known, &m);
-	if (!h->peer[0] && known && known->incarnation == m.incarnation) {
+	/* After a restart of this instance, the list may know the address before a full heartbeat.
+	 */
+	if (!h->peer[0] && known && (known->incarnation == m.incarnation || !known->incarnation)) {
 		memcpy(m.peer, known->peer, sizeof(m.peer));
 		memcpy(m.http, known->http, sizeof(m.http));
 		memcpy(m.admin, known->admin, sizeof(m.admin));
@@ -371,6 +408,8 @@
 	pthread_mutex_unlock(&c->lock);
 	if (confirmed)
 		peer_bus_confirm_peer(c->bus, m.id);
+	if (has_started)
+		control_quarantine_send_all(c, m.id);
 	/* Once the instance has started, only leave messages and the intents in the table count. */
 	for (int i = 0; i < h->leaving_count && atomic_load(&c->gate->state) == GATE_STARTING; i++)
 		control_stop_apply(c, &h->leaving[i], "");
--- a/daemon/control_quarantine.c
+++ b/daemon/control_quarantine.c
@@ -12,6 +12,9 @@
 /* Requests whose state one observation can change at once. */
 #define CHANGED_MAX 256
 
+/* Entries that an instance which has just started receives from each of its peers. */
+#define SENT_MAX 256
+
 enum quarantine_verdict control_quarantine_check(struct control *c, uint64_t fingerprint)
 {
 	enum quarantine_verdict v;
@@ -22,8 +25,7 @@
 	return mechanism_is_disabled(MECHANISM_QUARANTINE) ? QUARANTINE_CLEAR : v;
 }
 
-/* Suspects are broadcast as well, because the caller may retry at another instance. */
-static void quarantine_note_broadcast(struct control *c, const struct quarantine_summary *note)
+static struct peer_message *quarantine_message(const struct quarantine_summary *note)
 {
 	struct peer_message *m = peer_message_create(PEER_QUARANTINE);
 
@@ -31,19 +33,31 @@
 	m->u.quarantine.crashes = note->crashes;
 	m->u.quarantine.unconfirmed = note->unconfirmed;
 	m->u.quarantine.refuse = note->refuse;
-	m->u.quarantine.left_ms = QUARANTINE_SUSPECT_MS;
-	if (note->refuse)
-		m->u.quarantine.left_ms = QUARANTINE_MS;
-	/* The request is no longer suspected. */
-	if (!note->crashes && !note->unconfirmed)
-		m->u.quarantine.left_ms = 0;
-	control_broadcast(c, m);
-	peer_message_destroy(m);
+	m->u.quarantine.left_ms = note->left_ms;
+	return m;
+}
+
+void control_quarantine_send_all(struct control *c, const char *id)
+{
+	struct quarantine_summary *notes = mem_alloc(SENT_MAX * sizeof(*notes));
+	int n;
+
+	pthread_mutex_lock(&c->lock);
+	n = quarantine_summaries(c->quarantine, clock_boot_ms(), notes, SENT_MAX);
+	pthread_mutex_unlock(&c->lock);
+	for (int i = 0; i < n; i++) {
+		struct peer_message *m = quarantine_message(&notes[i]);
+
+		control_send(c, id, m);
+		peer_message_destroy(m);
+	}
+	free(notes);
 }
 
 static void quarantine_publish(struct control *c, uint64_t fingerprint)
 {
 	struct quarantine_summary note;
+	struct peer_message *m;
 
 	pthread_mutex_lock(&c->lock);
 	note = quarantine_summary(c->quarantine, fingerprint, clock_boot_ms());
@@ -54,7 +68,10 @@
 		event_record("quarantined", NULL, NULL, NULL, "fingerprint=%016" PRIx64,
 			     fingerprint);
 	}
-	quarantine_note_broadcast(c, &note);
+	/* Suspects are broadcast as well, because the caller may retry at another instance. */
+	m = quarantine_message(&note);
+	control_broadcast(c, m);
+	peer_message_destroy(m);
 }
 
 enum quarantine_verdict control_quarantine_add_crash(struct control *c, uint64_t fingerprint,
--- a/include/ibisgate/state/quarantine.h
+++ b/include/ibisgate/state/quarantine.h
@@ -107,18 +107,29 @@
 /**
  * struct quarantine_summary - entry of a fingerprint as exchanged between instances
  * @unconfirmed: number of unconfirmed crashes; QUARANTINE_CRASHES if the verdict is HOLD
+ * @left_ms: time until the entry expires
  */
 struct quarantine_summary {
 	uint64_t fingerprint;
 	int crashes;
 	int unconfirmed;
 	bool refuse;
+	int64_t left_ms;
 };
 
 /** quarantine_summary - entry to send to peers; all zero except the fingerprint if there is none */
 struct quarantine_summary quarantine_summary(struct quarantine *q, uint64_t fingerprint,
 					     int64_t now_ms);
 
+/**
+ * quarantine_summaries - entries to send to an instance that has just started
+ * @out: at most @max entries; those that are refused first
+ *
+ * Return: number of entries in @out.
+ */
+int quarantine_summaries(const struct quarantine *q, int64_t now_ms, struct quarantine_summary *out,
+			 int max);
+
 /** quarantine_clear - remove a suspect request that finished without a crash */
 void quarantine_clear(struct quarantine *q, uint64_t fingerprint);
 
--- a/state/quarantine.c
+++ b/state/quarantine.c
@@ -311,16 +311,15 @@
 	return q->suspicions;
 }
 
-struct quarantine_summary quarantine_summary(struct quarantine *q, uint64_t fingerprint,
-					     int64_t now_ms)
+static struct quarantine_summary entry_summary(const struct entry *e, int64_t now_ms)
 {
-	const struct entry *e = entry_find(q, fingerprint, now_ms);
-	struct quarantine_summary n = { .fingerprint = fingerprint };
+	struct quarantine_summary n = {
+		.fingerprint = e->fingerprint,
+		.crashes = e->crashes,
+		.refuse = e->refuse,
+		.left_ms = e->until_ms - now_ms,
+	};
 
-	if (!e)
-		return n;
-	n.crashes = e->crashes;
-	n.refuse = e->refuse;
 	/* Crashes reported by peers are not passed on: only the reporting peer can withdraw them.
 	 */
 	n.unconfirmed = suspicion_count(e);
@@ -329,6 +328,31 @@
 	return n;
 }
 
+struct quarantine_summary quarantine_summary(struct quarantine *q, uint64_t fingerprint,
+					     int64_t now_ms)
+{
+	const struct entry *e = entry_find(q, fingerprint, now_ms);
+
+	return e ? entry_summary(e, now_ms)
+		 : (struct quarantine_summary){ .fingerprint = fingerprint };
+}
+
+int quarantine_summaries(const struct quarantine *q, int64_t now_ms, struct quarantine_summary *out,
+			 int max)
+{
+	int n = 0;
+
+	for (int refuse = 1; refuse >= 0; refuse--) {
+		for (int i = 0; i < q->sets * WAYS && n < max; i++) {
+			const struct entry *e = &q->entries[i];
+
+			if (is_in_use(e) && now_ms < e->until_ms && e->refuse == refuse)
+				out[n++] = entry_summary(e, now_ms);
+		}
+	}
+	return n;
+}
+
 void quarantine_clear(struct quarantine *q, uint64_t fingerprint)
 {
 	struct entry *e = entry_find(q, fingerprint, INT64_MIN);
--- a/tests/test_promise_outage.cc
+++ b/tests/test_promise_outage.cc
@@ -100,6 +100,34 @@
 	}
 }
 
+/* Guards against an instance that, after its restart, runs a request which the others refuse. */
+TEST_F(PromiseOutage, CrashingRequestIsRefusedAfterARestart)
+{
+	std::vector<harness_engine_spec> five(5, { "mixed", true });
+	auto lost_engines = [&] {
+		int lost = 0;
+
+		for (int e = 0; e < 5; e++)
+			lost += harness_process_wait(f->endpoints[e].process, 0) == 0;
+		return lost;
+	};
+
+	start({ "abertawe" }, 3, five, false);
+	for (int e = 0; e < 5; e++)
+		set_endpoint_fault(e, "{\"crash_marker\":\"poison\"}");
+	EXPECT_EQ(send_request(0, "/v1/completions", prompt_body("a poison pill", 20)).status, 422);
+	EXPECT_EQ(lost_engines(), 2);
+	for (int sig : { SIGKILL, SIGTERM }) {
+		harness_process_signal(f->instances[2].process, sig);
+		ASSERT_EQ(harness_process_wait(f->instances[2].process, 10000), 0);
+		ASSERT_EQ(harness_instance_start(f, 2, &err), 0) << err.text;
+		ASSERT_EQ(harness_wait_ready(f, 20000, &err), 0) << err.text;
+		Answer a = send_request(2, "/v1/completions", prompt_body("a poison pill", 20));
+		EXPECT_EQ(a.status, 422) << a.body;
+		ASSERT_EQ(lost_engines(), 2) << "after signal " << sig;
+	}
+}
+
 class PromiseOutageTwoCrashes : public PromiseOutage, public ::testing::WithParamInterface<int>
 {
       protected:
--- a/tests/test_quarantine.cc
+++ b/tests/test_quarantine.cc
@@ -147,3 +147,27 @@
 	quarantine_destroy(a);
 	quarantine_destroy(b);
 }
+
+/* Guards against an instance that starts without the requests which the others refuse. */
+TEST(Quarantine, SummariesRestoreTheVerdictsInAnEmptyTable)
+{
+	struct quarantine *q = quarantine_create(64);
+	struct quarantine *fresh = quarantine_create(64);
+	struct quarantine_summary notes[8];
+
+	quarantine_add_crash(q, 1, false, 1000);
+	quarantine_add_crash(q, 2, true, 1000);
+	quarantine_add_crash(q, 2, true, 1500);
+	ASSERT_EQ(quarantine_summaries(q, 2000, notes, 8), 2);
+	EXPECT_EQ(notes[0].fingerprint, 2U) << "refused requests come first";
+	EXPECT_EQ(notes[0].left_ms, QUARANTINE_MS - 500);
+	EXPECT_EQ(quarantine_summaries(q, 2000, notes, 1), 1);
+	for (int i = 0; i < quarantine_summaries(q, 2000, notes, 8); i++)
+		quarantine_merge(fresh, &notes[i], 2000 + notes[i].left_ms, 2000);
+	EXPECT_EQ(quarantine_check(fresh, 1, 2000), QUARANTINE_SUSPECT);
+	EXPECT_EQ(quarantine_check(fresh, 2, 2000), QUARANTINE_REFUSE);
+	EXPECT_EQ(quarantine_check(fresh, 2, 1500 + QUARANTINE_MS), QUARANTINE_CLEAR);
+	EXPECT_EQ(quarantine_summaries(q, 1500 + QUARANTINE_MS, notes, 8), 0);
+	quarantine_destroy(fresh);
+	quarantine_destroy(q);
+}
