entry: tell an instance that starts which requests crash endpoints

Change: an instance that hears a new process queues all its suspects again, each once. EntryTest.RequestInvolvedInThreeCrashesIsRefusedAfterARestart got 200 and a run before, 503 and none after.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -263,6 +263,10 @@
 /** suspect_merge - take over the number of crashes that another instance counted for a request */
 void suspect_merge(struct entry *e, uint64_t fingerprint, int crashes);
 
+/** suspects_share_all - queue all known suspects for the other instances, one of which has started
+ */
+void suspects_share_all(struct entry *e);
+
 /* cache_sync.c */
 
 /**
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -181,15 +181,27 @@
 	peers_relay_part(p, &added, clock_boot_ms());
 }
 
+void peers_suspect_add(struct shared_crash_suspect *list, int *count,
+		       const struct shared_crash_suspect *s)
+{
+	for (int i = 0; i < *count; i++) {
+		if (list[i].fingerprint != s->fingerprint)
+			continue;
+		if (list[i].crashes < s->crashes)
+			list[i].crashes = s->crashes;
+		return;
+	}
+	if (*count < SHARING_SUSPECTS_MAX)
+		list[(*count)++] = *s;
+}
+
 void peers_queue_suspect(struct peers *p, uint64_t fingerprint, int crashes)
 {
 	struct shared_crash_suspect s = { .fingerprint = fingerprint,
 					  .crashes = (uint32_t)crashes };
 
-	if (p->suspect_count < SHARING_SUSPECTS_MAX)
-		p->suspects[p->suspect_count++] = s;
-	if (p->remote_suspect_count < SHARING_SUSPECTS_MAX)
-		p->remote_suspects[p->remote_suspect_count++] = s;
+	peers_suspect_add(p->suspects, &p->suspect_count, &s);
+	peers_suspect_add(p->remote_suspects, &p->remote_suspect_count, &s);
 	p->share_pending = true;
 }
 
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -118,6 +118,10 @@
  */
 void peers_relay_part(struct peers *p, const struct shared_prompt_part *part, int64_t now_ms);
 
+/** peers_suspect_add - add @s to a list of at most SHARING_SUSPECTS_MAX, once for each request */
+void peers_suspect_add(struct shared_crash_suspect *list, int *count,
+		       const struct shared_crash_suspect *s);
+
 /** peers_share - send loads, prompt parts, suspects and membership to the other instances */
 void peers_share(struct peers *p, int64_t now_ms);
 
--- a/entry/peers_receive.c
+++ b/entry/peers_receive.c
@@ -219,9 +219,11 @@
 		handover_send(p, m, now);
 	else
 		peer_view_get(p, m->id)->unconfigured_since_ms = 0;
-	if (fresh)
-		log_info("peer", "peer=%s change=heard dc=%s address=%s config=%lld", m->id, m->dc,
-			 m->peer, (long long)m->config_version);
+	if (!fresh)
+		return;
+	log_info("peer", "peer=%s change=heard dc=%s address=%s config=%lld", m->id, m->dc, m->peer,
+		 (long long)m->config_version);
+	suspects_share_all(p->entry);
 }
 
 /*
@@ -236,10 +238,10 @@
 		suspect_merge(p->entry, suspect->fingerprint, (int)suspect->crashes);
 		if (!mesh_is_delegate(p->mesh))
 			continue;
-		if (remote && p->suspect_count < SHARING_SUSPECTS_MAX)
-			p->suspects[p->suspect_count++] = *suspect;
-		if (!remote && p->remote_suspect_count < SHARING_SUSPECTS_MAX)
-			p->remote_suspects[p->remote_suspect_count++] = *suspect;
+		if (remote)
+			peers_suspect_add(p->suspects, &p->suspect_count, suspect);
+		else
+			peers_suspect_add(p->remote_suspects, &p->remote_suspect_count, suspect);
 	}
 }
 
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -3,6 +3,7 @@
 #include "ibisgate/common/hash.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
+#include "ibisgate/net/codec_sharing.h"
 
 /* A request that was running during this many endpoint crashes is no longer sent. */
 #define SUSPECT_REFUSE_CRASHES 3
@@ -65,3 +66,12 @@
 	if (quarantine_summary(e->suspects, fingerprint, now).crashes < crashes)
 		quarantine_merge(e->suspects, &note, now + SUSPECT_REFUSE_MS, now);
 }
+
+void suspects_share_all(struct entry *e)
+{
+	struct quarantine_summary notes[SHARING_SUSPECTS_MAX];
+	int n = quarantine_summaries(e->suspects, clock_boot_ms(), notes, SHARING_SUSPECTS_MAX);
+
+	for (int i = 0; i < n; i++)
+		peers_queue_suspect(e->peers, notes[i].fingerprint, notes[i].crashes);
+}
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -719,6 +719,37 @@
 	}
 }
 
+/* Guards against an instance that, after its restart, sends a request which the others refuse. */
+TEST_F(EntryTest, RequestInvolvedInThreeCrashesIsRefusedAfterARestart)
+{
+	start_grid(2, 1, 4);
+	put_config(config_json(1));
+	struct harness_process *a = start_instance(0);
+	struct harness_process *b = start_instance(1);
+
+	ASSERT_TRUE(
+		eventually([&] { return ready_status(a) == 200 && ready_status(b) == 200; }, 5000));
+	usleep(1200000);
+	set_endpoint_fault("", "lose-answer");
+	for (int i = 0; i < 3; i++) {
+		EXPECT_EQ(send_request(a, request_text("order/x", "POST", "", "poison")).status,
+			  502);
+		auto r = runs(last_id());
+		ASSERT_EQ(r.size(), 1u);
+		set_endpoint_state(r[0].node, "gone");
+		usleep(700000);
+	}
+	set_endpoint_fault("", "ok");
+	harness_process_signal(b, SIGKILL);
+	ASSERT_EQ(harness_process_wait(b, 5000), 0);
+	b = start_instance(1);
+	ASSERT_TRUE(eventually([&] { return ready_status(b) == 200; }, 5000));
+	usleep(1200000);
+	EXPECT_EQ(send_request(b, request_text("order/x", "POST", "", "poison")).status, 503);
+	EXPECT_EQ(run_count(last_id()), 0);
+	EXPECT_EQ(send_request(b, request_text("order/x", "POST", "", "innocent")).status, 200);
+}
+
 /*
  * Load: a large deployment, whose data centres communicate through delegates. Guards against crash
  * reports of one instance that never reach the instances of another data centre.
