Weigh the measured pace of engines and share their pauses between prompts

Load: bursts of short prompts, mixed with long ones, at engines whose callers accept a pause of 150 ms.

Cause: used slots counted as a delay of up to 400 ms from half of them on, although nothing waits before all are used; the limit on pauses was checked for one prompt at a time and with the pace of an undisturbed engine.

Change: the delay grows with the cube; each instance measures the time between events at each engine (policy/engine_pace.c); a prompt may use three quarters of the limit, the rest is for prompts that come during the same pause.

--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -17,6 +17,7 @@
  * @queue_ahead_tokens: backlog ahead of them when the request was sent
  * @last_receive_ms: when bytes of its response last arrived; initially when it was sent
  * @progress_ms: when the head or the last event with a new id arrived
+ * @event_ms: when the last event with a new id arrived; 0 before the first
  * @prompt_pending: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded is set
  * @head: head of the response; valid while @call is
@@ -33,6 +34,7 @@
 	int64_t sent_ms;
 	int64_t last_receive_ms;
 	int64_t progress_ms;
+	int64_t event_ms;
 	bool prompt_pending;
 	bool responded;
 	struct endpoint_response response;
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -112,6 +112,17 @@
 	buf_free(&out);
 }
 
+/* Records @count new events that have just arrived together. */
+static void record_events(struct attempt *a, int count)
+{
+	int64_t now = clock_boot_ms();
+
+	if (a->event_ms)
+		engine_pace_add(&a->endpoint->pace, (double)(now - a->event_ms) / count, now);
+	a->event_ms = now;
+	a->progress_ms = now;
+}
+
 /*
  * Forwards complete events with consecutive ids. The bytes of a partial event are held back, so
  * that the generation can resume on another engine after the last complete event.
@@ -121,6 +132,7 @@
 	struct stream_event ev;
 	struct buf out = { 0 };
 	bool in_order = true;
+	int count = 0;
 
 	while (in_order && event_stream_next(&x->events, &ev)) {
 		if (ev.has_id) {
@@ -130,11 +142,13 @@
 			if (!in_order)
 				break;
 			x->last_event = ev.id;
-			x->attempt.progress_ms = clock_boot_ms();
+			count++;
 		}
 		x->events_sent++;
 		buf_append_str(&out, ev.raw);
 	}
+	if (count)
+		record_events(&x->attempt, count);
 	if (out.len)
 		write_events(x, buf_str(&out));
 	buf_free(&out);
@@ -295,6 +309,7 @@
 		.backlog_tokens = ep->backlog_tokens + ep->peer_backlog_tokens,
 		.active_requests = ep->active + ep->peer_active,
 		.request_slots = ep->entry.slots,
+		.event_interval_ms = engine_pace_interval_ms(&ep->pace, now_ms),
 		.penalty_ms = FAILURE_PENALTY_MS * endpoint_failure_score(x->entry, ep, now_ms),
 		.home_score = hash_mix(prefix_key(x), ep->hash),
 	};
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -14,6 +14,7 @@
 #include "ibisgate/net/http_client.h"
 #include "ibisgate/net/http_collect.h"
 #include "ibisgate/platform/wire.h"
+#include "ibisgate/policy/engine_pace.h"
 #include "ibisgate/policy/extra_budget.h"
 #include "ibisgate/policy/finish.h"
 #include "ibisgate/policy/place.h"
@@ -62,6 +63,7 @@
  * @stage_change_until_ms: it carries out an order of some instance and rejects requests until
  *   then
  * @stage_change_remote: the stage change was reported by an instance of another data centre
+ * @pace: time between two events of its generations, as seen by this instance
  */
 struct endpoint {
 	struct cds_list_head link;
@@ -96,6 +98,7 @@
 	enum engine_stage ordered_stage;
 	int64_t stage_change_until_ms;
 	bool stage_change_remote;
+	struct engine_pace pace;
 };
 
 /* Number of distinct rule priorities; the platform's priorities are 0 to 9. */
--- a/include/ibisgate/policy/place.h
+++ b/include/ibisgate/policy/place.h
@@ -55,6 +55,7 @@
  * @cached_tokens: leading tokens of this prompt that are in its KV cache, or will be once its
  *	backlog has been prefilled
  * @ready_tokens: part of @cached_tokens that is in its KV cache now and can be copied from it
+ * @event_interval_ms: measured time between two events of its generations; 0 when unknown
  * @penalty_ms: cost added after recent failures
  * @home_score: score that all instances compute alike; the engine with the highest score is the
  *	home of the shared prefix of the prompt
@@ -69,6 +70,7 @@
 	int request_slots;
 	int64_t cached_tokens;
 	int64_t ready_tokens;
+	double event_interval_ms;
 	double penalty_ms;
 	uint64_t home_score;
 };
--- a/policy/place.c
+++ b/policy/place.c
@@ -1,14 +1,21 @@
 #include <float.h>
+#include <math.h>
 
 #include "ibisgate/policy/place.h"
 
 /*
- * The expected delay of an engine grows linearly from 0 at this fraction of used slots to
+ * The expected delay of an engine grows with the cube of the used slots, from 0 at this fraction to
  * SLOTS_FULL_MS at full use, where a request waits until a whole generation ends.
  */
 #define SLOTS_FREE_FRACTION 0.5
 #define SLOTS_FULL_MS 400.0
 
+/*
+ * Fraction of the longest pause that callers accept which a placement may use. The rest is left to
+ * prompts that arrive at the engine during the same pause.
+ */
+#define PAUSE_USABLE_FRACTION 0.75
+
 /* For fewer tokens, the calls of a fetch cost more than the prefill that it saves. */
 #define FETCH_MIN_TOKENS 512
 
@@ -101,10 +108,11 @@
 {
 	double used_fraction =
 		e->request_slots > 0 ? (double)e->active_requests / e->request_slots : 1;
+	double scarcity = (used_fraction - SLOTS_FREE_FRACTION) / (1 - SLOTS_FREE_FRACTION);
 
-	if (used_fraction <= SLOTS_FREE_FRACTION)
+	if (scarcity <= 0)
 		return 0;
-	return SLOTS_FULL_MS * (used_fraction - SLOTS_FREE_FRACTION) / (1 - SLOTS_FREE_FRACTION);
+	return SLOTS_FULL_MS * scarcity * scarcity * scarcity;
 }
 
 /*
@@ -115,8 +123,9 @@
 			       const struct place_request *r, const struct place_speed *s)
 {
 	double prefill_ms = (double)(e->backlog_tokens + read_tokens) / s->mixed_per_ms;
+	double interval_ms = fmax(e->event_interval_ms, s->event_interval_ms);
 
-	if (r->gap_ms <= 0 || s->event_interval_ms + prefill_ms <= r->gap_ms)
+	if (r->gap_ms <= 0 || interval_ms + prefill_ms <= PAUSE_USABLE_FRACTION * r->gap_ms)
 		return 0;
 	return e->active_requests;
 }
--- a/tests/test_place.cc
+++ b/tests/test_place.cc
@@ -8,6 +8,7 @@
 #include "place_costs.h"
 
 extern "C" {
+#include "ibisgate/policy/engine_pace.h"
 #include "ibisgate/policy/place.h"
 }
 
@@ -142,6 +143,59 @@
 	EXPECT_EQ(pick(e).prefill, -1);
 }
 
+/*
+ * Guards against short prompts that wait behind long ones at a prefill engine, since a decode
+ * engine with free slots counts as full.
+ */
+TEST(Place, ShortPromptsUseTheFreeSlotsOfDecodeEngines)
+{
+	std::vector<struct place_engine> e = { engine(STAGE_DECODE), engine(STAGE_PREFILL) };
+	struct place_request r = {};
+
+	r.prompt_tokens = 300;
+	r.target_ms = 250;
+	e[0].active_requests = 56;
+	e[1].backlog_tokens = 9000;
+	struct place_choice c = pick(e, r);
+	EXPECT_EQ(c.prefill, -1);
+	EXPECT_LE(c.expected_first_token_ms, 250);
+	e[0].active_requests = 64;
+	EXPECT_GT(pick(e, r).expected_first_token_ms, 250);
+}
+
+/*
+ * Guards against a prompt that would fit in a pause of an idle decode engine, but makes the
+ * generations of one late that is slow already.
+ */
+TEST(Place, SlowGenerationsGetNoFurtherPrompts)
+{
+	std::vector<struct place_engine> e = { engine(STAGE_DECODE), engine(STAGE_DECODE) };
+	struct place_request r = {};
+
+	r.prompt_tokens = 1000;
+	r.target_ms = 250;
+	r.gap_ms = 150;
+	e[0].active_requests = 20;
+	e[1].active_requests = 24;
+	EXPECT_EQ(pick(e, r).decode, 0);
+	e[0].event_interval_ms = 100;
+	EXPECT_EQ(pick(e, r).decode, 1);
+}
+
+/* Guards against an engine that is avoided for long after the prompts that made it slow. */
+TEST(Place, MeasuredPaceDecaysWithoutSamples)
+{
+	struct engine_pace p = {};
+
+	EXPECT_EQ(engine_pace_interval_ms(&p, 5000), 0);
+	for (int64_t ms = 5000; ms < 6000; ms += 100)
+		engine_pace_add(&p, 100, ms);
+	EXPECT_DOUBLE_EQ(engine_pace_interval_ms(&p, 5900), 100);
+	EXPECT_LT(engine_pace_interval_ms(&p, 6900), 20);
+	engine_pace_add(&p, 40, 7000);
+	EXPECT_DOUBLE_EQ(engine_pace_interval_ms(&p, 7000), 40);
+}
+
 /* Guards against instances that prefill a new prefix on several engines at the same time. */
 TEST(Place, InstancesAgreeOnTheHomeOfANewPrefix)
 {
