Start with more engines that generate where engines have few slots

At a start 50 of 72 engines were ordered to prefill; callers asked for a share of 0.38 to 0.48, which changes of three engines each 4 s reach 20 s later.

Change: the share of the settings is meant for 64 slots; the ratio of the stages follows the square root of the slots (0.50 for 12, 0.67 for 48). StageDemand.PriorShareLeavesMoreEnginesToGenerateWhenTheyHaveFewSlots.

--- a/entry/stages.c
+++ b/entry/stages.c
@@ -386,7 +386,7 @@
  * afterwards the share that fits their demand. An instance that starts later has to see requests
  * first; until then it keeps the current share, which may well be right.
  */
-static double prefill_share_target(const struct stages *s, struct service *service,
+static double prefill_share_target(const struct stages *s, struct service *service, int slots,
 				   const struct service_engines *v)
 {
 	const struct stage_demand *d = &service->demand;
@@ -394,7 +394,8 @@
 	double next;
 
 	if (target < 0 && !s->served && s->entry->settings.stages.order_at_start)
-		target = service->prefill_share = s->entry->settings.stages.prefill_share;
+		target = service->prefill_share =
+			stage_demand_prior_share(s->entry->settings.stages.prefill_share, slots);
 	if (target < 0)
 		target = prefill_share_current(v);
 	if (!v->count || !stage_demand_has_enough_samples(d))
@@ -426,7 +427,8 @@
 /*
  * Returns whether the engines of a service differ from the plan. Sends orders if the lease is held.
  */
-static bool plan_service(struct stages *s, struct service *service, int64_t now, bool held)
+static bool plan_service(struct stages *s, struct service *service, int slots, int64_t now,
+			 bool held)
 {
 	static struct service_engines v;
 	enum engine_stage to;
@@ -435,7 +437,7 @@
 	int at;
 
 	service_engines_collect(s, service->name, now, &v);
-	share = prefill_share_target(s, service, &v);
+	share = prefill_share_target(s, service, slots, &v);
 	/*
 	 * Only the first instance plans: instances compute slightly different shares and would
 	 * revert each other's changes.
@@ -459,9 +461,11 @@
 	bool wanted = false;
 
 	for (int i = 0; i < t->service_count; i++) {
-		if (t->services[i].engine.present)
-			wanted |= plan_service(s, service_find(s->entry, t->services[i].name), now,
-					       held);
+		const struct service_spec *spec = &t->services[i];
+
+		if (spec->engine.present)
+			wanted |= plan_service(s, service_find(s->entry, spec->name),
+					       spec->engine.slots, now, held);
 	}
 	return wanted;
 }
--- a/include/ibisgate/policy/stage_demand.h
+++ b/include/ibisgate/policy/stage_demand.h
@@ -73,6 +73,18 @@
  */
 double stage_demand_share(const struct stage_demand *d);
 
+/**
+ * stage_demand_prior_share - fraction of the engines that should prefill before any request
+ * @share: that fraction for engines with 64 slots
+ * @slots: maximum number of concurrent generations of one engine
+ *
+ * For a start under load. An engine prefills one prompt at a time whatever its slots, and generates
+ * as many answers at a time as it has slots, so with fewer slots more engines have to generate. The
+ * ratio of the stages follows the square root of the slots, since how long prompts and answers are
+ * is not known yet.
+ */
+double stage_demand_prior_share(double share, int slots);
+
 /**
  * stage_demand_apply_hysteresis - apply hysteresis to the target fraction of prefill engines
  * @demanded: current result of stage_demand_share()
--- a/policy/stage_demand.c
+++ b/policy/stage_demand.c
@@ -26,6 +26,9 @@
 #define SHARE_MIN 0.2
 #define SHARE_MAX 0.75
 
+/* Slots of an engine for which the share in the settings is meant. */
+#define PRIOR_SLOTS 64.0
+
 /* Weight of one generation in the moving means of events, which cover about the last 50. */
 #define EVENTS_WEIGHT 0.02
 
@@ -116,6 +119,16 @@
 	return share < SHARE_MIN ? SHARE_MIN : share > SHARE_MAX ? SHARE_MAX : share;
 }
 
+double stage_demand_prior_share(double share, int slots)
+{
+	double ratio = share / (1 - share) * sqrt(slots / PRIOR_SLOTS);
+	double scaled = ratio / (1 + ratio);
+
+	if (share <= 0 || share >= 1 || slots <= 0)
+		return share;
+	return scaled < SHARE_MIN ? SHARE_MIN : scaled > SHARE_MAX ? SHARE_MAX : scaled;
+}
+
 double stage_demand_apply_hysteresis(double demanded, double current, int total)
 {
 	double min_engines = fmax(CHANGE_MIN_FRACTION * total, CHANGE_MIN_ENGINES);
--- a/tests/test_stage_demand.cc
+++ b/tests/test_stage_demand.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 extern "C" {
 #include "ibisgate/policy/stage_demand.h"
 }
@@ -153,3 +155,36 @@
 	/* Beyond the maximum, prefill on the same engines made the generations slow. */
 	EXPECT_NEAR(stage_demand_share(&steep), stage_demand_share(&assumed), 0.01);
 }
+
+/*
+ * Load: a start under load with engines of few slots. Guards against waiting for the slots of few
+ * engines that generate, while engines that prefill are idle: changes of stage take tens of
+ * seconds.
+ */
+TEST(StageDemand, PriorShareLeavesMoreEnginesToGenerateWhenTheyHaveFewSlots)
+{
+	EXPECT_DOUBLE_EQ(stage_demand_prior_share(0.7, 64), 0.7);
+	EXPECT_NEAR(stage_demand_prior_share(0.7, 48), 0.67, 0.01);
+	for (int slots : { 8, 12, 24 }) {
+		struct stage_demand d = {};
+		/* Short prompts beside long ones: 300 and 6,000 tokens to read, 45 to generate. */
+		int64_t now = 0;
+
+		for (int i = 0; i < 2000; i++) {
+			struct stage_generation g = {};
+
+			now += 2;
+			g.tokens = 45;
+			g.events = 6;
+			g.ms = 5 * 42;
+			stage_demand_add_request(&d, i % 8 ? 6 : 120, 45, slots, now);
+			stage_demand_add_generation(&d, &g);
+		}
+		double first = stage_demand_prior_share(0.7, slots);
+		EXPECT_LT(std::abs(first - stage_demand_share(&d)),
+			  std::abs(0.7 - stage_demand_share(&d)))
+			<< slots;
+	}
+	EXPECT_EQ(stage_demand_prior_share(-1, 12), -1);
+	EXPECT_EQ(stage_demand_prior_share(1, 12), 1);
+}
