Don't take a pause of the instance for silence of its engines

Here an instance that was stopped for 0.5 s ended all its streams with "timeout" when it woke, and three of them opened the circuit of the engine: the tick that checks for silence runs before the events that came meanwhile are read from the sockets.

Ruled out: silence of the engine (its stand-in sent an event each 100 ms), the deadline.

Change: a tick that is more than 100 ms late extends the limits by the pause and checks deadlines at the next one, after the sockets have been read, so that answers that are ready go out first. In the own protocol the loop reads before it checks.

BrokenAnswersTest.StreamsSurviveAPauseOfTheInstance failed in each of six cases before (3 of 20 events, or refused since the circuit was open).

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -235,6 +235,14 @@
 			       r->target_ms + REQUEST_SILENCE_EXPECTED_FACTOR * expected_ms);
 }
 
+void attempt_extend_silence(struct exchange *x, int64_t pause_ms)
+{
+	x->attempt.last_receive_ms += pause_ms;
+	x->attempt.progress_ms += pause_ms;
+	if (x->attempt.event_ms)
+		x->attempt.event_ms += pause_ms;
+}
+
 void attempt_check_silence(struct exchange *x, int64_t now_ms)
 {
 	struct http_exchange *call = x->attempt.call;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -19,6 +19,9 @@
 /* Period of the checks that no event triggers, in milliseconds. */
 #define TICK_MS 100
 
+/* A tick that is later than this means that the process was paused, in milliseconds. */
+#define TICK_LATE_MS 100
+
 /* How often the settings file is checked for changes, in milliseconds. */
 #define SETTINGS_CHECK_MS 1000
 
@@ -238,15 +241,31 @@
 	http_client_set_max_idle(e->endpoint_client, max_idle);
 }
 
+/*
+ * Time for which the process didn't run before this tick. What arrived meanwhile is still in the
+ * sockets, so that time is no silence of an endpoint.
+ */
+static int64_t tick_pause_ms(struct entry *e, int64_t now)
+{
+	int64_t late_ms = e->ticked_ms ? now - e->ticked_ms - TICK_MS : 0;
+
+	e->ticked_ms = now;
+	return late_ms > TICK_LATE_MS ? late_ms : 0;
+}
+
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
 {
 	struct entry *e = ctx;
 	int64_t now = clock_boot_ms();
+	int64_t pause_ms = tick_pause_ms(e, now);
 
 	directory_remove_deferred(&e->directory, now);
 	for (int i = 0; i < SHARING_STORE_TABLES; i++)
 		store_watch_step(e->watches[i], now);
-	exchanges_check_timeouts(e, now);
+	if (pause_ms)
+		exchanges_extend_silence(e, pause_ms);
+	else
+		exchanges_check_timeouts(e, now);
 	callers_check_timeouts(e, now);
 	ready_log_change(e);
 	services_update_locality(e);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -362,6 +362,15 @@
 		exchange_place(x);
 }
 
+void exchanges_extend_silence(struct entry *e, int64_t pause_ms)
+{
+	struct exchange *x;
+
+	cds_list_for_each_entry(x, &e->exchange_list, link)
+		attempt_extend_silence(x, pause_ms);
+	log_info("paused", "instance=%s pause_ms=%" PRId64, e->settings.instance.id, pause_ms);
+}
+
 void exchanges_check_timeouts(struct entry *e, int64_t now_ms)
 {
 	struct exchange *x, *next;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -146,6 +146,9 @@
 /** attempt_end - release the attempt and close its connection if it is still open */
 void attempt_end(struct exchange *x);
 
+/** attempt_extend_silence - ignore the last @pause_ms, in which this process didn't run */
+void attempt_extend_silence(struct exchange *x, int64_t pause_ms);
+
 /** attempt_check_silence - retry elsewhere when the endpoint has stopped sending */
 void attempt_check_silence(struct exchange *x, int64_t now_ms);
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -147,6 +147,7 @@
  * @cache_calls: requests of cache_sync.c in flight
  * @cache_calls_left: requests of cache_sync.c that may still start before the next tick
  * @locality_stale: endpoints have changed since the last services_update_locality()
+ * @ticked_ms: time of the last tick; a late one shows that the process was paused
  * @dc_failing: dc_health_unreachable_share() of each data centre at @dc_failing_ms
  */
 struct entry {
@@ -192,6 +193,7 @@
 	bool stopping;
 	int64_t stop_begun_ms;
 	int64_t settings_checked_ms;
+	int64_t ticked_ms;
 };
 
 /** entry_dc_index - index of a data centre; this instance's own data centre has index 0 */
@@ -398,6 +400,9 @@
 /** exchange_cancel - abort the request because the caller has disconnected */
 void exchange_cancel(struct exchange *x);
 
+/** exchanges_extend_silence - don't count the last @pause_ms as silence of any endpoint */
+void exchanges_extend_silence(struct entry *e, int64_t pause_ms);
+
 /** exchanges_check_timeouts - expire deadlines and detect endpoints that have stopped sending */
 void exchanges_check_timeouts(struct entry *e, int64_t now_ms);
 
--- a/tests/test_broken_answers.cc
+++ b/tests/test_broken_answers.cc
@@ -1,5 +1,6 @@
 #include "entry_fixture.h"
 
+#include <atomic>
 #include <fstream>
 #include <thread>
 
@@ -222,6 +223,53 @@
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
 
+/*
+ * Guards against an instance that takes its own pause for the silence of an engine: the events that
+ * came meanwhile wait in its sockets, and the running work must be neither given up nor repeated.
+ */
+TEST_F(BrokenAnswersTest, StreamsSurviveAPauseOfTheInstance)
+{
+	struct harness_process *p = start_all(1, 0, 1);
+	std::atomic<int> runs{ 0 };
+	TinyServer server([&](int fd, const std::string &request) {
+		std::string id = request_id(request);
+
+		if (request.rfind("POST", 0) != 0) {
+			TinyServer::send_response(fd, 404, "");
+			return true;
+		}
+		runs++;
+		TinyServer::send_bytes(fd, STREAM_HEAD + id + "\r\n\r\n");
+		for (int k = 1; k <= 20; k++) {
+			usleep(100000);
+			TinyServer::send_bytes(fd, chunk("id: " + std::to_string(k) + "\ndata: " +
+							 id + "." + std::to_string(k) + "\n\n"));
+		}
+		TinyServer::send_bytes(fd, "0\r\n\r\n");
+		return true;
+	});
+
+	replace_endpoint("e0", server);
+	for (const char *target : { "stream/x", "once/x" }) {
+		for (int pause_ms : { 500, 1000, 1500 }) {
+			Caller c(harness_process_port(p, "http"), process_ip(p).c_str());
+
+			runs = 0;
+			c.send_text(generation_text(target, 20));
+			usleep(400000);
+			harness_process_signal(p, SIGSTOP);
+			usleep((useconds_t)pause_ms * 1000);
+			harness_process_signal(p, SIGCONT);
+			Response a = c.read_response(4000);
+			EXPECT_EQ(a.status, 200) << target << " " << pause_ms;
+			EXPECT_TRUE(a.complete) << target << " " << pause_ms;
+			EXPECT_EQ(a.body, event_text(last_id(), 20)) << target << " " << pause_ms;
+			EXPECT_EQ(runs, 1) << target << " " << pause_ms;
+		}
+	}
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
+
 /* An endpoint "s0" with large answers, for callers that read slowly. */
 class SlowCallerTest : public BrokenAnswersTest
 {
