Count only the first of several late ticks as a pause

A machine that stays slow has every tick late; none of them checked for silent endpoints or deadlines then. Found by reading the change; no test plays a slow machine. BrokenAnswersTest.StreamsSurviveAPauseOfTheInstance passes.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -243,14 +243,17 @@
 
 /*
  * Time for which the process didn't run before this tick. What arrived meanwhile is still in the
- * sockets, so that time is no silence of an endpoint.
+ * sockets, so that time is no silence of an endpoint. Only the first of several late ticks counts,
+ * so that a machine that stays slow still finds silent endpoints.
  */
 static int64_t tick_pause_ms(struct entry *e, int64_t now)
 {
 	int64_t late_ms = e->ticked_ms ? now - e->ticked_ms - TICK_MS : 0;
+	bool was_late = e->tick_was_late;
 
 	e->ticked_ms = now;
-	return late_ms > TICK_LATE_MS ? late_ms : 0;
+	e->tick_was_late = late_ms > TICK_LATE_MS;
+	return e->tick_was_late && !was_late ? late_ms : 0;
 }
 
 static void on_tick(evutil_socket_t fd, short what, void *ctx)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -148,6 +148,7 @@
  * @cache_calls_left: requests of cache_sync.c that may still start before the next tick
  * @locality_stale: endpoints have changed since the last services_update_locality()
  * @ticked_ms: time of the last tick; a late one shows that the process was paused
+ * @tick_was_late: the last tick was late
  * @dc_failing: dc_health_unreachable_share() of each data centre at @dc_failing_ms
  */
 struct entry {
@@ -194,6 +195,7 @@
 	int64_t stop_begun_ms;
 	int64_t settings_checked_ms;
 	int64_t ticked_ms;
+	bool tick_was_late;
 };
 
 /** entry_dc_index - index of a data centre; this instance's own data centre has index 0 */
