--- a/daemon/control_members.c
+++ b/daemon/control_members.c
@@ -386,8 +386,7 @@
 	}
 	has_started = !known || known->incarnation < m.incarnation;
 	confirmed = heartbeat_hears_us(c, h, known, &m);
-	/* After a restart of this instance, the list may know the address before a full heartbeat.
-	 */
+	/* After a restart of this instance, the first heartbeats don't carry the address yet. */
 	if (!h->peer[0] && known && (known->incarnation == m.incarnation || !known->incarnation)) {
 		memcpy(m.peer, known->peer, sizeof(m.peer));
 		memcpy(m.http, known->http, sizeof(m.http));
--- a/policy/stage_demand.c
+++ b/policy/stage_demand.c
@@ -111,22 +111,26 @@
 	return d->samples >= SAMPLES_MIN && d->event_interval_ms > 0;
 }
 
+static double share_clamp(double share)
+{
+	return fmin(fmax(share, SHARE_MIN), SHARE_MAX);
+}
+
 double stage_demand_share(const struct stage_demand *d)
 {
 	double all = d->prefill + d->decode;
-	double share = all > 0 ? d->prefill / all : SHARE_MAX;
 
-	return share < SHARE_MIN ? SHARE_MIN : share > SHARE_MAX ? SHARE_MAX : share;
+	return share_clamp(all > 0 ? d->prefill / all : SHARE_MAX);
 }
 
 double stage_demand_prior_share(double share, int slots)
 {
-	double ratio = share / (1 - share) * sqrt(slots / PRIOR_SLOTS);
-	double scaled = ratio / (1 + ratio);
+	double ratio;
 
 	if (share <= 0 || share >= 1 || slots <= 0)
 		return share;
-	return scaled < SHARE_MIN ? SHARE_MIN : scaled > SHARE_MAX ? SHARE_MAX : scaled;
+	ratio = share / (1 - share) * sqrt(slots / PRIOR_SLOTS);
+	return share_clamp(ratio / (1 + ratio));
 }
 
 double stage_demand_apply_hysteresis(double demanded, double current, int total)
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -326,6 +326,20 @@
 	{
 		return "r" + std::to_string(last_request);
 	}
+	/* Three endpoints crash one after the other while they run @body, sent through @p. */
+	void crash_three(struct harness_process *p, const std::string &body)
+	{
+		set_endpoint_fault("", "lose-answer");
+		for (int i = 0; i < 3; i++) {
+			EXPECT_EQ(send_request(p, request_text("order/x", "POST", "", body)).status,
+				  502);
+			auto r = runs(last_id());
+			ASSERT_EQ(r.size(), 1u);
+			set_endpoint_state(r[0].node, "gone");
+			usleep(700000);
+		}
+		set_endpoint_fault("", "ok");
+	}
 	/* Number of established connections to a port on loopback, from the kernel's table. */
 	static int connection_count(pid_t pid, int port)
 	{
--- a/tests/test_broken_answers.cc
+++ b/tests/test_broken_answers.cc
@@ -190,25 +190,32 @@
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
 
+/* Answers a POST with a whole stream of @events, one each @interval_us. */
+static void send_paced_stream(int fd, const std::string &request, int events,
+			      useconds_t interval_us)
+{
+	std::string id = request_id(request);
+
+	if (request.rfind("POST", 0) != 0) {
+		TinyServer::send_response(fd, 404, "");
+		return;
+	}
+	TinyServer::send_bytes(fd, STREAM_HEAD + id + "\r\n\r\n");
+	for (int k = 1; k <= events; k++) {
+		usleep(interval_us);
+		TinyServer::send_bytes(fd, chunk("id: " + std::to_string(k) + "\ndata: " + id +
+						 "." + std::to_string(k) + "\n\n"));
+	}
+	TinyServer::send_bytes(fd, "0\r\n\r\n");
+}
+
 /* Guards against cutting a stream that is slow but sound. */
 TEST_F(BrokenAnswersTest, SlowStreamsAreNotCut)
 {
 	struct harness_process *p = start_all(1, 0, 1);
 	TinyServer server([&](int fd, const std::string &request) {
-		std::string id = request_id(request);
-
-		if (request.rfind("POST", 0) != 0) {
-			TinyServer::send_response(fd, 404, "");
-			return true;
-		}
-		TinyServer::send_bytes(fd, STREAM_HEAD + id + "\r\n\r\n");
-		for (int k = 1; k <= 9; k++) {
-			/* 0.9 of the silence after which an engine counts as lost. */
-			usleep(270000);
-			TinyServer::send_bytes(fd, chunk("id: " + std::to_string(k) + "\ndata: " +
-							 id + "." + std::to_string(k) + "\n\n"));
-		}
-		TinyServer::send_bytes(fd, "0\r\n\r\n");
+		/* 0.9 of the silence after which an engine counts as lost. */
+		send_paced_stream(fd, request, 9, 270000);
 		return true;
 	});
 
@@ -232,20 +239,8 @@
 	struct harness_process *p = start_all(1, 0, 1);
 	std::atomic<int> runs{ 0 };
 	TinyServer server([&](int fd, const std::string &request) {
-		std::string id = request_id(request);
-
-		if (request.rfind("POST", 0) != 0) {
-			TinyServer::send_response(fd, 404, "");
-			return true;
-		}
-		runs++;
-		TinyServer::send_bytes(fd, STREAM_HEAD + id + "\r\n\r\n");
-		for (int k = 1; k <= 20; k++) {
-			usleep(100000);
-			TinyServer::send_bytes(fd, chunk("id: " + std::to_string(k) + "\ndata: " +
-							 id + "." + std::to_string(k) + "\n\n"));
-		}
-		TinyServer::send_bytes(fd, "0\r\n\r\n");
+		runs += request.rfind("POST", 0) == 0;
+		send_paced_stream(fd, request, 20, 100000);
 		return true;
 	});
 
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -693,23 +693,11 @@
 	put_config(config_json(1));
 	struct harness_process *a = start_instance(0);
 	struct harness_process *b = start_instance(1);
-	auto crash = [&] {
-		Response got = send_request(a, request_text("order/x", "POST", "", "poison"));
-		auto r = runs(last_id());
-
-		EXPECT_EQ(got.status, 502);
-		ASSERT_EQ(r.size(), 1u);
-		set_endpoint_state(r[0].node, "gone");
-		usleep(700000);
-	};
 
 	ASSERT_TRUE(
 		eventually([&] { return ready_status(a) == 200 && ready_status(b) == 200; }, 5000));
 	usleep(1200000);
-	set_endpoint_fault("", "lose-answer");
-	for (int i = 0; i < 3; i++)
-		crash();
-	set_endpoint_fault("", "ok");
+	crash_three(a, "poison");
 	for (struct harness_process *p : { a, b }) {
 		EXPECT_EQ(send_request(p, request_text("order/x", "POST", "", "poison")).status,
 			  503);
@@ -730,16 +718,7 @@
 	ASSERT_TRUE(
 		eventually([&] { return ready_status(a) == 200 && ready_status(b) == 200; }, 5000));
 	usleep(1200000);
-	set_endpoint_fault("", "lose-answer");
-	for (int i = 0; i < 3; i++) {
-		EXPECT_EQ(send_request(a, request_text("order/x", "POST", "", "poison")).status,
-			  502);
-		auto r = runs(last_id());
-		ASSERT_EQ(r.size(), 1u);
-		set_endpoint_state(r[0].node, "gone");
-		usleep(700000);
-	}
-	set_endpoint_fault("", "ok");
+	crash_three(a, "poison");
 	harness_process_signal(b, SIGKILL);
 	ASSERT_EQ(harness_process_wait(b, 5000), 0);
 	b = start_instance(1);
@@ -765,19 +744,6 @@
 		all.push_back(start_instance(i));
 	for (struct harness_process *p : all)
 		ASSERT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
-	/* Three endpoints crash one after the other while they run @body, sent through @p. */
-	auto crash_three = [&](struct harness_process *p, const std::string &body) {
-		set_endpoint_fault("", "lose-answer");
-		for (int i = 0; i < 3; i++) {
-			EXPECT_EQ(send_request(p, request_text("order/x", "POST", "", body)).status,
-				  502);
-			auto r = runs(last_id());
-			ASSERT_EQ(r.size(), 1u);
-			set_endpoint_state(r[0].node, "gone");
-			usleep(700000);
-		}
-		set_endpoint_fault("", "ok");
-	};
 	auto refuses = [&](struct harness_process *p, const std::string &body) {
 		return eventually(
 			[&] {
