--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -57,6 +57,7 @@
  * @peer_version: version of the newest change that other instances have received
  * @behind_since_ms: since when changes that others have received are missing; 0 when none are
  * @down: the last request failed
+ * @succeeded_ms: when the last request succeeded
  */
 struct store_watch {
 	struct entry *entry;
@@ -72,6 +73,7 @@
 	int64_t behind_since_ms;
 	bool down;
 	int failures;
+	int64_t succeeded_ms;
 	int64_t requested_ms;
 };
 
@@ -100,12 +102,14 @@
 	int64_t now = clock_boot_ms();
 
 	if (w->down) {
-		log_info("dependency-regained", "dependency=store table=%s failures=%d", w->table,
-			 w->failures);
+		log_info("dependency-regained",
+			 "dependency=store table=%s failures=%d away_ms=%" PRId64, w->table,
+			 w->failures, now - w->succeeded_ms);
 		directory_defer_removals(&w->entry->directory, now + DIRECTORY_HOLD_MS);
 	}
 	w->down = false;
 	w->failures = 0;
+	w->succeeded_ms = now;
 }
 
 static void apply_config(struct store_watch *w, const struct store_row *row)
@@ -120,21 +124,30 @@
 			 err.text);
 }
 
+static void remove_endpoint(struct store_watch *w, const struct store_row *row)
+{
+	struct directory *d = &w->entry->directory;
+
+	directory_remove(d, str_from(row->key), row->version, clock_boot_ms());
+	if (directory_is_missing(d, str_from(row->key)))
+		log_info("endpoint", "endpoint=%s change=missing list_version=%" PRId64, row->key,
+			 row->version);
+}
+
 static void apply_endpoint(struct store_watch *w, const struct store_row *row)
 {
 	struct entry *e = w->entry;
 	struct endpoint_entry entry;
 	struct error err = { 0 };
-	int64_t now = clock_boot_ms();
 
 	if (row->deleted) {
-		directory_remove(&e->directory, str_from(row->key), row->version, now);
+		remove_endpoint(w, row);
 		return;
 	}
 	if (store_endpoint_decode(row, &entry, &err) < 0) {
 		log_warn("endpoint-ignored", "row_version=%" PRId64 " error=\"%s\"", row->version,
 			 err.text);
-		directory_remove(&e->directory, str_from(row->key), row->version, now);
+		remove_endpoint(w, row);
 		return;
 	}
 	directory_put(&e->directory, &entry);
@@ -172,6 +185,9 @@
 	w->listing = false;
 	if (endpoints) {
 		directory_list_end(&w->entry->directory, w->version, clock_boot_ms());
+		log_info("endpoints-listed", "list_version=%" PRId64 " endpoints=%d missing=%d",
+			 w->version, w->entry->directory.count,
+			 directory_count_missing(&w->entry->directory));
 		w->entry->endpoints_loaded = true;
 	}
 }
--- a/include/ibisgate/common/metrics.h
+++ b/include/ibisgate/common/metrics.h
@@ -40,6 +40,8 @@
 	X(PLATFORM_WRITES, "platform_writes_total", "counter", "Writes sent to the table")         \
 	X(PLATFORM_ERRORS, "platform_errors_total", "counter",                                     \
 	  "Calls to the platform that failed")                                                     \
+	X(ENDPOINTS_MISSING, "endpoints_missing", "gauge",                                         \
+	  "Endpoints in use that are missing from the platform's list")                            \
 	X(LIST_BYTES, "list_bytes_total", "counter",                                               \
 	  "Bytes of polls of the platform's list, both directions")                                \
 	X(LOAD_POLLS, "load_polls_total", "counter", "Load polls sent to engines")                 \
--- a/include/ibisgate/state/directory.h
+++ b/include/ibisgate/state/directory.h
@@ -99,6 +99,12 @@
 /** directory_remove_deferred - carry out deferred removals once their time has come */
 void directory_remove_deferred(struct directory *d, int64_t now_ms);
 
+/** directory_is_missing - whether the removal of @id is deferred */
+bool directory_is_missing(const struct directory *d, struct str id);
+
+/** directory_count_missing - number of entries whose removal is deferred */
+int directory_count_missing(const struct directory *d);
+
 /** directory_find - entry of @id, owned by the directory; NULL if there is none */
 const struct endpoint_entry *directory_find(const struct directory *d, struct str id);
 
--- a/state/directory.c
+++ b/state/directory.c
@@ -46,6 +46,22 @@
 	return s ? &s->entry : NULL;
 }
 
+bool directory_is_missing(const struct directory *d, struct str id)
+{
+	const struct directory_slot *s = slot_find(d, id);
+
+	return s && s->removal_pending;
+}
+
+int directory_count_missing(const struct directory *d)
+{
+	int n = 0;
+
+	for (int i = 0; i < d->count; i++)
+		n += d->slots[i]->removal_pending;
+	return n;
+}
+
 static struct directory_slot *slot_add(struct directory *d, const struct endpoint_entry *e)
 {
 	struct directory_slot *s = mem_zalloc(sizeof(*s));
