--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -42,11 +42,8 @@
 #define RETRY_MIN_MS 150
 #define RETRY_MAX_MS 1000
 
-/*
- * Endpoints rewrite their entries within about 2 s after the store recovers; missing entries are
- * honoured only after this time, in milliseconds.
- */
-#define DIRECTORY_HOLD_MS 2300
+/* Maximum backoff while the store can't be reached, which puts no load on it, in milliseconds. */
+#define RETRY_UNREACHABLE_MAX_MS 300
 
 /**
  * struct store_watch - local copy of one table of the store, kept up to date
@@ -58,6 +55,9 @@
  * @behind_since_ms: since when changes that others have received are missing; 0 when none are
  * @down: the last request failed
  * @succeeded_ms: when the last request succeeded
+ * @away_ms: when the store was last known to be away
+ * @served_ms: while @down, when another instance first reported changes that are missing here; 0
+ *   if none has
  */
 struct store_watch {
 	struct entry *entry;
@@ -74,6 +74,8 @@
 	bool down;
 	int failures;
 	int64_t succeeded_ms;
+	int64_t away_ms;
+	int64_t served_ms;
 	int64_t requested_ms;
 };
 
@@ -84,7 +86,8 @@
 	event_add(w->timer, &tv);
 }
 
-static void watch_failed(struct store_watch *w, const char *why)
+/* @away_ms: when the store was certainly away */
+static void watch_failed(struct store_watch *w, const char *why, int64_t away_ms, int64_t max_ms)
 {
 	int64_t backoff_ms = RETRY_MIN_MS << (w->failures < 4 ? w->failures : 4);
 
@@ -92,9 +95,19 @@
 		log_warn("dependency-lost", "dependency=store table=%s cause=%s version=%" PRId64,
 			 w->table, why, w->version);
 	w->down = true;
+	w->away_ms = away_ms;
 	w->failures++;
 	metric_add(METRIC_PLATFORM_ERRORS, 1);
-	watch_schedule(w, backoff_ms < RETRY_MAX_MS ? backoff_ms : RETRY_MAX_MS);
+	watch_schedule(w, backoff_ms < max_ms ? backoff_ms : max_ms);
+}
+
+static void watch_unanswered(struct store_watch *w, enum http_failure why)
+{
+	/* A connection that is silent may have been cut off from a store that is back by now. */
+	int64_t away_ms = why == HTTP_FAILURE_CONNECT ? w->requested_ms : clock_boot_ms();
+
+	watch_failed(w, http_failure_name(why), away_ms,
+		     why == HTTP_FAILURE_CONNECT ? RETRY_UNREACHABLE_MAX_MS : RETRY_MAX_MS);
 }
 
 static void watch_succeeded(struct store_watch *w)
@@ -102,13 +115,20 @@
 	int64_t now = clock_boot_ms();
 
 	if (w->down) {
+		struct directory_outage outage = {
+			.away_ms = w->away_ms,
+			.served_ms = w->served_ms,
+			.recovery_ms = w->entry->settings.bounds.recovery_ms,
+		};
+
+		directory_outage_ended(&w->entry->directory, &outage, now);
 		log_info("dependency-regained",
 			 "dependency=store table=%s failures=%d away_ms=%" PRId64, w->table,
 			 w->failures, now - w->succeeded_ms);
-		directory_defer_removals(&w->entry->directory, now + DIRECTORY_HOLD_MS);
 	}
 	w->down = false;
 	w->failures = 0;
+	w->served_ms = 0;
 	w->succeeded_ms = now;
 }
 
@@ -211,7 +231,7 @@
 
 	if (store_rows_decode(body, &rows, &err) < 0) {
 		log_warn("store-response-ignored", "table=%s error=\"%s\"", w->table, err.text);
-		watch_failed(w, "malformed");
+		watch_failed(w, "malformed", clock_boot_ms(), RETRY_MAX_MS);
 		return;
 	}
 	watch_succeeded(w);
@@ -235,7 +255,7 @@
 	if (!r->status && r->failure == HTTP_FAILURE_STALE) {
 		watch_schedule(w, 0);
 	} else if (!r->status) {
-		watch_failed(w, http_failure_name(r->failure));
+		watch_unanswered(w, r->failure);
 	} else if (r->status == 410) {
 		/*
 		 * The store no longer has the changes since our version, so the whole table is read
@@ -247,7 +267,8 @@
 		w->after[0] = '\0';
 		watch_schedule(w, 0);
 	} else if (r->status != 200) {
-		watch_failed(w, r->status == 429 ? "rate-limit" : "status");
+		watch_failed(w, r->status == 429 ? "rate-limit" : "status", w->requested_ms,
+			     RETRY_MAX_MS);
 	} else {
 		on_rows(w, r->body);
 	}
@@ -291,6 +312,8 @@
 {
 	if (version > w->peer_version)
 		w->peer_version = version;
+	if (w->down && !w->served_ms && version > w->version)
+		w->served_ms = clock_boot_ms();
 }
 
 void store_watch_step(struct store_watch *w, int64_t now_ms)
--- a/include/ibisgate/daemon/settings.h
+++ b/include/ibisgate/daemon/settings.h
@@ -88,6 +88,7 @@
 		int instances_min;
 		int64_t stop_grace_ms;
 		int64_t change_ms;
+		int64_t recovery_ms;
 	} bounds;
 	/* [engines]: speeds assumed until requests have been measured; see struct place_speed */
 	struct {
--- a/include/ibisgate/state/directory.h
+++ b/include/ibisgate/state/directory.h
@@ -92,9 +92,25 @@
 void directory_list_begin(struct directory *d);
 void directory_list_end(struct directory *d, int64_t version, int64_t now_ms);
 
-/** directory_defer_removals - defer removals until @until_ms; called when the list is back after an
- * outage */
-void directory_defer_removals(struct directory *d, int64_t until_ms);
+/**
+ * struct directory_outage - what an instance knows of an outage of the list
+ * @away_ms: when the list was last known to be away
+ * @served_ms: when another instance is first known to have received a change; 0 if none has
+ * @recovery_ms: time after the outage in which all removals must be carried out
+ */
+struct directory_outage {
+	int64_t away_ms;
+	int64_t served_ms;
+	int64_t recovery_ms;
+};
+
+/**
+ * directory_outage_ended - defer removals, because the list is back after an outage
+ *
+ * Endpoints write entries again that expired while the list was away. The instance may have been
+ * the only one without it, so removals are not deferred beyond what a real outage would require.
+ */
+void directory_outage_ended(struct directory *d, const struct directory_outage *o, int64_t now_ms);
 
 /** directory_remove_deferred - carry out deferred removals once their time has come */
 void directory_remove_deferred(struct directory *d, int64_t now_ms);
--- a/state/directory.c
+++ b/state/directory.c
@@ -4,6 +4,15 @@
 
 #include "ibisgate/state/directory.h"
 
+/*
+ * Endpoints rewrite their entries within about 2 s after the list is back; missing entries are
+ * honoured only after this time, in milliseconds.
+ */
+#define REWRITE_MS 2300
+
+/* Time for carrying out the removals, within the time for recovery, in milliseconds. */
+#define RECOVERY_MARGIN_MS 200
+
 struct directory_slot {
 	struct endpoint_entry entry;
 	int index;
@@ -159,8 +168,17 @@
 	}
 }
 
-void directory_defer_removals(struct directory *d, int64_t until_ms)
+static int64_t min_i64(int64_t a, int64_t b)
+{
+	return a < b ? a : b;
+}
+
+void directory_outage_ended(struct directory *d, const struct directory_outage *o, int64_t now_ms)
 {
+	int64_t back_ms = o->served_ms ? min_i64(o->served_ms, now_ms) : now_ms;
+	int64_t until_ms =
+		min_i64(back_ms + REWRITE_MS, o->away_ms + o->recovery_ms - RECOVERY_MARGIN_MS);
+
 	if (until_ms > d->defer_removals_until_ms)
 		d->defer_removals_until_ms = until_ms;
 }
--- a/tests/test_directory.cc
+++ b/tests/test_directory.cc
@@ -93,7 +93,9 @@
 
 	r.put("a", 1, 100);
 	r.put("b", 2, 100);
-	directory_defer_removals(&r.d, 2300);
+	struct directory_outage outage = { -100, 0, 3000 };
+
+	directory_outage_ended(&r.d, &outage, 0);
 	r.remove("a", 3, 10);
 	r.remove("b", 4, 10);
 	directory_remove_deferred(&r.d, 2299);
@@ -107,6 +109,39 @@
 	EXPECT_EQ(r.changes.back(), "removed a");
 }
 
+/* Guards against inc1: an instance that was cut off alone keeps endpoints that have left. */
+TEST(Directory, RemovalsAreCarriedOutWithinTheTimeForRecovery)
+{
+	struct {
+		struct directory_outage outage;
+		int64_t back_ms;
+		int64_t removed_ms;
+	} cases[] = {
+		/* Within 3 s after the list can have been back. */
+		{ { 10000, 0, 3000 }, 11000, 12800 },
+		{ { 10000, 0, 5000 }, 11000, 13300 },
+		/* Another instance had the list at 10.4 s, or all the while. */
+		{ { 10900, 10400, 3000 }, 11000, 12700 },
+		{ { 10900, 5000, 3000 }, 11000, 11000 },
+		/* It has it later than this one. */
+		{ { 10900, 11500, 3000 }, 11000, 13300 },
+	};
+
+	for (const auto &c : cases) {
+		struct directory_rig r;
+
+		r.put("a", 1, 100);
+		directory_outage_ended(&r.d, &c.outage, c.back_ms);
+		r.remove("a", 3, c.back_ms);
+		directory_remove_deferred(&r.d, c.removed_ms - 1);
+		if (c.removed_ms > c.back_ms) {
+			EXPECT_NE(directory_find(&r.d, str_from("a")), nullptr) << c.removed_ms;
+		}
+		directory_remove_deferred(&r.d, c.removed_ms);
+		EXPECT_EQ(directory_find(&r.d, str_from("a")), nullptr) << c.removed_ms;
+	}
+}
+
 /* Guards against keeping endpoints that were removed while no changes could be read. */
 TEST(Directory, CompleteListRemovesMissingEntries)
 {
