--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -256,3 +256,77 @@
 		EXPECT_LE(a.took_ms, 5 * READ_TIMEOUT_MS) << start;
 	}
 }
+
+namespace
+{
+
+/* A server that accepts connections and reads nothing until it is told to. */
+class LateReader
+{
+      public:
+	LateReader()
+	{
+		struct sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+		int small = 4096;
+
+		listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		setsockopt(listen_fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(bind(listen_fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+		EXPECT_EQ(listen(listen_fd, 8), 0);
+		getsockname(listen_fd, (struct sockaddr *)&sin, &len);
+		port = ntohs(sin.sin_port);
+	}
+	~LateReader()
+	{
+		close(listen_fd);
+	}
+	/* Reads one connection to its end. Return: number of bytes; @error is that of the end. */
+	size_t read_all(int *error)
+	{
+		int fd = accept(listen_fd, nullptr, nullptr);
+		struct timeval limit = { 3, 0 };
+		size_t total = 0;
+		char data[65536];
+		ssize_t n;
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+		while ((n = recv(fd, data, sizeof(data), 0)) > 0)
+			total += (size_t)n;
+		*error = n < 0 ? errno : 0;
+		close(fd);
+		return total;
+	}
+
+	int listen_fd;
+	int port;
+};
+
+} // namespace
+
+/* Guards against inc1: an abandoned request that TCP delivers once its path is back. */
+TEST_F(HttpClient, AbandonedRequestsDoNotArriveLater)
+{
+	for (bool cancelled : { true, false }) {
+		LateReader server;
+		std::string text = "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 40000\r\n\r\n" +
+				   std::string(40000, 'x');
+		struct http_exchange_spec spec = {};
+		struct answer out;
+		int error = 0;
+
+		spec.to = { 0x7f000001, (uint16_t)server.port };
+		spec.request = { text.data(), text.size() };
+		spec.connect_ms = 1000;
+		spec.read_timeout_ms = cancelled ? 5000 : READ_TIMEOUT_MS;
+		struct http_collect *call = http_collect_start(client, &spec, on_done, &out);
+		run_for(2 * READ_TIMEOUT_MS);
+		EXPECT_EQ(out.done, !cancelled);
+		if (cancelled)
+			http_collect_cancel(call);
+		EXPECT_LT(server.read_all(&error), text.size()) << cancelled;
+		EXPECT_EQ(error, ECONNRESET) << cancelled;
+	}
+}
