--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -114,7 +114,7 @@
 					  const struct http_exchange_spec *spec,
 					  const struct http_exchange_ops *ops, void *ctx);
 
-/** http_exchange_cancel - abort an exchange and close its connection; no further callbacks */
+/** http_exchange_cancel - abort an exchange and reset its connection; no further callbacks */
 void http_exchange_cancel(struct http_exchange *x);
 
 /** http_exchange_may_have_sent - true once bytes of the request may have been sent */
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -161,10 +161,19 @@
 		connection_free(c);
 }
 
+/* Without a reset, TCP would deliver the rest of an abandoned request once the path is back. */
+static void connection_reset_on_close(struct connection *c)
+{
+	struct linger discard = { .l_onoff = 1, .l_linger = 0 };
+
+	setsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_LINGER, &discard, sizeof(discard));
+}
+
 static void exchange_fail(struct connection *c, enum http_failure why)
 {
 	struct http_exchange *x = c->exchange;
 
+	connection_reset_on_close(c);
 	c->exchange = NULL;
 	if (x) {
 		x->ops->on_fail(x->ctx, why);
@@ -516,6 +525,7 @@
 {
 	struct connection *c = x->conn;
 
+	connection_reset_on_close(c);
 	c->exchange = NULL;
 	connection_close(c);
 	free(x);
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -326,6 +326,8 @@
 		EXPECT_EQ(out.done, !cancelled);
 		if (cancelled)
 			http_collect_cancel(call);
+		/* The connection is closed by the event loop. */
+		run_for(10);
 		EXPECT_LT(server.read_all(&error), text.size()) << cancelled;
 		EXPECT_EQ(error, ECONNRESET) << cancelled;
 	}
