Reset the connections of abandoned requests in the own protocol

Sockets get SO_LINGER with 0 s when they are created; a connection otherwise ends only after a whole response.

--- a/net/link_transfer.c
+++ b/net/link_transfer.c
@@ -87,6 +87,19 @@
 	curl_easy_setopt(t->easy, CURLOPT_HTTPHEADER, t->headers);
 }
 
+/*
+ * Called for each new socket. A connection ends after a whole response or with an abandoned
+ * request, which TCP would deliver later without a reset.
+ */
+static int on_socket_created(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	struct linger discard = { .l_onoff = 1, .l_linger = 0 };
+
+	return setsockopt(fd, SOL_SOCKET, SO_LINGER, &discard, sizeof(discard)) == 0
+		       ? CURL_SOCKOPT_OK
+		       : CURL_SOCKOPT_ERROR;
+}
+
 static void connection_set(struct transfer *t, struct link *l, const struct link_request *req)
 {
 	char target[96];
@@ -103,6 +116,7 @@
 	curl_easy_setopt(t->easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
 	curl_easy_setopt(t->easy, CURLOPT_MAXAGE_CONN, LINK_POOL_IDLE_MAX_S);
 	curl_easy_setopt(t->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(t->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_created);
 }
 
 /* Hashes the address or the URL's host, so that all paths of an endpoint share an entry. */
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -257,55 +257,6 @@
 	}
 }
 
-namespace
-{
-
-/* A server that accepts connections and reads nothing until it is told to. */
-class LateReader
-{
-      public:
-	LateReader()
-	{
-		struct sockaddr_in sin = {};
-		socklen_t len = sizeof(sin);
-		int small = 4096;
-
-		listen_fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-		setsockopt(listen_fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
-		sin.sin_family = AF_INET;
-		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(bind(listen_fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
-		EXPECT_EQ(listen(listen_fd, 8), 0);
-		getsockname(listen_fd, (struct sockaddr *)&sin, &len);
-		port = ntohs(sin.sin_port);
-	}
-	~LateReader()
-	{
-		close(listen_fd);
-	}
-	/* Reads one connection to its end. Return: number of bytes; @error is that of the end. */
-	size_t read_all(int *error)
-	{
-		int fd = accept(listen_fd, nullptr, nullptr);
-		struct timeval limit = { 3, 0 };
-		size_t total = 0;
-		char data[65536];
-		ssize_t n;
-
-		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
-		while ((n = recv(fd, data, sizeof(data), 0)) > 0)
-			total += (size_t)n;
-		*error = n < 0 ? errno : 0;
-		close(fd);
-		return total;
-	}
-
-	int listen_fd;
-	int port;
-};
-
-} // namespace
-
 /* Guards against inc1: an abandoned request that TCP delivers once its path is back. */
 TEST_F(HttpClient, AbandonedRequestsDoNotArriveLater)
 {
--- a/tests/test_link.cc
+++ b/tests/test_link.cc
@@ -275,4 +275,26 @@
 	sse_free(&p);
 }
 
+/* Guards against inc1 in this protocol: an abandoned request that TCP delivers later. */
+TEST_F(Link, AbandonedRequestsDoNotArriveLater)
+{
+	LateReader server;
+	std::string url = "http://127.0.0.1:" + std::to_string(server.port);
+	std::string body(40000, 'x');
+	link_request r = {};
+	link_queue *q = link_queue_create();
+	int error = 0;
+
+	r.url = url.c_str();
+	r.body = { body.data(), body.size() };
+	r.silence_ms = 5000;
+	uint64_t id = link_start(l, q, &r);
+	usleep(300000);
+	link_cancel(l, q, id);
+	usleep(100000);
+	EXPECT_LT(server.read_all(&error), body.size());
+	EXPECT_EQ(error, ECONNRESET);
+	link_queue_destroy(q);
+}
+
 } // namespace
