--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -273,6 +273,14 @@
 	exchange_place(x);
 }
 
+static bool needs_new_connection(const struct exchange *x, int64_t now)
+{
+	const struct attempt *a = &x->attempt;
+
+	return x->rule->kind == CALL_NON_IDEMPOTENT || a->budget_charged ||
+	       dc_health_may_be_cut_off(entry_dc_health(x->entry, a->endpoint->dc), now);
+}
+
 bool attempt_start(struct exchange *x, struct endpoint *ep, enum wire_work work,
 		   struct endpoint *fetch_from)
 {
@@ -324,18 +332,16 @@
 			.kv_source = work == WIRE_WORK_RUN && x->kv_source[0] ? x->kv_source : NULL,
 			.fetch_from = fetch_from ? fetch_from->entry.address : NULL,
 		});
-	a->call = http_exchange_start(
-		x->entry->endpoint_client,
-		&(struct http_exchange_spec){
-			.to = ep->address,
-			.request = buf_str(&request),
-			.needs_new_connection =
-				x->rule->kind == CALL_NON_IDEMPOTENT || budget_charged,
-			.match_name = wire_request_id_field,
-			.match_value = str_from(x->in.id),
-			.connect_ms = CONNECT_MS,
-		},
-		&attempt_ops, x);
+	a->call = http_exchange_start(x->entry->endpoint_client,
+				      &(struct http_exchange_spec){
+					      .to = ep->address,
+					      .request = buf_str(&request),
+					      .needs_new_connection = needs_new_connection(x, now),
+					      .match_name = wire_request_id_field,
+					      .match_value = str_from(x->in.id),
+					      .connect_ms = CONNECT_MS,
+				      },
+				      &attempt_ops, x);
 	buf_free(&request);
 	return true;
 }
--- a/include/ibisgate/state/dc_health.h
+++ b/include/ibisgate/state/dc_health.h
@@ -30,4 +30,13 @@
  */
 double dc_health_unreachable_share(const struct dc_health *h, int64_t now_ms);
 
+/**
+ * dc_health_may_be_cut_off - whether the path to the data centre may have failed in the last
+ * seconds
+ *
+ * Connections from before may be dead. A request on one of them is noticed late, and may arrive
+ * after the path is back although it was abandoned; a new connection fails before anything is sent.
+ */
+bool dc_health_may_be_cut_off(const struct dc_health *h, int64_t now_ms);
+
 #endif
--- a/tests/test_dc_health.cc
+++ b/tests/test_dc_health.cc
@@ -33,3 +33,20 @@
 		dc_health_record(&h, false, i * 10);
 	EXPECT_LT(dc_health_unreachable_share(&h, 200 + 4000), 0.2);
 }
+
+/* Guards against using connections from before a cut, and against never using them again. */
+TEST(DcHealth, OneFailureMakesThePathDoubtfulForSeconds)
+{
+	struct dc_health h = {};
+
+	for (int i = 0; i < 100; i++)
+		dc_health_record(&h, true, i * 10);
+	EXPECT_FALSE(dc_health_may_be_cut_off(&h, 1000));
+	dc_health_record(&h, false, 1000);
+	EXPECT_TRUE(dc_health_may_be_cut_off(&h, 3000));
+	EXPECT_FALSE(dc_health_may_be_cut_off(&h, 5000));
+	/* Answers show that the path is there. */
+	for (int i = 0; i < 6; i++)
+		dc_health_record(&h, true, 1000 + i * 10);
+	EXPECT_FALSE(dc_health_may_be_cut_off(&h, 1060));
+}
