Send nothing more to an endpoint that says in an answer that it leaves

So far only the entry in the platform's list counted, and what another instance said was overwritten by the next change of the entry, even by an older statement that it is ready.

Change: that an endpoint leaves is kept for its process, whoever says so first: its entry, an answer to any request of this instance (runs, prefills, refusals, but not a 421 of another endpoint at its address), or another instance. A process that has said so is remembered when its entry expires and comes back. Instances name the process, not the id, so that a new process under the same id is used.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -54,6 +54,8 @@
 	dc_health_record(entry_dc_health(x->entry, a->endpoint->dc), true, a->last_receive_ms);
 	a->head = head;
 	wire_response_decode(head, &a->response);
+	if (a->response.leaving)
+		endpoint_process_leaves(x->entry, a->endpoint->process_tag, "answer");
 }
 
 static bool is_streaming(const struct exchange *x)
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -52,6 +52,28 @@
 	return NULL;
 }
 
+static struct endpoint *endpoint_by_process(const struct entry *e, uint32_t process_tag)
+{
+	struct endpoint *ep;
+
+	HASH_FIND(by_process, e->by_process, &process_tag, sizeof(process_tag), ep);
+	return ep;
+}
+
+void endpoint_process_leaves(struct entry *e, uint32_t process_tag, const char *source)
+{
+	struct endpoint *ep = endpoint_by_process(e, process_tag);
+
+	leaving_set_add(&e->leaving, process_tag);
+	if (!ep || ep->is_leaving)
+		return;
+	ep->is_leaving = true;
+	e->locality_stale = true;
+	http_client_close_idle(e->endpoint_client, &ep->address);
+	peers_mark_changed(e->peers);
+	log_info("endpoint", "endpoint=%s change=leaving source=%s", ep->entry.id, source);
+}
+
 static int64_t cache_capacity(const struct entry *e, const char *service)
 {
 	int i = e->table ? routing_table_service(e->table, str_from(service)) : -1;
@@ -70,6 +92,7 @@
 	ep->entry = *entry;
 	ep->hash = hash_str(str_from(entry->id), 0);
 	ep->tag = peer_tag(entry->id, 0);
+	ep->process_tag = peer_tag(entry->id, (uint64_t)entry->process_start_ms);
 	ep->dc = entry_dc_index(e, entry->dc);
 	if (!http_address_parse(str_from(entry->address), &ep->address)) {
 		log_warn("endpoint-ignored", "endpoint=%s address=\"%s\" expected=IP:PORT",
@@ -88,6 +111,10 @@
 		cds_list_add_tail(&ep->local_link, &ep->service->local_endpoints);
 	if (!endpoint_by_tag(e, ep->tag))
 		HASH_ADD(by_tag, e->by_tag, tag, sizeof(ep->tag), ep);
+	if (!endpoint_by_process(e, ep->process_tag))
+		HASH_ADD(by_process, e->by_process, process_tag, sizeof(ep->process_tag), ep);
+	if (entry->leaving || leaving_set_has(&e->leaving, ep->process_tag))
+		endpoint_process_leaves(e, ep->process_tag, "list");
 	/*
 	 * Loads reported for this endpoint, or for an earlier process with the same id, count at
 	 * once.
@@ -100,6 +127,8 @@
 {
 	struct endpoint *other;
 
+	if (endpoint_by_process(e, ep->process_tag) == ep)
+		HASH_DELETE(by_process, e->by_process, ep);
 	if (endpoint_by_tag(e, ep->tag) != ep)
 		return;
 	HASH_DELETE(by_tag, e->by_tag, ep);
@@ -158,11 +187,11 @@
 		if (ep->entry.stage != entry->stage)
 			ep->stage_change_until_ms = 0;
 		ep->entry = *entry;
-		if (change == DIRECTORY_LEAVING)
-			http_client_close_idle(e->endpoint_client, &ep->address);
+		if (entry->leaving)
+			endpoint_process_leaves(e, ep->process_tag, "list");
 		break;
 	case DIRECTORY_REMOVED:
-		if (ep && !ep->entry.leaving)
+		if (ep && !ep->is_leaving)
 			suspect_endpoint_crashed(e, ep);
 		if (ep)
 			endpoint_remove(e, ep);
@@ -172,7 +201,7 @@
 
 bool endpoint_is_available(const struct endpoint *ep, int64_t now_ms)
 {
-	return ep->listed && !ep->entry.leaving && now_ms >= ep->avoid_until_ms &&
+	return ep->listed && !ep->is_leaving && now_ms >= ep->avoid_until_ms &&
 	       now_ms >= ep->stage_change_until_ms && circuit_allows_request(&ep->circuit, now_ms);
 }
 
@@ -226,7 +255,7 @@
 	cds_list_for_each(link, list) {
 		const struct endpoint *ep = service_endpoint(link, local);
 
-		n += ep->cache && !ep->entry.leaving;
+		n += ep->cache && !ep->is_leaving;
 	}
 	return n;
 }
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -15,10 +15,12 @@
 
 #define ENDPOINT_FIELDS 9
 
-static json_t *encode_endpoint(const struct endpoint_entry *e)
+static json_t *encode_endpoint(const struct endpoint *ep)
 {
+	const struct endpoint_entry *e = &ep->entry;
+
 	return json_pack("[s,s,s,s,i,b,i,I,I]", e->id, e->service, e->address, e->dc, e->slots,
-			 e->leaving, (int)e->stage, (json_int_t)e->process_start_ms,
+			 ep->is_leaving, (int)e->stage, (json_int_t)e->process_start_ms,
 			 (json_int_t)e->version);
 }
 
@@ -29,7 +31,7 @@
 	json_t *json;
 
 	cds_list_for_each_entry(ep, &e->endpoints, link)
-		json_array_append_new(endpoints, encode_endpoint(&ep->entry));
+		json_array_append_new(endpoints, encode_endpoint(ep));
 	json = json_pack("{s:s#,s:o}", "config", e->config_text.data, (int)e->config_text.len,
 			 "endpoints", endpoints);
 	json_append(out, json);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -24,6 +24,7 @@
 #include "ibisgate/state/crash_watch.h"
 #include "ibisgate/state/dc_health.h"
 #include "ibisgate/state/directory.h"
+#include "ibisgate/state/leaving_set.h"
 #include "ibisgate/state/quarantine.h"
 #include "ibisgate/state/routing_table.h"
 
@@ -49,6 +50,10 @@
  *   @remote_active is the same portion of @peer_active
  * @tag: hash of the id that identifies the endpoint in messages between instances
  * @by_tag: handle in the index of listed endpoints, struct entry.by_tag
+ * @process_tag: like @tag, for the process that has registered under the id
+ * @by_process: handle in the index by @process_tag, struct entry.by_process
+ * @is_leaving: the process has said that it leaves, in its entry, in an answer or to another
+ *   instance; it does not take that back
  * @failure_ratio: moving average of failed attempts, 0 to 1
  * @cache_synced: the engine has sent the cache contents that it had before this instance
  *   discovered it
@@ -78,6 +83,9 @@
 	uint64_t hash;
 	uint32_t tag;
 	UT_hash_handle by_tag;
+	uint32_t process_tag;
+	UT_hash_handle by_process;
+	bool is_leaving;
 	struct circuit circuit;
 	struct crash_watch crash_watch;
 	struct cache_view *cache;
@@ -176,6 +184,8 @@
 	bool logged_ready;
 	struct cds_list_head endpoints;
 	struct endpoint *by_tag;
+	struct endpoint *by_process;
+	struct leaving_set leaving;
 	struct cds_list_head services;
 	struct cds_list_head callers;
 	struct store_watch *watches[SHARING_STORE_TABLES];
@@ -217,6 +227,12 @@
 
 /** endpoint_by_tag - listed endpoint with the given tag; NULL when there is none */
 struct endpoint *endpoint_by_tag(const struct entry *e, uint32_t tag);
+
+/**
+ * endpoint_process_leaves - the process with the given tag has said that it leaves
+ * @source: where it said so, for the log
+ */
+void endpoint_process_leaves(struct entry *e, uint32_t process_tag, const char *source);
 bool endpoint_is_available(const struct endpoint *ep, int64_t now_ms);
 
 /** endpoint_is_changing_stage - whether the endpoint is carrying out an order of this instance */
--- a/entry/peers_receive.c
+++ b/entry/peers_receive.c
@@ -256,15 +256,8 @@
 		store_watch_note_peer_version(p->entry->watches[i], s->store_table_versions[i]);
 	apply_parts(p, s, remote, now);
 	apply_suspects(p, s, remote);
-	for (int i = 0; i < s->leaving_count; i++) {
-		struct endpoint *ep = endpoint_by_tag(p->entry, s->leaving[i]);
-
-		if (ep && !ep->entry.leaving) {
-			log_info("endpoint", "endpoint=%s change=leaving source=%s", ep->entry.id,
-				 in->sender);
-			ep->entry.leaving = true;
-		}
-	}
+	for (int i = 0; i < s->leaving_count; i++)
+		endpoint_process_leaves(p->entry, s->leaving[i], in->sender);
 	for (int i = 0; i < s->changing_count; i++) {
 		struct endpoint *ep = endpoint_by_tag(p->entry, s->changing[i]);
 
--- a/entry/peers_share.c
+++ b/entry/peers_share.c
@@ -56,8 +56,8 @@
 	cds_list_for_each_entry(ep, &p->entry->endpoints, link) {
 		struct shared_engine_load load = shared_load_of(ep, delegate, remote);
 
-		if (ep->entry.leaving && s->leaving_count < SHARING_LEAVING_MAX)
-			s->leaving[s->leaving_count++] = ep->tag;
+		if (ep->is_leaving && s->leaving_count < SHARING_LEAVING_MAX)
+			s->leaving[s->leaving_count++] = ep->process_tag;
 		if (reports_stage_change(ep, delegate, remote, now) &&
 		    s->changing_count < SHARING_LEAVING_MAX)
 			s->changing[s->changing_count++] = ep->tag;
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -355,7 +355,7 @@
 		bool pending = order_is_pending(ep, now);
 
 		if (v->count == ENGINES_MAX || strcmp(ep->entry.service, service) != 0 ||
-		    ep->entry.leaving || ep->entry.stage == STAGE_NONE)
+		    ep->is_leaving || ep->entry.stage == STAGE_NONE)
 			continue;
 		v->eps[v->count] = ep;
 		v->engines[v->count++] = (struct stage_engine){
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -58,7 +58,8 @@
  * @news: membership of the instances as seen by the sender
  * @store_table_versions: version of the newest change that the sender has received, for each store
  *table that it follows
- * @leaving: tags of endpoints that are leaving according to the sender
+ * @leaving: peer_tag() of the ids of endpoints that are leaving according to the sender, with the
+ *   start times of their processes as incarnations
  * @changing: tags of engines that are carrying out an order of the sender
  */
 struct peer_sharing {
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -93,6 +93,7 @@
  * @has_signature: it carries the signature that shows which endpoint produced it
  * @not_run: the endpoint states that it has not run the request
  * @wrong_instance: the address now belongs to another endpoint
+ * @leaving: the endpoint leaves and wants no further requests
  * @has_content_encoding: the body has a content coding, so the endpoint itself didn't produce it
  */
 struct endpoint_response {
@@ -101,6 +102,7 @@
 	bool has_signature;
 	bool not_run;
 	bool wrong_instance;
+	bool leaving;
 	bool has_content_encoding;
 	bool event_stream;
 };
--- a/include/ibisgate/standins/grid.h
+++ b/include/ibisgate/standins/grid.h
@@ -46,6 +46,7 @@
  *	advertises the node's own address
  * @fault: fault injected into the next @fault_requests_left requests (-1: into all)
  * @event_interval_ms: pause before each event of a stream
+ * @extra_headers: header lines added to each response, each ending with CR LF
  * @order_count: number of accepted orders; the next order must carry it as its precondition
  */
 struct grid_node {
@@ -61,6 +62,7 @@
 	enum grid_fault fault;
 	int fault_requests_left;
 	int64_t event_interval_ms;
+	char extra_headers[96];
 	int order_count;
 };
 
--- a/standins/grid_main.c
+++ b/standins/grid_main.c
@@ -84,9 +84,9 @@
 }
 
 /*
- * Applies {"id", "fault", "left", "event_interval_ms", "address", "state"}. An empty id selects all
- * nodes; an empty id with "left" injects the fault into the next requests, whichever nodes receive
- * them.
+ * Applies {"id", "fault", "left", "event_interval_ms", "headers", "address", "state"}. An empty id
+ * selects all nodes; an empty id with "left" injects the fault into the next requests, whichever
+ * nodes receive them.
  */
 static void control_nodes_set(struct grid *g, const json_t *req)
 {
@@ -111,6 +111,9 @@
 			n->fault_requests_left = (int)json_get_i64(req, "left", -1);
 		}
 		n->event_interval_ms = json_get_i64(req, "event_ms", n->event_interval_ms);
+		if (json_object_get(req, "headers"))
+			str_copy(n->extra_headers, sizeof(n->extra_headers),
+				 json_get_str(req, "headers"));
 		if (json_get_cstr(req, "address", "")[0])
 			str_copy(n->advertised_address, sizeof(n->advertised_address),
 				 json_get_str(req, "address"));
--- a/standins/grid_node.c
+++ b/standins/grid_node.c
@@ -77,16 +77,16 @@
 {
 	mg_printf(conn,
 		  "HTTP/1.1 %d Status\r\nX-Ibisgate-Request-Id: %s\r\n"
-		  "X-Ibisgate-Server-Signature: sig.%s.%s\r\n%s\r\n",
-		  status, id, n->id, id, headers);
+		  "X-Ibisgate-Server-Signature: sig.%s.%s\r\n%s%s\r\n",
+		  status, id, n->id, id, n->extra_headers, headers);
 }
 
-static int reply_not_executed(struct mg_connection *conn, int status)
+static int reply_not_executed(struct mg_connection *conn, const struct grid_node *n, int status)
 {
 	mg_printf(conn,
 		  "HTTP/1.1 %d Status\r\nX-Ibisgate-Request-Id: %s\r\n"
-		  "X-Ibisgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
-		  status, header_or_empty(conn, "X-Ibisgate-Request-Id"));
+		  "X-Ibisgate-Not-Executed: 1\r\n%sContent-Length: 0\r\n\r\n",
+		  status, header_or_empty(conn, "X-Ibisgate-Request-Id"), n->extra_headers);
 	return status;
 }
 
@@ -141,8 +141,8 @@
 	snprintf(body, sizeof(body), "{\"kvHandle\":\"h%d\",\"tokens\":1,\"version\":1}", handle);
 	mg_printf(conn,
 		  "HTTP/1.1 200 OK\r\nX-Ibisgate-Request-Id: %s\r\nContent-Type: application/json"
-		  "\r\nContent-Length: %zu\r\n\r\n%s",
-		  id, strlen(body), body);
+		  "\r\n%sContent-Length: %zu\r\n\r\n%s",
+		  id, n->extra_headers, strlen(body), body);
 	return 200;
 }
 
@@ -227,7 +227,7 @@
 				  json_pack("{s:s,s:i,s:b,s:[]}", "epoch", "1", "next", 0, "lost",
 					    0, "events"));
 	if (expected_id[0] && strcmp(expected_id, n->id) != 0)
-		return reply_not_executed(conn, 421);
+		return reply_not_executed(conn, n, 421);
 	if (http_request_matches(conn, "POST", "/order"))
 		return handle_order(n, conn);
 	if (str_starts_with(http_request_path(conn), STR_LIT("/kv-handle/")))
@@ -236,16 +236,16 @@
 	buf_free(&body);
 	fault = fault_consume(n);
 	if (fault == GRID_FAULT_FULL)
-		return reply_not_executed(conn, 503);
+		return reply_not_executed(conn, n, 503);
 	if (fault == GRID_FAULT_MOVED)
-		return reply_not_executed(conn, 421);
+		return reply_not_executed(conn, n, 421);
 	if (strcmp(header_or_empty(conn, "X-Ibisgate-Serving-Stage"), "prefill") == 0) {
 		if (strcmp(n->stage, "prefill") != 0)
-			return reply_not_executed(conn, 421);
+			return reply_not_executed(conn, n, 421);
 		return prefill_reply(n, conn, id);
 	}
 	if (n->is_engine && strcmp(n->stage, "decode") != 0)
-		return reply_not_executed(conn, 421);
+		return reply_not_executed(conn, n, 421);
 	snprintf(detail, sizeof(detail), "%s %s", header_or_empty(conn, "X-Ibisgate-Deadline-Ms"),
 		 header_or_empty(conn, "X-Ibisgate-Kv-Source"));
 	run = run_record(n, id, n->is_engine ? "stream" : "call", detail);
--- a/tests/test_leaving.cc
+++ b/tests/test_leaving.cc
@@ -1,5 +1,6 @@
 #include "entry_fixture.h"
 
+#include <algorithm>
 #include <set>
 
 /* Time until a recovered instance must act on all that happened meanwhile (the platform). */
@@ -26,6 +27,55 @@
 		EXPECT_TRUE(eventually(
 			[&] { return metric(p, "platform_errors_total") >= before + 2; }, 5000));
 	}
+	void set_endpoint_headers(const std::string &id, const std::string &headers)
+	{
+		grid->post_json("/node", "{\"id\":\"" + id + "\",\"headers\":\"" + headers + "\"}");
+	}
+	/* Starts @count instances, more than two of them in two data centres with delegates. */
+	std::vector<struct harness_process *> start_instances(int count)
+	{
+		std::vector<struct harness_process *> all;
+
+		start_grid(4, 2, 4);
+		put_config(config_json(1));
+		if (count > 2) {
+			dc_count = 2;
+			extra_settings = "[place]\nnear-engines = 1\nnear-instances = 2\n";
+		}
+		for (int i = 0; i < count; i++)
+			all.push_back(start_instance(i));
+		for (struct harness_process *p : all)
+			EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+		return all;
+	}
+	/* A generation that is prefilled by one engine and continued by another. */
+	std::string new_prompt_text()
+	{
+		std::string part = std::to_string(100000 + last_request);
+
+		return request_text("stream/x", "POST",
+				    "X-Ibisgate-Model: m\r\nX-Ibisgate-Token-Count: 20000,3\r\n"
+				    "X-Ibisgate-Prefix-Hash: a" +
+					    part + ":10000,b" + part + ":10000\r\n");
+	}
+	std::set<std::string> endpoints_used_by(const struct harness_process *p, int calls)
+	{
+		std::set<std::string> used;
+
+		for (int i = 0; i < calls; i++) {
+			for (const std::string &text :
+			     { request_text("peek/x", "GET"), request_text("order/x"),
+			       new_prompt_text() }) {
+				size_t at = text.find("-Id: ") + 5;
+				std::string id = text.substr(at, text.find("\r\n", at) - at);
+
+				EXPECT_EQ(send_request(p, text).status, 200);
+				for (const Run &r : runs(id))
+					used.insert(r.node);
+			}
+		}
+		return used;
+	}
 	/* Adds a route to an endpoint to a proxy and returns its port. */
 	int proxy_route(StandinProcess &proxy, const std::string &id)
 	{
@@ -155,3 +205,64 @@
 	usleep((useconds_t)(back_ms + RECOVERY_MS - clock_boot_ms()) * 1000);
 	EXPECT_EQ(endpoints_used(p, back_ms + RECOVERY_MS + 600), std::set<std::string>{ "s1" });
 }
+
+class LeavingAnswerTest : public LeavingTest, public ::testing::WithParamInterface<int>
+{
+};
+
+/* Guards against DRAIN: requests to an endpoint that said in an answer that it leaves. */
+TEST_P(LeavingAnswerTest, EndpointsThatSaySoGetNothingMore)
+{
+	std::vector<struct harness_process *> all = start_instances(GetParam());
+	std::set<std::string> leaving = { "s0", "e0", "e2" }, told;
+
+	for (const std::string &id : leaving)
+		set_endpoint_headers(id, "Server-Leaving: 1\\r\\n");
+	/* Each of them gets one more request of the first instance, which tells the others. */
+	EXPECT_TRUE(eventually(
+		[&] {
+			for (const std::string &id : endpoints_used_by(all[0], 1))
+				told.insert(id);
+			return std::includes(told.begin(), told.end(), leaving.begin(),
+					     leaving.end());
+		},
+		5000));
+	usleep(1000000);
+	for (struct harness_process *p : all) {
+		for (const std::string &id : endpoints_used_by(p, 8))
+			EXPECT_EQ(leaving.count(id), 0u) << p->name << " " << id;
+	}
+	/* An entry that says otherwise, or that comes back, is older than the answer. */
+	for (const char *state : { "ready", "gone", "ready" }) {
+		for (const std::string &id : leaving)
+			set_endpoint_state(id, state);
+		usleep(700000);
+		for (struct harness_process *p : all) {
+			for (const std::string &id : endpoints_used_by(p, 4))
+				EXPECT_EQ(leaving.count(id), 0u) << p->name << " " << id;
+		}
+	}
+}
+
+/* Guards against avoiding a new process because the former one under its id has left. */
+TEST_F(LeavingTest, ANewProcessOfAnEndpointThatLeftIsUsed)
+{
+	struct harness_process *p = start_all(4, 2, 1);
+	json_t *ports = grid->send_json("GET", "/ports");
+	std::string address = "127.0.0.1:" + std::to_string(json_get_i64(ports, "s0", 0));
+
+	json_decref(ports);
+	set_endpoint_headers("s0", "Server-Leaving: 1\\r\\n");
+	EXPECT_EQ(send_request(p, request_text("order/x")).status, 200);
+	EXPECT_EQ(send_request(p, request_text("order/x")).status, 503);
+	set_endpoint_headers("s0", "");
+	grid->post_json("/row", "{\"table\":\"servers\",\"key\":\"s0\",\"value\":{\"service\":"
+				"\"orders\",\"address\":\"" +
+					address +
+					"\",\"zone\":\"dc0\",\"version\":\"v1\",\"slots\":64,"
+					"\"state\":\"ready\",\"seq\":1,\"born\":2000}}");
+	EXPECT_TRUE(eventually(
+		[&] { return send_request(p, request_text("order/x")).status == 200; }, 3000));
+}
+
+INSTANTIATE_TEST_SUITE_P(Instances, LeavingAnswerTest, ::testing::Values(1, 2, 6));
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -198,6 +198,31 @@
 	EXPECT_TRUE(r.event_stream);
 }
 
+TEST(Wire, ResponseHeadStatesWhetherTheEndpointLeaves)
+{
+	struct {
+		const char *head;
+		bool leaving;
+	} cases[] = {
+		{ "200 OK\r\nServer-Leaving: 1", true },
+		{ "503 Full\r\nserver-leaving: 1", true },
+		{ "200 OK\r\nServer-Leaving: 0", false },
+		{ "200 OK", false },
+		/* Another endpoint answers. */
+		{ "421 Misdirected\r\nServer-Leaving: 1", false },
+	};
+
+	for (const auto &c : cases) {
+		struct ParsedHead p(std::string("HTTP/1.1 ") + c.head +
+					    "\r\nContent-Length: 0\r\n\r\n",
+				    HTTP_MESSAGE_RESPONSE);
+		struct endpoint_response r;
+
+		wire_response_decode(&p.r.head, &r);
+		EXPECT_EQ(r.leaving, c.leaving) << c.head;
+	}
+}
+
 TEST(Wire, LocalResponseCarriesRetryAfter)
 {
 	struct local_response a = {};
