Send nothing to an endpoint before the time in its Retry-After

An endpoint that was full was asked again after 150 ms.

Change: the time counts from the refusal, for all that this instance sends there (runs, prefills, hand-overs, cache reports, orders), up to an hour. While no endpoint is usable, callers are told when the first one wants requests again instead of always 0.3 s.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -56,6 +56,8 @@
 	wire_response_decode(head, &a->response);
 	if (a->response.leaving)
 		endpoint_process_leaves(x->entry, a->endpoint->process_tag, "answer");
+	if (a->response.retry_after_ms >= 0)
+		endpoint_avoid(a->endpoint, a->last_receive_ms + a->response.retry_after_ms);
 }
 
 static bool is_streaming(const struct exchange *x)
@@ -134,10 +136,11 @@
 	int64_t now = clock_boot_ms();
 	bool moved = x->attempt.response.wrong_instance;
 
-	log_info("attempt-refused", "request=%s endpoint=%s status=%d moved=%d", x->in.id,
-		 ep->entry.id, x->attempt.response.status, moved);
+	log_info("attempt-refused", "request=%s endpoint=%s status=%d moved=%d retry_after_ms=%lld",
+		 x->in.id, ep->entry.id, x->attempt.response.status, moved,
+		 (long long)x->attempt.response.retry_after_ms);
 	exchange_trail_add(x, ep, moved ? "moved" : "full");
-	ep->avoid_until_ms = now + (moved ? MOVED_BACKOFF_MS : FULL_BACKOFF_MS);
+	endpoint_avoid(ep, now + (moved ? MOVED_BACKOFF_MS : FULL_BACKOFF_MS));
 	x->refused++;
 	if (x->attempt.budget_exempt)
 		extra_budget_force_charge(&x->service->budget, &limits, now);
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -16,6 +16,9 @@
 /* Cache size assumed for an engine until the configuration gives it, in tokens. */
 #define CACHE_TOKENS_DEFAULT 400000
 
+/* Shortest Retry-After for callers while no endpoint is usable, in milliseconds. */
+#define RETRY_AFTER_NO_ENDPOINT_MS 300
+
 static const char *const change_names[] = {
 	[DIRECTORY_ADDED] = "added",	  [DIRECTORY_UPDATED] = "updated",
 	[DIRECTORY_RESTARTED] = "reborn", [DIRECTORY_LEAVING] = "leaving",
@@ -205,6 +208,26 @@
 	       now_ms >= ep->stage_change_until_ms && circuit_allows_request(&ep->circuit, now_ms);
 }
 
+void endpoint_avoid(struct endpoint *ep, int64_t until_ms)
+{
+	if (until_ms > ep->avoid_until_ms)
+		ep->avoid_until_ms = until_ms;
+}
+
+int64_t service_retry_after_ms(const struct service *s, int64_t now_ms)
+{
+	int64_t first_ms = INT64_MAX;
+	const struct endpoint *ep;
+
+	cds_list_for_each_entry(ep, &s->endpoints, service_link) {
+		if (!ep->is_leaving && ep->avoid_until_ms < first_ms)
+			first_ms = ep->avoid_until_ms;
+	}
+	if (first_ms == INT64_MAX || first_ms - now_ms < RETRY_AFTER_NO_ENDPOINT_MS)
+		return RETRY_AFTER_NO_ENDPOINT_MS;
+	return first_ms - now_ms;
+}
+
 bool endpoint_is_changing_stage(const struct endpoint *ep, int64_t now_ms)
 {
 	return now_ms < ep->stage_change_until_ms && now_ms < ep->order_pending_until_ms;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -10,9 +10,6 @@
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
 
-/* Retry-After while no endpoint is usable, in milliseconds. */
-#define RETRY_AFTER_NO_ENDPOINT_MS 300
-
 /* Retry-After while this instance has no configuration yet, in milliseconds. */
 #define RETRY_AFTER_STARTING_MS 500
 
@@ -286,16 +283,16 @@
 	}
 	if (x->rule->kind == CALL_GENERATION && x->spec->engine.present) {
 		if (!generation_place(x, now))
-			exchange_give_up(x, "no-endpoint", RETRY_AFTER_NO_ENDPOINT_MS);
+			exchange_give_up(x, "no-endpoint", service_retry_after_ms(x->service, now));
 		return;
 	}
 	ep = call_pick_endpoint(x, now);
 	if (!ep) {
-		exchange_give_up(x, "no-endpoint", RETRY_AFTER_NO_ENDPOINT_MS);
+		exchange_give_up(x, "no-endpoint", service_retry_after_ms(x->service, now));
 		return;
 	}
 	if (!attempt_start(x, ep, WIRE_WORK_RUN, NULL))
-		exchange_give_up(x, "retry-budget", RETRY_AFTER_NO_ENDPOINT_MS);
+		exchange_give_up(x, "retry-budget", service_retry_after_ms(x->service, now));
 }
 
 /* Status to answer without contacting an endpoint, or 0. */
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -235,6 +235,15 @@
 void endpoint_process_leaves(struct entry *e, uint32_t process_tag, const char *source);
 bool endpoint_is_available(const struct endpoint *ep, int64_t now_ms);
 
+/** endpoint_avoid - send nothing to the endpoint before @until_ms */
+void endpoint_avoid(struct endpoint *ep, int64_t until_ms);
+
+/**
+ * service_retry_after_ms - when a caller should retry while no endpoint of the service is usable,
+ * in milliseconds from now: when the first one wants requests again
+ */
+int64_t service_retry_after_ms(const struct service *s, int64_t now_ms);
+
 /** endpoint_is_changing_stage - whether the endpoint is carrying out an order of this instance */
 bool endpoint_is_changing_stage(const struct endpoint *ep, int64_t now_ms);
 void endpoint_record_result(struct endpoint *ep, bool ok);
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -94,6 +94,8 @@
  * @not_run: the endpoint states that it has not run the request
  * @wrong_instance: the address now belongs to another endpoint
  * @leaving: the endpoint leaves and wants no further requests
+ * @retry_after_ms: a refusal's time until the endpoint wants requests again, in milliseconds; -1
+ *   when it gives none
  * @has_content_encoding: the body has a content coding, so the endpoint itself didn't produce it
  */
 struct endpoint_response {
@@ -105,6 +107,7 @@
 	bool leaving;
 	bool has_content_encoding;
 	bool event_stream;
+	int64_t retry_after_ms;
 };
 
 void wire_response_decode(const struct http_head *head, struct endpoint_response *out);
--- a/include/ibisgate/standins/grid.h
+++ b/include/ibisgate/standins/grid.h
@@ -75,7 +75,8 @@
 };
 
 /**
- * struct grid_run - record of a request that a node started to execute, or of an order it received
+ * struct grid_run - record of a request that a node started to execute or refused as full, or of an
+ *	order it received
  * @recorded_ms: time on the boot-time clock
  * @cancelled: the client closed the connection before the stream ended
  */
--- a/standins/grid_node.c
+++ b/standins/grid_node.c
@@ -235,8 +235,10 @@
 	http_body_read(conn, BODY_MAX_BYTES, &body);
 	buf_free(&body);
 	fault = fault_consume(n);
-	if (fault == GRID_FAULT_FULL)
+	if (fault == GRID_FAULT_FULL) {
+		run_record(n, id, "refused", "");
 		return reply_not_executed(conn, n, 503);
+	}
 	if (fault == GRID_FAULT_MOVED)
 		return reply_not_executed(conn, n, 421);
 	if (strcmp(header_or_empty(conn, "X-Ibisgate-Serving-Stage"), "prefill") == 0) {
--- a/tests/test_leaving.cc
+++ b/tests/test_leaving.cc
@@ -265,4 +265,72 @@
 		[&] { return send_request(p, request_text("order/x")).status == 200; }, 3000));
 }
 
+class RetryAfterTest : public LeavingTest, public ::testing::WithParamInterface<int>
+{
+      protected:
+	int refusals(const std::string &node, int64_t from_ms = 0)
+	{
+		int n = 0;
+
+		for (const Run &r : runs())
+			n += r.node == node && r.work == "refused" && r.at_ms >= from_ms;
+		return n;
+	}
+};
+
+/* Guards against BUDGET: requests to an endpoint before the time in its Retry-After. */
+TEST_P(RetryAfterTest, EndpointsGetNothingBeforeTheTimeThatTheyGive)
+{
+	std::vector<struct harness_process *> all = start_instances(GetParam());
+
+	/* An engine that prefills and one that generates are asked in turn. */
+	for (const std::set<std::string> &busy :
+	     { std::set<std::string>{ "s0", "e0" }, std::set<std::string>{ "e2" } }) {
+		for (const std::string &id : busy) {
+			set_endpoint_headers(id, "Retry-After: 2.5\\r\\n");
+			set_endpoint_fault(id, "full");
+		}
+		/* Each instance asks each endpoint once at the most. */
+		int64_t begin_ms = clock_boot_ms();
+		while (clock_boot_ms() < begin_ms + 1800) {
+			for (struct harness_process *p : all)
+				endpoints_used_by(p, 1);
+		}
+		for (const std::string &id : busy) {
+			EXPECT_GE(refusals(id), 1) << id;
+			EXPECT_LE(refusals(id), GetParam()) << id;
+			set_endpoint_fault(id, "ok");
+			set_endpoint_headers(id, "");
+		}
+		/* They are used again after that time, but for e0: e2 has turned out faster. */
+		EXPECT_TRUE(eventually(
+			[&] { return endpoints_used_by(all[0], 1).count(*busy.rbegin()) > 0; },
+			6000));
+	}
+}
+
+/* Guards against callers that come back before any endpoint wants them. */
+TEST_F(LeavingTest, CallersAreToldWhenTheFirstEndpointWantsRequestsAgain)
+{
+	struct harness_process *p = start_all(4, 2, 2);
+
+	set_endpoint_headers("s0", "Retry-After: 4\\r\\n");
+	set_endpoint_headers("s1", "Retry-After: 2\\r\\n");
+	for (const char *id : { "s0", "s1" })
+		set_endpoint_fault(id, "full");
+	Response a = send_request(p, request_text("order/x"));
+	EXPECT_EQ(a.status, 503);
+	EXPECT_NEAR(atof(a.field("Retry-After").c_str()), 2.0, 0.3);
+	usleep(500000);
+	a = send_request(p, request_text("order/x"));
+	EXPECT_EQ(a.status, 503);
+	EXPECT_NEAR(atof(a.field("Retry-After").c_str()), 1.5, 0.3);
+	for (const char *id : { "s0", "s1" })
+		set_endpoint_fault(id, "ok");
+	usleep(1700000);
+	EXPECT_EQ(send_request(p, request_text("order/x")).status, 200);
+	EXPECT_EQ(runs(last_id())[0].node, "s1");
+}
+
 INSTANTIATE_TEST_SUITE_P(Instances, LeavingAnswerTest, ::testing::Values(1, 2, 6));
+INSTANTIATE_TEST_SUITE_P(Instances, RetryAfterTest, ::testing::Values(1, 6));
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -223,6 +223,36 @@
 	}
 }
 
+TEST(Wire, RefusalStatesWhenTheEndpointWantsRequestsAgain)
+{
+	struct {
+		const char *head;
+		int64_t retry_after_ms;
+	} cases[] = {
+		{ "503 Full\r\nRetry-After: 2", 2000 },
+		{ "503 Full\r\nRetry-After: 0.25", 250 },
+		{ "503 Full\r\nRetry-After: 0", 0 },
+		{ "503 Full", -1 },
+		{ "503 Full\r\nRetry-After: Fri, 31 Dec 1999 23:59:59 GMT", -1 },
+		{ "503 Full\r\nRetry-After: -1", -1 },
+		{ "503 Full\r\nRetry-After: nan", -1 },
+		{ "503 Full\r\nRetry-After: 1e30", 3600000 },
+		{ "200 OK\r\nRetry-After: 2", -1 },
+		/* Another endpoint answers. */
+		{ "421 Misdirected\r\nRetry-After: 2", -1 },
+	};
+
+	for (const auto &c : cases) {
+		struct ParsedHead p(std::string("HTTP/1.1 ") + c.head +
+					    "\r\nContent-Length: 0\r\n\r\n",
+				    HTTP_MESSAGE_RESPONSE);
+		struct endpoint_response r;
+
+		wire_response_decode(&p.r.head, &r);
+		EXPECT_EQ(r.retry_after_ms, c.retry_after_ms) << c.head;
+	}
+}
+
 TEST(Wire, LocalResponseCarriesRetryAfter)
 {
 	struct local_response a = {};
