tests: requests that share a part which crashes engines crash one after the other, known red

An engine of the stand-in crashes when it begins to answer a request whose prompt has a given part; a new process registers at once.

--- a/include/ibisgate/standins/grid.h
+++ b/include/ibisgate/standins/grid.h
@@ -47,6 +47,7 @@
  * @fault: fault injected into the next @fault_requests_left requests (-1: into all)
  * @event_interval_ms: pause before each event of a stream
  * @extra_headers: header lines added to each response, each ending with CR LF
+ * @boot_count: number of crashes, after each of which a new process registers
  * @order_count: number of accepted orders; the next order must carry it as its precondition
  */
 struct grid_node {
@@ -63,6 +64,7 @@
 	int fault_requests_left;
 	int64_t event_interval_ms;
 	char extra_headers[96];
+	int boot_count;
 	int order_count;
 };
 
@@ -99,6 +101,8 @@
  * struct grid - state of the stand-in, guarded by @lock
  * @oldest_version: a feed that starts before this version gets status 410
  * @fault: fault injected into the next @fault_requests_left requests, whichever nodes receive them
+ * @deadly_part: an engine crashes when it begins to answer a request whose prompt has this part; ""
+ *	for none
  */
 struct grid {
 	pthread_mutex_t lock;
@@ -116,6 +120,7 @@
 	int handle_count;
 	enum grid_fault fault;
 	int fault_requests_left;
+	char deadly_part[32];
 };
 
 /** grid_store_handle - handle one request to the store */
--- a/standins/grid_main.c
+++ b/standins/grid_main.c
@@ -175,6 +175,8 @@
 			control_store_set(g, req);
 		else if (http_request_matches(conn, "POST", "/node"))
 			control_nodes_set(g, req);
+		else if (http_request_matches(conn, "POST", "/deadly"))
+			str_copy(g->deadly_part, sizeof(g->deadly_part), json_get_str(req, "part"));
 	}
 	pthread_mutex_unlock(&g->lock);
 	json_decref(req);
--- a/standins/grid_node.c
+++ b/standins/grid_node.c
@@ -21,11 +21,11 @@
 	snprintf(own_address, sizeof(own_address), "127.0.0.1:%d", n->port);
 	snprintf(value, sizeof(value),
 		 "{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\",\"version\":"
-		 "\"v1\",\"slots\":64,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":1,\"born\":1000%s%"
-		 "s%s}",
+		 "\"v1\",\"slots\":64,\"state\":\"%s\",\"coldLeftMs\":0,\"seq\":1,\"born\":%d%s%s%"
+		 "s}",
 		 n->service, n->advertised_address[0] ? n->advertised_address : own_address, n->dc,
-		 state, n->is_engine ? ",\"stage\":\"" : "", n->is_engine ? n->stage : "",
-		 n->is_engine ? "\"" : "");
+		 state, 1000 + n->boot_count, n->is_engine ? ",\"stage\":\"" : "",
+		 n->is_engine ? n->stage : "", n->is_engine ? "\"" : "");
 	grid_row_put(n->grid, "servers", n->id, value);
 }
 
@@ -95,6 +95,7 @@
 			int64_t resume_from, int64_t count, enum grid_fault fault, int run)
 {
 	char event[160];
+	int boot = n->boot_count;
 	int sent = 0;
 
 	response_head_print(conn, n, id, 200,
@@ -104,6 +105,8 @@
 				   "id: %" PRId64 "\ndata: %s.%" PRId64 "\n\n", k, id, k);
 
 		usleep((useconds_t)(n->event_interval_ms * 1000));
+		if (n->boot_count != boot)
+			return http_abort(conn);
 		if (fault == GRID_FAULT_CUT_STREAM && sent == 2) {
 			mg_printf(conn, "%x\r\nid: %" PRId64 "\nda", len, k);
 			return http_abort(conn);
@@ -208,6 +211,25 @@
 	return http_reply(conn, 200, out);
 }
 
+static bool is_deadly(const struct grid_node *n, struct mg_connection *conn)
+{
+	const char *part = n->grid->deadly_part;
+
+	return n->is_engine && part[0] &&
+	       strstr(header_or_empty(conn, "X-Ibisgate-Prefix-Hash"), part);
+}
+
+/* The engine crashes and a new process registers. Requests in flight lose their connections. */
+static int crash(struct grid_node *n, struct mg_connection *conn, const char *id)
+{
+	run_record(n, id, "crash", "");
+	pthread_mutex_lock(&n->grid->lock);
+	n->boot_count++;
+	grid_node_register(n, "ready");
+	pthread_mutex_unlock(&n->grid->lock);
+	return http_abort(conn);
+}
+
 int grid_node_handle(struct mg_connection *conn, void *ctx)
 {
 	struct grid_node *n = ctx;
@@ -251,6 +273,8 @@
 	snprintf(detail, sizeof(detail), "%s %s", header_or_empty(conn, "X-Ibisgate-Deadline-Ms"),
 		 header_or_empty(conn, "X-Ibisgate-Kv-Source"));
 	run = run_record(n, id, n->is_engine ? "stream" : "call", detail);
+	if (is_deadly(n, conn))
+		return crash(n, conn, id);
 	if (fault == GRID_FAULT_LOSE_RESPONSE)
 		return http_abort(conn);
 	if (fault == GRID_FAULT_SILENT) {
--- /dev/null
+++ b/tests/test_deadly_part.cc
@@ -0,0 +1,85 @@
+#include "entry_fixture.h"
+
+/* Requests of one kind share a part of their prompts that crashes each engine which answers one. */
+class DeadlyPartTest : public EntryTest, public ::testing::WithParamInterface<int>
+{
+      protected:
+	std::vector<struct harness_process *> start_instances(int count)
+	{
+		std::vector<struct harness_process *> all;
+
+		start_grid(12, 4, 2);
+		put_config(config_json(1));
+		if (count > 2) {
+			dc_count = 2;
+			extra_settings = "[place]\nnear-engines = 1\nnear-instances = 2\n";
+		}
+		for (int i = 0; i < count; i++)
+			all.push_back(start_instance(i));
+		for (struct harness_process *p : all)
+			EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+		return all;
+	}
+	/* The first part is shared with sound requests; the last belongs to the request. */
+	std::string prompt_text(const std::string &target, bool deadly)
+	{
+		std::string own = std::to_string(100000 + last_request);
+
+		return request_text(target, "POST",
+				    "X-Ibisgate-Model: m\r\nX-Ibisgate-Token-Count: 1500,4\r\n"
+				    "X-Ibisgate-Prefix-Hash: a1:800," +
+					    std::string(deadly ? "dead:400," : "b2:400,") + "c" +
+					    own + ":300\r\n",
+				    "body " + own);
+	}
+	int crash_count(int64_t from_ms = 0)
+	{
+		int n = 0;
+
+		for (const Run &r : runs())
+			n += r.work == "crash" && r.at_ms >= from_ms;
+		return n;
+	}
+};
+
+/* Guards against BUDGET: requests with a part that crashes engines reach one after the other. */
+TEST_P(DeadlyPartTest, RequestsWithItAreRefusedAfterAFewCrashes)
+{
+	std::vector<struct harness_process *> all = start_instances(GetParam());
+	int sound = 0, served = 0;
+
+	grid->post_json("/deadly", "{\"part\":\"dead\"}");
+	for (int round = 0; round < 24; round++) {
+		struct harness_process *p = all[(size_t)(round * 5) % all.size()];
+
+		send_request(p, prompt_text(round % 2 ? "stream/x" : "once/x", true));
+		/* Sound requests with the same first part go on. */
+		for (int i = 0; i < 2; i++) {
+			sound++;
+			served += send_request(p, prompt_text("stream/x", false)).complete;
+		}
+		usleep(150000);
+	}
+	/* The fifth crash at the latest shows the part; others may be under way then. */
+	EXPECT_LE(crash_count(), 8);
+	EXPECT_GE(served, sound * 9 / 10);
+	/* From then on they are refused at all instances, as not run. */
+	int64_t begin_ms = clock_boot_ms();
+	for (struct harness_process *p : all) {
+		EXPECT_EQ(send_request(p, prompt_text("stream/x", true)).status, 503);
+		EXPECT_TRUE(send_request(p, prompt_text("stream/x", false)).complete);
+	}
+	EXPECT_EQ(crash_count(begin_ms), 0);
+	/* An instance that starts learns it from the others. */
+	if (all.size() > 1) {
+		harness_process_signal(all[0], SIGKILL);
+		harness_process_wait(all[0], 2000);
+		all[0] = start_instance(0);
+		ASSERT_TRUE(eventually([&] { return ready_status(all[0]) == 200; }, 5000));
+		sleep(2);
+		EXPECT_EQ(send_request(all[0], prompt_text("stream/x", true)).status, 503);
+		EXPECT_EQ(crash_count(begin_ms), 0);
+	}
+}
+
+INSTANTIATE_TEST_SUITE_P(Instances, DeadlyPartTest, ::testing::Values(1, 2, 6));
