Refuse requests with a part of the prompt that crashes engines

Cause: crashes were charged to whole requests, by path and body. Class: evidence collected under a key that does not repeat.

A crash accuses the parts, but for the last, of the requests that waited for their answer at the engine; an answer that goes on clears its parts of earlier crashes. A part with three crashes is refused, one that was answered lately with five. Of parts that were always together the deepest one is refused, so that the parts before it stay in use. Accusations that arrive within 50 ms count once (a rack). Instances tell each other of accusations, answers and parts known to be sound; one that starts gets the refused ones. New requests, repeats and prompts that another engine has read are refused, as not run where that is true. Whether an engine has ended shows within milliseconds, by a connection that is refused (HTTP_FAILURE_REFUSED); one that can't be reached accuses no part.

A play in virtual time with 1, 5 and 118 instances and late news: at most 8 crashes in 120 runs, sound requests of the same documents served; other crashes refuse nothing.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -73,7 +73,7 @@
 {
 	struct attempt *a = &x->attempt;
 	struct endpoint *ep = a->endpoint;
-	bool sent = why != HTTP_FAILURE_CONNECT;
+	bool sent = !http_failure_is_unsent(why);
 	enum wire_work work = a->work;
 
 	a->call = NULL;
@@ -83,20 +83,20 @@
 	exchange_trail_add(x, ep, http_failure_name(why));
 	if (why != HTTP_FAILURE_STALE) {
 		endpoint_record_result(ep, false);
-		circuit_failure(&ep->circuit, why == HTTP_FAILURE_CONNECT, clock_boot_ms());
+		circuit_failure(&ep->circuit, !sent, clock_boot_ms());
 	}
-	if (why == HTTP_FAILURE_CONNECT) {
+	if (!sent) {
 		dc_health_record(entry_dc_health(x->entry, ep->dc), false, clock_boot_ms());
 		if (a->budget_charged)
 			extra_budget_refund(&x->service->budget);
 	}
-	if (why == HTTP_FAILURE_CLOSED && work == WIRE_WORK_RUN)
-		suspect_connection_lost(x, ep);
-	if (why == HTTP_FAILURE_CONNECT)
-		suspect_endpoint_crashed(x->entry, ep);
-	if (why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_CONNECT)
+	if ((why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_STALE) && work == WIRE_WORK_RUN)
+		suspect_connection_lost(x, why, ep);
+	if (!sent)
+		suspect_endpoint_crashed(x->entry, ep, why == HTTP_FAILURE_REFUSED);
+	if (why == HTTP_FAILURE_CLOSED || !sent)
 		http_client_close_idle(x->entry->endpoint_client, &ep->address);
-	if (why == HTTP_FAILURE_CONNECT && ep->cache)
+	if (!sent && ep->cache)
 		cache_view_clear(ep->cache);
 	attempt_end(x);
 	if (sent && work == WIRE_WORK_RUN)
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -178,7 +178,7 @@
 	case DIRECTORY_ADDED:
 	case DIRECTORY_RESTARTED:
 		if (ep)
-			suspect_endpoint_crashed(e, ep);
+			suspect_endpoint_crashed(e, ep, true);
 		if (ep)
 			endpoint_remove(e, ep);
 		endpoint_add(e, entry);
@@ -195,7 +195,7 @@
 		break;
 	case DIRECTORY_REMOVED:
 		if (ep && !ep->is_leaving)
-			suspect_endpoint_crashed(e, ep);
+			suspect_endpoint_crashed(e, ep, false);
 		if (ep)
 			endpoint_remove(e, ep);
 		break;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -263,6 +263,7 @@
 	int64_t pause_ms = tick_pause_ms(e, now);
 
 	directory_remove_deferred(&e->directory, now);
+	metric_set(METRIC_PARTS_REFUSED, suspect_parts_count_refused(e->suspect_parts, now));
 	metric_set(METRIC_ENDPOINTS_MISSING, directory_count_missing(&e->directory));
 	for (int i = 0; i < SHARING_STORE_TABLES; i++)
 		store_watch_step(e->watches[i], now);
@@ -398,6 +399,7 @@
 	CDS_INIT_LIST_HEAD(&e->callers);
 	CDS_INIT_LIST_HEAD(&e->exchange_list);
 	e->suspects = quarantine_create(SUSPECTS_MAX);
+	e->suspect_parts = suspect_parts_create();
 	directory_init(&e->directory, endpoint_changed, e);
 	entry_dc_index(e, settings->instance.dc);
 	e->base = event_base_new();
@@ -470,6 +472,7 @@
 	services_destroy(e);
 	directory_free(&e->directory);
 	quarantine_destroy(e->suspects);
+	suspect_parts_destroy(e->suspect_parts);
 	http_client_destroy(e->endpoint_client);
 	http_client_destroy(e->store_client);
 	if (e->http_listener)
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -281,6 +281,10 @@
 		exchange_give_up(x, "deadline", 0);
 		return;
 	}
+	if (x->sends && suspect_has_refused_part(x)) {
+		exchange_give_up(x, "crashes-endpoints", -1);
+		return;
+	}
 	if (x->rule->kind == CALL_GENERATION && x->spec->engine.present) {
 		if (!generation_place(x, now))
 			exchange_give_up(x, "no-endpoint", service_retry_after_ms(x->service, now));
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -18,6 +18,8 @@
  * @last_receive_ms: when bytes of its response last arrived; initially when it was sent
  * @progress_ms: when the head or the last event with a new id arrived
  * @event_ms: when the last event with a new id arrived; 0 before the first
+ * @first_event_ms: when the first one arrived
+ * @answer_goes_on: the answer has gone on after its first event
  * @prompt_pending: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded is set
  * @head: head of the response; valid while @call is
@@ -35,6 +37,8 @@
 	int64_t last_receive_ms;
 	int64_t progress_ms;
 	int64_t event_ms;
+	int64_t first_event_ms;
+	bool answer_goes_on;
 	bool prompt_pending;
 	bool responded;
 	struct endpoint_response response;
@@ -158,13 +162,19 @@
 /* suspects.c */
 
 /**
- * suspect_is_quarantined - whether the request was running during too many crashes; sets its
- * fingerprint
+ * suspect_is_quarantined - whether the request, or a part of its prompt, was involved in too many
+ * crashes; sets its fingerprint
  */
 bool suspect_is_quarantined(struct exchange *x);
 
+/** suspect_has_refused_part - whether a part of the prompt was involved in too many crashes */
+bool suspect_has_refused_part(const struct exchange *x);
+
 /** suspect_connection_lost - record that the connection broke while the request ran at @ep */
-void suspect_connection_lost(const struct exchange *x, struct endpoint *ep);
+void suspect_connection_lost(const struct exchange *x, enum http_failure why, struct endpoint *ep);
+
+/** suspect_answer_goes_on - record that the current attempt's answer has gone on or is complete */
+void suspect_answer_goes_on(struct exchange *x);
 
 /* generation.c */
 void generation_on_body(struct exchange *x, struct str bytes);
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -14,6 +14,12 @@
 
 #define ENGINES_MAX 512
 
+/*
+ * Time after the first event from which on a prompt that crashes engines would have crashed this
+ * one, in milliseconds.
+ */
+#define ANSWER_GOES_ON_MS 300
+
 /* Maximum size of one event in bytes; an engine may send one that never ends. */
 #define EVENT_MAX_BYTES (1 << 20)
 
@@ -113,10 +119,16 @@
 }
 
 /* Records @count new events that have just arrived together. */
-static void record_events(struct attempt *a, int count)
+static void record_events(struct exchange *x, int count)
 {
+	struct attempt *a = &x->attempt;
 	int64_t now = clock_boot_ms();
 
+	if (!a->first_event_ms)
+		a->first_event_ms = now;
+	else if (now - a->first_event_ms >= ANSWER_GOES_ON_MS)
+		suspect_answer_goes_on(x);
+
 	if (a->event_ms)
 		engine_pace_add(&a->endpoint->pace, (double)(now - a->event_ms) / count, now);
 	a->event_ms = now;
@@ -148,7 +160,7 @@
 		buf_append_str(&out, ev.raw);
 	}
 	if (count)
-		record_events(&x->attempt, count);
+		record_events(x, count);
 	if (out.len)
 		write_events(x, buf_str(&out));
 	buf_free(&out);
@@ -201,6 +213,7 @@
 		return;
 	}
 	endpoint_record_result(ep, true);
+	suspect_answer_goes_on(x);
 	exchange_trail_add(x, ep, "streamed");
 	caller_write(x->caller, STR_LIT("0\r\n\r\n"));
 	finish_add_completed(generation_finish_estimate(x),
@@ -415,7 +428,8 @@
 	struct place_speed speed = place_speed_of(x);
 	int count, prefill = -1, at;
 
-	if (!x->kv_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs)
+	if (!x->kv_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs ||
+	    suspect_has_refused_part(x))
 		return false;
 	count = engine_views_collect(x, x->service->prefers_local && x->decode && !x->decode->dc,
 				     clock_boot_ms(), engines, eps);
@@ -531,6 +545,11 @@
 		attempt_retry(x, "decode-engine-gone");
 		return;
 	}
+	if (suspect_has_refused_part(x)) {
+		generation_release_cache(x);
+		exchange_give_up(x, "crashes-endpoints", -1);
+		return;
+	}
 	x->cache_offers = 0;
 	if (!generation_start_decode(x, x->decode))
 		exchange_give_up(x, "retry-budget", 0);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -27,6 +27,7 @@
 #include "ibisgate/state/leaving_set.h"
 #include "ibisgate/state/quarantine.h"
 #include "ibisgate/state/routing_table.h"
+#include "ibisgate/state/suspect_parts.h"
 
 /*
  * All code in these files runs on one event loop, so nothing here takes a lock. A request passes
@@ -68,6 +69,8 @@
  * @stage_change_until_ms: it carries out an order of some instance and rejects requests until
  *   then
  * @stage_change_remote: the stage change was reported by an instance of another data centre
+ * @part_watch: parts of requests that lost their connection to it before their answer went on
+ * @crash_probed: a request that shows whether the process has ended is in flight
  * @pace: time between two events of its generations, as seen by this instance
  */
 struct endpoint {
@@ -106,6 +109,8 @@
 	enum engine_stage ordered_stage;
 	int64_t stage_change_until_ms;
 	bool stage_change_remote;
+	struct part_watch part_watch;
+	bool crash_probed;
 	struct engine_pace pace;
 };
 
@@ -190,6 +195,7 @@
 	struct cds_list_head callers;
 	struct store_watch *watches[SHARING_STORE_TABLES];
 	struct quarantine *suspects;
+	struct suspect_parts *suspect_parts;
 	struct peers *peers;
 	struct stages *stages;
 	char dcs[ENTRY_DCS_MAX][DIRECTORY_NAME_MAX];
@@ -289,12 +295,16 @@
 
 /**
  * suspect_endpoint_crashed - charge a crash of the endpoint to the requests that were running there
+ * @certain: the process has ended; otherwise the endpoint may only be unreachable
  */
-void suspect_endpoint_crashed(struct entry *e, struct endpoint *ep);
+void suspect_endpoint_crashed(struct entry *e, struct endpoint *ep, bool certain);
 
 /** suspect_merge - take over the number of crashes that another instance counted for a request */
 void suspect_merge(struct entry *e, uint64_t fingerprint, int crashes);
 
+/** suspect_part_merge - take over what another instance reports of a part */
+void suspect_part_merge(struct entry *e, const struct shared_suspect_part *r);
+
 /** suspects_share_all - queue all known suspects for the other instances, one of which has started
  */
 void suspects_share_all(struct entry *e);
@@ -380,6 +390,9 @@
 /** peers_queue_suspect - queue for the other instances a request that was running during crashes */
 void peers_queue_suspect(struct peers *p, uint64_t fingerprint, int crashes);
 
+/** peers_queue_suspect_part - queue for the other instances what is known of a suspected part */
+void peers_queue_suspect_part(struct peers *p, const struct shared_suspect_part *r);
+
 /**
  * peers_max_instances - largest number of instances seen alive at the same time, including this one
  */
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -205,6 +205,19 @@
 	p->share_pending = true;
 }
 
+void peers_suspect_part_add(struct suspect_part_list *list, const struct shared_suspect_part *r)
+{
+	if (list->count < SHARING_SUSPECT_PARTS_MAX)
+		list->items[list->count++] = *r;
+}
+
+void peers_queue_suspect_part(struct peers *p, const struct shared_suspect_part *r)
+{
+	peers_suspect_part_add(&p->suspect_parts, r);
+	peers_suspect_part_add(&p->remote_suspect_parts, r);
+	p->share_pending = true;
+}
+
 void peers_mark_changed(struct peers *p)
 {
 	if (p)
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -48,6 +48,12 @@
 	struct shared_engine_load *loads;
 };
 
+/** struct suspect_part_list - reports queued for one side; further ones are dropped */
+struct suspect_part_list {
+	int count;
+	struct shared_suspect_part items[SHARING_SUSPECT_PARTS_MAX];
+};
+
 /**
  * struct peers - message exchange with the other instances
  * @lock: guards @inbox_head, @inbox_tail and @inbox_count, which the bus thread writes
@@ -62,6 +68,8 @@
  * @loads_summed_ms: when the loads of all instances were last summed
  * @remote_sent_ms: when a message was last sent to the other data centres
  * @remote_suspects: suspects recorded since then
+ * @suspect_parts: what is known of suspected parts, to include in the next message
+ * @remote_suspect_parts: the same for the next message to the other data centres
  * @max_instances: largest number of instances seen alive at the same time, including this one
  */
 struct peers {
@@ -92,6 +100,8 @@
 	int64_t remote_sent_ms;
 	int remote_suspect_count;
 	struct shared_crash_suspect remote_suspects[SHARING_SUSPECTS_MAX];
+	struct suspect_part_list suspect_parts;
+	struct suspect_part_list remote_suspect_parts;
 	struct peer_view *views;
 	int view_count;
 	int max_instances;
@@ -122,6 +132,9 @@
 void peers_suspect_add(struct shared_crash_suspect *list, int *count,
 		       const struct shared_crash_suspect *s);
 
+/** peers_suspect_part_add - add a report to those for one side */
+void peers_suspect_part_add(struct suspect_part_list *list, const struct shared_suspect_part *r);
+
 /** peers_share - send loads, prompt parts, suspects and membership to the other instances */
 void peers_share(struct peers *p, int64_t now_ms);
 
--- a/entry/peers_receive.c
+++ b/entry/peers_receive.c
@@ -245,6 +245,17 @@
 	}
 }
 
+static void apply_suspect_parts(struct peers *p, const struct peer_sharing *s, bool remote)
+{
+	for (int i = 0; i < s->suspect_part_count; i++) {
+		suspect_part_merge(p->entry, &s->suspect_parts[i]);
+		if (mesh_is_delegate(p->mesh))
+			peers_suspect_part_add(remote ? &p->suspect_parts
+						      : &p->remote_suspect_parts,
+					       &s->suspect_parts[i]);
+	}
+}
+
 void peers_apply(struct peers *p, const struct inbox_entry *in, int64_t now)
 {
 	const struct peer_sharing *s = &in->sharing;
@@ -256,6 +267,7 @@
 		store_watch_note_peer_version(p->entry->watches[i], s->store_table_versions[i]);
 	apply_parts(p, s, remote, now);
 	apply_suspects(p, s, remote);
+	apply_suspect_parts(p, s, remote);
 	for (int i = 0; i < s->leaving_count; i++)
 		endpoint_process_leaves(p->entry, s->leaving[i], in->sender);
 	for (int i = 0; i < s->changing_count; i++) {
--- a/entry/peers_share.c
+++ b/entry/peers_share.c
@@ -74,6 +74,13 @@
 	memcpy(s->suspects, list, sizeof(*list) * (size_t)count);
 }
 
+static void fill_suspect_parts(struct peer_sharing *s, struct suspect_part_list *list)
+{
+	s->suspect_part_count = list->count;
+	memcpy(s->suspect_parts, list->items, sizeof(*list->items) * (size_t)list->count);
+	list->count = 0;
+}
+
 static int64_t remote_interval_ms(const struct peers *p)
 {
 	const struct member_table *t = mesh_member_table(p->mesh);
@@ -140,6 +147,7 @@
 	s->part_count = p->part_count;
 	memcpy(s->parts, p->parts, sizeof(*p->parts) * (size_t)p->part_count);
 	fill_suspects(s, p->suspects, p->suspect_count);
+	fill_suspect_parts(s, &p->suspect_parts);
 	share_with_side(p, m, false, now);
 	if (!split_by_dc || now - p->remote_sent_ms >= remote_interval_ms(p)) {
 		if (split_by_dc) {
@@ -149,6 +157,7 @@
 			p->remote_part_count = 0;
 		}
 		fill_suspects(s, p->remote_suspects, p->remote_suspect_count);
+		fill_suspect_parts(s, &p->remote_suspect_parts);
 		share_with_side(p, m, true, now);
 		p->remote_sent_ms = now;
 		p->remote_suspect_count = 0;
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -136,7 +136,7 @@
 		lease_handle_result(&s->lease, LEASE_WRITE_CONFLICT, NULL, now);
 		log_lease_change(s, "conflict");
 	} else if (r->status == 429 || r->status == 503 ||
-		   (!r->status && r->failure == HTTP_FAILURE_CONNECT)) {
+		   (!r->status && http_failure_is_unsent(r->failure))) {
 		lease_handle_result(&s->lease, LEASE_WRITE_NOT_SENT, NULL, now);
 	} else {
 		lease_handle_result(&s->lease, LEASE_WRITE_UNCERTAIN, NULL, now);
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -104,10 +104,10 @@
 static void watch_unanswered(struct store_watch *w, enum http_failure why)
 {
 	/* A connection that is silent may have been cut off from a store that is back by now. */
-	int64_t away_ms = why == HTTP_FAILURE_CONNECT ? w->requested_ms : clock_boot_ms();
+	bool unsent = http_failure_is_unsent(why);
 
-	watch_failed(w, http_failure_name(why), away_ms,
-		     why == HTTP_FAILURE_CONNECT ? RETRY_UNREACHABLE_MAX_MS : RETRY_MAX_MS);
+	watch_failed(w, http_failure_name(why), unsent ? w->requested_ms : clock_boot_ms(),
+		     unsent ? RETRY_UNREACHABLE_MAX_MS : RETRY_MAX_MS);
 }
 
 static void watch_succeeded(struct store_watch *w)
--- a/include/ibisgate/common/metrics.h
+++ b/include/ibisgate/common/metrics.h
@@ -29,6 +29,8 @@
 	X(CLAIMS, "claims_total", "counter", "Claim rows written")                                 \
 	X(CLAIM_REPLAYS, "claim_replays_total", "counter", "Answers replayed from a claim")        \
 	X(QUARANTINED, "quarantined_total", "counter", "Fingerprints put into quarantine")         \
+	X(PARTS_REFUSED, "parts_refused", "gauge",                                                 \
+	  "Parts of prompts refused because they crash engines")                                   \
 	X(RESERVATIONS, "reservations_total", "counter",                                           \
 	  "Engines reserved for a suspect request of this instance")                               \
 	X(RESERVATIONS_LOST, "reservations_lost_total", "counter",                                 \
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -9,6 +9,7 @@
 #define SHARING_PROMPT_PARTS_MAX 512
 #define SHARING_SUSPECTS_MAX 32
 #define SHARING_LEAVING_MAX 64
+#define SHARING_SUSPECT_PARTS_MAX 128
 #define SHARING_STORE_TABLES 2
 
 /**
@@ -53,6 +54,29 @@
 	uint32_t crashes;
 };
 
+enum shared_part_verdict {
+	/* A request with the part was waiting for its answer when an engine crashed. */
+	PART_ACCUSED,
+	/* An answer with the part went on after that. */
+	PART_CLEARED,
+	/* Requests with the part were answered before. */
+	PART_KNOWN,
+	/* An accusation that counted at the sender, for an instance that has started. */
+	PART_RESTATED,
+};
+
+/**
+ * struct shared_suspect_part - what the sender knows of a part that may crash engines
+ * @depth: position of the part in the prompt, if it is accused
+ * @crash: identifies the crash, if it is accused
+ */
+struct shared_suspect_part {
+	uint64_t part;
+	enum shared_part_verdict verdict;
+	uint32_t depth;
+	uint32_t crash;
+};
+
 /**
  * struct peer_sharing - state that an instance sends to its peers several times a second
  * @news: membership of the instances as seen by the sender
@@ -75,6 +99,8 @@
 	uint32_t leaving[SHARING_LEAVING_MAX];
 	int changing_count;
 	uint32_t changing[SHARING_LEAVING_MAX];
+	int suspect_part_count;
+	struct shared_suspect_part suspect_parts[SHARING_SUSPECT_PARTS_MAX];
 };
 
 #endif
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -24,6 +24,8 @@
 /**
  * enum http_failure - why an exchange ended without a complete response
  * @HTTP_FAILURE_CONNECT: the connection could not be established; nothing was sent
+ * @HTTP_FAILURE_REFUSED: the peer's machine refused the connection, as no process listens there;
+ *	nothing was sent
  * @HTTP_FAILURE_STALE: a reused connection was closed before any byte of a response arrived
  * @HTTP_FAILURE_CLOSED: the connection was closed before or during the response
  * @HTTP_FAILURE_MALFORMED: the bytes received are not a valid response, or too many of them
@@ -33,6 +35,7 @@
  */
 enum http_failure {
 	HTTP_FAILURE_CONNECT,
+	HTTP_FAILURE_REFUSED,
 	HTTP_FAILURE_STALE,
 	HTTP_FAILURE_CLOSED,
 	HTTP_FAILURE_MALFORMED,
@@ -41,6 +44,9 @@
 
 const char *http_failure_name(enum http_failure f);
 
+/** http_failure_is_unsent - whether nothing of the request can have been sent */
+bool http_failure_is_unsent(enum http_failure f);
+
 /**
  * struct http_exchange_ops - callbacks for a response
  *
--- a/net/codec_sharing.c
+++ b/net/codec_sharing.c
@@ -116,9 +116,38 @@
 	}
 }
 
+/* Without the reports of parts, as instances of former builds send it, and with them. */
+#define SHARING_FIELDS_MIN 7
+#define SHARING_FIELDS 8
+
+static void put_suspect_parts(struct buf *b, const struct peer_sharing *s)
+{
+	codec_put_array(b, s->suspect_part_count);
+	for (int i = 0; i < s->suspect_part_count; i++) {
+		codec_put_array(b, 4);
+		codec_put_uint(b, s->suspect_parts[i].part);
+		codec_put_uint(b, s->suspect_parts[i].verdict);
+		codec_put_uint(b, s->suspect_parts[i].depth);
+		codec_put_uint(b, s->suspect_parts[i].crash);
+	}
+}
+
+static void get_suspect_parts(struct reader *r, struct peer_sharing *s)
+{
+	s->suspect_part_count = codec_get_count(r, SHARING_SUSPECT_PARTS_MAX);
+	for (int i = 0; i < s->suspect_part_count && !r->failed; i++) {
+		codec_get_fixed_array(r, 4);
+		s->suspect_parts[i].part = codec_get_uint(r, UINT64_MAX);
+		s->suspect_parts[i].verdict =
+			(enum shared_part_verdict)codec_get_uint(r, PART_RESTATED);
+		s->suspect_parts[i].depth = get_u32(r);
+		s->suspect_parts[i].crash = get_u32(r);
+	}
+}
+
 void codec_put_sharing(struct buf *b, const struct peer_sharing *s)
 {
-	codec_put_array(b, 7);
+	codec_put_array(b, SHARING_FIELDS);
 	put_news(b, &s->news);
 	codec_put_array(b, SHARING_STORE_TABLES);
 	for (int i = 0; i < SHARING_STORE_TABLES; i++)
@@ -133,11 +162,17 @@
 	}
 	put_tags(b, s->leaving, s->leaving_count);
 	put_tags(b, s->changing, s->changing_count);
+	put_suspect_parts(b, s);
 }
 
 void codec_get_sharing(struct reader *r, struct peer_sharing *s)
 {
-	codec_get_fixed_array(r, 7);
+	int fields = codec_get_count(r, SHARING_FIELDS);
+
+	if (fields < SHARING_FIELDS_MIN) {
+		r->failed = true;
+		return;
+	}
 	get_news(r, &s->news);
 	codec_get_fixed_array(r, SHARING_STORE_TABLES);
 	for (int i = 0; i < SHARING_STORE_TABLES; i++)
@@ -152,4 +187,6 @@
 	}
 	s->leaving_count = get_tags(r, s->leaving, SHARING_LEAVING_MAX);
 	s->changing_count = get_tags(r, s->changing, SHARING_LEAVING_MAX);
+	if (fields == SHARING_FIELDS)
+		get_suspect_parts(r, s);
 }
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <netinet/tcp.h>
@@ -84,9 +85,9 @@
 };
 
 static const char *const failure_names[] = {
-	[HTTP_FAILURE_CONNECT] = "connect", [HTTP_FAILURE_STALE] = "stale-connection",
-	[HTTP_FAILURE_CLOSED] = "closed",   [HTTP_FAILURE_MALFORMED] = "malformed",
-	[HTTP_FAILURE_TIMEOUT] = "timeout",
+	[HTTP_FAILURE_CONNECT] = "connect",	   [HTTP_FAILURE_REFUSED] = "refused",
+	[HTTP_FAILURE_STALE] = "stale-connection", [HTTP_FAILURE_CLOSED] = "closed",
+	[HTTP_FAILURE_MALFORMED] = "malformed",	   [HTTP_FAILURE_TIMEOUT] = "timeout",
 };
 
 const char *http_failure_name(enum http_failure f)
@@ -94,6 +95,11 @@
 	return failure_names[f];
 }
 
+bool http_failure_is_unsent(enum http_failure f)
+{
+	return f == HTTP_FAILURE_CONNECT || f == HTTP_FAILURE_REFUSED;
+}
+
 bool http_address_parse(struct str text, struct http_address *out)
 {
 	struct str host = str_split(&text, ':');
@@ -342,7 +348,9 @@
 static enum http_failure connection_failure(const struct connection *c, short what)
 {
 	if (!c->is_connected)
-		return HTTP_FAILURE_CONNECT;
+		return (what & BEV_EVENT_ERROR) && EVUTIL_SOCKET_ERROR() == ECONNREFUSED
+			       ? HTTP_FAILURE_REFUSED
+			       : HTTP_FAILURE_CONNECT;
 	if (what & BEV_EVENT_TIMEOUT)
 		return HTTP_FAILURE_TIMEOUT;
 	if (c->is_reused && !c->has_received)
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -95,6 +95,13 @@
 	s->changing_count = (int)(rng() % (SHARING_LEAVING_MAX + 1));
 	for (int i = 0; i < s->changing_count; i++)
 		s->changing[i] = (uint32_t)rng();
+	s->suspect_part_count = (int)(rng() % (SHARING_SUSPECT_PARTS_MAX + 1)) >> (rng() % 8);
+	for (int i = 0; i < s->suspect_part_count; i++) {
+		s->suspect_parts[i].part = rng();
+		s->suspect_parts[i].verdict = (enum shared_part_verdict)(rng() % 4);
+		s->suspect_parts[i].depth = (uint32_t)rng();
+		s->suspect_parts[i].crash = (uint32_t)rng();
+	}
 }
 
 static void loads_sample(std::mt19937_64 &rng, struct peer_loads *l)
--- /dev/null
+++ b/tests/test_suspect_parts.cc
@@ -0,0 +1,337 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <random>
+#include <vector>
+
+extern "C" {
+#include "ibisgate/state/suspect_parts.h"
+}
+
+namespace
+{
+
+using Parts = std::unique_ptr<struct suspect_parts, decltype(&suspect_parts_destroy)>;
+
+Parts create()
+{
+	return Parts(suspect_parts_create(), suspect_parts_destroy);
+}
+
+bool accuse(const Parts &s, uint64_t part, uint32_t crash, int64_t now, uint32_t depth = 1)
+{
+	struct part_accusation a = { part, depth, crash, false };
+
+	return suspect_parts_accuse(s.get(), &a, now);
+}
+
+/* Guards against BUDGET, and against counting one crash for each instance that saw it. */
+TEST(SuspectParts, ThreeCrashesRefuseAPartThatWasNeverAnswered)
+{
+	Parts s = create();
+
+	EXPECT_TRUE(accuse(s, 7, 100, 100));
+	EXPECT_FALSE(accuse(s, 7, 100, 200));
+	EXPECT_TRUE(accuse(s, 7, 101, 300));
+	EXPECT_FALSE(suspect_parts_is_refused(s.get(), 7, 400));
+	EXPECT_TRUE(accuse(s, 7, 102, 400));
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, 500));
+	EXPECT_EQ(suspect_parts_count_refused(s.get(), 500), 1);
+	EXPECT_FALSE(suspect_parts_is_refused(s.get(), 8, 500));
+}
+
+/* Guards against refusing what an engine ran when it crashed for another reason. */
+TEST(SuspectParts, AnAnswerSentAfterTheCrashClears)
+{
+	Parts s = create();
+
+	accuse(s, 7, 100, 100);
+	accuse(s, 7, 101, 200);
+	/* Sent before the crash, so that it proves nothing about it. */
+	EXPECT_FALSE(suspect_parts_answered(s.get(), 7, 150, 300));
+	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 2);
+	EXPECT_TRUE(suspect_parts_answered(s.get(), 7, 250, 400));
+	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 0);
+	EXPECT_FALSE(suspect_parts_answered(s.get(), 7, 450, 500));
+}
+
+/* A part that was answered before needs more evidence, on any instance. */
+TEST(SuspectParts, KnownPartsTakeFiveCrashes)
+{
+	Parts s = create(), t = create();
+
+	suspect_parts_answered(s.get(), 7, 0, 10);
+	EXPECT_TRUE(suspect_parts_was_answered(s.get(), 7, 20));
+	for (uint32_t crash = 1; crash <= 4; crash++) {
+		accuse(s, 7, crash, 100 * crash);
+		accuse(t, 7, crash, 100 * crash);
+	}
+	EXPECT_FALSE(suspect_parts_is_refused(s.get(), 7, 500));
+	EXPECT_TRUE(suspect_parts_is_refused(t.get(), 7, 500));
+	suspect_parts_set_known(t.get(), 7, 500);
+	EXPECT_FALSE(suspect_parts_is_refused(t.get(), 7, 500));
+	for (const Parts *p : { &s, &t }) {
+		accuse(*p, 7, 5, 600);
+		EXPECT_TRUE(suspect_parts_is_refused(p->get(), 7, 700));
+	}
+}
+
+/* Guards against LOST: the parts before the deadly one are shared with sound requests. */
+TEST(SuspectParts, TheDeepestOfPartsThatAreAlwaysTogetherIsRefused)
+{
+	for (bool shallow_first : { true, false }) {
+		Parts s = create();
+
+		for (uint32_t crash = 1; crash <= 4; crash++) {
+			accuse(s, shallow_first ? 1 : 9, crash, 100 * crash, shallow_first ? 0 : 2);
+			accuse(s, shallow_first ? 9 : 1, crash, 100 * crash, shallow_first ? 2 : 0);
+		}
+		EXPECT_TRUE(suspect_parts_is_refused(s.get(), 9, 500));
+		EXPECT_FALSE(suspect_parts_is_refused(s.get(), 1, 500));
+		EXPECT_EQ(suspect_parts_crashes(s.get(), 1), 0);
+	}
+	/* A shallow part that crashes with different deeper ones is refused itself. */
+	Parts s = create();
+
+	for (uint32_t crash = 1; crash <= 3; crash++) {
+		accuse(s, 1, crash, 100 * crash, 0);
+		accuse(s, 100 + crash, crash, 100 * crash, 1);
+	}
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 1, 500));
+}
+
+/* What ends a refusal; afterwards one crash is enough. */
+TEST(SuspectParts, RefusalEndsAndOneMoreCrashRenewsIt)
+{
+	Parts s = create();
+
+	for (uint32_t crash = 1; crash <= 3; crash++)
+		accuse(s, 7, crash, 100 * crash);
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, SUSPECT_REFUSAL_MS));
+	EXPECT_FALSE(suspect_parts_is_refused(s.get(), 7, SUSPECT_REFUSAL_MS + 300));
+	accuse(s, 7, 4, SUSPECT_REFUSAL_MS + 400);
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, SUSPECT_REFUSAL_MS + 500));
+	suspect_parts_clear(s.get(), 7);
+	EXPECT_FALSE(suspect_parts_is_refused(s.get(), 7, SUSPECT_REFUSAL_MS + 500));
+}
+
+/* Guards against memory that callers choose, and against forgetting a refused part for it. */
+TEST(SuspectParts, MemoryIsBoundedAndRefusedPartsStay)
+{
+	Parts s = create();
+	struct part_accusation out[SUSPECT_PARTS_MAX];
+
+	for (uint32_t crash = 1; crash <= 3; crash++)
+		accuse(s, 7, crash, 100 * crash);
+	for (uint64_t part = 1000; part < 1000 + 4 * SUSPECT_PARTS_MAX; part++)
+		EXPECT_TRUE(accuse(s, part, 50, 20 + (int64_t)part));
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, 9000));
+	EXPECT_EQ(suspect_parts_accusations(s.get(), 9000, out, SUSPECT_PARTS_MAX), 3);
+	EXPECT_EQ(out[0].part, 7u);
+}
+
+/* Guards against blaming what a rack of engines ran, and against forgetting at a start. */
+TEST(SuspectParts, CrashesAtTheSameMomentCountOnceUnlessTheyAreRestated)
+{
+	Parts s = create(), t = create();
+	struct part_accusation out[8];
+
+	for (uint32_t crash = 1; crash <= 5; crash++)
+		accuse(s, 7, crash, 100 + crash);
+	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 1);
+	for (uint32_t crash = 6; crash <= 7; crash++)
+		accuse(s, 7, crash, 100 * crash);
+	ASSERT_EQ(suspect_parts_accusations(s.get(), 800, out, 8), 3);
+	for (int i = 0; i < 3; i++)
+		EXPECT_TRUE(suspect_parts_accuse(t.get(), &out[i], 800));
+	EXPECT_TRUE(suspect_parts_is_refused(t.get(), 7, 800));
+}
+
+TEST(PartWatch, TakesEachPartOfTheLastSecondsOnce)
+{
+	struct part_watch w = {};
+	struct part_accusation out[PART_WATCH_SLOTS];
+
+	part_watch_add(&w, 1, 0, 1000);
+	for (uint64_t part : { 2, 3, 2, 3 })
+		part_watch_add(&w, part, 1, 4500);
+	ASSERT_EQ(part_watch_take(&w, 77, 5000, out), 2);
+	EXPECT_EQ(out[0].part, 2u);
+	EXPECT_EQ(out[0].depth, 1u);
+	EXPECT_EQ(out[1].crash, 77u);
+	EXPECT_EQ(part_watch_take(&w, 78, 5000, out), 0);
+}
+
+/* Reports between instances: part, verdict and crash, with the time of arrival. */
+struct Report {
+	int64_t at;
+	struct part_accusation accusation;
+	bool cleared;
+	bool known;
+};
+
+/*
+ * A fleet in virtual time: requests of DOCS documents, some with a deadly part behind the document.
+ * An engine crashes when it answers one, and takes down what else waits there.
+ */
+struct Fleet {
+	static constexpr int ENGINES = 18, DOCS = 160;
+	static constexpr uint64_t DEADLY = 1;
+
+	std::vector<Parts> instances;
+	std::vector<std::vector<Report>> inbox;
+	std::mt19937_64 rng;
+	int64_t news_ms;
+	int deadly_sent = 0, crashes = 0, sound_refused = 0, sound = 0;
+	uint32_t crash_id = 0;
+	struct Repeat {
+		int64_t at;
+		size_t instance;
+		uint64_t doc;
+	};
+	std::vector<Repeat> repeats;
+
+	Fleet(int count, int64_t news, uint64_t seed) : rng(seed), news_ms(news)
+	{
+		for (int i = 0; i < count; i++)
+			instances.push_back(create());
+		inbox.resize((size_t)count);
+	}
+	void tell(size_t from, const Report &r)
+	{
+		for (size_t i = 0; i < inbox.size(); i++) {
+			if (i != from)
+				inbox[i].push_back(r);
+		}
+	}
+	void read_news(int64_t now)
+	{
+		std::vector<Repeat> due;
+
+		due.swap(repeats);
+		for (const Repeat &r : due) {
+			if (now < r.at)
+				repeats.push_back(r);
+			else if (suspect_parts_is_refused(instances[r.instance].get(), r.doc, now))
+				sound_refused++;
+			else
+				answer(now, r.instance, r.doc);
+		}
+		for (size_t i = 0; i < inbox.size(); i++) {
+			std::vector<Report> later;
+
+			for (const Report &r : inbox[i]) {
+				uint64_t part = r.accusation.part;
+				struct suspect_parts *s = instances[i].get();
+
+				if (now < r.at + news_ms)
+					later.push_back(r);
+				else if (r.cleared)
+					suspect_parts_clear(s, part);
+				else if (r.known)
+					suspect_parts_set_known(s, part, now);
+				else if (suspect_parts_accuse(s, &r.accusation, now) &&
+					 suspect_parts_was_answered(s, part, now))
+					tell(i, { now, { part, 0, 0, false }, false, true });
+			}
+			inbox[i] = later;
+		}
+	}
+	/*
+	 * What waits for its answer beside: requests of random documents at random instances. They
+	 * are repeated on another engine and answered there.
+	 */
+	void crash(int64_t now, size_t at, uint64_t doc, bool deadly)
+	{
+		crash_id++;
+		crashes++;
+		for (int k = 0; k < 6; k++) {
+			size_t i = k ? rng() % instances.size() : at;
+			uint64_t d = k ? 1000 + rng() % DOCS : doc;
+
+			accuse_at(now, i, { d, 0, crash_id, false });
+			if (k || !deadly)
+				repeats.push_back({ now + 500, i, d });
+			if (!k && deadly)
+				accuse_at(now, i, { DEADLY, 1, crash_id, false });
+		}
+	}
+	void accuse_at(int64_t now, size_t i, const struct part_accusation &a)
+	{
+		if (!suspect_parts_accuse(instances[i].get(), &a, now))
+			return;
+		tell(i, { now, a, false, false });
+		if (suspect_parts_was_answered(instances[i].get(), a.part, now))
+			tell(i, { now, { a.part, 0, 0, false }, false, true });
+	}
+	void answer(int64_t now, size_t i, uint64_t doc)
+	{
+		if (suspect_parts_answered(instances[i].get(), doc, now - 300, now))
+			tell(i, { now, { doc, 0, 0, false }, true, false });
+	}
+	/* One request; @one_doc puts the deadly part behind a single document. */
+	void request(int64_t now, bool deadly, bool one_doc)
+	{
+		size_t i = rng() % instances.size();
+		uint64_t doc = deadly && one_doc ? 1000 : 1000 + rng() % DOCS;
+		struct suspect_parts *s = instances[i].get();
+
+		sound += !deadly;
+		if (suspect_parts_is_refused(s, doc, now)) {
+			sound_refused += !deadly;
+			return;
+		}
+		if (!deadly) {
+			answer(now, i, doc);
+			return;
+		}
+		if (suspect_parts_is_refused(s, DEADLY, now))
+			return;
+		deadly_sent++;
+		crash(now, i, doc, true);
+	}
+};
+
+/*
+ * Load: a share of one kind of request has a deadly part, at few and at many instances. At most 8
+ * engines crash, and sound requests of the same documents go on.
+ */
+TEST(SuspectParts, DeadlyPartIsFoundInAFleet)
+{
+	for (auto [count, news] : { std::pair(1, 0), std::pair(5, 150), std::pair(118, 1500) }) {
+		for (bool one_doc : { false, true }) {
+			for (uint64_t seed = 1; seed <= 20; seed++) {
+				Fleet f(count, news, seed);
+
+				for (int64_t now = 1000; now < 30000; now += 20) {
+					f.read_news(now);
+					f.request(now, now > 6000 && f.rng() % 40 == 0, one_doc);
+				}
+				EXPECT_LE(f.crashes, 8) << count << " " << one_doc << " " << seed;
+				EXPECT_GE(f.crashes, 3);
+				EXPECT_LE(f.sound_refused, f.sound / 50)
+					<< count << " " << one_doc << " " << seed;
+			}
+		}
+	}
+}
+
+/* Load: engines crash for other reasons, one each second and five at once. Nothing is refused. */
+TEST(SuspectParts, OtherCrashesRefuseNothing)
+{
+	for (uint64_t seed = 1; seed <= 40; seed++) {
+		Fleet f(5, 150, seed);
+
+		for (int64_t now = 1000; now < 40000; now += 20) {
+			f.read_news(now);
+			f.request(now, false, false);
+			if (now > 6000 && now % 1000 == 0)
+				f.crash(now, f.rng() % 5, 1000 + f.rng() % Fleet::DOCS, false);
+			for (int k = 0; k < 5 && now % 10000 == 0; k++)
+				f.crash(now, f.rng() % 5, 1000 + f.rng() % Fleet::DOCS, false);
+		}
+		EXPECT_EQ(f.sound_refused, 0) << seed;
+	}
+}
+
+} // namespace
