Don't put the answer of the next engine into a stream that has begun

It could happen here: an error of the engine that was asked to continue was forwarded like an answer to a call, head and all, on a connection that stayed open.

Once bytes of a stream have been sent, an answer that is no stream is a failed attempt: the request goes on elsewhere or the connection is closed without an end.

BrokenHeadsTest.ErrorsOfTheNextEngineAreNotPartOfTheStream failed with five of seven answers before, passes after.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -165,7 +165,8 @@
 	struct endpoint *ep = x->attempt.endpoint;
 	const struct endpoint_response *r = &x->attempt.response;
 
-	if (!response_is_valid(x)) {
+	/* Once a stream has begun, only its events may follow, also from another engine. */
+	if (!response_is_valid(x) || x->response_started) {
 		endpoint_record_result(ep, false);
 		exchange_trail_add(x, ep, "unsound");
 		attempt_end(x);
