Believe a refusal only if it names its request

Report of other operators: a faulty worker wrote an earlier refusal once more on a kept connection; clients were told 'not run' for requests that a worker ran (REFUSED), or such a request ran at a second worker (TWICE). It could happen here for refusals without a request id: they were taken for the answer to whatever was sent last. Refusals that name another request were skipped already.

An answer without the id of its request is unsound, also with a status from 400 on: the request may have run, so it is repeated only if it may be, and else ends with 502.

BrokenHeadsTest.RefusalsOfOtherRequestsAreNotBelieved failed with four of five refusals, for calls and streams, before, and passed in each of 3 runs after.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -157,7 +157,7 @@
 
 	if (r->has_content_encoding)
 		return false;
-	return (r->has_request_id && r->has_signature) || r->status >= 400;
+	return r->has_request_id && (r->has_signature || r->status >= 400);
 }
 
 static void call_on_end(struct exchange *x)
@@ -196,7 +196,8 @@
 
 	a->call = NULL;
 	circuit_success(&a->endpoint->circuit);
-	if (a->response.not_run) {
+	/* A refusal without the request's id may be that of an earlier request. */
+	if (a->response.not_run && a->response.has_request_id) {
 		attempt_on_refused(x);
 		return;
 	}
