--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -302,6 +302,27 @@
 		EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
 		return p;
 	}
+	/*
+	 * Starts the grid with a configuration, and @count instances; more than two of them are in
+	 * two data centres and talk through delegates.
+	 */
+	std::vector<struct harness_process *> start_instances(int count, int engines, int prefill,
+							      int services)
+	{
+		std::vector<struct harness_process *> all;
+
+		start_grid(engines, prefill, services);
+		put_config(config_json(1));
+		if (count > 2) {
+			dc_count = 2;
+			extra_settings = "[place]\nnear-engines = 1\nnear-instances = 2\n";
+		}
+		for (int i = 0; i < count; i++)
+			all.push_back(start_instance(i));
+		for (struct harness_process *p : all)
+			EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+		return all;
+	}
 	std::string request_text(const std::string &target, const std::string &method = "POST",
 				 const std::string &fields = "", const std::string &body = "x")
 	{
--- a/tests/test_broken_heads.cc
+++ b/tests/test_broken_heads.cc
@@ -64,7 +64,10 @@
 	{
 		struct harness_process *p = start_instance(instances++);
 
-		EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+		if (!p || !eventually([&] { return ready_status(p) == 200; }, 5000)) {
+			ADD_FAILURE() << "the instance did not start";
+			return Response();
+		}
 		set_play(plays);
 		Caller c(harness_process_port(p, "http"), process_ip(p).c_str());
 		c.send_text(text);
--- a/tests/test_deadly_part.cc
+++ b/tests/test_deadly_part.cc
@@ -4,22 +4,6 @@
 class DeadlyPartTest : public EntryTest, public ::testing::WithParamInterface<int>
 {
       protected:
-	std::vector<struct harness_process *> start_instances(int count)
-	{
-		std::vector<struct harness_process *> all;
-
-		start_grid(12, 4, 2);
-		put_config(config_json(1));
-		if (count > 2) {
-			dc_count = 2;
-			extra_settings = "[place]\nnear-engines = 1\nnear-instances = 2\n";
-		}
-		for (int i = 0; i < count; i++)
-			all.push_back(start_instance(i));
-		for (struct harness_process *p : all)
-			EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
-		return all;
-	}
 	/* The first part is shared with sound requests; the last belongs to the request. */
 	std::string prompt_text(const std::string &target, bool deadly)
 	{
@@ -45,7 +29,7 @@
 /* Guards against BUDGET: requests with a part that crashes engines reach one after the other. */
 TEST_P(DeadlyPartTest, RequestsWithItAreRefusedAfterAFewCrashes)
 {
-	std::vector<struct harness_process *> all = start_instances(GetParam());
+	std::vector<struct harness_process *> all = start_instances(GetParam(), 12, 4, 2);
 	int sound = 0, served = 0;
 
 	grid->post_json("/deadly", "{\"part\":\"dead\"}");
--- a/tests/test_leaving.cc
+++ b/tests/test_leaving.cc
@@ -31,23 +31,6 @@
 	{
 		grid->post_json("/node", "{\"id\":\"" + id + "\",\"headers\":\"" + headers + "\"}");
 	}
-	/* Starts @count instances, more than two of them in two data centres with delegates. */
-	std::vector<struct harness_process *> start_instances(int count)
-	{
-		std::vector<struct harness_process *> all;
-
-		start_grid(4, 2, 4);
-		put_config(config_json(1));
-		if (count > 2) {
-			dc_count = 2;
-			extra_settings = "[place]\nnear-engines = 1\nnear-instances = 2\n";
-		}
-		for (int i = 0; i < count; i++)
-			all.push_back(start_instance(i));
-		for (struct harness_process *p : all)
-			EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
-		return all;
-	}
 	/* A generation that is prefilled by one engine and continued by another. */
 	std::string new_prompt_text()
 	{
@@ -213,7 +196,7 @@
 /* Guards against DRAIN: requests to an endpoint that said in an answer that it leaves. */
 TEST_P(LeavingAnswerTest, EndpointsThatSaySoGetNothingMore)
 {
-	std::vector<struct harness_process *> all = start_instances(GetParam());
+	std::vector<struct harness_process *> all = start_instances(GetParam(), 4, 2, 4);
 	std::set<std::string> leaving = { "s0", "e0", "e2" }, told;
 
 	for (const std::string &id : leaving)
@@ -281,7 +264,7 @@
 /* Guards against BUDGET: requests to an endpoint before the time in its Retry-After. */
 TEST_P(RetryAfterTest, EndpointsGetNothingBeforeTheTimeThatTheyGive)
 {
-	std::vector<struct harness_process *> all = start_instances(GetParam());
+	std::vector<struct harness_process *> all = start_instances(GetParam(), 4, 2, 4);
 
 	/* An engine that prefills and one that generates are asked in turn. */
 	for (const std::set<std::string> &busy :
