--- a/state/suspect_parts.c
+++ b/state/suspect_parts.c
@@ -178,13 +178,19 @@
 	       now_ms - s->answered[i].at_ms < SUSPECT_REFUSAL_MS;
 }
 
-bool suspect_parts_answered(struct suspect_parts *s, uint64_t part, int64_t sent_ms, int64_t now_ms)
+static void answered_set(struct suspect_parts *s, uint64_t part, int64_t now_ms)
 {
-	struct suspect *p = suspect_find(s, part);
 	uint64_t i = answered_slot(part);
 
 	s->answered[i].part = part;
 	s->answered[i].at_ms = now_ms;
+}
+
+bool suspect_parts_answered(struct suspect_parts *s, uint64_t part, int64_t sent_ms, int64_t now_ms)
+{
+	struct suspect *p = suspect_find(s, part);
+
+	answered_set(s, part, now_ms);
 	if (!p)
 		return false;
 	if (sent_ms <= p->accused_ms) {
@@ -206,10 +212,8 @@
 void suspect_parts_set_known(struct suspect_parts *s, uint64_t part, int64_t now_ms)
 {
 	struct suspect *p = suspect_find(s, part);
-	uint64_t i = answered_slot(part);
 
-	s->answered[i].part = part;
-	s->answered[i].at_ms = now_ms;
+	answered_set(s, part, now_ms);
 	if (p)
 		p->is_known = true;
 }
