--- a/entry/internal.h
+++ b/entry/internal.h
@@ -159,6 +159,7 @@
  * @self_hash: hash of the instance's id
  * @cache_calls: requests of cache_sync.c in flight
  * @cache_calls_left: requests of cache_sync.c that may still start before the next tick
+ * @leaving: processes of endpoints that have said that they leave
  * @locality_stale: endpoints have changed since the last services_update_locality()
  * @ticked_ms: time of the last tick; a late one shows that the process was paused
  * @tick_was_late: the last tick was late
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -163,6 +163,17 @@
 	EXPECT_FALSE(contains(text, "Content-Length"));
 }
 
+/* @head: status line without the version, and header lines */
+static struct endpoint_response decode_response(const std::string &head)
+{
+	struct ParsedHead p("HTTP/1.1 " + head + "\r\nContent-Length: 0\r\n\r\n",
+			    HTTP_MESSAGE_RESPONSE);
+	struct endpoint_response r;
+
+	wire_response_decode(&p.r.head, &r);
+	return r;
+}
+
 /* Guards against refusals that count as executions, and executions that count as refusals. */
 TEST(Wire, ResponseHeadStatesWhetherTheRequestRan)
 {
@@ -178,12 +189,8 @@
 	};
 
 	for (const auto &c : cases) {
-		struct ParsedHead p(std::string("HTTP/1.1 ") + c.head +
-					    "\r\nContent-Length: 0\r\n\r\n",
-				    HTTP_MESSAGE_RESPONSE);
-		struct endpoint_response r;
+		struct endpoint_response r = decode_response(c.head);
 
-		wire_response_decode(&p.r.head, &r);
 		EXPECT_EQ(r.not_run, c.not_run) << c.head;
 		EXPECT_EQ(r.wrong_instance, c.misdirected) << c.head;
 		EXPECT_EQ(r.has_signature, c.signed_response) << c.head;
@@ -213,13 +220,7 @@
 	};
 
 	for (const auto &c : cases) {
-		struct ParsedHead p(std::string("HTTP/1.1 ") + c.head +
-					    "\r\nContent-Length: 0\r\n\r\n",
-				    HTTP_MESSAGE_RESPONSE);
-		struct endpoint_response r;
-
-		wire_response_decode(&p.r.head, &r);
-		EXPECT_EQ(r.leaving, c.leaving) << c.head;
+		EXPECT_EQ(decode_response(c.head).leaving, c.leaving) << c.head;
 	}
 }
 
@@ -243,13 +244,7 @@
 	};
 
 	for (const auto &c : cases) {
-		struct ParsedHead p(std::string("HTTP/1.1 ") + c.head +
-					    "\r\nContent-Length: 0\r\n\r\n",
-				    HTTP_MESSAGE_RESPONSE);
-		struct endpoint_response r;
-
-		wire_response_decode(&p.r.head, &r);
-		EXPECT_EQ(r.retry_after_ms, c.retry_after_ms) << c.head;
+		EXPECT_EQ(decode_response(c.head).retry_after_ms, c.retry_after_ms) << c.head;
 	}
 }
 
