tests: stand-ins end with the test that started them

Stand-ins are now started like all other processes of tests, with the signal that ends them with their parent's thread. HarnessTest.StandinsEndWithTheTestThatStartedThem failed before (alive after 2 s) and passes.

--- a/bench/harness/process.c
+++ b/bench/harness/process.c
@@ -77,11 +77,7 @@
 	return p;
 }
 
-/*
- * Runs in the child process. Only async-signal-safe calls are allowed, since the parent may have
- * several threads.
- */
-static void child_exec(const char *path, char *const argv[], int out, int log, pid_t parent)
+void harness_child_exec(const char *path, char *const argv[], int out, int log, pid_t parent)
 {
 	sigset_t none;
 
@@ -161,7 +157,7 @@
 	p->status = 0;
 	p->pid = fork();
 	if (p->pid == 0)
-		child_exec(path, args, out, log, parent);
+		harness_child_exec(path, args, out, log, parent);
 	if (p->pid < 0) {
 		p->pid = 0;
 		error_set(err, ERROR_TOOL, 1, "cannot fork: %s", strerror(errno));
--- a/include/ibisgate/harness/harness.h
+++ b/include/ibisgate/harness/harness.h
@@ -65,6 +65,17 @@
 					      const char *program, const char *const argv[],
 					      struct error *err);
 
+/**
+ * harness_child_exec - run a program in a forked child process, which ends with the parent's thread
+ * @out: descriptor for standard output
+ * @log: descriptor for standard error
+ * @parent: the parent's process id
+ *
+ * Calls only async-signal-safe functions, since the parent may have several threads. All other
+ * descriptors are closed. The child exits with 127 if the program can't be run.
+ */
+void harness_child_exec(const char *path, char *const argv[], int out, int log, pid_t parent);
+
 /** harness_process_port - PORT of "KEY=PORT" in the first line, or of a bare "PORT" for ""; 0 if
  * absent */
 int harness_process_port(const struct harness_process *p, const char *key);
--- a/tests/standin_process.h
+++ b/tests/standin_process.h
@@ -3,7 +3,6 @@
 
 #include <gtest/gtest.h>
 #include <signal.h>
-#include <spawn.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -15,10 +14,14 @@
 extern "C" {
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/json.h"
+#include "ibisgate/harness/harness.h"
 #include "ibisgate/net/http_call.h"
 }
 
-/* Starts a stand-in process, waits until it listens, and stops it in the destructor. */
+/*
+ * Starts a stand-in process, waits until it listens, and stops it in the destructor. It is killed
+ * when the thread that started it ends.
+ */
 class StandinProcess
 {
       public:
@@ -26,7 +29,7 @@
 	{
 		std::string path = std::string(STANDIN_DIR) + "/" + name;
 		std::vector<char *> argv = { const_cast<char *>(path.c_str()) };
-		posix_spawn_file_actions_t actions;
+		pid_t parent = getpid();
 		int out[2];
 		char c;
 
@@ -34,12 +37,11 @@
 			argv.push_back(const_cast<char *>(a.c_str()));
 		argv.push_back(nullptr);
 		EXPECT_EQ(pipe(out), 0);
-		posix_spawn_file_actions_init(&actions);
-		posix_spawn_file_actions_adddup2(&actions, out[1], 1);
-		posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
-		EXPECT_EQ(posix_spawn(&pid, path.c_str(), &actions, nullptr, argv.data(), environ),
-			  0);
-		posix_spawn_file_actions_destroy(&actions);
+		pid = fork();
+		if (pid == 0)
+			harness_child_exec(path.c_str(), argv.data(), out[1], STDERR_FILENO,
+					   parent);
+		EXPECT_GT(pid, 0);
 		close(out[1]);
 		while (read(out[0], &c, 1) == 1 && c != '\n')
 			ready_line += c;
--- a/tests/test_harness.cc
+++ b/tests/test_harness.cc
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <poll.h>
 #include <string>
+#include <sys/prctl.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include "standin_process.h"
@@ -80,6 +82,35 @@
 	EXPECT_NE(std::string(err.text).find("ended with status"), std::string::npos) << err.text;
 }
 
+/* Guards against stand-ins that outlive a test which crashed, and keep its output open. */
+TEST_F(HarnessTest, StandinsEndWithTheTestThatStartedThem)
+{
+	int ends[2];
+	pid_t standin = 0;
+	int status = 0;
+
+	ASSERT_EQ(pipe(ends), 0);
+	/* Orphans become children of this process. */
+	ASSERT_EQ(prctl(PR_SET_CHILD_SUBREAPER, 1), 0);
+	pid_t crashing = fork();
+	if (crashing == 0) {
+		StandinProcess grid("ibisgate-grid", {});
+
+		if (write(ends[1], &grid.pid, sizeof(grid.pid)) < 0)
+			_exit(1);
+		raise(SIGKILL);
+	}
+	ASSERT_EQ(read(ends[0], &standin, sizeof(standin)), (ssize_t)sizeof(standin));
+	EXPECT_EQ(waitpid(crashing, &status, 0), crashing);
+	bool ended =
+		eventually([&] { return waitpid(standin, &status, WNOHANG) == standin; }, 2000);
+	EXPECT_TRUE(ended);
+	if (!ended)
+		kill(standin, SIGKILL);
+	close(ends[0]);
+	close(ends[1]);
+}
+
 /* Guards against endpoints that are missing from the platform's list after a start or restart. */
 TEST_F(HarnessTest, PlatformListsStartedEndpoints)
 {
