--- a/bench/harness/process.c
+++ b/bench/harness/process.c
@@ -103,6 +103,36 @@
 		    0600);
 }
 
+/* Sets @line to the last line of an output file; empty if there is none. */
+static void last_line_read(const struct harness *h, const char *name, const char *suffix,
+			   char *line, size_t size)
+{
+	char path[512];
+	FILE *f;
+
+	line[0] = '\0';
+	snprintf(path, sizeof(path), "%s/%s.%s", h->dir, name, suffix);
+	f = fopen(path, "re");
+	while (f && fgets(line, (int)size, f))
+		;
+	if (f)
+		fclose(f);
+	line[strcspn(line, "\n")] = '\0';
+}
+
+static int process_ended(const struct harness *h, const struct harness_process *p,
+			 struct error *err)
+{
+	char line[256];
+
+	/* Instances on the row store log to standard output, all other programs to the log. */
+	last_line_read(h, p->name, "out", line, sizeof(line));
+	if (!line[0])
+		last_line_read(h, p->name, "log", line, sizeof(line));
+	return error_set(err, ERROR_TOOL, 1, "%s ended with status %#x: %s", p->name, p->status,
+			 line);
+}
+
 static int ready_line_wait(struct harness *h, struct harness_process *p, struct error *err)
 {
 	int64_t end = clock_boot_ms() + START_TIMEOUT_MS;
@@ -119,8 +149,7 @@
 		if (has_full_line && strncmp(p->line, "listening ", 10) == 0)
 			return 0;
 		if (harness_process_wait(p, 0) == 0)
-			return error_set(err, ERROR_TOOL, 1, "%s ended with status %#x", p->name,
-					 p->status);
+			return process_ended(h, p, err);
 		clock_sleep_ms(POLL_INTERVAL_MS);
 	}
 	return error_set(err, ERROR_TOOL, 1, "%s did not print the line \"listening ...\" in time",
--- a/tests/test_harness.cc
+++ b/tests/test_harness.cc
@@ -82,6 +82,18 @@
 	EXPECT_NE(std::string(err.text).find("ended with status"), std::string::npos) << err.text;
 }
 
+/* Guards against a failed start without its reason. */
+TEST_F(HarnessTest, StartFailsWithTheReasonOfTheProgram)
+{
+	struct harness_process *a = engine("a");
+
+	ASSERT_NE(a, nullptr) << err.text;
+	std::string port = std::to_string(harness_process_port(a, ""));
+	const char *const argv[] = { "--port", port.c_str(), nullptr };
+	EXPECT_EQ(harness_process_start(h, "b", "ibisgate-engine", argv, &err), nullptr);
+	EXPECT_NE(std::string(err.text).find("listen"), std::string::npos) << err.text;
+}
+
 /* Guards against stand-ins that outlive a test which crashed, and keep its output open. */
 TEST_F(HarnessTest, StandinsEndWithTheTestThatStartedThem)
 {
