tests: the kernel no longer gives the peer port to another listener

Cause: the fixture asks the kernel for a free peer port, closes that socket, and starts an instance that lets the kernel choose three other ports on the same address before it listens on the peer port.

Change: the peer port is bound, without listening, on each instance's address until the test ends; the kernel then does not choose it, and the instance can still listen there. An instance that does not start ends its test with the reason instead of a crash.

The processes of the own protocol listen on port 0 only.

--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -9,6 +9,7 @@
 
 #include <map>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <vector>
 
@@ -170,6 +171,8 @@
 	void TearDown() override
 	{
 		harness_destroy(h);
+		for (const auto &r : reserved_ports)
+			close(r.second);
 	}
 	void start_grid(int engines = 4, int prefill = 2, int services = 2)
 	{
@@ -255,6 +258,7 @@
 
 		return text;
 	}
+	/* Throws if the instance does not start, which ends the test with a failure. */
 	struct harness_process *start_instance(int index = 0, double prefill_share = -1)
 	{
 		std::string name = "a-" + std::to_string(index);
@@ -262,12 +266,15 @@
 		struct error err = {};
 		FILE *f = fopen(path.c_str(), "w");
 
+		peer_port();
+		reserve_peer_port(index);
 		fputs(settings_text(index, prefill_share).c_str(), f);
 		fclose(f);
 		const char *const argv[] = { "--settings", path.c_str(), nullptr };
 		struct harness_process *p =
 			harness_process_start(h, name.c_str(), "ibisgated", argv, &err);
-		EXPECT_NE(p, nullptr) << err.text;
+		if (!p)
+			throw std::runtime_error(err.text);
 		return p;
 	}
 	static std::string process_ip(const struct harness_process *p)
@@ -275,9 +282,8 @@
 		return instance_ip(atoi(p->name + 2));
 	}
 	/*
-	 * Loopback addresses used by this test process only: the peer port is not held while an
-	 * instance is down, and another test run could listen there (soak seed 119 beside seed
-	 * 103).
+	 * Loopback addresses used by this test process only: another test run could listen on the
+	 * peer port of an instance that is down (soak seed 119 beside seed 103).
 	 */
 	static std::string instance_ip(int index)
 	{
@@ -428,26 +434,40 @@
 		return n;
 	}
 	int peer_port()
+	{
+		if (!chosen_peer_port)
+			reserve_peer_port(0);
+		return chosen_peer_port;
+	}
+	/*
+	 * Binds the peer port on the address of an instance, without listening, until the test
+	 * ends. Otherwise, the kernel may choose that port for another listener of the instance.
+	 */
+	void reserve_peer_port(int index)
 	{
 		struct sockaddr_in sin = {};
 		socklen_t len = sizeof(sin);
+		int one = 1;
 
-		if (chosen_peer_port)
-			return chosen_peer_port;
+		if (reserved_ports.count(index))
+			return;
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
 		sin.sin_family = AF_INET;
-		inet_pton(AF_INET, instance_ip(0).c_str(), &sin.sin_addr);
+		sin.sin_port = htons((uint16_t)chosen_peer_port);
+		inet_pton(AF_INET, instance_ip(index).c_str(), &sin.sin_addr);
 		EXPECT_EQ(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
 		getsockname(fd, (struct sockaddr *)&sin, &len);
-		close(fd);
 		chosen_peer_port = ntohs(sin.sin_port);
-		return chosen_peer_port;
+		reserved_ports[index] = fd;
 	}
 
 	struct harness *h = nullptr;
 	std::unique_ptr<StandinProcess> grid;
 	int last_request = 0;
 	int chosen_peer_port = 0;
+	/* Sockets that reserve the peer port, by instance. */
+	std::map<int, int> reserved_ports;
 	/* Port of a proxy in front of the store; 0 to connect to the store directly. */
 	int store_port = 0;
 	/* Number of data centres that instances are spread over. */
--- a/tests/test_broken_heads.cc
+++ b/tests/test_broken_heads.cc
@@ -64,8 +64,8 @@
 	{
 		struct harness_process *p = start_instance(instances++);
 
-		if (!p || !eventually([&] { return ready_status(p) == 200; }, 5000)) {
-			ADD_FAILURE() << "the instance did not start";
+		if (!eventually([&] { return ready_status(p) == 200; }, 5000)) {
+			ADD_FAILURE() << "the instance did not become ready";
 			return Response();
 		}
 		set_play(plays);
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -4,6 +4,35 @@
 #include <sstream>
 #include <thread>
 
+/* Guards against instances that can't listen, as another of their listeners has the peer port. */
+TEST_F(EntryTest, PeerPortIsNotChosenForAnotherListener)
+{
+	struct sockaddr_in sin = {};
+	socklen_t len = sizeof(sin);
+	int one = 1;
+	int chosen = 0;
+
+	reserve_peer_port(0);
+	/* Several times the number of ports that the kernel chooses from. */
+	for (int i = 0; i < 150000; i++) {
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		sin = { AF_INET };
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+		inet_pton(AF_INET, instance_ip(0).c_str(), &sin.sin_addr);
+		ASSERT_EQ(bind(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+		getsockname(fd, (struct sockaddr *)&sin, &len);
+		chosen += ntohs(sin.sin_port) == chosen_peer_port;
+		close(fd);
+	}
+	EXPECT_EQ(chosen, 0);
+	/* An instance can still listen there. */
+	start_grid();
+	put_config(config_json(1));
+	struct harness_process *p = start_instance();
+	EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+}
+
 TEST_F(EntryTest, EachKindOfRequestIsServedWithTheEndpointsBytes)
 {
 	struct harness_process *p = start_all();
