Heed what endpoints say of themselves in every answer

Cause: Server-Leaving and Retry-After were read in answers to requests only. A leaving endpoint says so in all its answers; one that is asked for its cache events, its report or a change of stage was believed to stay. An engine that answered a read of its cache events with 503 and Retry-After was asked again each second.

An engine that says it leaves gets no order.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -54,10 +54,7 @@
 	dc_health_record(entry_dc_health(x->entry, a->endpoint->dc), true, a->last_receive_ms);
 	a->head = head;
 	wire_response_decode(head, &a->response);
-	if (a->response.leaving)
-		endpoint_process_leaves(x->entry, a->endpoint->process_tag, "answer");
-	if (a->response.retry_after_ms >= 0)
-		endpoint_avoid(a->endpoint, a->last_receive_ms + a->response.retry_after_ms);
+	endpoint_heed_response(x->entry, a->endpoint, &a->response);
 }
 
 static bool is_streaming(const struct exchange *x)
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -83,11 +83,12 @@
 
 /**
  * struct order - an order in progress: the engine's report is read first, then the order is sent
+ * @address: where the engine was listed when the order began
  * @awaiting_report: the request in flight is for the report, not the order itself
  */
 struct order {
 	struct stages *stages;
-	char endpoint[DIRECTORY_ID_MAX];
+	struct endpoint *engine;
 	char address[32];
 	struct http_address to;
 	enum engine_stage stage;
@@ -220,6 +221,12 @@
 
 static void on_order_done(void *ctx, const struct http_result *r);
 
+static void order_destroy(struct order *o)
+{
+	endpoint_put(o->engine);
+	free(o);
+}
+
 static void order_call(struct order *o, const struct buf *request)
 {
 	http_collect_start(o->stages->entry->endpoint_client,
@@ -245,26 +252,27 @@
 	int64_t now = clock_boot_ms();
 
 	if (r->status != 200 || !wire_report_decode(r->body, &report)) {
-		log_warn("order-dropped", "endpoint=%s cause=no-report status=%d", o->endpoint,
-			 r->status);
-		free(o);
+		log_warn("order-dropped", "endpoint=%s cause=no-report status=%d",
+			 o->engine->entry.id, r->status);
+		order_destroy(o);
 		return;
 	}
 	/* The lease is checked last and must outlast the connection set-up of the order. */
-	if (report.busy || report.stage == o->stage ||
+	if (report.busy || o->engine->is_leaving || report.stage == o->stage ||
 	    !lease_is_held_with(&s->lease, o->fencing, now + ORDER_CONNECT_MS)) {
-		log_info("order-dropped", "endpoint=%s busy=%d stage=%d lease=%d", o->endpoint,
-			 report.busy, (int)report.stage, lease_is_held(&s->lease, now));
-		free(o);
+		log_info("order-dropped", "endpoint=%s busy=%d leaving=%d stage=%d lease=%d",
+			 o->engine->entry.id, report.busy, o->engine->is_leaving, (int)report.stage,
+			 lease_is_held(&s->lease, now));
+		order_destroy(o);
 		return;
 	}
 	log_info("order",
 		 "endpoint=%s stage=%d former=%d fencing=%" PRId64 " order_seq=%" PRId64
 		 " lease_left_ms=%" PRId64,
-		 o->endpoint, (int)o->stage, (int)report.stage, o->fencing, report.order_seq,
-		 s->lease.valid_until_ms - now);
+		 o->engine->entry.id, (int)o->stage, (int)report.stage, o->fencing,
+		 report.order_seq, s->lease.valid_until_ms - now);
 	wire_order_encode(&request, &(struct stage_order){ .address = o->address,
-							   .expected_id = o->endpoint,
+							   .expected_id = o->engine->entry.id,
 							   .stage = o->stage,
 							   .holder = s->lease.self,
 							   .fencing = o->fencing,
@@ -283,7 +291,7 @@
 	struct endpoint *ep;
 
 	cds_list_for_each_entry(ep, &o->stages->entry->endpoints, link) {
-		if (strcmp(ep->entry.id, o->endpoint) != 0 || ep->entry.stage == o->stage)
+		if (strcmp(ep->entry.id, o->engine->entry.id) != 0 || ep->entry.stage == o->stage)
 			continue;
 		ep->stage_change_until_ms = clock_boot_ms() + STAGE_CHANGE_MAX_MS;
 		peers_mark_changed(o->stages->entry->peers);
@@ -296,19 +304,20 @@
 
 	if (!r->status) {
 		/* The engine may still carry out the order; its list entry will show that. */
-		log_warn("order-unanswered", "endpoint=%s told=%d cause=%s", o->endpoint,
+		log_warn("order-unanswered", "endpoint=%s told=%d cause=%s", o->engine->entry.id,
 			 !o->awaiting_report, http_failure_name(r->failure));
-		free(o);
+		order_destroy(o);
 		return;
 	}
+	endpoint_heed_result(o->stages->entry, o->engine, r);
 	if (o->awaiting_report) {
 		order_send(o, r);
 		return;
 	}
-	log_info("order-answered", "endpoint=%s status=%d", o->endpoint, r->status);
+	log_info("order-answered", "endpoint=%s status=%d", o->engine->entry.id, r->status);
 	if (r->status == 202)
 		mark_stage_changing(o);
-	free(o);
+	order_destroy(o);
 }
 
 static void order_begin(struct stages *s, struct endpoint *ep, enum engine_stage to, int64_t now)
@@ -317,7 +326,8 @@
 	struct buf request = { 0 };
 
 	o->stages = s;
-	str_copy(o->endpoint, sizeof(o->endpoint), str_from(ep->entry.id));
+	o->engine = ep;
+	ep->refs++;
 	str_copy(o->address, sizeof(o->address), str_from(ep->entry.address));
 	o->to = ep->address;
 	o->stage = to;
--- a/include/ibisgate/net/http_collect.h
+++ b/include/ibisgate/net/http_collect.h
@@ -6,11 +6,13 @@
 /**
  * struct http_result - a complete response, or the reason for its absence
  * @status: HTTP status; 0 if there is no response
+ * @head: response head; valid only during the callback; NULL if there is no response
  * @body: response body; valid only during the callback
  * @failure: why there is no response, if @status is 0
  */
 struct http_result {
 	int status;
+	const struct http_head *head;
 	struct str body;
 	enum http_failure failure;
 };
--- a/include/ibisgate/standins/grid.h
+++ b/include/ibisgate/standins/grid.h
@@ -46,7 +46,9 @@
  *	advertises the node's own address
  * @fault: fault injected into the next @fault_requests_left requests (-1: into all)
  * @event_interval_ms: pause before each event of a stream
- * @extra_headers: header lines added to each response, each ending with CR LF
+ * @extra_headers: header lines added to each response to a request, each ending with CR LF
+ * @control_headers: the same for responses to reads of reports and cache events and to orders
+ * @control_status: status of the responses to reads of cache events; 0 for 200
  * @boot_count: number of crashes, after each of which a new process registers
  * @order_count: number of accepted orders; the next order must carry it as its precondition
  */
@@ -64,6 +66,8 @@
 	int fault_requests_left;
 	int64_t event_interval_ms;
 	char extra_headers[96];
+	char control_headers[96];
+	int control_status;
 	int boot_count;
 	int order_count;
 };
--- a/net/http_collect.c
+++ b/net/http_collect.c
@@ -11,7 +11,7 @@
 struct http_collect {
 	struct http_exchange *exchange;
 	struct buf body;
-	int status;
+	const struct http_head *head;
 	void (*done)(void *ctx, const struct http_result *r);
 	void *ctx;
 };
@@ -20,7 +20,7 @@
 {
 	struct http_collect *call = ctx;
 
-	call->status = head->status;
+	call->head = head;
 }
 
 static void collect_finish(struct http_collect *call, const struct http_result *r)
@@ -46,7 +46,8 @@
 {
 	struct http_collect *call = ctx;
 
-	collect_finish(call, &(struct http_result){ .status = call->status,
+	collect_finish(call, &(struct http_result){ .status = call->head->status,
+						    .head = call->head,
 						    .body = buf_str(&call->body) });
 }
 
--- a/standins/grid_node.c
+++ b/standins/grid_node.c
@@ -175,6 +175,22 @@
 	return 200;
 }
 
+static int reply_json(struct mg_connection *conn, const struct grid_node *n, int status,
+		      json_t *value)
+{
+	struct buf body = { 0 };
+
+	json_append(&body, value);
+	json_decref(value);
+	mg_printf(conn,
+		  "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n%sContent-Length: "
+		  "%zu\r\n\r\n",
+		  status, n->control_headers, body.len);
+	mg_write(conn, body.data, body.len);
+	buf_free(&body);
+	return status;
+}
+
 static int handle_order(struct grid_node *n, struct mg_connection *conn)
 {
 	json_t *req = http_body_json(conn, BODY_MAX_BYTES);
@@ -196,7 +212,7 @@
 	pthread_mutex_unlock(&n->grid->lock);
 	json_decref(req);
 	run_record(n, "", status == 202 ? "order" : "order-409", detail);
-	return http_reply(conn, status, json_object());
+	return reply_json(conn, n, status, json_object());
 }
 
 static int handle_report(struct grid_node *n, struct mg_connection *conn)
@@ -208,7 +224,18 @@
 			"busy", 0, "seq", n->order_count, "queued", 0, "active", 0, "kvUsed", 0,
 			"kvTotal", 400000, "kvHandles", 0);
 	pthread_mutex_unlock(&n->grid->lock);
-	return http_reply(conn, 200, out);
+	return reply_json(conn, n, 200, out);
+}
+
+static int handle_cache_events(struct grid_node *n, struct mg_connection *conn)
+{
+	if (n->control_status) {
+		run_record(n, "", "events-refused", "");
+		return reply_json(conn, n, n->control_status, json_object());
+	}
+	return reply_json(
+		conn, n, 200,
+		json_pack("{s:s,s:i,s:b,s:[]}", "epoch", "1", "next", 0, "lost", 0, "events"));
 }
 
 static bool is_deadly(const struct grid_node *n, struct mg_connection *conn)
@@ -245,9 +272,7 @@
 	if (http_request_matches(conn, "GET", "/report"))
 		return handle_report(n, conn);
 	if (http_request_matches(conn, "GET", "/kv-events"))
-		return http_reply(conn, 200,
-				  json_pack("{s:s,s:i,s:b,s:[]}", "epoch", "1", "next", 0, "lost",
-					    0, "events"));
+		return handle_cache_events(n, conn);
 	if (expected_id[0] && strcmp(expected_id, n->id) != 0)
 		return reply_not_executed(conn, n, 421);
 	if (http_request_matches(conn, "POST", "/order"))
--- a/tests/test_leaving.cc
+++ b/tests/test_leaving.cc
@@ -227,6 +227,26 @@
 	}
 }
 
+/* Guards against DRAIN: that an endpoint leaves is said in an answer to the instance itself. */
+TEST_P(LeavingAnswerTest, EndpointsThatSaySoToInstancesGetNothingMore)
+{
+	std::vector<struct harness_process *> all = start_instances(GetParam(), 4, 2, 2);
+
+	for (struct harness_process *p : all)
+		endpoints_used_by(p, 1);
+	for (const char *id : { "e0", "e2" })
+		grid->post_json("/node", "{\"id\":\"" + std::string(id) +
+						 "\",\"control_headers\":\"Server-Leaving: "
+						 "1\\r\\n\"}");
+	/* An instance reads the cache events of an engine each 1.5 to 2.4 s. */
+	usleep(3500000);
+	for (struct harness_process *p : all) {
+		std::set<std::string> used = endpoints_used_by(p, 8);
+
+		EXPECT_EQ(used.count("e0") + used.count("e2"), 0u) << p->name;
+	}
+}
+
 /* Guards against avoiding a new process because the former one under its id has left. */
 TEST_F(LeavingTest, ANewProcessOfAnEndpointThatLeftIsUsed)
 {
@@ -292,6 +312,31 @@
 	}
 }
 
+/* Guards against BUDGET: reads of cache events before the time in the Retry-After of the last. */
+TEST_P(RetryAfterTest, EndpointsThatRefuseInstancesGetNothingBeforeTheTimeThatTheyGive)
+{
+	std::vector<struct harness_process *> all = start_instances(GetParam(), 4, 2, 2);
+	auto read_count = [&] {
+		int n = 0;
+
+		for (const Run &r : runs())
+			n += r.node == "e0" && r.work == "events-refused";
+		return n;
+	};
+
+	grid->post_json("/node", "{\"id\":\"e0\",\"control_status\":503,\"control_headers\":"
+				 "\"Retry-After: 30\\r\\n\"}");
+	usleep(3500000);
+	/* Each instance is refused once at the most; those of another data centre don't ask. */
+	int refused = read_count();
+	EXPECT_GE(refused, 1);
+	EXPECT_LE(refused, GetParam());
+	usleep(3500000);
+	EXPECT_EQ(read_count(), refused);
+	for (struct harness_process *p : all)
+		EXPECT_EQ(endpoints_used_by(p, 8).count("e0"), 0u) << p->name;
+}
+
 /* Guards against callers that come back before any endpoint wants them. */
 TEST_F(LeavingTest, CallersAreToldWhenTheFirstEndpointWantsRequestsAgain)
 {
