--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -54,7 +54,7 @@
 	dc_health_record(entry_dc_health(x->entry, a->endpoint->dc), true, a->last_receive_ms);
 	a->head = head;
 	wire_response_decode(head, &a->response);
-	endpoint_heed_response(x->entry, a->endpoint, &a->response);
+	endpoint_apply_response(x->entry, a->endpoint, &a->response);
 }
 
 static bool is_streaming(const struct exchange *x)
--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -106,7 +106,7 @@
 	struct cache_events events;
 	bool more;
 
-	endpoint_heed_result(f->entry, f->endpoint, r);
+	endpoint_apply_result(f->entry, f->endpoint, r);
 	if (r->status != 200 || !wire_cache_events_decode(r->body, &events)) {
 		log_warn("cache-unknown", "endpoint=%s status=%d cause=%s", f->endpoint->entry.id,
 			 r->status, r->status ? "-" : http_failure_name(r->failure));
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -214,7 +214,8 @@
 		ep->avoid_until_ms = until_ms;
 }
 
-void endpoint_heed_response(struct entry *e, struct endpoint *ep, const struct endpoint_response *r)
+void endpoint_apply_response(struct entry *e, struct endpoint *ep,
+			     const struct endpoint_response *r)
 {
 	if (r->leaving)
 		endpoint_process_leaves(e, ep->process_tag, "answer");
@@ -222,14 +223,14 @@
 		endpoint_avoid(ep, clock_boot_ms() + r->retry_after_ms);
 }
 
-void endpoint_heed_result(struct entry *e, struct endpoint *ep, const struct http_result *r)
+void endpoint_apply_result(struct entry *e, struct endpoint *ep, const struct http_result *r)
 {
 	struct endpoint_response response;
 
 	if (!r->head)
 		return;
 	wire_response_decode(r->head, &response);
-	endpoint_heed_response(e, ep, &response);
+	endpoint_apply_response(e, ep, &response);
 }
 
 int64_t service_retry_after_ms(const struct service *s, int64_t now_ms)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -246,14 +246,14 @@
 void endpoint_avoid(struct endpoint *ep, int64_t until_ms);
 
 /**
- * endpoint_heed_response - apply what any response of the endpoint says of the endpoint itself:
+ * endpoint_apply_response - apply what any response of the endpoint says of the endpoint itself:
  * that it leaves, or that it wants nothing for some time
  */
-void endpoint_heed_response(struct entry *e, struct endpoint *ep,
-			    const struct endpoint_response *r);
+void endpoint_apply_response(struct entry *e, struct endpoint *ep,
+			     const struct endpoint_response *r);
 
-/** endpoint_heed_result - the same for a call of this instance; @r may hold no response */
-void endpoint_heed_result(struct entry *e, struct endpoint *ep, const struct http_result *r);
+/** endpoint_apply_result - the same for a call of this instance; @r may hold no response */
+void endpoint_apply_result(struct entry *e, struct endpoint *ep, const struct http_result *r);
 
 /**
  * service_retry_after_ms - when a caller should retry while no endpoint of the service is usable,
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -309,7 +309,7 @@
 		order_destroy(o);
 		return;
 	}
-	endpoint_heed_result(o->stages->entry, o->engine, r);
+	endpoint_apply_result(o->stages->entry, o->engine, r);
 	if (o->awaiting_report) {
 		order_send(o, r);
 		return;
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -72,7 +72,7 @@
 	struct crash_probe *p = ctx;
 
 	p->endpoint->crash_probed = false;
-	endpoint_heed_result(p->entry, p->endpoint, r);
+	endpoint_apply_result(p->entry, p->endpoint, r);
 	if (!p->entry->stopping && !r->status && r->failure == HTTP_FAILURE_REFUSED)
 		suspect_endpoint_crashed(p->entry, p->endpoint, true);
 	endpoint_put(p->endpoint);
--- a/tests/test_leaving.cc
+++ b/tests/test_leaving.cc
@@ -227,7 +227,7 @@
 	}
 }
 
-/* Guards against DRAIN: that an endpoint leaves is said in an answer to the instance itself. */
+/* Guards against DRAIN: only the answers to an instance's own calls say that an endpoint leaves. */
 TEST_P(LeavingAnswerTest, EndpointsThatSaySoToInstancesGetNothingMore)
 {
 	std::vector<struct harness_process *> all = start_instances(GetParam(), 4, 2, 2);
