--- a/include/ibisgate/standins/common.h
+++ b/include/ibisgate/standins/common.h
@@ -93,6 +93,13 @@
 /** http_reply - send @value as JSON and drop the reference to it; Return: @status */
 int http_reply(struct mg_connection *conn, int status, json_t *value);
 
+/**
+ * http_reply_with_fields - like http_reply() with more header lines, each ending with CR LF; no
+ * body if @value is NULL
+ */
+int http_reply_with_fields(struct mg_connection *conn, int status, json_t *value,
+			   const char *fields);
+
 /** http_reply_with_etag - like http_reply() with an entity tag; no body if @value is NULL */
 int http_reply_with_etag(struct mg_connection *conn, int status, json_t *value, const char *etag);
 
--- a/standins/grid_node.c
+++ b/standins/grid_node.c
@@ -175,20 +175,10 @@
 	return 200;
 }
 
-static int reply_json(struct mg_connection *conn, const struct grid_node *n, int status,
-		      json_t *value)
+static int reply_control(struct mg_connection *conn, const struct grid_node *n, int status,
+			 json_t *value)
 {
-	struct buf body = { 0 };
-
-	json_append(&body, value);
-	json_decref(value);
-	mg_printf(conn,
-		  "HTTP/1.1 %d Status\r\nContent-Type: application/json\r\n%sContent-Length: "
-		  "%zu\r\n\r\n",
-		  status, n->control_headers, body.len);
-	mg_write(conn, body.data, body.len);
-	buf_free(&body);
-	return status;
+	return http_reply_with_fields(conn, status, value, n->control_headers);
 }
 
 static int handle_order(struct grid_node *n, struct mg_connection *conn)
@@ -212,7 +202,7 @@
 	pthread_mutex_unlock(&n->grid->lock);
 	json_decref(req);
 	run_record(n, "", status == 202 ? "order" : "order-409", detail);
-	return reply_json(conn, n, status, json_object());
+	return reply_control(conn, n, status, json_object());
 }
 
 static int handle_report(struct grid_node *n, struct mg_connection *conn)
@@ -224,16 +214,16 @@
 			"busy", 0, "seq", n->order_count, "queued", 0, "active", 0, "kvUsed", 0,
 			"kvTotal", 400000, "kvHandles", 0);
 	pthread_mutex_unlock(&n->grid->lock);
-	return reply_json(conn, n, 200, out);
+	return reply_control(conn, n, 200, out);
 }
 
 static int handle_cache_events(struct grid_node *n, struct mg_connection *conn)
 {
 	if (n->control_status) {
 		run_record(n, "", "events-refused", "");
-		return reply_json(conn, n, n->control_status, json_object());
+		return reply_control(conn, n, n->control_status, json_object());
 	}
-	return reply_json(
+	return reply_control(
 		conn, n, 200,
 		json_pack("{s:s,s:i,s:b,s:[]}", "epoch", "1", "next", 0, "lost", 0, "events"));
 }
--- a/standins/http.c
+++ b/standins/http.c
@@ -196,14 +196,14 @@
 	return value;
 }
 
-int http_reply_with_etag(struct mg_connection *conn, int status, json_t *value, const char *etag)
+int http_reply_with_fields(struct mg_connection *conn, int status, json_t *value,
+			   const char *fields)
 {
 	struct buf body = { 0 };
 	struct buf out = { 0 };
 
-	buf_printf(&out, "HTTP/1.1 %d %s\r\n", status, mg_get_response_code_text(conn, status));
-	if (etag)
-		buf_printf(&out, "ETag: %s\r\n", etag);
+	buf_printf(&out, "HTTP/1.1 %d %s\r\n%s", status, mg_get_response_code_text(conn, status),
+		   fields);
 	if (value) {
 		json_append(&body, value);
 		json_decref(value);
@@ -218,9 +218,19 @@
 	return status;
 }
 
+int http_reply_with_etag(struct mg_connection *conn, int status, json_t *value, const char *etag)
+{
+	struct buf field = { 0 };
+
+	buf_printf(&field, "ETag: %s\r\n", etag);
+	http_reply_with_fields(conn, status, value, field.data);
+	buf_free(&field);
+	return status;
+}
+
 int http_reply(struct mg_connection *conn, int status, json_t *value)
 {
-	return http_reply_with_etag(conn, status, value, NULL);
+	return http_reply_with_fields(conn, status, value, "");
 }
 
 int http_reply_error(struct mg_connection *conn, int status, const char *type, const char *code)
