--- a/review/3/run.py
+++ b/review/3/run.py
@@ -13,7 +13,7 @@
 FAULTY_SHARE = 0.35  # of the engines: garble's share in the site file
 SPOIL_SHARE = 0.02  # of their answers: garble's x in the site file
 FAULT_S = 5.5  # garble's for_s in the site file
-FAULTS_AT_S = (4.0, 13.0)
+FAULTS_AT_S = (4.0, 13.0, 22.0)
 ENGINES = 18
 STREAMS_PER_S = 99.0
 ORDERS_PER_S = 24.8
@@ -58,7 +58,7 @@
     cut = []
     channels = d.Channels()
     begun = d.now()
-    traffic_s = 22.0
+    traffic_s = 31.0
 
     async def watch(inst):
         """The platform ends a process that has more memory than memoryMb and starts it again."""
--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -38,6 +38,17 @@
     return time.monotonic()
 
 
+record = None  # of this run; set by main()
+
+
+def note(what, data, **fields):
+    """Records a client's request, if it is one: probes of /readyz have no id."""
+    m = re.search(rb"^(\w+ \S+).*?X-Ibisgate-Request-Id: (\w+)", data[:2000], re.S)
+    if record and m:
+        record.add(what, id=m.group(2).decode(), request=m.group(1).decode().replace(" ", ","),
+                   **fields)
+
+
 class Record:
     """What was sent, answered and run; written to record.txt beside the script."""
 
@@ -155,6 +166,7 @@
     """One request on a new connection, as a client's retry does it; waits until wait_s is over."""
     answer = Answer()
     writer = None
+    note("sent", data, to=address[0])
 
     async def talk():
         nonlocal writer
@@ -168,6 +180,7 @@
     except (asyncio.TimeoutError, OSError):
         pass
     answer.ended = now()
+    note("answered", data, status=answer.status, complete=answer.complete, bytes=len(answer.body))
     if writer:
         writer.close()
     return answer
@@ -182,7 +195,7 @@
     async def send(self, address, data, wait_s):
         """Like send_request(), on a kept channel if there is one; answer.kept tells."""
         answer = Answer()
-        answer.kept = False
+        note("sent", data, to=address[0])
         reader = writer = None
         while self.idle.get(address):
             reader, writer = self.idle[address].pop()
@@ -206,6 +219,8 @@
         except OSError:
             pass
         answer.ended = now()
+        note("answered", data, status=answer.status, complete=answer.complete,
+             bytes=len(answer.body), kept=answer.kept, left=answer.left)
         if answer.complete and (answer.head.get("Connection") or "").lower() != "close":
             self.idle.setdefault(address, []).append((reader, writer))
         elif writer:
@@ -478,6 +493,7 @@
         if source and not self.dep.take_handle(source):
             return self.not_executed(writer, head, 503)
         self.dep.runs.append(Run(self, head, body))
+        self.dep.record.add("run", id=self.dep.runs[-1].id, worker=self.id, body_bytes=len(body))
         return await self.run(head, body, reader, writer)
 
     def handle_order(self, head, order, writer):
@@ -763,10 +779,13 @@
 
 def main(folder, play, limit_s=110):
     """Runs a case and exits as its script must: 1 broken, 0 held, 2 couldn't run."""
+    global record
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
     async def run():
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         dep = Deployment(record)
         await dep.store.start()
         try:
@@ -776,7 +795,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as e:  # the case couldn't run
+    except (Exception, asyncio.CancelledError) as e:  # the case couldn't run
         record.add("could-not-run", error=repr(e))
         record.write()
         print(f"could not run: {e!r}")
