Accept only visible ASCII in handles and ids of endpoints

Cause: a handle of a filled KV cache is text of an engine, and was printed unchecked into X-Ibisgate-Kv-Source. A line break in it ended the head before Content-Length; the rest was read as another request. The id of an endpoint, the key of its row, went unchecked into X-Ibisgate-Expect-Instance, also from another instance's hand-over.

Change: both are accepted only if all characters are visible ASCII, so that nothing of them can end a field or a request line. The other texts that the encoders print come from http_parser or are parsed addresses.

--- a/common/str.c
+++ b/common/str.c
@@ -94,6 +94,15 @@
 	return c == ' ' || c == '\t' || c == '\r' || c == '\n';
 }
 
+bool str_is_visible_ascii(struct str s)
+{
+	for (size_t i = 0; i < s.len; i++) {
+		if (s.data[i] < '!' || s.data[i] > '~')
+			return false;
+	}
+	return s.len > 0;
+}
+
 struct str str_trim(struct str s)
 {
 	while (s.len && is_space(s.data[0])) {
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -50,6 +50,7 @@
 static bool decode_endpoint(const json_t *list, struct endpoint_entry *e)
 {
 	int64_t stage = json_integer_value(json_array_get(list, 6));
+	struct error err = { 0 };
 
 	*e = (struct endpoint_entry){
 		.slots = (int)json_integer_value(json_array_get(list, 4)),
@@ -63,7 +64,7 @@
 	       list_string_at(list, 0, e->id, sizeof(e->id)) &&
 	       list_string_at(list, 1, e->service, sizeof(e->service)) &&
 	       list_string_at(list, 2, e->address, sizeof(e->address)) &&
-	       list_string_at(list, 3, e->dc, sizeof(e->dc));
+	       list_string_at(list, 3, e->dc, sizeof(e->dc)) && store_endpoint_check(e, &err) == 0;
 }
 
 void handover_apply(struct entry *e, struct str text, const char *from)
--- a/include/ibisgate/common/str.h
+++ b/include/ibisgate/common/str.h
@@ -51,6 +51,9 @@
 /** str_copy - copy @s into @dst of @size bytes, NUL-terminated; false if it was truncated */
 bool str_copy(char *dst, size_t size, struct str s);
 
+/** str_is_visible_ascii - whether @s is not empty and has only characters from '!' to '~' */
+bool str_is_visible_ascii(struct str s);
+
 /** str_trim - view of @s without leading and trailing ASCII whitespace */
 struct str str_trim(struct str s);
 
--- a/include/ibisgate/platform/store.h
+++ b/include/ibisgate/platform/store.h
@@ -88,6 +88,14 @@
 /** store_config_decode - decode one version of the configuration; NULL with STORE_BAD_ROW */
 struct routing_table *store_config_decode(struct str value, struct error *err);
 
+/**
+ * store_endpoint_check - whether requests can be addressed to the endpoint; its id and address are
+ * printed into their heads
+ *
+ * Return: 0, or -1 with STORE_BAD_ROW.
+ */
+int store_endpoint_check(const struct endpoint_entry *e, struct error *err);
+
 /**
  * store_endpoint_decode - decode an endpoint's entry
  *
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -134,7 +134,11 @@
 
 void wire_local_response_encode(struct buf *out, const struct local_response *a);
 
-/** wire_handle_decode - read "kvHandle" of a filled KV cache; false when the body holds none */
+/**
+ * wire_handle_decode - read "kvHandle" of a filled KV cache
+ *
+ * Return: false when the body holds none, or one that can't stand in the head of a request.
+ */
 bool wire_handle_decode(struct str body, char *handle, size_t size);
 
 /** wire_handle_delete_encode - append the request that frees a filled KV cache */
--- /dev/null
+++ b/tests/played_endpoint.h
@@ -0,0 +1,67 @@
+#ifndef TESTS_PLAYED_ENDPOINT_H
+#define TESTS_PLAYED_ENDPOINT_H
+
+#include <fstream>
+
+#include "entry_fixture.h"
+#include "tiny_server.h"
+
+inline const char *const STREAM_HEAD =
+	"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	"Transfer-Encoding: chunked\r\nX-Ibisgate-Server-Signature: s\r\n"
+	"X-Ibisgate-Request-Id: ";
+
+inline std::string request_id(const std::string &request)
+{
+	const std::string name = "X-Ibisgate-Request-Id: ";
+	size_t at = request.find(name);
+
+	if (at == std::string::npos)
+		return "";
+	at += name.size();
+	return request.substr(at, request.find("\r\n", at) - at);
+}
+
+inline std::string chunk(const std::string &text)
+{
+	char size[16];
+
+	snprintf(size, sizeof(size), "%zx\r\n", text.size());
+	return size + text + "\r\n";
+}
+
+/* Sends @text every @interval_ms until the peer closes or @ms are over; returns the time taken. */
+inline int64_t send_until_closed(int fd, const std::string &text, int interval_ms, int64_t ms)
+{
+	int64_t from = clock_boot_ms();
+
+	while (clock_boot_ms() - from < ms && send(fd, text.data(), text.size(), MSG_NOSIGNAL) > 0)
+		usleep((useconds_t)interval_ms * 1000);
+	return clock_boot_ms() - from;
+}
+
+/* An endpoint of the platform is replaced by a server that the test controls byte by byte. */
+class PlayedEndpointTest : public EntryTest
+{
+      protected:
+	void replace_endpoint(const std::string &id, const TinyServer &server)
+	{
+		grid->post_json("/node", "{\"id\":\"" + id + "\",\"address\":\"127.0.0.1:" +
+						 std::to_string(server.port) +
+						 "\",\"state\":\"ready\"}");
+		usleep(1500000);
+	}
+	int64_t resident_kib(const struct harness_process *p)
+	{
+		std::ifstream f("/proc/" + std::to_string(p->pid) + "/status");
+		std::string line;
+
+		while (std::getline(f, line)) {
+			if (line.rfind("VmRSS:", 0) == 0)
+				return atoll(line.c_str() + 6);
+		}
+		return 0;
+	}
+};
+
+#endif
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -409,3 +409,32 @@
 	EXPECT_TRUE(contains(text, "\"fencingToken\":41"));
 	EXPECT_TRUE(contains(text, "\"precondition\":3"));
 }
+
+/*
+ * Guards against a handle or an endpoint id that ends the head of a request which carries it, so
+ * that an engine runs the request without its body.
+ */
+TEST(Wire, TextsForHeadsAreVisibleAscii)
+{
+	struct endpoint_entry e;
+	struct error err = {};
+	char handle[32];
+
+	for (const char *text : { "3fa0\\r\\n", "\\n3fa0", "3f\\ra0", "3f a0", "3f\\ta0", "3fa0 ",
+				  "\\u007f", "3f\\u00e9" }) {
+		std::string body = std::string("{\"kvHandle\":\"") + text + "\"}";
+
+		EXPECT_FALSE(
+			wire_handle_decode(str{ body.data(), body.size() }, handle, sizeof(handle)))
+			<< text;
+	}
+	for (const char *key : { "i-1\r\nX: y", "i-1\n", "i 1", " i-1", "i-1\t", "" }) {
+		struct store_row r = make_row(
+			key, "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+			     "\"version\":\"v1\",\"slots\":64,\"state\":\"ready\","
+			     "\"coldLeftMs\":0,\"seq\":4}");
+
+		EXPECT_EQ(store_endpoint_decode(&r, &e, &err), -1) << key;
+		buf_free(&r.value);
+	}
+}
