Treat wrong event ids of an engine as an error

Cause: an event with an id not above the last one was skipped on every attempt, though only an engine that continues a stream may repeat what the caller has. An event without a valid id was forwarded and not counted, so the next one looked out of order and another engine sent the same piece again.

Anything but the next id ends the attempt; a resumable stream goes on elsewhere, another one is cut, so that it doesn't look complete.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -311,6 +311,7 @@
 	 * this one.
 	 */
 	event_stream_reset(&x->events);
+	event_order_begin(&x->order);
 	a->endpoint = ep;
 	ep->refs++;
 	ep->active++;
@@ -332,7 +333,7 @@
 			.remaining_ms = x->deadline_ms - now,
 			.expected_id = ep->entry.id,
 			.priority = x->spec->engine.present ? exchange_priority(x) : -1,
-			.resume_from = x->events_sent ? x->last_event : -1,
+			.resume_from = x->events_sent ? x->order.forwarded : -1,
 			.kv_source = work == WIRE_WORK_RUN && x->kv_source[0] ? x->kv_source : NULL,
 			.fetch_from = fetch_from ? fetch_from->entry.address : NULL,
 		});
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -344,7 +344,7 @@
 	x->body = body;
 	x->begun_ms = begun_ms;
 	x->deadline_ms = begun_ms;
-	x->last_event = x->in.resume_from;
+	x->order.forwarded = x->in.resume_from;
 	x->table = routing_table_get(e->table);
 	cds_list_add_tail(&x->link, &e->exchange_list);
 	e->exchange_count++;
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -53,8 +53,8 @@
  * @refused: attempts that an endpoint has stated not to have run
  * @sends: total number of attempts
  * @response_started: bytes of a response have been sent to the caller
- * @last_event: id of the last event sent to the caller; -1 for none
  * @events_sent: number of events sent to the caller
+ * @order: ids of the events sent to the caller and received from the current engine
  * @first_byte_ms: time of the first byte of the response; 0 until then
  * @fallback: an endpoint's own error response, forwarded if retries on other endpoints bring
  *   nothing better
@@ -87,8 +87,8 @@
 	int sends;
 	bool first_counted;
 	bool response_started;
-	int64_t last_event;
 	int events_sent;
+	struct event_order order;
 	int64_t first_byte_ms;
 	struct event_stream events;
 	struct buf fallback;
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -136,35 +136,35 @@
 }
 
 /*
- * Forwards complete events with consecutive ids. The bytes of a partial event are held back, so
- * that the generation can resume on another engine after the last complete event.
+ * Forwards complete events with consecutive ids, and comments between them. The bytes of a partial
+ * event are held back, so that the generation can resume on another engine after the last complete
+ * event.
  */
 static bool relay_events(struct exchange *x)
 {
+	enum event_verdict verdict = EVENT_FORWARD;
 	struct stream_event ev;
 	struct buf out = { 0 };
-	bool in_order = true;
 	int count = 0;
 
-	while (in_order && event_stream_next(&x->events, &ev)) {
-		if (ev.has_id) {
-			if (ev.id <= x->last_event)
-				continue;
-			in_order = x->last_event < 0 || ev.id == x->last_event + 1;
-			if (!in_order)
-				break;
-			x->last_event = ev.id;
-			count++;
+	while (verdict != EVENT_OUT_OF_ORDER && event_stream_next(&x->events, &ev)) {
+		if (!ev.has_fields) {
+			buf_append_str(&out, ev.raw);
+			continue;
 		}
-		x->events_sent++;
+		verdict = event_order_check(&x->order, ev.id);
+		if (verdict != EVENT_FORWARD)
+			continue;
 		buf_append_str(&out, ev.raw);
+		count++;
 	}
+	x->events_sent += count;
 	if (count)
 		record_events(x, count);
 	if (out.len)
 		write_events(x, buf_str(&out));
 	buf_free(&out);
-	return in_order;
+	return verdict != EVENT_OUT_OF_ORDER;
 }
 
 /* Ends an attempt whose bytes are not the expected events, and continues on another engine. */
@@ -173,7 +173,7 @@
 	struct endpoint *ep = x->attempt.endpoint;
 
 	log_warn(cause, "request=%s endpoint=%s last_event=%" PRId64, x->in.id, ep->entry.id,
-		 x->last_event);
+		 x->order.forwarded);
 	endpoint_record_result(ep, false);
 	exchange_trail_add(x, ep, cause);
 	attempt_end(x);
@@ -204,7 +204,8 @@
 	struct endpoint *ep = x->attempt.endpoint;
 
 	x->runs++;
-	if (event_stream_has_partial(&x->events) || !x->events_sent) {
+	if (event_stream_has_partial(&x->events) || !x->events_sent ||
+	    !event_order_may_end(&x->order)) {
 		endpoint_record_result(ep, false);
 		exchange_trail_add(x, ep, "truncated");
 		attempt_end(x);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -24,6 +24,7 @@
 #include "ibisgate/state/crash_watch.h"
 #include "ibisgate/state/dc_health.h"
 #include "ibisgate/state/directory.h"
+#include "ibisgate/state/event_order.h"
 #include "ibisgate/state/leaving_set.h"
 #include "ibisgate/state/quarantine.h"
 #include "ibisgate/state/routing_table.h"
--- a/include/ibisgate/net/event_stream.h
+++ b/include/ibisgate/net/event_stream.h
@@ -6,11 +6,15 @@
 
 #include "ibisgate/common/str.h"
 
-/** struct stream_event - one complete event of a text/event-stream body, as received */
+/**
+ * struct stream_event - one complete event of a text/event-stream body, as received
+ * @id: its id; -1 when it has none, more than one, or one that is no number from 0 on
+ * @has_fields: false for a block of comments only, which is no event
+ */
 struct stream_event {
 	struct str raw;
-	bool has_id;
 	int64_t id;
+	bool has_fields;
 };
 
 /**
--- a/net/event_stream.c
+++ b/net/event_stream.c
@@ -18,24 +18,30 @@
 	return line;
 }
 
-static void parse_id(struct str line, struct stream_event *out)
+static void parse_line(struct str line, struct stream_event *out, int *ids)
 {
 	struct str name = str_split(&line, ':');
 
+	/* A comment begins with a colon. */
+	if (!name.len)
+		return;
+	out->has_fields = true;
 	if (!str_eq_cstr(name, "id"))
 		return;
 	if (line.len && line.data[0] == ' ') {
 		line.data++;
 		line.len--;
 	}
-	out->has_id = str_to_i64(line, &out->id);
+	if (++*ids > 1 || !str_to_i64(line, &out->id) || out->id < 0)
+		out->id = -1;
 }
 
 bool event_stream_next(struct event_stream *s, struct stream_event *out)
 {
 	size_t offset = s->pos;
+	int ids = 0;
 
-	*out = (struct stream_event){ 0 };
+	*out = (struct stream_event){ .id = -1 };
 	while (offset < s->buf.len) {
 		const char *start = s->buf.data + offset;
 		const char *end = memchr(start, '\n', s->buf.len - offset);
@@ -51,7 +57,7 @@
 			s->pos = offset;
 			return true;
 		}
-		parse_id(line, out);
+		parse_line(line, out, &ids);
 	}
 	return false;
 }
--- a/tests/test_event_stream.cc
+++ b/tests/test_event_stream.cc
@@ -29,7 +29,7 @@
 			while (event_stream_next(&s, &ev)) {
 				ASSERT_LT(count, 3);
 				events[count].assign(ev.raw.data, ev.raw.len);
-				ids[count++] = ev.has_id ? ev.id : -1;
+				ids[count++] = ev.id;
 			}
 		}
 		ASSERT_EQ(count, 3);
--- a/tests/test_wrong_bytes.cc
+++ b/tests/test_wrong_bytes.cc
@@ -63,3 +63,72 @@
 	}
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
+
+/* Event ids of a stream of six pieces; "bad" stands for a line that is no id. */
+class WrongIdsTest : public PlayedEndpointTest, public ::testing::WithParamInterface<const char *>
+{
+      protected:
+	/* The stream with the ids of the parameter; its data are those of a sound engine. */
+	static std::string spoiled_stream(const std::string &id)
+	{
+		std::string ids = GetParam();
+		std::string out = STREAM_HEAD + id + "\r\n\r\n";
+
+		for (size_t k = 0; k < ids.size(); k++)
+			out += chunk((ids[k] == 'x' ? std::string("id; 4")
+						    : std::string("id: ") + ids[k]) +
+				     "\ndata: " + id + "." + std::to_string(k + 1) + "\n\n");
+		return out + "0\r\n\r\n";
+	}
+	static bool answer(int fd, const std::string &request, std::atomic<int> *streams)
+	{
+		if (request.rfind("POST", 0) != 0) {
+			TinyServer::send_response(fd, 404, "");
+			return true;
+		}
+		++*streams;
+		TinyServer::send_bytes(fd, spoiled_stream(request_id(request)));
+		return true;
+	}
+};
+
+/*
+ * Guards against a stream with wrong event ids that ends as complete although pieces of it were
+ * dropped, or were sent twice.
+ */
+TEST_P(WrongIdsTest, StreamsThatMayRunOnceDoNotLookComplete)
+{
+	struct harness_process *p = start_all(1, 0, 1);
+	std::atomic<int> streams{ 0 };
+	TinyServer server(
+		[&](int fd, const std::string &request) { return answer(fd, request, &streams); });
+
+	replace_endpoint("e0", server);
+	Response a = send_request(p, generation_text("once/x", 6));
+	EXPECT_EQ(streams, 1);
+	EXPECT_FALSE(a.complete) << a.body;
+	EXPECT_EQ(event_text(last_id(), 6).rfind(a.body, 0), 0u) << a.body;
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
+
+TEST_P(WrongIdsTest, ResumableStreamsContinueElsewhere)
+{
+	struct harness_process *p = start_all(2, 0, 1);
+	std::atomic<int> streams{ 0 };
+	TinyServer server(
+		[&](int fd, const std::string &request) { return answer(fd, request, &streams); });
+
+	replace_endpoint("e0", server);
+	for (int i = 0; i < 12 && !streams; i++) {
+		Response a = send_request(p, generation_text("stream/x", 6));
+
+		EXPECT_EQ(a.status, 200);
+		EXPECT_TRUE(a.complete);
+		EXPECT_EQ(a.body, event_text(last_id(), 6));
+	}
+	EXPECT_GE(streams, 1);
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Ids, WrongIdsTest,
+			 ::testing::Values("123333", "123x56", "123256", "1243", "123346"));
