Limit the size of each answer by what it is for

Cause: each answer to a request of the instance itself could grow to 16 MB, the answer to a prefill to 4 MB, and was then decoded as JSON, which takes about 80 times the size of a list of empty objects.

Change: the limit is a field of the request, checked in net/http_client.c for all of them against the announced length and the bytes received.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -42,6 +42,18 @@
 /* Maximum size of a response that is buffered until it is complete, in bytes. */
 #define RESPONSE_MAX_BYTES (4 << 20)
 
+/* The same for the answer to a prefill, which names a KV cache. */
+#define PREFILL_RESPONSE_MAX_BYTES (16 << 10)
+
+static bool is_streaming(const struct exchange *x)
+{
+	const struct attempt *a = &x->attempt;
+
+	return x->rule->kind == CALL_GENERATION && a->work == WIRE_WORK_RUN &&
+	       a->response.status == 200 && a->response.has_request_id &&
+	       a->response.has_signature && !a->response.has_content_encoding;
+}
+
 static void on_head(void *ctx, const struct http_head *head)
 {
 	struct exchange *x = ctx;
@@ -54,18 +66,12 @@
 	dc_health_record(entry_dc_health(x->entry, a->endpoint->dc), true, a->last_receive_ms);
 	a->head = head;
 	wire_response_decode(head, &a->response);
+	/* A stream is forwarded as it arrives. */
+	if (is_streaming(x))
+		http_exchange_set_body_max(a->call, 0);
 	endpoint_apply_response(x->entry, a->endpoint, &a->response);
 }
 
-static bool is_streaming(const struct exchange *x)
-{
-	const struct attempt *a = &x->attempt;
-
-	return x->rule->kind == CALL_GENERATION && a->work == WIRE_WORK_RUN &&
-	       a->response.status == 200 && a->response.has_request_id &&
-	       a->response.has_signature && !a->response.has_content_encoding;
-}
-
 static void attempt_fail(struct exchange *x, enum http_failure why)
 {
 	struct attempt *a = &x->attempt;
@@ -117,11 +123,6 @@
 		generation_on_body(x, bytes);
 		return;
 	}
-	if (a->body.len + bytes.len > RESPONSE_MAX_BYTES) {
-		http_exchange_cancel(a->call);
-		attempt_fail(x, HTTP_FAILURE_MALFORMED);
-		return;
-	}
 	buf_append(&a->body, bytes.data, bytes.len);
 }
 
@@ -345,6 +346,9 @@
 					      .match_name = wire_request_id_field,
 					      .match_value = str_from(x->in.id),
 					      .connect_ms = CONNECT_MS,
+					      .body_max_bytes = work == WIRE_WORK_PREFILL
+									? PREFILL_RESPONSE_MAX_BYTES
+									: RESPONSE_MAX_BYTES,
 				      },
 				      &attempt_ops, x);
 	buf_free(&request);
--- a/entry/cache_sync.c
+++ b/entry/cache_sync.c
@@ -133,6 +133,7 @@
 				   .request = buf_str(&request),
 				   .connect_ms = SYNC_CONNECT_MS,
 				   .read_timeout_ms = SYNC_SILENCE_MS,
+				   .body_max_bytes = CACHE_ANSWER_MAX_BYTES,
 			   },
 			   on_done, f);
 	buf_free(&request);
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -260,6 +260,7 @@
 				   .request = buf_str(&request),
 				   .connect_ms = RELEASE_CONNECT_MS,
 				   .read_timeout_ms = RELEASE_SILENCE_MS,
+				   .body_max_bytes = CONTROL_ANSWER_MAX_BYTES,
 			   },
 			   on_cache_released, NULL);
 	buf_free(&request);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -35,6 +35,13 @@
  * through caller.c -> exchange.c -> attempt.c -> endpoints.c and net/http_client.c.
  */
 
+/*
+ * Maximum size of an endpoint's answer to a request of this instance itself, in bytes. Cache events
+ * come some hundred at a time; the other answers are a single object.
+ */
+#define CACHE_ANSWER_MAX_BYTES (256 << 10)
+#define CONTROL_ANSWER_MAX_BYTES (16 << 10)
+
 struct service;
 
 /**
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -236,6 +236,7 @@
 				   .needs_new_connection = true,
 				   .connect_ms = ORDER_CONNECT_MS,
 				   .read_timeout_ms = ORDER_SILENCE_MS,
+				   .body_max_bytes = CONTROL_ANSWER_MAX_BYTES,
 			   },
 			   on_order_done, o);
 }
--- a/entry/store_call.c
+++ b/entry/store_call.c
@@ -11,6 +11,9 @@
 /* Maximum silence of the store beyond the requested long-poll time, in milliseconds. */
 #define STORE_SILENCE_MS 1500
 
+/* Maximum size of an answer of the store in bytes; the largest ones are whole tables. */
+#define STORE_ANSWER_MAX_BYTES (16 << 20)
+
 struct store_call {
 	struct http_collect *call;
 	int wait_ms;
@@ -61,6 +64,7 @@
 					     .request = request,
 					     .connect_ms = STORE_CONNECT_MS,
 					     .read_timeout_ms = wait_ms + STORE_SILENCE_MS,
+					     .body_max_bytes = STORE_ANSWER_MAX_BYTES,
 				     },
 				     on_done, c);
 	return c;
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -100,6 +100,7 @@
 				   .needs_new_connection = true,
 				   .connect_ms = PROBE_CONNECT_MS,
 				   .read_timeout_ms = PROBE_SILENCE_MS,
+				   .body_max_bytes = CONTROL_ANSWER_MAX_BYTES,
 			   },
 			   on_probe_done, p);
 	buf_free(&request);
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -71,6 +71,8 @@
  * @connect_ms: timeout for establishing the connection, in milliseconds
  * @read_timeout_ms: read timeout in milliseconds, restarted by each received byte; 0 for none
  * @total_ms: time until the response must be complete, in milliseconds; 0 for no limit
+ * @body_max_bytes: maximum size of the response body; a larger one fails the exchange with
+ *	HTTP_FAILURE_MALFORMED; 0 for no limit
  */
 struct http_exchange_spec {
 	struct http_address to;
@@ -81,6 +83,7 @@
 	int connect_ms;
 	int read_timeout_ms;
 	int total_ms;
+	size_t body_max_bytes;
 };
 
 struct http_client;
@@ -123,6 +126,9 @@
 /** http_exchange_cancel - abort an exchange and reset its connection; no further callbacks */
 void http_exchange_cancel(struct http_exchange *x);
 
+/** http_exchange_set_body_max - change the limit of the specification, for use in on_head */
+void http_exchange_set_body_max(struct http_exchange *x, size_t body_max_bytes);
+
 /** http_exchange_may_have_sent - true once bytes of the request may have been sent */
 bool http_exchange_may_have_sent(const struct http_exchange *x);
 
--- a/include/ibisgate/net/http_collect.h
+++ b/include/ibisgate/net/http_collect.h
@@ -21,7 +21,8 @@
 
 /**
  * http_collect_start - send a request and collect the complete response
- * @spec: without a total timeout, a multiple of the read timeout is used
+ * @spec: without a total timeout, a multiple of the read timeout is used; @spec->body_max_bytes
+ *        must be set, as the body is kept in memory and decoding it takes many times its size
  * @done: called once, after this function has returned, unless the call is cancelled; the call is
  *        freed afterwards
  * @ctx: argument of @done
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -29,6 +29,8 @@
 /**
  * struct http_exchange - request in flight
  * @until_ms: when the response must be complete; 0 for no limit
+ * @body_max_bytes: maximum size of the body; 0 for no limit
+ * @body_bytes: size of the body so far
  * @skipped_responses: responses skipped so far
  * @skipped_bytes: size of their bodies
  */
@@ -40,6 +42,8 @@
 	char match_value[80];
 	int read_timeout_ms;
 	int64_t until_ms;
+	size_t body_max_bytes;
+	size_t body_bytes;
 	int skipped_responses;
 	size_t skipped_bytes;
 	bool head_seen;
@@ -219,6 +223,14 @@
 	return ++x->skipped_responses > SKIPPED_RESPONSES_MAX ? -1 : 0;
 }
 
+/* Whether the announced body exceeds the limit, so that it need not be received at all. */
+static bool body_is_too_large(const struct http_exchange *x, const struct http_head *head)
+{
+	int64_t announced = http_head_i64(head, "content-length", 0);
+
+	return x->body_max_bytes && announced > (int64_t)x->body_max_bytes;
+}
+
 static int on_head(void *ctx, const struct http_head *head)
 {
 	struct connection *c = ctx;
@@ -244,19 +256,27 @@
 	c->is_reusable = c->is_reusable && head->keep_alive && c->idle_limit_ms > 0;
 	x->head_seen = true;
 	x->ops->on_head(x->ctx, head);
-	return 0;
+	/* The callback may have cancelled the exchange. */
+	return c->exchange && body_is_too_large(x, head) ? -1 : 0;
 }
 
 static void on_body(void *ctx, struct str bytes)
 {
 	struct connection *c = ctx;
 
-	if (!c->exchange)
+	struct http_exchange *x = c->exchange;
+
+	if (!x)
 		return;
-	if (c->is_skipping)
-		c->exchange->skipped_bytes += bytes.len;
+	if (c->is_skipping) {
+		x->skipped_bytes += bytes.len;
+		return;
+	}
+	x->body_bytes += bytes.len;
+	if (x->body_max_bytes && x->body_bytes > x->body_max_bytes)
+		exchange_fail(c, HTTP_FAILURE_MALFORMED);
 	else
-		c->exchange->ops->on_body(c->exchange->ctx, bytes);
+		x->ops->on_body(x->ctx, bytes);
 }
 
 static void on_end(void *ctx)
@@ -508,6 +528,7 @@
 	x->ops = ops;
 	x->ctx = ctx;
 	x->read_timeout_ms = spec->read_timeout_ms;
+	x->body_max_bytes = spec->body_max_bytes;
 	x->until_ms = spec->total_ms ? clock_boot_ms() + spec->total_ms : 0;
 	if (spec->match_name) {
 		str_copy(x->match_name, sizeof(x->match_name), str_from(spec->match_name));
@@ -539,6 +560,11 @@
 	free(x);
 }
 
+void http_exchange_set_body_max(struct http_exchange *x, size_t body_max_bytes)
+{
+	x->body_max_bytes = body_max_bytes;
+}
+
 bool http_exchange_may_have_sent(const struct http_exchange *x)
 {
 	return x->conn->is_connected;
--- a/net/http_collect.c
+++ b/net/http_collect.c
@@ -2,9 +2,6 @@
 
 #include "ibisgate/net/http_collect.h"
 
-/* Maximum size of a response in bytes; the largest ones are whole tables of the store. */
-#define COLLECT_MAX_BYTES (16 << 20)
-
 /* Time for the whole response, as a multiple of the read timeout. */
 #define COLLECT_TOTAL_FACTOR 4
 
@@ -34,12 +31,7 @@
 {
 	struct http_collect *call = ctx;
 
-	if (call->body.len + bytes.len <= COLLECT_MAX_BYTES) {
-		buf_append(&call->body, bytes.data, bytes.len);
-		return;
-	}
-	http_exchange_cancel(call->exchange);
-	collect_finish(call, &(struct http_result){ .failure = HTTP_FAILURE_MALFORMED });
+	buf_append(&call->body, bytes.data, bytes.len);
 }
 
 static void on_end(void *ctx)
--- a/tests/played_endpoint.h
+++ b/tests/played_endpoint.h
@@ -51,14 +51,15 @@
 						 "\",\"state\":\"ready\"}");
 		usleep(1500000);
 	}
-	int64_t resident_kib(const struct harness_process *p)
+	/* Resident memory in KiB; with "VmHWM", the highest so far. */
+	int64_t resident_kib(const struct harness_process *p, const std::string &which = "VmRSS")
 	{
 		std::ifstream f("/proc/" + std::to_string(p->pid) + "/status");
 		std::string line;
 
 		while (std::getline(f, line)) {
-			if (line.rfind("VmRSS:", 0) == 0)
-				return atoll(line.c_str() + 6);
+			if (line.rfind(which + ":", 0) == 0)
+				return atoll(line.c_str() + which.size() + 1);
 		}
 		return 0;
 	}
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -71,6 +71,7 @@
 		spec.match_value = { id.data(), id.size() };
 		spec.connect_ms = 1000;
 		spec.read_timeout_ms = READ_TIMEOUT_MS;
+		spec.body_max_bytes = 16 << 20;
 		struct http_collect *call = http_collect_start(client, &spec, on_done, &out);
 		while (!out.done && clock_boot_ms() - from < limit_ms)
 			run_for(5);
--- a/tests/test_wrong_bytes.cc
+++ b/tests/test_wrong_bytes.cc
@@ -132,3 +132,50 @@
 
 INSTANTIATE_TEST_SUITE_P(Ids, WrongIdsTest,
 			 ::testing::Values("123333", "123x56", "123256", "1243", "123346"));
+
+/* Memory that an instance may take for control, in KiB (the aim in two years). */
+#define CONTROL_MAX_KIB (128 << 10)
+
+/*
+ * Guards against one wrong answer of an engine that takes an instance over its memory, so that it
+ * is killed with all its requests: JSON of empty objects needs some 80 times its size when decoded.
+ */
+TEST_F(WrongBytesTest, LargeAnswersOfEnginesEndInBoundedMemory)
+{
+	struct harness_process *p = start_all(2, 1, 1);
+	std::atomic<int> cache_answers{ 0 }, prefill_answers{ 0 };
+	std::string objects;
+
+	while (objects.size() < (3 << 20))
+		objects += "{},";
+	/* By turns with its size announced, in chunks, and small enough to be accepted. */
+	TinyServer server([&](int fd, const std::string &request) {
+		bool prefill = request.rfind("POST", 0) == 0;
+		int turn = prefill ? ++prefill_answers, 1 : cache_answers++ % 3;
+		std::string list = objects.substr(0, turn < 2 ? 3 << 20 : 255000) + "{}]}";
+		std::string body =
+			prefill ? "{\"kvHandle\":\"h\",\"x\":[" + list
+				: "{\"epoch\":1,\"next\":1,\"lost\":false,\"events\":[" + list;
+		std::string head =
+			"HTTP/1.1 200 OK\r\nX-Ibisgate-Request-Id: " + request_id(request) + "\r\n";
+
+		TinyServer::send_bytes(
+			fd, turn == 1 ? head + "Transfer-Encoding: chunked\r\n\r\n" + chunk(body) +
+						"0\r\n\r\n"
+				      : head + "Content-Length: " + std::to_string(body.size()) +
+						"\r\n\r\n" + body);
+		return true;
+	});
+
+	replace_endpoint("e0", server);
+	EXPECT_TRUE(eventually([&] { return cache_answers >= 3; }, 10000));
+	for (int i = 0; i < 20 && !prefill_answers; i++) {
+		Response a = send_request(p, generation_text("stream/x", 4));
+
+		EXPECT_EQ(a.status, 200);
+		EXPECT_TRUE(a.complete);
+	}
+	EXPECT_GE(prefill_answers, 1);
+	EXPECT_LT(resident_kib(p, "VmHWM"), CONTROL_MAX_KIB);
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
