Parse each byte of an event stream once

Cause: for each piece of a body the whole unfinished event was parsed again. Lines that never end an event, one a chunk, cost the square of their number on the only thread.

Change: struct event_stream keeps the offset up to which it has searched and what the parsed lines say.

--- a/include/ibisgate/net/event_stream.h
+++ b/include/ibisgate/net/event_stream.h
@@ -21,12 +21,22 @@
  * struct event_stream - splitter of a body into complete events; zero-initialise before use
  * @buf: received bytes
  * @pos: start of the first event that is not yet returned
+ * @line: start of its first line that is not yet parsed
+ * @searched: offset up to which that line has no end
+ * @next: what the parsed lines say of the event
+ * @ids: number of ids among them
+ *
+ * Each byte is looked at once, however the body is divided.
  *
  * Unlike struct sse it keeps the raw bytes of each event, so that they can be relayed unchanged.
  */
 struct event_stream {
 	struct buf buf;
 	size_t pos;
+	size_t line;
+	size_t searched;
+	struct stream_event next;
+	int ids;
 };
 
 void event_stream_feed(struct event_stream *s, struct str bytes);
--- a/tests/test_event_stream.cc
+++ b/tests/test_event_stream.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 extern "C" {
+#include "ibisgate/common/clock.h"
 #include "ibisgate/net/event_stream.h"
 }
 
@@ -45,3 +46,34 @@
 		event_stream_free(&s);
 	}
 }
+
+/*
+ * Guards against work that grows with the square of an unfinished event's lines: bytes that never
+ * end an event would hold up the only thread.
+ */
+TEST(EventStream, EachByteOfAnUnfinishedEventIsReadOnce)
+{
+	std::string text;
+	struct event_stream s = {};
+	struct stream_event ev;
+	int64_t from = clock_boot_ms();
+
+	for (int i = 0; i < 300000; i++)
+		text += "ab\n";
+	event_stream_feed(&s, str{ text.data(), text.size() });
+	EXPECT_FALSE(event_stream_next(&s, &ev));
+	for (int i = 0; i < 5000; i++) {
+		event_stream_feed(&s, str{ "ab\n", 3 });
+		ASSERT_FALSE(event_stream_next(&s, &ev));
+	}
+	/* Also in a line that does not end. */
+	for (int i = 0; i < 5000; i++) {
+		event_stream_feed(&s, str{ "a", 1 });
+		ASSERT_FALSE(event_stream_next(&s, &ev));
+	}
+	EXPECT_LT(clock_boot_ms() - from, 2000);
+	event_stream_feed(&s, str{ "\n\n", 2 });
+	EXPECT_TRUE(event_stream_next(&s, &ev));
+	EXPECT_EQ(ev.raw.len, text.size() + 5000 * 3 + 5000 + 2);
+	event_stream_free(&s);
+}
--- a/tests/test_wrong_bytes.cc
+++ b/tests/test_wrong_bytes.cc
@@ -64,6 +64,50 @@
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
 
+/* An order that takes longer is unanswered at its timeout and half a second later. */
+#define ORDER_MAX_MS 1300
+
+/*
+ * Guards against a stream that never ends an event and holds up the event loop: all other requests
+ * of the instance would wait for it.
+ */
+TEST_F(WrongBytesTest, EventsWithoutEndDoNotHoldUpOtherRequests)
+{
+	struct harness_process *p = start_all(1, 0, 1);
+	std::atomic<int64_t> open_ms{ -1 };
+	std::string lines;
+
+	while (lines.size() < 900000)
+		lines += "ab\n";
+	TinyServer server([&](int fd, const std::string &request) {
+		std::string chunks;
+
+		if (request.rfind("POST", 0) != 0) {
+			TinyServer::send_response(fd, 404, "");
+			return true;
+		}
+		for (int i = 0; i < 2000; i++)
+			chunks += chunk("ab\n");
+		TinyServer::send_bytes(fd, STREAM_HEAD + request_id(request) + "\r\n\r\n" +
+						   chunk(lines));
+		open_ms = send_until_closed(fd, chunks, 0, 8000);
+		return false;
+	});
+
+	replace_endpoint("e0", server);
+	Caller c(harness_process_port(p, "http"), process_ip(p).c_str());
+	c.send_text(generation_text("once/x"));
+	for (int64_t from = clock_boot_ms(); clock_boot_ms() - from < 2500;) {
+		int64_t sent = clock_boot_ms();
+
+		EXPECT_EQ(send_request(p, request_text("order/x")).status, 200);
+		EXPECT_LT(clock_boot_ms() - sent, ORDER_MAX_MS);
+	}
+	EXPECT_TRUE(eventually([&] { return open_ms >= 0; }, 8000));
+	EXPECT_LT(open_ms, 2500) << "the connection must be closed before the deadline of 3 s";
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
+
 /* Event ids of a stream of six pieces; "bad" stands for a line that is no id. */
 class WrongIdsTest : public PlayedEndpointTest, public ::testing::WithParamInterface<const char *>
 {
