Give up a silent attempt only for another endpoint

Cause: silence ended an attempt before it was known whether another endpoint could take over. With all of them silent, the retry budget used up or no endpoint left, the request was given up for nothing.

Change: a silent attempt ends only if the rule allows another one, the retry budget has room and an endpoint that was not tried is available. Otherwise the request waits until its deadline.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -248,11 +248,32 @@
 		x->attempt.event_ms += pause_ms;
 }
 
+/* Whether the rule allows another attempt after @runs attempts that may have run. */
+static bool may_try_again(const struct exchange *x, int runs)
+{
+	if (runs && !exchange_is_repeatable(x))
+		return false;
+	return (!runs || runs < x->rule->max_attempts) && x->attempted_count < ATTEMPTS_MAX;
+}
+
+/*
+ * Whether another endpoint can take over the current attempt. A silent endpoint may be sound and go
+ * on after a second, so its answer is given up only for another one.
+ */
+static bool attempt_can_move(const struct exchange *x, int64_t now)
+{
+	struct extra_budget_limits limits = entry_extra_limits(x->entry);
+
+	return may_try_again(x, x->runs + (x->attempt.work == WIRE_WORK_RUN)) &&
+	       extra_budget_has_left(&x->service->budget, &limits, now) &&
+	       exchange_can_place(x, now);
+}
+
 void attempt_check_silence(struct exchange *x, int64_t now_ms)
 {
 	struct http_exchange *call = x->attempt.call;
 
-	if (!call || !is_silent(x, now_ms))
+	if (!call || !is_silent(x, now_ms) || !attempt_can_move(x, now_ms))
 		return;
 	http_exchange_cancel(call);
 	attempt_fail(x, HTTP_FAILURE_TIMEOUT);
@@ -267,10 +288,7 @@
 
 void attempt_retry(struct exchange *x, const char *cause)
 {
-	bool may_run_again = !x->runs || exchange_is_repeatable(x);
-
-	if (!may_run_again || (x->runs && x->runs >= x->rule->max_attempts) ||
-	    x->attempted_count >= ATTEMPTS_MAX) {
+	if (!may_try_again(x, x->runs)) {
 		exchange_give_up(x, cause, FULL_BACKOFF_MS);
 		return;
 	}
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -272,6 +272,21 @@
 	return best;
 }
 
+bool exchange_can_place(const struct exchange *x, int64_t now_ms)
+{
+	const struct endpoint *ep;
+
+	if (x->deadline_ms - now_ms < SEND_MIN_MS || suspect_has_refused_part(x))
+		return false;
+	cds_list_for_each_entry(ep, &x->service->endpoints, service_link) {
+		/* Engines that only prefill can't serve a request alone. */
+		if (ep->entry.stage != STAGE_PREFILL && endpoint_is_available(ep, now_ms) &&
+		    !exchange_has_tried(x, ep))
+			return true;
+	}
+	return false;
+}
+
 void exchange_place(struct exchange *x)
 {
 	int64_t now = clock_boot_ms();
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -108,6 +108,11 @@
 /** exchange_has_tried - whether the request has already been sent to @ep */
 bool exchange_has_tried(const struct exchange *x, const struct endpoint *ep);
 
+/**
+ * exchange_can_place - whether another endpoint than those tried is available for the request
+ */
+bool exchange_can_place(const struct exchange *x, int64_t now_ms);
+
 /** exchange_place - choose an endpoint and send the request, or answer when none is available */
 void exchange_place(struct exchange *x);
 
--- a/include/ibisgate/policy/extra_budget.h
+++ b/include/ibisgate/policy/extra_budget.h
@@ -42,6 +42,10 @@
 void extra_budget_count_first(struct extra_budget *b, const struct extra_budget_limits *l,
 			      int64_t now_ms);
 
+/** extra_budget_has_left - whether extra_budget_try_take() would succeed now */
+bool extra_budget_has_left(struct extra_budget *b, const struct extra_budget_limits *l,
+			   int64_t now_ms);
+
 /** extra_budget_try_take - count one extra send; false, without counting it, when none is left */
 bool extra_budget_try_take(struct extra_budget *b, const struct extra_budget_limits *l,
 			   int64_t now_ms);
--- a/policy/extra_budget.c
+++ b/policy/extra_budget.c
@@ -37,7 +37,7 @@
 	b->first[b->slot]++;
 }
 
-bool extra_budget_try_take(struct extra_budget *b, const struct extra_budget_limits *l,
+bool extra_budget_has_left(struct extra_budget *b, const struct extra_budget_limits *l,
 			   int64_t now_ms)
 {
 	int first_count = 0;
@@ -51,7 +51,13 @@
 	}
 	allowed = ALLOWANCE_FACTOR *
 		  (l->ratio * first_count + l->fixed / (l->instances > 0 ? l->instances : 1));
-	if (extra_count + 1 > allowed)
+	return extra_count + 1 <= allowed;
+}
+
+bool extra_budget_try_take(struct extra_budget *b, const struct extra_budget_limits *l,
+			   int64_t now_ms)
+{
+	if (!extra_budget_has_left(b, l, now_ms))
 		return false;
 	b->extra[b->slot]++;
 	return true;
--- a/tests/test_extra_budget.cc
+++ b/tests/test_extra_budget.cc
@@ -95,3 +95,18 @@
 	extra_budget_refund(&empty);
 	EXPECT_EQ(empty.extra[0], 0);
 }
+
+/* Guards against an attempt that is given up for a retry which the budget then denies. */
+TEST(ExtraBudget, LookingDoesNotCount)
+{
+	struct extra_budget b = {};
+
+	for (int i = 0; i < 100; i++) {
+		bool has_left = extra_budget_has_left(&b, &limits, 1000);
+
+		EXPECT_EQ(extra_budget_has_left(&b, &limits, 1000), has_left);
+		EXPECT_EQ(extra_budget_try_take(&b, &limits, 1000), has_left);
+	}
+	EXPECT_FALSE(extra_budget_has_left(&b, &limits, 1000));
+	EXPECT_TRUE(extra_budget_has_left(&b, &limits, 12000));
+}
