Bound the memory that answers without end can take

Cause: nothing held an endpoint back while its caller read slowly, comments of a stream had no limit, and buffered answers had one each but none together.

Change: an answer is not received further while its caller has 256 KiB unread; at most 256 KiB come from one new event to the next; all buffered answers together take at most 32 MiB, beyond which the largest is given up.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -42,7 +42,13 @@
 /* Maximum size of a response that is buffered until it is complete, in bytes. */
 #define RESPONSE_MAX_BYTES (4 << 20)
 
-/* The same for the answer to a prefill, which names a KV cache. */
+/*
+ * Maximum size of all responses that this instance buffers, in bytes; many endpoints may send
+ * without end at the same time.
+ */
+#define RESPONSES_MAX_BYTES (32 << 20)
+
+/* The same as RESPONSE_MAX_BYTES for the answer to a prefill, which names a KV cache. */
 #define PREFILL_RESPONSE_MAX_BYTES (16 << 10)
 
 static bool is_streaming(const struct exchange *x)
@@ -112,6 +118,24 @@
 	attempt_fail(ctx, why);
 }
 
+/* Fails the attempt with the largest response until all of them together keep to the limit. */
+static void responses_limit(struct entry *e)
+{
+	while (e->response_bytes > RESPONSES_MAX_BYTES) {
+		struct exchange *largest = NULL;
+		struct exchange *x;
+
+		cds_list_for_each_entry(x, &e->exchange_list, link) {
+			if (!largest || x->attempt.body.len > largest->attempt.body.len)
+				largest = x;
+		}
+		if (!largest || !largest->attempt.call)
+			return;
+		http_exchange_cancel(largest->attempt.call);
+		attempt_fail(largest, HTTP_FAILURE_MALFORMED);
+	}
+}
+
 static void on_body(void *ctx, struct str bytes)
 {
 	struct exchange *x = ctx;
@@ -124,6 +148,8 @@
 		return;
 	}
 	buf_append(&a->body, bytes.data, bytes.len);
+	x->entry->response_bytes += bytes.len;
+	responses_limit(x->entry);
 }
 
 /* Handles a response which states that the endpoint did not run the request. */
@@ -240,6 +266,21 @@
 			       r->target_ms + REQUEST_SILENCE_EXPECTED_FACTOR * expected_ms);
 }
 
+void attempt_set_paused(struct exchange *x, bool paused)
+{
+	struct attempt *a = &x->attempt;
+
+	if (!a->call || a->is_paused == paused)
+		return;
+	a->is_paused = paused;
+	http_exchange_set_paused(a->call, paused);
+	if (paused)
+		return;
+	/* The pause was no silence of the endpoint. */
+	a->last_receive_ms = clock_boot_ms();
+	a->progress_ms = a->last_receive_ms;
+}
+
 void attempt_extend_silence(struct exchange *x, int64_t pause_ms)
 {
 	x->attempt.last_receive_ms += pause_ms;
@@ -273,7 +314,7 @@
 {
 	struct http_exchange *call = x->attempt.call;
 
-	if (!call || !is_silent(x, now_ms) || !attempt_can_move(x, now_ms))
+	if (!call || x->attempt.is_paused || !is_silent(x, now_ms) || !attempt_can_move(x, now_ms))
 		return;
 	http_exchange_cancel(call);
 	attempt_fail(x, HTTP_FAILURE_TIMEOUT);
@@ -323,8 +364,7 @@
 		metric_add(METRIC_RETRIES_DENIED, 1);
 		return false;
 	}
-	*a = (struct attempt){ .body = a->body };
-	a->body.len = 0;
+	*a = (struct attempt){ 0 };
 	/*
 	 * A partial event of an earlier attempt must not become the start of the first event of
 	 * this one.
@@ -395,6 +435,8 @@
 		http_exchange_cancel(a->call);
 		a->call = NULL;
 	}
+	x->entry->response_bytes -= a->body.len;
+	buf_free(&a->body);
 	a->endpoint->active--;
 	peers_mark_changed(x->entry->peers);
 	endpoint_put(a->endpoint);
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -3,10 +3,10 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "exchange.h"
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/log.h"
 #include "ibisgate/common/metrics.h"
-#include "internal.h"
 
 /* TCP user timeout of a caller's connection, in milliseconds. */
 #define CALLER_USER_TIMEOUT_MS 5000
@@ -28,6 +28,12 @@
 	.idle_timeout_ms = 15000,
 };
 
+/*
+ * Unsent output of a connection above which the rest of its answer is not received from the
+ * endpoint, in bytes, until the caller has read it.
+ */
+#define OUTPUT_MAX_BYTES (256 << 10)
+
 enum caller_phase {
 	CALLER_IDLE,
 	CALLER_HEAD,
@@ -93,6 +99,8 @@
 void caller_write(struct caller *c, struct str bytes)
 {
 	bufferevent_write(c->bev, bytes.data, bytes.len);
+	if (c->exchange && evbuffer_get_length(bufferevent_get_output(c->bev)) > OUTPUT_MAX_BYTES)
+		attempt_set_paused(c->exchange, true);
 }
 
 /*
@@ -239,6 +247,8 @@
 {
 	struct caller *c = ctx;
 
+	if (c->exchange)
+		attempt_set_paused(c->exchange, false);
 	if (c->phase == CALLER_CLOSING && !c->reader.is_in_message && !c->oversized &&
 	    !c->reader.fault)
 		caller_destroy(c);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -76,7 +76,6 @@
 		event_free(x->timer);
 	event_stream_free(&x->events);
 	buf_free(&x->fallback);
-	buf_free(&x->attempt.body);
 	cds_list_del(&x->link);
 	x->entry->exchange_count--;
 	metric_add(METRIC_STREAMS, -1);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -20,6 +20,8 @@
  * @event_ms: when the last event with a new id arrived; 0 before the first
  * @first_event_ms: when the first one arrived
  * @answer_goes_on: the answer has gone on after its first event
+ * @bytes_since_event: bytes received since the last event with a new id
+ * @is_paused: nothing is received because the caller has not read what came before
  * @prompt_pending: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded is set
  * @head: head of the response; valid while @call is
@@ -39,6 +41,8 @@
 	int64_t event_ms;
 	int64_t first_event_ms;
 	bool answer_goes_on;
+	size_t bytes_since_event;
+	bool is_paused;
 	bool prompt_pending;
 	bool responded;
 	struct endpoint_response response;
@@ -155,6 +159,9 @@
 /** attempt_end - release the attempt and close its connection if it is still open */
 void attempt_end(struct exchange *x);
 
+/** attempt_set_paused - stop or go on receiving the answer */
+void attempt_set_paused(struct exchange *x, bool paused);
+
 /** attempt_extend_silence - ignore the last @pause_ms, in which this process didn't run */
 void attempt_extend_silence(struct exchange *x, int64_t pause_ms);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -20,8 +20,11 @@
  */
 #define ANSWER_GOES_ON_MS 300
 
-/* Maximum size of one event in bytes; an engine may send one that never ends. */
-#define EVENT_MAX_BYTES (1 << 20)
+/*
+ * Maximum number of bytes from one new event to the next; an engine may send an event that never
+ * ends, or comments without end.
+ */
+#define EVENT_MAX_BYTES (256 << 10)
 
 /* Number of engines that a filled KV cache is offered to before the prompt is read again. */
 #define CACHE_OFFERS_MAX 3
@@ -133,6 +136,7 @@
 		engine_pace_add(&a->endpoint->pace, (double)(now - a->event_ms) / count, now);
 	a->event_ms = now;
 	a->progress_ms = now;
+	a->bytes_since_event = 0;
 }
 
 /*
@@ -185,10 +189,11 @@
 void generation_on_body(struct exchange *x, struct str bytes)
 {
 	generation_on_prompt_read(x);
+	x->attempt.bytes_since_event += bytes.len;
 	event_stream_feed(&x->events, bytes);
 	if (!relay_events(x))
 		stream_abandon(x, "stream-out-of-order");
-	else if (event_stream_partial_bytes(&x->events) > EVENT_MAX_BYTES)
+	else if (x->attempt.bytes_since_event > EVENT_MAX_BYTES)
 		stream_abandon(x, "event-too-large");
 }
 
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -165,6 +165,7 @@
 /**
  * struct entry - see entry.h
  * @self_hash: hash of the instance's id
+ * @response_bytes: size of the responses that are buffered until they are complete
  * @cache_calls: requests of cache_sync.c in flight
  * @cache_calls_left: requests of cache_sync.c that may still start before the next tick
  * @leaving: processes of endpoints that have said that they leave
@@ -214,6 +215,7 @@
 	int64_t dc_failing_ms;
 	struct cds_list_head exchange_list;
 	int exchange_count;
+	size_t response_bytes;
 	int cache_calls;
 	int cache_calls_left;
 	bool stopping;
--- a/include/ibisgate/net/event_stream.h
+++ b/include/ibisgate/net/event_stream.h
@@ -51,8 +51,6 @@
 /** event_stream_has_partial - true if the buffer ends with an incomplete event */
 bool event_stream_has_partial(const struct event_stream *s);
 
-/** event_stream_partial_bytes - size of that event so far, in bytes */
-size_t event_stream_partial_bytes(const struct event_stream *s);
 void event_stream_reset(struct event_stream *s);
 void event_stream_free(struct event_stream *s);
 
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -129,6 +129,9 @@
 /** http_exchange_set_body_max - change the limit of the specification, for use in on_head */
 void http_exchange_set_body_max(struct http_exchange *x, size_t body_max_bytes);
 
+/** http_exchange_set_paused - stop or go on receiving; the peer is held back by TCP meanwhile */
+void http_exchange_set_paused(struct http_exchange *x, bool paused);
+
 /** http_exchange_may_have_sent - true once bytes of the request may have been sent */
 bool http_exchange_may_have_sent(const struct http_exchange *x);
 
--- a/net/event_stream.c
+++ b/net/event_stream.c
@@ -76,11 +76,6 @@
 	return false;
 }
 
-size_t event_stream_partial_bytes(const struct event_stream *s)
-{
-	return s->buf.len - s->pos;
-}
-
 bool event_stream_has_partial(const struct event_stream *s)
 {
 	return s->pos < s->buf.len;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -308,6 +308,8 @@
 	struct evbuffer *in = bufferevent_get_input(c->bev);
 
 	c->exchange = NULL;
+	/* The last bytes may have come together with those that paused the exchange. */
+	bufferevent_enable(c->bev, EV_READ);
 	/* Bytes after a complete response belong to no request, so the connection is not reused. */
 	if (c->is_reusable && !c->is_closing && evbuffer_get_length(in) == 0 &&
 	    idle_count(c->client, &c->to) < c->client->options.max_idle_per_address) {
@@ -565,6 +567,14 @@
 	x->body_max_bytes = body_max_bytes;
 }
 
+void http_exchange_set_paused(struct http_exchange *x, bool paused)
+{
+	if (paused)
+		bufferevent_disable(x->conn->bev, EV_READ);
+	else
+		bufferevent_enable(x->conn->bev, EV_READ);
+}
+
 bool http_exchange_may_have_sent(const struct http_exchange *x)
 {
 	return x->conn->is_connected;
--- a/tests/test_wrong_bytes.cc
+++ b/tests/test_wrong_bytes.cc
@@ -3,6 +3,9 @@
 #include <atomic>
 #include <mutex>
 
+/* Memory that an instance may take for control, in KiB (the aim in two years). */
+#define CONTROL_MAX_KIB (128 << 10)
+
 /* Engines that answer with bytes that are no valid answer, and instances that must bear them. */
 class WrongBytesTest : public PlayedEndpointTest
 {
@@ -64,6 +67,90 @@
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
 
+/* Bytes without end that are no answer, in a body of some shape. */
+class EndlessBodiesTest : public PlayedEndpointTest
+{
+      protected:
+	/* Calls of @target whose answers begin with @head and go on with @bytes without end. */
+	void play(const std::string &target, const std::string &head,
+		  const std::function<std::string(int)> &bytes, bool callers_read)
+	{
+		struct harness_process *p = start_all(1, 0, 1);
+		TinyServer server([&](int fd, const std::string &request) {
+			if (request_id(request).empty()) {
+				TinyServer::send_response(fd, 404, "");
+				return true;
+			}
+			int64_t until = clock_boot_ms() + 6000;
+			std::string text = head;
+			int part = 0;
+
+			text.replace(text.find("$ID"), 3, request_id(request));
+			for (; clock_boot_ms() < until; text = bytes(++part)) {
+				if (send(fd, text.data(), text.size(), MSG_NOSIGNAL) <= 0)
+					break;
+			}
+			return false;
+		});
+		bool is_call = target == "order/x";
+		std::vector<std::unique_ptr<Caller>> callers;
+
+		replace_endpoint(is_call ? "s0" : "e0", server);
+		for (int i = 0; i < 40; i++) {
+			callers.push_back(std::make_unique<Caller>(harness_process_port(p, "http"),
+								   process_ip(p).c_str()));
+			callers.back()->send_text(is_call ? request_text(target)
+							  : generation_text(target));
+		}
+		if (callers_read) {
+			for (auto &c : callers)
+				c->read_response(4000);
+		} else {
+			usleep(3500000);
+		}
+		EXPECT_LT(resident_kib(p, "VmHWM"), CONTROL_MAX_KIB);
+		EXPECT_EQ(ready_status(p), 200);
+		callers.clear();
+		EXPECT_EQ(harness_process_stop(p, 8000), 0);
+	}
+	/* One event of 8 KB with the id @k. */
+	static std::string large_event(int k)
+	{
+		return chunk("id: " + std::to_string(k) + "\ndata: " + std::string(8000, 'd') +
+			     "\n\n");
+	}
+};
+
+/* Guards against memory that grows with a stream whose caller reads slowly or not at all. */
+TEST_F(EndlessBodiesTest, EventsForCallersThatDoNotReadEndInBoundedMemory)
+{
+	play("once/x", std::string(STREAM_HEAD) + "$ID\r\n\r\n", large_event, false);
+}
+
+TEST_F(EndlessBodiesTest, CommentsForCallersThatDoNotReadEndInBoundedMemory)
+{
+	play(
+		"once/x", std::string(STREAM_HEAD) + "$ID\r\n\r\n",
+		[](int) { return chunk(":" + std::string(8000, ' ') + "\n\n"); }, false);
+}
+
+/* Guards against memory that grows with the number of answers that are kept until their end. */
+TEST_F(EndlessBodiesTest, AnswersOfEnginesThatAreNoStreamsEndInBoundedMemory)
+{
+	play(
+		"once/x", "HTTP/1.1 200 OK\r\nX-Ibisgate-Request-Id: $ID\r\n\r\n",
+		[](int) { return std::string(8000, 'd'); }, true);
+}
+
+TEST_F(EndlessBodiesTest, AnswersOfServicesEndInBoundedMemory)
+{
+	play(
+		"order/x",
+		"HTTP/1.1 200 OK\r\nX-Ibisgate-Server-Signature: s\r\nX-Ibisgate-Request-Id: "
+		"$ID\r\n\r\n",
+		[](int) { return std::string(8000, 'd'); }, true);
+}
+
 /* An order that takes longer is unanswered at its timeout and half a second later. */
 #define ORDER_MAX_MS 1300
 
@@ -177,9 +264,6 @@
 INSTANTIATE_TEST_SUITE_P(Ids, WrongIdsTest,
 			 ::testing::Values("123333", "123x56", "123256", "1243", "123346"));
 
-/* Memory that an instance may take for control, in KiB (the aim in two years). */
-#define CONTROL_MAX_KIB (128 << 10)
-
 /*
  * Guards against one wrong answer of an engine that takes an instance over its memory, so that it
  * is killed with all its requests: JSON of empty objects needs some 80 times its size when decoded.
