Reject entries of endpoints with missing or odd fields

Cause: only the fields in use were looked at, and the number of slots was cast to 32 bits before it was checked. A row whose key has a NUL made the whole answer of the store unreadable.

No odd entry ended a process: deep nesting, numbers too large and ports out of range were rejected already.

Change: an entry needs all its fields in their types; entries from the store and from other instances pass the same check. The sound entry in Store.MalformedEndpointEntriesAreRejected lacked version and coldLeftMs, so the test would have passed for another reason; it has them now.

--- a/common/json.c
+++ b/common/json.c
@@ -44,6 +44,12 @@
 	return json_loadb(text.data ? text.data : "", text.len, JSON_REJECT_DUPLICATES, NULL);
 }
 
+json_t *json_parse_with_nul(struct str text)
+{
+	return json_loadb(text.data ? text.data : "", text.len,
+			  JSON_REJECT_DUPLICATES | JSON_ALLOW_NUL, NULL);
+}
+
 void json_append(struct buf *out, const json_t *value)
 {
 	char *text = json_dumps(value, JSON_COMPACT | JSON_ENCODE_ANY);
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -60,7 +60,7 @@
 	};
 	if (stage == STAGE_PREFILL || stage == STAGE_DECODE)
 		e->stage = (enum engine_stage)stage;
-	return json_array_size(list) == ENDPOINT_FIELDS && e->slots > 0 &&
+	return json_array_size(list) == ENDPOINT_FIELDS &&
 	       list_string_at(list, 0, e->id, sizeof(e->id)) &&
 	       list_string_at(list, 1, e->service, sizeof(e->service)) &&
 	       list_string_at(list, 2, e->address, sizeof(e->address)) &&
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -187,6 +187,16 @@
 	}
 }
 
+/* Key after which the list goes on, or ""; keys that can't be represented are empty. */
+static const char *last_key(const struct store_rows *rows)
+{
+	for (int i = rows->count - 1; i >= 0; i--) {
+		if (rows->rows[i].key[0])
+			return rows->rows[i].key;
+	}
+	return "";
+}
+
 static void apply_list_page(struct store_watch *w, const struct store_rows *rows)
 {
 	bool endpoints = strcmp(w->table, STORE_TABLE_ENDPOINTS) == 0;
@@ -197,11 +207,9 @@
 			directory_list_begin(&w->entry->directory);
 	}
 	apply_rows(w, rows);
-	if (rows->has_more && rows->count) {
-		str_copy(w->after, sizeof(w->after), str_from(rows->rows[rows->count - 1].key));
+	str_copy(w->after, sizeof(w->after), str_from(rows->has_more ? last_key(rows) : ""));
+	if (w->after[0])
 		return;
-	}
-	w->after[0] = '\0';
 	w->listing = false;
 	if (endpoints) {
 		directory_list_end(&w->entry->directory, w->version, clock_boot_ms());
--- a/include/ibisgate/common/json.h
+++ b/include/ibisgate/common/json.h
@@ -17,6 +17,9 @@
 /** json_parse - parse @text, which must be a single value with no trailing bytes; NULL on error */
 json_t *json_parse(struct str text);
 
+/** json_parse_with_nul - the same, where strings may contain the character NUL */
+json_t *json_parse_with_nul(struct str text);
+
 /** json_from_text - JSON number if @text is a number, otherwise a JSON string; new reference */
 json_t *json_from_text(const char *text);
 
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -311,7 +311,8 @@
 	struct endpoint_entry e;
 	struct error err = {};
 	std::string good = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-			   "\"slots\":64,\"state\":\"ready\",\"stage\":\"prefill\",\"seq\":4,"
+			   "\"version\":\"v1\",\"coldLeftMs\":0,\"slots\":64,\"state\":\"ready\","
+			   "\"stage\":\"prefill\",\"seq\":4,"
 			   "\"born\":1700000000000}";
 	struct store_row r = make_row("i-1", good);
 
@@ -438,3 +439,22 @@
 		buf_free(&r.value);
 	}
 }
+
+/* Guards against one row with an odd key that makes the rows next to it unreadable. */
+TEST(Store, KeysWithNulHideNoOtherRow)
+{
+	std::string body =
+		"{\"rows\":[{\"key\":\"a\\u0000b\",\"value\":\"aGk=\",\"schemaVersion\":4},"
+		"{\"key\":\"a\",\"value\":\"aGk=\",\"schemaVersion\":5}],"
+		"\"schemaVersion\":7}";
+	struct store_rows rows;
+	struct endpoint_entry e;
+	struct error err = {};
+
+	ASSERT_EQ(store_rows_decode(str{ body.data(), body.size() }, &rows, &err), 0);
+	ASSERT_EQ(rows.count, 2);
+	EXPECT_STREQ(rows.rows[0].key, "");
+	EXPECT_EQ(store_endpoint_decode(&rows.rows[0], &e, &err), -1);
+	EXPECT_STREQ(rows.rows[1].key, "a");
+	store_rows_free(&rows);
+}
