Refuse requests that would outlast a planned stop, answer the rest

Cause: a request that came late in the grace was passed on with its own time limit, and the event loop ended with all that was running.

Change: once connections are no longer accepted, a request whose time limit lies beyond the end is refused as not run. What still runs 0.5 s before the end is answered, and the process exits when that is sent.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -46,8 +46,12 @@
  */
 #define STOP_IDLE_MS 300
 
-/* Part of the grace period reserved for closing what is still open, in milliseconds. */
-#define STOP_MARGIN_MS 500
+/*
+ * Parts of the grace period, in milliseconds: requests that still run this long before its end are
+ * answered, and the process exits this long before it even if answers are unsent.
+ */
+#define STOP_ANSWER_MARGIN_MS 500
+#define STOP_EXIT_MARGIN_MS 100
 
 /* Idle timeout of pooled connections to endpoints and to the store, in milliseconds. */
 #define ENDPOINT_IDLE_MS 8000
@@ -211,16 +215,27 @@
 	e->http_listener = NULL;
 }
 
+bool entry_outlasts(const struct entry *e, int64_t until_ms)
+{
+	/* Before, another instance may not be in use yet, and most requests take less time. */
+	if (!e->stopping || e->http_listener)
+		return true;
+	return until_ms <=
+	       e->stop_begun_ms + e->settings.bounds.stop_grace_ms - STOP_ANSWER_MARGIN_MS;
+}
+
 static void shutdown_step(struct entry *e, int64_t now)
 {
 	int64_t age = now - e->stop_begun_ms;
+	int64_t left = e->settings.bounds.stop_grace_ms - age;
 
 	if (age >= STOP_ACCEPT_MS) {
-		/* A new request could not finish within the grace period. */
 		listener_close(e);
 		callers_close_idle(e, STOP_IDLE_MS, now);
 	}
-	if (age >= e->settings.bounds.stop_grace_ms - STOP_MARGIN_MS ||
+	if (left <= STOP_ANSWER_MARGIN_MS)
+		exchanges_expire(e, "stopping");
+	if (left <= STOP_EXIT_MARGIN_MS ||
 	    (age >= STOP_ACCEPT_MS && e->exchange_count == 0 && !callers_are_active(e)))
 		event_base_loopbreak(e->base);
 }
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -198,18 +198,30 @@
 	exchange_destroy(x);
 }
 
-static void on_deadline(evutil_socket_t fd, short what, void *ctx)
+/* Answers a request that can't be waited for any longer. */
+static void exchange_expire(struct exchange *x, const char *cause)
 {
-	struct exchange *x = ctx;
-
 	finish_record_unfinished(x);
 	/* The endpoint may have run the attempt in progress, whatever the earlier ones did. */
 	if (x->attempt.call && x->attempt.work == WIRE_WORK_RUN)
 		x->runs++;
 	if (x->runs || x->response_started)
-		exchange_fail(x, 504, "deadline");
+		exchange_fail(x, 504, cause);
 	else
-		exchange_refuse(x, "deadline", 0);
+		exchange_refuse(x, cause, 0);
+}
+
+static void on_deadline(evutil_socket_t fd, short what, void *ctx)
+{
+	exchange_expire(ctx, "deadline");
+}
+
+void exchanges_expire(struct entry *e, const char *cause)
+{
+	struct exchange *x, *next;
+
+	cds_list_for_each_entry_safe(x, next, &e->exchange_list, link)
+		exchange_expire(x, cause);
 }
 
 static void exchange_set_deadline(struct exchange *x)
@@ -373,6 +385,8 @@
 	exchange_set_deadline(x);
 	if (suspect_is_quarantined(x))
 		exchange_refuse(x, "crashes-endpoints", -1);
+	else if (!entry_outlasts(e, x->deadline_ms))
+		exchange_refuse(x, "stopping", 0);
 	else
 		exchange_place(x);
 }
@@ -393,7 +407,7 @@
 	cds_list_for_each_entry_safe(x, next, &e->exchange_list, link) {
 		/* Timers stop while the machine is suspended, but the deadline doesn't. */
 		if (now_ms >= x->deadline_ms)
-			on_deadline(-1, 0, x);
+			exchange_expire(x, "deadline");
 		else
 			attempt_check_silence(x, now_ms);
 	}
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -232,6 +232,12 @@
 struct dc_health *entry_dc_health(struct entry *e, int dc);
 bool entry_is_ready(const struct entry *e);
 
+/**
+ * entry_outlasts - whether a request that may last until @until_ms can be answered before a planned
+ * stop ends
+ */
+bool entry_outlasts(const struct entry *e, int64_t until_ms);
+
 /**
  * entry_config_set - apply the configuration in @text if it is newer; -1 when it can't be decoded
  */
@@ -467,6 +473,9 @@
 /** exchanges_check_timeouts - expire deadlines and detect endpoints that have stopped sending */
 void exchanges_check_timeouts(struct entry *e, int64_t now_ms);
 
+/** exchanges_expire - answer all requests now, since the process ends */
+void exchanges_expire(struct entry *e, const char *cause);
+
 /* probe.c */
 void ready_accept(struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa, int len,
 		  void *ctx);
--- /dev/null
+++ b/tests/test_planned_stop.cc
@@ -0,0 +1,108 @@
+#include "played_endpoint.h"
+
+#include <atomic>
+
+/* The instances of EntryTest are stopped with a grace of 8 s, and accept connections for 3 s of it.
+ */
+class LateInGraceTest : public PlayedEndpointTest
+{
+      protected:
+	/* Starts an instance whose service has one endpoint that reads requests and never answers.
+	 */
+	void start()
+	{
+		process = start_all(1, 0, 1);
+		server = std::make_unique<TinyServer>([this](int, const std::string &request) {
+			received += !request_id(request).empty();
+			while (!done)
+				usleep(5000);
+			return false;
+		});
+		put_config(config_json(
+			2, rule_json("long", "non_idempotent", "orders", 1, false, 9000)));
+		replace_endpoint("s0", *server);
+	}
+	~LateInGraceTest() override
+	{
+		done = true;
+	}
+	static std::string with_limit(std::string text, int ms)
+	{
+		const std::string field = "X-Ibisgate-Deadline-Ms: ";
+		size_t at = text.find(field) + field.size();
+
+		return text.replace(at, text.find("\r\n", at) - at, std::to_string(ms));
+	}
+	std::unique_ptr<Caller> connect_caller()
+	{
+		return std::make_unique<Caller>(harness_process_port(process, "http"),
+						process_ip(process).c_str());
+	}
+	void sleep_until(int64_t ms)
+	{
+		while (clock_boot_ms() - stopped_ms < ms)
+			usleep(2000);
+	}
+	void begin_stop()
+	{
+		stopped_ms = clock_boot_ms();
+		harness_process_signal(process, SIGTERM);
+	}
+
+	struct harness_process *process = nullptr;
+	std::unique_ptr<TinyServer> server;
+	std::atomic<int> received{ 0 };
+	std::atomic<bool> done{ false };
+	int64_t stopped_ms = 0;
+};
+
+/*
+ * Guards against a request that comes late in a planned stop, is passed on, and is cut at the end
+ * of the grace: it is refused as not run if it may last longer than the instance.
+ */
+TEST_F(LateInGraceTest, RequestsThatMayOutlastTheInstanceAreRefused)
+{
+	start();
+	auto c = connect_caller();
+	std::string text = with_limit(request_text("long/x"), 9000);
+
+	c->send_text(text.substr(0, text.size() - 1));
+	begin_stop();
+	sleep_until(3500);
+	c->send_text(text.substr(text.size() - 1));
+	Response a = c->read_response(1000);
+	EXPECT_EQ(a.status, 503);
+	EXPECT_TRUE(a.complete);
+	EXPECT_EQ(a.field("Connection"), "close");
+	EXPECT_NE(a.field("Retry-After"), "");
+	EXPECT_EQ(received, 0);
+	EXPECT_EQ(harness_process_wait(process, 8000), 0);
+	EXPECT_EQ(WEXITSTATUS(process->status), 0);
+}
+
+/*
+ * Guards against running requests that are cut without an answer at the end of the grace, among
+ * them those that may run only once.
+ */
+TEST_F(LateInGraceTest, RequestsStillRunningAtTheEndOfTheGraceAreAnswered)
+{
+	start();
+	auto before = connect_caller();
+	auto later = connect_caller();
+
+	before->send_text(with_limit(request_text("long/x"), 9000));
+	usleep(100000);
+	begin_stop();
+	sleep_until(2500);
+	later->send_text(with_limit(request_text("long/x"), 9000));
+	Response a = before->read_response(8000);
+	EXPECT_EQ(a.status, 504);
+	EXPECT_TRUE(a.complete);
+	Response b = later->read_response(8000);
+	EXPECT_EQ(b.status, 504);
+	EXPECT_TRUE(b.complete);
+	EXPECT_EQ(received, 2);
+	EXPECT_EQ(harness_process_wait(process, 8000), 0);
+	EXPECT_EQ(WEXITSTATUS(process->status), 0);
+	EXPECT_LT(clock_boot_ms() - stopped_ms, 8000);
+}
