Leave a silent engine as late as the caller's patience allows

Callers saw: streams that were cut because they left an engine that was silent for a second, and all others refused them as full.

Cause: a stream that had begun left its engine after 0.3 to 0.75 s of silence. A sound engine goes on sooner than another one can read the prompt again and continue.

Evidence: before this change 14 of the 24 streams in SilentEndpointsTest.StreamsAreNotLeftForEnginesThatAreFull were cut.

Change: a stream leaves its engine as late as still lets another one continue before the caller gives up: the caller's patience less twice the expected time to first token and 200 ms, and no sooner than before.

Result: the test passes.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -36,8 +36,14 @@
 #define REQUEST_SILENCE_TARGET_FACTOR 4
 #define REQUEST_SILENCE_EXPECTED_FACTOR 4
 
-/* The same limit between two tokens, as a multiple of the time-between-tokens target. */
+/*
+ * The same limit between two tokens, as a multiple of the time-between-tokens target; and what
+ * another engine needs to continue before the caller gives up, as a multiple of the expected time
+ * to first token and in milliseconds, for the check's own period and the network.
+ */
 #define TOKEN_SILENCE_GAP_FACTOR 3
+#define RESUME_EXPECTED_FACTOR 2
+#define RESUME_MARGIN_MS 200
 
 /* Maximum size of a response that is buffered until it is complete, in bytes. */
 #define RESPONSE_MAX_BYTES (4 << 20)
@@ -238,6 +244,21 @@
 	return a > b ? a : b;
 }
 
+/*
+ * Silence after which a stream that has begun continues on another engine. A silent engine is
+ * mostly sound, and goes on sooner than another one could read the prompt again and continue, if it
+ * is not full. So it is left as late as the caller's patience allows.
+ */
+static int64_t token_silence_ms(const struct exchange *x)
+{
+	const struct routing_rule *r = x->rule;
+	int64_t least = max_i64(r->target_ms, TOKEN_SILENCE_GAP_FACTOR * r->gap_ms);
+	int64_t resume = (int64_t)(RESUME_EXPECTED_FACTOR * x->choice.expected_first_token_ms) +
+			 RESUME_MARGIN_MS;
+
+	return max_i64(least, generation_patience_ms(x) - resume);
+}
+
 /*
  * Whether the endpoint has been silent too long for this request; always false for a request that
  * may run only once.
@@ -255,8 +276,7 @@
 	if (!exchange_is_repeatable(x) && a->work == WIRE_WORK_RUN)
 		return false;
 	if (a->responded && a->work == WIRE_WORK_RUN)
-		return engine_silent_ms >=
-			       max_i64(r->target_ms, TOKEN_SILENCE_GAP_FACTOR * r->gap_ms) ||
+		return engine_silent_ms >= token_silence_ms(x) ||
 		       now - a->progress_ms >= generation_patience_ms(x);
 	return engine_silent_ms >=
 		       max_i64(ENGINE_SILENCE_TARGET_FACTOR * r->target_ms,
--- a/tests/test_silent_endpoints.cc
+++ b/tests/test_silent_endpoints.cc
@@ -23,6 +23,8 @@
 	{
 		silent_until_ms = clock_boot_ms() + SILENCE_MS;
 		silent_from_ms = clock_boot_ms();
+		if (others_are_full)
+			refuses_ms = clock_boot_ms();
 	}
 	bool answer(int fd, const std::string &request, bool is_silent)
 	{
@@ -30,6 +32,13 @@
 
 		if (is_silent)
 			wait_for_silence_end();
+		if (!is_silent && refuses_ms <= clock_boot_ms() && !id.empty()) {
+			TinyServer::send_bytes(fd, "HTTP/1.1 503 Full\r\n"
+						   "X-Ibisgate-Not-Executed: 1\r\n"
+						   "X-Ibisgate-Request-Id: " +
+							   id + "\r\nContent-Length: 0\r\n\r\n");
+			return true;
+		}
 		if (id.empty()) {
 			TinyServer::send_response(fd, 404, "");
 			return true;
@@ -133,6 +142,9 @@
 	std::vector<std::unique_ptr<TinyServer>> servers;
 	std::atomic<int64_t> silent_from_ms{ INT64_MAX };
 	std::atomic<int64_t> silent_until_ms{ 0 };
+	/* The engines that are not silent refuse requests from the start of the silence. */
+	bool others_are_full = false;
+	std::atomic<int64_t> refuses_ms{ INT64_MAX };
 };
 
 /*
@@ -154,3 +166,27 @@
 {
 	play_silence(3, 1, false);
 }
+
+/*
+ * Guards against streams that are cut because they left a silent engine for others, which turn out
+ * to be full: an engine is left no sooner than its callers' patience requires.
+ */
+TEST_F(SilentEndpointsTest, StreamsAreNotLeftForEnginesThatAreFull)
+{
+	struct harness_process *p = start_all(3, 0, 2);
+	std::vector<std::thread> threads;
+
+	others_are_full = true;
+	play_all(3, 1);
+	for (int i = 0; i < 24; i++) {
+		std::string text = generation_text("stream/x", EVENTS);
+
+		threads.emplace_back(
+			[=, id = last_id()] { expect_whole_answer(p, "stream/x", id, text); });
+	}
+	usleep(EVENT_MS * 5 * 1000);
+	begin_silence();
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
