--- a/include/ibisgate/net/sse.h
+++ b/include/ibisgate/net/sse.h
@@ -12,6 +12,7 @@
  * struct sse - incremental parser of server-sent events; zero-initialise before use
  * @buf: received bytes
  * @pos: offset in @buf of the first line that is not yet parsed
+ * @searched: offset in @buf up to which that line has no end
  * @data: data of the event being parsed
  * @has_data: the event being parsed has a data line
  * @has_overflowed: an event exceeded SSE_EVENT_MAX
@@ -19,6 +20,7 @@
 struct sse {
 	struct buf buf;
 	size_t pos;
+	size_t searched;
 	struct buf data;
 	bool has_data;
 	bool has_overflowed;
--- a/net/sse.c
+++ b/net/sse.c
@@ -6,6 +6,7 @@
 {
 	if (s->pos) {
 		buf_consume(&s->buf, s->pos);
+		s->searched -= s->pos;
 		s->pos = 0;
 	}
 	if (s->buf.len + s->data.len + bytes.len > SSE_EVENT_MAX) {
@@ -21,18 +22,20 @@
 {
 	const char *start = s->buf.data + s->pos;
 	size_t len = s->buf.len - s->pos;
-	size_t end = 0;
+	size_t end = s->searched - s->pos;
 
 	if (!s->buf.data)
 		return false;
 	while (end < len && start[end] != '\n' && start[end] != '\r')
 		end++;
+	s->searched = s->pos + end;
 	if (end == len || (start[end] == '\r' && end + 1 == len))
 		return false;
 	*line = (struct str){ .data = start, .len = end };
 	s->pos += end + 1;
 	if (start[end] == '\r' && start[end + 1] == '\n')
 		s->pos++;
+	s->searched = s->pos;
 	return true;
 }
 
--- a/tests/test_link.cc
+++ b/tests/test_link.cc
@@ -259,6 +259,29 @@
 	}
 }
 
+/*
+ * Guards against work that grows with the square of a line's length: a line that never ends would
+ * hold up the thread that reads it.
+ */
+TEST(Sse, EachByteOfAnUnfinishedLineIsReadOnce)
+{
+	struct sse sse = {};
+	std::string text(900000, 'a');
+	struct str event;
+	int64_t from = clock_boot_ms();
+
+	sse_feed(&sse, str{ text.data(), text.size() });
+	for (int i = 0; i < 20000; i++) {
+		sse_feed(&sse, str{ "a", 1 });
+		ASSERT_EQ(sse_next(&sse, &event), 0);
+	}
+	EXPECT_LT(clock_boot_ms() - from, 2000);
+	sse_feed(&sse, str{ "\ndata: x\r\n\r\n\n", 13 });
+	ASSERT_EQ(sse_next(&sse, &event), 1);
+	EXPECT_TRUE(str_eq_cstr(event, "x"));
+	sse_free(&sse);
+}
+
 /* Guards against unbounded memory use for a stream without line ends. */
 TEST(Sse, UnterminatedEventIsAnError)
 {
