Log when a silent attempt goes on, and when responses exceed their limit

An operator couldn't tell a request that waits for a silent endpoint, since no other can take over, from one that waits for its turn; nor which answer was given up for the memory of all.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -137,6 +137,9 @@
 		}
 		if (!largest || !largest->attempt.call)
 			return;
+		log_warn("responses-too-large", "request=%s endpoint=%s bytes=%zu all_bytes=%zu",
+			 largest->in.id, largest->attempt.endpoint->entry.id,
+			 largest->attempt.body.len, e->response_bytes);
 		http_exchange_cancel(largest->attempt.call);
 		attempt_fail(largest, HTTP_FAILURE_MALFORMED);
 	}
@@ -334,8 +337,16 @@
 {
 	struct http_exchange *call = x->attempt.call;
 
-	if (!call || x->attempt.is_paused || !is_silent(x, now_ms) || !attempt_can_move(x, now_ms))
+	if (!call || x->attempt.is_paused || !is_silent(x, now_ms))
 		return;
+	if (!attempt_can_move(x, now_ms)) {
+		if (!x->attempt.is_waiting)
+			log_info("attempt-waits", "request=%s endpoint=%s silent_ms=%lld runs=%d",
+				 x->in.id, x->attempt.endpoint->entry.id,
+				 (long long)(now_ms - x->attempt.last_receive_ms), x->runs);
+		x->attempt.is_waiting = true;
+		return;
+	}
 	http_exchange_cancel(call);
 	attempt_fail(x, HTTP_FAILURE_TIMEOUT);
 }
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -22,6 +22,7 @@
  * @answer_goes_on: the answer has gone on after its first event
  * @bytes_since_event: bytes received since the last event with a new id
  * @is_paused: nothing is received because the caller has not read what came before
+ * @is_waiting: the endpoint is silent, but no other one can take over
  * @prompt_pending: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded is set
  * @head: head of the response; valid while @call is
@@ -43,6 +44,7 @@
 	bool answer_goes_on;
 	size_t bytes_since_event;
 	bool is_paused;
+	bool is_waiting;
 	bool prompt_pending;
 	bool responded;
 	struct endpoint_response response;
