Let requests that may have run wait for an endpoint

Callers saw: 502, or a cut stream, with seconds left, when all endpoints were unavailable for a moment.

Cause: timeouts of engines that are silent for a second open their circuits. A request that had been sent once then found no engine, also after its prompt had been read, and was given up at once.

Change: such a request is placed again each tick until its deadline. One that has not run is refused at once as before, and an endpoint's error that is at hand is delivered.

Result: the test passes.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -415,6 +415,7 @@
 	if (x->attempted_count < ATTEMPTS_MAX)
 		x->attempted[x->attempted_count++] = ep->hash;
 	x->sends++;
+	x->awaits_endpoint = false;
 	metric_add(METRIC_ATTEMPTS, 1);
 	wire_request_encode(
 		&request, x->head, x->body,
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -283,21 +283,46 @@
 	return best;
 }
 
-bool exchange_can_place(const struct exchange *x, int64_t now_ms)
+/*
+ * Whether an endpoint that was not tried can serve the request, with @later perhaps only after its
+ * circuit or its time of avoidance.
+ */
+static bool has_other_endpoint(const struct exchange *x, bool later, int64_t now_ms)
 {
 	const struct endpoint *ep;
 
 	if (x->deadline_ms - now_ms < SEND_MIN_MS || suspect_has_refused_part(x))
 		return false;
 	cds_list_for_each_entry(ep, &x->service->endpoints, service_link) {
+		bool usable = later ? !ep->is_leaving : endpoint_is_available(ep, now_ms);
+
 		/* Engines that only prefill can't serve a request alone. */
-		if (ep->entry.stage != STAGE_PREFILL && endpoint_is_available(ep, now_ms) &&
-		    !exchange_has_tried(x, ep))
+		if (usable && ep->entry.stage != STAGE_PREFILL && !exchange_has_tried(x, ep))
 			return true;
 	}
 	return false;
 }
 
+bool exchange_can_place(const struct exchange *x, int64_t now_ms)
+{
+	return has_other_endpoint(x, false, now_ms);
+}
+
+void exchange_postpone(struct exchange *x, const char *cause, int64_t retry_after_ms)
+{
+	bool may_have_run = x->runs || x->response_started;
+
+	/* An endpoint's error that is at hand is delivered at once. */
+	if (!may_have_run || x->fallback.len || !has_other_endpoint(x, true, clock_boot_ms())) {
+		exchange_give_up(x, cause, retry_after_ms);
+		return;
+	}
+	if (!x->awaits_endpoint)
+		log_info("request-waits", "request=%s cause=%s runs=%d left_ms=%" PRId64, x->in.id,
+			 cause, x->runs, exchange_remaining_ms(x));
+	x->awaits_endpoint = true;
+}
+
 void exchange_place(struct exchange *x)
 {
 	int64_t now = clock_boot_ms();
@@ -313,16 +338,17 @@
 	}
 	if (x->rule->kind == CALL_GENERATION && x->spec->engine.present) {
 		if (!generation_place(x, now))
-			exchange_give_up(x, "no-endpoint", service_retry_after_ms(x->service, now));
+			exchange_postpone(x, "no-endpoint",
+					  service_retry_after_ms(x->service, now));
 		return;
 	}
 	ep = call_pick_endpoint(x, now);
 	if (!ep) {
-		exchange_give_up(x, "no-endpoint", service_retry_after_ms(x->service, now));
+		exchange_postpone(x, "no-endpoint", service_retry_after_ms(x->service, now));
 		return;
 	}
 	if (!attempt_start(x, ep, WIRE_WORK_RUN, NULL))
-		exchange_give_up(x, "retry-budget", service_retry_after_ms(x->service, now));
+		exchange_postpone(x, "retry-budget", service_retry_after_ms(x->service, now));
 }
 
 /* Status to answer without contacting an endpoint, or 0. */
@@ -408,6 +434,8 @@
 		/* Timers stop while the machine is suspended, but the deadline doesn't. */
 		if (now_ms >= x->deadline_ms)
 			exchange_expire(x, "deadline");
+		else if (x->awaits_endpoint)
+			exchange_place(x);
 		else
 			attempt_check_silence(x, now_ms);
 	}
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -67,6 +67,7 @@
  * @fingerprint: equal for the same request sent again; 0 for none
  * @cache_offers: number of engines that the filled KV cache was offered to
  * @kv_source: filled KV cache that no engine has taken over yet, or ""
+ * @awaits_endpoint: may be sent again, but to no endpoint at the moment
  * @trail: endpoints and results of the attempts, for the log
  */
 struct exchange {
@@ -103,6 +104,7 @@
 	char kv_source[128];
 	char kv_handle[96];
 	struct http_address kv_owner;
+	bool awaits_endpoint;
 	char trail[160];
 };
 
@@ -133,6 +135,12 @@
  */
 void exchange_fail(struct exchange *x, int status, const char *cause);
 
+/**
+ * exchange_postpone - give up, unless the request may have run already and may still find an
+ * endpoint: then it waits for one, until its deadline
+ */
+void exchange_postpone(struct exchange *x, const char *cause, int64_t retry_after_ms);
+
 /** exchange_give_up - refuse when the request can't have run, else fail */
 void exchange_give_up(struct exchange *x, const char *cause, int64_t retry_after_ms);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -510,7 +510,7 @@
 	first = x->choice.prefill >= 0 ? eps[x->choice.prefill] : x->decode;
 	if (!attempt_start(x, first, x->choice.prefill >= 0 ? WIRE_WORK_PREFILL : WIRE_WORK_RUN,
 			   x->choice.fetch_source >= 0 ? eps[x->choice.fetch_source] : NULL)) {
-		exchange_give_up(x, "retry-budget", 0);
+		exchange_postpone(x, "retry-budget", 0);
 		return true;
 	}
 	log_info("placed",
--- a/tests/test_silent_endpoints.cc
+++ b/tests/test_silent_endpoints.cc
@@ -55,6 +55,19 @@
 							   id);
 			return true;
 		}
+		if (request.find("X-Ibisgate-Serving-Stage: prefill\r\n") != std::string::npos) {
+			const std::string body = "{\"kvHandle\":\"" + id + "\",\"tokens\":1460}";
+
+			usleep(20000);
+			if (is_silent)
+				wait_for_silence_end();
+			prefills++;
+			TinyServer::send_bytes(
+				fd, "HTTP/1.1 200 OK\r\nX-Ibisgate-Request-Id: " + id +
+					    "\r\nContent-Length: " + std::to_string(body.size()) +
+					    "\r\n\r\n" + body);
+			return true;
+		}
 		size_t at = request.find("Last-Event-Id: ");
 		int k = at == std::string::npos ? 0 : atoi(request.c_str() + at + 15);
 
@@ -104,9 +117,9 @@
 	 * Requests of every kind are sent before, and in the first half of, a silence, in the
 	 * middle of which a new configuration may come.
 	 */
-	void play_silence(int engines, int sound_engines, bool new_config)
+	void play_silence(int engines, int sound_engines, bool new_config, int prefill_engines = 0)
 	{
-		struct harness_process *p = start_all(engines, 0, 2);
+		struct harness_process *p = start_all(engines, prefill_engines, 2);
 		std::vector<std::thread> threads;
 
 		play_all(engines, sound_engines);
@@ -142,6 +155,7 @@
 	std::vector<std::unique_ptr<TinyServer>> servers;
 	std::atomic<int64_t> silent_from_ms{ INT64_MAX };
 	std::atomic<int64_t> silent_until_ms{ 0 };
+	std::atomic<int> prefills{ 0 };
 	/* The engines that are not silent refuse requests from the start of the silence. */
 	bool others_are_full = false;
 	std::atomic<int64_t> refuses_ms{ INT64_MAX };
@@ -167,6 +181,13 @@
 	play_silence(3, 1, false);
 }
 
+/* The same where prompts are read by other engines than those that generate. */
+TEST_F(SilentEndpointsTest, PrefillEnginesSilentForASecondLoseNoRequest)
+{
+	play_silence(4, 0, false, 2);
+	EXPECT_GE(prefills, 1);
+}
+
 /*
  * Guards against streams that are cut because they left a silent engine for others, which turn out
  * to be full: an engine is left no sooner than its callers' patience requires.
