--- a/tests/test_leaving.cc
+++ b/tests/test_leaving.cc
@@ -259,11 +259,12 @@
 	EXPECT_EQ(send_request(p, request_text("order/x")).status, 200);
 	EXPECT_EQ(send_request(p, request_text("order/x")).status, 503);
 	set_endpoint_headers("s0", "");
-	grid->post_json("/row", "{\"table\":\"servers\",\"key\":\"s0\",\"value\":{\"service\":"
-				"\"orders\",\"address\":\"" +
-					address +
-					"\",\"zone\":\"dc0\",\"version\":\"v1\",\"slots\":64,"
-					"\"state\":\"ready\",\"seq\":1,\"born\":2000}}");
+	grid->post_json("/row",
+			"{\"table\":\"servers\",\"key\":\"s0\",\"value\":{\"service\":"
+			"\"orders\",\"address\":\"" +
+				address +
+				"\",\"zone\":\"dc0\",\"version\":\"v1\",\"slots\":64,"
+				"\"state\":\"ready\",\"coldLeftMs\":0,\"seq\":1,\"born\":2000}}");
 	EXPECT_TRUE(eventually(
 		[&] { return send_request(p, request_text("order/x")).status == 200; }, 3000));
 }
