Accuse requests and parts of prompts of crashes by one mechanism

Cause: requests were charged only when a new connection broke, without a probe that shows whether the endpoint has ended, and never without a body; parts of prompts had all of this. With traffic there is nearly always an idle connection.

A request is now the part behind all parts of its prompt in state/suspect_parts.c: accused by the same evidence, told to the other instances in the same way, cleared by a complete answer. A refused request explains its crashes for its parts, but for one, so that a part which crashes one request after the other is still found. The counts by fingerprint are gone; former builds' field for them is sent empty and skipped. A retry waits, 100 ms at most, until it is known whether the endpoint before has crashed; a crash after that counts by itself. An instance that comes to refuse something repeats all its crashes, as those that arrive at the same moment count once elsewhere.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -57,6 +57,12 @@
 /* The same as RESPONSE_MAX_BYTES for the answer to a prefill, which names a KV cache. */
 #define PREFILL_RESPONSE_MAX_BYTES (16 << 10)
 
+/*
+ * Longest time that a retry waits to learn whether the endpoint before has crashed, in
+ * milliseconds. An endpoint in another data centre answers within it.
+ */
+#define CRASH_EVIDENCE_WAIT_MS 100
+
 static bool is_streaming(const struct exchange *x)
 {
 	const struct attempt *a = &x->attempt;
@@ -84,12 +90,50 @@
 	endpoint_apply_response(x->entry, a->endpoint, &a->response);
 }
 
+/* Whether the rule allows another attempt after @runs attempts that may have run. */
+static bool may_try_again(const struct exchange *x, int runs)
+{
+	if (runs && !exchange_is_repeatable(x))
+		return false;
+	return (!runs || runs < x->rule->max_attempts) && x->attempted_count < ATTEMPTS_MAX;
+}
+
+static void on_crash_evidence(void *ctx)
+{
+	struct exchange *x = ctx;
+
+	attempt_retry(x, x->evidence.cause);
+}
+
+void attempt_check_evidence_wait(struct exchange *x, int64_t now_ms)
+{
+	if (!x->evidence.wait.is_waiting || now_ms < x->evidence.until_ms)
+		return;
+	crash_probe_wait_cancel(&x->evidence.wait);
+	attempt_retry(x, x->evidence.cause);
+}
+
+/*
+ * Retries once it is known whether @ep has crashed, as the request may be what crashes it. The
+ * probe in progress keeps @ep.
+ */
+static void attempt_retry_after_evidence(struct exchange *x, struct endpoint *ep, const char *cause)
+{
+	x->evidence.cause = cause;
+	x->evidence.until_ms = clock_boot_ms() + CRASH_EVIDENCE_WAIT_MS;
+	x->evidence.wait.done = on_crash_evidence;
+	x->evidence.wait.ctx = x;
+	crash_probe_wait(ep, &x->evidence.wait);
+}
+
 static void attempt_fail(struct exchange *x, enum http_failure why)
 {
 	struct attempt *a = &x->attempt;
 	struct endpoint *ep = a->endpoint;
 	bool sent = !http_failure_is_unsent(why);
+	bool lost = why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_STALE;
 	enum wire_work work = a->work;
+	bool is_probed;
 
 	a->call = NULL;
 	log_info("attempt-failed", "request=%s endpoint=%s work=%d cause=%s sent=%d age_ms=%lld",
@@ -105,18 +149,25 @@
 		if (a->budget_charged)
 			extra_budget_refund(&x->service->budget);
 	}
-	if ((why == HTTP_FAILURE_CLOSED || why == HTTP_FAILURE_STALE) && work == WIRE_WORK_RUN)
-		suspect_connection_lost(x, why, ep);
+	if (lost) {
+		suspect_connection_lost(x, ep);
+		crash_probe_start(x->entry, ep);
+		x->losses++;
+	}
 	if (!sent)
 		suspect_endpoint_crashed(x->entry, ep, why == HTTP_FAILURE_REFUSED);
 	if (why == HTTP_FAILURE_CLOSED || !sent)
 		http_client_close_idle(x->entry->endpoint_client, &ep->address);
 	if (!sent && ep->cache)
 		cache_view_clear(ep->cache);
+	is_probed = ep->crash_probed;
 	attempt_end(x);
 	if (sent && work == WIRE_WORK_RUN)
 		x->runs++;
-	attempt_retry(x, http_failure_name(why));
+	if (lost && is_probed && may_try_again(x, x->runs))
+		attempt_retry_after_evidence(x, ep, http_failure_name(why));
+	else
+		attempt_retry(x, http_failure_name(why));
 }
 
 static void on_fail(void *ctx, enum http_failure why)
@@ -208,6 +259,7 @@
 		return;
 	}
 	endpoint_record_result(ep, r->status < 500);
+	suspect_answer_complete(x);
 	if (r->status >= 500 && exchange_is_repeatable(x) && x->runs + 1 < x->rule->max_attempts &&
 	    x->attempted_count < ATTEMPTS_MAX) {
 		exchange_trail_add(x, ep, "error");
@@ -312,14 +364,6 @@
 		x->attempt.event_ms += pause_ms;
 }
 
-/* Whether the rule allows another attempt after @runs attempts that may have run. */
-static bool may_try_again(const struct exchange *x, int runs)
-{
-	if (runs && !exchange_is_repeatable(x))
-		return false;
-	return (!runs || runs < x->rule->max_attempts) && x->attempted_count < ATTEMPTS_MAX;
-}
-
 /*
  * Whether another endpoint can take over the current attempt. A silent endpoint may be sound and go
  * on after a second, so its answer is given up only for another one.
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -92,6 +92,7 @@
 
 	ep->refs = 1;
 	ep->listed = true;
+	CDS_INIT_LIST_HEAD(&ep->probe_waits);
 	ep->entry = *entry;
 	ep->hash = hash_str(str_from(entry->id), 0);
 	ep->tag = peer_tag(entry->id, 0);
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -68,9 +68,6 @@
 /* TCP user timeout of connections to endpoints and to the store, in milliseconds. */
 #define USER_TIMEOUT_MS 2000
 
-/* Maximum number of requests remembered as suspected of crashing endpoints. */
-#define SUSPECTS_MAX 1024
-
 #define BACKLOG 512
 
 int entry_dc_index(struct entry *e, const char *name)
@@ -413,7 +410,6 @@
 	CDS_INIT_LIST_HEAD(&e->services);
 	CDS_INIT_LIST_HEAD(&e->callers);
 	CDS_INIT_LIST_HEAD(&e->exchange_list);
-	e->suspects = quarantine_create(SUSPECTS_MAX);
 	e->suspect_parts = suspect_parts_create();
 	directory_init(&e->directory, endpoint_changed, e);
 	entry_dc_index(e, settings->instance.dc);
@@ -486,7 +482,6 @@
 		endpoints_destroy(e);
 	services_destroy(e);
 	directory_free(&e->directory);
-	quarantine_destroy(e->suspects);
 	suspect_parts_destroy(e->suspect_parts);
 	http_client_destroy(e->endpoint_client);
 	http_client_destroy(e->store_client);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -69,6 +69,7 @@
 static void exchange_destroy(struct exchange *x)
 {
 	attempt_end(x);
+	crash_probe_wait_cancel(&x->evidence.wait);
 	generation_release_cache(x);
 	if (x->decode)
 		endpoint_put(x->decode);
@@ -291,7 +292,7 @@
 {
 	const struct endpoint *ep;
 
-	if (x->deadline_ms - now_ms < SEND_MIN_MS || suspect_has_refused_part(x))
+	if (x->deadline_ms - now_ms < SEND_MIN_MS || suspect_is_refused(x))
 		return false;
 	cds_list_for_each_entry(ep, &x->service->endpoints, service_link) {
 		bool usable = later ? !ep->is_leaving : endpoint_is_available(ep, now_ms);
@@ -332,7 +333,7 @@
 		exchange_give_up(x, "deadline", 0);
 		return;
 	}
-	if (x->sends && suspect_has_refused_part(x)) {
+	if (x->sends && suspect_is_refused(x)) {
 		exchange_give_up(x, "crashes-endpoints", -1);
 		return;
 	}
@@ -409,7 +410,8 @@
 		return;
 	}
 	exchange_set_deadline(x);
-	if (suspect_is_quarantined(x))
+	suspect_set_fingerprint(x);
+	if (suspect_is_refused(x))
 		exchange_refuse(x, "crashes-endpoints", -1);
 	else if (!entry_outlasts(e, x->deadline_ms))
 		exchange_refuse(x, "stopping", 0);
@@ -434,6 +436,8 @@
 		/* Timers stop while the machine is suspended, but the deadline doesn't. */
 		if (now_ms >= x->deadline_ms)
 			exchange_expire(x, "deadline");
+		else if (x->evidence.wait.is_waiting)
+			attempt_check_evidence_wait(x, now_ms);
 		else if (x->awaits_endpoint)
 			exchange_place(x);
 		else
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -64,7 +64,10 @@
  * @first_byte_ms: time of the first byte of the response; 0 until then
  * @fallback: an endpoint's own error response, forwarded if retries on other endpoints bring
  *   nothing better
- * @fingerprint: equal for the same request sent again; 0 for none
+ * @fingerprint: equal for the same request sent again
+ * @losses: attempts whose connection broke
+ * @evidence: a retry that waits to learn whether the endpoint before has crashed, at most until
+ *   @evidence.until_ms; @evidence.cause is what ended the attempt
  * @cache_offers: number of engines that the filled KV cache was offered to
  * @kv_source: filled KV cache that no engine has taken over yet, or ""
  * @awaits_endpoint: may be sent again, but to no endpoint at the moment
@@ -100,6 +103,12 @@
 	struct event_stream events;
 	struct buf fallback;
 	uint64_t fingerprint;
+	int losses;
+	struct {
+		struct crash_probe_wait wait;
+		int64_t until_ms;
+		const char *cause;
+	} evidence;
 	int cache_offers;
 	char kv_source[128];
 	char kv_handle[96];
@@ -181,23 +190,32 @@
 /** attempt_retry - try again after a failure, or give up with @cause */
 void attempt_retry(struct exchange *x, const char *cause);
 
+/**
+ * attempt_check_evidence_wait - retry without knowing whether the endpoint before has crashed if
+ * that takes too long
+ */
+void attempt_check_evidence_wait(struct exchange *x, int64_t now_ms);
+
 /* suspects.c */
 
+/** suspect_set_fingerprint - set what identifies the request when it is sent again */
+void suspect_set_fingerprint(struct exchange *x);
+
 /**
- * suspect_is_quarantined - whether the request, or a part of its prompt, was involved in too many
- * crashes; sets its fingerprint
+ * suspect_is_refused - whether the request, or a part of its prompt, was involved in too many
+ * crashes
  */
-bool suspect_is_quarantined(struct exchange *x);
-
-/** suspect_has_refused_part - whether a part of the prompt was involved in too many crashes */
-bool suspect_has_refused_part(const struct exchange *x);
+bool suspect_is_refused(const struct exchange *x);
 
-/** suspect_connection_lost - record that the connection broke while the request ran at @ep */
-void suspect_connection_lost(const struct exchange *x, enum http_failure why, struct endpoint *ep);
+/** suspect_connection_lost - record that the connection broke while the request was at @ep */
+void suspect_connection_lost(const struct exchange *x, struct endpoint *ep);
 
-/** suspect_answer_goes_on - record that the current attempt's answer has gone on or is complete */
+/** suspect_answer_goes_on - record that the current attempt's answer has gone on */
 void suspect_answer_goes_on(struct exchange *x);
 
+/** suspect_answer_complete - record that the current attempt's answer is complete */
+void suspect_answer_complete(struct exchange *x);
+
 /* generation.c */
 void generation_on_body(struct exchange *x, struct str bytes);
 void generation_on_end(struct exchange *x);
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -219,7 +219,7 @@
 		return;
 	}
 	endpoint_record_result(ep, true);
-	suspect_answer_goes_on(x);
+	suspect_answer_complete(x);
 	exchange_trail_add(x, ep, "streamed");
 	caller_write(x->caller, STR_LIT("0\r\n\r\n"));
 	finish_add_completed(generation_finish_estimate(x),
@@ -436,7 +436,7 @@
 	int count, prefill = -1, at;
 
 	if (!x->kv_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs ||
-	    suspect_has_refused_part(x))
+	    suspect_is_refused(x))
 		return false;
 	count = engine_views_collect(x, x->service->prefers_local && x->decode && !x->decode->dc,
 				     clock_boot_ms(), engines, eps);
@@ -552,7 +552,7 @@
 		attempt_retry(x, "decode-engine-gone");
 		return;
 	}
-	if (suspect_has_refused_part(x)) {
+	if (suspect_is_refused(x)) {
 		generation_release_cache(x);
 		exchange_give_up(x, "crashes-endpoints", -1);
 		return;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -21,12 +21,10 @@
 #include "ibisgate/policy/retry.h"
 #include "ibisgate/policy/stage_demand.h"
 #include "ibisgate/state/cache_view.h"
-#include "ibisgate/state/crash_watch.h"
 #include "ibisgate/state/dc_health.h"
 #include "ibisgate/state/directory.h"
 #include "ibisgate/state/event_order.h"
 #include "ibisgate/state/leaving_set.h"
-#include "ibisgate/state/quarantine.h"
 #include "ibisgate/state/routing_table.h"
 #include "ibisgate/state/suspect_parts.h"
 
@@ -77,8 +75,9 @@
  * @stage_change_until_ms: it carries out an order of some instance and rejects requests until
  *   then
  * @stage_change_remote: the stage change was reported by an instance of another data centre
- * @part_watch: parts of requests that lost their connection to it before their answer went on
+ * @part_watch: requests that lost their connection to it, and parts of their prompts
  * @crash_probed: a request that shows whether the process has ended is in flight
+ * @probe_waits: what waits for its result
  * @pace: time between two events of its generations, as seen by this instance
  */
 struct endpoint {
@@ -98,7 +97,6 @@
 	UT_hash_handle by_process;
 	bool is_leaving;
 	struct circuit circuit;
-	struct crash_watch crash_watch;
 	struct cache_view *cache;
 	int64_t backlog_tokens;
 	int active;
@@ -119,6 +117,7 @@
 	bool stage_change_remote;
 	struct part_watch part_watch;
 	bool crash_probed;
+	struct cds_list_head probe_waits;
 	struct engine_pace pace;
 };
 
@@ -204,7 +203,6 @@
 	struct cds_list_head services;
 	struct cds_list_head callers;
 	struct store_watch *watches[SHARING_STORE_TABLES];
-	struct quarantine *suspects;
 	struct suspect_parts *suspect_parts;
 	struct peers *peers;
 	struct stages *stages;
@@ -321,14 +319,13 @@
 /* suspects.c */
 
 /**
- * suspect_endpoint_crashed - charge a crash of the endpoint to the requests that were running there
- * @certain: the process has ended; otherwise the endpoint may only be unreachable
+ * suspect_endpoint_crashed - accuse the requests that were running there, and parts of their
+ *prompts
+ * @certain: the process has ended; otherwise the endpoint may only be unreachable, and parts, which
+ *	many requests share, are not accused
  */
 void suspect_endpoint_crashed(struct entry *e, struct endpoint *ep, bool certain);
 
-/** suspect_merge - take over the number of crashes that another instance counted for a request */
-void suspect_merge(struct entry *e, uint64_t fingerprint, int crashes);
-
 /** suspect_part_merge - take over what another instance reports of a part */
 void suspect_part_merge(struct entry *e, const struct shared_suspect_part *r);
 
@@ -336,6 +333,30 @@
  */
 void suspects_share_all(struct entry *e);
 
+/* crash_probe.c */
+
+/**
+ * struct crash_probe_wait - waits for the result of the probe in progress
+ * @done: called once the result has been applied, unless the wait is cancelled
+ */
+struct crash_probe_wait {
+	struct cds_list_head link;
+	bool is_waiting;
+	void (*done)(void *ctx);
+	void *ctx;
+};
+
+/**
+ * crash_probe_start - find out whether the process of @ep has ended, unless a probe is in progress
+ *
+ * Without it, a crash shows only when the next request is sent there or the endpoint is back.
+ */
+void crash_probe_start(struct entry *e, struct endpoint *ep);
+
+/** crash_probe_wait - wait for the probe in progress; the caller has filled in @w->done */
+void crash_probe_wait(struct endpoint *ep, struct crash_probe_wait *w);
+void crash_probe_wait_cancel(struct crash_probe_wait *w);
+
 /* cache_sync.c */
 
 /**
@@ -414,9 +435,6 @@
 /** peers_mark_changed - schedule a message because the loads of this instance have changed */
 void peers_mark_changed(struct peers *p);
 
-/** peers_queue_suspect - queue for the other instances a request that was running during crashes */
-void peers_queue_suspect(struct peers *p, uint64_t fingerprint, int crashes);
-
 /** peers_queue_suspect_part - queue for the other instances what is known of a suspected part */
 void peers_queue_suspect_part(struct peers *p, const struct shared_suspect_part *r);
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -181,32 +181,15 @@
 	peers_relay_part(p, &added, clock_boot_ms());
 }
 
-void peers_suspect_add(struct shared_crash_suspect *list, int *count,
-		       const struct shared_crash_suspect *s)
-{
-	for (int i = 0; i < *count; i++) {
-		if (list[i].fingerprint != s->fingerprint)
-			continue;
-		if (list[i].crashes < s->crashes)
-			list[i].crashes = s->crashes;
-		return;
-	}
-	if (*count < SHARING_SUSPECTS_MAX)
-		list[(*count)++] = *s;
-}
-
-void peers_queue_suspect(struct peers *p, uint64_t fingerprint, int crashes)
-{
-	struct shared_crash_suspect s = { .fingerprint = fingerprint,
-					  .crashes = (uint32_t)crashes };
-
-	peers_suspect_add(p->suspects, &p->suspect_count, &s);
-	peers_suspect_add(p->remote_suspects, &p->remote_suspect_count, &s);
-	p->share_pending = true;
-}
-
 void peers_suspect_part_add(struct suspect_part_list *list, const struct shared_suspect_part *r)
 {
+	for (int i = 0; i < list->count; i++) {
+		const struct shared_suspect_part *known = &list->items[i];
+
+		if (known->part == r->part && known->verdict == r->verdict &&
+		    known->crash == r->crash)
+			return;
+	}
 	if (list->count < SHARING_SUSPECT_PARTS_MAX)
 		list->items[list->count++] = *r;
 }
--- a/entry/peers.h
+++ b/entry/peers.h
@@ -48,7 +48,7 @@
 	struct shared_engine_load *loads;
 };
 
-/** struct suspect_part_list - reports queued for one side; further ones are dropped */
+/** struct suspect_part_list - reports queued for one side, each once; further ones are dropped */
 struct suspect_part_list {
 	int count;
 	struct shared_suspect_part items[SHARING_SUSPECT_PARTS_MAX];
@@ -59,7 +59,6 @@
  * @lock: guards @inbox_head, @inbox_tail and @inbox_count, which the bus thread writes
  * @wake_fd: event descriptor that signals new messages to the event loop
  * @share_pending: there is something to send before the next heartbeat
- * @suspects: suspects to include in the next message
  * @parts: prompt parts sent to engines since the last message
  * @remote_parts: shared parts of this data centre's engines to report to the other data centres
  * @part_reports: as a delegate, parts reported to the other data centres
@@ -67,7 +66,6 @@
  * @dc_parts_ms: when a part of an engine of each data centre was last reported
  * @loads_summed_ms: when the loads of all instances were last summed
  * @remote_sent_ms: when a message was last sent to the other data centres
- * @remote_suspects: suspects recorded since then
  * @suspect_parts: what is known of suspected parts, to include in the next message
  * @remote_suspect_parts: the same for the next message to the other data centres
  * @max_instances: largest number of instances seen alive at the same time, including this one
@@ -87,8 +85,6 @@
 	struct event *timer;
 	int64_t sent_ms;
 	bool share_pending;
-	int suspect_count;
-	struct shared_crash_suspect suspects[SHARING_SUSPECTS_MAX];
 	int part_count;
 	struct shared_prompt_part parts[SHARING_PROMPT_PARTS_MAX];
 	int remote_part_count;
@@ -98,8 +94,6 @@
 	int64_t dc_parts_ms[ENTRY_DCS_MAX + 1];
 	int64_t loads_summed_ms;
 	int64_t remote_sent_ms;
-	int remote_suspect_count;
-	struct shared_crash_suspect remote_suspects[SHARING_SUSPECTS_MAX];
 	struct suspect_part_list suspect_parts;
 	struct suspect_part_list remote_suspect_parts;
 	struct peer_view *views;
@@ -128,11 +122,7 @@
  */
 void peers_relay_part(struct peers *p, const struct shared_prompt_part *part, int64_t now_ms);
 
-/** peers_suspect_add - add @s to a list of at most SHARING_SUSPECTS_MAX, once for each request */
-void peers_suspect_add(struct shared_crash_suspect *list, int *count,
-		       const struct shared_crash_suspect *s);
-
-/** peers_suspect_part_add - add a report to those for one side */
+/** peers_suspect_part_add - add a report to those for one side, unless it is there */
 void peers_suspect_part_add(struct suspect_part_list *list, const struct shared_suspect_part *r);
 
 /** peers_share - send loads, prompt parts, suspects and membership to the other instances */
--- a/entry/peers_receive.c
+++ b/entry/peers_receive.c
@@ -227,24 +227,9 @@
 }
 
 /*
- * Applies reports of requests that crash endpoints. A delegate forwards the reports of one side to
- * the other side.
+ * Applies reports of what crashes endpoints. A delegate forwards the reports of one side to the
+ * other side.
  */
-static void apply_suspects(struct peers *p, const struct peer_sharing *s, bool remote)
-{
-	for (int i = 0; i < s->suspect_count; i++) {
-		const struct shared_crash_suspect *suspect = &s->suspects[i];
-
-		suspect_merge(p->entry, suspect->fingerprint, (int)suspect->crashes);
-		if (!mesh_is_delegate(p->mesh))
-			continue;
-		if (remote)
-			peers_suspect_add(p->suspects, &p->suspect_count, suspect);
-		else
-			peers_suspect_add(p->remote_suspects, &p->remote_suspect_count, suspect);
-	}
-}
-
 static void apply_suspect_parts(struct peers *p, const struct peer_sharing *s, bool remote)
 {
 	for (int i = 0; i < s->suspect_part_count; i++) {
@@ -266,7 +251,6 @@
 	for (int i = 0; i < SHARING_STORE_TABLES; i++)
 		store_watch_note_peer_version(p->entry->watches[i], s->store_table_versions[i]);
 	apply_parts(p, s, remote, now);
-	apply_suspects(p, s, remote);
 	apply_suspect_parts(p, s, remote);
 	for (int i = 0; i < s->leaving_count; i++)
 		endpoint_process_leaves(p->entry, s->leaving[i], in->sender);
--- a/entry/peers_share.c
+++ b/entry/peers_share.c
@@ -67,13 +67,6 @@
 	}
 }
 
-static void fill_suspects(struct peer_sharing *s, const struct shared_crash_suspect *list,
-			  int count)
-{
-	s->suspect_count = count;
-	memcpy(s->suspects, list, sizeof(*list) * (size_t)count);
-}
-
 static void fill_suspect_parts(struct peer_sharing *s, struct suspect_part_list *list)
 {
 	s->suspect_part_count = list->count;
@@ -146,7 +139,6 @@
 			e->watches[i] ? store_watch_newest_version(e->watches[i]) : 0;
 	s->part_count = p->part_count;
 	memcpy(s->parts, p->parts, sizeof(*p->parts) * (size_t)p->part_count);
-	fill_suspects(s, p->suspects, p->suspect_count);
 	fill_suspect_parts(s, &p->suspect_parts);
 	share_with_side(p, m, false, now);
 	if (!split_by_dc || now - p->remote_sent_ms >= remote_interval_ms(p)) {
@@ -156,15 +148,12 @@
 			       sizeof(*p->remote_parts) * (size_t)p->remote_part_count);
 			p->remote_part_count = 0;
 		}
-		fill_suspects(s, p->remote_suspects, p->remote_suspect_count);
 		fill_suspect_parts(s, &p->remote_suspect_parts);
 		share_with_side(p, m, true, now);
 		p->remote_sent_ms = now;
-		p->remote_suspect_count = 0;
 	}
 	peer_message_destroy(m);
 	p->part_count = 0;
-	p->suspect_count = 0;
 	p->share_pending = false;
 	p->sent_ms = now;
 }
--- a/include/ibisgate/net/codec_sharing.h
+++ b/include/ibisgate/net/codec_sharing.h
@@ -7,9 +7,8 @@
 
 #define SHARING_ENGINE_LOADS_MAX 512
 #define SHARING_PROMPT_PARTS_MAX 512
-#define SHARING_SUSPECTS_MAX 32
 #define SHARING_LEAVING_MAX 64
-#define SHARING_SUSPECT_PARTS_MAX 128
+#define SHARING_SUSPECT_PARTS_MAX 512
 #define SHARING_STORE_TABLES 2
 
 /**
@@ -45,28 +44,20 @@
 	enum shared_prompt_part_state state;
 };
 
-/**
- * struct shared_crash_suspect - request that was in flight at endpoints when they crashed
- * @crashes: number of these crashes
- */
-struct shared_crash_suspect {
-	uint64_t fingerprint;
-	uint32_t crashes;
-};
-
 enum shared_part_verdict {
-	/* A request with the part was waiting for its answer when an engine crashed. */
+	/* A request with the part was waiting for its answer when an endpoint crashed. */
 	PART_ACCUSED,
 	/* An answer with the part went on after that. */
 	PART_CLEARED,
 	/* Requests with the part were answered before. */
 	PART_KNOWN,
-	/* An accusation that counted at the sender, for an instance that has started. */
+	/* An accusation that counts whatever others arrived at the same moment. */
 	PART_RESTATED,
 };
 
 /**
- * struct shared_suspect_part - what the sender knows of a part that may crash engines
+ * struct shared_suspect_part - what the sender knows of a part, or a whole request, that may crash
+ *	endpoints
  * @depth: position of the part in the prompt, if it is accused
  * @crash: identifies the crash, if it is accused
  */
@@ -93,8 +84,6 @@
 	struct shared_engine_load loads[SHARING_ENGINE_LOADS_MAX];
 	int part_count;
 	struct shared_prompt_part parts[SHARING_PROMPT_PARTS_MAX];
-	int suspect_count;
-	struct shared_crash_suspect suspects[SHARING_SUSPECTS_MAX];
 	int leaving_count;
 	uint32_t leaving[SHARING_LEAVING_MAX];
 	int changing_count;
--- a/include/ibisgate/standins/grid.h
+++ b/include/ibisgate/standins/grid.h
@@ -107,6 +107,7 @@
  * @fault: fault injected into the next @fault_requests_left requests, whichever nodes receive them
  * @deadly_part: an engine crashes when it begins to answer a request whose prompt has this part; ""
  *	for none
+ * @deadly_target: the same for any node and requests whose target contains this text
  */
 struct grid {
 	pthread_mutex_t lock;
@@ -125,6 +126,7 @@
 	enum grid_fault fault;
 	int fault_requests_left;
 	char deadly_part[32];
+	char deadly_target[32];
 };
 
 /** grid_store_handle - handle one request to the store */
--- a/net/codec_sharing.c
+++ b/net/codec_sharing.c
@@ -120,6 +120,9 @@
 #define SHARING_FIELDS_MIN 7
 #define SHARING_FIELDS 8
 
+/* Maximum number of crash counts in a message of a former build. */
+#define CRASH_COUNTS_MAX 32
+
 static void put_suspect_parts(struct buf *b, const struct peer_sharing *s)
 {
 	codec_put_array(b, s->suspect_part_count);
@@ -145,6 +148,18 @@
 	}
 }
 
+/* Instances of former builds send numbers of crashes by request here; others send none. */
+static void skip_crash_counts(struct reader *r)
+{
+	int count = codec_get_count(r, CRASH_COUNTS_MAX);
+
+	for (int i = 0; i < count && !r->failed; i++) {
+		codec_get_fixed_array(r, 2);
+		codec_get_uint(r, UINT64_MAX);
+		get_u32(r);
+	}
+}
+
 void codec_put_sharing(struct buf *b, const struct peer_sharing *s)
 {
 	codec_put_array(b, SHARING_FIELDS);
@@ -154,12 +169,7 @@
 		codec_put_uint(b, (uint64_t)s->store_table_versions[i]);
 	put_loads(b, s);
 	put_parts(b, s);
-	codec_put_array(b, s->suspect_count);
-	for (int i = 0; i < s->suspect_count; i++) {
-		codec_put_array(b, 2);
-		codec_put_uint(b, s->suspects[i].fingerprint);
-		codec_put_uint(b, s->suspects[i].crashes);
-	}
+	codec_put_array(b, 0);
 	put_tags(b, s->leaving, s->leaving_count);
 	put_tags(b, s->changing, s->changing_count);
 	put_suspect_parts(b, s);
@@ -179,12 +189,7 @@
 		s->store_table_versions[i] = (int64_t)codec_get_uint(r, INT64_MAX);
 	get_loads(r, s);
 	get_parts(r, s);
-	s->suspect_count = codec_get_count(r, SHARING_SUSPECTS_MAX);
-	for (int i = 0; i < s->suspect_count && !r->failed; i++) {
-		codec_get_fixed_array(r, 2);
-		s->suspects[i].fingerprint = codec_get_uint(r, UINT64_MAX);
-		s->suspects[i].crashes = get_u32(r);
-	}
+	skip_crash_counts(r);
 	s->leaving_count = get_tags(r, s->leaving, SHARING_LEAVING_MAX);
 	s->changing_count = get_tags(r, s->changing, SHARING_LEAVING_MAX);
 	if (fields == SHARING_FIELDS)
--- a/standins/grid_main.c
+++ b/standins/grid_main.c
@@ -128,6 +128,12 @@
 	}
 }
 
+static void control_deadly_set(struct grid *g, const json_t *req)
+{
+	str_copy(g->deadly_part, sizeof(g->deadly_part), json_get_str(req, "part"));
+	str_copy(g->deadly_target, sizeof(g->deadly_target), json_get_str(req, "target"));
+}
+
 static json_t *runs_json(const struct grid *g)
 {
 	json_t *runs = json_array();
@@ -180,7 +186,7 @@
 		else if (http_request_matches(conn, "POST", "/node"))
 			control_nodes_set(g, req);
 		else if (http_request_matches(conn, "POST", "/deadly"))
-			str_copy(g->deadly_part, sizeof(g->deadly_part), json_get_str(req, "part"));
+			control_deadly_set(g, req);
 	}
 	pthread_mutex_unlock(&g->lock);
 	json_decref(req);
--- a/standins/grid_node.c
+++ b/standins/grid_node.c
@@ -230,10 +230,13 @@
 
 static bool is_deadly(const struct grid_node *n, struct mg_connection *conn)
 {
-	const char *part = n->grid->deadly_part;
+	const struct grid *g = n->grid;
 
-	return n->is_engine && part[0] &&
-	       strstr(header_or_empty(conn, "X-Ibisgate-Prefix-Hash"), part);
+	if (g->deadly_target[0] &&
+	    strstr(mg_get_request_info(conn)->local_uri_raw, g->deadly_target))
+		return true;
+	return n->is_engine && g->deadly_part[0] &&
+	       strstr(header_or_empty(conn, "X-Ibisgate-Prefix-Hash"), g->deadly_part);
 }
 
 /* The engine crashes and a new process registers. Requests in flight lose their connections. */
--- a/state/suspect_parts.c
+++ b/state/suspect_parts.c
@@ -16,8 +16,16 @@
 /* Slots for parts that were answered; a part overwrites the former one of its slot. */
 #define ANSWERED_SLOTS 2048
 
+/** struct answered_set - parts that were answered lately, with the times of the last answers */
+struct answered_set {
+	struct {
+		uint64_t part;
+		int64_t at_ms;
+	} slots[ANSWERED_SLOTS];
+};
+
 /**
- * struct suspect - an accused part; its slot is free while there are no crashes
+ * struct suspect - an accused part or request; its slot is free while there are no crashes
  * @is_known: requests with the part were answered before
  * @accused_ms: when the last accusation arrived
  */
@@ -31,16 +39,15 @@
 };
 
 /**
- * struct suspect_parts - accused parts, and parts that were answered lately
+ * struct suspect_parts - accused parts and requests, and those that were answered lately
  * @count: number of slots of @suspects in use; freed ones are filled with the last
+ * @answered_requests: apart, as there are many more of them than of shared parts
  */
 struct suspect_parts {
 	struct suspect suspects[SUSPECT_PARTS_MAX];
 	int count;
-	struct {
-		uint64_t part;
-		int64_t at_ms;
-	} answered[ANSWERED_SLOTS];
+	struct answered_set answered_parts;
+	struct answered_set answered_requests;
 };
 
 struct suspect_parts *suspect_parts_create(void)
@@ -62,11 +69,9 @@
 	return NULL;
 }
 
-static bool suspect_is_refused(const struct suspect *p, int64_t now_ms)
+static bool suspect_is_request(const struct suspect *p)
 {
-	int limit = p->is_known ? SUSPECT_KNOWN_PART_CRASHES : SUSPECT_NEW_PART_CRASHES;
-
-	return p->count >= limit && now_ms - p->accused_ms < SUSPECT_REFUSAL_MS;
+	return p->depth == SUSPECT_DEPTH_REQUEST;
 }
 
 static bool suspect_has_crash(const struct suspect *p, uint32_t crash)
@@ -78,12 +83,52 @@
 	return false;
 }
 
+static bool count_is_refused(const struct suspect *p, int count, int64_t now_ms)
+{
+	int limit = p->is_known ? SUSPECT_KNOWN_PART_CRASHES : SUSPECT_NEW_PART_CRASHES;
+
+	return count >= limit && now_ms - p->accused_ms < SUSPECT_REFUSAL_MS;
+}
+
+/* Number of crashes that count against a part: one for all those of each refused request. */
+static int suspect_count_crashes(const struct suspect_parts *s, const struct suspect *p,
+				 int64_t now_ms)
+{
+	bool explained[CRASHES_MAX] = { false };
+	int count = p->count;
+
+	for (int i = 0; i < s->count && !suspect_is_request(p); i++) {
+		const struct suspect *r = &s->suspects[i];
+		int common = 0;
+
+		if (!suspect_is_request(r) || !count_is_refused(r, r->count, now_ms))
+			continue;
+		for (int k = 0; k < p->count; k++) {
+			if (explained[k] || !suspect_has_crash(r, p->crashes[k]))
+				continue;
+			explained[k] = true;
+			common++;
+		}
+		count -= common ? common - 1 : 0;
+	}
+	return count;
+}
+
+static bool suspect_is_refused(const struct suspect_parts *s, const struct suspect *p,
+			       int64_t now_ms)
+{
+	return count_is_refused(p, p->count, now_ms) &&
+	       count_is_refused(p, suspect_count_crashes(s, p, now_ms), now_ms);
+}
+
 static void suspect_remove(struct suspect_parts *s, struct suspect *p)
 {
 	*p = s->suspects[--s->count];
 }
 
-/* The slot of the oldest part that is not refused is used again when there is no free one. */
+/*
+ * When there is no free slot, the one with the fewest crashes is used again, the oldest of several.
+ */
 static struct suspect *suspect_add(struct suspect_parts *s, uint64_t part, int64_t now_ms)
 {
 	struct suspect *victim = NULL;
@@ -94,8 +139,10 @@
 		for (int i = 0; i < s->count; i++) {
 			struct suspect *p = &s->suspects[i];
 
-			if (!suspect_is_refused(p, now_ms) &&
-			    (!victim || p->accused_ms < victim->accused_ms))
+			if (suspect_is_refused(s, p, now_ms))
+				continue;
+			if (!victim || p->count < victim->count ||
+			    (p->count == victim->count && p->accused_ms < victim->accused_ms))
 				victim = p;
 		}
 	}
@@ -104,10 +151,14 @@
 	return victim;
 }
 
-/* Whether the crashes of a refused part are no evidence against @p. */
+/*
+ * Whether the crashes of a refused part are no evidence against @p. Those of a refused request are
+ * treated by suspect_count_crashes().
+ */
 static bool suspect_explains(const struct suspect *refused, const struct suspect *p)
 {
-	return p->part != refused->part && (p->is_known || p->depth < refused->depth);
+	return !suspect_is_request(refused) && p->part != refused->part &&
+	       (p->is_known || p->depth < refused->depth);
 }
 
 static void suspect_explain_crashes(struct suspect_parts *s, struct suspect refused)
@@ -132,7 +183,7 @@
 	for (int i = 0; i < s->count; i++) {
 		const struct suspect *p = &s->suspects[i];
 
-		if (suspect_is_refused(p, now_ms) && suspect_has_crash(p, crash) &&
+		if (suspect_is_refused(s, p, now_ms) && suspect_has_crash(p, crash) &&
 		    suspect_explains(p, accused))
 			return true;
 	}
@@ -147,7 +198,7 @@
 	if (p)
 		accused = *p;
 	accused.is_known = accused.is_known || suspect_parts_was_answered(s, a->part, now_ms);
-	if (accused.count && !a->restated && now_ms - accused.accused_ms < SAME_MOMENT_MS)
+	if (accused.count && !a->is_separate && now_ms - accused.accused_ms < SAME_MOMENT_MS)
 		return false;
 	if (suspect_has_crash(&accused, a->crash) ||
 	    crash_is_explained(s, &accused, a->crash, now_ms))
@@ -160,7 +211,7 @@
 	if (accused.count < CRASHES_MAX)
 		accused.crashes[accused.count++] = a->crash;
 	*p = accused;
-	if (suspect_is_refused(p, now_ms))
+	if (suspect_is_refused(s, p, now_ms))
 		suspect_explain_crashes(s, accused);
 	return true;
 }
@@ -170,27 +221,32 @@
 	return hash_mix(part, 0) % ANSWERED_SLOTS;
 }
 
-bool suspect_parts_was_answered(const struct suspect_parts *s, uint64_t part, int64_t now_ms)
+static bool answered_has(const struct answered_set *a, uint64_t part, int64_t now_ms)
 {
 	uint64_t i = answered_slot(part);
 
-	return s->answered[i].at_ms && s->answered[i].part == part &&
-	       now_ms - s->answered[i].at_ms < SUSPECT_REFUSAL_MS;
+	return a->slots[i].at_ms && a->slots[i].part == part &&
+	       now_ms - a->slots[i].at_ms < SUSPECT_REFUSAL_MS;
 }
 
-static void answered_set(struct suspect_parts *s, uint64_t part, int64_t now_ms)
+static void answered_add(struct answered_set *a, uint64_t part, int64_t now_ms)
 {
 	uint64_t i = answered_slot(part);
 
-	s->answered[i].part = part;
-	s->answered[i].at_ms = now_ms;
+	a->slots[i].part = part;
+	a->slots[i].at_ms = now_ms;
 }
 
-bool suspect_parts_answered(struct suspect_parts *s, uint64_t part, int64_t sent_ms, int64_t now_ms)
+bool suspect_parts_was_answered(const struct suspect_parts *s, uint64_t part, int64_t now_ms)
+{
+	return answered_has(&s->answered_parts, part, now_ms) ||
+	       answered_has(&s->answered_requests, part, now_ms);
+}
+
+static bool suspect_answered(struct suspect_parts *s, uint64_t part, int64_t sent_ms)
 {
 	struct suspect *p = suspect_find(s, part);
 
-	answered_set(s, part, now_ms);
 	if (!p)
 		return false;
 	if (sent_ms <= p->accused_ms) {
@@ -201,6 +257,19 @@
 	return true;
 }
 
+bool suspect_parts_answered(struct suspect_parts *s, uint64_t part, int64_t sent_ms, int64_t now_ms)
+{
+	answered_add(&s->answered_parts, part, now_ms);
+	return suspect_answered(s, part, sent_ms);
+}
+
+bool suspect_parts_request_answered(struct suspect_parts *s, uint64_t fingerprint, int64_t sent_ms,
+				    int64_t now_ms)
+{
+	answered_add(&s->answered_requests, fingerprint, now_ms);
+	return suspect_answered(s, fingerprint, sent_ms);
+}
+
 void suspect_parts_clear(struct suspect_parts *s, uint64_t part)
 {
 	struct suspect *p = suspect_find(s, part);
@@ -213,7 +282,7 @@
 {
 	struct suspect *p = suspect_find(s, part);
 
-	answered_set(s, part, now_ms);
+	answered_add(&s->answered_parts, part, now_ms);
 	if (p)
 		p->is_known = true;
 }
@@ -222,7 +291,7 @@
 {
 	const struct suspect *p = suspect_find(s, part);
 
-	return p && suspect_is_refused(p, now_ms);
+	return p && suspect_is_refused(s, p, now_ms);
 }
 
 int suspect_parts_crashes(const struct suspect_parts *s, uint64_t part)
@@ -237,11 +306,11 @@
 	int n = 0;
 
 	for (int i = 0; i < s->count; i++)
-		n += suspect_is_refused(&s->suspects[i], now_ms);
+		n += suspect_is_refused(s, &s->suspects[i], now_ms);
 	return n;
 }
 
-int suspect_parts_accusations(const struct suspect_parts *s, int64_t now_ms,
+int suspect_parts_accusations(const struct suspect_parts *s, uint64_t part, int64_t now_ms,
 			      struct part_accusation *out, int max)
 {
 	int n = 0;
@@ -249,47 +318,51 @@
 	for (int i = 0; i < s->count; i++) {
 		const struct suspect *p = &s->suspects[i];
 
-		if (!suspect_is_refused(p, now_ms))
+		if ((part && p->part != part) || !suspect_is_refused(s, p, now_ms))
 			continue;
 		for (int k = 0; k < p->count && n < max; k++)
 			out[n++] = (struct part_accusation){ .part = p->part,
 							     .depth = p->depth,
 							     .crash = p->crashes[k],
-							     .restated = true };
+							     .is_separate = true };
 	}
 	return n;
 }
 
-void part_watch_add(struct part_watch *w, uint64_t part, uint32_t depth, int64_t now_ms)
+void part_watch_add(struct part_watch *w, const struct part_accusation *a, int64_t now_ms)
 {
-	w->slots[w->next].part = part;
-	w->slots[w->next].depth = depth;
-	w->slots[w->next].at_ms = now_ms;
-	w->next = (w->next + 1) % PART_WATCH_SLOTS;
-}
+	int i = w->next;
 
-static bool list_has(const struct part_accusation *list, int count, uint64_t part)
-{
-	for (int i = 0; i < count; i++) {
-		if (list[i].part == part)
-			return true;
+	for (int k = 0; k < PART_WATCH_SLOTS; k++) {
+		if (w->slots[k].at_ms && w->slots[k].part == a->part)
+			i = k;
 	}
-	return false;
+	if (i == w->next)
+		w->next = (w->next + 1) % PART_WATCH_SLOTS;
+	w->slots[i].part = a->part;
+	w->slots[i].depth = a->depth;
+	w->slots[i].is_separate = a->is_separate;
+	w->slots[i].at_ms = now_ms;
 }
 
-int part_watch_take(struct part_watch *w, uint32_t crash, int64_t now_ms,
+int part_watch_list(const struct part_watch *w, uint32_t crash, bool requests_only, int64_t now_ms,
 		    struct part_accusation *out)
 {
 	int count = 0;
 
 	for (int i = 0; i < PART_WATCH_SLOTS; i++) {
 		if (!w->slots[i].at_ms || now_ms - w->slots[i].at_ms > EVIDENCE_MAX_DELAY_MS ||
-		    list_has(out, count, w->slots[i].part))
+		    (requests_only && w->slots[i].depth != SUSPECT_DEPTH_REQUEST))
 			continue;
 		out[count++] = (struct part_accusation){ .part = w->slots[i].part,
 							 .depth = w->slots[i].depth,
-							 .crash = crash };
+							 .crash = crash,
+							 .is_separate = w->slots[i].is_separate };
 	}
-	*w = (struct part_watch){ 0 };
 	return count;
 }
+
+void part_watch_clear(struct part_watch *w)
+{
+	*w = (struct part_watch){ 0 };
+}
--- a/tests/test_codec.cc
+++ b/tests/test_codec.cc
@@ -84,11 +84,6 @@
 		s->parts[i].tokens = (uint32_t)rng();
 		s->parts[i].state = (enum shared_prompt_part_state)(rng() % 4);
 	}
-	s->suspect_count = (int)(rng() % (SHARING_SUSPECTS_MAX + 1));
-	for (int i = 0; i < s->suspect_count; i++) {
-		s->suspects[i].fingerprint = rng();
-		s->suspects[i].crashes = (uint32_t)rng();
-	}
 	s->leaving_count = (int)(rng() % (SHARING_LEAVING_MAX + 1));
 	for (int i = 0; i < s->leaving_count; i++)
 		s->leaving[i] = (uint32_t)rng();
--- a/tests/test_suspect_parts.cc
+++ b/tests/test_suspect_parts.cc
@@ -126,7 +126,7 @@
 	for (uint64_t part = 1000; part < 1000 + 4 * SUSPECT_PARTS_MAX; part++)
 		EXPECT_TRUE(accuse(s, part, 50, 20 + (int64_t)part));
 	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, 9000));
-	EXPECT_EQ(suspect_parts_accusations(s.get(), 9000, out, SUSPECT_PARTS_MAX), 3);
+	EXPECT_EQ(suspect_parts_accusations(s.get(), 0, 9000, out, SUSPECT_PARTS_MAX), 3);
 	EXPECT_EQ(out[0].part, 7u);
 }
 
@@ -141,25 +141,111 @@
 	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 1);
 	for (uint32_t crash = 6; crash <= 7; crash++)
 		accuse(s, 7, crash, 100 * crash);
-	ASSERT_EQ(suspect_parts_accusations(s.get(), 800, out, 8), 3);
+	ASSERT_EQ(suspect_parts_accusations(s.get(), 0, 800, out, 8), 3);
 	for (int i = 0; i < 3; i++)
 		EXPECT_TRUE(suspect_parts_accuse(t.get(), &out[i], 800));
 	EXPECT_TRUE(suspect_parts_is_refused(t.get(), 7, 800));
 }
 
-TEST(PartWatch, TakesEachPartOfTheLastSecondsOnce)
+void watch(struct part_watch *w, uint64_t part, int64_t now, uint32_t depth = 1)
+{
+	struct part_accusation a = { part, depth, 0, false };
+
+	part_watch_add(w, &a, now);
+}
+
+TEST(PartWatch, ListsEachPartOfTheLastSecondsOnce)
 {
 	struct part_watch w = {};
 	struct part_accusation out[PART_WATCH_SLOTS];
 
-	part_watch_add(&w, 1, 0, 1000);
+	watch(&w, 1, 1000, 0);
 	for (uint64_t part : { 2, 3, 2, 3 })
-		part_watch_add(&w, part, 1, 4500);
-	ASSERT_EQ(part_watch_take(&w, 77, 5000, out), 2);
+		watch(&w, part, 4500);
+	ASSERT_EQ(part_watch_list(&w, 77, false, 5000, out), 2);
 	EXPECT_EQ(out[0].part, 2u);
 	EXPECT_EQ(out[0].depth, 1u);
 	EXPECT_EQ(out[1].crash, 77u);
-	EXPECT_EQ(part_watch_take(&w, 78, 5000, out), 0);
+	part_watch_clear(&w);
+	EXPECT_EQ(part_watch_list(&w, 78, false, 5000, out), 0);
+	for (uint64_t part = 1; part <= PART_WATCH_SLOTS + 20; part++)
+		watch(&w, part, 6000);
+	EXPECT_EQ(part_watch_list(&w, 79, false, 6000, out), PART_WATCH_SLOTS);
+}
+
+/* Guards against accusing parts, which many requests share, when an endpoint can't be reached. */
+TEST(PartWatch, ListsOnlyRequestsWithoutCertainEvidence)
+{
+	struct part_watch w = {};
+	struct part_accusation out[PART_WATCH_SLOTS];
+
+	watch(&w, 1, 1000, 0);
+	watch(&w, 2, 1000, SUSPECT_DEPTH_REQUEST);
+	ASSERT_EQ(part_watch_list(&w, 77, true, 1500, out), 1);
+	EXPECT_EQ(out[0].part, 2u);
+	EXPECT_EQ(part_watch_list(&w, 77, false, 1500, out), 2);
+}
+
+/* Guards against LOST: sound requests that share parts with one that crashes endpoints. */
+TEST(SuspectParts, RefusedRequestLeavesItsPartsToOthers)
+{
+	Parts s = create();
+
+	for (uint32_t crash = 1; crash <= 4; crash++) {
+		accuse(s, 7, crash, 100 * crash, SUSPECT_DEPTH_REQUEST);
+		accuse(s, 1, crash, 100 * crash + 1, 0);
+	}
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, 500));
+	EXPECT_FALSE(suspect_parts_is_refused(s.get(), 1, 500));
+	EXPECT_EQ(suspect_parts_count_refused(s.get(), 500), 1);
+}
+
+/* Guards against BUDGET: requests with a deadly part that are each repeated until refused. */
+TEST(SuspectParts, PartThatCrashesSeveralRepeatedRequestsIsRefused)
+{
+	Parts s = create();
+	uint32_t crash = 0;
+
+	for (uint64_t request = 100; !suspect_parts_is_refused(s.get(), 1, 100 * crash);
+	     request++) {
+		for (int n = 0; n < 3 && !suspect_parts_is_refused(s.get(), 1, 100 * crash); n++) {
+			crash++;
+			accuse(s, request, crash, 100 * crash, SUSPECT_DEPTH_REQUEST);
+			accuse(s, 1, crash, 100 * crash + 1, 0);
+		}
+		ASSERT_LE(crash, 20u);
+	}
+	EXPECT_LE(crash, 5u);
+}
+
+/* Guards against refusing what crashed beside others, once an answer shows that it is sound. */
+TEST(SuspectParts, CompleteAnswerClearsARequest)
+{
+	Parts s = create();
+
+	accuse(s, 7, 1, 100, SUSPECT_DEPTH_REQUEST);
+	accuse(s, 7, 2, 200, SUSPECT_DEPTH_REQUEST);
+	EXPECT_TRUE(suspect_parts_request_answered(s.get(), 7, 250, 300));
+	EXPECT_TRUE(suspect_parts_was_answered(s.get(), 7, 400));
+	for (uint32_t crash = 3; crash <= 6; crash++)
+		accuse(s, 7, crash, 100 * crash + 100, SUSPECT_DEPTH_REQUEST);
+	EXPECT_FALSE(suspect_parts_is_refused(s.get(), 7, 800));
+	accuse(s, 7, 7, 900, SUSPECT_DEPTH_REQUEST);
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, 1000));
+}
+
+/* Guards against a repeat that counts as a crash of the same rack. */
+TEST(SuspectParts, RepeatAfterACrashCountsAtOnce)
+{
+	Parts s = create();
+	struct part_accusation a = { 7, SUSPECT_DEPTH_REQUEST, 1, false };
+
+	EXPECT_TRUE(suspect_parts_accuse(s.get(), &a, 100));
+	a.crash = 2;
+	EXPECT_FALSE(suspect_parts_accuse(s.get(), &a, 110));
+	a.is_separate = true;
+	EXPECT_TRUE(suspect_parts_accuse(s.get(), &a, 110));
+	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 2);
 }
 
 /* Reports between instances: part, verdict and crash, with the time of arrival. */
