Tell other instances all crashes of what is refused

Before that, an instance that learnt of the crash of a repeat before that of the first attempt took both for one, as engines of a rack crash at one moment.

Whoever comes to refuse something now sends all its crashes. Accusations of repeats are left out of that rule in both directions.

SuspectParts.CrashBeforeARepeatCountsAfterIt failed before.

--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -83,6 +83,22 @@
 					 .crash = a->crash });
 }
 
+/* Queues the accusations of a refused part, or with 0 those of all, for the other instances. */
+static void share_accusations(struct entry *e, uint64_t part)
+{
+	struct part_accusation list[SHARING_SUSPECT_PARTS_MAX];
+	int n = suspect_parts_accusations(e->suspect_parts, part, clock_boot_ms(), list,
+					  SHARING_SUSPECT_PARTS_MAX);
+
+	for (int i = 0; i < n; i++)
+		queue_accusation(e, &list[i]);
+}
+
+void suspects_share_all(struct entry *e)
+{
+	share_accusations(e, 0);
+}
+
 /* Return: false if the accusation was known. */
 static bool part_accuse(struct entry *e, const struct part_accusation *a, const char *source)
 {
@@ -100,25 +116,15 @@
 	metric_add(METRIC_QUARANTINED, refused && !was_refused);
 	if (suspect_parts_was_answered(e->suspect_parts, a->part, now))
 		queue_part(e, a->part, PART_KNOWN);
+	/*
+	 * Others may lack one of these crashes: each instance has seen some of them, and counts
+	 * several that arrive at the same moment once.
+	 */
+	if (refused && !was_refused)
+		share_accusations(e, a->part);
 	return true;
 }
 
-/* Queues the accusations of a refused part, or with 0 those of all, for the other instances. */
-static void share_accusations(struct entry *e, uint64_t part)
-{
-	struct part_accusation list[SHARING_SUSPECT_PARTS_MAX];
-	int n = suspect_parts_accusations(e->suspect_parts, part, clock_boot_ms(), list,
-					  SHARING_SUSPECT_PARTS_MAX);
-
-	for (int i = 0; i < n; i++)
-		queue_accusation(e, &list[i]);
-}
-
-void suspects_share_all(struct entry *e)
-{
-	share_accusations(e, 0);
-}
-
 void suspect_endpoint_crashed(struct entry *e, struct endpoint *ep, bool certain)
 {
 	struct part_accusation list[PART_WATCH_SLOTS];
@@ -127,11 +133,8 @@
 	if (certain)
 		part_watch_clear(&ep->part_watch);
 	for (int i = 0; i < n; i++) {
-		if (!part_accuse(e, &list[i], ep->entry.id))
-			continue;
-		queue_accusation(e, &list[i]);
-		/* Others may have missed one, or received several at the same moment. */
-		share_accusations(e, list[i].part);
+		if (part_accuse(e, &list[i], ep->entry.id))
+			queue_accusation(e, &list[i]);
 	}
 }
 
--- a/state/suspect_parts.c
+++ b/state/suspect_parts.c
@@ -28,6 +28,7 @@
  * struct suspect - an accused part or request; its slot is free while there are no crashes
  * @is_known: requests with the part were answered before
  * @accused_ms: when the last accusation arrived
+ * @moment_ms: when the last one arrived that is not separate
  */
 struct suspect {
 	uint64_t part;
@@ -36,6 +37,7 @@
 	int count;
 	bool is_known;
 	int64_t accused_ms;
+	int64_t moment_ms;
 };
 
 /**
@@ -198,7 +200,7 @@
 	if (p)
 		accused = *p;
 	accused.is_known = accused.is_known || suspect_parts_was_answered(s, a->part, now_ms);
-	if (accused.count && !a->is_separate && now_ms - accused.accused_ms < SAME_MOMENT_MS)
+	if (accused.moment_ms && !a->is_separate && now_ms - accused.moment_ms < SAME_MOMENT_MS)
 		return false;
 	if (suspect_has_crash(&accused, a->crash) ||
 	    crash_is_explained(s, &accused, a->crash, now_ms))
@@ -208,6 +210,8 @@
 	if (!p)
 		return false;
 	accused.accused_ms = now_ms;
+	if (!a->is_separate)
+		accused.moment_ms = now_ms;
 	if (accused.count < CRASHES_MAX)
 		accused.crashes[accused.count++] = a->crash;
 	*p = accused;
--- a/tests/test_suspect_parts.cc
+++ b/tests/test_suspect_parts.cc
@@ -248,6 +248,19 @@
 	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 2);
 }
 
+/* Guards against losing the crash before a repeat, when both become known in reverse order. */
+TEST(SuspectParts, CrashBeforeARepeatCountsAfterIt)
+{
+	Parts s = create();
+	struct part_accusation repeat = { 7, 1, 2, true };
+
+	EXPECT_TRUE(suspect_parts_accuse(s.get(), &repeat, 100));
+	EXPECT_TRUE(accuse(s, 7, 1, 100));
+	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 2);
+	/* Another engine of the same rack. */
+	EXPECT_FALSE(accuse(s, 7, 3, 120));
+}
+
 /* Reports between instances: part, verdict and crash, with the time of arrival. */
 struct Report {
 	int64_t at;
