Reserve the retry budget before a silent engine is left

Callers got 502 with most of their time left when engines fell silent for a second: their request left an engine that would have answered, had its prompt read again, and was given up between the two stages, as the retry budget was used up.

Before it left, the budget was only looked at, and for one send. With prefill engines it takes two, and others took them in the meantime.

It now takes what it needs before it leaves and gives back what it does not use; a send counts from when it takes place. Without enough of it, the request waits for the silent engine. One that may have run and finds no budget between the stages after refusals waits as well.

ExtraBudget.LookingDoesNotCount goes with the function that it tested; two tests of reservations replace it.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -84,6 +84,8 @@
 	dc_health_record(entry_dc_health(x->entry, a->endpoint->dc), true, a->last_receive_ms);
 	a->head = head;
 	wire_response_decode(head, &a->response);
+	if (a->work == WIRE_WORK_RUN && !a->response.not_run)
+		attempt_return_reserved(x);
 	/* A stream is forwarded as it arrives. */
 	if (is_streaming(x))
 		http_exchange_set_body_max(a->call, 0);
@@ -364,17 +366,55 @@
 		x->attempt.event_ms += pause_ms;
 }
 
+/* Number of sends that a retry may take: a prefill on one engine and the rest on another. */
+static int retry_send_count(const struct exchange *x)
+{
+	const struct endpoint *ep;
+
+	cds_list_for_each_entry(ep, &x->service->endpoints, service_link) {
+		if (ep->entry.stage == STAGE_PREFILL && !ep->is_leaving)
+			return 2;
+	}
+	return 1;
+}
+
+void attempt_return_reserved(struct exchange *x)
+{
+	struct extra_budget_limits limits = entry_extra_limits(x->entry);
+
+	if (x->reserved_sends)
+		extra_budget_return_reserved(&x->service->budget, &limits, x->reserved_sends,
+					     x->reserved_ms, clock_boot_ms());
+	x->reserved_sends = 0;
+}
+
+static bool budget_take(struct exchange *x, const struct extra_budget_limits *limits, int64_t now)
+{
+	if (!x->reserved_sends)
+		return extra_budget_try_take(&x->service->budget, limits, now);
+	x->reserved_sends--;
+	extra_budget_use_reserved(&x->service->budget, limits, x->reserved_ms, now);
+	return true;
+}
+
 /*
- * Whether another endpoint can take over the current attempt. A silent endpoint may be sound and go
- * on after a second, so its answer is given up only for another one.
+ * Makes sure that another endpoint can take over the current attempt, up to its end. A silent
+ * endpoint may be sound and go on after a second, so its answer is given up only for another one.
  */
-static bool attempt_can_move(const struct exchange *x, int64_t now)
+static bool attempt_reserve_move(struct exchange *x, int64_t now)
 {
 	struct extra_budget_limits limits = entry_extra_limits(x->entry);
+	int count = retry_send_count(x);
 
-	return may_try_again(x, x->runs + (x->attempt.work == WIRE_WORK_RUN)) &&
-	       extra_budget_has_left(&x->service->budget, &limits, now) &&
-	       exchange_can_place(x, now);
+	if (!may_try_again(x, x->runs + (x->attempt.work == WIRE_WORK_RUN)) ||
+	    !exchange_can_place(x, now))
+		return false;
+	attempt_return_reserved(x);
+	if (!extra_budget_reserve(&x->service->budget, &limits, count, now))
+		return false;
+	x->reserved_sends = count;
+	x->reserved_ms = now;
+	return true;
 }
 
 void attempt_check_silence(struct exchange *x, int64_t now_ms)
@@ -383,7 +423,7 @@
 
 	if (!call || x->attempt.is_paused || !is_silent(x, now_ms))
 		return;
-	if (!attempt_can_move(x, now_ms)) {
+	if (!attempt_reserve_move(x, now_ms)) {
 		if (!x->attempt.is_waiting)
 			log_info("attempt-waits", "request=%s endpoint=%s silent_ms=%lld runs=%d",
 				 x->in.id, x->attempt.endpoint->entry.id,
@@ -435,7 +475,7 @@
 		extra_budget_count_first(&x->service->budget, &limits, now);
 		x->first_counted = true;
 	}
-	if (budget_charged && !extra_budget_try_take(&x->service->budget, &limits, now)) {
+	if (budget_charged && !budget_take(x, &limits, now)) {
 		metric_add(METRIC_RETRIES_DENIED, 1);
 		return false;
 	}
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -69,6 +69,7 @@
 static void exchange_destroy(struct exchange *x)
 {
 	attempt_end(x);
+	attempt_return_reserved(x);
 	crash_probe_wait_cancel(&x->evidence.wait);
 	generation_release_cache(x);
 	if (x->decode)
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -58,6 +58,7 @@
  * @runs: attempts that an endpoint may have run
  * @refused: attempts that an endpoint has stated not to have run
  * @sends: total number of attempts
+ * @reserved_sends: sends taken out of the retry budget in advance, at @reserved_ms
  * @response_started: bytes of a response have been sent to the caller
  * @events_sent: number of events sent to the caller
  * @order: ids of the events sent to the caller and received from the current engine
@@ -96,6 +97,8 @@
 	int refused;
 	int sends;
 	bool first_counted;
+	int reserved_sends;
+	int64_t reserved_ms;
 	bool response_started;
 	int events_sent;
 	struct event_order order;
@@ -178,6 +181,9 @@
 /** attempt_end - release the attempt and close its connection if it is still open */
 void attempt_end(struct exchange *x);
 
+/** attempt_return_reserved - give back the sends that were reserved and not used */
+void attempt_return_reserved(struct exchange *x);
+
 /** attempt_set_paused - stop or go on receiving the answer */
 void attempt_set_paused(struct exchange *x, bool paused);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -558,6 +558,8 @@
 		return;
 	}
 	x->cache_offers = 0;
-	if (!generation_start_decode(x, x->decode))
-		exchange_give_up(x, "retry-budget", 0);
+	if (!generation_start_decode(x, x->decode)) {
+		generation_release_cache(x);
+		exchange_postpone(x, "retry-budget", 0);
+	}
 }
--- a/include/ibisgate/policy/extra_budget.h
+++ b/include/ibisgate/policy/extra_budget.h
@@ -42,14 +42,26 @@
 void extra_budget_count_first(struct extra_budget *b, const struct extra_budget_limits *l,
 			      int64_t now_ms);
 
-/** extra_budget_has_left - whether extra_budget_try_take() would succeed now */
-bool extra_budget_has_left(struct extra_budget *b, const struct extra_budget_limits *l,
-			   int64_t now_ms);
-
 /** extra_budget_try_take - count one extra send; false, without counting it, when none is left */
 bool extra_budget_try_take(struct extra_budget *b, const struct extra_budget_limits *l,
 			   int64_t now_ms);
 
+/**
+ * extra_budget_reserve - count @count extra sends that will follow, unless they are given back
+ *
+ * Return: false, without counting any, when fewer are left.
+ */
+bool extra_budget_reserve(struct extra_budget *b, const struct extra_budget_limits *l, int count,
+			  int64_t now_ms);
+
+/** extra_budget_use_reserved - a send reserved at @reserved_ms takes place now */
+void extra_budget_use_reserved(struct extra_budget *b, const struct extra_budget_limits *l,
+			       int64_t reserved_ms, int64_t now_ms);
+
+/** extra_budget_return_reserved - give back @count sends reserved at @reserved_ms */
+void extra_budget_return_reserved(struct extra_budget *b, const struct extra_budget_limits *l,
+				  int count, int64_t reserved_ms, int64_t now_ms);
+
 /** extra_budget_refund - undo the latest extra send, which never reached its endpoint */
 void extra_budget_refund(struct extra_budget *b);
 
--- a/policy/extra_budget.c
+++ b/policy/extra_budget.c
@@ -9,14 +9,19 @@
  */
 #define ALLOWANCE_FACTOR 0.8
 
+/* One spare slot ensures that the slots always cover at least the whole window. */
+static int64_t slot_length_ms(const struct extra_budget_limits *l)
+{
+	int64_t slot_ms = l->window_ms / (EXTRA_BUDGET_SLOTS - 1);
+
+	return slot_ms < 1 ? 1 : slot_ms;
+}
+
 static void window_advance(struct extra_budget *b, const struct extra_budget_limits *l,
 			   int64_t now_ms)
 {
-	/* One spare slot ensures that the slots always cover at least the whole window. */
-	int64_t slot_ms = l->window_ms / (EXTRA_BUDGET_SLOTS - 1);
+	int64_t slot_ms = slot_length_ms(l);
 
-	if (slot_ms < 1)
-		slot_ms = 1;
 	if (now_ms - b->slot_start_ms >= slot_ms * EXTRA_BUDGET_SLOTS) {
 		memset(b, 0, sizeof(*b));
 		b->slot_start_ms = now_ms;
@@ -37,8 +42,8 @@
 	b->first[b->slot]++;
 }
 
-bool extra_budget_has_left(struct extra_budget *b, const struct extra_budget_limits *l,
-			   int64_t now_ms)
+static bool has_left(struct extra_budget *b, const struct extra_budget_limits *l, int count,
+		     int64_t now_ms)
 {
 	int first_count = 0;
 	int extra_count = 0;
@@ -51,18 +56,47 @@
 	}
 	allowed = ALLOWANCE_FACTOR *
 		  (l->ratio * first_count + l->fixed / (l->instances > 0 ? l->instances : 1));
-	return extra_count + 1 <= allowed;
+	return extra_count + count <= allowed;
 }
 
 bool extra_budget_try_take(struct extra_budget *b, const struct extra_budget_limits *l,
 			   int64_t now_ms)
 {
-	if (!extra_budget_has_left(b, l, now_ms))
+	return extra_budget_reserve(b, l, 1, now_ms);
+}
+
+bool extra_budget_reserve(struct extra_budget *b, const struct extra_budget_limits *l, int count,
+			  int64_t now_ms)
+{
+	if (!has_left(b, l, count, now_ms))
 		return false;
-	b->extra[b->slot]++;
+	b->extra[b->slot] += count;
 	return true;
 }
 
+void extra_budget_return_reserved(struct extra_budget *b, const struct extra_budget_limits *l,
+				  int count, int64_t reserved_ms, int64_t now_ms)
+{
+	int64_t slot_ms = slot_length_ms(l);
+	int64_t age_ms, back;
+	int pos;
+
+	window_advance(b, l, now_ms);
+	age_ms = b->slot_start_ms - reserved_ms;
+	back = age_ms > 0 ? (age_ms + slot_ms - 1) / slot_ms : 0;
+	if (back >= EXTRA_BUDGET_SLOTS)
+		return;
+	pos = (b->slot + EXTRA_BUDGET_SLOTS - (int)back) % EXTRA_BUDGET_SLOTS;
+	b->extra[pos] -= count < b->extra[pos] ? count : b->extra[pos];
+}
+
+void extra_budget_use_reserved(struct extra_budget *b, const struct extra_budget_limits *l,
+			       int64_t reserved_ms, int64_t now_ms)
+{
+	extra_budget_return_reserved(b, l, 1, reserved_ms, now_ms);
+	extra_budget_force_charge(b, l, now_ms);
+}
+
 void extra_budget_refund(struct extra_budget *b)
 {
 	for (int i = 0; i < EXTRA_BUDGET_SLOTS; i++) {
--- a/tests/test_extra_budget.cc
+++ b/tests/test_extra_budget.cc
@@ -96,17 +96,40 @@
 	EXPECT_EQ(empty.extra[0], 0);
 }
 
-/* Guards against an attempt that is given up for a retry which the budget then denies. */
-TEST(ExtraBudget, LookingDoesNotCount)
+/* Guards against a request that is left halfway because others use up what it needs. */
+TEST(ExtraBudget, ReservedSendsAreCountedAtOnceAndAllOrNone)
 {
 	struct extra_budget b = {};
+	int taken = 0;
 
-	for (int i = 0; i < 100; i++) {
-		bool has_left = extra_budget_has_left(&b, &limits, 1000);
+	while (extra_budget_reserve(&b, &limits, 2, 1000))
+		taken += 2;
+	/* What doesn't suffice is not counted. */
+	for (int i = 0; i < 100; i++)
+		EXPECT_FALSE(extra_budget_reserve(&b, &limits, 2, 1000));
+	taken += extra_budget_try_take(&b, &limits, 1000);
+	EXPECT_FALSE(extra_budget_try_take(&b, &limits, 1000));
+	EXPECT_EQ(taken, (int)(58 / 5 * 0.8 + 0.5));
+	extra_budget_return_reserved(&b, &limits, 2, 1000, 1100);
+	EXPECT_TRUE(extra_budget_reserve(&b, &limits, 2, 1100));
+	EXPECT_FALSE(extra_budget_reserve(&b, &limits, 1, 1100));
+	EXPECT_TRUE(extra_budget_reserve(&b, &limits, 1, 12000));
+}
 
-		EXPECT_EQ(extra_budget_has_left(&b, &limits, 1000), has_left);
-		EXPECT_EQ(extra_budget_try_take(&b, &limits, 1000), has_left);
-	}
-	EXPECT_FALSE(extra_budget_has_left(&b, &limits, 1000));
-	EXPECT_TRUE(extra_budget_has_left(&b, &limits, 12000));
+/* Guards against sends that leave the window before their time, because they were reserved before.
+ */
+TEST(ExtraBudget, ReservedSendsCountFromWhenTheyTakePlace)
+{
+	struct extra_budget b = {};
+	int taken = 0;
+
+	while (extra_budget_try_take(&b, &limits, 1000))
+		taken++;
+	for (int i = 0; i < taken; i++)
+		extra_budget_use_reserved(&b, &limits, 1000, 6000);
+	EXPECT_FALSE(extra_budget_try_take(&b, &limits, 12500));
+	EXPECT_TRUE(extra_budget_try_take(&b, &limits, 17500));
+	/* What was reserved longer ago than the window is long has been forgotten already. */
+	extra_budget_return_reserved(&b, &limits, 5, 1000, 17500);
+	EXPECT_TRUE(extra_budget_try_take(&b, &limits, 17500));
 }
--- a/tests/test_silent_endpoints.cc
+++ b/tests/test_silent_endpoints.cc
@@ -21,7 +21,7 @@
 	}
 	void begin_silence()
 	{
-		silent_until_ms = clock_boot_ms() + SILENCE_MS;
+		silent_until_ms = clock_boot_ms() + silence_ms;
 		silent_from_ms = clock_boot_ms();
 		if (others_are_full)
 			refuses_ms = clock_boot_ms();
@@ -83,11 +83,15 @@
 		TinyServer::send_bytes(fd, "0\r\n\r\n");
 		return true;
 	}
-	/* Endpoints e0, e1, ... and s0, s1; all but the last @sound_engines engines fall silent. */
-	void play_all(int engines, int sound_engines)
+	/*
+	 * Endpoints e0, e1, ... and s0, s1; all but the first @sound_prefill and the last
+	 * @sound_engines engines fall silent.
+	 */
+	void play_all(int engines, int sound_engines, int sound_prefill = 0)
 	{
 		for (int i = 0; i < engines + 2; i++) {
-			bool is_silent = i >= engines || i < engines - sound_engines;
+			bool is_silent =
+				i >= engines || (i >= sound_prefill && i < engines - sound_engines);
 			std::string id = i < engines ? "e" + std::to_string(i)
 						     : "s" + std::to_string(i - engines);
 
@@ -153,6 +157,7 @@
 	static constexpr int EVENTS = 12;
 	static constexpr int EVENT_MS = 40;
 	std::vector<std::unique_ptr<TinyServer>> servers;
+	int silence_ms = SILENCE_MS;
 	std::atomic<int64_t> silent_from_ms{ INT64_MAX };
 	std::atomic<int64_t> silent_until_ms{ 0 };
 	std::atomic<int> prefills{ 0 };
@@ -211,3 +216,28 @@
 		t.join();
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
+
+/*
+ * Guards against 502 with most of the time left: a request left an engine that was silent before
+ * its first token, had its prompt read again, and found the retry budget used up for the second
+ * stage.
+ */
+TEST_F(SilentEndpointsTest, RequestsThatLeaveCanFinishElsewhere)
+{
+	struct harness_process *p = start_all(6, 2, 2);
+	std::vector<std::thread> threads;
+
+	silence_ms = 1400;
+	play_all(6, 1, 2);
+	begin_silence();
+	for (int i = 0; i < 64; i++) {
+		std::string text = generation_text("stream/x", EVENTS);
+
+		threads.emplace_back(
+			[=, id = last_id()] { expect_whole_answer(p, "stream/x", id, text); });
+	}
+	for (std::thread &t : threads)
+		t.join();
+	EXPECT_GE(prefills, 64);
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
