Keep the idle limit that callers know until they are served again

A caller that reuses a connection within four fifths of the idle limit could get a reset instead of an answer when a configuration with a lower limit came into force: connections that had been idle for longer than the new limit were closed at the next check.

A connection now keeps the highest limit in force since it became idle.

EntryTest.LowerIdleLimitAppliesToConnectionsThatBecomeIdleLater failed before and passes now. That this is the loss that users saw beside a new configuration is suspected: it fits, there is no record.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -45,6 +45,7 @@
 /**
  * struct caller - one connection from a caller
  * @phase_since_ms: when @phase was entered
+ * @idle_limit_ms: highest idle limit in force since the connection became idle
  * @begun_ms: when the head of the current request was complete
  * @in_exchange_begin: exchange_begin() is on the stack
  * @oversized: the body exceeds the limit
@@ -62,6 +63,7 @@
 	struct request_limits limits;
 	enum caller_phase phase;
 	int64_t phase_since_ms;
+	int64_t idle_limit_ms;
 	int64_t begun_ms;
 	bool keep_open;
 	bool in_exchange_begin;
@@ -171,12 +173,36 @@
 	.on_end = on_end,
 };
 
+static const struct request_limits *limits_in_force(const struct entry *e)
+{
+	return e->table ? &e->table->limits : &limits_default;
+}
+
 static void caller_update_limits(struct caller *c)
 {
-	c->limits = c->entry->table ? c->entry->table->limits : limits_default;
+	c->limits = *limits_in_force(c->entry);
 	c->reader.head_max = (size_t)c->limits.head_max_bytes;
 }
 
+static void caller_set_idle(struct caller *c)
+{
+	caller_set_phase(c, CALLER_IDLE);
+	c->idle_limit_ms = limits_in_force(c->entry)->idle_timeout_ms;
+}
+
+/*
+ * A caller reuses the connection for a part of the limit that it knows, so a lower one applies from
+ * the next time that the connection becomes idle.
+ */
+static bool caller_is_idle_too_long(struct caller *c, int64_t age_ms)
+{
+	int64_t limit_ms = limits_in_force(c->entry)->idle_timeout_ms;
+
+	if (limit_ms > c->idle_limit_ms)
+		c->idle_limit_ms = limit_ms;
+	return age_ms > c->idle_limit_ms;
+}
+
 static void refuse_parse_fault(struct caller *c)
 {
 	if (c->reader.fault == HTTP_FAULT_HEAD_SIZE)
@@ -267,7 +293,7 @@
 			caller_destroy(c);
 		return;
 	}
-	caller_set_phase(c, CALLER_IDLE);
+	caller_set_idle(c);
 	c->body.len = 0;
 	if (c->in_exchange_begin || c->callback_depth)
 		return;
@@ -284,7 +310,7 @@
 	c->entry = e;
 	c->bev = bufferevent_socket_new(e->base, fd, BEV_OPT_CLOSE_ON_FREE);
 	http_reader_init(&c->reader, HTTP_MESSAGE_REQUEST, 0, &reader_ops, c);
-	caller_set_phase(c, CALLER_IDLE);
+	caller_set_idle(c);
 	cds_list_add_tail(&c->link, &e->callers);
 	bufferevent_setcb(c->bev, on_read, on_write, on_event, c);
 	bufferevent_setwatermark(c->bev, EV_READ, 0, PIPELINE_MAX_BYTES);
@@ -313,7 +339,7 @@
 
 		switch (c->phase) {
 		case CALLER_IDLE:
-			if (age > (e->table ? e->table->limits : limits_default).idle_timeout_ms)
+			if (caller_is_idle_too_long(c, age))
 				caller_destroy(c);
 			break;
 		case CALLER_HEAD:
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -715,6 +715,31 @@
 		[&] { return send_request(p, generation_text("stream/x")).complete; }, 3000));
 }
 
+/*
+ * Guards against LOST beside a new configuration: callers reuse connections for a part of the idle
+ * limit that they know, and a lower one closed those under them.
+ */
+TEST_F(EntryTest, LowerIdleLimitAppliesToConnectionsThatBecomeIdleLater)
+{
+	struct harness_process *p = start_all();
+	std::string config = config_json(2), limit = "\"idleTimeoutMs\":5000";
+	Caller c(harness_process_port(p, "http"), process_ip(p).c_str());
+
+	c.send_text(request_text("order/x"));
+	ASSERT_EQ(c.read_response().status, 200);
+	config.replace(config.find(limit), limit.size(), "\"idleTimeoutMs\":800");
+	sleep(2);
+	put_config(config);
+	usleep(700000);
+	c.send_text(request_text("order/x"), true);
+	EXPECT_EQ(c.read_response().status, 200);
+	/* The new limit applies to the same connection from here on. */
+	int64_t idle_ms = clock_boot_ms();
+	EXPECT_FALSE(c.wait_for_text("never sent", 3000));
+	EXPECT_GE(clock_boot_ms() - idle_ms, 700);
+	EXPECT_LE(clock_boot_ms() - idle_ms, 2000);
+}
+
 /* Guards against a request that crashes one endpoint after the other (BUDGET). */
 TEST_F(EntryTest, RequestInvolvedInThreeCrashesIsRefusedByAllInstances)
 {
