Close a connection in a planned stop only after saying so

A caller whose stream ended during a planned stop got a reset for the next request on the same connection: the head of the stream, sent before the stop, had said that the connection stays open.

A connection is now closed after a response only if that response announced it. Others are served as before, and closed when idle.

EntryTest.ConnectionThatWasToStayOpenIsServedAfterItsStream failed before and passes now.

--- a/entry/caller.c
+++ b/entry/caller.c
@@ -289,7 +289,7 @@
 void caller_request_done(struct caller *c, bool keep)
 {
 	c->exchange = NULL;
-	if (!keep || !c->keep_open || c->entry->stopping) {
+	if (!keep || !c->keep_open) {
 		if (caller_close_begin(c))
 			caller_destroy(c);
 		return;
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -89,9 +89,16 @@
 static void exchange_close(struct exchange *x, bool keep)
 {
 	struct caller *c = x->caller;
+	bool closes = x->closes;
 
 	exchange_destroy(x);
-	caller_request_done(c, keep);
+	caller_request_done(c, keep && !closes);
+}
+
+bool exchange_decide_close(struct exchange *x)
+{
+	x->closes = x->entry->stopping;
+	return x->closes;
 }
 
 static void answer_locally(struct exchange *x, int status, const char *cause,
@@ -104,7 +111,7 @@
 						 .request_id = x->in.id,
 						 .reason = cause,
 						 .retry_after_ms = retry_after_ms,
-						 .close = x->entry->stopping,
+						 .close = exchange_decide_close(x),
 					 });
 	caller_write(x->caller, buf_str(&out));
 	buf_free(&out);
@@ -123,7 +130,7 @@
 {
 	x->fallback.len = 0;
 	wire_response_encode(&x->fallback, x->attempt.head, (int64_t)x->attempt.body.len,
-			     x->entry->stopping);
+			     exchange_decide_close(x));
 	buf_append_str(&x->fallback, buf_str(&x->attempt.body));
 }
 
@@ -155,7 +162,7 @@
 void exchange_relay_response(struct exchange *x)
 {
 	struct buf out = { 0 };
-	bool close = x->entry->stopping;
+	bool close = exchange_decide_close(x);
 
 	wire_response_encode(&out, x->attempt.head, (int64_t)x->attempt.body.len, close);
 	buf_append_str(&out, buf_str(&x->attempt.body));
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -60,6 +60,7 @@
  * @sends: total number of attempts
  * @reserved_sends: sends taken out of the retry budget in advance, at @reserved_ms
  * @response_started: bytes of a response have been sent to the caller
+ * @closes: the caller has been told that the connection closes after the response
  * @events_sent: number of events sent to the caller
  * @order: ids of the events sent to the caller and received from the current engine
  * @first_byte_ms: time of the first byte of the response; 0 until then
@@ -100,6 +101,7 @@
 	int reserved_sends;
 	int64_t reserved_ms;
 	bool response_started;
+	bool closes;
 	int events_sent;
 	struct event_order order;
 	int64_t first_byte_ms;
@@ -120,6 +122,9 @@
 	char trail[160];
 };
 
+/** exchange_decide_close - whether the head that is sent now announces the end of the connection */
+bool exchange_decide_close(struct exchange *x);
+
 int64_t exchange_remaining_ms(const struct exchange *x);
 
 /** exchange_is_repeatable - whether the request may run more than once */
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -105,7 +105,7 @@
 	struct buf out = { 0 };
 
 	if (!x->response_started) {
-		wire_response_encode(&out, x->attempt.head, -1, x->entry->stopping);
+		wire_response_encode(&out, x->attempt.head, -1, exchange_decide_close(x));
 		x->response_started = true;
 		x->first_byte_ms = clock_boot_ms();
 		if (!x->runs && !x->refused)
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -466,7 +466,7 @@
 
 /**
  * caller_request_done - the exchange has ended
- * @keep: its answer was complete, so the connection may be reused
+ * @keep: its answer was complete and has not announced the end of the connection
  */
 void caller_request_done(struct caller *c, bool keep);
 
--- a/tests/test_planned_stop.cc
+++ b/tests/test_planned_stop.cc
@@ -106,3 +106,27 @@
 	EXPECT_EQ(WEXITSTATUS(process->status), 0);
 	EXPECT_LT(clock_boot_ms() - stopped_ms, 8000);
 }
+
+/*
+ * Guards against LOST in a planned stop: the head of a stream that began before it says that the
+ * connection stays open, so the caller sends its next request there.
+ */
+TEST_F(EntryTest, ConnectionThatWasToStayOpenIsServedAfterItsStream)
+{
+	struct harness_process *p = start_all(2, 0, 2);
+	Caller c(harness_process_port(p, "http"), process_ip(p).c_str());
+
+	grid->post_json("/node", "{\"id\":\"\",\"event_ms\":20}");
+	c.send_text(generation_text("stream/x", 40));
+	ASSERT_TRUE(c.wait_for_text("id: 2\n"));
+	harness_process_signal(p, SIGTERM);
+	Response a = c.read_response();
+	EXPECT_TRUE(a.complete);
+	ASSERT_EQ(a.field("Connection"), "");
+	c.send_text(request_text("order/x"), true);
+	a = c.read_response();
+	EXPECT_EQ(a.status, 200);
+	EXPECT_EQ(a.field("Connection"), "close");
+	EXPECT_EQ(harness_process_wait(p, 6000), 0);
+	EXPECT_EQ(WEXITSTATUS(p->status), 0);
+}
