--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -36,7 +36,7 @@
 	int64_t now = clock_boot_ms();
 
 	if (suspect_parts_is_refused(s, x->fingerprint, now)) {
-		log_info("request-refused", "request=%s fingerprint=%016" PRIx64, x->in.id,
+		log_info("suspect-refused", "request=%s fingerprint=%016" PRIx64, x->in.id,
 			 x->fingerprint);
 		return true;
 	}
