Accuse requests whose loss is noticed after the crash

The log of a repeat shows that the instance read the list with the endpoint's new process before it noticed that the connection to the old one was closed. The crash found nothing to accuse, and the endpoint that is not listed any more is not probed.

The crash is now kept with the endpoint, and a connection found closed up to 3 s later is accused at once.

--- a/entry/internal.h
+++ b/entry/internal.h
@@ -76,6 +76,8 @@
  *   then
  * @stage_change_remote: the stage change was reported by an instance of another data centre
  * @part_watch: requests that lost their connection to it, and parts of their prompts
+ * @crashed_ms: when it became known that the process has ended, or with @crash_is_certain unset
+ *   may have ended; 0 if it has not
  * @crash_probed: a request that shows whether the process has ended is in flight
  * @probe_waits: what waits for its result
  * @pace: time between two events of its generations, as seen by this instance
@@ -116,6 +118,8 @@
 	int64_t stage_change_until_ms;
 	bool stage_change_remote;
 	struct part_watch part_watch;
+	int64_t crashed_ms;
+	bool crash_is_certain;
 	bool crash_probed;
 	struct cds_list_head probe_waits;
 	struct engine_pace pace;
--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -50,23 +50,6 @@
 	return false;
 }
 
-void suspect_connection_lost(const struct exchange *x, struct endpoint *ep)
-{
-	int64_t now = clock_boot_ms();
-	struct part_accusation a = {
-		.part = x->fingerprint,
-		.depth = SUSPECT_DEPTH_REQUEST,
-		.is_separate = x->losses > 0,
-	};
-
-	part_watch_add(&ep->part_watch, &a, now);
-	for (int i = 0; i < shared_part_count(x) && !x->attempt.answer_goes_on; i++) {
-		a.part = x->in.parts[i].id;
-		a.depth = (uint32_t)i;
-		part_watch_add(&ep->part_watch, &a, now);
-	}
-}
-
 static void queue_part(struct entry *e, uint64_t part, enum shared_part_verdict verdict)
 {
 	peers_queue_suspect_part(e->peers,
@@ -125,7 +108,8 @@
 	return true;
 }
 
-void suspect_endpoint_crashed(struct entry *e, struct endpoint *ep, bool certain)
+/* Accuses what was lost at the endpoint; @certain as for suspect_endpoint_crashed(). */
+static void accuse_lost(struct entry *e, struct endpoint *ep, bool certain)
 {
 	struct part_accusation list[PART_WATCH_SLOTS];
 	int n = part_watch_list(&ep->part_watch, ep->process_tag, !certain, clock_boot_ms(), list);
@@ -138,6 +122,33 @@
 	}
 }
 
+void suspect_endpoint_crashed(struct entry *e, struct endpoint *ep, bool certain)
+{
+	ep->crashed_ms = clock_boot_ms();
+	ep->crash_is_certain = certain;
+	accuse_lost(e, ep, certain);
+}
+
+void suspect_connection_lost(const struct exchange *x, struct endpoint *ep)
+{
+	int64_t now = clock_boot_ms();
+	struct part_accusation a = {
+		.part = x->fingerprint,
+		.depth = SUSPECT_DEPTH_REQUEST,
+		.is_separate = x->losses > 0,
+	};
+
+	part_watch_add(&ep->part_watch, &a, now);
+	for (int i = 0; i < shared_part_count(x) && !x->attempt.answer_goes_on; i++) {
+		a.part = x->in.parts[i].id;
+		a.depth = (uint32_t)i;
+		part_watch_add(&ep->part_watch, &a, now);
+	}
+	/* The loss may be noticed after the crash, which then accuses nothing any more. */
+	if (ep->crashed_ms && now - ep->crashed_ms <= PART_EVIDENCE_MS)
+		accuse_lost(x->entry, ep, ep->crash_is_certain);
+}
+
 void suspect_part_merge(struct entry *e, const struct shared_suspect_part *r)
 {
 	switch (r->verdict) {
--- a/include/ibisgate/state/suspect_parts.h
+++ b/include/ibisgate/state/suspect_parts.h
@@ -104,6 +104,9 @@
 
 #define PART_WATCH_SLOTS 128
 
+/* Longest time between a broken connection and the evidence of the crash, in milliseconds. */
+#define PART_EVIDENCE_MS 3000
+
 /**
  * struct part_watch - requests whose connection to one endpoint broke before they were answered,
  *	and parts of their prompts
--- a/state/suspect_parts.c
+++ b/state/suspect_parts.c
@@ -7,9 +7,6 @@
 /* Crashes remembered for one part; they suffice to refuse it. */
 #define CRASHES_MAX 8
 
-/* Evidence of a crash appears within this time after the connections broke. */
-#define EVIDENCE_MAX_DELAY_MS 3000
-
 /* Accusations of a part within this time may be of crashes at the same moment, in milliseconds. */
 #define SAME_MOMENT_MS 50
 
@@ -355,7 +352,7 @@
 	int count = 0;
 
 	for (int i = 0; i < PART_WATCH_SLOTS; i++) {
-		if (!w->slots[i].at_ms || now_ms - w->slots[i].at_ms > EVIDENCE_MAX_DELAY_MS ||
+		if (!w->slots[i].at_ms || now_ms - w->slots[i].at_ms > PART_EVIDENCE_MS ||
 		    (requests_only && w->slots[i].depth != SUSPECT_DEPTH_REQUEST))
 			continue;
 		out[count++] = (struct part_accusation){ .part = w->slots[i].part,
--- a/tests/test_deadly_request.cc
+++ b/tests/test_deadly_request.cc
@@ -43,9 +43,13 @@
 					    : "",
 				    "own " + target);
 	}
-	void start(int engines = 12, int services = 12)
+	/* Starts @count endpoints of the kind that runs the requests. */
+	void start(int count)
 	{
-		all = start_instances(std::get<1>(GetParam()), engines, 0, services);
+		bool is_generation = std::get<0>(GetParam()).is_generation;
+
+		all = start_instances(std::get<1>(GetParam()), is_generation ? count : 1, 0,
+				      is_generation ? 1 : count);
 		usleep(1200000);
 	}
 	int crash_count()
@@ -68,7 +72,7 @@
 	std::string target = std::string(d.target) + "/deadly";
 	int sound = 0, served = 0;
 
-	start();
+	start(12);
 	grid->post_json("/deadly", "{\"target\":\"/deadly\"}");
 	for (size_t round = 0; round < 8; round++) {
 		struct harness_process *p = all[round % all.size()];
@@ -101,7 +105,7 @@
 	const Deadly &d = std::get<0>(GetParam());
 	std::string target = std::string(d.target) + "/sound";
 
-	start(3, 3);
+	start(3);
 	for (size_t round = 0; round < 6; round++) {
 		struct harness_process *p = all[round % all.size()];
 
@@ -136,6 +140,8 @@
       protected:
 	std::vector<std::unique_ptr<TinyServer>> servers;
 	std::atomic<int> crashes{ 0 };
+	/* The entry of an endpoint that crashes is gone before its connections close. */
+	bool is_removed_first = false;
 
 	/* The process ends: it listens no longer, and its connections close. */
 	bool answer(size_t i, int fd, const std::string &request)
@@ -150,6 +156,11 @@
 			return true;
 		}
 		crashes++;
+		if (is_removed_first) {
+			set_endpoint_state("s" + std::to_string(i), "gone");
+			usleep(300000);
+			return false;
+		}
 		servers[i]->refuse_connections();
 		return false;
 	}
@@ -188,3 +199,22 @@
 	EXPECT_EQ(crashes, 3);
 	EXPECT_EQ(send_request(p, request_text("peek/x", "GET")).status, 200);
 }
+
+/*
+ * Guards against a crash that counts for nothing because the instance learns that the endpoint has
+ * ended before it notices that the connection is closed (DeadlyRequestTest beside load).
+ */
+TEST_F(CrashEvidenceTest, CountsWhenItComesBeforeTheLoss)
+{
+	struct harness_process *p = start_all(2, 0, 8);
+
+	is_removed_first = true;
+	play_services(8);
+	for (int i = 0; i < 3; i++) {
+		EXPECT_EQ(send_request(p, request_text("order/deadly")).status, 502);
+		usleep(100000);
+	}
+	EXPECT_EQ(send_request(p, request_text("order/deadly")).status, 503);
+	EXPECT_EQ(crashes, 3);
+	EXPECT_EQ(send_request(p, request_text("order/x")).status, 200);
+}
