Don't charge shared parts with repeats, or repeat what was cleared

Only the request itself is charged with a repeat at once now, only what was never answered is told again, and parts are accused only by runs, as before. Crashes are taken for one by when the connections broke, not by when the evidence arrived.

SuspectParts.CrashesCountByTheMomentOfTheLoss failed before. All tests of DeadlyRequestTest and CrashEvidenceTest pass, and 30 of 30 runs of DeadlyPartTest with six instances, eight at a time.

--- a/entry/suspects.c
+++ b/entry/suspects.c
@@ -87,6 +87,7 @@
 {
 	int64_t now = clock_boot_ms();
 	bool was_refused = suspect_parts_is_refused(e->suspect_parts, a->part, now);
+	bool known = suspect_parts_was_answered(e->suspect_parts, a->part, now);
 	bool refused;
 
 	if (!suspect_parts_accuse(e->suspect_parts, a, now))
@@ -97,13 +98,14 @@
 		 (int)a->depth, a->crash, suspect_parts_crashes(e->suspect_parts, a->part), refused,
 		 source);
 	metric_add(METRIC_QUARANTINED, refused && !was_refused);
-	if (suspect_parts_was_answered(e->suspect_parts, a->part, now))
+	if (known)
 		queue_part(e, a->part, PART_KNOWN);
 	/*
 	 * Others may lack one of these crashes: each instance has seen some of them, and counts
-	 * several that arrive at the same moment once.
+	 * several that arrive at the same moment once. What was answered may have been cleared
+	 * there since.
 	 */
-	if (refused && !was_refused)
+	if (refused && !was_refused && !known)
 		share_accusations(e, a->part);
 	return true;
 }
@@ -132,6 +134,7 @@
 void suspect_connection_lost(const struct exchange *x, struct endpoint *ep)
 {
 	int64_t now = clock_boot_ms();
+	int count = shared_part_count(x);
 	struct part_accusation a = {
 		.part = x->fingerprint,
 		.depth = SUSPECT_DEPTH_REQUEST,
@@ -139,7 +142,11 @@
 	};
 
 	part_watch_add(&ep->part_watch, &a, now);
-	for (int i = 0; i < shared_part_count(x) && !x->attempt.answer_goes_on; i++) {
+	/* Engines of a rack crash one shortly after the other, and many requests share a part. */
+	a.is_separate = false;
+	if (x->attempt.answer_goes_on || x->attempt.work != WIRE_WORK_RUN)
+		count = 0;
+	for (int i = 0; i < count; i++) {
 		a.part = x->in.parts[i].id;
 		a.depth = (uint32_t)i;
 		part_watch_add(&ep->part_watch, &a, now);
--- a/include/ibisgate/state/suspect_parts.h
+++ b/include/ibisgate/state/suspect_parts.h
@@ -31,12 +31,14 @@
  * @crash: identifies the crash, so that the reports of several instances count once
  * @is_separate: the crash had no cause in common with the one before: the same request was sent
  *	after it, or the accusation has counted at another instance
+ * @lost_ms: when the connection broke, 0 if that is not known
  */
 struct part_accusation {
 	uint64_t part;
 	uint32_t depth;
 	uint32_t crash;
 	bool is_separate;
+	int64_t lost_ms;
 };
 
 struct suspect_parts;
@@ -54,7 +56,8 @@
  * so that a part which crashes one request after the other is still found.
  *
  * Engines that crash at the same moment have another cause in common, such as their rack:
- * accusations that arrive together count once, unless they are separate.
+ * accusations of losses, or else those that arrive, at the same moment count once, unless they are
+ * separate.
  *
  * Return: false if it did not count, also because it was known or a refused part explains the
  * crash.
--- a/state/suspect_parts.c
+++ b/state/suspect_parts.c
@@ -25,7 +25,7 @@
  * struct suspect - an accused part or request; its slot is free while there are no crashes
  * @is_known: requests with the part were answered before
  * @accused_ms: when the last accusation arrived
- * @moment_ms: when the last one arrived that is not separate
+ * @moment_ms: moment of the last one that is not separate
  */
 struct suspect {
 	uint64_t part;
@@ -193,11 +193,13 @@
 {
 	struct suspect *p = suspect_find(s, a->part);
 	struct suspect accused = { .part = a->part, .depth = a->depth };
+	int64_t moment_ms = a->lost_ms ? a->lost_ms : now_ms;
 
 	if (p)
 		accused = *p;
 	accused.is_known = accused.is_known || suspect_parts_was_answered(s, a->part, now_ms);
-	if (accused.moment_ms && !a->is_separate && now_ms - accused.moment_ms < SAME_MOMENT_MS)
+	if (accused.moment_ms && !a->is_separate &&
+	    llabs(moment_ms - accused.moment_ms) < SAME_MOMENT_MS)
 		return false;
 	if (suspect_has_crash(&accused, a->crash) ||
 	    crash_is_explained(s, &accused, a->crash, now_ms))
@@ -208,7 +210,7 @@
 		return false;
 	accused.accused_ms = now_ms;
 	if (!a->is_separate)
-		accused.moment_ms = now_ms;
+		accused.moment_ms = moment_ms;
 	if (accused.count < CRASHES_MAX)
 		accused.crashes[accused.count++] = a->crash;
 	*p = accused;
@@ -358,7 +360,8 @@
 		out[count++] = (struct part_accusation){ .part = w->slots[i].part,
 							 .depth = w->slots[i].depth,
 							 .crash = crash,
-							 .is_separate = w->slots[i].is_separate };
+							 .is_separate = w->slots[i].is_separate,
+							 .lost_ms = w->slots[i].at_ms };
 	}
 	return count;
 }
--- a/tests/test_suspect_parts.cc
+++ b/tests/test_suspect_parts.cc
@@ -248,6 +248,24 @@
 	EXPECT_EQ(suspect_parts_crashes(s.get(), 7), 2);
 }
 
+/* Guards against taking crashes for one because the evidence of them arrives together. */
+TEST(SuspectParts, CrashesCountByTheMomentOfTheLoss)
+{
+	Parts s = create();
+	struct part_accusation a = { 7, SUSPECT_DEPTH_REQUEST, 1, false, 1000 };
+
+	EXPECT_TRUE(suspect_parts_accuse(s.get(), &a, 3000));
+	a.crash = 2;
+	a.lost_ms = 1010;
+	EXPECT_FALSE(suspect_parts_accuse(s.get(), &a, 3000));
+	a.lost_ms = 1700;
+	EXPECT_TRUE(suspect_parts_accuse(s.get(), &a, 3000));
+	a.crash = 3;
+	a.lost_ms = 2400;
+	EXPECT_TRUE(suspect_parts_accuse(s.get(), &a, 3000));
+	EXPECT_TRUE(suspect_parts_is_refused(s.get(), 7, 3000));
+}
+
 /* Guards against losing the crash before a repeat, when both become known in reverse order. */
 TEST(SuspectParts, CrashBeforeARepeatCountsAfterIt)
 {
