test_suspect_parts: play a quarter of the engines crashing at once

The fleet of the plays tells what it comes to refuse, as the entry does. With 118 instances and 80 engines that crash at one moment, nothing is refused.

--- a/tests/test_suspect_parts.cc
+++ b/tests/test_suspect_parts.cc
@@ -347,9 +347,8 @@
 					suspect_parts_clear(s, part);
 				else if (r.known)
 					suspect_parts_set_known(s, part, now);
-				else if (suspect_parts_accuse(s, &r.accusation, now) &&
-					 suspect_parts_was_answered(s, part, now))
-					tell(i, { now, { part, 0, 0, false }, false, true });
+				else
+					accuse(now, i, r.accusation);
 			}
 			inbox[i] = later;
 		}
@@ -366,25 +365,40 @@
 			size_t i = k ? rng() % instances.size() : at;
 			uint64_t d = k ? 1000 + rng() % DOCS : doc;
 
-			accuse_at(now, i, { d, 0, crash_id, false });
+			accuse_at(now, i, { d, 0, crash_id, false, now });
 			if (k || !deadly)
 				repeats.push_back({ now + 500, i, d });
 			if (!k && deadly)
-				accuse_at(now, i, { DEADLY, 1, crash_id, false });
+				accuse_at(now, i, { DEADLY, 1, crash_id, false, now });
 		}
 	}
+	/* As entry/suspects.c does it. Return: whether the accusation counted. */
+	bool accuse(int64_t now, size_t i, const struct part_accusation &a)
+	{
+		struct suspect_parts *s = instances[i].get();
+		struct part_accusation all[8];
+		bool was_refused = suspect_parts_is_refused(s, a.part, now);
+		bool known = suspect_parts_was_answered(s, a.part, now);
+
+		if (!suspect_parts_accuse(s, &a, now))
+			return false;
+		if (known)
+			tell(i, { now, { a.part, 0, 0, false, 0 }, false, true });
+		if (known || was_refused)
+			return true;
+		for (int k = suspect_parts_accusations(s, a.part, now, all, 8); k-- > 0;)
+			tell(i, { now, all[k], false, false });
+		return true;
+	}
 	void accuse_at(int64_t now, size_t i, const struct part_accusation &a)
 	{
-		if (!suspect_parts_accuse(instances[i].get(), &a, now))
-			return;
-		tell(i, { now, a, false, false });
-		if (suspect_parts_was_answered(instances[i].get(), a.part, now))
-			tell(i, { now, { a.part, 0, 0, false }, false, true });
+		if (accuse(now, i, a))
+			tell(i, { now, a, false, false });
 	}
 	void answer(int64_t now, size_t i, uint64_t doc)
 	{
 		if (suspect_parts_answered(instances[i].get(), doc, now - 300, now))
-			tell(i, { now, { doc, 0, 0, false }, true, false });
+			tell(i, { now, { doc, 0, 0, false, 0 }, true, false });
 	}
 	/* One request; @one_doc puts the deadly part behind a single document. */
 	void request(int64_t now, bool deadly, bool one_doc)
@@ -451,4 +465,22 @@
 	}
 }
 
+/* Load: a quarter of 320 engines crashes at one moment, before 118 instances. Nothing is refused.
+ */
+TEST(SuspectParts, ManyCrashesAtOneMomentRefuseNothing)
+{
+	for (uint64_t seed = 1; seed <= 2; seed++) {
+		Fleet f(118, 1500, seed);
+
+		for (int64_t now = 1000; now < 20000; now += 20) {
+			f.read_news(now);
+			for (int k = 0; k < 10; k++)
+				f.request(now, false, false);
+			for (int k = 0; k < 80 && now == 10000; k++)
+				f.crash(now, f.rng() % 118, 1000 + f.rng() % Fleet::DOCS, false);
+		}
+		EXPECT_EQ(f.sound_refused, 0) << seed;
+	}
+}
+
 } // namespace
