test_promise_answers: kill the decode engine when it has sent tokens

No caller saw a fault.

Cause: a generation is resumed only when a token was received; before, it is sent again as a whole. The test killed the engine when it had three new requests, 28 to 91 ms after the start of the load, with or without a token.

--- a/tests/test_promise_answers.cc
+++ b/tests/test_promise_answers.cc
@@ -33,6 +33,15 @@
 		EXPECT_TRUE(eventually([&] { return request_count(e) > before + 2; }, 6000))
 			<< f->endpoints[e].name;
 	}
+	/* Waits until engine @e has sent tokens of its requests: a broken answer can be resumed. */
+	void wait_for_new_tokens(int e)
+	{
+		int64_t before = engine_stat(e, "tokens");
+
+		EXPECT_TRUE(
+			eventually([&] { return engine_stat(e, "tokens") > before + 10; }, 6000))
+			<< f->endpoints[e].name;
+	}
 	void kill_engine(int e)
 	{
 		wait_for_new_requests(e);
@@ -61,6 +70,7 @@
 	start_fleet();
 	load.options.duration_s = 8;
 	load.start(urls());
+	wait_for_new_tokens(2);
 	kill_engine(2);
 	wait_for_new_requests(3);
 	ASSERT_EQ(harness_endpoint_start(f, 2, &err), 0) << err.text;
