test_standins: keep the order running while a second one is sent

Stand-in only.

Cause: the change takes 300 ms from o5 on, and before o6 the test waits for the end of a thread that reads the cut answer.

The engine of this test now takes 3 s, so that o6 and the request arrive during the change.

--- a/tests/test_standins.cc
+++ b/tests/test_standins.cc
@@ -196,7 +196,9 @@
  */
 TEST(Engine, FencesStaleOrdersAndIgnoresDuplicates)
 {
-	StandinProcess e("ibisgate-engine", with_args(fast_engine, { "--check-fencing", "1" }));
+	/* The change lasts while the test sends what must find it. */
+	StandinProcess e("ibisgate-engine", { "--step-base-us", "1000", "--step-per-seq-us", "0",
+					      "--role-change-ms", "3000", "--check-fencing", "1" });
 	StandinProcess unfenced("ibisgate-engine", fast_engine);
 	std::thread running([&] {
 		Response a = send_request("POST", e.url("/v1/completions"),
