--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -59,7 +59,7 @@
 
 /*
  * Longest time that a retry waits to learn whether the endpoint before has crashed, in
- * milliseconds. An endpoint in another data centre answers within it.
+ * milliseconds. Where a round trip takes longer, it goes on without knowing.
  */
 #define CRASH_EVIDENCE_WAIT_MS 100
 
