--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -249,7 +249,9 @@
         async with self.slots:
             self.note("runs", request=me, service=self.o["service"], target=request.target)
             await asyncio.sleep(self.o.get("work_s", 0.015))
-        self.reply(request, writer, 200, ("done %s" % me).encode())
+        # What a HEAD request names here is empty.
+        body = b"" if request.method == "HEAD" else ("done %s" % me).encode()
+        self.reply(request, writer, 200, body)
         return True
 
 
