--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,6 +13,9 @@
 ZONES = ["abertawe", "caerdydd", "casnewydd", "merthyr"]
 APPLY_S = 2.0
 
+# Of the site file for `stock-peek`: a worker's own 500, which counts as run.
+ERROR_SHARE = 0.14
+
 # A path as a reverse proxy of several firms may have it; 135 bytes.
 FOLDER = ("/cymdeithas-darnau-gwasg-cyf/trade-counters/de-cymru/abertawe/tortilla-presses/"
           "heating-platens-and-press-rings/spares/application/api/")
@@ -65,15 +68,16 @@
 
 async def case(site):
     for number in range(1, 5):
-        site.start_worker(number, service="stock-core", zone=ZONES[number % 4], slots=6)
+        site.start_worker(number, service="stock-core", zone=ZONES[number % 4], slots=6,
+                          error_share=ERROR_SHARE)
         site.start_worker(4 + number, service="order-core", zone=ZONES[number % 4], slots=6)
     await site.store.put("op", "config", manifest(7, FIRST))
     await asyncio.sleep(1.5)
     site.start_instances(ZONES)
     await site.wait_ready()
     sent = {}
-    if await round_of(site, ("/peek/", "/order/"), sent) < 72:
-        raise deployment.Unable("under nine tenths are served before the change")
+    if await round_of(site, ("/peek/", "/order/"), sent) < 60:
+        raise deployment.Unable("under three quarters are served before the change")
     if deployment.TROUBLE:
         site.record("trouble: the manifest grows by two routes with prefixes of %d and %d bytes" %
                     tuple(len(r["prefix"]) for r in ADDED))
@@ -83,16 +87,19 @@
     else:
         await round_of(site, ("/peek/", "/order/"), sent)
     await asyncio.sleep(0.5)
-    broken = []
+    broken, runs = [], {}
     for e in site.lines:
         if e["what"] != "runs":
             continue
+        runs[e["request"]] = runs.get(e["request"], 0) + 1
         owner = "order-core" if "order" in sent[e["request"]].rsplit("/", 2)[1] else "stock-core"
         if e["service"] != owner:
             broken.append("%s runs %s %s, which only %s may run" % (
                 e["service"], e["request"], e["target"], owner))
-    print("%d requests, %d run by the wrong service" % (len(sent), len(broken)))
-    return broken[:5]
+    twice = [r for r, n in runs.items() if n > 1 and "order" in sent[r].rsplit("/", 2)[1]]
+    print("%d requests, %d runs by the wrong service, %d orders run twice" % (
+        len(sent), len(broken), len(twice)))
+    return broken[:5] + ["order %s ran twice" % r for r in twice]
 
 
 deployment.main(case, HERE)
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -80,14 +80,19 @@
         return a.complete and a.headers.get("connection") != "close"
 
 
+def start_clients(site, numbers, sent):
+    clients = [Client(site, n).run(sent) for n in numbers for _ in range(CHANNELS)]
+    site.tasks += [asyncio.ensure_future(c) for c in clients]
+
+
 async def stop_and_start(site, number, stopped):
     at = site.instances[number]
     site.record("trouble: SIGTERM for instance %d" % number)
-    stopped[number] = time.time()
+    stopped.setdefault(number, []).append(time.time())
     at["process"].send_signal(signal.SIGTERM)
-    while at["process"].poll() is None and time.time() < stopped[number] + GRACE_S:
+    while at["process"].poll() is None and time.time() < stopped[number][-1] + GRACE_S:
         await asyncio.sleep(0.01)
-    site.record("instance %d ended %.3f s later" % (number, time.time() - stopped[number]))
+    site.record("instance %d ended %.3f s later" % (number, time.time() - stopped[number][-1]))
     at["process"].kill()
     at["process"].wait()
     site.start_instance(number)
@@ -104,15 +109,15 @@
     await site.wait_ready()
     await asyncio.sleep(1)
     sent, stopped = [], {}
-    clients = [Client(site, n).run(sent) for n in site.instances for _ in range(CHANNELS)]
-    site.tasks += [asyncio.ensure_future(c) for c in clients]
+    start_clients(site, site.instances, sent)
     await asyncio.sleep(2 * EVENTS * EVENT_S)
     if deployment.TROUBLE:
-        for number in list(site.instances):
+        for number in 2 * list(site.instances):
             await stop_and_start(site, number, stopped)
             await asyncio.sleep(1 + random.random() / 10)
+            start_clients(site, [number], sent)
     else:
-        await asyncio.sleep(35)
+        await asyncio.sleep(70)
     await asyncio.sleep(TIMEOUT_S)
     whole = sum(r["answer"].complete and r["answer"].status == 200 for r in sent)
     print("%d requests, %d answered with success" % (len(sent), whole))
@@ -123,9 +128,11 @@
 
 def check(site, r, stopped):
     """LOST around a SIGTERM, with its excuses."""
-    a, at = r["answer"], stopped.get(r["number"])
-    if a.complete or at is None or not at <= r["sent"] <= at + GRACE_S + 1:
+    a = r["answer"]
+    before = [t for t in stopped.get(r["number"], []) if t <= r["sent"]]
+    if a.complete or not before or r["sent"] > before[-1] + GRACE_S + 1:
         return []
+    at = before[-1]
     runs = [e for e in site.lines if e["what"] == "runs" and e["request"] == r["id"]]
     if not runs or r["ended"] - r["sent"] >= TIMEOUT_S:
         return []
--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -48,6 +48,7 @@
         self.workers = {}
         self.instances = {}
         self.peer_port = 0
+        self.closing = False
 
     def host(self, number):
         return "%s.%d" % (self.net, number)
@@ -110,7 +111,8 @@
         asyncio.get_running_loop().call_later(
             pings_s, lambda: asyncio.ensure_future(self.store.remove("servers", old)))
         await asyncio.sleep(down_s)
-        self.start_worker(number)
+        if not self.closing:
+            self.start_worker(number)
 
     def settings(self, number, zone, seeds):
         host = self.host(10 + number)
@@ -197,6 +199,7 @@
         return "%016x" % (0xc0de000000000000 + next(self.ids))
 
     async def close(self):
+        self.closing = True
         for p in self.processes:
             if p.poll() is None:
                 p.send_signal(signal.SIGCONT)
@@ -223,7 +226,8 @@
                 site.record("BROKEN: " + line)
                 print(line)
             code = BROKEN if broken else HELD
-        except (Unable, asyncio.TimeoutError) as e:
+        # Whatever goes wrong in a case itself isn't a broken rule.
+        except Exception as e:
             site.record("the case could not run: %r" % e)
             print("the case could not run: %r" % e)
         finally:
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import random
 import sys
 import time
 
@@ -249,6 +250,9 @@
         async with self.slots:
             self.note("runs", request=me, service=self.o["service"], target=request.target)
             await asyncio.sleep(self.o.get("work_s", 0.015))
+        if random.random() < self.o.get("error_share", 0):
+            self.reply(request, writer, 500, b"error")
+            return True
         # What a HEAD request names here is empty.
         body = b"" if request.method == "HEAD" else ("done %s" % me).encode()
         self.reply(request, writer, 200, body)
