--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -206,7 +206,11 @@
                 p.kill()
         for p in self.processes:
             p.wait()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        if self.tasks:
+            _, left = await asyncio.wait(self.tasks, timeout=2)
+            for task in left:
+                self.record("still open at the end: %r" % task)
+                task.cancel()
         for at in self.instances.values():
             os.unlink(at["path"])
         os.rmdir(self.tmp)
