config: keep names, hosts and prefixes of any length

Cause: the decoder cut texts to 127 bytes and dropped what str_copy() said. Two prefixes that differ later became the same text, and the first rule took the requests of both, with its kind.

The table now owns these texts as they came and compares them with their lengths. Dropping a rule that doesn't fit would send its requests to a shorter prefix, so that was ruled out. The state of a service and the orders for its endpoints had the same fixed names; a service with 128 bytes or more got a new state with each request. health_path had no reader and is gone.

Store.LongTextsOfTheConfigurationAreKeptWhole failed before: prefixes and hosts of two rules were not told apart, services weren't found.

--- a/duty/workers.c
+++ b/duty/workers.c
@@ -25,12 +25,12 @@
  * @dc_tags: their hashes
  */
 struct worker_service {
-	char name[ROUTING_NAME_MAX];
+	struct buf name;
 	uint64_t tag;
 	struct scaling scaling;
 	struct scaling_spec spec;
 	struct scaling_view view;
-	char dcs[ROUTING_DCS_MAX][ROUTING_NAME_MAX];
+	char dcs[ROUTING_DCS_MAX][ROUTING_DC_NAME_MAX];
 	uint64_t dc_tags[ROUTING_DCS_MAX];
 };
 
@@ -69,9 +69,9 @@
 	[ENDPOINT_RECLAIMABLE] = "reclaimable",
 };
 
-static uint64_t tag_of(const char *name)
+static uint64_t tag_of(struct str name)
 {
-	return hash_str(str_from(name), 0);
+	return hash_str(name, 0);
 }
 
 static struct worker_service *service_by_tag(const struct workers *w, uint64_t tag)
@@ -83,14 +83,14 @@
 	return NULL;
 }
 
-static struct worker_service *service_get(struct workers *w, const char *name)
+static struct worker_service *service_get(struct workers *w, struct str name)
 {
 	struct worker_service *s = service_by_tag(w, tag_of(name));
 
 	if (s || w->service_count == DEMAND_SERVICES_MAX)
 		return s;
 	s = mem_zalloc(sizeof(*s));
-	str_copy(s->name, sizeof(s->name), str_from(name));
+	buf_append_str(&s->name, name);
 	s->tag = tag_of(name);
 	s->view.spec = &s->spec;
 	scaling_init(&s->scaling);
@@ -112,7 +112,7 @@
 	if (n == ROUTING_DCS_MAX)
 		return -1;
 	str_copy(s->dcs[n], sizeof(s->dcs[n]), str_from(name));
-	s->dc_tags[n] = tag_of(name);
+	s->dc_tags[n] = tag_of(str_from(name));
 	s->view.dcs[n] = (struct scaling_dc){ 0 };
 	return s->view.dc_count++;
 }
@@ -153,7 +153,7 @@
 	for (int i = 0; i < directory->count; i++) {
 		const struct endpoint_entry *e = directory_at(directory, i);
 
-		if (strcmp(e->service, s->name) == 0)
+		if (str_eq_cstr(buf_str(&s->name), e->service))
 			endpoint_count(s, e, &prefill, &staged);
 	}
 	s->view.prefill_share = staged ? (double)prefill / staged : -1;
@@ -192,7 +192,7 @@
 		metric_add(METRIC_WORKER_ORDERS_FAILED, 1);
 		log_warn("workers-not-ordered",
 			 "service=%s dc=%s kind=%s wanted=%d status=%d none_available=%d",
-			 s ? s->name : "-", s ? s->dcs[o->order.dc] : "-",
+			 s ? s->name.data : "-", s ? s->dcs[o->order.dc] : "-",
 			 kind_names[o->order.kind], o->order.wanted, r->status,
 			 r->status == STATUS_NONE_AVAILABLE);
 	}
@@ -216,15 +216,15 @@
 	o->next = w->orders;
 	w->orders = o;
 	api_workers_encode(&request, lease,
-			   &(struct api_workers){ .service = s->name,
+			   &(struct api_workers){ .service = s->name.data,
 						  .dc = s->dcs[d->dc],
 						  .wanted = d->wanted,
 						  .reclaimable = d->kind == ENDPOINT_RECLAIMABLE });
 	log_info("workers-order",
 		 "service=%s dc=%s kind=%s wanted=%d former=%d engines_needed=%.1f prefill=%.2f "
 		 "decode=%.2f there=%d there_reclaimable=%d leaving=%d price=%.3f fencing=%" PRId64,
-		 s->name, s->dcs[d->dc], kind_names[d->kind], d->wanted, d->former, st->engines,
-		 st->now.prefill, st->now.decode, dc->there[ENDPOINT_REGULAR],
+		 s->name.data, s->dcs[d->dc], kind_names[d->kind], d->wanted, d->former,
+		 st->engines, st->now.prefill, st->now.decode, dc->there[ENDPOINT_REGULAR],
 		 dc->there[ENDPOINT_RECLAIMABLE], dc->reclaimed,
 		 scaling_price(&s->spec, s->dcs[d->dc], d->kind), lease->fencing);
 	metric_add(METRIC_WORKER_ORDERS, 1);
@@ -291,8 +291,8 @@
 		if (spec->scaling.present && spec->engine.present &&
 		    w->own_count < DEMAND_SERVICES_MAX)
 			w->own[w->own_count++] = (struct demand_entry){
-				.service = tag_of(spec->name),
-				.totals = v->demand(v->ctx, spec->name),
+				.service = tag_of(buf_str(&spec->name)),
+				.totals = v->demand(v->ctx, buf_str(&spec->name)),
 			};
 	}
 	demand_add(w->demand, &w->self, w->own, w->own_count, now_ms);
@@ -305,7 +305,7 @@
 	for (int i = 0; i < v->table->service_count; i++) {
 		const struct service_spec *spec = &v->table->services[i];
 		struct worker_service *s = spec->scaling.present && spec->engine.present
-						   ? service_get(w, spec->name)
+						   ? service_get(w, buf_str(&spec->name))
 						   : NULL;
 
 		if (!s)
@@ -357,9 +357,9 @@
 	w->duty = o->duty;
 	w->calls = o->calls;
 	w->demand = demand_create();
-	w->self = (struct demand_source){ .id = tag_of(o->self),
+	w->self = (struct demand_source){ .id = tag_of(str_from(o->self)),
 					  .incarnation = (uint64_t)clock_wall_ms(),
-					  .dc = tag_of(o->dc) };
+					  .dc = tag_of(str_from(o->dc)) };
 	return w;
 }
 
@@ -374,8 +374,10 @@
 		api_call_cancel(o->call);
 		free(o);
 	}
-	for (int i = 0; i < w->service_count; i++)
+	for (int i = 0; i < w->service_count; i++) {
+		buf_free(&w->services[i]->name);
 		free(w->services[i]);
+	}
 	free(w->services);
 	demand_destroy(w->demand);
 	free(w);
--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -91,9 +91,9 @@
 }
 
 /* Memory of an engine of the service in tokens; 0 when the configuration doesn't give it. */
-static int64_t engine_memory(const struct entry *e, const char *service)
+static int64_t engine_memory(const struct entry *e, struct str service)
 {
-	int i = e->table ? routing_table_service(e->table, str_from(service)) : -1;
+	int i = e->table ? routing_table_service(e->table, service) : -1;
 	int64_t tokens = i < 0 ? 0 : e->table->services[i].engine.kv_capacity;
 
 	return tokens > 0 ? tokens : 0;
@@ -101,7 +101,7 @@
 
 static int64_t cache_capacity(const struct entry *e, const char *service)
 {
-	int64_t tokens = engine_memory(e, service);
+	int64_t tokens = engine_memory(e, str_from(service));
 
 	return tokens ? tokens : CACHE_TOKENS_DEFAULT;
 }
@@ -111,7 +111,7 @@
 	struct service *s;
 
 	cds_list_for_each_entry(s, &e->services, link)
-		s->memory_tokens = engine_memory(e, s->name);
+		s->memory_tokens = engine_memory(e, buf_str(&s->name));
 }
 
 /* @replaces: this instance has known another process under the id */
@@ -142,7 +142,7 @@
 		.in_first_list = !e->endpoints_loaded,
 		.replaced = replaces,
 	};
-	ep->service = service_find(e, entry->service);
+	ep->service = service_find(e, str_from(entry->service));
 	cds_list_add_tail(&ep->link, &e->endpoints);
 	cds_list_add_tail(&ep->service_link, &ep->service->endpoints);
 	if (ep->dc)
@@ -338,7 +338,7 @@
 	service_speed_update(&s->speeds, speeds, count, now_ms);
 	for (int k = 0; k < SPEED_KINDS; k++) {
 		if (s->speeds.kinds[k].is_uneven != before.kinds[k].is_uneven)
-			log_info("endpoints-uneven", "service=%s kind=%s uneven=%d", s->name,
+			log_info("endpoints-uneven", "service=%s kind=%s uneven=%d", s->name.data,
 				 speed_kind_names[k], s->speeds.kinds[k].is_uneven);
 	}
 }
@@ -451,7 +451,7 @@
 			place_is_local_only(&e->settings.scope, local_count, total, INT_MAX);
 		if (s->prefers_local != was_preferred)
 			log_info("service-near", "service=%s near=%d engines_here=%d engines=%d",
-				 s->name, s->prefers_local, local_count, total);
+				 s->name.data, s->prefers_local, local_count, total);
 	}
 }
 
@@ -465,25 +465,25 @@
 	return ep->failure_ratio + e->dc_failing[ep->dc < ENTRY_DCS_MAX ? ep->dc : ENTRY_DCS_MAX];
 }
 
-struct service *service_lookup(const struct entry *e, const char *name)
+struct service *service_lookup(const struct entry *e, struct str name)
 {
 	struct service *s;
 
 	cds_list_for_each_entry(s, &e->services, link) {
-		if (strcmp(s->name, name) == 0)
+		if (str_eq(buf_str(&s->name), name))
 			return s;
 	}
 	return NULL;
 }
 
-struct service *service_find(struct entry *e, const char *name)
+struct service *service_find(struct entry *e, struct str name)
 {
 	struct service *s = service_lookup(e, name);
 
 	if (s)
 		return s;
 	s = mem_zalloc(sizeof(*s));
-	str_copy(s->name, sizeof(s->name), str_from(name));
+	buf_append_str(&s->name, name);
 	CDS_INIT_LIST_HEAD(&s->endpoints);
 	CDS_INIT_LIST_HEAD(&s->local_endpoints);
 	s->speed = (struct place_speed){
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -321,7 +321,7 @@
 	return e->tick_was_late && !was_late ? late_ms : 0;
 }
 
-static struct demand_totals service_demand(void *ctx, const char *name)
+static struct demand_totals service_demand(void *ctx, struct str name)
 {
 	const struct stage_demand *d = &service_find(ctx, name)->demand;
 
@@ -703,8 +703,10 @@
 {
 	struct service *s, *next;
 
-	cds_list_for_each_entry_safe(s, next, &e->services, link)
+	cds_list_for_each_entry_safe(s, next, &e->services, link) {
+		buf_free(&s->name);
 		free(s);
+	}
 }
 
 void entry_destroy(struct entry *e)
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -73,11 +73,11 @@
 	int64_t now = clock_boot_ms();
 
 	log_info("request",
-		 "request=%s rule=%s service=%s config=%" PRId64
+		 "request=%s rule=%.128s service=%.128s config=%" PRId64
 		 " outcome=%s status=%d cause=%s runs=%d refused=%d sends=%d events=%d "
 		 "first_ms=%" PRId64 " total_ms=%" PRId64 " left_ms=%" PRId64
 		 " expected_ms=%.0f prompt=%" PRId64 " read=%" PRId64 " endpoints=%s",
-		 x->in.id, x->rule ? x->rule->name : "-", x->spec ? x->spec->name : "-",
+		 x->in.id, x->rule ? x->rule->name.data : "-", x->spec ? x->spec->name.data : "-",
 		 x->table ? x->table->version : 0, outcome, status, cause, x->runs, x->refused,
 		 x->sends, x->events_sent, x->first_byte_ms ? x->first_byte_ms - x->begun_ms : -1,
 		 now - x->begun_ms, x->deadline_ms - now, x->choice.expected_first_token_ms,
@@ -486,7 +486,7 @@
 		answer_locally(x, status, cause, status == 503 ? RETRY_AFTER_STARTING_MS : -1);
 		return;
 	}
-	x->service = service_find(e, x->spec->name);
+	x->service = service_find(e, buf_str(&x->spec->name));
 	exchange_set_deadline(x);
 	suspect_set_fingerprint(x);
 	if (suspect_is_refused(x))
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -153,8 +153,8 @@
 	bool is_engine = r->kind == CALL_GENERATION && x->spec && x->spec->engine.present;
 
 	json_object_set_new(w->out, "rule",
-			    json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:b}", "name", r->name,
-				      "host", r->host, "prefix", r->prefix, "kind",
+			    json_pack("{s:s,s:s,s:s,s:s,s:I,s:I,s:I,s:i,s:b}", "name", r->name.data,
+				      "host", r->host.data, "prefix", r->prefix.data, "kind",
 				      kind_names[r->kind], "timeout_ms", (json_int_t)r->timeout_ms,
 				      "target_ms", (json_int_t)r->target_ms, "gap_ms",
 				      (json_int_t)r->gap_ms, "max_attempts", r->max_attempts,
@@ -162,7 +162,7 @@
 	if (x->spec)
 		json_object_set_new(
 			w->out, "service",
-			json_pack("{s:s,s:b}", "name", x->spec->name, "engines", is_engine));
+			json_pack("{s:s,s:b}", "name", x->spec->name.data, "engines", is_engine));
 	json_object_set_new(w->out, "priority", json_integer(exchange_priority(x)));
 	json_object_set_new(w->out, "organisation",
 			    x->organisation ? json_string(x->organisation->name) : json_null());
@@ -198,7 +198,7 @@
 	}
 	x->deadline_ms = x->begun_ms + exchange_limit_ms(x);
 	json_object_set_new(w->out, "limit_ms", json_integer(exchange_limit_ms(x)));
-	x->service = service_lookup(x->entry, x->spec->name);
+	x->service = service_lookup(x->entry, buf_str(&x->spec->name));
 	if (suspect_part_is_refused(x, &part))
 		refuse(w, 503, "quarantine", "crashes-endpoints", -1);
 	else if (!entry_outlasts(x->entry, x->deadline_ms))
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -178,7 +178,7 @@
  */
 struct service {
 	struct cds_list_head link;
-	char name[DIRECTORY_NAME_MAX];
+	struct buf name;
 	struct cds_list_head endpoints;
 	struct cds_list_head local_endpoints;
 	struct extra_budget budget;
@@ -407,10 +407,10 @@
 void endpoints_destroy(struct entry *e);
 
 /** service_find - runtime state of a service, created when it has none yet */
-struct service *service_find(struct entry *e, const char *name);
+struct service *service_find(struct entry *e, struct str name);
 
 /** service_lookup - the same, NULL when it has none yet */
-struct service *service_lookup(const struct entry *e, const char *name);
+struct service *service_lookup(const struct entry *e, struct str name);
 
 /** service_any_prefers_local - whether any service is served by the engines of this data centre */
 bool service_any_prefers_local(const struct entry *e);
--- a/entry/stages.c
+++ b/entry/stages.c
@@ -215,7 +215,7 @@
 	int pending;
 };
 
-static void service_engines_collect(const struct stages *s, const char *service, int64_t now,
+static void service_engines_collect(const struct stages *s, struct str service, int64_t now,
 				    struct service_engines *v)
 {
 	struct endpoint *ep;
@@ -225,7 +225,7 @@
 	cds_list_for_each_entry(ep, &s->entry->endpoints, link) {
 		bool pending = order_is_pending(ep, now);
 
-		if (v->count == ENGINES_MAX || strcmp(ep->entry.service, service) != 0 ||
+		if (v->count == ENGINES_MAX || !str_eq_cstr(service, ep->entry.service) ||
 		    ep->is_leaving || ep->entry.stage == STAGE_NONE)
 			continue;
 		v->eps[v->count] = ep;
@@ -277,7 +277,7 @@
 			 "service=%s share=%.2f former=%.2f engines=%d prefill=%d "
 			 "asked_prefill_ms=%.0f "
 			 "asked_decode_ms=%.0f requests=%.0f pace_ms=%.1f events=%.1f",
-			 service->name, next, service->prefill_share, v->count,
+			 service->name.data, next, service->prefill_share, v->count,
 			 engines_prefill_count(v), d->prefill, d->decode, d->samples,
 			 d->event_interval_ms, d->events);
 	service->prefill_share = next;
@@ -307,7 +307,7 @@
 	double share;
 	int at;
 
-	service_engines_collect(s, service->name, now, &v);
+	service_engines_collect(s, buf_str(&service->name), now, &v);
 	share = prefill_share_target(s, service, slots, &v);
 	/*
 	 * Only the first instance plans: instances compute slightly different shares and would
@@ -320,7 +320,7 @@
 		return false;
 	while (held && due && at >= 0 && v.pending < orders_max(s, v.count)) {
 		order_begin(s, v.eps[at], to, now);
-		service_engines_collect(s, service->name, now, &v);
+		service_engines_collect(s, buf_str(&service->name), now, &v);
 		at = stage_plan_next(v.engines, v.count, share, &to);
 	}
 	return true;
@@ -335,7 +335,7 @@
 		const struct service_spec *spec = &t->services[i];
 
 		if (spec->engine.present)
-			wanted |= plan_service(s, service_find(s->entry, spec->name),
+			wanted |= plan_service(s, service_find(s->entry, buf_str(&spec->name)),
 					       spec->engine.slots, now, held);
 	}
 	return wanted;
--- a/include/ibisgate/duty/workers.h
+++ b/include/ibisgate/duty/workers.h
@@ -21,7 +21,7 @@
 struct workers_view {
 	const struct routing_table *table;
 	const struct directory *directory;
-	struct demand_totals (*demand)(void *ctx, const char *name);
+	struct demand_totals (*demand)(void *ctx, struct str name);
 	void *ctx;
 };
 
--- a/include/ibisgate/state/routing_table.h
+++ b/include/ibisgate/state/routing_table.h
@@ -9,7 +9,7 @@
 #include "ibisgate/state/organisations.h"
 
 #define ROUTING_TARGETS_MAX 8
-#define ROUTING_NAME_MAX 128
+#define ROUTING_DC_NAME_MAX 128
 #define ROUTING_DCS_MAX 32
 
 /**
@@ -30,7 +30,7 @@
 
 /** struct scaling_price - price of a second of an endpoint in a data centre */
 struct scaling_price {
-	char dc[ROUTING_NAME_MAX];
+	char dc[ROUTING_DC_NAME_MAX];
 	double price;
 };
 
@@ -53,9 +53,9 @@
 	int price_count;
 };
 
+/** struct service_spec - service that rules route to; the table owns @name */
 struct service_spec {
-	char name[ROUTING_NAME_MAX];
-	char health_path[ROUTING_NAME_MAX];
+	struct buf name;
 	int max_connections;
 	struct engine_spec engine;
 	struct scaling_spec scaling;
@@ -69,6 +69,7 @@
 
 /**
  * struct routing_rule - how requests for one host and path prefix are handled
+ * @name: used in logs; the table owns it, @host and @prefix
  * @kind: determines which requests may be retried
  * @resumable: a generation may be resumed on another endpoint after the last complete event
  * @max_attempts: maximum number of endpoints that one request may be sent to
@@ -79,9 +80,9 @@
  * @is_public: requests need no API key
  */
 struct routing_rule {
-	char name[ROUTING_NAME_MAX];
-	char host[ROUTING_NAME_MAX];
-	char prefix[ROUTING_NAME_MAX];
+	struct buf name;
+	struct buf host;
+	struct buf prefix;
 	enum call_kind kind;
 	bool resumable;
 	int max_attempts;
--- a/state/routing_table.c
+++ b/state/routing_table.c
@@ -26,6 +26,13 @@
 {
 	if (!t || --t->refs)
 		return;
+	for (int i = 0; i < t->rule_count; i++) {
+		buf_free(&t->rules[i].name);
+		buf_free(&t->rules[i].host);
+		buf_free(&t->rules[i].prefix);
+	}
+	for (int i = 0; i < t->service_count; i++)
+		buf_free(&t->services[i].name);
 	free(t->rules);
 	free(t->services);
 	organisations_destroy(t->organisations);
@@ -35,7 +42,7 @@
 int routing_table_service(const struct routing_table *t, struct str name)
 {
 	for (int i = 0; i < t->service_count; i++) {
-		if (str_eq_cstr(name, t->services[i].name))
+		if (str_eq(name, buf_str(&t->services[i].name)))
 			return i;
 	}
 	return -1;
@@ -51,16 +58,16 @@
 	target = str_split(&target, '?');
 	for (int i = 0; i < t->rule_count; i++) {
 		const struct routing_rule *r = &t->rules[i];
-		size_t len = strlen(r->prefix);
+		struct str prefix = buf_str(&r->prefix);
 
-		if (len < best_len || (best && len == best_len))
+		if (prefix.len < best_len || (best && prefix.len == best_len))
 			continue;
-		if (strlen(r->host) != host.len || strncasecmp(r->host, host.data, host.len) != 0)
+		if (r->host.len != host.len || strncasecmp(r->host.data, host.data, host.len) != 0)
 			continue;
-		if (!str_starts_with(target, str_from(r->prefix)))
+		if (!str_starts_with(target, prefix))
 			continue;
 		best = r;
-		best_len = len;
+		best_len = prefix.len;
 	}
 	return best;
 }
--- a/tests/test_routing_table.cc
+++ b/tests/test_routing_table.cc
@@ -12,16 +12,16 @@
 {
 	struct routing_rule *r = &t->rules[t->rule_count++];
 
-	str_copy(r->name, sizeof(r->name), str_from(name));
-	str_copy(r->host, sizeof(r->host), str_from(host));
-	str_copy(r->prefix, sizeof(r->prefix), str_from(prefix));
+	buf_append_str(&r->name, str_from(name));
+	buf_append_str(&r->host, str_from(host));
+	buf_append_str(&r->prefix, str_from(prefix));
 }
 
 static std::string match_name(const struct routing_table *t, const char *host, const char *target)
 {
 	const struct routing_rule *r = routing_table_match(t, str_from(host), str_from(target));
 
-	return r ? r->name : "-";
+	return r ? r->name.data : "-";
 }
 
 /* Guards against routing requests to a service that the operator did not intend. */
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -583,6 +583,56 @@
 	store_rows_free(&rows);
 }
 
+static std::string rule_with(const std::string &host, const std::string &prefix,
+			     const std::string &service)
+{
+	return "{\"name\":\"r\",\"host\":\"" + host + "\",\"prefix\":\"" + prefix +
+	       "\",\"routeKind\":\"idempotent\",\"service\":\"" + service + "\"}";
+}
+
+static std::string config_with(const std::string &routes, const std::string &services)
+{
+	return "{\"version\":7,\"routes\":[" + routes + "],\"services\":[" + services + "]}";
+}
+
+/* Name of the service that @target of @host is sent to; "-" if none. */
+static std::string routed_to(const struct routing_table *t, const std::string &host,
+			     const std::string &target)
+{
+	const struct routing_rule *r =
+		routing_table_match(t, str_from(host.c_str()), str_from(target.c_str()));
+	int service = r ? routing_rule_target(r, 1) : -1;
+
+	return service < 0 ? "-" : std::to_string(service);
+}
+
+/*
+ * Guards against ROUTE: prefixes, hosts and services that differ only late in long texts were cut
+ * to the same text, and the requests of one rule were sent to the service of another.
+ */
+TEST(Store, LongTextsOfTheConfigurationAreKeptWhole)
+{
+	const std::string folder = "/" + std::string(4000, 'f') + "/";
+	const std::string host = std::string(200, 'h');
+	const std::string name = std::string(150, 's');
+	std::string text = config_with(rule_with("a", folder + "stock/", name + "0") + "," +
+					       rule_with("a", folder + "orders/", name + "1") +
+					       "," + rule_with(host + "0", "/", name + "0") + "," +
+					       rule_with(host + "1", "/", name + "1"),
+				       "{\"name\":\"" + name + "0\"},{\"name\":\"" + name + "1\"}");
+	struct error err = {};
+	struct routing_table *t = store_config_decode(str{ text.data(), text.size() }, &err);
+
+	ASSERT_NE(t, nullptr) << err.text;
+	EXPECT_EQ(routed_to(t, "a", folder + "stock/5"), "0");
+	EXPECT_EQ(routed_to(t, "a", folder + "orders/5"), "1");
+	EXPECT_EQ(routed_to(t, "a", folder + "returns/5"), "-") << "no rule has this prefix";
+	EXPECT_EQ(routed_to(t, host + "0", "/"), "0");
+	EXPECT_EQ(routed_to(t, host + "1", "/"), "1");
+	EXPECT_EQ(routed_to(t, host, "/"), "-");
+	routing_table_put(t);
+}
+
 /* Guards against keys of one malformed entry that let callers in, or that lock the others out. */
 TEST(Store, OrganisationsOfTheConfigurationAreDecoded)
 {
