net: an answer that is reset during the upload isn't complete

Cause: the kernel reports a reset once. If a write meets it, a read in the same round finds the end of the connection, libevent reports ERROR and EOF together, and on_event() looked at EOF only.

An event with an error fails the exchange now. An answer that ends with its connection counts once the peer has taken the whole request, since a peer that crashes may end its side just before the reset; this is checked every 10 ms while the request is on its way.

--- a/net/http_client.c
+++ b/net/http_client.c
@@ -2,10 +2,12 @@
 #include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <urcu/list.h>
 
 #include "ibisgate/common/clock.h"
@@ -26,6 +28,12 @@
 #define SKIPPED_RESPONSES_MAX 8
 #define SKIPPED_BYTES_MAX (1 << 20)
 
+/*
+ * Interval at which a response that ended with its connection is checked for a reset while the
+ * request is still being sent, in milliseconds.
+ */
+#define UPLOAD_CHECK_MS 10
+
 /**
  * struct http_exchange - request in flight
  * @until_ms: when the response must be complete; 0 for no limit
@@ -59,6 +67,8 @@
  * @has_received: bytes of a response to the current exchange were received
  * @is_skipping: the response being read is an interim one or belongs to an earlier request
  * @is_closing: the connection is freed as soon as no callback is running on it
+ * @upload_check: the response has ended with the peer's side of the connection, and counts once the
+ *	peer has taken the whole request; NULL otherwise
  * @callback_depth: number of nested callbacks running on the connection
  */
 struct connection {
@@ -76,6 +86,7 @@
 	bool has_received;
 	bool is_skipping;
 	bool is_closing;
+	struct event *upload_check;
 	int callback_depth;
 };
 
@@ -145,6 +156,8 @@
 static void connection_free(struct connection *c)
 {
 	cds_list_del(&c->link);
+	if (c->upload_check)
+		event_free(c->upload_check);
 	bufferevent_free(c->bev);
 	http_reader_free(&c->reader);
 	free(c);
@@ -380,6 +393,57 @@
 	return HTTP_FAILURE_CLOSED;
 }
 
+/* Whether bytes of the request have not arrived at the peer. */
+static bool request_is_unsent(const struct connection *c)
+{
+	int queued = 0;
+
+	return evbuffer_get_length(bufferevent_get_output(c->bev)) > 0 ||
+	       (ioctl(bufferevent_getfd(c->bev), SIOCOUTQ, &queued) == 0 && queued > 0);
+}
+
+static bool connection_is_reset(const struct connection *c)
+{
+	int error = 0;
+	socklen_t len = sizeof(error);
+
+	return getsockopt(bufferevent_getfd(c->bev), SOL_SOCKET, SO_ERROR, &error, &len) < 0 ||
+	       error;
+}
+
+static void on_upload_check(evutil_socket_t fd, short what, void *ctx)
+{
+	struct connection *c = ctx;
+
+	connection_enter(c);
+	if (!c->exchange)
+		c->is_closing = true;
+	else if (connection_is_reset(c))
+		exchange_fail(c, HTTP_FAILURE_CLOSED);
+	else if (!request_is_unsent(c))
+		exchange_end(c);
+	else if (c->exchange->until_ms && clock_boot_ms() >= c->exchange->until_ms)
+		exchange_fail(c, HTTP_FAILURE_TIMEOUT);
+	connection_leave(c);
+}
+
+/*
+ * Ends a response that has no length (RFC 9112, 6.3). A peer that crashes while the request is
+ * still being sent also ends its side first, and resets the connection with the next bytes.
+ */
+static void response_end_with_connection(struct connection *c)
+{
+	struct timeval period = { .tv_usec = UPLOAD_CHECK_MS * 1000 };
+
+	c->is_reusable = false;
+	if (!request_is_unsent(c)) {
+		exchange_end(c);
+		return;
+	}
+	c->upload_check = event_new(c->client->base, -1, EV_PERSIST, on_upload_check, c);
+	event_add(c->upload_check, &period);
+}
+
 static void on_event(struct bufferevent *bev, short what, void *ctx)
 {
 	struct connection *c = ctx;
@@ -397,11 +461,18 @@
 		}
 		return;
 	}
+	/* Reading was resumed on a connection that has ended; see response_end_with_connection().
+	 */
+	if (c->upload_check && !(what & BEV_EVENT_ERROR))
+		return;
 	connection_enter(c);
-	if ((what & BEV_EVENT_EOF) && c->exchange && !c->is_skipping &&
+	/*
+	 * The kernel reports a reset once. After a write has met it, a read in the same round finds
+	 * the end of the connection.
+	 */
+	if ((what & BEV_EVENT_EOF) && !(what & BEV_EVENT_ERROR) && c->exchange && !c->is_skipping &&
 	    http_reader_eof(&c->reader) && c->exchange) {
-		c->is_reusable = false;
-		exchange_end(c);
+		response_end_with_connection(c);
 	} else if (c->exchange) {
 		exchange_fail(c, connection_failure(c, what));
 	} else {
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include "tiny_server.h"
 
@@ -47,6 +48,8 @@
 	{
 		struct http_client_options options = { 5000, 2, 2000 };
 
+		signal(SIGPIPE, SIG_IGN);
+
 		base = event_base_new();
 		client = http_client_create(base, &options);
 	}
@@ -65,12 +68,18 @@
 	struct answer fetch(const TinyServer &server, const std::string &id, int limit_ms = 3000,
 			    int read_timeout_ms = READ_TIMEOUT_MS)
 	{
-		std::string text = "GET / HTTP/1.1\r\nHost: x\r\nX-Id: " + id + "\r\n\r\n";
+		return exchange(server.port,
+				"GET / HTTP/1.1\r\nHost: x\r\nX-Id: " + id + "\r\n\r\n", id,
+				limit_ms, read_timeout_ms);
+	}
+	struct answer exchange(int port, const std::string &text, const std::string &id,
+			       int limit_ms, int read_timeout_ms)
+	{
 		struct http_exchange_spec spec = {};
 		struct answer out;
 		int64_t from = clock_boot_ms();
 
-		spec.to = { 0x7f000001, (uint16_t)server.port };
+		spec.to = { 0x7f000001, (uint16_t)port };
 		spec.request = { text.data(), text.size() };
 		spec.match_name = "X-Id";
 		spec.match_value = { id.data(), id.size() };
@@ -193,6 +202,79 @@
 	}
 }
 
+/* A server that answers each upload of some MB once it has read the head, and then ends. */
+class EarlyAnswerer
+{
+      public:
+	enum Ending {
+		RESET,
+		CLOSE_UNREAD,
+		/* The end of the answer, then a reset. */
+		END_AND_RESET,
+		/* The end of the answer; what is left of the upload is read. */
+		END_AND_READ,
+	};
+
+	EarlyAnswerer(Ending how, int ms)
+	    : how_(how), ms_(ms), server_([this](int fd) { serve(fd); })
+	{
+	}
+	int port() const
+	{
+		return server_.port;
+	}
+
+      private:
+	void serve(int fd)
+	{
+		char data[4096];
+
+		recv(fd, data, sizeof(data), 0);
+		TinyServer::send_bytes(fd, "HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n" +
+						   std::string(4096, 'a'));
+		usleep((useconds_t)ms_ * 1000);
+		if (how_ == END_AND_RESET || how_ == END_AND_READ)
+			shutdown(fd, SHUT_WR);
+		if (how_ == END_AND_RESET)
+			usleep(20000);
+		while (how_ == END_AND_READ && recv(fd, data, sizeof(data), 0) > 0)
+			;
+		if (how_ == RESET || how_ == END_AND_RESET)
+			TinyServer::reset(fd);
+	}
+
+	Ending how_;
+	int ms_;
+	RawServer server_;
+};
+
+/*
+ * Guards against MIXED: a worker answers a long upload without a length, and resets the connection
+ * while the upload is still written. Part of the answer was taken for the whole.
+ */
+TEST_F(HttpClient, AnswersThatAreResetDuringTheUploadAreNotComplete)
+{
+	const std::string upload =
+		"POST / HTTP/1.1\r\nHost: x\r\nX-Id: r\r\nContent-Length: 3000000\r\n\r\n" +
+		std::string(3000000, 'u');
+
+	for (int i = 0; i < 60; i++) {
+		EarlyAnswerer server(EarlyAnswerer::Ending(i % 3), i * 5 / 3);
+		struct answer a = exchange(server.port(), upload, "r", 2 * PATIENT_MS, PATIENT_MS);
+
+		EXPECT_TRUE(a.done) << i;
+		EXPECT_EQ(a.status, 0) << "ending " << i % 3 << " after " << i * 5 / 3 << " ms";
+	}
+	/* It has ended, although the upload was still on its way. */
+	for (int ms : { 0, 30 }) {
+		EarlyAnswerer server(EarlyAnswerer::END_AND_READ, ms);
+		struct answer a = exchange(server.port(), upload, "r", 2 * PATIENT_MS, PATIENT_MS);
+
+		EXPECT_EQ(a.status, 200) << ms;
+		EXPECT_EQ(a.body.size(), 4096u) << ms;
+	}
+}
+
 /* Guards against endless bytes that are no answer: each shape ends soon and in bounded memory. */
 TEST_F(HttpClient, EndlessBytesEndTheExchange)
 {
--- a/tests/tiny_server.h
+++ b/tests/tiny_server.h
@@ -195,6 +195,45 @@
 	std::vector<std::thread> threads_;
 };
 
+/* A server for one connection, whose handler also reads from it; it is closed afterwards. */
+class RawServer
+{
+      public:
+	explicit RawServer(const std::function<void(int fd)> &handler)
+	{
+		struct sockaddr_in sin = {};
+		socklen_t len = sizeof(sin);
+
+		listen_fd_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		sin.sin_family = AF_INET;
+		sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		if (bind(listen_fd_, (struct sockaddr *)&sin, sizeof(sin)) || listen(listen_fd_, 1))
+			abort();
+		getsockname(listen_fd_, (struct sockaddr *)&sin, &len);
+		port = ntohs(sin.sin_port);
+		thread_ = std::thread([this, handler] {
+			int fd = accept(listen_fd_, nullptr, nullptr);
+
+			if (fd < 0)
+				return;
+			handler(fd);
+			close(fd);
+		});
+	}
+	~RawServer()
+	{
+		/* Ends an accept() that still waits. */
+		shutdown(listen_fd_, SHUT_RDWR);
+		thread_.join();
+		close(listen_fd_);
+	}
+	int port;
+
+      private:
+	int listen_fd_;
+	std::thread thread_;
+};
+
 /* A server that accepts connections and reads nothing until it is told to. */
 class LateReader
 {
