--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -275,6 +275,25 @@
 	}
 }
 
+/* Guards against MIXED: numbers that are no status of HTTP were passed on, or waited for long. */
+TEST_F(HttpClient, AnswersWithoutAStatusOfHttpFailAtOnce)
+{
+	for (const char *status : { "000", "0", "20", "099", "101", "600", "999", "1000", "-20" }) {
+		TinyServer server([&](int fd, const std::string &) {
+			TinyServer::send_bytes(fd, "HTTP/1.1 " + std::string(status) +
+							   " X\r\nX-Id: r\r\n"
+							   "Content-Length: 3\r\n\r\nabc");
+			return true;
+		});
+		struct answer a = fetch(server, "r", 2 * PATIENT_MS, PATIENT_MS);
+
+		EXPECT_TRUE(a.done) << status;
+		EXPECT_EQ(a.status, 0) << status;
+		EXPECT_EQ(a.failure, HTTP_FAILURE_MALFORMED) << status;
+		EXPECT_LT(a.took_ms, PATIENT_MS / 2) << status;
+	}
+}
+
 /* Guards against endless bytes that are no answer: each shape ends soon and in bounded memory. */
 TEST_F(HttpClient, EndlessBytesEndTheExchange)
 {
