entry: admit requests in a planned stop by their own time

Cause: requests that may outlast the instance are refused from 3 s on, and entry_outlasts() took the closed listener as the sign for that. The listener is closed at the next tick, up to 100 ms later.

planned_stop_admits() decides from the time of the request, and from 2.9 s on, as callers count from the signal and the process handles it a little later. The limits of a planned stop are in policy/planned_stop.c, without the loop.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -34,25 +34,11 @@
 #define START_POLL_MS 10
 
 /*
- * After a shutdown begins, connections are still accepted for this long, in milliseconds: the
- * platform probes readiness once a second and takes an instance out of service after two answers
- * other than 200.
- */
-#define STOP_ACCEPT_MS 3000
-
-/*
- * From then on, a connection without a request is closed after this time, in milliseconds; the
- * first request of one that was just accepted may be on its way.
+ * Once a stopping instance accepts no connections, one without a request is closed after this time,
+ * in milliseconds; the first request of one that was just accepted may be on its way.
  */
 #define STOP_IDLE_MS 300
 
-/*
- * Parts of the grace period, in milliseconds: requests that still run this long before its end are
- * answered, and the process exits this long before it even if answers are unsent.
- */
-#define STOP_ANSWER_MARGIN_MS 500
-#define STOP_EXIT_MARGIN_MS 100
-
 /* Idle timeout of pooled connections to endpoints and to the store, in milliseconds. */
 #define ENDPOINT_IDLE_MS 8000
 #define STORE_IDLE_MS 20000
@@ -210,7 +196,8 @@
 	if (e->stopping)
 		return;
 	e->stopping = true;
-	e->stop_begun_ms = clock_boot_ms();
+	e->stop = (struct planned_stop){ .begun_ms = clock_boot_ms(),
+					 .grace_ms = e->settings.bounds.stop_grace_ms };
 	log_info("stopping", "cause=%s requests=%d", why, e->exchange_count);
 	ready_log_change(e);
 }
@@ -241,28 +228,18 @@
 	e->http_listener = NULL;
 }
 
-bool entry_outlasts(const struct entry *e, int64_t until_ms)
-{
-	/* Before, another instance may not be in use yet, and most requests take less time. */
-	if (!e->stopping || e->http_listener)
-		return true;
-	return until_ms <=
-	       e->stop_begun_ms + e->settings.bounds.stop_grace_ms - STOP_ANSWER_MARGIN_MS;
-}
-
 static void shutdown_step(struct entry *e, int64_t now)
 {
-	int64_t age = now - e->stop_begun_ms;
-	int64_t left = e->settings.bounds.stop_grace_ms - age;
+	bool accepts = planned_stop_accepts(&e->stop, now);
 
-	if (age >= STOP_ACCEPT_MS) {
+	if (!accepts) {
 		listener_close(e);
 		callers_close_idle(e, STOP_IDLE_MS, now);
 	}
-	if (left <= STOP_ANSWER_MARGIN_MS)
+	if (planned_stop_answers_all(&e->stop, now))
 		exchanges_expire(e, "stopping");
-	if (left <= STOP_EXIT_MARGIN_MS ||
-	    (age >= STOP_ACCEPT_MS && e->exchange_count == 0 && !callers_are_active(e)))
+	if (planned_stop_is_over(&e->stop, now) ||
+	    (!accepts && e->exchange_count == 0 && !callers_are_active(e)))
 		event_base_loopbreak(e->base);
 }
 
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -491,7 +491,7 @@
 	suspect_set_fingerprint(x);
 	if (suspect_is_refused(x))
 		exchange_refuse(x, "crashes-endpoints", -1);
-	else if (!entry_outlasts(e, x->deadline_ms))
+	else if (!planned_stop_admits(&e->stop, x->deadline_ms, clock_boot_ms()))
 		exchange_refuse(x, "stopping", 0);
 	else
 		exchange_place(x);
--- a/entry/explain.c
+++ b/entry/explain.c
@@ -201,7 +201,7 @@
 	x->service = service_lookup(x->entry, buf_str(&x->spec->name));
 	if (suspect_part_is_refused(x, &part))
 		refuse(w, 503, "quarantine", "crashes-endpoints", -1);
-	else if (!entry_outlasts(x->entry, x->deadline_ms))
+	else if (!planned_stop_admits(&x->entry->stop, x->deadline_ms, w->now_ms))
 		refuse(w, 503, "stop", "stopping", 0);
 	else if (!exchange_has_time(x, w->now_ms))
 		refuse(w, 503, "deadline", "deadline", 0);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -24,6 +24,7 @@
 #include "ibisgate/policy/finish.h"
 #include "ibisgate/policy/memory_ledger.h"
 #include "ibisgate/policy/place.h"
+#include "ibisgate/policy/planned_stop.h"
 #include "ibisgate/policy/retry.h"
 #include "ibisgate/policy/stage_demand.h"
 #include "ibisgate/state/cache_view.h"
@@ -308,7 +309,7 @@
 	int cache_calls_left;
 	bool caches_to_read;
 	bool stopping;
-	int64_t stop_begun_ms;
+	struct planned_stop stop;
 	int64_t settings_checked_ms;
 	int64_t ticked_ms;
 	bool tick_was_late;
@@ -323,12 +324,6 @@
 struct dc_health *entry_dc_health(struct entry *e, int dc);
 bool entry_is_ready(const struct entry *e);
 
-/**
- * entry_outlasts - whether a request that may last until @until_ms can be answered before a planned
- * stop ends
- */
-bool entry_outlasts(const struct entry *e, int64_t until_ms);
-
 /**
  * entry_config_set - apply the configuration in @text if it is newer
  * @peer: instance that has sent it; NULL when it comes from the store
--- a/tests/test_planned_stop.cc
+++ b/tests/test_planned_stop.cc
@@ -2,6 +2,37 @@
 
 #include <atomic>
 
+extern "C" {
+#include "ibisgate/policy/planned_stop.h"
+}
+
+/*
+ * Guards against LOST by a decision that depends on when the instance last looked at the clock: a
+ * request is admitted by its own time, to the millisecond, and never beyond the end.
+ */
+TEST(PlannedStop, RequestsAreAdmittedByTheirOwnTime)
+{
+	const struct planned_stop running = {};
+	const struct planned_stop s = { .begun_ms = 50000, .grace_ms = 8000 };
+
+	EXPECT_TRUE(planned_stop_admits(&running, 1000000, 60000));
+	EXPECT_TRUE(planned_stop_accepts(&running, 60000));
+	EXPECT_FALSE(planned_stop_answers_all(&running, 60000));
+	EXPECT_FALSE(planned_stop_is_over(&running, 60000));
+	/* The platform sends requests for 3 s after the signal; those may be cut at the end. */
+	EXPECT_TRUE(planned_stop_admits(&s, 59000, 52500));
+	for (int64_t now = 53000; now < 57500; now++) {
+		ASSERT_FALSE(planned_stop_accepts(&s, now));
+		ASSERT_FALSE(planned_stop_admits(&s, 57501, now)) << now;
+		ASSERT_TRUE(planned_stop_admits(&s, 57500, now)) << now;
+		ASSERT_FALSE(planned_stop_answers_all(&s, now)) << now;
+	}
+	EXPECT_TRUE(planned_stop_accepts(&s, 52999));
+	EXPECT_TRUE(planned_stop_answers_all(&s, 57500));
+	EXPECT_FALSE(planned_stop_is_over(&s, 57899));
+	EXPECT_TRUE(planned_stop_is_over(&s, 57900));
+}
+
 /* The instances of EntryTest are stopped with a grace of 8 s, and accept connections for 3 s of it.
  */
 class LateInGraceTest : public PlayedEndpointTest
@@ -80,6 +111,37 @@
 	EXPECT_EQ(WEXITSTATUS(process->status), 0);
 }
 
+/*
+ * Guards against LOST: requests that come when connections are no longer accepted, but before the
+ * instance's next periodic check, were passed on and cut at the end of the grace.
+ */
+TEST_F(LateInGraceTest, RequestsThatMayOutlastTheInstanceAreRefusedFromTheFirstMillisecond)
+{
+	const int count = 18;
+	std::vector<std::unique_ptr<Caller>> callers;
+
+	start();
+	std::string text = with_limit(request_text("long/x"), 9000);
+	for (int i = 0; i < count; i++) {
+		callers.push_back(connect_caller());
+		callers.back()->send_text(text.substr(0, text.size() - 1));
+	}
+	begin_stop();
+	for (int i = 0; i < count; i++) {
+		sleep_until(3003 + 5 * i);
+		callers[(size_t)i]->send_text(text.substr(text.size() - 1));
+	}
+	for (int i = 0; i < count; i++) {
+		Response a = callers[(size_t)i]->read_response(1000);
+
+		EXPECT_EQ(a.status, 503) << "sent " << 3003 + 5 * i << " ms after SIGTERM";
+		EXPECT_TRUE(a.complete);
+	}
+	EXPECT_EQ(received, 0);
+	EXPECT_EQ(harness_process_wait(process, 8000), 0);
+	EXPECT_EQ(WEXITSTATUS(process->status), 0);
+}
+
 /*
  * Guards against running requests that are cut without an answer at the end of the grace, among
  * them those that may run only once.
