entry: steps of a planned stop don't wait for the periodic check

An instance that waits for a caller to the end of its grace was still there up to 8.04 s after SIGTERM, with a grace of 8 s, and would have been killed with answers unsent.

Cause: the exit, 100 ms before the end, came with a tick, up to 100 ms late; then the thread that talks to the other instances was joined, which polled every 100 ms.

The steps have a timer (planned_stop_next_ms()), and peer_bus_stop() wakes the thread.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -191,29 +191,6 @@
 	free(fresh);
 }
 
-void entry_stop(struct entry *e, const char *why)
-{
-	if (e->stopping)
-		return;
-	e->stopping = true;
-	e->stop = (struct planned_stop){ .begun_ms = clock_boot_ms(),
-					 .grace_ms = e->settings.bounds.stop_grace_ms };
-	log_info("stopping", "cause=%s requests=%d", why, e->exchange_count);
-	ready_log_change(e);
-}
-
-static void on_signal(evutil_socket_t number, short what, void *ctx)
-{
-	struct entry *e = ctx;
-
-	if (number == SIGHUP) {
-		e->settings_mtime_ms = 0;
-		settings_reload(e);
-		return;
-	}
-	entry_stop(e, strsignal((int)number));
-}
-
 /* Connections that the kernel has already accepted would be reset with the listener. */
 static void listener_close(struct entry *e)
 {
@@ -243,6 +220,50 @@
 		event_base_loopbreak(e->base);
 }
 
+static void stop_timer_start(struct entry *e)
+{
+	int64_t now = clock_boot_ms();
+	int64_t next = planned_stop_next_ms(&e->stop, now);
+	struct timeval tv = { .tv_sec = (next - now) / 1000,
+			      .tv_usec = (next - now) % 1000 * 1000 };
+
+	if (next >= 0)
+		event_add(e->stop_timer, &tv);
+}
+
+/* The last steps come shortly before the process is killed, too soon to wait for a tick. */
+static void on_stop_timer(evutil_socket_t fd, short what, void *ctx)
+{
+	struct entry *e = ctx;
+
+	shutdown_step(e, clock_boot_ms());
+	stop_timer_start(e);
+}
+
+void entry_stop(struct entry *e, const char *why)
+{
+	if (e->stopping)
+		return;
+	e->stopping = true;
+	e->stop = (struct planned_stop){ .begun_ms = clock_boot_ms(),
+					 .grace_ms = e->settings.bounds.stop_grace_ms };
+	stop_timer_start(e);
+	log_info("stopping", "cause=%s requests=%d", why, e->exchange_count);
+	ready_log_change(e);
+}
+
+static void on_signal(evutil_socket_t number, short what, void *ctx)
+{
+	struct entry *e = ctx;
+
+	if (number == SIGHUP) {
+		e->settings_mtime_ms = 0;
+		settings_reload(e);
+		return;
+	}
+	entry_stop(e, strsignal((int)number));
+}
+
 static void on_org_load_report(void *ctx, const struct report_source *from, const uint64_t *values,
 			       int count, int64_t now_ms)
 {
@@ -644,6 +665,7 @@
 	}
 	peers_set_report_reader(e->peers, REPORT_SPEED, endpoint_speeds_apply, e);
 	peers_set_report_reader(e->peers, REPORT_CACHE, cache_report_apply, e);
+	e->stop_timer = evtimer_new(e->base, on_stop_timer, e);
 	start_signals(e);
 	start_delay_accept(e);
 	e->tick = event_new(e->base, -1, EV_PERSIST, on_tick, e);
@@ -722,6 +744,8 @@
 		event_free(e->accept_delay_timer);
 	if (e->tick)
 		event_free(e->tick);
+	if (e->stop_timer)
+		event_free(e->stop_timer);
 	if (e->memory_event)
 		event_free(e->memory_event);
 	routing_table_put(e->table);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -310,6 +310,7 @@
 	bool caches_to_read;
 	bool stopping;
 	struct planned_stop stop;
+	struct event *stop_timer;
 	int64_t settings_checked_ms;
 	int64_t ticked_ms;
 	bool tick_was_late;
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -431,6 +431,7 @@
 	if (!p)
 		return;
 	if (p->supervisor) {
+		peer_bus_stop(p->bus);
 		supervisor_stop(p->supervisor);
 		supervisor_destroy(p->supervisor);
 	}
--- a/include/ibisgate/policy/planned_stop.h
+++ b/include/ibisgate/policy/planned_stop.h
@@ -34,4 +34,11 @@
 /** planned_stop_is_over - whether the process exits now, even if answers are unsent */
 bool planned_stop_is_over(const struct planned_stop *s, int64_t now_ms);
 
+/**
+ * planned_stop_next_ms - time of the next of these changes after @now_ms; -1 if there is none
+ *
+ * Load: the last requests of a shutdown, whose answers must be sent before the process is killed.
+ */
+int64_t planned_stop_next_ms(const struct planned_stop *s, int64_t now_ms);
+
 #endif
--- a/policy/planned_stop.c
+++ b/policy/planned_stop.c
@@ -1,5 +1,7 @@
 #include "ibisgate/policy/planned_stop.h"
 
+#include <stddef.h>
+
 /*
  * After a shutdown begins, connections are still accepted for this long, in milliseconds: the
  * platform probes readiness once a second and takes an instance out of service after two answers
@@ -20,14 +22,24 @@
 #define ANSWER_MARGIN_MS 500
 #define EXIT_MARGIN_MS 100
 
+static int64_t close_ms(const struct planned_stop *s)
+{
+	return s->begun_ms + ACCEPT_MS;
+}
+
 static int64_t answer_all_ms(const struct planned_stop *s)
 {
 	return s->begun_ms + s->grace_ms - ANSWER_MARGIN_MS;
 }
 
+static int64_t exit_ms(const struct planned_stop *s)
+{
+	return s->begun_ms + s->grace_ms - EXIT_MARGIN_MS;
+}
+
 bool planned_stop_accepts(const struct planned_stop *s, int64_t now_ms)
 {
-	return !s->begun_ms || now_ms < s->begun_ms + ACCEPT_MS;
+	return !s->begun_ms || now_ms < close_ms(s);
 }
 
 bool planned_stop_admits(const struct planned_stop *s, int64_t until_ms, int64_t now_ms)
@@ -45,5 +57,17 @@
 
 bool planned_stop_is_over(const struct planned_stop *s, int64_t now_ms)
 {
-	return s->begun_ms && now_ms >= s->begun_ms + s->grace_ms - EXIT_MARGIN_MS;
+	return s->begun_ms && now_ms >= exit_ms(s);
+}
+
+int64_t planned_stop_next_ms(const struct planned_stop *s, int64_t now_ms)
+{
+	const int64_t changes[] = { close_ms(s), answer_all_ms(s), exit_ms(s) };
+	int64_t next = -1;
+
+	for (size_t i = 0; s->begun_ms && i < sizeof(changes) / sizeof(changes[0]); i++) {
+		if (changes[i] > now_ms && (next < 0 || changes[i] < next))
+			next = changes[i];
+	}
+	return next;
 }
--- a/tests/test_planned_stop.cc
+++ b/tests/test_planned_stop.cc
@@ -1,6 +1,8 @@
 #include "played_endpoint.h"
 
+#include <algorithm>
 #include <atomic>
+#include <vector>
 
 extern "C" {
 #include "ibisgate/policy/planned_stop.h"
@@ -33,6 +35,22 @@
 	EXPECT_TRUE(planned_stop_is_over(&s, 57900));
 }
 
+/* Guards against steps of a stop that wait for a periodic check: each has its time. */
+TEST(PlannedStop, EachStepHasItsTime)
+{
+	const struct planned_stop running = {};
+	const struct planned_stop s = { .begun_ms = 50000, .grace_ms = 8000 };
+	const struct planned_stop brief = { .begun_ms = 50000, .grace_ms = 2000 };
+	std::vector<int64_t> times;
+
+	EXPECT_EQ(planned_stop_next_ms(&running, 60000), -1);
+	for (int64_t now = s.begun_ms; (now = planned_stop_next_ms(&s, now)) >= 0;)
+		times.push_back(now);
+	EXPECT_EQ(times, (std::vector<int64_t>{ 53000, 57500, 57900 }));
+	EXPECT_EQ(planned_stop_next_ms(&brief, 50000), 51500);
+	EXPECT_EQ(planned_stop_next_ms(&brief, 51500), 51900);
+}
+
 /* The instances of EntryTest are stopped with a grace of 8 s, and accept connections for 3 s of it.
  */
 class LateInGraceTest : public PlayedEndpointTest
@@ -142,6 +160,51 @@
 	EXPECT_EQ(WEXITSTATUS(process->status), 0);
 }
 
+/*
+ * Guards against an instance that is killed: the end of a stop waited for a periodic check, at most
+ * 100 ms later, which is all the time that is left then.
+ */
+TEST_F(LateInGraceTest, InstancesExitBeforeTheEndOfTheGrace)
+{
+	const size_t count = 6;
+	std::vector<struct harness_process *> all = start_instances((int)count, 1, 0, 1);
+	std::vector<std::unique_ptr<Caller>> callers;
+	std::vector<int64_t> begun, late;
+
+	/* At different phases of the periodic check. */
+	for (struct harness_process *p : all) {
+		begun.push_back(clock_boot_ms());
+		harness_process_signal(p, SIGTERM);
+		usleep(17000);
+	}
+	stopped_ms = begun[0];
+	sleep_until(2900);
+	/* Their bodies stay incomplete, so the instances wait for them to the end. */
+	for (struct harness_process *p : all) {
+		std::string text = request_text("order/x");
+
+		callers.push_back(std::make_unique<Caller>(harness_process_port(p, "http"),
+							   process_ip(p).c_str()));
+		callers.back()->send_text(text.substr(0, text.size() - 1));
+	}
+	sleep_until(7900);
+	for (std::vector<bool> ended(count);
+	     late.size() < count && clock_boot_ms() < begun.back() + 9000; usleep(1000)) {
+		for (size_t i = 0; i < count; i++) {
+			if (ended[i] || harness_process_wait(all[i], 0) < 0)
+				continue;
+			ended[i] = true;
+			late.push_back(clock_boot_ms() - begun[i] - 7900);
+			EXPECT_EQ(WEXITSTATUS(all[i]->status), 0);
+		}
+	}
+	ASSERT_EQ(late.size(), count);
+	std::sort(late.begin(), late.end());
+	EXPECT_GE(late.front(), 0);
+	/* One of them may be late on a busy machine. */
+	EXPECT_LT(late[count - 2], 50) << late.front() << " " << late.back();
+}
+
 /*
  * Guards against running requests that are cut without an answer at the end of the grace, among
  * them those that may run only once.
