http: answers to HEAD, 204 and 304 end with their heads

An endpoint's answer to HEAD with a length was waited for until the time limit, and a body that an endpoint sent with 204 or 304 was passed on.

Cause: neither the writer of own answers nor the client of endpoints was told the method, and the client relied on the head alone.

struct http_exchange_spec and struct local_response say that the request is HEAD; such answers keep the announced length and have no body. The readiness and metrics listeners do the same.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -73,8 +73,9 @@
 	const struct attempt *a = &x->attempt;
 
 	return x->rule->kind == CALL_GENERATION && a->work == WIRE_WORK_RUN &&
-	       a->response.status == 200 && a->response.has_request_id &&
-	       a->response.has_signature && !a->response.has_content_encoding;
+	       x->head->method != HTTP_HEAD && a->response.status == 200 &&
+	       a->response.has_request_id && a->response.has_signature &&
+	       !a->response.has_content_encoding;
 }
 
 static void on_head(void *ctx, const struct http_head *head)
@@ -561,6 +562,7 @@
 				      &(struct http_exchange_spec){
 					      .to = ep->address,
 					      .request = buf_str(&request),
+					      .is_head = x->head->method == HTTP_HEAD,
 					      .needs_new_connection = needs_new_connection(x, now),
 					      .match_name = wire_request_id_field,
 					      .match_value = str_from(x->in.id),
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -276,6 +276,8 @@
 						 .reason = reason,
 						 .retry_after_ms = retry_after_ms,
 						 .close = true,
+						 .no_body = c->reader.is_in_message &&
+							    c->reader.parser.method == HTTP_HEAD,
 					 });
 	caller_write(c, buf_str(&out));
 	buf_free(&out);
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -119,6 +119,19 @@
 	return x->closes;
 }
 
+static bool is_head(const struct exchange *x)
+{
+	return x->head->method == HTTP_HEAD;
+}
+
+/* Length of the attempt's response for wire_response_encode(). */
+static int64_t response_length(const struct exchange *x)
+{
+	return is_head(x) || !http_status_has_body(x->attempt.response.status)
+		       ? WIRE_LENGTH_NO_BODY
+		       : (int64_t)x->attempt.body.len;
+}
+
 static void answer_locally(struct exchange *x, int status, const char *cause,
 			   int64_t retry_after_ms)
 {
@@ -130,6 +143,7 @@
 						 .reason = cause,
 						 .retry_after_ms = retry_after_ms,
 						 .close = exchange_decide_close(x),
+						 .no_body = is_head(x),
 					 });
 	caller_write(x->caller, buf_str(&out));
 	buf_free(&out);
@@ -162,7 +176,7 @@
 void exchange_save_fallback(struct exchange *x)
 {
 	x->fallback.len = 0;
-	wire_response_encode(&x->fallback, x->attempt.head, (int64_t)x->attempt.body.len,
+	wire_response_encode(&x->fallback, x->attempt.head, response_length(x),
 			     exchange_decide_close(x));
 	buf_append_str(&x->fallback, buf_str(&x->attempt.body));
 }
@@ -197,7 +211,7 @@
 	struct buf out = { 0 };
 	bool close = exchange_decide_close(x);
 
-	wire_response_encode(&out, x->attempt.head, (int64_t)x->attempt.body.len, close);
+	wire_response_encode(&out, x->attempt.head, response_length(x), close);
 	caller_write(x->caller, buf_str(&out));
 	caller_write(x->caller, buf_str(&x->attempt.body));
 	buf_free(&out);
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -135,7 +135,8 @@
 	struct buf out = { 0 };
 
 	if (!x->response_started) {
-		wire_response_encode(&out, x->attempt.head, -1, exchange_decide_close(x));
+		wire_response_encode(&out, x->attempt.head, WIRE_LENGTH_CHUNKED,
+				     exchange_decide_close(x));
 		x->response_started = true;
 		x->first_byte_ms = clock_boot_ms();
 		exchange_count_begun(x, x->first_byte_ms);
--- a/entry/probe.c
+++ b/entry/probe.c
@@ -82,7 +82,8 @@
 
 	buf_printf(&out, "HTTP/1.1 %d %s\r\nContent-Type: %s\r\nContent-Length: %zu\r\n\r\n",
 		   status, http_status_str((enum http_status)status), type, body.len);
-	buf_append_str(&out, body);
+	if (p->reader.head.method != HTTP_HEAD)
+		buf_append_str(&out, body);
 	bufferevent_write(p->bev, out.data, out.len);
 	buf_free(&out);
 }
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -64,6 +64,7 @@
  * struct http_exchange_spec - parameters of an exchange
  * @to: address to connect to
  * @request: complete request, as sent on the wire; copied
+ * @is_head: the request is HEAD, so that the response has no body
  * @needs_new_connection: open a new connection instead of reusing an idle one
  * @match_name: response header field that identifies the request, or NULL
  * @match_value: expected value of that field; a response with another value is dropped, as it
@@ -77,6 +78,7 @@
 struct http_exchange_spec {
 	struct http_address to;
 	struct str request;
+	bool is_head;
 	bool needs_new_connection;
 	const char *match_name;
 	struct str match_value;
--- a/include/ibisgate/net/http_message.h
+++ b/include/ibisgate/net/http_message.h
@@ -59,6 +59,12 @@
  */
 bool http_field_is_hop_by_hop(const struct http_head *h, int i);
 
+/**
+ * http_status_has_body - false for the statuses whose responses end with their head, whatever it
+ * announces (RFC 9112, 6.3)
+ */
+bool http_status_has_body(int status);
+
 /** str_eq_nocase - compare, ignoring ASCII case */
 bool str_eq_nocase(struct str a, const char *b);
 
--- a/include/ibisgate/platform/wire.h
+++ b/include/ibisgate/platform/wire.h
@@ -121,9 +121,16 @@
 
 void wire_response_decode(const struct http_head *head, struct endpoint_response *out);
 
+/*
+ * Lengths of bodies besides numbers of bytes: sent in chunks; or there is none, and the head keeps
+ * the length that the endpoint has announced.
+ */
+#define WIRE_LENGTH_CHUNKED (-1)
+#define WIRE_LENGTH_NO_BODY (-2)
+
 /**
  * wire_response_encode - append the head of an endpoint's response for the caller
- * @length: body length in bytes, or -1 for chunked encoding
+ * @length: body length in bytes, WIRE_LENGTH_CHUNKED or WIRE_LENGTH_NO_BODY
  * @close: announce that the connection will be closed
  */
 void wire_response_encode(struct buf *out, const struct http_head *head, int64_t length,
@@ -132,6 +139,7 @@
 /**
  * struct local_response - a response that this process generates itself
  * @retry_after_ms: value of the Retry-After field; -1 to leave it out
+ * @no_body: it answers HEAD
  */
 struct local_response {
 	int status;
@@ -139,6 +147,7 @@
 	const char *reason;
 	int64_t retry_after_ms;
 	bool close;
+	bool no_body;
 };
 
 void wire_local_response_encode(struct buf *out, const struct local_response *a);
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -54,6 +54,7 @@
 	size_t body_bytes;
 	int skipped_responses;
 	size_t skipped_bytes;
+	bool is_head;
 	bool head_seen;
 };
 
@@ -256,6 +257,7 @@
 	struct http_exchange *x = c->exchange;
 	struct str value;
 	int64_t limit;
+	bool has_body;
 
 	if (!x)
 		return 0;
@@ -270,13 +272,16 @@
 	if (c->is_skipping) {
 		/* A connection that returned a response to another request is not reused. */
 		c->is_reusable = false;
-		return skipped_response_count(x);
+		return skipped_response_count(x) < 0 ? -1 : !http_status_has_body(head->status);
 	}
+	has_body = !x->is_head && http_status_has_body(head->status);
 	limit = keep_alive_ms(head, c->client->options.idle_ms);
 	c->idle_limit_ms = limit < c->client->options.idle_ms ? limit : c->client->options.idle_ms;
 	c->is_reusable = c->is_reusable && head->keep_alive && c->idle_limit_ms > 0;
 	x->head_seen = true;
 	x->ops->on_head(x->ctx, head);
+	if (!has_body)
+		return 1;
 	/* The callback may have cancelled the exchange. */
 	return c->exchange && body_is_too_large(x, head) ? -1 : 0;
 }
@@ -608,6 +613,7 @@
 
 	x->ops = ops;
 	x->ctx = ctx;
+	x->is_head = spec->is_head;
 	x->read_timeout_ms = spec->read_timeout_ms;
 	x->body_max_bytes = spec->body_max_bytes;
 	x->until_ms = spec->total_ms ? clock_boot_ms() + spec->total_ms : 0;
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -57,6 +57,12 @@
 	return n;
 }
 
+bool http_status_has_body(int status)
+{
+	return status >= 200 && status != HTTP_STATUS_NO_CONTENT &&
+	       status != HTTP_STATUS_NOT_MODIFIED;
+}
+
 static bool connection_field_lists(const struct http_head *h, struct str name)
 {
 	for (int i = 0; i < h->count; i++) {
