entry: forget the handle of a KV cache that may have been taken

Cause: the handle stayed with its request after an engine had taken the cache, and was sent to the next engine when that one crashed. The prefill engine may have given the name to another request's cache by then.

A handle is forgotten once an engine that was sent it may have taken the cache, and neither sent again nor freed; one that was refused is offered on, up to 0.5 s before its time (kvHoldS) ends.

--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -68,6 +68,14 @@
 	return a > b ? a : b;
 }
 
+/* The engine may have taken the KV cache whose handle it was sent. */
+static void attempt_drop_taken_cache(struct exchange *x)
+{
+	if (x->attempt.has_handle)
+		generation_forget_cache(x);
+	x->attempt.has_handle = false;
+}
+
 static bool is_streaming(const struct exchange *x)
 {
 	const struct attempt *a = &x->attempt;
@@ -92,6 +100,8 @@
 	wire_response_decode(head, &a->response);
 	if (a->work == WIRE_WORK_RUN && !a->response.not_run)
 		attempt_return_reserved(x);
+	if (!(a->response.not_run && a->response.has_request_id))
+		attempt_drop_taken_cache(x);
 	/* A stream is forwarded as it arrives. */
 	if (is_streaming(x))
 		http_exchange_set_body_max(a->call, 0);
@@ -180,6 +190,8 @@
 	is_probed = ep->crash_probed;
 	if (sent && x->rule->kind != CALL_GENERATION)
 		exchange_count_begun(x, a->sent_ms);
+	if (sent)
+		attempt_drop_taken_cache(x);
 	attempt_end(x);
 	if (sent && work == WIRE_WORK_RUN)
 		x->runs++;
@@ -542,22 +554,22 @@
 	circuit_request_sent(&ep->circuit, now);
 	if (x->attempted_count < ATTEMPTS_MAX)
 		x->attempted[x->attempted_count++] = ep->hash;
+	a->has_handle = work == WIRE_WORK_RUN && generation_has_cache(x, now);
 	x->sends++;
 	x->awaits_endpoint = false;
 	metric_add(METRIC_ATTEMPTS, 1);
-	wire_request_encode(
-		&request, x->head, x->body,
-		&(struct outbound_request){
-			.work = work,
-			.remaining_ms = x->deadline_ms - now,
-			.expected_id = ep->entry.id,
-			.priority = x->spec->engine.present ? exchange_priority(x) : -1,
-			.resume_from = x->events_sent ? x->order.forwarded : -1,
-			.kv_source = work == WIRE_WORK_RUN && x->kv_source[0] ? x->kv_source : NULL,
-			.fetch_from = fetch_from ? fetch_from->entry.address : NULL,
-			.hides_caller = table->organisations || x->table->organisations,
-			.organisation = organisation ? organisation->name : NULL,
-		});
+	wire_request_encode(&request, x->head, x->body,
+			    &(struct outbound_request){
+				    .work = work,
+				    .remaining_ms = x->deadline_ms - now,
+				    .expected_id = ep->entry.id,
+				    .priority = x->spec->engine.present ? exchange_priority(x) : -1,
+				    .resume_from = x->events_sent ? x->order.forwarded : -1,
+				    .kv_source = a->has_handle ? x->kv_source : NULL,
+				    .fetch_from = fetch_from ? fetch_from->entry.address : NULL,
+				    .hides_caller = table->organisations || x->table->organisations,
+				    .organisation = organisation ? organisation->name : NULL,
+			    });
 	a->call = http_exchange_start(x->entry->endpoint_client,
 				      &(struct http_exchange_spec){
 					      .to = ep->address,
@@ -595,6 +607,8 @@
 	generation_on_prompt_unread(x);
 	attempt_release_backlog(x);
 	if (a->call) {
+		if (http_exchange_may_have_sent(a->call))
+			attempt_drop_taken_cache(x);
 		http_exchange_cancel(a->call);
 		a->call = NULL;
 	}
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -25,6 +25,7 @@
  * @is_paused: nothing is received because the caller has not read what came before, since
  *	@paused_ms
  * @is_waiting: the endpoint is silent, but no other one can take over
+ * @has_handle: the request names the KV cache in @kv_source of its exchange
  * @prompt_pending: the endpoint is an engine that has not read the prompt yet
  * @response: decoded head; valid once @responded is set
  * @head: head of the response; valid while @call is
@@ -48,6 +49,7 @@
 	bool is_paused;
 	int64_t paused_ms;
 	bool is_waiting;
+	bool has_handle;
 	bool prompt_pending;
 	bool responded;
 	struct endpoint_response response;
@@ -100,7 +102,8 @@
  * @evidence: a retry that waits to learn whether the endpoint before has crashed, at most until
  *   @evidence.until_ms; @evidence.cause is what ended the attempt
  * @cache_offers: number of engines that the filled KV cache was offered to
- * @kv_source: filled KV cache that no engine has taken over yet, or ""
+ * @kv_source: filled KV cache that no engine can have taken over yet, or ""
+ * @kv_filled_ms: when its handle arrived
  * @awaits_endpoint: may be sent again, but to no endpoint at the moment
  * @trail: endpoints and results of the attempts, for the log
  */
@@ -150,6 +153,7 @@
 	int cache_offers;
 	char kv_source[128];
 	char kv_handle[96];
+	int64_t kv_filled_ms;
 	struct http_address kv_owner;
 	bool awaits_endpoint;
 	char trail[160];
@@ -407,6 +411,16 @@
  */
 bool generation_offer_cache(struct exchange *x);
 
+/**
+ * generation_forget_cache - forget a KV cache whose handle can't be used any more
+ *
+ * A handle can be taken once and lapses; its name may then be given to another request's cache.
+ */
+void generation_forget_cache(struct exchange *x);
+
+/** generation_has_cache - whether @x has a KV cache to hand over; forgets one that may lapse */
+bool generation_has_cache(struct exchange *x, int64_t now_ms);
+
 /** generation_release_cache - free a filled KV cache that no engine will take over */
 void generation_release_cache(struct exchange *x);
 
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -287,10 +287,34 @@
 		log_debug("cache-drop-failed", "status=%d", r->status);
 }
 
+/*
+ * A handle isn't used in the last part of the time for which an engine holds a KV cache, in
+ * milliseconds: that time began before the handle arrived, and the request takes time to arrive.
+ */
+#define HANDLE_MARGIN_MS 500
+
 /* Connect and silence timeouts of the request that frees a KV cache, in milliseconds. */
 #define RELEASE_CONNECT_MS 300
 #define RELEASE_SILENCE_MS 1000
 
+void generation_forget_cache(struct exchange *x)
+{
+	x->kv_source[0] = '\0';
+}
+
+bool generation_has_cache(struct exchange *x, int64_t now_ms)
+{
+	int64_t hold_ms;
+
+	if (!x->kv_source[0])
+		return false;
+	hold_ms = x->spec->engine.kv_hold_ms;
+	if (hold_ms <= 0 || now_ms < x->kv_filled_ms + hold_ms - HANDLE_MARGIN_MS)
+		return true;
+	generation_forget_cache(x);
+	return false;
+}
+
 void generation_release_cache(struct exchange *x)
 {
 	struct buf request = { 0 };
@@ -298,12 +322,9 @@
 
 	memory_hold_release(x, HOLD_PREFILL);
 	memory_hold_release(x, HOLD_DECODE);
-	/* Events or a response show that an engine has taken over the cache. */
-	if (!x->kv_source[0] || x->response_started) {
-		x->kv_source[0] = '\0';
+	if (!generation_has_cache(x, clock_boot_ms()))
 		return;
-	}
-	x->kv_source[0] = '\0';
+	generation_forget_cache(x);
 	http_address_format(&x->kv_owner, address);
 	wire_handle_delete_encode(&request, address, x->kv_handle);
 	http_collect_start(x->entry->endpoint_client,
@@ -541,8 +562,8 @@
 	struct place_speed speed = place_speed_of(x);
 	int count, prefill = -1, at;
 
-	if (!x->kv_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs ||
-	    suspect_is_refused(x))
+	if (!generation_has_cache(x, clock_boot_ms()) || x->cache_offers >= CACHE_OFFERS_MAX ||
+	    x->runs || suspect_is_refused(x))
 		return false;
 	count = engine_views_collect(x, x->service->prefers_local && x->decode && !x->decode->dc,
 				     clock_boot_ms(), engines, eps);
@@ -785,6 +806,7 @@
 	snprintf(x->kv_source, sizeof(x->kv_source), "%s/%s", ep->entry.address, handle);
 	snprintf(x->kv_handle, sizeof(x->kv_handle), "%s", handle);
 	x->kv_owner = ep->address;
+	x->kv_filled_ms = clock_boot_ms();
 	attempt_end(x);
 	if (!x->decode || !endpoint_is_available(x->decode, clock_boot_ms())) {
 		generation_release_cache(x);
--- a/include/ibisgate/state/routing_table.h
+++ b/include/ibisgate/state/routing_table.h
@@ -18,6 +18,7 @@
  * @slots: requests that one engine runs at once
  * @kv_capacity: KV cache capacity of one engine in tokens
  * @kv_token_bytes: KV cache size of one token in bytes
+ * @kv_hold_ms: time for which an engine holds a KV cache for another one; 0 when it is not known
  * @link_mbps: bandwidth between engines in Mbit/s
  */
 struct engine_spec {
@@ -25,6 +26,7 @@
 	int slots;
 	int64_t kv_capacity;
 	int64_t kv_token_bytes;
+	int64_t kv_hold_ms;
 	double link_mbps;
 };
 
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -473,8 +473,9 @@
 		"\"routeKind\":\"odd\",\"service\":\"b\"},{\"name\":\"r3\",\"host\":\"h\","
 		"\"prefix\":\"/n/\",\"routeKind\":\"idempotent\",\"service\":\"none\"}],"
 		"\"services\":[{\"name\":\"a\",\"maxConns\":370,\"engine\":{\"slots\":64,"
-		"\"kvCapacity\":461856,\"kvTokenBytes\":18432,\"linkMbps\":370000.0}},"
-		"{\"name\":\"b\",\"maxConns\":110}],\"limits\":{\"maxHeaderBytes\":100,"
+		"\"kvCapacity\":461856,\"kvTokenBytes\":18432,\"linkMbps\":370000.0,"
+		"\"kvHoldS\":2.5}},{\"name\":\"b\",\"maxConns\":110}],\"limits\":{"
+		"\"maxHeaderBytes\":100,"
 		"\"maxBodyBytes\":200,\"headerTimeoutMs\":300,\"idleTimeoutMs\":400}}";
 	struct error err = {};
 	struct routing_table *t = store_config_decode(str{ text.data(), text.size() }, &err);
@@ -492,6 +493,7 @@
 	EXPECT_EQ(t->rules[2].target_count, 0);
 	EXPECT_TRUE(t->services[0].engine.present);
 	EXPECT_EQ(t->services[0].engine.kv_capacity, 461856);
+	EXPECT_EQ(t->services[0].engine.kv_hold_ms, 2500);
 	EXPECT_FALSE(t->services[1].engine.present);
 	EXPECT_EQ(t->limits.idle_timeout_ms, 400);
 	routing_table_put(t);
