settings: a key without a value counts as absent

An empty value is the default now; where the key is required, the error names the line and says "required, but empty".

--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -144,6 +144,11 @@
 
 #define SPEC_COUNT (sizeof(specs) / sizeof(specs[0]))
 
+/**
+ * struct settings_parser - state of the parser
+ * @seen: by key, whether it has occurred
+ * @empty_line: by key, the line on which it has no value; 0 if it has one
+ */
 struct settings_parser {
 	struct settings *settings;
 	FILE *file;
@@ -154,6 +159,7 @@
 	int line;
 	bool partial;
 	bool seen[SPEC_COUNT];
+	int empty_line[SPEC_COUNT];
 };
 
 void settings_set_defaults(struct settings *s)
@@ -361,7 +367,11 @@
 		if (p->seen[i])
 			return problem_report(p, section, key, "duplicate key");
 		p->seen[i] = true;
-		parse_value(p, &specs[i], str_from(value));
+		/* A template leaves a value empty that the platform doesn't have. */
+		if (value[0])
+			parse_value(p, &specs[i], str_from(value));
+		else
+			p->empty_line[i] = p->line;
 		return 1;
 	}
 	return problem_report(p, section, key, "unknown key; see ibisgate(5)");
@@ -372,12 +382,16 @@
 	enum key_requirement kind =
 		p->settings->platform.kind == PLATFORM_ROWS ? REQUIRED_ON_ROWS : REQUIRED_ON_TABLE;
 
-	p->line = 0;
 	for (size_t i = 0; i < SPEC_COUNT; i++) {
-		if ((specs[i].requirement == REQUIRED_ALWAYS || specs[i].requirement == kind) &&
-		    !p->seen[i])
+		if (specs[i].requirement != REQUIRED_ALWAYS && specs[i].requirement != kind)
+			continue;
+		p->line = p->empty_line[i];
+		if (!p->seen[i])
 			problem_report(p, specs[i].section, specs[i].key, "required, but missing");
+		else if (p->empty_line[i])
+			problem_report(p, specs[i].section, specs[i].key, "required, but empty");
 	}
+	p->line = 0;
 	if (!p->settings->peer.curve_public[0] != !p->settings->peer.curve_secret[0])
 		problem_report(p, "peer", "curve-public-key",
 			       "expected together with curve-secret-key, or neither");
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -53,6 +53,43 @@
 	EXPECT_NE(got.find("[platform] kind"), std::string::npos) << got;
 }
 
+/*
+ * Guards against an instance that doesn't start where the platform has no value for a placeholder
+ * of the template, and against an empty value of a required key that is taken for one.
+ */
+TEST(Settings, EmptyValuesAreDefaultsOrErrors)
+{
+	static struct settings s;
+	struct error err = {};
+	std::string text = std::string(rows) + "recovery-ms =\n[machine]\nmemory-mb = \n"
+					       "descriptors =\ncpu-share = \nlink-mbps =\n"
+					       "[instance]\nlog-level =\n[metrics]\nlisten =\n"
+					       "[duties]\napi = \nlease-ms =\n"
+					       "[platform]\ntimeout-ms =\n";
+
+	EXPECT_EQ(problems_of(text), "");
+	ASSERT_EQ(settings_parse(&s, text.c_str(), "x.ini", nullptr, &err), 0) << err.text;
+	EXPECT_EQ(s.machine.memory_mb, 0);
+	EXPECT_EQ(s.machine.descriptors, 0);
+	EXPECT_EQ(s.machine.link_mbps, 0);
+	EXPECT_EQ(s.bounds.recovery_ms, 3000);
+	EXPECT_EQ(s.duties.lease_ms, 3000);
+	EXPECT_EQ(s.instance.log_level, LOG_INFO);
+	EXPECT_STREQ(s.metrics.listen, "");
+
+	text = rows;
+	text.replace(text.find("retry-fixed = 58"), 16, "retry-fixed = ");
+	std::string got = problems_of(text);
+	EXPECT_NE(got.find("x.ini:14: [bounds] retry-fixed: required, but empty"),
+		  std::string::npos)
+		<< got;
+	text = rows;
+	text.replace(text.find("http://127.0.0.1:9"), 18, "");
+	got = problems_of(text);
+	EXPECT_NE(got.find("x.ini:11: [platform] url: required, but empty"), std::string::npos)
+		<< got;
+}
+
 TEST(Settings, MinimalFileIsValid)
 {
 	EXPECT_EQ(problems_of(minimal), "");
