config: splits of a route have any number of services

Services of a split beyond the eighth were left out without a word, and their share went to the first eight.

The list is as long as the configuration's.

--- a/include/ibisgate/state/routing_table.h
+++ b/include/ibisgate/state/routing_table.h
@@ -8,7 +8,6 @@
 #include "ibisgate/policy/retry.h"
 #include "ibisgate/state/organisations.h"
 
-#define ROUTING_TARGETS_MAX 8
 #define ROUTING_DC_NAME_MAX 128
 #define ROUTING_DCS_MAX 32
 
@@ -80,6 +79,7 @@
  * @gap_ms: maximum time between tokens that callers accept as in time; 0 when not given
  * @priority: 0 is the most urgent
  * @is_public: requests need no API key
+ * @targets: owned by the table, like the texts
  */
 struct routing_rule {
 	struct buf name;
@@ -93,7 +93,7 @@
 	int64_t gap_ms;
 	int priority;
 	bool is_public;
-	struct routing_target targets[ROUTING_TARGETS_MAX];
+	struct routing_target *targets;
 	int target_count;
 };
 
--- a/state/routing_table.c
+++ b/state/routing_table.c
@@ -30,6 +30,7 @@
 		buf_free(&t->rules[i].name);
 		buf_free(&t->rules[i].host);
 		buf_free(&t->rules[i].prefix);
+		free(t->rules[i].targets);
 	}
 	for (int i = 0; i < t->service_count; i++)
 		buf_free(&t->services[i].name);
--- a/tests/test_routing_table.cc
+++ b/tests/test_routing_table.cc
@@ -45,14 +45,13 @@
 /* Guards against ignoring the weights of targets, and against using a target of weight zero. */
 TEST(RoutingTable, TargetsAreChosenByWeight)
 {
+	struct routing_target targets[] = { { 4, 90 }, { 5, 0 }, { 6, 10 } };
 	struct routing_rule r = {};
 	std::map<int, int> seen;
 
 	EXPECT_EQ(routing_rule_target(&r, 7), -1);
 	r.target_count = 3;
-	r.targets[0] = { 4, 90 };
-	r.targets[1] = { 5, 0 };
-	r.targets[2] = { 6, 10 };
+	r.targets = targets;
 	for (uint64_t h = 0; h < 1000; h++)
 		seen[routing_rule_target(&r, h)]++;
 	EXPECT_EQ(seen[4], 900);
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <set>
 #include <string>
 
 extern "C" {
@@ -635,6 +636,30 @@
 	routing_table_put(t);
 }
 
+/* Guards against ROUTE shares: the services of a split beyond the eighth were left out. */
+TEST(Store, SplitsHaveAnyNumberOfServices)
+{
+	std::string routes = "{\"name\":\"r\",\"host\":\"a\",\"prefix\":\"/\",\"split\":[";
+	std::string services;
+	std::set<std::string> seen;
+	struct error err = {};
+
+	for (int i = 0; i < 30; i++) {
+		std::string comma = i ? "," : "";
+		std::string name = "s" + std::to_string(i);
+
+		routes += comma + "{\"service\":\"" + name + "\",\"weight\":1}";
+		services += comma + "{\"name\":\"" + name + "\"}";
+	}
+	std::string text = config_with(routes + "]}", services);
+	struct routing_table *t = store_config_decode(str{ text.data(), text.size() }, &err);
+	ASSERT_NE(t, nullptr) << err.text;
+	for (uint64_t hash = 0; hash < 30; hash++)
+		seen.insert(std::to_string(routing_rule_target(&t->rules[0], hash)));
+	EXPECT_EQ(seen.size(), 30u);
+	routing_table_put(t);
+}
+
 /* Guards against keys of one malformed entry that let callers in, or that lock the others out. */
 TEST(Store, OrganisationsOfTheConfigurationAreDecoded)
 {
