http: ignore the offer of another protocol in a request

http_parser sets its upgrade flag for such heads, and the reader took the flag for a fault when the message wasn't complete at once. The offer is ignored now, as RFC 9110, 7.8 allows; the fields aren't forwarded, as before.

--- a/net/http_message.c
+++ b/net/http_message.c
@@ -199,6 +199,9 @@
 	h->method = (enum http_method)p->method;
 	h->status = (int)p->status_code;
 	h->keep_alive = http_should_keep_alive(p);
+	/* A recipient may ignore the offer of another protocol (RFC 9110, 7.8). */
+	if (p->type == HTTP_REQUEST && p->method != HTTP_CONNECT)
+		p->upgrade = 0;
 	return r->ops->on_head(r->ctx, h);
 }
 
--- a/tests/test_http_message.cc
+++ b/tests/test_http_message.cc
@@ -73,6 +73,29 @@
 
 } // namespace
 
+/*
+ * Guards against DENIED: a request that offers another protocol, as some clients do on each new
+ * connection, was malformed if its body came in a read of its own (RFC 9110, 7.8).
+ */
+TEST(HttpMessage, OfferedProtocolsAreIgnored)
+{
+	const std::string text =
+		"POST /a HTTP/1.1\r\nHost: x\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+		"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\nContent-Length: 5\r\n\r\nhello";
+
+	for (size_t chunk_size = 1; chunk_size <= text.size(); chunk_size++) {
+		struct recorded_message s;
+		struct http_reader r;
+
+		http_reader_init(&r, HTTP_MESSAGE_REQUEST, 0, &ops, &s);
+		EXPECT_TRUE(feed(&r, text, chunk_size)) << chunk_size;
+		EXPECT_EQ(s.body, "hello") << chunk_size;
+		EXPECT_EQ(s.ends, 1) << chunk_size;
+		EXPECT_TRUE(r.head.keep_alive) << chunk_size;
+		http_reader_free(&r);
+	}
+}
+
 /* Guards against bytes that are lost or parsed twice when a message arrives in several reads. */
 TEST(HttpMessage, ParsesTheSameMessageForEveryChunkSize)
 {
