directory: ids of endpoints have up to 200 bytes

Endpoints with ids over 63 bytes were left out with an error in the log, while the platform's keys have up to 200 (the review's report, seen by reading; no case).

Store.EndpointIdsAreAsLongAsKeys failed before and passes now.

--- a/include/ibisgate/state/directory.h
+++ b/include/ibisgate/state/directory.h
@@ -6,7 +6,8 @@
 
 #include "ibisgate/common/str.h"
 
-#define DIRECTORY_ID_MAX 64
+/* Keys of the platform have up to 200 bytes. */
+#define DIRECTORY_ID_MAX 201
 #define DIRECTORY_NAME_MAX 128
 
 enum engine_stage {
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -424,6 +424,22 @@
 	}
 }
 
+/* Guards against leaving out endpoints whose ids are as long as the platform's keys may be. */
+TEST(Store, EndpointIdsAreAsLongAsKeys)
+{
+	const std::string id(200, 'i');
+	struct endpoint_entry e;
+	struct error err = {};
+	struct store_row r = make_row(
+		id.c_str(), "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+			    "\"version\":\"v1\",\"coldLeftMs\":0,\"slots\":64,\"seq\":4,"
+			    "\"state\":\"ready\"}");
+
+	ASSERT_EQ(store_endpoint_decode(&r, &e, &err), 0) << err.text;
+	EXPECT_EQ(e.id, id);
+	buf_free(&r.value);
+}
+
 /* An endpoint that is taken back says so, and how long it stays. */
 TEST(Store, ReclaimedEndpointEntriesAreDecoded)
 {
