link: a status that HTTP doesn't know fails the transfer

The own protocol passed on 600 and 999 as statuses, like the client of the users' platform before; libcurl takes any number of three digits.

Link.AnswersWithoutAStatusOfHttpFail failed before for these two and passes now. Both clients ask http_status_is_valid().

--- a/include/ibisgate/net/http_message.h
+++ b/include/ibisgate/net/http_message.h
@@ -59,6 +59,9 @@
  */
 bool http_field_is_hop_by_hop(const struct http_head *h, int i);
 
+/** http_status_is_valid - whether a response to a request may have it (RFC 9110, 15) */
+bool http_status_is_valid(int status);
+
 /**
  * http_status_has_body - false for the statuses whose responses end with their head, whatever it
  * announces (RFC 9112, 6.3)
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -245,12 +245,6 @@
 	return x->body_max_bytes && announced > (int64_t)x->body_max_bytes;
 }
 
-/* RFC 9110, 15. No request asks to switch protocols, so 101 answers none. */
-static bool status_is_valid(int status)
-{
-	return status >= 100 && status <= 599 && status != 101;
-}
-
 static int on_head(void *ctx, const struct http_head *head)
 {
 	struct connection *c = ctx;
@@ -261,7 +255,7 @@
 
 	if (!x)
 		return 0;
-	if (!status_is_valid(head->status))
+	if (!http_status_is_valid(head->status))
 		return -1;
 	if (head->status < 200) {
 		c->is_skipping = true;
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -57,6 +57,12 @@
 	return n;
 }
 
+bool http_status_is_valid(int status)
+{
+	/* No request asks to switch protocols. */
+	return status >= 100 && status <= 599 && status != HTTP_STATUS_SWITCHING_PROTOCOLS;
+}
+
 bool http_status_has_body(int status)
 {
 	return status >= 200 && status != HTTP_STATUS_NO_CONTENT &&
--- a/net/link_impl.h
+++ b/net/link_impl.h
@@ -19,6 +19,7 @@
  * @body_bytes: bytes of the body received
  * @maybe_written: a connection was ready, so bytes of the request may have been written
  * @resent: libcurl tried to send the request a second time
+ * @malformed: its status is none of HTTP
  */
 struct transfer {
 	struct transfer *next;
@@ -37,6 +38,7 @@
 	size_t body_bytes;
 	bool maybe_written;
 	bool resent;
+	bool malformed;
 	bool responded;
 	bool silent;
 	bool cancelled;
--- a/net/link_transfer.c
+++ b/net/link_transfer.c
@@ -6,6 +6,7 @@
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/hash.h"
 #include "ibisgate/common/metrics.h"
+#include "ibisgate/net/http_message.h"
 #include "link_impl.h"
 
 /* Pooled connections that were idle for longer are not reused. */
@@ -35,6 +36,10 @@
 	if (t->header_bytes > LINK_HEADERS_MAX_BYTES)
 		return 0;
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (len <= 2 && !http_status_is_valid((int)status)) {
+		t->malformed = true;
+		return 0;
+	}
 	/* An empty line ends the headers; after a 1xx response another header block follows. */
 	if (len <= 2 && (data[0] == '\r' || data[0] == '\n') && status >= 200)
 		response_deliver(t);
@@ -202,6 +207,8 @@
 {
 	if (t->silent)
 		return LINK_SILENT;
+	if (t->malformed)
+		return LINK_PROTOCOL;
 	if (!t->maybe_written)
 		return LINK_CONNECT_FAILED;
 	switch (code) {
--- a/tests/test_link.cc
+++ b/tests/test_link.cc
@@ -98,6 +98,21 @@
 	return true;
 }
 
+/* Guards against numbers that are no status of HTTP, passed on as one. */
+TEST_F(Link, AnswersWithoutAStatusOfHttpFail)
+{
+	for (const char *status : { "000", "099", "101", "600", "999" }) {
+		TinyServer s([&](int fd, const std::string &) {
+			TinyServer::send_bytes(fd, "HTTP/1.1 " + std::string(status) +
+							   " X\r\nContent-Length: 3\r\n\r\nabc");
+			return true;
+		});
+		FetchResult r = fetch(s.url());
+
+		EXPECT_FALSE(r.ok) << status << " " << r.status;
+	}
+}
+
 /* Guards against denying a safe retry: a refused connection cannot have carried the request. */
 TEST_F(Link, RefusedConnectionReportsRequestNotSent)
 {
