link: an answer without a length needs the whole request to be sent

A reset alone was reported by libcurl before.

Such a transfer fails now if the request wasn't sent whole. libcurl stops at the end of the answer, so that an endpoint that would read the rest of the upload isn't told apart.

Link.AnswersThatAreResetDuringTheUploadAreNotComplete failed before and passes now.

--- a/net/link_impl.h
+++ b/net/link_impl.h
@@ -19,6 +19,7 @@
  * @body_bytes: bytes of the body received
  * @maybe_written: a connection was ready, so bytes of the request may have been written
  * @resent: libcurl tried to send the request a second time
+ * @has_length: the response announces its length or comes in chunks, so that its end shows
  * @malformed: its status is none of HTTP
  */
 struct transfer {
@@ -38,6 +39,7 @@
 	size_t body_bytes;
 	bool maybe_written;
 	bool resent;
+	bool has_length;
 	bool malformed;
 	bool responded;
 	bool silent;
--- a/net/link_transfer.c
+++ b/net/link_transfer.c
@@ -2,6 +2,7 @@
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/hash.h"
@@ -25,10 +26,18 @@
 	link_queue_push(t->queue, ev);
 }
 
+static bool line_begins(struct str line, const char *name)
+{
+	size_t len = strlen(name);
+
+	return line.len >= len && strncasecmp(line.data, name, len) == 0;
+}
+
 static size_t on_header_line(char *data, size_t size, size_t n, void *ctx)
 {
 	struct transfer *t = ctx;
 	size_t len = size * n;
+	struct str line = { .data = data, .len = len };
 	long status = 0;
 
 	t->last_activity_ms = clock_boot_ms();
@@ -36,6 +45,10 @@
 	if (t->header_bytes > LINK_HEADERS_MAX_BYTES)
 		return 0;
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (line_begins(line, "HTTP/"))
+		t->has_length = false;
+	else if (line_begins(line, "content-length:") || line_begins(line, "transfer-encoding:"))
+		t->has_length = true;
 	if (len <= 2 && !http_status_is_valid((int)status)) {
 		t->malformed = true;
 		return 0;
@@ -221,6 +234,20 @@
 	}
 }
 
+/*
+ * Without a length, the end of the connection ends the response. If the endpoint hasn't taken the
+ * whole request by then, it may have crashed.
+ */
+static bool response_is_whole(const struct transfer *t)
+{
+	curl_off_t sent = 0;
+
+	if (t->has_length || !t->body.len)
+		return true;
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+	return (size_t)sent >= t->body.len;
+}
+
 void transfer_finish(struct transfer *t, CURLcode code)
 {
 	struct link_event ev = { .attempt = t->attempt };
@@ -232,7 +259,7 @@
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_easy_getinfo(t->easy, CURLINFO_OS_ERRNO, &os_error);
 	ev.status = (int)status;
-	if (code == CURLE_OK && !t->silent) {
+	if (code == CURLE_OK && !t->silent && response_is_whole(t)) {
 		response_deliver(t);
 		ev.kind = LINK_END;
 	} else {
--- a/tests/test_link.cc
+++ b/tests/test_link.cc
@@ -74,7 +74,7 @@
 		link_destroy(l);
 	}
 	FetchResult fetch(const std::string &url, int64_t silence_ms = 500, bool fresh = false,
-			  const char *address = nullptr)
+			  const char *address = nullptr, const std::string &upload = "{}")
 	{
 		link_request r = {};
 		buf body = {};
@@ -82,7 +82,7 @@
 
 		r.url = url.c_str();
 		r.address = address;
-		r.body = str_from("{}");
+		r.body = { upload.data(), upload.size() };
 		r.silence_ms = silence_ms;
 		r.fresh_connection = fresh;
 		out.ok = link_fetch(l, &r, 5000, &out.status, &body, &out.failed) == 0;
@@ -98,6 +98,23 @@
 	return true;
 }
 
+/*
+ * Guards against a part of an answer that is taken for the whole: the endpoint answers a long
+ * upload without a length, and resets the connection while the upload is still written.
+ */
+TEST_F(Link, AnswersThatAreResetDuringTheUploadAreNotComplete)
+{
+	const std::string upload(3000000, 'u');
+
+	for (int i = 0; i < 60; i++) {
+		EarlyAnswerer server(EarlyAnswerer::Ending(i % 3), i * 5 / 3);
+		std::string url = "http://127.0.0.1:" + std::to_string(server.port());
+		FetchResult r = fetch(url, PATIENT_MS, false, nullptr, upload);
+
+		EXPECT_FALSE(r.ok) << "ending " << i % 3 << " after " << i * 5 / 3 << " ms";
+	}
+}
+
 /* Guards against numbers that are no status of HTTP, passed on as one. */
 TEST_F(Link, AnswersWithoutAStatusOfHttpFail)
 {
--- a/tests/tiny_server.h
+++ b/tests/tiny_server.h
@@ -234,6 +234,52 @@
 	std::thread thread_;
 };
 
+/* A server that answers each upload of some MB once it has read the head, and then ends. */
+class EarlyAnswerer
+{
+      public:
+	enum Ending {
+		RESET,
+		CLOSE_UNREAD,
+		/* The end of the answer, then a reset. */
+		END_AND_RESET,
+		/* The end of the answer; what is left of the upload is read. */
+		END_AND_READ,
+	};
+
+	EarlyAnswerer(Ending how, int ms)
+	    : how_(how), ms_(ms), server_([this](int fd) { serve(fd); })
+	{
+	}
+	int port() const
+	{
+		return server_.port;
+	}
+
+      private:
+	void serve(int fd)
+	{
+		char data[4096];
+
+		recv(fd, data, sizeof(data), 0);
+		TinyServer::send_bytes(fd, "HTTP/1.1 200 OK\r\nX-Id: r\r\n\r\n" +
+						   std::string(4096, 'a'));
+		usleep((useconds_t)ms_ * 1000);
+		if (how_ == END_AND_RESET || how_ == END_AND_READ)
+			shutdown(fd, SHUT_WR);
+		if (how_ == END_AND_RESET)
+			usleep(20000);
+		while (how_ == END_AND_READ && recv(fd, data, sizeof(data), 0) > 0)
+			;
+		if (how_ == RESET || how_ == END_AND_RESET)
+			TinyServer::reset(fd);
+	}
+
+	Ending how_;
+	int ms_;
+	RawServer server_;
+};
+
 /* A server that accepts connections and reads nothing until it is told to. */
 class LateReader
 {
