--- a/net/http_client.c
+++ b/net/http_client.c
@@ -41,6 +41,7 @@
  * @body_bytes: size of the body so far
  * @skipped_responses: responses skipped so far
  * @skipped_bytes: size of their bodies
+ * @is_head: the request is HEAD, so that the response has no body
  */
 struct http_exchange {
 	const struct http_exchange_ops *ops;
@@ -468,8 +469,7 @@
 		}
 		return;
 	}
-	/* Reading was resumed on a connection that has ended; see response_end_with_connection().
-	 */
+	/* The response has ended already, and reading was only resumed. */
 	if (c->upload_check && !(what & BEV_EVENT_ERROR))
 		return;
 	connection_enter(c);
