--- a/common/supervisor.c
+++ b/common/supervisor.c
@@ -125,6 +125,8 @@
 		atomic_store(&child->is_stopping, true);
 		pthread_cond_signal(&child->stop_cond);
 		pthread_mutex_unlock(&child->lock);
+		if (child->spec.wake)
+			child->spec.wake(child->spec.ctx);
 		pthread_join(child->thread, NULL);
 		pthread_cond_destroy(&child->stop_cond);
 		pthread_mutex_destroy(&child->lock);
--- a/daemon/control.c
+++ b/daemon/control.c
@@ -115,6 +115,13 @@
 	return peer_bus_run(c->bus, err);
 }
 
+static void bus_wake(void *ctx)
+{
+	struct control *c = ctx;
+
+	peer_bus_wake(c->bus);
+}
+
 static struct peer_bus *bus_create(struct control *c, struct error *err)
 {
 	const struct settings *s = c->settings;
@@ -152,7 +159,7 @@
 static void start_children(struct control *c)
 {
 	const struct child_spec children[] = {
-		{ "peer", bus_run, c, true },
+		{ "peer", bus_run, c, true, bus_wake },
 		{ "members", control_members_run, c, true },
 		{ "config", control_config_run, c, true },
 		{ "list", control_list_run, c, true },
--- a/entry/attempt.c
+++ b/entry/attempt.c
@@ -81,9 +81,8 @@
 	const struct attempt *a = &x->attempt;
 
 	return x->rule->kind == CALL_GENERATION && a->work == WIRE_WORK_RUN &&
-	       x->head->method != HTTP_HEAD && a->response.status == 200 &&
-	       a->response.has_request_id && a->response.has_signature &&
-	       !a->response.has_content_encoding;
+	       !exchange_is_head(x) && a->response.status == 200 && a->response.has_request_id &&
+	       a->response.has_signature && !a->response.has_content_encoding;
 }
 
 static void on_head(void *ctx, const struct http_head *head)
@@ -554,7 +553,8 @@
 	circuit_request_sent(&ep->circuit, now);
 	if (x->attempted_count < ATTEMPTS_MAX)
 		x->attempted[x->attempted_count++] = ep->hash;
-	a->has_handle = work == WIRE_WORK_RUN && generation_has_cache(x, now);
+	generation_forget_lapsed_cache(x, now);
+	a->has_handle = work == WIRE_WORK_RUN && x->kv_source[0];
 	x->sends++;
 	x->awaits_endpoint = false;
 	metric_add(METRIC_ATTEMPTS, 1);
@@ -574,7 +574,7 @@
 				      &(struct http_exchange_spec){
 					      .to = ep->address,
 					      .request = buf_str(&request),
-					      .is_head = x->head->method == HTTP_HEAD,
+					      .is_head = exchange_is_head(x),
 					      .needs_new_connection = needs_new_connection(x, now),
 					      .match_name = wire_request_id_field,
 					      .match_value = str_from(x->in.id),
--- a/entry/caller.c
+++ b/entry/caller.c
@@ -271,14 +271,14 @@
 
 	metric_add(METRIC_BAD_REQUESTS, 1);
 	log_info("request-refused", "request=- status=%d cause=%s", status, reason);
-	wire_local_response_encode(&out, &(struct local_response){
-						 .status = status,
-						 .reason = reason,
-						 .retry_after_ms = retry_after_ms,
-						 .close = true,
-						 .no_body = c->reader.is_in_message &&
-							    c->reader.parser.method == HTTP_HEAD,
-					 });
+	wire_local_response_encode(&out,
+				   &(struct local_response){
+					   .status = status,
+					   .reason = reason,
+					   .retry_after_ms = retry_after_ms,
+					   .close = true,
+					   .no_body = http_reader_is_in_head_request(&c->reader),
+				   });
 	caller_write(c, buf_str(&out));
 	buf_free(&out);
 	c->keep_open = false;
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -224,11 +224,13 @@
 {
 	int64_t now = clock_boot_ms();
 	int64_t next = planned_stop_next_ms(&e->stop, now);
-	struct timeval tv = { .tv_sec = (next - now) / 1000,
-			      .tv_usec = (next - now) % 1000 * 1000 };
+	struct timeval tv;
 
-	if (next >= 0)
-		event_add(e->stop_timer, &tv);
+	if (next < 0)
+		return;
+	tv = (struct timeval){ .tv_sec = (next - now) / 1000,
+			       .tv_usec = (next - now) % 1000 * 1000 };
+	event_add(e->stop_timer, &tv);
 }
 
 /* The last steps come shortly before the process is killed, too soon to wait for a tick. */
--- a/entry/exchange.c
+++ b/entry/exchange.c
@@ -119,7 +119,7 @@
 	return x->closes;
 }
 
-static bool is_head(const struct exchange *x)
+bool exchange_is_head(const struct exchange *x)
 {
 	return x->head->method == HTTP_HEAD;
 }
@@ -127,7 +127,7 @@
 /* Length of the attempt's response for wire_response_encode(). */
 static int64_t response_length(const struct exchange *x)
 {
-	return is_head(x) || !http_status_has_body(x->attempt.response.status)
+	return exchange_is_head(x) || !http_status_has_body(x->attempt.response.status)
 		       ? WIRE_LENGTH_NO_BODY
 		       : (int64_t)x->attempt.body.len;
 }
@@ -143,7 +143,7 @@
 						 .reason = cause,
 						 .retry_after_ms = retry_after_ms,
 						 .close = exchange_decide_close(x),
-						 .no_body = is_head(x),
+						 .no_body = exchange_is_head(x),
 					 });
 	caller_write(x->caller, buf_str(&out));
 	buf_free(&out);
--- a/entry/exchange.h
+++ b/entry/exchange.h
@@ -205,6 +205,9 @@
  */
 struct endpoint *exchange_pick_endpoint(const struct exchange *x, int64_t now_ms);
 
+/** exchange_is_head - whether the request is HEAD, whose answers have no body */
+bool exchange_is_head(const struct exchange *x);
+
 /** exchange_is_repeatable - whether the request may run more than once */
 bool exchange_is_repeatable(const struct exchange *x);
 
@@ -418,8 +421,8 @@
  */
 void generation_forget_cache(struct exchange *x);
 
-/** generation_has_cache - whether @x has a KV cache to hand over; forgets one that may lapse */
-bool generation_has_cache(struct exchange *x, int64_t now_ms);
+/** generation_forget_lapsed_cache - the same if the engine may not hold the KV cache any more */
+void generation_forget_lapsed_cache(struct exchange *x, int64_t now_ms);
 
 /** generation_release_cache - free a filled KV cache that no engine will take over */
 void generation_release_cache(struct exchange *x);
--- a/entry/generation.c
+++ b/entry/generation.c
@@ -288,10 +288,10 @@
 }
 
 /*
- * A handle isn't used in the last part of the time for which an engine holds a KV cache, in
- * milliseconds: that time began before the handle arrived, and the request takes time to arrive.
+ * Share of the time for which an engine holds a KV cache in which its handle is used: that time
+ * began before the handle arrived, and the request takes time to arrive.
  */
-#define HANDLE_MARGIN_MS 500
+#define HANDLE_USED_SHARE 0.9
 
 /* Connect and silence timeouts of the request that frees a KV cache, in milliseconds. */
 #define RELEASE_CONNECT_MS 300
@@ -302,17 +302,12 @@
 	x->kv_source[0] = '\0';
 }
 
-bool generation_has_cache(struct exchange *x, int64_t now_ms)
+void generation_forget_lapsed_cache(struct exchange *x, int64_t now_ms)
 {
-	int64_t hold_ms;
+	double used_ms = x->spec ? HANDLE_USED_SHARE * (double)x->spec->engine.kv_hold_ms : 0;
 
-	if (!x->kv_source[0])
-		return false;
-	hold_ms = x->spec->engine.kv_hold_ms;
-	if (hold_ms <= 0 || now_ms < x->kv_filled_ms + hold_ms - HANDLE_MARGIN_MS)
-		return true;
-	generation_forget_cache(x);
-	return false;
+	if (used_ms > 0 && (double)(now_ms - x->kv_filled_ms) >= used_ms)
+		generation_forget_cache(x);
 }
 
 void generation_release_cache(struct exchange *x)
@@ -322,7 +317,8 @@
 
 	memory_hold_release(x, HOLD_PREFILL);
 	memory_hold_release(x, HOLD_DECODE);
-	if (!generation_has_cache(x, clock_boot_ms()))
+	generation_forget_lapsed_cache(x, clock_boot_ms());
+	if (!x->kv_source[0])
 		return;
 	generation_forget_cache(x);
 	http_address_format(&x->kv_owner, address);
@@ -562,8 +558,9 @@
 	struct place_speed speed = place_speed_of(x);
 	int count, prefill = -1, at;
 
-	if (!generation_has_cache(x, clock_boot_ms()) || x->cache_offers >= CACHE_OFFERS_MAX ||
-	    x->runs || suspect_is_refused(x))
+	generation_forget_lapsed_cache(x, clock_boot_ms());
+	if (!x->kv_source[0] || x->cache_offers >= CACHE_OFFERS_MAX || x->runs ||
+	    suspect_is_refused(x))
 		return false;
 	count = engine_views_collect(x, x->service->prefers_local && x->decode && !x->decode->dc,
 				     clock_boot_ms(), engines, eps);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -257,6 +257,13 @@
 	return peer_bus_run(p->bus, err);
 }
 
+static void bus_wake(void *ctx)
+{
+	struct peers *p = ctx;
+
+	peer_bus_wake(p->bus);
+}
+
 static void on_bus_failed(void *ctx)
 {
 	struct peers *p = ctx;
@@ -420,9 +427,13 @@
 	p->timer = evtimer_new(e->base, on_timer, p);
 	event_add(p->timer, &now);
 	p->supervisor = supervisor_create(BUS_RESTARTS, BUS_WINDOW_MS, on_bus_failed, p);
-	supervisor_start(p->supervisor,
-			 &(struct child_spec){
-				 .name = "peer", .run = bus_run, .ctx = p, .is_control = true });
+	supervisor_start(p->supervisor, &(struct child_spec){
+						.name = "peer",
+						.run = bus_run,
+						.ctx = p,
+						.is_control = true,
+						.wake = bus_wake,
+					});
 	return p;
 }
 
@@ -431,7 +442,6 @@
 	if (!p)
 		return;
 	if (p->supervisor) {
-		peer_bus_stop(p->bus);
 		supervisor_stop(p->supervisor);
 		supervisor_destroy(p->supervisor);
 	}
--- a/include/ibisgate/common/supervisor.h
+++ b/include/ibisgate/common/supervisor.h
@@ -12,6 +12,8 @@
  *       @err set on failure
  * @ctx: argument of @run
  * @is_control: true if its CPU time is added to METRIC_CONTROL_CPU_US
+ * @wake: called from the stopping thread once child_is_stopping() is true, if @run waits for
+ *	something else; may be NULL
  *
  * @run must poll child_is_stopping() at least every 200 ms.
  */
@@ -20,6 +22,7 @@
 	int (*run)(void *ctx, struct error *err);
 	void *ctx;
 	bool is_control;
+	void (*wake)(void *ctx);
 };
 
 struct supervisor;
--- a/include/ibisgate/net/http_message.h
+++ b/include/ibisgate/net/http_message.h
@@ -141,6 +141,9 @@
 int64_t http_reader_feed(struct http_reader *r, struct str bytes);
 void http_reader_next(struct http_reader *r);
 
+/** http_reader_is_in_head_request - whether a HEAD request is being read, as far as it is known */
+bool http_reader_is_in_head_request(const struct http_reader *r);
+
 /** http_reader_eof - handle end of file; true if it completed a message without a length */
 bool http_reader_eof(struct http_reader *r);
 
--- a/include/ibisgate/net/peer.h
+++ b/include/ibisgate/net/peer.h
@@ -75,15 +75,11 @@
  */
 int peer_connect_ms(int last_ms, bool was_heard);
 
-/**
- * peer_bus_run - main function of the bus thread
- *
- * Return: 0 after peer_bus_stop(), and within 100 ms once child_is_stopping() is true.
- */
+/** peer_bus_run - main function of the bus thread; returns 0 once child_is_stopping() is true */
 int peer_bus_run(struct peer_bus *bus, struct error *err);
 
-/** peer_bus_stop - have peer_bus_run() return at once, for good; thread-safe */
-void peer_bus_stop(struct peer_bus *bus);
+/** peer_bus_wake - end the wait of peer_bus_run() for messages; thread-safe */
+void peer_bus_wake(struct peer_bus *bus);
 
 /**
  * peer_bus_send - send @m to instance @id at @address ("ip:port")
--- a/net/http_message.c
+++ b/net/http_message.c
@@ -282,6 +282,11 @@
 	r->is_in_message = false;
 }
 
+bool http_reader_is_in_head_request(const struct http_reader *r)
+{
+	return r->is_in_message && r->parser.method == HTTP_HEAD;
+}
+
 bool http_reader_eof(struct http_reader *r)
 {
 	if (!r->is_in_message)
--- a/net/peer.c
+++ b/net/peer.c
@@ -92,7 +92,6 @@
 	void *zap;
 	void *wake_sender;
 	void *wake_receiver;
-	_Atomic bool is_stopping;
 	int port;
 	pthread_mutex_t lock;
 	struct outgoing *queue_head;
@@ -270,9 +269,8 @@
 	outgoing_destroy(out);
 }
 
-void peer_bus_stop(struct peer_bus *bus)
+void peer_bus_wake(struct peer_bus *bus)
 {
-	atomic_store(&bus->is_stopping, true);
 	pthread_mutex_lock(&bus->lock);
 	zmq_send(bus->wake_sender, "", 0, ZMQ_DONTWAIT);
 	pthread_mutex_unlock(&bus->lock);
@@ -585,7 +583,7 @@
 		{ .socket = bus->zap, .events = ZMQ_POLLIN },
 	};
 
-	while (!child_is_stopping() && !atomic_load(&bus->is_stopping)) {
+	while (!child_is_stopping()) {
 		zmq_poll(items, bus->zap ? 4 : 3, POLL_MS);
 		peer_accept_step(&bus->accept);
 		drain_wakeups(bus);
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -209,6 +209,12 @@
 		       "4096,"
 		       "\"maxBodyBytes\":100000,\"headerTimeoutMs\":700,\"idleTimeoutMs\":5000}}";
 	}
+	/* Lists the endpoint @id at another port. */
+	void move_endpoint(const std::string &id, int port)
+	{
+		grid->post_json("/node", "{\"id\":\"" + id + "\",\"address\":\"127.0.0.1:" +
+						 std::to_string(port) + "\",\"state\":\"ready\"}");
+	}
 	void put_config(const std::string &text)
 	{
 		grid->post_json("/row",
--- a/tests/test_broken_answers.cc
+++ b/tests/test_broken_answers.cc
@@ -72,6 +72,51 @@
 	EXPECT_EQ(harness_process_stop(p, 8000), 0);
 }
 
+/*
+ * Guards against MIXED at the caller: an endpoint answers a long upload without a length and resets
+ * the connection with the upload unread. Its part of an answer may not look complete.
+ */
+TEST_F(BrokenAnswersTest, AnswersThatAreResetDuringTheUploadDoNotLookComplete)
+{
+	const std::string head = "HTTP/1.1 200 OK\r\nX-Ibisgate-Request-Id: $ID\r\n"
+				 "X-Ibisgate-Server-Signature: s\r\n";
+	const struct {
+		const char *target;
+		const char *endpoint;
+		std::string answer;
+	} cases[] = {
+		{ "order/x", "s0", head + "\r\n" + std::string(4096, 'a') },
+		{ "once/x", "e0",
+		  head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"
+			 "id: 2\ndata: b\n\n" },
+	};
+	const std::string upload(3000000, 'u');
+	struct harness_process *p = start_all(1, 0, 1);
+	std::string config = config_json(2);
+
+	config.replace(config.find("100000"), 6, "4000000");
+	put_config(config);
+	for (const auto &c : cases) {
+		EarlyAnswerer server(EarlyAnswerer::RESET, 20, c.answer);
+
+		move_endpoint(c.endpoint, server.port());
+		usleep(1500000);
+		/* Between two failures, the endpoint is avoided for a while. */
+		for (int i = 0; i < 40 && server.uploads < 6; i++) {
+			std::string text = request_text(c.target, "POST",
+							"X-Ibisgate-Model: m\r\n"
+							"X-Ibisgate-Token-Count: 1460,5\r\n",
+							upload);
+			Response a = send_request(p, text);
+
+			EXPECT_FALSE(a.status == 200 && a.complete) << c.target << a.head;
+			usleep(200000);
+		}
+		EXPECT_EQ(server.uploads, 6) << c.target;
+	}
+	EXPECT_EQ(harness_process_stop(p, 8000), 0);
+}
+
 /*
  * An engine restarts between two pages of the first list of what it has cached. Guards against
  * taking what its earlier process had for what it has now.
--- a/tests/test_supervisor.cc
+++ b/tests/test_supervisor.cc
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <unistd.h>
+
 #include <atomic>
 
 extern "C" {
@@ -83,3 +85,35 @@
 	supervisor_destroy(sup);
 	EXPECT_LT(clock_boot_ms() - start_ms, 5000);
 }
+
+/* Guards against a stop that waits for a child which waits for something else than the stop. */
+TEST(Supervisor, StopWakesChildren)
+{
+	struct pipe_ends {
+		int fds[2];
+	} ends;
+	struct supervisor *sup = supervisor_create(1, 1000, on_give_up, nullptr);
+	struct child_spec spec = {};
+	int64_t start;
+
+	ASSERT_EQ(pipe(ends.fds), 0);
+	spec.name = "waiter";
+	spec.ctx = &ends;
+	spec.run = [](void *ctx, struct error *) {
+		char c;
+
+		return read(static_cast<pipe_ends *>(ctx)->fds[0], &c, 1) == 1 &&
+				       child_is_stopping()
+			       ? 0
+			       : -1;
+	};
+	spec.wake = [](void *ctx) {
+		EXPECT_EQ(write(static_cast<pipe_ends *>(ctx)->fds[1], "", 1), 1);
+	};
+	supervisor_start(sup, &spec);
+	start = clock_boot_ms();
+	supervisor_destroy(sup);
+	EXPECT_LT(clock_boot_ms() - start, 1000);
+	close(ends.fds[0]);
+	close(ends.fds[1]);
+}
