grid: drills in which the store comes back from an older copy; known reds

The stand-in's store can go away and come back from a copy (POST /store with "drill"): versions since are given out again, a feed from one that it doesn't have gets 410, rows of the operator and the workers are written again once, all others stay lost, and Store-Era rises by one in all answers. Without "era" or "drill" it answers as before.

--- a/include/ibisgate/standins/grid.h
+++ b/include/ibisgate/standins/grid.h
@@ -15,6 +15,7 @@
 #define GRID_NODES_MAX 32
 #define GRID_ROWS_MAX 512
 #define GRID_RUNS_MAX 20000
+#define GRID_ERA_FIELD_MAX 96
 
 enum grid_fault {
 	GRID_FAULT_NONE,
@@ -84,6 +85,19 @@
 	bool deleted;
 };
 
+/**
+ * struct grid_write - one write to the store, kept for going back to an older copy
+ * @row: index of the row
+ * @value: NULL when the row was deleted
+ * @at_ms: time on the boot-time clock
+ */
+struct grid_write {
+	int row;
+	char *value;
+	int64_t version;
+	int64_t at_ms;
+};
+
 /**
  * struct grid_run - record of a request that a node started to execute or refused as full, or of an
  *	order it received
@@ -123,6 +137,10 @@
 /**
  * struct grid - state of the stand-in, guarded by @lock
  * @oldest_version: a feed that starts before this version gets status 410
+ * @writes: all writes that the store has, in their order
+ * @era: number of the copy that the store runs on, told in the field Store-Era; 0 for a store
+ *	that has no eras
+ * @era_text: value of Store-Era in place of @era, unless it is ""
  * @fault: fault injected into the next @fault_requests_left requests, whichever nodes receive them
  * @deadly_part: an engine crashes when it begins to answer a request whose prompt has this part; ""
  *	for none
@@ -138,6 +156,11 @@
 	int64_t version;
 	int64_t oldest_version;
 	enum grid_store_mode mode;
+	struct grid_write *writes;
+	int write_count;
+	int write_cap;
+	int64_t era;
+	char era_text[64];
 	int64_t store_calls;
 	struct grid_node nodes[GRID_NODES_MAX];
 	int node_count;
@@ -165,6 +188,22 @@
  */
 bool grid_row_put(struct grid *g, const char *table, const char *key, const char *value);
 
+/** grid_write_record - keep the row's newest write; the caller holds the lock */
+void grid_write_record(struct grid *g, const struct grid_row *r);
+
+/**
+ * grid_drill_start - take the store away and bring it back from an older copy
+ * @req: {"age_ms": age of the copy when the store goes away, "away_ms": time until it is back,
+ *	"rewrite_ms": time from then on until operator and workers write their lost rows again}
+ *
+ * The store then answers in the next era; the versions since the copy are given out again, and
+ * rows of other tables than the operator's and the workers' stay lost.
+ */
+void grid_drill_start(struct grid *g, const json_t *req);
+
+/** grid_era_field - header line of the era, "" without one; the caller holds the lock */
+void grid_era_field(const struct grid *g, char out[GRID_ERA_FIELD_MAX]);
+
 /** grid_node_handle - handle one request to a node */
 int grid_node_handle(struct mg_connection *conn, void *ctx);
 
--- a/standins/grid_main.c
+++ b/standins/grid_main.c
@@ -78,6 +78,10 @@
 	buf_free(&text);
 }
 
+/*
+ * Applies {"mode", "compact", "era", "era_text", "drill"}; see struct grid and
+ * grid_drill_start().
+ */
 static void control_store_set(struct grid *g, const json_t *req)
 {
 	const char *mode = json_get_cstr(req, "mode", "");
@@ -87,6 +91,11 @@
 			mode_names, sizeof(mode_names) / sizeof(mode_names[0]), mode);
 	if (json_get_bool(req, "compact", false))
 		g->oldest_version = g->version + 1;
+	g->era = json_get_i64(req, "era", g->era);
+	if (json_object_get(req, "era_text"))
+		str_copy(g->era_text, sizeof(g->era_text), json_get_str(req, "era_text"));
+	if (json_object_get(req, "drill"))
+		grid_drill_start(g, json_object_get(req, "drill"));
 	pthread_cond_broadcast(&g->rows_changed);
 }
 
--- a/standins/grid_store.c
+++ b/standins/grid_store.c
@@ -32,6 +32,7 @@
 	r->value = value ? mem_strdup(value) : NULL;
 	r->deleted = !value;
 	r->version = ++g->version;
+	grid_write_record(g, r);
 	pthread_cond_broadcast(&g->rows_changed);
 	return true;
 }
@@ -75,6 +76,7 @@
 {
 	struct grid_row *found[GRID_ROWS_MAX];
 	json_t *rows = json_array();
+	char era[GRID_ERA_FIELD_MAX];
 	char table[64], source[128] = "";
 	int64_t limit = http_query_i64(conn, "limit", 500);
 	json_t *out;
@@ -93,8 +95,9 @@
 	for (int i = 0; i < count && i < limit; i++)
 		json_array_append_new(rows, row_json(found[i]));
 	out = rows_reply(g, rows);
+	grid_era_field(g, era);
 	pthread_mutex_unlock(&g->lock);
-	return http_reply(conn, 200, out);
+	return http_reply_with_fields(conn, 200, out, era);
 }
 
 static int changes_collect(struct grid *g, const char *table, int64_t after, json_t *rows)
@@ -118,7 +121,9 @@
 	int64_t wait_ms = http_query_i64(conn, "waitMs", 0);
 	struct timespec deadline;
 	json_t *rows = json_array();
+	char era[GRID_ERA_FIELD_MAX];
 	char table[64];
+	int64_t asked_era;
 	json_t *out;
 	bool is_up;
 
@@ -126,20 +131,23 @@
 	deadline = mono_timespec(mono_now_us() +
 				 (wait_ms < WAIT_MAX_MS ? wait_ms : WAIT_MAX_MS) * 1000);
 	pthread_mutex_lock(&g->lock);
-	if (after < g->oldest_version) {
+	grid_era_field(g, era);
+	if (after < g->oldest_version || (g->era && after > g->version)) {
 		pthread_mutex_unlock(&g->lock);
 		json_decref(rows);
-		return http_reply(conn, 410, json_object());
+		return http_reply_with_fields(conn, 410, json_object(), era);
 	}
-	while (g->mode == GRID_STORE_UP && !changes_collect(g, table, after, rows)) {
+	asked_era = g->era;
+	while (g->mode == GRID_STORE_UP && g->era == asked_era &&
+	       !changes_collect(g, table, after, rows)) {
 		if (pthread_cond_timedwait(&g->rows_changed, &g->lock, &deadline))
 			break;
 	}
 	out = rows_reply(g, rows);
-	is_up = g->mode == GRID_STORE_UP;
+	is_up = g->mode == GRID_STORE_UP && g->era == asked_era;
 	pthread_mutex_unlock(&g->lock);
 	if (is_up)
-		return http_reply(conn, 200, out);
+		return http_reply_with_fields(conn, 200, out, era);
 	json_decref(out);
 	return http_abort(conn);
 }
@@ -207,6 +215,7 @@
 {
 	json_t *req = http_body_json(conn, BODY_MAX_BYTES);
 	json_t *puts = json_object_get(req, "puts");
+	char era[GRID_ERA_FIELD_MAX];
 	json_t *out = NULL;
 	json_t *entry;
 	bool all_hold = true;
@@ -225,24 +234,27 @@
 			put_apply(g, entry);
 		out = json_pack("{s:I}", "schemaVersion", (json_int_t)g->version);
 	}
+	grid_era_field(g, era);
 	pthread_mutex_unlock(&g->lock);
 	json_decref(req);
 	if (!all_hold)
-		return http_reply(conn, 412, json_pack("{s:[]}", "rows"));
-	return http_reply(conn, status, out ? out : json_object());
+		return http_reply_with_fields(conn, 412, json_pack("{s:[]}", "rows"), era);
+	return http_reply_with_fields(conn, status, out ? out : json_object(), era);
 }
 
 int grid_store_handle(struct mg_connection *conn, void *ctx)
 {
 	struct grid *g = ctx;
+	char era[GRID_ERA_FIELD_MAX];
 	enum grid_store_mode mode;
 
 	pthread_mutex_lock(&g->lock);
 	mode = g->mode;
 	g->store_calls++;
+	grid_era_field(g, era);
 	pthread_mutex_unlock(&g->lock);
 	if (mode == GRID_STORE_BUSY)
-		return http_reply(conn, 503, json_object());
+		return http_reply_with_fields(conn, 503, json_object(), era);
 	if (mode == GRID_STORE_RESET)
 		return http_abort(conn);
 	if (http_request_matches(conn, "GET", "/rows-get"))
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -245,6 +245,21 @@
 	{
 		grid->post_json("/store", "{\"mode\":\"" + mode + "\"}");
 	}
+	/*
+	 * Takes the store away for 300 ms, and brings it back from a copy of the boot time
+	 * @copy_ms; what the operator and the endpoints wrote since is written again 300 ms later.
+	 */
+	void drill_begin(int64_t copy_ms)
+	{
+		grid->post_json("/store", "{\"drill\":{\"age_ms\":" +
+						  std::to_string(clock_boot_ms() - copy_ms) +
+						  ",\"away_ms\":300,\"rewrite_ms\":300}}");
+	}
+	void drill_store(int64_t copy_ms)
+	{
+		drill_begin(copy_ms);
+		usleep(700000);
+	}
 	std::string settings_text(int index, double prefill_share)
 	{
 		std::string ip = instance_ip(index);
--- /dev/null
+++ b/tests/test_store_era.cc
@@ -0,0 +1,123 @@
+#include "entry_fixture.h"
+
+/* The store goes away for a moment and comes back from an older copy, in its next era. */
+class StoreEra : public EntryTest
+{
+      protected:
+	void start()
+	{
+		instance = start_all();
+		grid->post_json("/store", "{\"era\":1}");
+		/* What was written so far is older than any copy. */
+		usleep(300000);
+	}
+	Response read_store(const std::string &target)
+	{
+		Caller c(grid->route_port("store"));
+
+		c.send_text("GET /" + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+		return c.read_response(1000);
+	}
+	int64_t store_version()
+	{
+		json_t *o = json_parse(str_from(read_store("rows-get?table=servers").body.c_str()));
+		int64_t version = json_get_i64(o, "schemaVersion", -1);
+
+		json_decref(o);
+		return version;
+	}
+	/* Nodes that ran @count calls of the plain service. */
+	std::map<std::string, int> serve_calls(int count)
+	{
+		std::map<std::string, int> nodes;
+
+		for (int i = 0; i < count; i++) {
+			EXPECT_EQ(send_request(instance, request_text("peek/x", "GET")).status,
+				  200);
+			usleep(20000);
+			for (const Run &r : runs(last_id()))
+				nodes[r.node]++;
+		}
+		return nodes;
+	}
+
+	struct harness_process *instance = nullptr;
+};
+
+/* Guards against a stand-in whose drill loses nothing, or more than the rules say. */
+TEST_F(StoreEra, DrillGoesBackToTheOlderCopy)
+{
+	start();
+	int64_t version = store_version();
+	int64_t copy_ms = clock_boot_ms();
+	usleep(50000);
+	grid->post_json("/row", "{\"table\":\"own\",\"key\":\"k\",\"value\":\"v\"}");
+	for (int i = 0; i < 5; i++)
+		set_endpoint_state("s0", "ready");
+	set_endpoint_state("s1", "draining");
+	ASSERT_EQ(store_version(), version + 7);
+	EXPECT_EQ(read_store("rows-get?table=own").field("Store-Era"), "1");
+
+	drill_store(copy_ms);
+	/* The two rows of workers are written again, each once; the system's own row is gone. */
+	EXPECT_EQ(store_version(), version + 2);
+	Response own = read_store("rows-get?table=own");
+	EXPECT_EQ(own.field("Store-Era"), "2");
+	EXPECT_EQ(own.body.find("\"key\":\"k\""), std::string::npos) << own.body;
+	std::string after = std::to_string(version + 7);
+	EXPECT_EQ(read_store("rows-feed?table=servers&waitMs=0&after=" + after).status, 410);
+	after = std::to_string(version + 1);
+	Response feed = read_store("rows-feed?table=servers&waitMs=0&after=" + after);
+	EXPECT_EQ(feed.status, 200);
+	EXPECT_NE(feed.body.find("\"schemaVersion\":" + std::to_string(version + 2)),
+		  std::string::npos)
+		<< feed.body;
+}
+
+/* Guards against callers who notice a drill in which nothing changes. */
+TEST_F(StoreEra, CallsAreServedThroughADrill)
+{
+	start();
+	int64_t copy_ms = clock_boot_ms();
+	set_endpoint_state("s0", "ready");
+	drill_begin(copy_ms);
+	int runs = 0;
+	for (const auto &node : serve_calls(60))
+		runs += node.second;
+	EXPECT_EQ(runs, 60);
+	EXPECT_EQ(read_store("rows-get?table=own").field("Store-Era"), "2");
+}
+
+/*
+ * Guards against requests for an endpoint that leaves after a drill, in a version that the store
+ * had given out before.
+ */
+TEST_F(StoreEra, EndpointsThatLeaveAfterADrillGetNoMoreCalls)
+{
+	start();
+	int64_t copy_ms = clock_boot_ms();
+	for (int i = 0; i < 20; i++)
+		set_endpoint_state("s0", "ready");
+	usleep(1000000);
+	drill_store(copy_ms);
+	set_endpoint_state("s0", "draining");
+	/* The time in which a change must be known. */
+	usleep(4000000);
+	std::map<std::string, int> nodes = serve_calls(20);
+	EXPECT_EQ(nodes["s0"], 0);
+	EXPECT_EQ(nodes["s1"], 20);
+}
+
+/* Guards against requests for an endpoint that is gone after a drill. */
+TEST_F(StoreEra, EndpointsThatGoAfterADrillGetNoMoreCalls)
+{
+	start();
+	int64_t copy_ms = clock_boot_ms();
+	for (int i = 0; i < 20; i++)
+		set_endpoint_state("s0", "ready");
+	usleep(1000000);
+	drill_store(copy_ms);
+	set_endpoint_state("s0", "gone");
+	usleep(4000000);
+	EXPECT_EQ(serve_calls(20)["s0"], 0);
+}
--- a/tests/test_usage_reports.cc
+++ b/tests/test_usage_reports.cc
@@ -188,6 +188,33 @@
 	check_windows(begun, last);
 }
 
+/*
+ * Guards against a successor whose token is older than one used before, because the store has come
+ * back from an older copy and gives its versions out again.
+ */
+TEST_F(UsageReports, TokensRiseWhenTheStoreComesBackFromAnOlderCopy)
+{
+	start();
+	grid->post_json("/store", "{\"era\":1}");
+	serve(3000);
+	ASSERT_TRUE(eventually([&] { return !duty_calls().empty(); }, 4000));
+	int former = holder_index();
+	int64_t copy_ms = clock_boot_ms();
+	/* Versions rise beyond those that the store gives out after the drill. */
+	for (int i = 0; i < 60; i++)
+		set_endpoint_state("s0", "ready");
+	harness_process_signal(all[(size_t)former], SIGKILL);
+	harness_process_wait(all[(size_t)former], 1000);
+	std::vector<int> left = others(former);
+	serve(6000, left);
+	ASSERT_TRUE(eventually([&] { return holder_index() != former; }, 8000));
+	drill_store(copy_ms);
+	/* Longer than a term and the time until the next window is reported. */
+	serve(12000, left);
+	EXPECT_GT(accepted_windows().count(last_served() - 2), 0u);
+	check_rules();
+}
+
 /* Guards against other figures after lost answers, and against lost windows after outages. */
 TEST_F(UsageReports, OutagesOfStoreAndInterfaceLoseAndChangeNothing)
 {
