--- a/include/ibisgate/common/supervisor.h
+++ b/include/ibisgate/common/supervisor.h
@@ -15,7 +15,7 @@
  * @wake: called from the stopping thread once child_is_stopping() is true, if @run waits for
  *	something else; may be NULL
  *
- * @run must poll child_is_stopping() at least every 200 ms.
+ * @run must poll child_is_stopping() at least every 200 ms while @wake can't end its wait.
  */
 struct child_spec {
 	const char *name;
