--- a/review/lib-3/deployment.py
+++ b/review/lib-3/deployment.py
@@ -56,6 +56,7 @@
         self.site = site
         self.work_s = work_s
         self.writers = set()
+        self.gone = False
         self.id = "i-%04x" % (0x7f00 + number)
         self.host = site.host(100 + number)
         self.service, self.zone = service, zone
@@ -84,11 +85,14 @@
 
     def exit(self):
         self.site.record("worker %s exits with %d requests at work" % (self.id, len(self.writers)))
+        self.gone = True
         self.server.close()
         for writer in self.writers:
             writer.transport.abort()
 
     async def handle(self, request, reader, writer):
+        if self.gone:
+            return False
         if request.get("X-Ibisgate-Expect-Instance", self.id) != self.id:
             self.answer(request, writer, 421, b"", X_Ibisgate_Not_Executed="1")
             return True
