--- a/duty/duty.c
+++ b/duty/duty.c
@@ -38,6 +38,7 @@
 /**
  * struct duty - see duty.h
  * @call: call to the store in flight; @action says what for
+ * @era: newest era that the lease was told of; @called_era is the same when @call was sent
  * @released: this instance stops
  */
 struct duty {
@@ -47,6 +48,8 @@
 	struct lease_action action;
 	struct http_collect *call;
 	int64_t called_ms;
+	int64_t era;
+	int64_t called_era;
 	bool released;
 };
 
@@ -55,6 +58,8 @@
 	json_t *json = json_pack("{s:s,s:I,s:s}", "holder", row->holder, "incarnation",
 				 (json_int_t)row->incarnation, "token", row->token);
 
+	if (row->era)
+		json_object_set_new(json, "era", json_integer(row->era));
 	json_append(out, json);
 	json_decref(json);
 }
@@ -67,22 +72,41 @@
 	str_copy(row->holder, sizeof(row->holder), json_get_str(json, "holder"));
 	str_copy(row->token, sizeof(row->token), json_get_str(json, "token"));
 	row->incarnation = (uint64_t)json_get_i64(json, "incarnation", 0);
+	row->era = json_get_i64(json, "era", 0);
 	json_decref(json);
 }
 
 static void log_change(const struct duty *d, const char *change)
 {
 	log_info("lease", "change=%s subject=%s holder=%s version=%" PRId64 " fencing=%" PRId64,
-		 change, d->subject, d->lease.last_row.holder, d->lease.last_row.version,
-		 d->lease.fencing);
+		 change, d->subject, d->lease.last_row.holder,
+		 store_version_number(d->lease.last_row.version), d->lease.fencing);
+}
+
+static void era_step(struct duty *d, int64_t now)
+{
+	const struct store_era *era = d->host->era;
+
+	if (era->number == d->era)
+		return;
+	d->era = era->number;
+	lease_era_began(&d->lease, d->era, now);
+	log_change(d, "era");
 }
 
 static void write_done(struct duty *d, const struct http_result *r, int64_t now)
 {
 	struct lease_row row = d->action.row;
 	bool held = lease_is_held(&d->lease, now);
+	enum row_write result = row_write_result(d->host, r, &row.version);
 
-	switch (row_write_result(r, &row.version)) {
+	era_step(d, now);
+	if (d->era != d->called_era && result != ROW_WRITE_UNSENT) {
+		lease_handle_result(&d->lease, LEASE_WRITE_OUTDATED, NULL, now);
+		log_change(d, "outdated");
+		return;
+	}
+	switch (result) {
 	case ROW_WRITE_OK:
 		lease_handle_result(&d->lease, LEASE_WRITE_OK, &row, now);
 		if (!held)
@@ -107,9 +131,10 @@
 {
 	struct store_rows rows;
 	struct lease_row row;
-	struct error err = { 0 };
+	bool is_read = row_read_result(d->host, r, &rows);
 
-	if (r->status != 200 || store_rows_decode(r->body, &rows, &err) < 0) {
+	era_step(d, now);
+	if (!is_read) {
 		lease_handle_result(&d->lease, LEASE_READ_FAILED, NULL, now);
 		return;
 	}
@@ -150,6 +175,7 @@
 		metric_add(METRIC_PLATFORM_READS, 1);
 	}
 	d->called_ms = now;
+	d->called_era = d->era;
 	d->call = duty_host_call_store(h, buf_str(&request), on_result, d);
 	buf_free(&request);
 	buf_free(&value);
@@ -193,6 +219,7 @@
 {
 	char token[LEASE_TOKEN_MAX];
 
+	era_step(d, now_ms);
 	if (d->call || d->released || !call_is_due(d, wish, now_ms))
 		return;
 	token_make(token);
--- a/duty/host.c
+++ b/duty/host.c
@@ -1,6 +1,5 @@
 #include "ibisgate/duty/host.h"
 #include "ibisgate/common/error.h"
-#include "ibisgate/platform/store.h"
 
 /*
  * Connect timeout for the store and maximum silence, in milliseconds; a healthy store responds
@@ -46,11 +45,16 @@
 				  done, ctx);
 }
 
-enum row_write row_write_result(const struct http_result *r, int64_t *version)
+enum row_write row_write_result(const struct duty_host *h, const struct http_result *r,
+				int64_t *version)
 {
+	bool is_settled = r->status == 200 || r->status == 412;
+	int64_t era = is_settled ? h->answer_era(h->ctx, r) : 0;
 	struct error err = { 0 };
 
-	if (r->status == 200 && store_put_decode(r->body, version, &err) == 0)
+	if (era < 0)
+		return ROW_WRITE_UNCERTAIN;
+	if (r->status == 200 && store_put_decode(r->body, era, version, &err) == 0)
 		return ROW_WRITE_OK;
 	if (r->status == 412)
 		return ROW_WRITE_CONFLICT;
@@ -59,3 +63,15 @@
 		return ROW_WRITE_UNSENT;
 	return ROW_WRITE_UNCERTAIN;
 }
+
+bool row_read_result(const struct duty_host *h, const struct http_result *r,
+		     struct store_rows *rows)
+{
+	struct error err = { 0 };
+	int64_t era;
+
+	if (r->status != 200)
+		return false;
+	era = h->answer_era(h->ctx, r);
+	return era >= 0 && store_rows_decode(r->body, era, rows, &err) == 0;
+}
--- a/duty/usage_reporter.c
+++ b/duty/usage_reporter.c
@@ -159,11 +159,10 @@
 	int64_t now = clock_boot_ms();
 	int64_t version = 0;
 	struct store_rows rows;
-	struct error err = { 0 };
 	char key[32];
 
 	rep->row_call = NULL;
-	if (r->status != 200 || store_rows_decode(r->body, &rows, &err) < 0) {
+	if (!row_read_result(rep->reporter->o.host, r, &rows)) {
 		report_window_result(&rep->w, REPORT_ROW_DOUBTFUL, 0, now);
 		return;
 	}
@@ -186,7 +185,7 @@
 	int64_t version;
 
 	rep->row_call = NULL;
-	if (row_write_result(r, &version) == ROW_WRITE_OK) {
+	if (row_write_result(rep->reporter->o.host, r, &version) == ROW_WRITE_OK) {
 		figures_take(rep, rep->written);
 		log_info("usage-fixed", "window=%" PRId64 " requests=%" PRId64 " organisations=%zu",
 			 rep->w.window, figures_sum(rep->figures), json_object_size(rep->figures));
--- a/entry/entry.c
+++ b/entry/entry.c
@@ -415,7 +415,6 @@
 	o.host.send = duties_on_send;
 	o.host.is_delegate = duties_on_ask_delegate;
 	o.host.organisation_name = duties_on_ask_name;
-	o.host.ctx = e;
 	e->duties = duties_create(&o);
 	peers_set_report_reader(e->peers, REPORT_DUTIES, on_duties_report, e);
 	peers_set_report_reader(e->peers, REPORT_USAGE, on_usage_report, e);
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -35,6 +35,7 @@
 #include "ibisgate/state/leaving_set.h"
 #include "ibisgate/state/org_load.h"
 #include "ibisgate/state/routing_table.h"
+#include "ibisgate/state/store_era.h"
 #include "ibisgate/state/suspect_parts.h"
 
 /*
@@ -231,6 +232,8 @@
  * @cache_calls_left: requests of cache_sync.c that may still start before the next tick
  * @caches_to_read: an engine that can be read has not told its cache contents yet, as of the last
  *   tick
+ * @era: newest era of the store that an answer or another instance has named
+ * @era_rejected_ms: when a rejected answer was last logged; 0 if none was
  * @leaving: processes of endpoints that have said that they leave
  * @locality_stale: endpoints have changed since the last services_update_locality()
  * @explain: explains decisions on the metrics listener; NULL when that is switched off
@@ -265,6 +268,8 @@
 	struct routing_table *table;
 	struct buf config_text;
 	struct config_history config_history;
+	struct store_era era;
+	int64_t era_rejected_ms;
 	struct directory directory;
 	bool endpoints_loaded;
 	bool locality_stale;
@@ -458,7 +463,13 @@
 void store_address(const struct entry *e, char out[32]);
 
 /** entry_duty_host - what the modules of duty/ use of this instance */
-void entry_duty_host(const struct entry *e, struct duty_host *out);
+void entry_duty_host(struct entry *e, struct duty_host *out);
+
+/** entry_answer_era - see struct duty_host; @ctx is the entry */
+int64_t entry_answer_era(void *ctx, const struct http_result *r);
+
+/** entry_hear_era - @peer knows an era of the store; ignored unless it is newer */
+void entry_hear_era(struct entry *e, int64_t era, const char *peer);
 
 /* suspects.c */
 
--- a/entry/store_call.c
+++ b/entry/store_call.c
@@ -1,8 +1,11 @@
+#include <inttypes.h>
 #include <stdlib.h>
 
 #include "ibisgate/common/clock.h"
 #include "ibisgate/common/histogram.h"
 #include "ibisgate/common/log.h"
+#include "ibisgate/common/metrics.h"
+#include "ibisgate/platform/store.h"
 #include "internal.h"
 
 /* Connect timeout for the store, in milliseconds; a healthy store responds within 4 ms. */
@@ -43,7 +46,63 @@
 	str_copy(out, 32, url);
 }
 
-void entry_duty_host(const struct entry *e, struct duty_host *out)
+/* Interval between two log lines about answers of another era, in milliseconds. */
+#define ERA_REJECTED_LOG_MS 1000
+
+static int64_t watch_number(const struct store_watch *w)
+{
+	return w ? store_version_number(store_watch_version(w)) : 0;
+}
+
+/* @peer: instance that has told the era; "-" when it comes from the store */
+static void log_era(const struct entry *e, int64_t former, const char *peer)
+{
+	log_info("store-era",
+		 "era=%" PRId64 " former=%" PRId64 " peer=%s operator_version=%" PRId64
+		 " list_version=%" PRId64,
+		 e->era.number, former, peer, watch_number(e->watches[0]),
+		 watch_number(e->watches[1]));
+	metric_set(METRIC_STORE_ERA, e->era.number);
+}
+
+static void era_reject(struct entry *e, int64_t era, int64_t now)
+{
+	metric_add(METRIC_STORE_ANSWERS_REJECTED, 1);
+	if (e->era_rejected_ms && now - e->era_rejected_ms < ERA_REJECTED_LOG_MS)
+		return;
+	e->era_rejected_ms = now;
+	log_warn("store-answer-rejected", "era=%" PRId64 " known=%" PRId64, era, e->era.number);
+}
+
+int64_t entry_answer_era(void *ctx, const struct http_result *r)
+{
+	struct entry *e = ctx;
+	int64_t era = store_answer_era(r->head);
+	int64_t former = e->era.number;
+	int64_t now = clock_boot_ms();
+
+	switch (store_era_observe(&e->era, era, now)) {
+	case STORE_ERA_SAME:
+		break;
+	case STORE_ERA_NEW:
+		log_era(e, former, "-");
+		break;
+	case STORE_ERA_REJECTED:
+		era_reject(e, era, now);
+		return -1;
+	}
+	return era;
+}
+
+void entry_hear_era(struct entry *e, int64_t era, const char *peer)
+{
+	int64_t former = e->era.number;
+
+	if (store_era_observe(&e->era, era, clock_boot_ms()) == STORE_ERA_NEW)
+		log_era(e, former, peer);
+}
+
+void entry_duty_host(struct entry *e, struct duty_host *out)
 {
 	const struct settings *s = &e->settings;
 
@@ -54,6 +113,9 @@
 		.incarnation = (uint64_t)clock_wall_ms(),
 		.lease_ms = s->duties.lease_ms,
 		.calls_per_s = s->duties.calls_per_s,
+		.era = &e->era,
+		.answer_era = entry_answer_era,
+		.ctx = e,
 	};
 	str_copy(out->self, sizeof(out->self), str_from(s->instance.id));
 	if (!duty_host_set_store(out, s->platform.url))
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -349,7 +349,7 @@
 	int64_t away_ms;
 	int64_t age;
 
-	if (store_rows_decode(body, &rows, &err) < 0) {
+	if (store_rows_decode(body, 0, &rows, &err) < 0) {
 		log_warn("store-response-ignored", "table=%s error=\"%s\"", w->table, err.text);
 		watch_failed(w, "malformed", clock_boot_ms(), RETRY_MAX_MS);
 		return;
--- a/include/ibisgate/common/metrics.h
+++ b/include/ibisgate/common/metrics.h
@@ -89,6 +89,9 @@
 	X(PLATFORM_WRITES, "platform_writes_total", "counter", "Writes sent to the table")         \
 	X(PLATFORM_ERRORS, "platform_errors_total", "counter",                                     \
 	  "Calls to the platform that failed")                                                     \
+	X(STORE_ERA, "store_era", "gauge", "Newest era of the store that is known")                \
+	X(STORE_ANSWERS_REJECTED, "store_answers_rejected_total", "counter",                       \
+	  "Answers of the store that name an earlier era, or none that is valid")                  \
 	X(ENDPOINTS_MISSING, "endpoints_missing", "gauge",                                         \
 	  "Endpoints in use that are missing from the platform's list")                            \
 	X(LIST_BYTES, "list_bytes_total", "counter",                                               \
--- a/include/ibisgate/duty/host.h
+++ b/include/ibisgate/duty/host.h
@@ -8,6 +8,8 @@
 #include "ibisgate/common/str.h"
 #include "ibisgate/net/codec_report.h"
 #include "ibisgate/net/http_collect.h"
+#include "ibisgate/platform/store.h"
+#include "ibisgate/state/store_era.h"
 
 /* Table of the rows that instances share. */
 #define DUTY_TABLE "ibisgate"
@@ -53,6 +55,9 @@
  * @lease_ms: within this time two holders mustn't act in turns, in milliseconds; 0 when the
  *	platform sets no bound
  * @calls_per_s: calls to the platform's interface that all instances may make in a second
+ * @era: newest era of the store, see state/store_era.h
+ * @answer_era: take note of the era of an answer of the store; negative when the answer must be
+ *	treated as one that didn't arrive
  * @send: send a message to other instances, at once; it may be lost
  * @is_delegate: whether this instance passes messages on between data centres
  * @organisation_name: name of the organisation with a tag; empty when it isn't known
@@ -70,6 +75,8 @@
 	uint64_t incarnation;
 	int64_t lease_ms;
 	double calls_per_s;
+	const struct store_era *era;
+	int64_t (*answer_era)(void *ctx, const struct http_result *r);
 	void (*send)(void *ctx, const struct duty_message *m);
 	bool (*is_delegate)(void *ctx);
 	struct str (*organisation_name)(void *ctx, uint64_t tag);
@@ -102,6 +109,15 @@
 };
 
 /** row_write_result - outcome of a write; @version is set with ROW_WRITE_OK */
-enum row_write row_write_result(const struct http_result *r, int64_t *version);
+enum row_write row_write_result(const struct duty_host *h, const struct http_result *r,
+				int64_t *version);
+
+/**
+ * row_read_result - rows of a read, to be freed with store_rows_free()
+ *
+ * Return: false when there is no answer that can be used.
+ */
+bool row_read_result(const struct duty_host *h, const struct http_result *r,
+		     struct store_rows *rows);
 
 #endif
--- a/include/ibisgate/platform/store.h
+++ b/include/ibisgate/platform/store.h
@@ -6,10 +6,15 @@
 
 #include "ibisgate/common/error.h"
 #include "ibisgate/common/str.h"
+#include "ibisgate/net/http_message.h"
 #include "ibisgate/state/directory.h"
 #include "ibisgate/state/routing_table.h"
 
-/* Encoders and decoders for the platform's row store, and for the rows that other parties write. */
+/*
+ * Encoders and decoders for the platform's row store, and for the rows that other parties write.
+ * Versions have the store's era in their upper bits, see state/store_era.h; the store itself has
+ * only their number.
+ */
 
 /* Tables written by the platform's operator and by the endpoints. */
 #define STORE_TABLE_OPERATOR "op"
@@ -56,12 +61,16 @@
 void store_feed_encode(struct buf *out, const char *address, const char *table, int64_t version,
 		       int wait_ms);
 
+/** store_answer_era - era of an answer; 0 when it names none, -1 when that is malformed */
+int64_t store_answer_era(const struct http_head *head);
+
 /**
  * store_rows_decode - decode the rows of a read or feed response; free with store_rows_free()
+ * @era: era of the answer
  *
  * Return: 0, or -1 with STORE_BAD_RESPONSE.
  */
-int store_rows_decode(struct str body, struct store_rows *out, struct error *err);
+int store_rows_decode(struct str body, int64_t era, struct store_rows *out, struct error *err);
 void store_rows_free(struct store_rows *r);
 
 /**
@@ -77,10 +86,11 @@
 
 /**
  * store_put_decode - decode the version that a successful write gave its row
+ * @era: era of the answer
  *
  * Return: 0, or -1 with STORE_BAD_RESPONSE.
  */
-int store_put_decode(struct str body, int64_t *version, struct error *err);
+int store_put_decode(struct str body, int64_t era, int64_t *version, struct error *err);
 
 /** store_row_is_config - whether the row holds the operator's configuration */
 bool store_row_is_config(const struct store_row *row);
--- a/include/ibisgate/state/lease.h
+++ b/include/ibisgate/state/lease.h
@@ -15,12 +15,14 @@
  * @incarnation: incarnation of the holder
  * @token: unique to each write; shows whether a write without a reply has taken effect
  * @version: version of the row in the table
+ * @era: era of the store that the writer knew, 0 for a store without eras
  */
 struct lease_row {
 	char holder[LEASE_ID_MAX];
 	uint64_t incarnation;
 	char token[LEASE_TOKEN_MAX];
 	int64_t version;
+	int64_t era;
 };
 
 /**
@@ -49,6 +51,9 @@
  * @term_ms: length of a term, the same for all instances, in milliseconds
  * @turn_ms: see lease_set_turn()
  * @acts_from_ms: the current tenure allows acts from then on
+ * @era: the store's era, 0 for a store without eras
+ * @acquire_from_ms: the lease may be acquired from then on, see lease_era_began()
+ * @rewrites: held since before the store's era, in which the row was not written yet
  *
  * The fencing token is the row version of the write that acquired the lease.
  */
@@ -66,6 +71,9 @@
 	int64_t term_ms;
 	int64_t turn_ms;
 	int64_t acts_from_ms;
+	int64_t era;
+	int64_t acquire_from_ms;
+	bool rewrites;
 };
 
 enum lease_action_kind {
@@ -90,6 +98,8 @@
  * @LEASE_WRITE_CONFLICT: the row did not have the expected version
  * @LEASE_WRITE_UNCERTAIN: no reply; the write may have taken effect, or may do so later
  * @LEASE_WRITE_NOT_SENT: the write has certainly not taken effect
+ * @LEASE_WRITE_OUTDATED: it may have taken effect in a later era of the store than the row was read
+ *	in, where its condition means nothing
  * @LEASE_READ_NONE: there is no row
  */
 enum lease_result {
@@ -97,6 +107,7 @@
 	LEASE_WRITE_CONFLICT,
 	LEASE_WRITE_UNCERTAIN,
 	LEASE_WRITE_NOT_SENT,
+	LEASE_WRITE_OUTDATED,
 	LEASE_READ_OK,
 	LEASE_READ_NONE,
 	LEASE_READ_FAILED,
@@ -130,6 +141,15 @@
 void lease_handle_result(struct lease *l, enum lease_result result, const struct lease_row *row,
 			 int64_t now_ms);
 
+/**
+ * lease_era_began - the store runs in @era, which was not known so far
+ *
+ * The row may be older than what was written last: another instance may have acquired the lease in
+ * the seconds that were lost. So nobody acquires it within a term, and who holds it writes the row
+ * again, whatever it says. An instance that has just started can't tell whether the era is new.
+ */
+void lease_era_began(struct lease *l, int64_t era, int64_t now_ms);
+
 /**
  * lease_note_version - the holder has told that a write of its own gave the row @version
  * @holder: not this instance
--- a/state/lease.c
+++ b/state/lease.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "ibisgate/state/lease.h"
+#include "ibisgate/state/store_era.h"
 
 void lease_init(struct lease *l, const char *self, uint64_t incarnation)
 {
@@ -27,6 +28,7 @@
 	l->phase = LEASE_FOLLOWING;
 	l->fencing = 0;
 	l->valid_until_ms = 0;
+	l->rewrites = false;
 }
 
 static struct lease_action begin_write(struct lease *l, const char *holder, const char *token,
@@ -36,6 +38,7 @@
 		.kind = LEASE_DO_WRITE,
 		.if_version = l->last_row.version,
 		.row.incarnation = l->incarnation,
+		.row.era = l->era,
 	};
 
 	snprintf(a.row.holder, sizeof(a.row.holder), "%s", holder);
@@ -52,12 +55,18 @@
 
 /*
  * A released lease or one that this same process holds can be acquired at once. Otherwise the row
- * must not have changed for a whole term.
+ * must not have changed for a whole term. So must one that was written in a former era: that write
+ * may have come late, over the row of a holder of this era.
  */
 static bool may_acquire(const struct lease *l, int64_t now_ms)
 {
-	return !l->last_row.holder[0] || row_is_ours(l, &l->last_row) ||
-	       now_ms - l->row_changed_ms >= l->term_ms;
+	const struct lease_row *row = &l->last_row;
+
+	if (now_ms < l->acquire_from_ms)
+		return false;
+	if (now_ms - l->row_changed_ms >= l->term_ms)
+		return true;
+	return (!row->version || row->era == l->era) && (!row->holder[0] || row_is_ours(l, row));
 }
 
 struct lease_action lease_next_action(struct lease *l, bool eligible, const char *token,
@@ -71,7 +80,8 @@
 	case LEASE_UNCERTAIN:
 		return (struct lease_action){ .kind = LEASE_DO_READ };
 	case LEASE_HELD:
-		if (eligible && now_ms >= l->valid_until_ms - l->term_ms + LEASE_RENEW_MS)
+		if (eligible &&
+		    (l->rewrites || now_ms >= l->valid_until_ms - l->term_ms + LEASE_RENEW_MS))
 			return begin_write(l, l->self, token, now_ms);
 		break;
 	case LEASE_FOLLOWING:
@@ -110,13 +120,17 @@
 		l->fencing = row->version;
 	l->valid_until_ms = l->sent_ms + l->term_ms;
 	l->phase = LEASE_HELD;
+	l->rewrites = false;
 }
 
-/* The write had no effect or was superseded. A lease that this instance still holds is kept. */
+/*
+ * The write had no effect or was superseded. A lease that this instance still holds is kept; it
+ * can't be renewed without the version of the row.
+ */
 static void write_abandoned(struct lease *l)
 {
-	if (l->fencing && row_is_ours(l, &l->last_row))
-		l->phase = LEASE_HELD;
+	if (l->fencing && (l->rewrites || row_is_ours(l, &l->last_row)))
+		l->phase = l->row_known ? LEASE_HELD : LEASE_UNCERTAIN;
 	else
 		reset_to_following(l);
 }
@@ -129,14 +143,16 @@
 		write_confirmed(l, row, now_ms);
 		break;
 	case LEASE_WRITE_CONFLICT:
+		l->rewrites = false;
 		if (row)
 			row_observe(l, row, now_ms);
 		else
 			l->row_known = false;
 		write_abandoned(l);
-		/* A holder can't renew without the version of the row. */
-		if (!row && l->phase == LEASE_HELD)
-			l->phase = LEASE_UNCERTAIN;
+		break;
+	case LEASE_WRITE_OUTDATED:
+		l->row_known = false;
+		write_abandoned(l);
 		break;
 	case LEASE_WRITE_UNCERTAIN:
 		l->phase = LEASE_UNCERTAIN;
@@ -145,7 +161,10 @@
 		write_abandoned(l);
 		break;
 	case LEASE_READ_OK:
-		if (l->phase == LEASE_UNCERTAIN && strcmp(row->token, l->sent_token) == 0) {
+		/* A write from before the era may have taken effect late, under a wrong condition.
+		 */
+		if (l->phase == LEASE_UNCERTAIN && !l->rewrites &&
+		    strcmp(row->token, l->sent_token) == 0) {
 			write_confirmed(l, row, now_ms);
 			break;
 		}
@@ -155,7 +174,9 @@
 		break;
 	case LEASE_READ_NONE:
 		row_observe_absent(l, now_ms);
-		if (l->phase != LEASE_FOLLOWING)
+		if (l->phase != LEASE_FOLLOWING && l->rewrites)
+			write_abandoned(l);
+		else if (l->phase != LEASE_FOLLOWING)
 			reset_to_following(l);
 		break;
 	case LEASE_READ_FAILED:
@@ -163,11 +184,26 @@
 	}
 }
 
+void lease_era_began(struct lease *l, int64_t era, int64_t now_ms)
+{
+	l->era = era;
+	l->acquire_from_ms = now_ms + l->term_ms;
+	l->row_known = false;
+	if (l->fencing && now_ms < l->valid_until_ms) {
+		l->rewrites = true;
+		if (l->phase == LEASE_HELD)
+			l->phase = LEASE_UNCERTAIN;
+	} else if (l->phase != LEASE_WRITING) {
+		reset_to_following(l);
+	}
+}
+
 void lease_note_version(struct lease *l, const char *holder, int64_t version, int64_t now_ms)
 {
 	struct lease_row row = { .version = version };
 
-	if (l->phase != LEASE_FOLLOWING || version <= l->last_row.version)
+	if (l->phase != LEASE_FOLLOWING || version <= l->last_row.version ||
+	    store_version_era(version) < l->era)
 		return;
 	snprintf(row.holder, sizeof(row.holder), "%s", holder);
 	row_observe(l, &row, now_ms);
--- a/tests/test_usage_reports.cc
+++ b/tests/test_usage_reports.cc
@@ -215,6 +215,31 @@
 	check_rules();
 }
 
+/*
+ * Guards against lower tokens after a drill that follows a planned stop, where only the instances
+ * themselves have written in the seconds that are lost.
+ */
+TEST_F(UsageReports, TokensRiseWhenADrillFollowsAPlannedStop)
+{
+	start();
+	grid->post_json("/store", "{\"era\":1}");
+	serve(3000);
+	ASSERT_TRUE(eventually([&] { return !duty_calls().empty(); }, 8000));
+	int former = holder_index();
+	usleep(300000);
+	int64_t copy_ms = clock_boot_ms();
+	usleep(300000);
+	harness_process_signal(all[(size_t)former], SIGTERM);
+	harness_process_wait(all[(size_t)former], 9000);
+	std::vector<int> left = others(former);
+	serve(3000, left);
+	ASSERT_TRUE(eventually([&] { return holder_index() != former; }, 8000));
+	drill_store(copy_ms);
+	serve(12000, left);
+	EXPECT_GT(accepted_windows().count(last_served() - 2), 0u);
+	check_rules();
+}
+
 /* Guards against other figures after lost answers, and against lost windows after outages. */
 TEST_F(UsageReports, OutagesOfStoreAndInterfaceLoseAndChangeNothing)
 {
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -6,6 +6,7 @@
 extern "C" {
 #include "ibisgate/platform/store.h"
 #include "ibisgate/platform/wire.h"
+#include "ibisgate/state/store_era.h"
 }
 
 namespace
@@ -359,7 +360,7 @@
 	struct store_rows rows;
 	struct error err = {};
 
-	ASSERT_EQ(store_rows_decode(str{ body.data(), body.size() }, &rows, &err), 0);
+	ASSERT_EQ(store_rows_decode(str{ body.data(), body.size() }, 0, &rows, &err), 0);
 	ASSERT_EQ(rows.count, 2);
 	EXPECT_STREQ(rows.rows[0].key, "a");
 	EXPECT_EQ(std::string(rows.rows[0].value.data, rows.rows[0].value.len), "hi");
@@ -369,10 +370,91 @@
 	store_rows_free(&rows);
 	for (const char *malformed :
 	     { "", "[]", "{}", "{\"rows\":3,\"schemaVersion\":1}", "{\"rows\":[]}" })
-		EXPECT_EQ(store_rows_decode(str_from(malformed), &rows, &err), -1) << malformed;
+		EXPECT_EQ(store_rows_decode(str_from(malformed), 0, &rows, &err), -1) << malformed;
 	EXPECT_EQ(err.layer, ERROR_PLATFORM);
 }
 
+/* Guards against versions that the store has given out twice and that compare as the same. */
+TEST(Store, VersionsCarryTheEraAndRequestsTheirNumber)
+{
+	const char *body = "{\"rows\":[{\"key\":\"a\",\"schemaVersion\":4}],\"schemaVersion\":7}";
+	int64_t version = 0;
+	struct buf out = {};
+	struct store_rows rows;
+	struct error err = {};
+
+	ASSERT_EQ(store_rows_decode(str_from(body), 2, &rows, &err), 0);
+	EXPECT_EQ(rows.version, store_version_make(2, 7));
+	EXPECT_EQ(rows.rows[0].version, store_version_make(2, 4));
+	EXPECT_GT(rows.rows[0].version, store_version_make(1, STORE_NUMBER_MAX));
+	store_feed_encode(&out, "10.0.0.1:80", "t", rows.version, 5);
+	EXPECT_TRUE(contains(buf_take_string(&out), "&after=7&"));
+	store_rows_free(&rows);
+	ASSERT_EQ(store_put_decode(str_from("{\"schemaVersion\":9}"), 3, &version, &err), 0);
+	EXPECT_EQ(version, store_version_make(3, 9));
+	store_put_encode(&out, "10.0.0.1:80", "t", "k", version, STR_LIT("hi"));
+	EXPECT_TRUE(contains(buf_take_string(&out), "\"schemaVersion\":9"));
+}
+
+/* Guards against numbers that run into the era. */
+TEST(Store, NumbersBeyondTheirBitsAreRejected)
+{
+	int64_t version = 0;
+	struct store_rows rows;
+	struct error err = {};
+
+	for (std::string number : { "1099511627776", "9223372036854775807", "-1" }) {
+		std::string body = "{\"rows\":[],\"schemaVersion\":" + number + "}";
+
+		EXPECT_EQ(store_rows_decode(str_from(body.c_str()), 1, &rows, &err), -1) << number;
+		EXPECT_EQ(store_put_decode(str_from(body.c_str()), 1, &version, &err), -1)
+			<< number;
+	}
+	ASSERT_EQ(store_rows_decode(str_from("{\"rows\":[],\"schemaVersion\":1099511627775}"), 1,
+				    &rows, &err),
+		  0);
+	EXPECT_EQ(rows.version, store_version_make(1, STORE_NUMBER_MAX));
+	store_rows_free(&rows);
+}
+
+/* Guards against a field that is taken for another era, or for a store without eras. */
+TEST(Store, EraOfAnAnswerIsDecodedOrMalformed)
+{
+	const std::pair<std::string, int64_t> cases[] = {
+		{ "Store-Era: 1", 1 },	      { "store-era:  27 ", 27 },
+		{ "Store-Era: 0", 0 },	      { "Store-Era: 4194303", STORE_ERA_MAX },
+		{ "Store-Era: 4194304", -1 }, { "Store-Era: 99999999999999999999999", -1 },
+		{ "Store-Era: -1", -1 },      { "Store-Era: +1", -1 },
+		{ "Store-Era: 1.5", -1 },     { "Store-Era: 0x2", -1 },
+		{ "Store-Era: 2 3", -1 },     { "Store-Era: two", -1 },
+		{ "Store-Era:", -1 },	      { "Other: 7", 0 },
+	};
+
+	for (const auto &c : cases) {
+		struct ParsedHead p("HTTP/1.1 200 OK\r\n" + c.first +
+					    "\r\nContent-Length: 0\r\n\r\n",
+				    HTTP_MESSAGE_RESPONSE);
+
+		EXPECT_EQ(store_answer_era(&p.r.head), c.second) << c.first;
+	}
+}
+
+/* Guards against an answer of an older copy that arrives late and is taken for news. */
+TEST(Store, EarlierAndMalformedErasAreRejected)
+{
+	struct store_era e = {};
+
+	EXPECT_EQ(store_era_observe(&e, 0, 10), STORE_ERA_SAME);
+	EXPECT_EQ(store_era_observe(&e, 3, 20), STORE_ERA_NEW);
+	EXPECT_EQ(store_era_observe(&e, 3, 30), STORE_ERA_SAME);
+	for (int64_t era : { INT64_C(2), INT64_C(0), INT64_C(-1), STORE_ERA_MAX + 1 })
+		EXPECT_EQ(store_era_observe(&e, era, 40), STORE_ERA_REJECTED) << era;
+	EXPECT_EQ(e.number, 3);
+	EXPECT_EQ(e.since_ms, 20);
+	EXPECT_EQ(store_era_observe(&e, 4, 50), STORE_ERA_NEW);
+	EXPECT_EQ(e.since_ms, 50);
+}
+
 TEST(Store, ConditionalWriteCarriesItsPrecondition)
 {
 	struct buf out = {};
@@ -385,9 +467,9 @@
 	EXPECT_TRUE(contains(text, "\"schemaVersion\":12"));
 	EXPECT_TRUE(contains(text, "\"value\":\"aGk=\""));
 	EXPECT_TRUE(contains(text, "\"remove\":[]"));
-	EXPECT_EQ(store_put_decode(STR_LIT("{\"schemaVersion\":412}"), &version, &err), 0);
+	EXPECT_EQ(store_put_decode(STR_LIT("{\"schemaVersion\":412}"), 0, &version, &err), 0);
 	EXPECT_EQ(version, 412);
-	EXPECT_EQ(store_put_decode(STR_LIT("oops"), &version, &err), -1);
+	EXPECT_EQ(store_put_decode(STR_LIT("oops"), 0, &version, &err), -1);
 }
 
 /* Guards against one malformed entry that hides the endpoints next to it, or is used itself. */
@@ -594,7 +676,7 @@
 	struct endpoint_entry e;
 	struct error err = {};
 
-	ASSERT_EQ(store_rows_decode(str{ body.data(), body.size() }, &rows, &err), 0);
+	ASSERT_EQ(store_rows_decode(str{ body.data(), body.size() }, 0, &rows, &err), 0);
 	ASSERT_EQ(rows.count, 2);
 	EXPECT_STREQ(rows.rows[0].key, "");
 	EXPECT_EQ(store_endpoint_decode(&rows.rows[0], &e, &err), -1);
