--- a/entry/endpoints.c
+++ b/entry/endpoints.c
@@ -210,7 +210,8 @@
 		 "endpoint=%s change=%s service=%s dc=%s address=%s stage=%d born=%lld "
 		 "list_version=%lld",
 		 entry->id, change_names[change], entry->service, entry->dc, entry->address,
-		 (int)entry->stage, (long long)entry->process_start_ms, (long long)entry->version);
+		 (int)entry->stage, (long long)entry->process_start_ms,
+		 (long long)store_version_number(entry->version));
 	switch (change) {
 	case DIRECTORY_ADDED:
 	case DIRECTORY_RESTARTED:
--- a/entry/handover.c
+++ b/entry/handover.c
@@ -168,7 +168,7 @@
 		if (!changed) {
 			/* The store is asked for it, since this instance is behind then. */
 			log_warn("endpoint-change-ignored", "peer=%s version=%" PRId64, from,
-				 version);
+				 store_version_number(version));
 			return;
 		}
 		if (changed > newest)
--- a/entry/peers_receive.c
+++ b/entry/peers_receive.c
@@ -373,8 +373,10 @@
 	struct peer_view *v;
 
 	apply_news(p, in, now);
-	for (int i = 0; i < SHARING_STORE_TABLES; i++)
+	for (int i = 0; i < SHARING_STORE_TABLES; i++) {
+		entry_hear_era(p->entry, store_version_era(s->store_table_versions[i]), in->sender);
 		store_watch_note_peer_version(p->entry->watches[i], s->store_table_versions[i]);
+	}
 	apply_parts(p, s, remote, now);
 	apply_suspect_parts(p, s, remote, now);
 	for (int i = 0; i < s->leaving_count; i++)
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -191,7 +191,7 @@
 
 	if (!w->down)
 		log_warn("dependency-lost", "dependency=store table=%s cause=%s version=%" PRId64,
-			 w->table, why, w->version);
+			 w->table, why, store_version_number(w->version));
 	w->down = true;
 	w->away_ms = away_ms;
 	w->failures++;
@@ -242,8 +242,8 @@
 	if (row->deleted || !store_row_is_config(row))
 		return;
 	if (entry_config_set(e, buf_str(&row->value), NULL, &err) < 0)
-		log_warn("config-ignored", "row_version=%" PRId64 " error=\"%s\"", row->version,
-			 err.text);
+		log_warn("config-ignored", "row_version=%" PRId64 " error=\"%s\"",
+			 store_version_number(row->version), err.text);
 }
 
 void store_watch_remove(struct entry *e, const char *id, int64_t version)
@@ -253,7 +253,7 @@
 	directory_remove(d, str_from(id), version, clock_boot_ms());
 	if (directory_is_missing(d, str_from(id)))
 		log_info("endpoint", "endpoint=%s change=missing list_version=%" PRId64, id,
-			 version);
+			 store_version_number(version));
 }
 
 static void apply_endpoint(struct store_watch *w, const struct store_row *row)
@@ -267,8 +267,8 @@
 		return;
 	}
 	if (store_endpoint_decode(row, &entry, &err) < 0) {
-		log_warn("endpoint-ignored", "row_version=%" PRId64 " error=\"%s\"", row->version,
-			 err.text);
+		log_warn("endpoint-ignored", "row_version=%" PRId64 " error=\"%s\"",
+			 store_version_number(row->version), err.text);
 		store_watch_remove(e, row->key, row->version);
 		return;
 	}
@@ -308,6 +308,9 @@
 
 	if (!w->after[0]) {
 		w->version = rows->version;
+		/* By this the others learn of the era, also from an empty table. */
+		if (store_version_era(w->newest) < store_version_era(w->version))
+			w->newest = store_version_make(store_version_era(w->version), 0);
 		if (endpoints)
 			directory_list_begin(&w->entry->directory);
 	}
@@ -320,7 +323,7 @@
 	if (endpoints) {
 		directory_list_end(&w->entry->directory, w->version, clock_boot_ms());
 		log_info("endpoints-listed", "list_version=%" PRId64 " endpoints=%d missing=%d",
-			 w->version, w->entry->directory.count,
+			 store_version_number(w->version), w->entry->directory.count,
 			 directory_count_missing(&w->entry->directory));
 		w->entry->endpoints_loaded = true;
 	}
@@ -341,7 +344,19 @@
 	return interval_ms < max_ms ? interval_ms : max_ms;
 }
 
-static void on_rows(struct store_watch *w, struct str body)
+/* Reads the whole table again. What was read so far may be missing changes. */
+static void watch_relist(struct store_watch *w)
+{
+	int64_t away_ms = watch_succeeded(w);
+
+	if (away_ms)
+		tell_changes(w, &(struct store_rows){ .version = w->version }, away_ms);
+	w->listing = true;
+	w->after[0] = '\0';
+	watch_schedule(w, 0);
+}
+
+static void on_rows(struct store_watch *w, struct str body, int64_t era)
 {
 	struct store_rows rows;
 	struct error err = { 0 };
@@ -349,7 +364,7 @@
 	int64_t away_ms;
 	int64_t age;
 
-	if (store_rows_decode(body, 0, &rows, &err) < 0) {
+	if (store_rows_decode(body, era, &rows, &err) < 0) {
 		log_warn("store-response-ignored", "table=%s error=\"%s\"", w->table, err.text);
 		watch_failed(w, "malformed", clock_boot_ms(), RETRY_MAX_MS);
 		return;
@@ -373,36 +388,53 @@
 	watch_schedule(w, w->listing || age >= interval_ms ? 0 : interval_ms - age);
 }
 
+/* Whether the table was read, as far as it was, in an earlier era than @era. */
+static bool watch_is_outdated(const struct store_watch *w, int64_t era)
+{
+	bool begun = !w->listing || w->after[0];
+
+	return begun && store_version_era(w->version) < era;
+}
+
+/* An answer with rows, or with the lack of them. */
+static void on_answer(struct store_watch *w, const struct http_result *r)
+{
+	int64_t era = entry_answer_era(w->entry, r);
+
+	if (era < 0) {
+		watch_failed(w, "era", clock_boot_ms(), RETRY_MAX_MS);
+	} else if (r->status == 410) {
+		log_warn("feed-history-lost", "table=%s version=%" PRId64, w->table,
+			 store_version_number(w->version));
+		watch_relist(w);
+	} else if (watch_is_outdated(w, era)) {
+		/* Versions that the store gives out again hide changes, so that no 410 is certain.
+		 */
+		log_warn("feed-era-ended", "table=%s version=%" PRId64, w->table,
+			 store_version_number(w->version));
+		watch_relist(w);
+	} else {
+		on_rows(w, r->body, era);
+	}
+}
+
 static void on_result(void *ctx, const struct http_result *r)
 {
 	struct store_watch *w = ctx;
-	int64_t away_ms;
 
 	w->call = NULL;
 	if (!r->status && r->failure == HTTP_FAILURE_STALE) {
 		watch_schedule(w, 0);
 	} else if (!r->status) {
 		watch_unanswered(w, r->failure);
-	} else if (r->status == 410) {
-		/*
-		 * The store no longer has the changes since our version, so the whole table is read
-		 * again.
-		 */
-		log_warn("feed-history-lost", "table=%s version=%" PRId64, w->table, w->version);
-		away_ms = watch_succeeded(w);
-		if (away_ms)
-			tell_changes(w, &(struct store_rows){ .version = w->version }, away_ms);
-		w->listing = true;
-		w->after[0] = '\0';
-		watch_schedule(w, 0);
-	} else if (r->status != 200) {
+	} else if (r->status != 200 && r->status != 410) {
 		/* Too many requests are no outage. */
 		if (r->status != 429)
 			tell_lost(w);
 		watch_failed(w, r->status == 429 ? "rate-limit" : "status", w->requested_ms,
 			     RETRY_MAX_MS);
 	} else {
-		on_rows(w, r->body);
+		on_answer(w, r);
 	}
 }
 
@@ -429,6 +461,10 @@
 		return;
 	w->requested_ms = clock_boot_ms();
 	w->asked_covered = w->covered;
+	if (watch_is_outdated(w, w->entry->era.number)) {
+		w->listing = true;
+		w->after[0] = '\0';
+	}
 	if (w->listing)
 		store_read_encode(&request, w->address, w->table, w->after);
 	else
@@ -527,7 +563,8 @@
 	if (!behind || now_ms - w->behind_since_ms < behind_max_ms(w))
 		return;
 	log_warn("feed-behind", "table=%s version=%" PRId64 " told=%" PRId64 " waited_ms=%" PRId64,
-		 w->table, w->version, w->peer_version, now_ms - w->requested_ms);
+		 w->table, store_version_number(w->version), store_version_number(w->peer_version),
+		 now_ms - w->requested_ms);
 	w->behind_since_ms = 0;
 	/* Cancelling closes the connection; the next request opens a new one. */
 	store_call_cancel(w->call);
--- a/state/directory.c
+++ b/state/directory.c
@@ -3,6 +3,7 @@
 #include <uthash.h>
 
 #include "ibisgate/state/directory.h"
+#include "ibisgate/state/store_era.h"
 
 /*
  * Endpoints rewrite their entries within about 2 s after the list is back; missing entries are
@@ -109,11 +110,11 @@
 	if (s) {
 		s->listed = true;
 		/* A late write by a previous process under this id does not apply to this one. */
-		if (e->version < s->entry.version ||
+		if (store_version_number(e->version) < store_version_number(s->entry.version) ||
 		    e->process_start_ms < s->entry.process_start_ms)
 			return;
 		s->removal_pending = false;
-		if (e->version == s->entry.version)
+		if (store_version_number(e->version) == store_version_number(s->entry.version))
 			return;
 		change = classify_change(&s->entry, e);
 	} else {
@@ -153,7 +154,7 @@
 {
 	struct directory_slot *s = slot_find(d, id);
 
-	if (s && version >= s->entry.version)
+	if (s && store_version_number(version) >= store_version_number(s->entry.version))
 		slot_remove(d, s, now_ms);
 }
 
@@ -168,7 +169,8 @@
 	for (int i = d->count - 1; i >= 0; i--) {
 		struct directory_slot *s = d->slots[i];
 
-		if (!s->listed && !s->removal_pending && version >= s->entry.version)
+		if (!s->listed && !s->removal_pending &&
+		    store_version_number(version) >= store_version_number(s->entry.version))
 			slot_remove(d, s, now_ms);
 	}
 }
--- a/tests/test_store_era.cc
+++ b/tests/test_store_era.cc
@@ -1,3 +1,5 @@
+#include <csignal>
+
 #include "entry_fixture.h"
 
 /* The store goes away for a moment and comes back from an older copy, in its next era. */
@@ -88,6 +90,37 @@
 	EXPECT_EQ(read_store("rows-get?table=own").field("Store-Era"), "2");
 }
 
+/*
+ * Guards against a configuration that is never read, because the store gives its version out again
+ * before an instance has noticed the drill.
+ */
+TEST_F(StoreEra, ConfigurationsWrittenJustAfterADrillAreRead)
+{
+	start();
+	int64_t copy_ms = clock_boot_ms();
+	/* Its age is counted from when the stand-in gets the call. */
+	usleep(300000);
+	for (int i = 0; i < 5; i++)
+		set_endpoint_state("s0", "ready");
+	/* Longer than the wait of a feed, so that the instance knows the last of these versions. */
+	usleep(4500000);
+	int64_t known = store_version();
+	harness_process_signal(instance, SIGSTOP);
+	drill_store(copy_ms);
+	ASSERT_LT(store_version(), known);
+	std::string text = config_json(2);
+	size_t at = text.find("\"/peek/\"");
+	ASSERT_NE(at, std::string::npos) << text;
+	put_config(text.replace(at, 8, "\"/poke/\""));
+	while (store_version() < known + 2)
+		set_endpoint_state("s1", "ready");
+	harness_process_signal(instance, SIGCONT);
+	EXPECT_TRUE(eventually(
+		[&] { return send_request(instance, request_text("peek/x", "GET")).status == 404; },
+		3000));
+	EXPECT_EQ(send_request(instance, request_text("poke/x", "GET")).status, 200);
+}
+
 /*
  * Guards against requests for an endpoint that leaves after a drill, in a version that the store
  * had given out before.
