--- a/entry/entry.c
+++ b/entry/entry.c
@@ -484,7 +484,7 @@
 	int64_t now = clock_boot_ms();
 	int64_t pause_ms = tick_pause_ms(e, now);
 
-	directory_remove_deferred(&e->directory, now);
+	directory_apply_deferred(&e->directory, now);
 	metric_set(METRIC_PARTS_REFUSED, suspect_parts_count_refused(e->suspect_parts, now));
 	metric_set(METRIC_ENDPOINTS_MISSING, directory_count_missing(&e->directory));
 	for (int i = 0; i < SHARING_STORE_TABLES; i++)
--- a/entry/store_call.c
+++ b/entry/store_call.c
@@ -55,7 +55,7 @@
 }
 
 /* @peer: instance that has told the era; "-" when it comes from the store */
-static void log_era(const struct entry *e, int64_t former, const char *peer)
+static void era_begin(struct entry *e, int64_t former, const char *peer)
 {
 	log_info("store-era",
 		 "era=%" PRId64 " former=%" PRId64 " peer=%s operator_version=%" PRId64
@@ -63,6 +63,7 @@
 		 e->era.number, former, peer, watch_number(e->watches[0]),
 		 watch_number(e->watches[1]));
 	metric_set(METRIC_STORE_ERA, e->era.number);
+	directory_era_began(&e->directory, e->era.since_ms);
 }
 
 static void era_reject(struct entry *e, int64_t era, int64_t now)
@@ -85,7 +86,7 @@
 	case STORE_ERA_SAME:
 		break;
 	case STORE_ERA_NEW:
-		log_era(e, former, "-");
+		era_begin(e, former, "-");
 		break;
 	case STORE_ERA_REJECTED:
 		era_reject(e, era, now);
@@ -99,7 +100,7 @@
 	int64_t former = e->era.number;
 
 	if (store_era_observe(&e->era, era, clock_boot_ms()) == STORE_ERA_NEW)
-		log_era(e, former, peer);
+		era_begin(e, former, peer);
 }
 
 void entry_duty_host(struct entry *e, struct duty_host *out)
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -312,7 +312,7 @@
 		if (store_version_era(w->newest) < store_version_era(w->version))
 			w->newest = store_version_make(store_version_era(w->version), 0);
 		if (endpoints)
-			directory_list_begin(&w->entry->directory);
+			directory_list_begin(&w->entry->directory, w->version);
 	}
 	apply_rows(w, rows);
 	str_copy(w->after, sizeof(w->after), str_from(rows->has_more ? last_key(rows) : ""));
@@ -322,9 +322,11 @@
 	w->covered = w->version;
 	if (endpoints) {
 		directory_list_end(&w->entry->directory, w->version, clock_boot_ms());
-		log_info("endpoints-listed", "list_version=%" PRId64 " endpoints=%d missing=%d",
+		log_info("endpoints-listed",
+			 "list_version=%" PRId64 " endpoints=%d missing=%d held=%d",
 			 store_version_number(w->version), w->entry->directory.count,
-			 directory_count_missing(&w->entry->directory));
+			 directory_count_missing(&w->entry->directory),
+			 directory_count_held(&w->entry->directory));
 		w->entry->endpoints_loaded = true;
 	}
 }
--- a/include/ibisgate/state/directory.h
+++ b/include/ibisgate/state/directory.h
@@ -54,6 +54,7 @@
 	DIRECTORY_REMOVED,
 };
 
+struct directory_held;
 struct directory_slot;
 
 /**
@@ -61,6 +62,9 @@
  * @by_id: hash index of @slots
  * @defer_removals_until_ms: removals are deferred until this time, because entries may expire
  *                           during an outage of the list and be registered again shortly after it
+ * @held: entries that are held back, by id, see directory_era_began()
+ * @holds: entries of the store's older copy are held back until @hold_until_ms
+ * @copy_version: version of the first list of the era; later ones were written in it. 0 until then
  * @changed: called for each change
  * @ctx: argument of @changed
  */
@@ -70,6 +74,10 @@
 	int count;
 	int cap;
 	int64_t defer_removals_until_ms;
+	struct directory_held *held;
+	bool holds;
+	int64_t hold_until_ms;
+	int64_t copy_version;
 	void (*changed)(void *ctx, enum directory_change change, const struct endpoint_entry *e);
 	void *ctx;
 };
@@ -94,7 +102,7 @@
  * Entries that were not put between the two calls are removed, unless they are newer than
  * @version.
  */
-void directory_list_begin(struct directory *d);
+void directory_list_begin(struct directory *d, int64_t version);
 void directory_list_end(struct directory *d, int64_t version, int64_t now_ms);
 
 /**
@@ -117,8 +125,21 @@
  */
 void directory_outage_ended(struct directory *d, const struct directory_outage *o, int64_t now_ms);
 
-/** directory_remove_deferred - carry out deferred removals once their time has come */
-void directory_remove_deferred(struct directory *d, int64_t now_ms);
+/**
+ * directory_era_began - the store has come back from an older copy, or may have
+ *
+ * Endpoints write their entries again within a known time. Until then, entries of the copy count
+ * only where they take work away from an endpoint: those that leave or belong to another process.
+ * All others are held back, so that an endpoint that has left isn't used again, and removals are
+ * deferred.
+ */
+void directory_era_began(struct directory *d, int64_t now_ms);
+
+/** directory_apply_deferred - take what was held back, and remove, once their time has come */
+void directory_apply_deferred(struct directory *d, int64_t now_ms);
+
+/** directory_count_held - number of entries that are held back */
+int directory_count_held(const struct directory *d);
 
 /** directory_is_missing - whether the removal of @id is deferred */
 bool directory_is_missing(const struct directory *d, struct str id);
--- a/state/directory.c
+++ b/state/directory.c
@@ -3,7 +3,6 @@
 #include <uthash.h>
 
 #include "ibisgate/state/directory.h"
-#include "ibisgate/state/store_era.h"
 
 /*
  * Endpoints rewrite their entries within about 2 s after the list is back; missing entries are
@@ -22,6 +21,12 @@
 	UT_hash_handle hh;
 };
 
+/* Entry that is held back, because it may be older than what is known. */
+struct directory_held {
+	struct endpoint_entry entry;
+	UT_hash_handle hh;
+};
+
 void directory_init(struct directory *d,
 		    void (*changed)(void *ctx, enum directory_change change,
 				    const struct endpoint_entry *e),
@@ -30,8 +35,44 @@
 	*d = (struct directory){ .changed = changed, .ctx = ctx };
 }
 
+static void held_drop(struct directory *d, struct directory_held *h)
+{
+	HASH_DEL(d->held, h);
+	free(h);
+}
+
+static void held_clear(struct directory *d)
+{
+	struct directory_held *h, *next;
+
+	HASH_ITER(hh, d->held, h, next)
+	held_drop(d, h);
+}
+
+static struct directory_held *held_find(const struct directory *d, struct str id)
+{
+	struct directory_held *h;
+
+	HASH_FIND(hh, d->held, id.data, id.len, h);
+	return h;
+}
+
+static void held_put(struct directory *d, const struct endpoint_entry *e)
+{
+	struct directory_held *h = held_find(d, str_from(e->id));
+
+	if (!h) {
+		h = mem_zalloc(sizeof(*h));
+		h->entry = *e;
+		HASH_ADD_STR(d->held, entry.id, h);
+	} else if (e->version > h->entry.version) {
+		h->entry = *e;
+	}
+}
+
 void directory_free(struct directory *d)
 {
+	held_clear(d);
 	HASH_CLEAR(hh, d->by_id);
 	for (int i = 0; i < d->count; i++)
 		free(d->slots[i]);
@@ -102,19 +143,33 @@
 	return DIRECTORY_UPDATED;
 }
 
-void directory_put(struct directory *d, const struct endpoint_entry *e)
+/*
+ * Whether an entry of the store's older copy has to wait: its endpoint may not have written it
+ * again yet. What takes work away from the endpoint counts at once.
+ */
+static bool must_hold(const struct directory *d, const struct directory_slot *s,
+		      const struct endpoint_entry *e)
+{
+	if (!d->holds || e->version > d->copy_version)
+		return false;
+	if (!s)
+		return true;
+	switch (classify_change(&s->entry, e)) {
+	case DIRECTORY_LEAVING:
+	case DIRECTORY_RESTARTED:
+		return false;
+	default:
+		return true;
+	}
+}
+
+static void slot_put(struct directory *d, struct directory_slot *s, const struct endpoint_entry *e)
 {
-	struct directory_slot *s = slot_find(d, str_from(e->id));
 	enum directory_change change = DIRECTORY_ADDED;
 
 	if (s) {
-		s->listed = true;
-		/* A late write by a previous process under this id does not apply to this one. */
-		if (store_version_number(e->version) < store_version_number(s->entry.version) ||
-		    e->process_start_ms < s->entry.process_start_ms)
-			return;
 		s->removal_pending = false;
-		if (store_version_number(e->version) == store_version_number(s->entry.version))
+		if (e->version == s->entry.version)
 			return;
 		change = classify_change(&s->entry, e);
 	} else {
@@ -125,6 +180,27 @@
 	d->changed(d->ctx, change, &s->entry);
 }
 
+void directory_put(struct directory *d, const struct endpoint_entry *e)
+{
+	struct directory_slot *s = slot_find(d, str_from(e->id));
+	struct directory_held *h = held_find(d, str_from(e->id));
+
+	if (s) {
+		s->listed = true;
+		/* A late write by a previous process under this id does not apply to this one. */
+		if (e->version < s->entry.version ||
+		    e->process_start_ms < s->entry.process_start_ms)
+			return;
+	}
+	if (must_hold(d, s, e)) {
+		held_put(d, e);
+		return;
+	}
+	if (h)
+		held_drop(d, h);
+	slot_put(d, s, e);
+}
+
 /* The check for NULL is for the static analyser: an index that contains @s is never empty. */
 static void slot_unindex(struct directory *d, struct directory_slot *s)
 {
@@ -153,13 +229,19 @@
 void directory_remove(struct directory *d, struct str id, int64_t version, int64_t now_ms)
 {
 	struct directory_slot *s = slot_find(d, id);
+	struct directory_held *h = held_find(d, id);
 
-	if (s && store_version_number(version) >= store_version_number(s->entry.version))
+	if (h && version >= h->entry.version)
+		held_drop(d, h);
+	if (s && version >= s->entry.version)
 		slot_remove(d, s, now_ms);
 }
 
-void directory_list_begin(struct directory *d)
+void directory_list_begin(struct directory *d, int64_t version)
 {
+	if (d->holds && !d->copy_version)
+		d->copy_version = version;
+	held_clear(d);
 	for (int i = 0; i < d->count; i++)
 		d->slots[i]->listed = false;
 }
@@ -169,8 +251,7 @@
 	for (int i = d->count - 1; i >= 0; i--) {
 		struct directory_slot *s = d->slots[i];
 
-		if (!s->listed && !s->removal_pending &&
-		    store_version_number(version) >= store_version_number(s->entry.version))
+		if (!s->listed && !s->removal_pending && version >= s->entry.version)
 			slot_remove(d, s, now_ms);
 	}
 }
@@ -190,8 +271,37 @@
 		d->defer_removals_until_ms = until_ms;
 }
 
-void directory_remove_deferred(struct directory *d, int64_t now_ms)
+void directory_era_began(struct directory *d, int64_t now_ms)
+{
+	held_clear(d);
+	/* Without anything known, the copy is the best there is. */
+	d->holds = d->count > 0;
+	d->copy_version = 0;
+	if (!d->holds)
+		return;
+	d->hold_until_ms = now_ms + REWRITE_MS;
+	if (d->hold_until_ms > d->defer_removals_until_ms)
+		d->defer_removals_until_ms = d->hold_until_ms;
+}
+
+static void held_release(struct directory *d)
+{
+	struct directory_held *h, *next;
+
+	d->holds = false;
+	HASH_ITER(hh, d->held, h, next)
+	{
+		struct endpoint_entry e = h->entry;
+
+		held_drop(d, h);
+		directory_put(d, &e);
+	}
+}
+
+void directory_apply_deferred(struct directory *d, int64_t now_ms)
 {
+	if (d->holds && now_ms >= d->hold_until_ms)
+		held_release(d);
 	if (now_ms < d->defer_removals_until_ms)
 		return;
 	for (int i = d->count - 1; i >= 0; i--) {
@@ -199,3 +309,8 @@
 			slot_delete(d, d->slots[i]);
 	}
 }
+
+int directory_count_held(const struct directory *d)
+{
+	return (int)HASH_COUNT(d->held);
+}
--- a/tests/test_directory.cc
+++ b/tests/test_directory.cc
@@ -7,6 +7,7 @@
 
 extern "C" {
 #include "ibisgate/state/directory.h"
+#include "ibisgate/state/store_era.h"
 }
 
 namespace
@@ -56,6 +57,17 @@
 
 using changes = std::vector<std::string>;
 
+/* Version @number of era 1 or 2. */
+int64_t first_era(int64_t number)
+{
+	return store_version_make(1, number);
+}
+
+int64_t second_era(int64_t number)
+{
+	return store_version_make(2, number);
+}
+
 } // namespace
 
 /* Guards against an outdated update that overwrites a newer one. */
@@ -98,10 +110,10 @@
 	directory_outage_ended(&r.d, &outage, 0);
 	r.remove("a", 3, 10);
 	r.remove("b", 4, 10);
-	directory_remove_deferred(&r.d, 2299);
+	directory_apply_deferred(&r.d, 2299);
 	EXPECT_EQ(r.changes.size(), 2u);
 	r.put("a", 5, 100);
-	directory_remove_deferred(&r.d, 2300);
+	directory_apply_deferred(&r.d, 2300);
 	EXPECT_EQ(r.changes.back(), "removed b");
 	EXPECT_NE(directory_find(&r.d, str_from("a")), nullptr);
 	EXPECT_EQ(directory_find(&r.d, str_from("b")), nullptr);
@@ -133,11 +145,11 @@
 		r.put("a", 1, 100);
 		directory_outage_ended(&r.d, &c.outage, c.back_ms);
 		r.remove("a", 3, c.back_ms);
-		directory_remove_deferred(&r.d, c.removed_ms - 1);
+		directory_apply_deferred(&r.d, c.removed_ms - 1);
 		if (c.removed_ms > c.back_ms) {
 			EXPECT_NE(directory_find(&r.d, str_from("a")), nullptr) << c.removed_ms;
 		}
-		directory_remove_deferred(&r.d, c.removed_ms);
+		directory_apply_deferred(&r.d, c.removed_ms);
 		EXPECT_EQ(directory_find(&r.d, str_from("a")), nullptr) << c.removed_ms;
 	}
 }
@@ -150,7 +162,7 @@
 	r.put("a", 1, 100);
 	r.put("b", 2, 100);
 	r.put("c", 9, 100);
-	directory_list_begin(&r.d);
+	directory_list_begin(&r.d, 8);
 	r.put("a", 1, 100);
 	directory_list_end(&r.d, 8, 0);
 	/* c is newer than the list. */
@@ -179,7 +191,7 @@
 		double from = cpu_ns();
 
 		for (int twice = 0; twice < 2; twice++) {
-			directory_list_begin(&r.d);
+			directory_list_begin(&r.d, 2);
 			for (int i = 0; i < count; i++)
 				r.put(("endpoint-" + std::to_string(i)).c_str(), 1, 1);
 			directory_list_end(&r.d, 2, 0);
@@ -201,3 +213,132 @@
 	/* 4 times the entries would take 16 times as long if each were compared with all others. */
 	EXPECT_LT(list_ns(6000) / list_ns(1500), 8.0);
 }
+
+/* Guards against an endpoint that leaves after a drill and is missed, as its version is low. */
+TEST(Directory, LowerNumbersOfALaterEraAreNewer)
+{
+	struct directory_rig r;
+
+	r.put("a", first_era(14), 100);
+	r.put("b", first_era(15), 100);
+	r.put("a", second_era(8), 100, true);
+	r.remove("b", second_era(9), 0);
+	EXPECT_EQ(r.changes, (changes{ "added a", "added b", "leaving a", "removed b" }));
+	/* A neighbour that hasn't noticed the drill. */
+	r.put("b", first_era(16), 100);
+	r.remove("a", first_era(17), 0);
+	EXPECT_EQ(r.d.count, 2);
+	EXPECT_EQ(r.changes.back(), "added b");
+}
+
+/* Guards against a copy that brings back endpoints which left or went in the lost seconds. */
+TEST(Directory, TheCopyBringsNothingBack)
+{
+	struct directory_rig r;
+
+	r.put("leaves", first_era(5), 100);
+	r.put("stays", first_era(6), 100);
+	r.put("leaves", first_era(11), 100, true);
+	r.changes.clear();
+	directory_era_began(&r.d, 1000);
+	directory_list_begin(&r.d, second_era(9));
+	r.put("leaves", second_era(5), 100);
+	r.put("went", second_era(7), 100);
+	directory_list_end(&r.d, second_era(9), 1000);
+	EXPECT_EQ(r.changes, changes{}) << "also nothing removed that the copy lacks";
+	EXPECT_TRUE(directory_is_missing(&r.d, str_from("stays")));
+	EXPECT_EQ(directory_count_held(&r.d), 2);
+	directory_apply_deferred(&r.d, 3299);
+	EXPECT_EQ(r.changes, changes{});
+	/* All is written again. */
+	r.put("stays", second_era(10), 100);
+	r.remove("went", second_era(11), 3299);
+	r.put("leaves", second_era(12), 100, true);
+	directory_apply_deferred(&r.d, 3300);
+	EXPECT_EQ(r.changes, (changes{ "updated stays", "updated leaves" }));
+	EXPECT_TRUE(directory_find(&r.d, str_from("leaves"))->leaving);
+	EXPECT_EQ(directory_count_held(&r.d), 0);
+}
+
+/* Guards against requests for an endpoint that leaves or is replaced, until the copy is trusted. */
+TEST(Directory, TheCopyTakesWorkAwayAtOnce)
+{
+	struct directory_rig r;
+
+	r.put("a", first_era(5), 100);
+	r.put("b", first_era(6), 100);
+	r.put("c", first_era(12), 200);
+	r.changes.clear();
+	directory_era_began(&r.d, 1000);
+	directory_list_begin(&r.d, second_era(9));
+	r.put("a", second_era(7), 100, true);
+	r.put("b", second_era(8), 150);
+	/* The process before the one that is known. */
+	r.put("c", second_era(4), 100);
+	directory_list_end(&r.d, second_era(9), 1000);
+	EXPECT_EQ(r.changes, (changes{ "leaving a", "reborn b" }));
+	directory_apply_deferred(&r.d, 9000);
+	EXPECT_EQ(r.changes, (changes{ "leaving a", "reborn b" }));
+}
+
+/* Guards against endpoints that stay unknown, or known ones that stay listed, after the time. */
+TEST(Directory, WhatWasHeldBackIsTakenInTime)
+{
+	struct directory_rig r;
+
+	r.put("a", first_era(5), 100);
+	r.put("gone", first_era(6), 100);
+	r.changes.clear();
+	directory_era_began(&r.d, 1000);
+	directory_list_begin(&r.d, second_era(9));
+	r.put("a", second_era(8), 100);
+	r.put("new", second_era(9), 100);
+	directory_list_end(&r.d, second_era(9), 1200);
+	/* Written in the era, and known at once. */
+	r.put("late", second_era(10), 100);
+	EXPECT_EQ(r.changes, changes{ "added late" });
+	directory_apply_deferred(&r.d, 3299);
+	EXPECT_EQ(r.d.count, 3);
+	directory_apply_deferred(&r.d, 3300);
+	std::sort(r.changes.begin(), r.changes.end());
+	EXPECT_EQ(r.changes, (changes{ "added late", "added new", "removed gone", "updated a" }));
+	r.changes.clear();
+	r.put("next", second_era(3), 100);
+	EXPECT_EQ(r.changes, changes{ "added next" }) << "nothing is held back any more";
+}
+
+/* Guards against a second drill that is judged by the first one's copy and time. */
+TEST(Directory, ASecondDrillBeginsAgain)
+{
+	struct directory_rig r;
+
+	r.put("a", first_era(5), 100);
+	r.changes.clear();
+	directory_era_began(&r.d, 1000);
+	directory_list_begin(&r.d, second_era(9));
+	r.put("a", second_era(4), 100);
+	r.put("went", second_era(9), 100);
+	directory_list_end(&r.d, second_era(9), 1000);
+	directory_era_began(&r.d, 3000);
+	directory_apply_deferred(&r.d, 4000);
+	EXPECT_EQ(r.changes, changes{});
+	directory_list_begin(&r.d, store_version_make(3, 20));
+	r.put("went", store_version_make(3, 12), 100);
+	directory_list_end(&r.d, store_version_make(3, 20), 4000);
+	directory_apply_deferred(&r.d, 5299);
+	EXPECT_EQ(r.changes, changes{});
+	directory_apply_deferred(&r.d, 5300);
+	EXPECT_EQ(r.changes, (changes{ "added went", "removed a" }));
+}
+
+/* Guards against a start that waits for endpoints to be written again, with none to serve by. */
+TEST(Directory, AFirstListIsTakenAtOnce)
+{
+	struct directory_rig r;
+
+	directory_era_began(&r.d, 1000);
+	directory_list_begin(&r.d, second_era(9));
+	r.put("a", second_era(4), 100);
+	directory_list_end(&r.d, second_era(9), 1000);
+	EXPECT_EQ(r.changes, changes{ "added a" });
+}
--- a/tests/test_store_era.cc
+++ b/tests/test_store_era.cc
@@ -8,8 +8,11 @@
       protected:
 	void start()
 	{
-		instance = start_all();
+		start_grid();
 		grid->post_json("/store", "{\"era\":1}");
+		put_config(config_json(1));
+		instance = start_instance();
+		EXPECT_TRUE(eventually([&] { return ready_status(instance) == 200; }, 5000));
 		/* What was written so far is older than any copy. */
 		usleep(300000);
 	}
@@ -154,3 +157,23 @@
 	usleep(4000000);
 	EXPECT_EQ(serve_calls(20)["s0"], 0);
 }
+
+/* Guards against requests for an endpoint that went in the lost seconds and is ready in the copy.
+ */
+TEST_F(StoreEra, EndpointsThatWentInTheLostSecondsStayAway)
+{
+	start();
+	int64_t copy_ms = clock_boot_ms();
+	usleep(300000);
+	set_endpoint_state("s0", "gone");
+	usleep(1000000);
+	EXPECT_EQ(serve_calls(4)["s0"], 0);
+	grid->post_json("/store",
+			"{\"drill\":{\"age_ms\":" + std::to_string(clock_boot_ms() - copy_ms) +
+				",\"away_ms\":300,\"rewrite_ms\":1500}}");
+	/* Until after all was written again. */
+	std::map<std::string, int> nodes = serve_calls(120);
+	EXPECT_EQ(read_store("rows-get?table=own").field("Store-Era"), "2");
+	EXPECT_EQ(nodes["s0"], 0);
+	EXPECT_EQ(nodes["s1"], 120);
+}
