start: no configuration from the store's older copy where others know better

Where the store has eras, a starting instance accepts callers only once it has heard a neighbour, for up to 0.3 s (as where the store is slow), and has the newest configuration that they tell, for up to 1 s. Connections wait in the backlog meanwhile. Whoever hears an instance for the first time answers at once instead of with the next heartbeat. Stores without eras: as before.

StoreEra.InstancesThatStartJustAfterADrillServeByTheNewestConfiguration fails before (a dropped rule is served 15 ms after the start) and passes 5 of 5 times.

--- a/entry/entry.c
+++ b/entry/entry.c
@@ -33,6 +33,13 @@
 #define START_ACCEPT_DELAY_MS 300
 #define START_POLL_MS 10
 
+/*
+ * Where the store may have come back from an older copy, an instance that starts waits this long
+ * for a newer configuration that another one has, in milliseconds. Others send it once this one's
+ * heartbeat has told them its own.
+ */
+#define START_CONFIG_WAIT_MS 1000
+
 /*
  * Once a stopping instance accepts no connections, one without a request is closed after this time,
  * in milliseconds; the first request of one that was just accepted may be on its way.
@@ -84,9 +91,26 @@
 	return &e->dc_health[dc < ENTRY_DCS_MAX ? dc : ENTRY_DCS_MAX];
 }
 
+/*
+ * Whether this instance starts with a configuration of the store's copy that others have left
+ * behind, or hasn't heard yet whether they have.
+ */
+static bool starts_behind(const struct entry *e)
+{
+	int64_t waited_ms = clock_boot_ms() - e->accept_delay_begun_ms;
+	int64_t newest;
+
+	if (!e->accept_is_delayed || !e->era.number || !e->table)
+		return false;
+	newest = peers_newest_config(e->peers);
+	if (newest < 0)
+		return waited_ms < START_ACCEPT_DELAY_MS;
+	return e->table->version < newest && waited_ms < START_CONFIG_WAIT_MS;
+}
+
 bool entry_is_ready(const struct entry *e)
 {
-	return e->table && e->endpoints_loaded && !e->stopping;
+	return e->table && e->endpoints_loaded && !e->stopping && !starts_behind(e);
 }
 
 static void ready_log_change(struct entry *e)
@@ -586,8 +610,9 @@
 {
 	struct entry *e = ctx;
 
-	if (!(e->table && e->endpoints_loaded) &&
-	    clock_boot_ms() - e->accept_delay_begun_ms < START_ACCEPT_DELAY_MS)
+	if (starts_behind(e) ||
+	    (!(e->table && e->endpoints_loaded) &&
+	     clock_boot_ms() - e->accept_delay_begun_ms < START_ACCEPT_DELAY_MS))
 		return;
 	event_del(e->accept_delay_timer);
 	e->accept_is_delayed = false;
--- a/entry/internal.h
+++ b/entry/internal.h
@@ -735,6 +735,12 @@
 /** peers_share_interval_ms - least time between two messages of loads, in milliseconds */
 int64_t peers_share_interval_ms(const struct peers *p);
 
+/**
+ * peers_newest_config - newest configuration that a live instance has told; 0 if they have none, -1
+ * if none was heard
+ */
+int64_t peers_newest_config(const struct peers *p);
+
 /** peers_local_instances - number of live instances in this data centre, including this one */
 int peers_local_instances(const struct peers *p);
 
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -335,6 +335,20 @@
 	return p->max_instances;
 }
 
+int64_t peers_newest_config(const struct peers *p)
+{
+	const struct member_table *t = mesh_member_table(p->mesh);
+	int64_t newest = -1;
+
+	for (int i = 1; i < member_count(t); i++) {
+		const struct member *m = member_at(t, i);
+
+		if (m->incarnation && m->state == MEMBER_LIVE && m->config_version > newest)
+			newest = m->config_version;
+	}
+	return newest;
+}
+
 int peers_local_instances(const struct peers *p)
 {
 	return mesh_count_local(p->mesh);
--- a/entry/peers_receive.c
+++ b/entry/peers_receive.c
@@ -329,6 +329,9 @@
 	config_spread_check(p, m, n, now);
 	if (!fresh)
 		return;
+	/* It may have started with a configuration of the store's older copy. */
+	if (p->entry->era.number)
+		peers_mark_changed(p);
 	log_info("peer", "peer=%s change=heard dc=%s address=%s config=%lld", m->id, m->dc, m->peer,
 		 (long long)m->config_version);
 	suspects_share_all(p->entry);
--- a/tests/test_store_era.cc
+++ b/tests/test_store_era.cc
@@ -46,6 +46,18 @@
 		return nodes;
 	}
 
+	/* Serves /poke/ in place of /peek/. */
+	static std::string next_config()
+	{
+		std::string text = config_json(2);
+
+		return text.replace(text.find("\"/peek/\""), 8, "\"/poke/\"");
+	}
+	int peek_status(struct harness_process *p)
+	{
+		return send_request(p, request_text("peek/x", "GET")).status;
+	}
+
 	struct harness_process *instance = nullptr;
 };
 
@@ -111,16 +123,11 @@
 	harness_process_signal(instance, SIGSTOP);
 	drill_store(copy_ms);
 	ASSERT_LT(store_version(), known);
-	std::string text = config_json(2);
-	size_t at = text.find("\"/peek/\"");
-	ASSERT_NE(at, std::string::npos) << text;
-	put_config(text.replace(at, 8, "\"/poke/\""));
+	put_config(next_config());
 	while (store_version() < known + 2)
 		set_endpoint_state("s1", "ready");
 	harness_process_signal(instance, SIGCONT);
-	EXPECT_TRUE(eventually(
-		[&] { return send_request(instance, request_text("peek/x", "GET")).status == 404; },
-		3000));
+	EXPECT_TRUE(eventually([&] { return peek_status(instance) == 404; }, 3000));
 	EXPECT_EQ(send_request(instance, request_text("poke/x", "GET")).status, 200);
 }
 
@@ -177,3 +184,24 @@
 	EXPECT_EQ(nodes["s0"], 0);
 	EXPECT_EQ(nodes["s1"], 120);
 }
+
+/*
+ * Guards against an instance that starts before the operator has written the configuration again,
+ * and serves by the one in the copy, though others know better.
+ */
+TEST_F(StoreEra, InstancesThatStartJustAfterADrillServeByTheNewestConfiguration)
+{
+	start();
+	int64_t copy_ms = clock_boot_ms();
+	usleep(300000);
+	put_config(next_config());
+	ASSERT_TRUE(eventually([&] { return peek_status(instance) == 404; }, 3000));
+	grid->post_json("/store",
+			"{\"drill\":{\"age_ms\":" + std::to_string(clock_boot_ms() - copy_ms) +
+				",\"away_ms\":300,\"rewrite_ms\":4000}}");
+	usleep(600000);
+	struct harness_process *late = start_instance(1);
+	EXPECT_TRUE(eventually([&] { return ready_status(late) == 200; }, 2000));
+	EXPECT_EQ(peek_status(late), 404);
+	EXPECT_EQ(send_request(late, request_text("poke/x", "GET")).status, 200);
+}
