--- a/entry/entry.c
+++ b/entry/entry.c
@@ -58,7 +58,7 @@
 #define ENDPOINT_IDLE_CONNS_MAX 6
 #define ENDPOINT_IDLE_CONNS_SHARE 0.3
 
-/* TCP user timeout of connections to endpoints and to the store, in milliseconds. */
+/* TCP user timeout of connections to the store, in milliseconds. */
 #define USER_TIMEOUT_MS 2000
 
 #define BACKLOG 512
@@ -673,8 +673,7 @@
 	e->endpoint_client = http_client_create(
 		e->base,
 		&(struct http_client_options){ .idle_ms = ENDPOINT_IDLE_MS,
-					       .max_idle_per_address = ENDPOINT_IDLE_CONNS_MAX,
-					       .user_timeout_ms = USER_TIMEOUT_MS });
+					       .max_idle_per_address = ENDPOINT_IDLE_CONNS_MAX });
 	e->store_client = http_client_create(
 		e->base,
 		&(struct http_client_options){ .idle_ms = STORE_IDLE_MS,
--- a/include/ibisgate/net/http_client.h
+++ b/include/ibisgate/net/http_client.h
@@ -96,7 +96,10 @@
  * @idle_ms: idle connections are closed after this time, in milliseconds
  * @max_idle_per_address: maximum number of idle connections kept to one address
  * @user_timeout_ms: a connection is closed when sent data stays unacknowledged for this time, in
- *                   milliseconds
+ *                   milliseconds, and some seconds after the peer's machine is gone. With 0 the
+ *                   kernel never gives one up: it would do so without a reset, and what was sent
+ *                   may still be delivered once the path is back. Each exchange then needs a limit
+ *                   of its owner's.
  */
 struct http_client_options {
 	int idle_ms;
--- a/net/http_client.c
+++ b/net/http_client.c
@@ -139,6 +139,13 @@
 		 a->ip & 255, a->port);
 }
 
+static void set_no_delay(int fd)
+{
+	int on = 1;
+
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
 void tcp_set_options(int fd, int user_timeout_ms)
 {
 	unsigned int timeout = (unsigned int)user_timeout_ms;
@@ -147,7 +154,7 @@
 	int interval = KEEPALIVE_INTERVAL_S;
 	int count = KEEPALIVE_COUNT;
 
-	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	set_no_delay(fd);
 	setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
@@ -584,8 +591,10 @@
 	cds_list_add(&c->link, &client->in_use);
 	http_reader_init(&c->reader, HTTP_MESSAGE_RESPONSE, 0, &reader_ops, c);
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (fd >= 0)
+	if (fd >= 0 && client->options.user_timeout_ms)
 		tcp_set_options(fd, client->options.user_timeout_ms);
+	else if (fd >= 0)
+		set_no_delay(fd);
 	/* Deferred callbacks keep http_exchange_start() from reporting a connect() failure itself.
 	 */
 	c->bev = bufferevent_socket_new(client->base, fd,
--- a/tests/test_http_client.cc
+++ b/tests/test_http_client.cc
@@ -1,6 +1,9 @@
 #include <gtest/gtest.h>
 
 #include <event2/event.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <csignal>
@@ -125,6 +128,24 @@
 	return sent;
 }
 
+/* Value of an option of this process's connection to @port; -1 without one. */
+int connection_option(int port, int level, int option)
+{
+	for (int fd = 3; fd < 1024; fd++) {
+		struct sockaddr_in peer = {};
+		socklen_t len = sizeof(peer);
+		int value = -1;
+
+		if (getpeername(fd, (struct sockaddr *)&peer, &len) < 0 ||
+		    ntohs(peer.sin_port) != port)
+			continue;
+		len = sizeof(value);
+		getsockopt(fd, level, option, &value, &len);
+		return value;
+	}
+	return -1;
+}
+
 } // namespace
 
 /*
@@ -345,3 +366,27 @@
 		EXPECT_EQ(error, ECONNRESET) << cancelled;
 	}
 }
+
+/*
+ * Guards against a request that the kernel gives up while the path is cut, and that the endpoint
+ * gets once it is back: a connection that the kernel ends sends no reset.
+ */
+TEST_F(HttpClient, TheKernelGivesNoConnectionUpWhereOwnersEndTheirExchanges)
+{
+	for (int user_timeout_ms : { 2000, 0 }) {
+		struct http_client_options options = { 5000, 2, user_timeout_ms };
+		TinyServer server([](int fd, const std::string &request) {
+			TinyServer::send_bytes(fd, response(request_id(request), "ok"));
+			return true;
+		});
+
+		http_client_destroy(client);
+		client = http_client_create(base, &options);
+		ASSERT_EQ(fetch(server, "a", 3000, PATIENT_MS).status, 200);
+		EXPECT_EQ(connection_option(server.port, IPPROTO_TCP, TCP_NODELAY), 1);
+		EXPECT_EQ(connection_option(server.port, SOL_SOCKET, SO_KEEPALIVE),
+			  user_timeout_ms ? 1 : 0);
+		EXPECT_EQ(connection_option(server.port, IPPROTO_TCP, TCP_USER_TIMEOUT),
+			  user_timeout_ms);
+	}
+}
