Services and data centres with names of 128 to 200 bytes are served

What callers saw: 503 for every request to such a service.

Change: names of entries and of prices have room for 200 bytes, like ids. Longer ones are still logged (service-unusable) and refused.

Store.EndpointsWithNamesOfUpTo200BytesAreUsable fails before (128 and 200 bytes) and passes.

--- a/include/ibisgate/state/directory.h
+++ b/include/ibisgate/state/directory.h
@@ -6,9 +6,9 @@
 
 #include "ibisgate/common/str.h"
 
-/* Keys of the platform have up to 200 bytes. */
+/* Keys of the platform and names have up to 200 bytes. */
 #define DIRECTORY_ID_MAX 201
-#define DIRECTORY_NAME_MAX 128
+#define DIRECTORY_NAME_MAX 201
 
 enum engine_stage {
 	STAGE_NONE,
--- a/include/ibisgate/state/routing_table.h
+++ b/include/ibisgate/state/routing_table.h
@@ -8,7 +8,7 @@
 #include "ibisgate/policy/retry.h"
 #include "ibisgate/state/organisations.h"
 
-#define ROUTING_DC_NAME_MAX 128
+#define ROUTING_DC_NAME_MAX 201
 #define ROUTING_DCS_MAX 32
 
 /**
--- a/tests/test_wire.cc
+++ b/tests/test_wire.cc
@@ -472,6 +472,28 @@
 	EXPECT_EQ(store_put_decode(STR_LIT("oops"), 0, &version, &err), -1);
 }
 
+/* Guards against services whose endpoints are all left out for their long name (503 for all). */
+TEST(Store, EndpointsWithNamesOfUpTo200BytesAreUsable)
+{
+	for (size_t bytes : { 1, 127, 128, 200, 201 }) {
+		std::string name(bytes, 'n');
+		struct store_row r = make_row(
+			"i-1", "{\"service\":\"" + name +
+				       "\",\"address\":\"10.0.0.1:80\",\"zone\":\"" + name +
+				       "\",\"version\":\"v1\",\"coldLeftMs\":0,\"slots\":64,"
+				       "\"state\":\"ready\",\"seq\":4}");
+		struct endpoint_entry e;
+		struct error err = {};
+
+		EXPECT_EQ(store_endpoint_decode(&r, &e, &err), bytes <= 200 ? 0 : -1) << bytes;
+		if (bytes <= 200) {
+			EXPECT_EQ(e.service, name);
+			EXPECT_EQ(e.dc, name);
+		}
+		buf_free(&r.value);
+	}
+}
+
 /* Guards against one malformed entry that hides the endpoints next to it, or is used itself. */
 TEST(Store, MalformedEndpointEntriesAreRejected)
 {
