--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -44,11 +44,14 @@
 	static constexpr int64_t PROPAGATION_MS = 2500;
 	/* Minimum time between orders of two different lease holders, in milliseconds. */
 	static constexpr int64_t LEASE_HANDOFF_MIN_MS = 3000;
+	/* Longer than a drill takes until all is written again. */
+	static constexpr int64_t DRILL_GAP_MS = 3000;
 
 	void SetUp() override
 	{
 		EntryTest::SetUp();
 		start_grid(6, 1, 3);
+		grid->post_json("/store", "{\"era\":1}");
 		proxy = std::make_unique<StandinProcess>("ibisgate-faultproxy",
 							 std::vector<std::string>{});
 		for (const char *id : { "e0", "e1", "e2", "e3", "e4", "e5", "s0", "s1", "s2" }) {
@@ -289,6 +292,25 @@
 						rng() % 3 ? (int)ports[at] : peer_port());
 		crowd->press(60, text, watch);
 	}
+	/*
+	 * The store comes back from an older copy, though none that is older than the run. What the
+	 * operator and the endpoints wrote is back within the pause of drain_random_endpoint().
+	 */
+	void start_drill(std::mt19937 &rng, int64_t begun_ms)
+	{
+		int64_t now = clock_boot_ms();
+		int64_t age_ms = std::min<int64_t>(1000 + rng() % 6000, now - begun_ms);
+		std::string away_ms = std::to_string(rng() % 800);
+		std::string rewrite_ms = std::to_string(100 + rng() % 1800);
+
+		if (now - drilled_ms < DRILL_GAP_MS)
+			return;
+		drilled_ms = now;
+		drills++;
+		grid->post_json("/store", "{\"drill\":{\"age_ms\":" + std::to_string(age_ms) +
+						  ",\"away_ms\":" + away_ms +
+						  ",\"rewrite_ms\":" + rewrite_ms + "}}");
+	}
 	/*
 	 * Drains an endpoint and withdraws a key while the store is healthy; no new request may
 	 * reach the one or run with the other afterwards.
@@ -399,9 +421,9 @@
 	}
 	void run_soak(unsigned seed, int seconds)
 	{
-		std::mt19937 rng(seed), crowd_rng(seed);
+		std::mt19937 rng(seed), crowd_rng(seed), drill_rng(seed);
 		std::vector<std::thread> callers;
-		int64_t until = clock_boot_ms() + seconds * 1000;
+		int64_t begun = clock_boot_ms(), until = begun + seconds * 1000;
 
 		for (int i = 0; i < CALLERS; i++)
 			callers.emplace_back([this, i, seed] { run_caller(i, seed * 100); });
@@ -412,6 +434,8 @@
 				inject_random_action(rng);
 			if (crowd_rng() % 6 == 0)
 				start_crowd(crowd_rng);
+			if (drill_rng() % 6 == 0)
+				start_drill(drill_rng, begun);
 			std::this_thread::sleep_for(std::chrono::milliseconds(50 + rng() % 400));
 		}
 		crowd.reset();
@@ -423,9 +447,10 @@
 		for (const std::string &v : violations)
 			ADD_FAILURE() << "seed " << seed << ": " << v;
 		EXPECT_GT(served_count, 20) << "seed " << seed;
-		printf("seed=%u seconds=%d requests=%zu served=%d reports=%zu violations=%zu\n",
-		       seed, seconds, outcomes.size(), (int)served_count, duty_calls().size(),
-		       violations.size());
+		printf("seed=%u seconds=%d drills=%d requests=%zu served=%d reports=%zu "
+		       "violations=%zu\n",
+		       seed, seconds, drills, outcomes.size(), (int)served_count,
+		       duty_calls().size(), violations.size());
 	}
 
 	std::unique_ptr<StandinProcess> proxy;
@@ -438,6 +463,8 @@
 	std::vector<std::string> violations;
 	std::unique_ptr<Crowd> crowd;
 	int version = 0;
+	int drills = 0;
+	int64_t drilled_ms = 0;
 };
 
 TEST_F(SoakTest, GuaranteesHoldUnderRandomFaults)
