--- a/state/directory.c
+++ b/state/directory.c
@@ -35,18 +35,31 @@
 	*d = (struct directory){ .changed = changed, .ctx = ctx };
 }
 
+/* The check for NULL is for the static analyser: an index that contains @h is never empty. */
 static void held_drop(struct directory *d, struct directory_held *h)
 {
-	HASH_DEL(d->held, h);
+	if (d->held)
+		HASH_DEL(d->held, h);
 	free(h);
 }
 
+/* Empties the index; the entries stay linked, and belong to the caller. */
+static struct directory_held *held_take_all(struct directory *d)
+{
+	struct directory_held *first = d->held;
+
+	HASH_CLEAR(hh, d->held);
+	return first;
+}
+
 static void held_clear(struct directory *d)
 {
 	struct directory_held *h, *next;
 
-	HASH_ITER(hh, d->held, h, next)
-	held_drop(d, h);
+	for (h = held_take_all(d); h; h = next) {
+		next = h->hh.next;
+		free(h);
+	}
 }
 
 static struct directory_held *held_find(const struct directory *d, struct str id)
@@ -289,12 +302,10 @@
 	struct directory_held *h, *next;
 
 	d->holds = false;
-	HASH_ITER(hh, d->held, h, next)
-	{
-		struct endpoint_entry e = h->entry;
-
-		held_drop(d, h);
-		directory_put(d, &e);
+	for (h = held_take_all(d); h; h = next) {
+		next = h->hh.next;
+		directory_put(d, &h->entry);
+		free(h);
 	}
 }
 
