--- a/entry/store_call.c
+++ b/entry/store_call.c
@@ -64,8 +64,7 @@
 		 watch_number(e->watches[1]));
 	metric_set(METRIC_STORE_ERA, e->era.number);
 	directory_era_began(&e->directory, e->era.since_ms);
-	/* Each table lacks at least the era, also where a call for its changes hangs or none is
-	 * due. */
+	/* So each table is read again, also where a call hangs or none is due. */
 	for (int i = 0; i < SHARING_STORE_TABLES; i++) {
 		if (e->watches[i])
 			store_watch_note_peer_version(e->watches[i],
--- a/entry/store_watch.c
+++ b/entry/store_watch.c
@@ -410,8 +410,7 @@
 			 store_version_number(w->version));
 		watch_relist(w);
 	} else if (watch_is_outdated(w, era)) {
-		/* Versions that the store gives out again hide changes, so that no 410 is certain.
-		 */
+		/* Versions that are given out again hide changes; a 410 isn't certain. */
 		log_warn("feed-era-ended", "table=%s version=%" PRId64, w->table,
 			 store_version_number(w->version));
 		watch_relist(w);
--- a/state/lease.c
+++ b/state/lease.c
@@ -161,8 +161,7 @@
 		write_abandoned(l);
 		break;
 	case LEASE_READ_OK:
-		/* A write from before the era may have taken effect late, under a wrong condition.
-		 */
+		/* A write from before the era may have met its condition by chance. */
 		if (l->phase == LEASE_UNCERTAIN && !l->rewrites &&
 		    strcmp(row->token, l->sent_token) == 0) {
 			write_confirmed(l, row, now_ms);
