--- a/tests/test_usage_reports.cc
+++ b/tests/test_usage_reports.cc
@@ -240,6 +240,57 @@
 	check_rules();
 }
 
+/*
+ * Guards against a holder that sleeps through a drill and goes on with what the store has lost,
+ * and against a successor that reports the windows of the lost rows with other figures.
+ */
+TEST_F(UsageReports, AHolderFrozenAcrossADrillSendsNothingElse)
+{
+	start();
+	grid->post_json("/store", "{\"era\":1}");
+	serve(3000);
+	ASSERT_TRUE(eventually([&] { return !duty_calls().empty(); }, 8000));
+	int frozen = holder_index();
+	int64_t copy_ms = clock_boot_ms();
+	/* Windows are fixed and sent that the copy doesn't have. */
+	serve(4500);
+	harness_process_signal(all[(size_t)frozen], SIGSTOP);
+	drill_store(copy_ms);
+	serve(11000, others(frozen));
+	harness_process_signal(all[(size_t)frozen], SIGCONT);
+	serve(2500);
+	int64_t last = last_served();
+	EXPECT_TRUE(eventually([&] { return accepted_windows().count(last) > 0; },
+			       LATE_MS + WINDOW_MS));
+	EXPECT_NE(holder_index(), frozen);
+	check_rules();
+}
+
+/* Guards against tokens that fall because nobody is left who remembers those before the drill. */
+TEST_F(UsageReports, TokensRiseWhenAllRestartJustAfterADrill)
+{
+	start();
+	grid->post_json("/store", "{\"era\":1}");
+	serve(3000);
+	ASSERT_TRUE(eventually([&] { return !duty_calls().empty(); }, 8000));
+	int64_t copy_ms = clock_boot_ms();
+	serve(4500);
+	drill_store(copy_ms);
+	for (struct harness_process *p : all)
+		harness_process_signal(p, SIGKILL);
+	for (size_t i = 0; i < all.size(); i++) {
+		harness_process_wait(all[i], 1000);
+		start_instance((int)i);
+	}
+	for (struct harness_process *p : all)
+		EXPECT_TRUE(eventually([&] { return ready_status(p) == 200; }, 5000));
+	serve(7000);
+	int64_t last = last_served();
+	EXPECT_TRUE(eventually([&] { return accepted_windows().count(last) > 0; },
+			       LATE_MS + WINDOW_MS));
+	check_rules();
+}
+
 /* Guards against other figures after lost answers, and against lost windows after outages. */
 TEST_F(UsageReports, OutagesOfStoreAndInterfaceLoseAndChangeNothing)
 {
